Lay out the modules and the contracts between them

Cause: five parts are about to be written side by side and need one vocabulary. Change: Maven modules from pure decisions up to the programs, formatter and linter in the build, the names, outcomes and problems, the messages between processes, the platform's interfaces, and the daemon's kernel.

--- /dev/null
+++ b/bench/src/main/java/org/cornelramp/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Load tool, benchmarks and the randomised runs. */
+package org.cornelramp.bench;
--- /dev/null
+++ b/cli/src/main/java/org/cornelramp/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.cornelramp.cli;
--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/model/DataCentre.java
@@ -0,0 +1,27 @@
+package org.cornelramp.core.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Names the data centre that a process runs in, as its settings say.
+ *
+ * <p>Invariant: {@link Names#isValid the value is a valid name}. Immutable, safe for use by any thread.
+ */
+public record DataCentre(@JsonValue String value) implements Comparable<DataCentre> {
+
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public DataCentre {
+        Names.check("data centre", value);
+    }
+
+    @Override
+    public int compareTo(DataCentre other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/model/OrganisationId.java
@@ -0,0 +1,27 @@
+package org.cornelramp.core.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Names one organisation, the unit that shares, limits and service-level reports are kept for.
+ *
+ * <p>Invariant: {@link Names#isValid the value is a valid name}. Immutable, safe for use by any thread.
+ */
+public record OrganisationId(@JsonValue String value) implements Comparable<OrganisationId> {
+
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public OrganisationId {
+        Names.check("organisation", value);
+    }
+
+    @Override
+    public int compareTo(OrganisationId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/settings/DaemonSettings.java
@@ -0,0 +1,30 @@
+package org.cornelramp.core.settings;
+
+import java.util.Optional;
+import org.cornelramp.core.model.DataCentre;
+
+/**
+ * All settings of one daemon. Immutable, safe for use by any thread.
+ *
+ * @param role what the daemon does
+ * @param name name of the entry, or of the backend server that the agent stands beside
+ * @param dataCentre data centre that the process runs in
+ * @param http where HTTP is served: callers and operators at an entry; health and metrics at both
+ * @param links where an agent takes links; absent at an entry
+ * @param platform where the platform's interfaces are
+ * @param backend the backend server beside an agent; absent at an entry
+ * @param timing intervals and timeouts
+ * @param bounds sizes of bodies, headers, rings and records
+ * @param log form of the log
+ */
+public record DaemonSettings(
+        Role role,
+        String name,
+        DataCentre dataCentre,
+        HostPort http,
+        Optional<HostPort> links,
+        PlatformSettings platform,
+        Optional<BackendSettings> backend,
+        TimingSettings timing,
+        BoundSettings bounds,
+        LogSettings log) {}
--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/settings/PlatformSettings.java
@@ -0,0 +1,12 @@
+package org.cornelramp.core.settings;
+
+import java.util.Optional;
+
+/**
+ * Where the platform's interfaces are. Immutable, safe for use by any thread.
+ *
+ * @param logUrl base URL of the log service
+ * @param vmListUrl base URL of the VM list
+ * @param weightStoreUrl base URL of the weight store, if this process orders loads
+ */
+public record PlatformSettings(String logUrl, String vmListUrl, Optional<String> weightStoreUrl) {}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon. */
+package org.cornelramp.daemon;
--- /dev/null
+++ b/wire/src/main/java/org/cornelramp/wire/link/package-info.java
@@ -0,0 +1,2 @@
+/** Framed TCP links between the system's own processes, with heartbeats that find silent connections. */
+package org.cornelramp.wire.link;
