--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/route/LeastOutstandingChooser.java
@@ -0,0 +1,38 @@
+package org.cornelramp.core.route;
+
+import io.vavr.control.Either;
+import java.time.Instant;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.Problem;
+
+/**
+ * Takes for each stage the candidate with the fewest requests of this entry in progress, whatever their size and
+ * its speed; a baseline for measurements. Immutable, safe for use by any thread.
+ */
+public final class LeastOutstandingChooser implements Chooser {
+
+    @Override
+    public Either<Problem, Choice> choose(
+            List<Candidate> candidates,
+            Work work,
+            DataCentre here,
+            LinkCosts links,
+            Instant now,
+            RandomGenerator random) {
+        Chains.Picker picker = (before, next) -> least(next, random);
+        return Unmeasured.choose(picker, candidates, work, here, links, now, random);
+    }
+
+    /** Starts at a random place, so that equal candidates are taken evenly. */
+    private static Candidate least(List<Candidate> next, RandomGenerator random) {
+        int start = random.nextInt(next.size());
+        Candidate least = next.get(start);
+        for (int i = 1; i < next.size(); i++) {
+            Candidate c = next.get((start + i) % next.size());
+            least = c.sentCalls() < least.sentCalls() ? c : least;
+        }
+        return least;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/route/RandomChooser.java
@@ -0,0 +1,24 @@
+package org.cornelramp.core.route;
+
+import io.vavr.control.Either;
+import java.time.Instant;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.Problem;
+
+/** Draws each stage uniformly; a baseline for measurements. Immutable, safe for use by any thread. */
+public final class RandomChooser implements Chooser {
+
+    @Override
+    public Either<Problem, Choice> choose(
+            List<Candidate> candidates,
+            Work work,
+            DataCentre here,
+            LinkCosts links,
+            Instant now,
+            RandomGenerator random) {
+        Chains.Picker picker = (before, next) -> next.get(random.nextInt(next.size()));
+        return Unmeasured.choose(picker, candidates, work, here, links, now, random);
+    }
+}
