--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Limits that hold over all entries together, without a store that they share. */
+package org.cornelramp.core.limit;
