--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/retry/Attempt.java
@@ -0,0 +1,16 @@
+package org.cornelramp.core.retry;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.cornelramp.core.model.Problem;
+
+/**
+ * A failed attempt at a request. Immutable, safe for use by any thread.
+ *
+ * @param problem how it failed
+ * @param idempotent whether the request may run more than once
+ * @param number attempts made, this one included
+ * @param deadline when the whole answer must be there
+ * @param expected least time that another attempt takes
+ */
+public record Attempt(Problem problem, boolean idempotent, int number, Instant deadline, Duration expected) {}
--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Which failed attempts are made again, and how many of them. */
+package org.cornelramp.core.retry;
--- /dev/null
+++ b/core/src/test/java/org/cornelramp/core/retry/RetryRuleTest.java
@@ -0,0 +1,56 @@
+package org.cornelramp.core.retry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.EnumSet;
+import java.util.Set;
+import org.cornelramp.core.model.Problem;
+import org.cornelramp.core.model.ProblemKind;
+import org.testng.annotations.Test;
+
+/** A retry must be safe, may help and fit the deadline. */
+public class RetryRuleTest {
+    private static final Instant NOW = Instant.ofEpochSecond(1_000);
+
+    @Test
+    public void anUnknownOutcomeIsRepeatedOnlyIfIdempotent() {
+        Problem lost = Problem.unknown(ProblemKind.BACKEND_LOST, "gone");
+        assertFalse(RetryRule.mayRetry(attempt(lost, false, 1), NOW));
+        assertTrue(RetryRule.mayRetry(attempt(lost, true, 1), NOW));
+    }
+
+    @Test
+    public void whatDidNotRunIsRetriedUntilTheAttemptsAreUsedUp() {
+        Problem full = Problem.notRun(ProblemKind.OVERLOADED, "full");
+        assertTrue(RetryRule.mayRetry(attempt(full, false, 2), NOW));
+        assertFalse(RetryRule.mayRetry(attempt(full, false, RetryRule.MAX_ATTEMPTS), NOW));
+        assertFalse(RetryRule.mayRetry(attempt(full, false, 1), NOW.plusSeconds(9)));
+    }
+
+    @Test
+    public void refusalsOfTheRequestItselfStay() {
+        Set<ProblemKind> retried = EnumSet.noneOf(ProblemKind.class);
+        for (ProblemKind kind : ProblemKind.values()) {
+            if (RetryRule.mayRetry(attempt(Problem.notRun(kind, "why"), true, 1), NOW)) {
+                retried.add(kind);
+            }
+        }
+        assertEquals(
+                retried,
+                EnumSet.of(
+                        ProblemKind.OVERLOADED,
+                        ProblemKind.NO_BACKEND_SERVER,
+                        ProblemKind.NOT_READY,
+                        ProblemKind.LEAVING,
+                        ProblemKind.BACKEND_FAILED,
+                        ProblemKind.BACKEND_LOST));
+    }
+
+    private static Attempt attempt(Problem problem, boolean idempotent, int number) {
+        return new Attempt(problem, idempotent, number, NOW.plusSeconds(2), Duration.ofMillis(100));
+    }
+}
