Set poison requests aside by blame over all crashes

Cause: a request that crashes the backend servers it runs on comes back by retry and from its caller; those that ran beside it must go on. Ruled out: a plain count of two crashes for each request. Change: SetAside over crash reports that merge in any order, Blame (strongest explanation first, what it explains clears the others), Fingerprint, marks with their own end for heartbeats.

--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/poison/Fingerprint.java
@@ -0,0 +1,41 @@
+package org.cornelramp.core.poison;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import org.cornelramp.core.model.OrganisationId;
+import org.cornelramp.core.model.ServiceName;
+
+/**
+ * Recognises a request that is sent again: the same organisation, service and body give the same fingerprint,
+ * whatever its key, entry and time. Stateless, safe for use by any thread.
+ */
+public final class Fingerprint {
+
+    private Fingerprint() {}
+
+    /** The SHA-256 of organisation, service and body, in lower-case hexadecimal. */
+    public static String of(OrganisationId organisation, ServiceName service, byte[] body) {
+        MessageDigest digest = sha256();
+        add(digest, organisation.value().getBytes(StandardCharsets.UTF_8));
+        add(digest, service.value().getBytes(StandardCharsets.UTF_8));
+        add(digest, body);
+        return HexFormat.of().formatHex(digest.digest());
+    }
+
+    /** Each part goes in with its length, so that no two requests run together to the same bytes. */
+    private static void add(MessageDigest digest, byte[] part) {
+        digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.length).array());
+        digest.update(part);
+    }
+
+    private static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("Every Java platform has SHA-256: use a complete one", e);
+        }
+    }
+}
--- a/core/src/main/java/org/cornelramp/core/retry/RetryRule.java
+++ b/core/src/main/java/org/cornelramp/core/retry/RetryRule.java
@@ -13,6 +13,12 @@
     /** Most attempts at one request. */
     public static final int MAX_ATTEMPTS = 3;
 
+    /**
+     * Crashes after which a request is not tried again. The reports that set a poison request aside are late, and
+     * its own entry would send it to a third backend server before they arrive.
+     */
+    public static final int MAX_CRASHES = 2;
+
     private RetryRule() {}
 
     /**
@@ -24,7 +30,11 @@
     public static boolean mayRetry(Attempt failed, Instant now) {
         boolean safe = failed.problem().outcome() == Outcome.NOT_RUN || failed.idempotent();
         boolean inTime = now.plus(failed.expected()).isBefore(failed.deadline());
-        return safe && helps(failed.problem().kind()) && inTime && failed.number() < MAX_ATTEMPTS;
+        return safe && helps(failed.problem().kind()) && inTime && attemptsLeft(failed);
+    }
+
+    private static boolean attemptsLeft(Attempt failed) {
+        return failed.number() < MAX_ATTEMPTS && failed.crashes() < MAX_CRASHES;
     }
 
     /** Whether another backend server may do better. A refusal of the request itself stays one everywhere. */
--- /dev/null
+++ b/core/src/test/java/org/cornelramp/core/poison/SetAsideProperties.java
@@ -0,0 +1,82 @@
+package org.cornelramp.core.poison;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** Reports in any order, any number of times, lead every process to the same; innocents beside a poison go on. */
+class SetAsideProperties {
+    private static final Instant NOW = Instant.ofEpochSecond(1_000);
+
+    @Property(seed = "4101", tries = 200)
+    void orderAndRepetitionOfReportsDoNotMatter(@ForAll long seed, @ForAll @IntRange(min = 1, max = 30) int count) {
+        Random random = new Random(seed);
+        List<CrashReport> reports = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            Set<String> suspects = new HashSet<>();
+            for (int j = 0; j < 4; j++) {
+                suspects.add("f" + random.nextInt(12));
+            }
+            reports.add(new CrashReport("c" + i % 20, NOW.minusMillis(random.nextInt(5_000)), suspects));
+        }
+        SetAside one = told(reports);
+        List<CrashReport> again = new ArrayList<>(reports);
+        again.addAll(reports.subList(0, random.nextInt(count)));
+        Collections.shuffle(again, random);
+        assertEquals(told(again).marks(NOW), one.marks(NOW));
+    }
+
+    @Property(seed = "4102", tries = 30)
+    void everyPoisonIsSetAsideAndHardlyAnInnocentIs(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 3) int poisons) {
+        CrashingFleet fleet = new CrashingFleet(20, true, 10, new Random(seed));
+        fleet.run(20, poisons, 10, 0);
+        for (int p = 0; p < poisons; p++) {
+            assertTrue(fleet.isSetAside("poison" + p));
+            // Two, and those that were under way before the second report came or when another request was beside it
+            // both times.
+            assertTrue(fleet.crashesOf("poison" + p) <= 4, "crashes " + fleet.crashesOf("poison" + p));
+        }
+        assertTrue(fleet.wronged.size() <= 2, "innocents set aside: " + fleet.wronged);
+    }
+
+    @Property(seed = "4103", tries = 10)
+    void serversThatCrashForReasonsOfTheirOwnSeldomCostAnInnocent(@ForAll long seed) {
+        CrashingFleet fleet = new CrashingFleet(20, true, 10, new Random(seed));
+        fleet.run(30, 0, 20, 1);
+        assertTrue(!fleet.isSetAside("popular"));
+        assertTrue(fleet.wronged.size() <= 2, "innocents set aside: " + fleet.wronged.size());
+    }
+
+    @Property(seed = "4104", tries = 100)
+    void boundsHoldAndEverythingIsForgotten(@ForAll long seed) {
+        Random random = new Random(seed);
+        SetAside setAside = new SetAside(Duration.ofSeconds(60), 16);
+        Instant now = NOW;
+        for (int i = 0; i < 100; i++) {
+            now = now.plusMillis(random.nextInt(500));
+            setAside.crashed(new CrashReport("c" + i, now, Set.of("f" + random.nextInt(5))), now);
+            setAside.heard(List.of("x" + i + "@" + now.plusSeconds(999).toEpochMilli(), "junk", "@", "a@b"), now);
+            assertTrue(setAside.reportsSince(Instant.EPOCH).size() <= 16);
+            assertTrue(setAside.marks(now).size() <= SetAside.MAX_TOLD);
+        }
+        assertEquals(setAside.marks(now.plusSeconds(61)), List.of());
+    }
+
+    private static SetAside told(List<CrashReport> reports) {
+        SetAside setAside = SetAside.standard();
+        reports.forEach(r -> setAside.crashed(CrashReport.parse(r.toString()), NOW));
+        return setAside;
+    }
+}
--- a/core/src/test/java/org/cornelramp/core/retry/RetryRuleTest.java
+++ b/core/src/test/java/org/cornelramp/core/retry/RetryRuleTest.java
@@ -31,6 +31,13 @@
         assertFalse(RetryRule.mayRetry(attempt(full, false, 1), NOW.plusSeconds(9)));
     }
 
+    @Test
+    public void theSecondCrashIsTheLast() {
+        Problem lost = Problem.unknown(ProblemKind.BACKEND_LOST, "crashed");
+        assertTrue(RetryRule.mayRetry(new Attempt(lost, true, 1, 1, NOW.plusSeconds(2), Duration.ZERO), NOW));
+        assertFalse(RetryRule.mayRetry(new Attempt(lost, true, 2, 2, NOW.plusSeconds(2), Duration.ZERO), NOW));
+    }
+
     @Test
     public void refusalsOfTheRequestItselfStay() {
         Set<ProblemKind> retried = EnumSet.noneOf(ProblemKind.class);
@@ -51,6 +58,6 @@
     }
 
     private static Attempt attempt(Problem problem, boolean idempotent, int number) {
-        return new Attempt(problem, idempotent, number, NOW.plusSeconds(2), Duration.ofMillis(100));
+        return new Attempt(problem, idempotent, number, 0, NOW.plusSeconds(2), Duration.ofMillis(100));
     }
 }
