Add the HTTP clients of the platform and its stand-ins

Cause: the daemon needs something to talk to before its parts can meet. Change: platform.http speaks docs/PLATFORM.md over one small Jetty client. A call is sent once: redirect and authentication handlers are removed, and a failure counts as not sent only when no connection began to send it. After a timeout, connections opened before it are not used again, since all of them may have gone silent together. Five stand-ins serve the same interfaces, each a process of its own, with fault switches and a trace. Ruled out: counting a failure as not sent until the head was written, since a partly written request may still be acted on.

--- /dev/null
+++ b/standins/src/main/java/org/cornelramp/standins/http/OpenConnections.java
@@ -0,0 +1,30 @@
+package org.cornelramp.standins.http;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.eclipse.jetty.io.Connection;
+
+/**
+ * Knows which connections have gone silent: those that were open when the switch was set. Safe for use by any thread.
+ */
+final class OpenConnections implements Connection.Listener {
+    private final Map<Connection, Boolean> silentByConnection = new ConcurrentHashMap<>();
+
+    @Override
+    public void onOpened(Connection connection) {
+        silentByConnection.put(connection, false);
+    }
+
+    @Override
+    public void onClosed(Connection connection) {
+        silentByConnection.remove(connection);
+    }
+
+    void silenceAll() {
+        silentByConnection.replaceAll((connection, silent) -> true);
+    }
+
+    boolean isSilent(Connection connection) {
+        return silentByConnection.getOrDefault(connection, false);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/cornelramp/standins/log/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for the log service. */
+package org.cornelramp.standins.log;
--- /dev/null
+++ b/standins/src/main/java/org/cornelramp/standins/service/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for a plain service whose calls have effects. */
+package org.cornelramp.standins.service;
--- /dev/null
+++ b/standins/src/main/java/org/cornelramp/standins/vms/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for the VM list. */
+package org.cornelramp.standins.vms;
--- /dev/null
+++ b/standins/src/main/java/org/cornelramp/standins/weights/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for the weight store. */
+package org.cornelramp.standins.weights;
