--- /dev/null
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/Fleet.java
@@ -0,0 +1,355 @@
+package org.cornelramp.bench.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+
+/**
+ * A whole system on loopback: the platform's stand-ins, entries, and agents beside engines and services, each a
+ * separate process.
+ *
+ * <p>Confined to one thread, but for the processes of its members. Closing it ends every process that it started.
+ */
+public final class Fleet implements AutoCloseable {
+    private static final Duration END_LIMIT = Duration.ofSeconds(5);
+    private static final long POLL_MILLIS = 20;
+
+    private final Path home;
+    private final Path folder;
+    private final FleetPlan plan;
+    private final Ports ports = new Ports();
+    private final JsonHttp http = new JsonHttp();
+    private final Map<String, Member> members = new LinkedHashMap<>();
+    private final Map<String, String> leaving = new LinkedHashMap<>();
+    private final List<ManagedProcess> processes = new ArrayList<>();
+    private final int logPort = ports.take();
+    private final int vmsPort = ports.take();
+    private final int weightsPort = ports.take();
+    private final ManagedProcess log;
+    private final SettingsFiles settings;
+
+    private Fleet(Path home, Path folder, FleetPlan plan, List<String> logOptions) {
+        this.home = home;
+        this.folder = folder;
+        this.plan = plan;
+        this.settings = new SettingsFiles(folder, logUrl(), vmListUrl(), url(weightsPort));
+        List<String> logArguments = new ArrayList<>(List.of("log", "--port", Integer.toString(logPort)));
+        logArguments.addAll(logOptions);
+        this.log = standin("log", logArguments);
+    }
+
+    /**
+     * Starts a fleet and waits until every entry is ready and linked to every agent.
+     *
+     * @param home folder of the checkout with the built jars
+     */
+    public static Fleet start(Path home, FleetPlan plan) {
+        return start(home, plan, List.of());
+    }
+
+    /** Starts a fleet whose log service has further options. */
+    public static Fleet start(Path home, FleetPlan plan, List<String> logOptions) {
+        Fleet fleet = new Fleet(home, temporaryFolder(), plan, logOptions);
+        try {
+            fleet.startAll();
+        } catch (RuntimeException e) {
+            fleet.close();
+            throw e;
+        }
+        return fleet;
+    }
+
+    /** The plan that the fleet was started from. */
+    public FleetPlan plan() {
+        return plan;
+    }
+
+    /** HTTP client of the tool. */
+    public JsonHttp http() {
+        return http;
+    }
+
+    /** Folder of the settings and outputs of all processes. */
+    public Path folder() {
+        return folder;
+    }
+
+    /** Base URL of the log service. */
+    public String logUrl() {
+        return url(logPort);
+    }
+
+    /** Base URL of the VM list. */
+    public String vmListUrl() {
+        return url(vmsPort);
+    }
+
+    /** The log service's process. */
+    public ManagedProcess log() {
+        return log;
+    }
+
+    /** A member by its name. */
+    public Member member(String name) {
+        Member member = members.get(name);
+        if (member == null) {
+            throw new FleetException("No member " + name + " among " + members.keySet());
+        }
+        return member;
+    }
+
+    /** All members. */
+    public List<Member> members() {
+        return List.copyOf(members.values());
+    }
+
+    /** The entries. */
+    public List<Member> entries() {
+        return members.values().stream().filter(Member::entry).toList();
+    }
+
+    /** The agents beside engines. */
+    public List<Member> stages() {
+        return members.values().stream()
+                .filter(member -> member.name().startsWith("stage-"))
+                .toList();
+    }
+
+    /** The agents beside plain services. */
+    public List<Member> services() {
+        return members.values().stream()
+                .filter(member -> member.name().startsWith("service-"))
+                .toList();
+    }
+
+    /** Caller key of an organisation of the fleet. */
+    public static String callerKey(int organisation) {
+        return "caller-key-of-org-" + organisation;
+    }
+
+    /** Sets fault switches of a stand-in. */
+    public void faults(String url, Map<String, String> switches) {
+        http.json("POST", url + "/faults", switches);
+    }
+
+    /** What a stand-in has traced. */
+    public JsonNode trace(String url) {
+        return http.json("GET", url + "/trace?from=0", null).get("events");
+    }
+
+    /** Says in the VM list that a member is leaving. */
+    public void markLeaving(String name) {
+        leaving.put(name, "leaving");
+        publishVms();
+    }
+
+    /** Takes a member out of the VM list. */
+    public void forget(String name) {
+        members.remove(name);
+        publishVms();
+    }
+
+    /** Adds an entry, without waiting until it is ready. */
+    public Member launchEntry(String name) {
+        int httpPort = ports.take();
+        Path file = settings.entry(name, "dc-0", httpPort);
+        ManagedProcess daemon = daemon(name, file);
+        Member member = new Member(name, true, httpPort, 0, "dc-0", daemon, Optional.empty(), 0, Optional.empty());
+        members.put(name, member);
+        daemon.launch();
+        return member;
+    }
+
+    /** Adds an agent with a new engine, without waiting until it is ready. */
+    public Member launchStage(String name, StagePlan stage, String dataCentre) {
+        int port = ports.take();
+        List<String> arguments = new ArrayList<>(List.of("engine", "--port", Integer.toString(port)));
+        arguments.addAll(List.of("--model", FleetPlan.MODEL, "--layers", stage.layers()));
+        arguments.addAll(List.of("--accelerator", stage.accelerator()));
+        arguments.addAll(List.of("--base-micros", Integer.toString(stage.baseMicros())));
+        arguments.addAll(List.of("--input-micros", Integer.toString(stage.inputMicros())));
+        return launchAgent(name, "engine", standin("engine-of-" + name, arguments), port, dataCentre);
+    }
+
+    /** Adds an agent with a new plain service, without waiting until it is ready. */
+    public Member launchService(String name, int millis, String dataCentre) {
+        int port = ports.take();
+        List<String> arguments = new ArrayList<>(List.of("service", "--port", Integer.toString(port)));
+        arguments.addAll(List.of("--name", FleetPlan.SERVICE, "--millis", Integer.toString(millis)));
+        return launchAgent(name, "service", standin("backend-of-" + name, arguments), port, dataCentre);
+    }
+
+    /** Writes the members into the VM list. */
+    public void publishVms() {
+        List<Map<String, Object>> vms = members.values().stream().map(this::vm).toList();
+        http.json("PUT", vmListUrl() + "/v1/vms", Map.of("vms", vms));
+    }
+
+    /** Appends a table edit to the log, as operators' tools do. */
+    public void appendEdit(String organisation, String service, long against, Map<String, Object> values) {
+        Map<String, Object> edit = new LinkedHashMap<>();
+        edit.put("type", "edit");
+        edit.put("organisation", organisation);
+        edit.put("service", service);
+        edit.put("against", against);
+        edit.put("values", values);
+        edit.put("by", "fleet");
+        http.json("POST", logUrl() + "/v1/streams/table/records", Map.of("records", List.of(edit)));
+    }
+
+    /** Column values of an organisation's row. */
+    public static Map<String, Object> rowValues(int organisation, int weight) {
+        Map<String, Object> values = new LinkedHashMap<>();
+        values.put("weight", weight);
+        values.put("priority", 5);
+        values.put("requestsPerSecond", 0);
+        values.put("concurrency", 0);
+        values.put("tokensPerSecond", 0);
+        values.put("deadlineMillis", 30_000);
+        values.put("objectivePercent", 99.0);
+        values.put("callerKeyHashes", List.of(sha256(callerKey(organisation))));
+        return values;
+    }
+
+    /** Waits until a condition holds. */
+    public static void await(String what, Duration limit, BooleanSupplier condition) {
+        long end = System.nanoTime() + limit.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - end > 0) {
+                throw new FleetException("Not seen within " + limit + ": " + what);
+            }
+            pause();
+        }
+    }
+
+    /** Whether an entry says that it is ready. */
+    public boolean isReady(Member member) {
+        try {
+            return http.send("GET", member.url() + "/ready", Map.of(), "").status() == 200;
+        } catch (FleetException e) {
+            return false;
+        }
+    }
+
+    @Override
+    public void close() {
+        members.values().forEach(member -> member.relay().ifPresent(Relay::close));
+        for (ManagedProcess process : processes) {
+            if (process.isAlive()) {
+                process.kill();
+                process.awaitEnd(END_LIMIT);
+            }
+        }
+        http.close();
+    }
+
+    private void startAll() {
+        List<ManagedProcess> platform = List.of(
+                log,
+                standin("vms", List.of("vms", "--port", Integer.toString(vmsPort))),
+                standin("weights", List.of("weights", "--port", Integer.toString(weightsPort))));
+        platform.forEach(ManagedProcess::launch);
+        platform.forEach(ManagedProcess::awaitReady);
+        for (int i = 0; i < plan.organisations(); i++) {
+            appendEdit("org-" + i, FleetPlan.MODEL, -1, rowValues(i, 10));
+            appendEdit("org-" + i, FleetPlan.SERVICE, -1, rowValues(i, 10));
+        }
+        for (int i = 0; i < plan.stages().size(); i++) {
+            launchStage("stage-" + i, plan.stages().get(i), "dc-" + i % plan.dataCentres());
+        }
+        for (int i = 0; i < plan.services(); i++) {
+            launchService("service-" + i, plan.serviceMillis(), "dc-" + i % plan.dataCentres());
+        }
+        for (int i = 0; i < plan.entries(); i++) {
+            launchEntry("entry-" + i);
+        }
+        publishVms();
+        processes.forEach(ManagedProcess::awaitReady);
+        entries().forEach(entry -> await(entry.name() + " ready", Duration.ofSeconds(30), () -> isReady(entry)));
+    }
+
+    private Member launchAgent(String name, String kind, ManagedProcess backend, int port, String dataCentre) {
+        int httpPort = ports.take();
+        int linkPort = ports.take();
+        int seenPort = plan.relayed() ? ports.take() : linkPort;
+        Optional<Relay> relay = plan.relayed() ? Optional.of(new Relay(seenPort, linkPort)) : Optional.empty();
+        Path file = settings.agent(name, dataCentre, httpPort, linkPort, kind, url(port));
+        ManagedProcess daemon = daemon(name, file);
+        Member member =
+                new Member(name, false, httpPort, seenPort, dataCentre, daemon, Optional.of(backend), port, relay);
+        members.put(name, member);
+        backend.launch();
+        daemon.launch();
+        return member;
+    }
+
+    private Map<String, Object> vm(Member member) {
+        int port = member.entry() ? member.httpPort() : member.linkPort();
+        Map<String, Object> vm = new LinkedHashMap<>();
+        vm.put("vm", member.name());
+        vm.put("role", member.entry() ? "entry" : "agent");
+        vm.put("address", "127.0.0.1:" + port);
+        vm.put("dataCentre", member.dataCentre());
+        vm.put("state", leaving.getOrDefault(member.name(), "live"));
+        return vm;
+    }
+
+    private ManagedProcess standin(String name, List<String> arguments) {
+        return process(name, "bin/standin", arguments);
+    }
+
+    private ManagedProcess daemon(String name, Path file) {
+        return process(name, "bin/cornelrampd", List.of("--settings", file.toString()));
+    }
+
+    private ManagedProcess process(String name, String script, List<String> arguments) {
+        List<String> command = new ArrayList<>();
+        command.add(home.resolve(script).toString());
+        command.addAll(arguments);
+        ManagedProcess process = new ManagedProcess(name, command, folder.resolve(name + ".out"));
+        processes.add(process);
+        return process;
+    }
+
+    private static String url(int port) {
+        return "http://127.0.0.1:" + port;
+    }
+
+    private static String sha256(String text) {
+        try {
+            byte[] hash = MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(hash);
+        } catch (NoSuchAlgorithmException e) {
+            throw new FleetException("This Java has no SHA-256", e);
+        }
+    }
+
+    private static Path temporaryFolder() {
+        try {
+            return Files.createTempDirectory("cornelramp-fleet");
+        } catch (IOException e) {
+            throw new FleetException("Could not make a folder for the fleet", e);
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new FleetException("Interrupted while waiting", e);
+        }
+    }
+}
