--- /dev/null
+++ b/wire/src/main/java/org/cornelramp/wire/codec/FrameMapper.java
@@ -0,0 +1,32 @@
+package org.cornelramp.wire.codec;
+
+import com.fasterxml.jackson.annotation.JsonSetter;
+import com.fasterxml.jackson.annotation.Nulls;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * The mapper of frame bodies. Fields that a reader does not know are ignored, and lists, maps and optional values
+ * that the writer does not know read as empty: so neighbouring versions understand each other.
+ */
+final class FrameMapper {
+    static final ObjectMapper MAPPER = build();
+
+    private FrameMapper() {}
+
+    private static ObjectMapper build() {
+        ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+        mapper.registerModule(new Jdk8Module());
+        mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+        JsonSetter.Value empty = JsonSetter.Value.forValueNulls(Nulls.AS_EMPTY);
+        mapper.configOverride(List.class).setSetterInfo(empty);
+        mapper.configOverride(Map.class).setSetterInfo(empty);
+        mapper.configOverride(String.class).setSetterInfo(empty);
+        mapper.configOverride(byte[].class).setSetterInfo(empty);
+        return mapper;
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/cornelramp/wire/codec/MessageType.java
@@ -0,0 +1,87 @@
+package org.cornelramp.wire.codec;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.cornelramp.wire.message.CloseStage;
+import org.cornelramp.wire.message.ExportStage;
+import org.cornelramp.wire.message.Heartbeat;
+import org.cornelramp.wire.message.Hello;
+import org.cornelramp.wire.message.Invoke;
+import org.cornelramp.wire.message.InvokeResult;
+import org.cornelramp.wire.message.Message;
+import org.cornelramp.wire.message.OpenStage;
+import org.cornelramp.wire.message.SendFrom;
+import org.cornelramp.wire.message.Settle;
+import org.cornelramp.wire.message.Settled;
+import org.cornelramp.wire.message.StageExported;
+import org.cornelramp.wire.message.StageLost;
+import org.cornelramp.wire.message.StageOpened;
+import org.cornelramp.wire.message.StageRefused;
+import org.cornelramp.wire.message.Step;
+import org.cornelramp.wire.message.TableRequest;
+import org.cornelramp.wire.message.TableUpdate;
+import org.cornelramp.wire.message.Token;
+
+/**
+ * The byte that names each message in a frame. A number is never given to another message, so that an older
+ * reader refuses what it does not know instead of taking it for something else.
+ */
+public enum MessageType {
+    HELLO(1, Hello.class),
+    HEARTBEAT(2, Heartbeat.class),
+    TABLE_REQUEST(3, TableRequest.class),
+    TABLE_UPDATE(4, TableUpdate.class),
+    INVOKE(10, Invoke.class),
+    INVOKE_RESULT(11, InvokeResult.class),
+    SETTLE(12, Settle.class),
+    SETTLED(13, Settled.class),
+    OPEN_STAGE(20, OpenStage.class),
+    STAGE_OPENED(21, StageOpened.class),
+    STAGE_REFUSED(22, StageRefused.class),
+    SEND_FROM(23, SendFrom.class),
+    STEP(24, Step.class),
+    TOKEN(25, Token.class),
+    STAGE_LOST(26, StageLost.class),
+    CLOSE_STAGE(27, CloseStage.class),
+    EXPORT_STAGE(28, ExportStage.class),
+    STAGE_EXPORTED(29, StageExported.class);
+
+    private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
+    private static final Map<Class<?>, MessageType> BY_FORM = new HashMap<>();
+
+    static {
+        for (MessageType type : values()) {
+            BY_NUMBER.put(type.number, type);
+            BY_FORM.put(type.form, type);
+        }
+    }
+
+    private final int number;
+    private final Class<? extends Message> form;
+
+    MessageType(int number, Class<? extends Message> form) {
+        this.number = number;
+        this.form = form;
+    }
+
+    /** The byte in the frame, 1 to 127. */
+    public int number() {
+        return number;
+    }
+
+    /** The class of the message. */
+    public Class<? extends Message> form() {
+        return form;
+    }
+
+    /** The type with this byte, if this version knows one. */
+    public static Optional<MessageType> of(int number) {
+        return Optional.ofNullable(BY_NUMBER.get(number));
+    }
+
+    /** The type of a message. */
+    public static MessageType of(Message message) {
+        return BY_FORM.get(message.getClass());
+    }
+}
