Run calls and pipeline stages at an agent, thin

Cause: a request needs an agent that admits, runs once, keeps outputs and sends on. Ruled out: a StageLost for each cut neighbour link; kept outputs are sent again on the new link and the next stage drops what it has. Change: core.ledger, core.step, core.fence; daemon.agent (AgentPlugin, order 100); Link gains kept(). The mint time of a key is still the time it is first seen: the reader of keys replaces it before this is relied on.

--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/fence/package-info.java
@@ -0,0 +1,2 @@
+/** Which orders an agent passes to its backend server. */
+package org.cornelramp.core.fence;
--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/step/StageShape.java
@@ -0,0 +1,44 @@
+package org.cornelramp.core.step;
+
+/**
+ * Where a stage stands in its pipeline and how long the session can become. Immutable, safe for use by any thread.
+ *
+ * <p>Position j of the input is prompt token j, then generated token j - promptTokens. The output of the last stage
+ * at position promptTokens - 1 + i is generated token i.
+ *
+ * @param stage index of the stage, from 0
+ * @param stages number of stages
+ * @param promptTokens tokens of the prompt
+ * @param maxTokens most tokens to generate
+ */
+public record StageShape(int stage, int stages, int promptTokens, int maxTokens) {
+    /** The generated token that ends an answer. */
+    public static final long END_TOKEN = 0;
+
+    public StageShape {
+        if (stage < 0 || stage >= stages || promptTokens < 1 || maxTokens < 1) {
+            throw new IllegalArgumentException(
+                    "A stage needs 0 <= stage < stages, and a prompt and tokens to generate");
+        }
+    }
+
+    /** Whether the stage takes token numbers. */
+    public boolean isFirst() {
+        return stage == 0;
+    }
+
+    /** Whether the stage gives token numbers. */
+    public boolean isLast() {
+        return stage == stages - 1;
+    }
+
+    /** The position after the last that can be run: the last token to generate is not fed back. */
+    public int limit() {
+        return promptTokens + maxTokens - 1;
+    }
+
+    /** Whether the input at a position is a generated token that ends the answer. */
+    public boolean isEnd(int position, long input) {
+        return isFirst() && position >= promptTokens && input == END_TOKEN;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/step/package-info.java
@@ -0,0 +1,2 @@
+/** What one stage of a pipeline session runs, keeps and sends. */
+package org.cornelramp.core.step;
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
@@ -0,0 +1,290 @@
+package org.cornelramp.daemon.agent;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Supplier;
+import org.cornelramp.core.fence.TermGuard;
+import org.cornelramp.core.ledger.KeyResult;
+import org.cornelramp.core.model.AgentLoad;
+import org.cornelramp.core.model.AgentState;
+import org.cornelramp.core.model.Offer;
+import org.cornelramp.core.model.ProblemKind;
+import org.cornelramp.daemon.table.TableSource;
+import org.cornelramp.wire.link.Link;
+import org.cornelramp.wire.message.CloseStage;
+import org.cornelramp.wire.message.ExportStage;
+import org.cornelramp.wire.message.Heartbeat;
+import org.cornelramp.wire.message.Invoke;
+import org.cornelramp.wire.message.Message;
+import org.cornelramp.wire.message.OpenStage;
+import org.cornelramp.wire.message.SendFrom;
+import org.cornelramp.wire.message.Settle;
+import org.cornelramp.wire.message.Step;
+import org.cornelramp.wire.message.TableRequest;
+import org.cornelramp.wire.message.TableUpdate;
+
+/**
+ * The agent's state and what it does with each event.
+ *
+ * <p>Confined to the agent's duty, but for {@link #heartbeat}, which any thread may read. What decides here is the
+ * agent's own memory and never a lease: an agent that was paused for any time and wakes goes on with the same
+ * ledger and the same sessions. Its late frames carry old epochs or keys that are bound to it alone, so they change
+ * nothing elsewhere.
+ */
+final class Agent implements BackendWatch.Listener {
+    private static final System.Logger LOG = System.getLogger(Agent.class.getName());
+    private static final int MAX_CRASHED = 32;
+    private static final long CRASHED_MILLIS = 30_000;
+    private static final long TABLE_ASK_MILLIS = 200;
+
+    private final Supplier<Moment> clock;
+    private final Completions completions;
+    private final CallHandler calls;
+    private final StageHandler stages;
+    private final EngineStepper stepper;
+    private final OutputSender sender;
+    private final TableSource tables;
+    private final Runnable beatNow;
+    private final TermGuard terms = new TermGuard();
+    private final BackendWatch backend;
+    private final Map<Link, Heartbeat> entries = new HashMap<>();
+    private final Map<String, Long> crashed = new LinkedHashMap<>();
+    private final Set<String> setAside = new TreeSet<>();
+    private long nextTableAskAt;
+    private boolean leaving;
+    private volatile Heartbeat heartbeat;
+
+    Agent(AgentParts parts) {
+        this.clock = parts.clock();
+        this.completions = parts.completions();
+        this.calls = parts.calls();
+        this.stages = parts.stages();
+        this.stepper = parts.stepper();
+        this.sender = parts.sender();
+        this.tables = parts.tables();
+        this.beatNow = parts.beatNow();
+        this.backend = new BackendWatch(
+                parts.offers(), completions, clock, parts.settings().timing().backendTimeoutMillis(), this);
+        sender.join(stages::step);
+        stepper.join(stages, sender);
+        stepper.watch(backend::heardLife, backend::refusedConnection);
+        this.heartbeat = buildHeartbeat();
+    }
+
+    /** Handles one event. */
+    void handle(AgentEvent event) {
+        Moment now = clock.get();
+        if (event instanceof AgentEvent.Completed completed) {
+            completed.then().run();
+        } else if (event instanceof AgentEvent.Received received) {
+            receive(received.link(), received.message(), now);
+        } else if (event instanceof AgentEvent.Opened opened) {
+            opened(opened.link(), now);
+        } else if (event instanceof AgentEvent.Closed closed) {
+            entries.remove(closed.link());
+        }
+        if (state() != heartbeat.state()) {
+            refresh();
+        }
+    }
+
+    /** Does what is due by time. */
+    void tick() {
+        Moment now = clock.get();
+        completions.runAside();
+        entries.keySet().removeIf(link -> !link.isOpen());
+        crashed.values().removeIf(until -> now.nanos() - until > 0);
+        backend.tick(now);
+        calls.tick(now);
+        stages.tick(now);
+        stepper.tick(now);
+        refresh();
+    }
+
+    private void opened(Link link, Moment now) {
+        if (link.peer().entry()) {
+            entries.put(link, EMPTY);
+        }
+        sender.opened(link, stages.stages(), now);
+        stages.linkOpened(link, now);
+    }
+
+    private static final Heartbeat EMPTY = new Heartbeat(
+            AgentState.ACTIVE,
+            AgentLoad.IDLE,
+            Optional.empty(),
+            0,
+            TermGuard.UNKNOWN,
+            List.of(),
+            List.of(),
+            Map.of(),
+            Map.of());
+
+    private void receive(Link link, Message message, Moment now) {
+        if (message instanceof Step step) {
+            stages.step(step, now);
+        } else if (message instanceof Heartbeat beat) {
+            heard(link, beat, now);
+        } else if (message instanceof Invoke invoke) {
+            calls.invoke(link, invoke, refusal(), now);
+        } else if (message instanceof Settle settle) {
+            calls.settle(link, settle, now);
+        } else if (message instanceof OpenStage open) {
+            stages.open(link, open, refusal(), now);
+        } else if (message instanceof SendFrom from) {
+            stages.sendFrom(from, now);
+        } else if (message instanceof CloseStage close) {
+            stages.close(close);
+        } else if (message instanceof ExportStage export) {
+            stages.export(export);
+        } else if (message instanceof TableRequest request) {
+            giveTable(link, request);
+        } else if (message instanceof TableUpdate update) {
+            takeTable(update);
+        } else {
+            LOG.log(
+                    System.Logger.Level.DEBUG,
+                    "agent: a message has no meaning here; peer=" + link.peer().process() + " type="
+                            + message.getClass().getSimpleName());
+        }
+    }
+
+    private void heard(Link link, Heartbeat beat, Moment now) {
+        terms.heard(beat.term());
+        if (link.peer().entry()) {
+            entries.put(link, beat);
+            beat.setAside().stream().limit(MAX_CRASHED).forEach(setAside::add);
+            if (setAside.size() > MAX_CRASHED) {
+                setAside.retainAll(beat.setAside());
+            }
+        }
+        if (beat.tableOffset() > tables.current().offset() && now.nanos() - nextTableAskAt >= 0) {
+            nextTableAskAt = now.plusMillis(TABLE_ASK_MILLIS);
+            link.send(new TableRequest(tables.current().offset()));
+        }
+    }
+
+    private void giveTable(Link link, TableRequest request) {
+        long offset = tables.current().offset();
+        if (offset > request.above()) {
+            link.send(new TableUpdate(offset, tables.snapshot()));
+        }
+    }
+
+    private void takeTable(TableUpdate update) {
+        if (tables.takeSnapshot(update.offset(), update.snapshot())) {
+            beatNow.run();
+        }
+    }
+
+    /** Why no new work is taken now; empty if it is taken. */
+    private Optional<KeyResult> refusal() {
+        return switch (state()) {
+            case ACTIVE -> Optional.empty();
+            case LEAVING ->
+                Optional.of(KeyResult.notRun(ProblemKind.LEAVING, "The agent finishes its work and takes no more", 0));
+            case STARTING ->
+                Optional.of(KeyResult.notRun(
+                        ProblemKind.NOT_READY, "The backend server has not answered yet", RETRY_MILLIS));
+            case BACKEND_DOWN ->
+                Optional.of(KeyResult.notRun(ProblemKind.BACKEND_FAILED, "The backend server is down", RETRY_MILLIS));
+        };
+    }
+
+    private static final long RETRY_MILLIS = 500;
+
+    @Override
+    public void offered(Offer offer) {
+        calls.slots(offer.slots());
+        stepper.slots(offer.slots());
+    }
+
+    @Override
+    public void died(String why) {
+        LOG.log(
+                System.Logger.Level.WARNING,
+                "agent: the backend server has ended; why=" + why + " sessions=" + stages.count() + " calls="
+                        + calls.runningCount());
+        List<String> fingerprints = new ArrayList<>(calls.backendDied());
+        fingerprints.addAll(stages.backendDied());
+        long until = clock.get().plusMillis(CRASHED_MILLIS);
+        for (String fingerprint : fingerprints) {
+            if (crashed.size() < MAX_CRASHED && !fingerprint.isEmpty()) {
+                crashed.put(fingerprint, until);
+            }
+        }
+        refresh();
+        beatNow.run();
+    }
+
+    /** Takes no new work from now on, and says so at once. */
+    void leave() {
+        leaving = true;
+        refresh();
+        beatNow.run();
+    }
+
+    /** Whether no work is in progress. */
+    boolean isIdle() {
+        return calls.isIdle() && stages.count() == 0;
+    }
+
+    private AgentState state() {
+        return leaving ? AgentState.LEAVING : backend.state();
+    }
+
+    private void refresh() {
+        AgentState before = heartbeat.state();
+        heartbeat = buildHeartbeat();
+        if (before != heartbeat.state()) {
+            LOG.log(System.Logger.Level.INFO, "agent: state changed; from=" + before + " to=" + heartbeat.state());
+            beatNow.run();
+        }
+    }
+
+    private Heartbeat buildHeartbeat() {
+        return new Heartbeat(
+                state(),
+                load(),
+                backend.offer(),
+                tables.current().offset(),
+                terms.newest(),
+                List.copyOf(setAside),
+                List.copyOf(crashed.keySet()),
+                Map.of(),
+                demand());
+    }
+
+    private AgentLoad load() {
+        int running = calls.runningCount();
+        int waiting = calls.waitingCount();
+        long queued = 0;
+        for (Stage stage : stages.stages()) {
+            running += stage.session.running() > 0 ? 1 : 0;
+            waiting += stage.session.isReady() ? 1 : 0;
+            queued += Math.max(0, stage.session.shape().limit() - stage.session.position());
+        }
+        long mean = Math.max(calls.meanMicros(), stepper.meanMicros());
+        return new AgentLoad(running, waiting, queued, stepper.positionsPerSecond(), mean, entries.size());
+    }
+
+    private Map<String, Double> demand() {
+        Map<String, Double> sum = new TreeMap<>();
+        for (Heartbeat beat : entries.values()) {
+            beat.demand().forEach((row, rate) -> sum.merge(row, rate, Double::sum));
+        }
+        return sum;
+    }
+
+    /** What the next heartbeat says. */
+    Heartbeat heartbeat() {
+        return heartbeat;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
@@ -0,0 +1,177 @@
+package org.cornelramp.daemon.agent;
+
+import java.io.IOException;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.cornelramp.core.model.Offer;
+import org.cornelramp.core.model.Outcome;
+import org.cornelramp.core.model.ProblemKind;
+import org.cornelramp.core.settings.BackendKind;
+import org.cornelramp.core.settings.DaemonSettings;
+import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.daemon.kernel.Component;
+import org.cornelramp.daemon.kernel.Duty;
+import org.cornelramp.wire.link.Link;
+import org.cornelramp.wire.link.LinkListener;
+import org.cornelramp.wire.link.LinkLoop;
+import org.cornelramp.wire.link.LinkOptions;
+import org.cornelramp.wire.message.Hello;
+import org.cornelramp.wire.message.Invoke;
+import org.cornelramp.wire.message.InvokeResult;
+import org.cornelramp.wire.message.Message;
+
+/**
+ * The agent's threads: one for its links, one for all its state.
+ *
+ * <p>Safe for use by any thread. Invariant: an event that the full ring refuses is never lost in silence. A call is
+ * answered as not run; for all else the link is closed, and on a new one its peer asks what became of its work.
+ */
+final class AgentComponent implements Component, LinkListener {
+    private static final System.Logger LOG = System.getLogger(AgentComponent.class.getName());
+    private static final long TICK_MILLIS = 20;
+    private static final byte[] NONE = new byte[0];
+
+    private final AgentServices services;
+    private final LinkLoop links;
+    private final Duty<AgentEvent> duty;
+    private final Agent agent;
+    private volatile HostPort address;
+    private volatile boolean draining;
+    private volatile boolean idle;
+
+    AgentComponent(AgentServices services) {
+        this.services = services;
+        DaemonSettings settings = services.settings();
+        this.address = settings.links().orElseThrow();
+        LinkOptions options = LinkOptions.of(
+                settings.timing().heartbeatMillis(), settings.bounds().frameBytes());
+        this.links = new LinkLoop("agent-links", options, this::hello, this::heartbeat, this);
+        this.duty = new Duty<>("agent", settings.bounds().ringSlots(), this::handle, this::tick, TICK_MILLIS);
+        this.agent = build();
+    }
+
+    private Agent build() {
+        DaemonSettings settings = services.settings();
+        Supplier<Moment> clock =
+                () -> new Moment(System.nanoTime(), services.clock().instant());
+        Completions completions = new Completions(duty::offer);
+        OutputSender sender = new OutputSender(
+                new OutputSender.Neighbours() {
+                    @Override
+                    public void keep(HostPort neighbour) {
+                        links.keep(neighbour);
+                    }
+
+                    @Override
+                    public void forget(HostPort neighbour) {
+                        links.forget(neighbour);
+                    }
+                },
+                settings.timing().heartbeatMillis());
+        EngineStepper stepper = new EngineStepper(services.engine(), completions, clock);
+        boolean isEngine = settings.backend().orElseThrow().kind() == BackendKind.ENGINE;
+        return new Agent(new AgentParts(
+                settings,
+                clock,
+                completions,
+                new CallHandler(
+                        services.incarnation(), settings, services.service(), completions, clock, services.mintTime()),
+                new StageHandler(settings, services.engine(), completions, stepper, sender),
+                stepper,
+                sender,
+                services.tables(),
+                isEngine ? services.engine()::offer : services.service()::offer,
+                links::beatNow));
+    }
+
+    private Hello hello() {
+        Optional<Offer> offer = agent.heartbeat().offer();
+        DaemonSettings settings = services.settings();
+        return new Hello(
+                settings.name(), false, services.incarnation(), settings.dataCentre(), offer, address.toString());
+    }
+
+    private org.cornelramp.wire.message.Heartbeat heartbeat() {
+        return agent.heartbeat();
+    }
+
+    private void handle(AgentEvent event) {
+        agent.handle(event);
+    }
+
+    private void tick() {
+        agent.tick();
+        idle = agent.isIdle();
+    }
+
+    @Override
+    public String name() {
+        return "agent";
+    }
+
+    @Override
+    public void start() throws IOException {
+        address = links.listen(address);
+        duty.start();
+        links.start();
+    }
+
+    /** Where links are taken; with the port that was bound once the agent has started. */
+    HostPort address() {
+        return address;
+    }
+
+    @Override
+    public void drain(Instant limit) {
+        idle = false;
+        if (duty.offer(new AgentEvent.Completed(agent::leave))) {
+            draining = true;
+        }
+    }
+
+    @Override
+    public boolean isDrained() {
+        return draining && idle;
+    }
+
+    @Override
+    public void stop() {
+        links.close();
+        duty.stop();
+    }
+
+    @Override
+    public void opened(Link link) {
+        if (!duty.offer(new AgentEvent.Opened(link))) {
+            link.close("the agent's ring is full");
+        }
+    }
+
+    @Override
+    public void received(Link link, Message message) {
+        if (duty.offer(new AgentEvent.Received(link, message))) {
+            return;
+        }
+        if (message instanceof Invoke invoke && invoke.key().isEmpty()) {
+            link.send(new InvokeResult(
+                    invoke.call(),
+                    Outcome.NOT_RUN,
+                    Optional.of(ProblemKind.OVERLOADED),
+                    "The agent's ring is full",
+                    TICK_MILLIS,
+                    0,
+                    "",
+                    NONE));
+        } else {
+            link.close("the agent's ring is full");
+        }
+    }
+
+    @Override
+    public void closed(Link link, String why) {
+        if (!duty.offer(new AgentEvent.Closed(link, why))) {
+            LOG.log(System.Logger.Level.DEBUG, "agent: the ring is full, the next tick finds the link closed");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentServices.java
@@ -0,0 +1,31 @@
+package org.cornelramp.daemon.agent;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.function.Function;
+import org.cornelramp.core.model.Incarnation;
+import org.cornelramp.core.settings.DaemonSettings;
+import org.cornelramp.daemon.table.TableSource;
+import org.cornelramp.platform.EngineClient;
+import org.cornelramp.platform.ServiceClient;
+
+/**
+ * What an agent needs from outside. Immutable, safe for use by any thread.
+ *
+ * @param settings the settings
+ * @param clock the wall clock
+ * @param incarnation the life of this agent
+ * @param engine the engine beside it
+ * @param service the plain service beside it
+ * @param tables the table in force
+ * @param mintTime reads from a key when it was minted; empty if the key does not show it
+ */
+record AgentServices(
+        DaemonSettings settings,
+        Clock clock,
+        Incarnation incarnation,
+        EngineClient engine,
+        ServiceClient service,
+        TableSource tables,
+        Function<String, Optional<Instant>> mintTime) {}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/package-info.java
@@ -0,0 +1,2 @@
+/** The agent: the small process beside one backend server. */
+package org.cornelramp.daemon.agent;
--- /dev/null
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/FakeService.java
@@ -0,0 +1,42 @@
+package org.cornelramp.daemon.agent;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.platform.BackendOffer;
+import org.cornelramp.platform.ServiceCall;
+import org.cornelramp.platform.ServiceClient;
+import org.cornelramp.platform.ServiceReply;
+
+/** A plain service whose calls end when the test says so. Safe for use by any thread. */
+final class FakeService implements ServiceClient {
+    final List<ServiceCall> calls = new CopyOnWriteArrayList<>();
+    final List<CompletableFuture<ServiceReply>> replies = new CopyOnWriteArrayList<>();
+    volatile boolean answersAtOnce = true;
+    volatile String life = "life-1";
+    volatile int slots = 2;
+
+    @Override
+    public CompletableFuture<BackendOffer> offer() {
+        return CompletableFuture.completedFuture(
+                new BackendOffer(new ServiceName("booking"), Optional.empty(), "1", "none", slots, life));
+    }
+
+    @Override
+    public CompletableFuture<ServiceReply> call(ServiceCall call) {
+        CompletableFuture<ServiceReply> reply = new CompletableFuture<>();
+        calls.add(call);
+        replies.add(reply);
+        if (answersAtOnce) {
+            reply.complete(reply("booked " + calls.size()));
+        }
+        return reply;
+    }
+
+    static ServiceReply reply(String text) {
+        return new ServiceReply(201, "text/plain", text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/TestEntry.java
@@ -0,0 +1,119 @@
+package org.cornelramp.daemon.agent;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.cornelramp.core.model.AgentLoad;
+import org.cornelramp.core.model.AgentState;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.Incarnation;
+import org.cornelramp.wire.link.Link;
+import org.cornelramp.wire.link.LinkListener;
+import org.cornelramp.wire.link.LinkLoop;
+import org.cornelramp.wire.link.LinkOptions;
+import org.cornelramp.wire.message.Heartbeat;
+import org.cornelramp.wire.message.Hello;
+import org.cornelramp.wire.message.Message;
+
+/** An entry as an agent sees it: real links, and a test that decides what is sent. */
+final class TestEntry implements AutoCloseable, LinkListener {
+    private static final long PATIENCE_SECONDS = 20;
+
+    final LinkLoop loop;
+    private final Map<String, Link> links = new ConcurrentHashMap<>();
+    private final Map<String, Heartbeat> beats = new ConcurrentHashMap<>();
+    private final BlockingQueue<Message> messages = new LinkedBlockingQueue<>();
+
+    TestEntry(String name) {
+        Hello hello = new Hello(
+                name,
+                true,
+                new Incarnation(new BackendServerId(name), name.hashCode()),
+                new DataCentre("dc-1"),
+                Optional.empty(),
+                "");
+        Heartbeat beat = new Heartbeat(
+                AgentState.ACTIVE, AgentLoad.IDLE, Optional.empty(), 0, 0, List.of(), List.of(), Map.of(), Map.of());
+        loop = new LinkLoop(name, LinkOptions.of(50, 4 << 20), () -> hello, () -> beat, this);
+        loop.start();
+    }
+
+    /** A link to an agent that is ready for work. */
+    Link link(TestAgent agent) throws InterruptedException {
+        loop.keep(agent.address());
+        String name = agent.incarnation.server().value();
+        await(() -> beats.containsKey(name) && beats.get(name).state() == AgentState.ACTIVE);
+        return links.get(name);
+    }
+
+    Heartbeat beat(TestAgent agent) {
+        return beats.get(agent.incarnation.server().value());
+    }
+
+    /** Waits until something holds; fails after a long while. */
+    static void await(java.util.function.BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - end > 0) {
+                throw new AssertionError("Waited in vain");
+            }
+            Thread.sleep(5);
+        }
+    }
+
+    /** The next message of a type that fits; others before it are dropped. */
+    <T extends Message> T next(Class<T> type, Predicate<T> fits) throws InterruptedException {
+        while (true) {
+            Message message = messages.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+            if (message == null) {
+                throw new AssertionError("No " + type.getSimpleName() + " came");
+            }
+            if (type.isInstance(message) && fits.test(type.cast(message))) {
+                return type.cast(message);
+            }
+        }
+    }
+
+    <T extends Message> T next(Class<T> type) throws InterruptedException {
+        return next(type, message -> true);
+    }
+
+    /** All messages that have come and were not taken. */
+    List<Message> drain() {
+        List<Message> all = new ArrayList<>();
+        messages.drainTo(all);
+        return all;
+    }
+
+    @Override
+    public void opened(Link link) {
+        links.put(link.peer().process(), link);
+    }
+
+    @Override
+    public void received(Link link, Message message) {
+        if (message instanceof Heartbeat beat) {
+            beats.put(link.peer().process(), beat);
+        } else {
+            messages.add(message);
+        }
+    }
+
+    @Override
+    public void closed(Link link, String why) {
+        links.remove(link.peer().process(), link);
+        beats.remove(link.peer().process());
+    }
+
+    @Override
+    public void close() {
+        loop.close();
+    }
+}
--- a/wire/src/main/java/org/cornelramp/wire/link/Link.java
+++ b/wire/src/main/java/org/cornelramp/wire/link/Link.java
@@ -1,5 +1,7 @@
 package org.cornelramp.wire.link;
 
+import java.util.Optional;
+import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.wire.message.Hello;
 import org.cornelramp.wire.message.Message;
 
@@ -8,6 +10,9 @@
     /** What the peer said when the link opened. */
     Hello peer();
 
+    /** The address that this side {@link LinkLoop#keep keeps} the link to; empty if the peer connected. */
+    Optional<HostPort> kept();
+
     /** Queues a message; false when the link is closed or its bounded buffer is full, and then nothing is sent. */
     boolean send(Message message);
 
--- a/wire/src/main/java/org/cornelramp/wire/link/LinkLoop.java
+++ b/wire/src/main/java/org/cornelramp/wire/link/LinkLoop.java
@@ -296,7 +296,7 @@
         }
         link.introduce(said);
         counters.opened.increment();
-        link.kept.map(diallers::get).ifPresent(Dialler::succeeded);
+        link.kept().map(diallers::get).ifPresent(Dialler::succeeded);
         LOG.log(System.Logger.Level.DEBUG, "link: opened; peer=" + link);
         guard(link, () -> listener.opened(link));
     }
@@ -365,7 +365,7 @@
         boolean all = beatAsked;
         beatAsked = false;
         for (TcpLink link : new ArrayList<>(links)) {
-            if (link.kept.isPresent() && !diallers.containsKey(link.kept.get())) {
+            if (link.kept().isPresent() && !diallers.containsKey(link.kept().get())) {
                 close(link, "no longer needed");
             } else if (link.silence.isSilent(now)) {
                 counters.silent.increment();
@@ -385,7 +385,7 @@
             return;
         }
         closeQuietly(link.channel);
-        link.kept
+        link.kept()
                 .map(diallers::get)
                 .filter(dialler -> dialler.link == link)
                 .ifPresent(dialler -> dialler.failed(System.nanoTime(), options));
--- a/wire/src/main/java/org/cornelramp/wire/link/TcpLink.java
+++ b/wire/src/main/java/org/cornelramp/wire/link/TcpLink.java
@@ -27,10 +27,9 @@
     final SocketChannel channel;
     final SilenceDetector silence;
     final FrameReader reader;
-    /** The kept address that this connection is for; empty on one that was accepted. */
-    final Optional<HostPort> kept;
 
     private final LinkLoop loop;
+    private final Optional<HostPort> kept;
     private final FrameWriter writer;
     private final long outBytes;
     private final Queue<ByteBuffer> out = new ConcurrentLinkedQueue<>();
@@ -55,6 +54,11 @@
         return peer;
     }
 
+    @Override
+    public Optional<HostPort> kept() {
+        return kept;
+    }
+
     /** Sets who the peer is, once. */
     void introduce(Hello hello) {
         peer = hello;
