Name the refusal of a key that was refused before

Cause: a key answered as not run never runs, so its agent refuses each repeat; with the first refusal's kind a caller would wait and try the same key for ever. Change: ProblemKind.KEY_SPENT (409), whose remedy is a new key.

--- a/core/src/main/java/org/cornelramp/core/model/ProblemKind.java
+++ b/core/src/main/java/org/cornelramp/core/model/ProblemKind.java
@@ -17,6 +17,7 @@
     UNAUTHORISED(401, "Send a caller key that the table lists as Authorization: Bearer."),
     NOT_ENTITLED(403, "Ask an operator for a table row for this organisation and service."),
     UNKNOWN_SERVICE(404, "Name a model or service that the table lists."),
+    KEY_SPENT(409, "The request did not run and never will under this key: send it again with a new key."),
     KEY_EXPIRED(410, "Check with the service whether the request took effect, then use a new key."),
     REQUEST_TOO_LARGE(413, "Send a shorter request."),
     KEY_REUSED(422, "Use a new key for a different request."),
