--- a/core/src/main/java/org/cornelramp/core/settings/DaemonSettings.java
+++ b/core/src/main/java/org/cornelramp/core/settings/DaemonSettings.java
@@ -13,6 +13,7 @@
  * @param links where an agent takes links; absent at an entry
  * @param platform where the platform's interfaces are
  * @param backend the backend server beside an agent; absent at an entry
+ * @param operators who may use the operators' interface; it is closed where this is absent
  * @param timing intervals and timeouts
  * @param bounds sizes of bodies, headers, rings and records
  * @param log form of the log
@@ -25,6 +26,23 @@
         Optional<HostPort> links,
         PlatformSettings platform,
         Optional<BackendSettings> backend,
+        Optional<OperatorSettings> operators,
         TimingSettings timing,
         BoundSettings bounds,
-        LogSettings log) {}
+        LogSettings log) {
+
+    /** Settings whose operators' interface is closed. */
+    public DaemonSettings(
+            Role role,
+            String name,
+            DataCentre dataCentre,
+            HostPort http,
+            Optional<HostPort> links,
+            PlatformSettings platform,
+            Optional<BackendSettings> backend,
+            TimingSettings timing,
+            BoundSettings bounds,
+            LogSettings log) {
+        this(role, name, dataCentre, http, links, platform, backend, Optional.empty(), timing, bounds, log);
+    }
+}
