--- a/daemon/src/main/java/org/cornelramp/daemon/table/TableSource.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/table/TableSource.java
@@ -15,6 +15,12 @@
     /** The table in force in the form that {@link #takeSnapshot} reads, for a peer. */
     byte[] snapshot();
 
+    /**
+     * What changed at and above an offset, in the form that {@link #takeSnapshot} reads, for a peer that applies the
+     * table of that offset or a later one; small where {@link #snapshot} is whole. 0 gives the whole table.
+     */
+    byte[] snapshotAbove(long above);
+
     /** Takes a peer's table if its offset is above that of the table in force; false if it was not taken. */
     boolean takeSnapshot(long offset, byte[] snapshot);
 
