Read the settings, fold the table and start the daemon's shell

Cause: every other part registers with this shell and judges requests by this table. The daemon serves health, readiness and metrics, follows the log's table stream, and stops on a signal: the first drains, the second or the limit ends it. Ruled out: a shutdown hook, which never hears a second signal.

--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/settings/SettingsReader.java
@@ -0,0 +1,232 @@
+package org.cornelramp.core.settings;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.vavr.control.Either;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.Names;
+
+/**
+ * Reads a daemon's settings from JSON: gives the settings, or every fault at once.
+ *
+ * <p>An unknown or repeated name is a fault, so that a misspelt limit is not silently left at its default.
+ * Stateless, safe for use by any thread.
+ */
+public final class SettingsReader {
+    private static final ObjectMapper JSON = JsonMapper.builder()
+            .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
+    private static final Pattern HASH = Pattern.compile("[0-9a-f]{64}");
+    private static final String ADDRESS_REMEDY = "Give host:port, the port from 0 to 65535.";
+    private static final String URL_REMEDY = "Give a URL such as http://10.0.3.7:7070.";
+    private static final long DAY = 86_400_000L;
+
+    /** Reads settings from the text of a file. */
+    public Either<List<SettingsFault>, DaemonSettings> read(String text) {
+        JsonNode root;
+        try {
+            root = JSON.readTree(text);
+        } catch (JsonProcessingException e) {
+            return Either.left(List.of(syntaxFault(e)));
+        }
+        List<SettingsFault> faults = new ArrayList<>();
+        Optional<DaemonSettings> settings = readRoot(new Section(root, "", faults));
+        return faults.isEmpty() && settings.isPresent() ? Either.right(settings.get()) : Either.left(faults);
+    }
+
+    /** The parser's own message may quote the file, secrets included, so only the place is told. */
+    private static SettingsFault syntaxFault(JsonProcessingException e) {
+        JsonLocation at = e.getLocation();
+        String place = at == null ? "(unknown place)" : "line " + at.getLineNr() + " column " + at.getColumnNr();
+        return new SettingsFault("", place, "Correct the JSON there; names may not repeat.");
+    }
+
+    private static Optional<DaemonSettings> readRoot(Section root) {
+        Optional<Role> role = root.required("role", SettingsReader::parseRole, "Give \"entry\" or \"agent\".");
+        Optional<String> name = root.required("name", SettingsReader::parseName, nameRemedy());
+        Optional<DataCentre> dataCentre =
+                root.required("dataCentre", value -> new DataCentre(parseName(value)), nameRemedy());
+        Optional<HostPort> http = root.required("http", SettingsReader::parseAddress, ADDRESS_REMEDY);
+        Optional<PlatformSettings> platform = readPlatform(root.section("platform"));
+        boolean agent = role.isPresent() && role.get() == Role.AGENT;
+        boolean entry = role.isPresent() && role.get() == Role.ENTRY;
+        Optional<HostPort> links = Optional.empty();
+        Optional<BackendSettings> backend = Optional.empty();
+        Optional<OperatorSettings> operators = Optional.empty();
+        if (agent) {
+            links = root.required("links", SettingsReader::parseAddress, ADDRESS_REMEDY);
+            backend = readBackend(root.section("backend"));
+            root.forbid("operators", "Remove it: only an entry serves operators.");
+        }
+        if (entry) {
+            root.forbid("links", "Remove it: only an agent takes links.");
+            root.forbid("backend", "Remove it: only an agent has a backend server.");
+            operators = root.has("operators") ? readOperators(root.section("operators")) : Optional.empty();
+        }
+        if (role.isEmpty()) {
+            List.of("links", "backend", "operators").forEach(root::has);
+        }
+        TimingSettings timing = readTiming(root.section("timing"));
+        BoundSettings bounds = readBounds(root.section("bounds"));
+        LogSettings log = readLog(root.section("log"));
+        root.refuseOthers();
+        if (role.isEmpty() || name.isEmpty() || dataCentre.isEmpty() || http.isEmpty() || platform.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new DaemonSettings(
+                role.get(),
+                name.get(),
+                dataCentre.get(),
+                http.get(),
+                links,
+                platform.get(),
+                backend,
+                operators,
+                timing,
+                bounds,
+                log));
+    }
+
+    private static Optional<PlatformSettings> readPlatform(Section section) {
+        Optional<String> log = section.required("logUrl", SettingsReader::parseUrl, URL_REMEDY);
+        Optional<String> vmList = section.required("vmListUrl", SettingsReader::parseUrl, URL_REMEDY);
+        Optional<String> weightStore = section.optional("weightStoreUrl", SettingsReader::parseUrl, URL_REMEDY);
+        section.refuseOthers();
+        return log.flatMap(url -> vmList.map(vms -> new PlatformSettings(url, vms, weightStore)));
+    }
+
+    private static Optional<BackendSettings> readBackend(Section section) {
+        Optional<BackendKind> kind =
+                section.required("kind", SettingsReader::parseBackendKind, "Give \"engine\" or \"service\".");
+        Optional<String> url = section.required("url", SettingsReader::parseUrl, URL_REMEDY);
+        boolean checksTerms = section.flag("checksTerms", false);
+        section.refuseOthers();
+        return kind.flatMap(is -> url.map(at -> new BackendSettings(is, at, checksTerms)));
+    }
+
+    private static Optional<OperatorSettings> readOperators(Section section) {
+        Optional<List<String>> hashes = section.required(
+                "keyHashes",
+                SettingsReader::parseHashes,
+                "Give a list of SHA-256 hashes in lower-case hexadecimal, one for each operator's key.");
+        section.refuseOthers();
+        return hashes.map(OperatorSettings::new);
+    }
+
+    private static TimingSettings readTiming(Section section) {
+        TimingSettings by = TimingSettings.DEFAULTS;
+        TimingSettings timing = new TimingSettings(
+                section.number("heartbeatMillis", 10, 60_000, by.heartbeatMillis()),
+                section.number("vmListMillis", 50, 60_000, by.vmListMillis()),
+                section.number("drainMillis", 0, DAY, by.drainMillis()),
+                section.number("backendTimeoutMillis", 10, 600_000, by.backendTimeoutMillis()),
+                section.number("keyWindowMillis", 1_000, 30 * DAY, by.keyWindowMillis()),
+                section.number("snapshotMillis", 1_000, 30 * DAY, by.snapshotMillis()));
+        section.refuseOthers();
+        return timing;
+    }
+
+    private static BoundSettings readBounds(Section section) {
+        BoundSettings by = BoundSettings.DEFAULTS;
+        BoundSettings bounds = new BoundSettings(
+                (int) section.number("bodyBytes", 1_024, 1 << 30, by.bodyBytes()),
+                (int) section.number("headerBytes", 1_024, 1 << 20, by.headerBytes()),
+                (int) section.number("frameBytes", 1_024, 1 << 30, by.frameBytes()),
+                readRingSlots(section, by.ringSlots()),
+                (int) section.number("inProgress", 1, 1 << 20, by.inProgress()),
+                (int) section.number("keptOutputs", 1, 1 << 24, by.keptOutputs()),
+                (int) section.number("keys", 1, 1 << 28, by.keys()));
+        section.refuseOthers();
+        return bounds;
+    }
+
+    private static int readRingSlots(Section section, int byDefault) {
+        return section.optional("ringSlots", SettingsReader::parseRingSlots, "Give a power of two from 64 to 1048576.")
+                .orElse(byDefault);
+    }
+
+    private static LogSettings readLog(Section section) {
+        LogSettings log = new LogSettings(
+                section.flag("json", LogSettings.DEFAULTS.json()), section.flag("debug", LogSettings.DEFAULTS.debug()));
+        section.refuseOthers();
+        return log;
+    }
+
+    private static int parseRingSlots(JsonNode value) {
+        int slots = value.isInt() ? value.intValue() : 0;
+        if (slots < 64 || slots > 1 << 20 || Integer.bitCount(slots) != 1) {
+            throw new IllegalArgumentException("not a power of two");
+        }
+        return slots;
+    }
+
+    private static Role parseRole(JsonNode value) {
+        return switch (parseText(value)) {
+            case "entry" -> Role.ENTRY;
+            case "agent" -> Role.AGENT;
+            default -> throw new IllegalArgumentException("no such role");
+        };
+    }
+
+    private static BackendKind parseBackendKind(JsonNode value) {
+        return switch (parseText(value)) {
+            case "engine" -> BackendKind.ENGINE;
+            case "service" -> BackendKind.SERVICE;
+            default -> throw new IllegalArgumentException("no such kind");
+        };
+    }
+
+    private static String parseName(JsonNode value) {
+        Names.check("settings", parseText(value));
+        return value.textValue();
+    }
+
+    private static HostPort parseAddress(JsonNode value) {
+        return HostPort.parse(parseText(value));
+    }
+
+    private static String parseUrl(JsonNode value) {
+        URI url = URI.create(parseText(value));
+        boolean http = "http".equals(url.getScheme()) || "https".equals(url.getScheme());
+        if (!http || url.getHost() == null) {
+            throw new IllegalArgumentException("not an HTTP URL");
+        }
+        return url.toString();
+    }
+
+    private static List<String> parseHashes(JsonNode value) {
+        List<String> hashes = new ArrayList<>();
+        value.forEach(hash -> hashes.add(parseText(hash)));
+        if (!value.isArray() || hashes.isEmpty() || !hashes.stream().allMatch(SettingsReader::isHash)) {
+            throw new IllegalArgumentException("not hashes");
+        }
+        return hashes;
+    }
+
+    private static boolean isHash(String text) {
+        return HASH.matcher(text).matches();
+    }
+
+    private static String parseText(JsonNode value) {
+        if (!value.isTextual()) {
+            throw new IllegalArgumentException("not a text");
+        }
+        return value.textValue();
+    }
+
+    private static String nameRemedy() {
+        return "Give 1 to " + Names.MAX_LENGTH
+                + " letters, digits, dots, dashes or underscores, first a letter or digit.";
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/http/ProblemErrorHandler.java
@@ -0,0 +1,46 @@
+package org.cornelramp.daemon.http;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import org.cornelramp.core.model.Problem;
+import org.cornelramp.core.model.ProblemKind;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.handler.ErrorHandler;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Answers what the HTTP server itself refuses, such as a head that is too large, with a problem document.
+ * Safe for use by any thread.
+ */
+final class ProblemErrorHandler extends ErrorHandler {
+    private static final int SERVER_ERRORS = 500;
+
+    private final MeterRegistry meters;
+
+    ProblemErrorHandler(MeterRegistry meters) {
+        this.meters = meters;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        Problem problem = problem(response.getStatus());
+        meters.counter("cornelramp.http.refused", "kind", problem.kind().text()).increment();
+        ProblemWriter.write(response, callback, problem);
+        return true;
+    }
+
+    private static Problem problem(int status) {
+        if (status == HttpStatus.PAYLOAD_TOO_LARGE_413) {
+            return Problem.notRun(ProblemKind.REQUEST_TOO_LARGE, "The body is larger than this process takes.");
+        }
+        if (status == HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431 || status == HttpStatus.URI_TOO_LONG_414) {
+            return Problem.notRun(ProblemKind.HEADERS_TOO_LARGE, "The head is larger than this process takes.");
+        }
+        if (status < SERVER_ERRORS) {
+            return Problem.notRun(ProblemKind.MALFORMED_REQUEST, "The request is not valid HTTP.");
+        }
+        // The handler failed at an unknown point, so nobody may say that the request did not run.
+        return Problem.unknown(ProblemKind.BACKEND_FAILED, "The process failed on this request.");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/http/ProblemWriter.java
@@ -0,0 +1,44 @@
+package org.cornelramp.daemon.http;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.cornelramp.core.model.Problem;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Writes problems as problem documents (RFC 9457). Stateless, safe for use by any thread. */
+public final class ProblemWriter {
+    /** Media type of problem documents. */
+    public static final String MEDIA_TYPE = "application/problem+json";
+
+    private static final String TYPE_PREFIX = "urn:cornelramp:problem:";
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private ProblemWriter() {}
+
+    /** The problem as JSON. */
+    public static String toJson(Problem problem) {
+        ObjectNode node = JSON.createObjectNode();
+        node.put("type", TYPE_PREFIX + problem.kind().text());
+        node.put("title", problem.kind().text());
+        node.put("status", problem.kind().status());
+        node.put("detail", problem.detail());
+        node.put("outcome", problem.outcome().text());
+        node.put("remedy", problem.kind().remedy());
+        return node.toString();
+    }
+
+    /** Answers with the problem and completes the callback. */
+    public static void write(Response response, Callback callback, Problem problem) {
+        response.setStatus(problem.kind().status());
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, MEDIA_TYPE);
+        if (!problem.retryAfter().isZero()) {
+            long seconds = Math.max(1, (problem.retryAfter().toMillis() + 999) / 1_000);
+            response.getHeaders().put(HttpHeader.RETRY_AFTER, seconds);
+        }
+        response.write(true, ByteBuffer.wrap(toJson(problem).getBytes(StandardCharsets.UTF_8)), callback);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/http/Readiness.java
@@ -0,0 +1,37 @@
+package org.cornelramp.daemon.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Supplier;
+
+/**
+ * Whether this process is ready for work, asked of each part that has a say.
+ *
+ * <p>Safe for use by any thread; parts add their checks while they register.
+ */
+public final class Readiness {
+    private final List<Check> checks = new CopyOnWriteArrayList<>();
+
+    private record Check(String part, Supplier<Optional<String>> fault) {}
+
+    /**
+     * Adds a check.
+     *
+     * @param part name of the part
+     * @param fault gives why the part is not ready, as a sentence, or nothing if it is; must not block
+     */
+    public void add(String part, Supplier<Optional<String>> fault) {
+        checks.add(new Check(part, fault));
+    }
+
+    /** Why this process is not ready; empty if it is. */
+    public List<String> faults() {
+        List<String> faults = new ArrayList<>();
+        for (Check check : checks) {
+            check.fault().get().ifPresent(fault -> faults.add(check.part() + ": " + fault));
+        }
+        return faults;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/report/ReportPlugin.java
@@ -0,0 +1,31 @@
+package org.cornelramp.daemon.report;
+
+import org.cornelramp.core.settings.Role;
+import org.cornelramp.daemon.kernel.Plugin;
+import org.cornelramp.daemon.kernel.Registry;
+
+/** Shares the recorder of requests. Stateless. */
+public final class ReportPlugin implements Plugin {
+
+    @Override
+    public String name() {
+        return "report";
+    }
+
+    @Override
+    public int order() {
+        return 12;
+    }
+
+    @Override
+    public boolean servesRole(Role role) {
+        return true;
+    }
+
+    @Override
+    public void register(Registry registry) {
+        RequestMemory memory = new RequestMemory();
+        registry.share(RequestRecorder.class, memory);
+        registry.share(RequestMemory.class, memory);
+    }
+}
