End the daemon when a plug-in cannot be loaded

Cause: a service entry without its class is an Error and passed the handler by; with threads already running the process would have stayed. Result: seen by a start with such an entry.

--- a/daemon/src/main/java/org/cornelramp/daemon/Main.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/Main.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.time.Clock;
 import java.util.List;
+import java.util.ServiceConfigurationError;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -86,7 +87,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return ExitCode.CUT;
-        } catch (Exception e) {
+        } catch (Exception | ServiceConfigurationError | LinkageError e) {
             LOG.log(System.Logger.Level.ERROR, "kernel: the daemon did not start; why=" + e, e);
             return ExitCode.NOT_STARTED;
         }
