Pass an operator's drain on to an agent

Cause: an operator names a backend server to drain, and only its agent can begin the leaving. Change: message Drain, type 5.

--- a/wire/src/main/java/org/cornelramp/wire/codec/MessageType.java
+++ b/wire/src/main/java/org/cornelramp/wire/codec/MessageType.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.cornelramp.wire.message.CloseStage;
+import org.cornelramp.wire.message.Drain;
 import org.cornelramp.wire.message.ExportStage;
 import org.cornelramp.wire.message.Heartbeat;
 import org.cornelramp.wire.message.Hello;
@@ -32,6 +33,7 @@
     HEARTBEAT(2, Heartbeat.class),
     TABLE_REQUEST(3, TableRequest.class),
     TABLE_UPDATE(4, TableUpdate.class),
+    DRAIN(5, Drain.class),
     INVOKE(10, Invoke.class),
     INVOKE_RESULT(11, InvokeResult.class),
     SETTLE(12, Settle.class),
--- a/wire/src/main/java/org/cornelramp/wire/message/Message.java
+++ b/wire/src/main/java/org/cornelramp/wire/message/Message.java
@@ -24,4 +24,5 @@
                 StageLost,
                 CloseStage,
                 ExportStage,
-                StageExported {}
+                StageExported,
+                Drain {}
