--- a/daemon/src/main/java/org/cornelramp/daemon/Main.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/Main.java
@@ -21,6 +21,7 @@
 import org.cornelramp.daemon.http.HttpServer;
 import org.cornelramp.daemon.kernel.Kernel;
 import org.cornelramp.daemon.kernel.Registry;
+import org.cornelramp.daemon.kernel.StopSwitch;
 import org.cornelramp.daemon.log.Logs;
 
 /** Starts the daemon, {@code cornelrampd --settings FILE}; see {@link ExitCode} for how it ends. Stateless. */
@@ -80,6 +81,7 @@
         Kernel kernel = new Kernel(registry, clock);
         PlannedStop stop = new PlannedStop(kernel, clock, settings.timing().drainMillis());
         try {
+            registry.share(StopSwitch.class, stop::begin);
             StopSignals.install(stop::signalled);
             kernel.start();
             System.out.println(readyLine(settings, registry));
--- a/daemon/src/main/java/org/cornelramp/daemon/PlannedStop.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/PlannedStop.java
@@ -8,7 +8,7 @@
 /**
  * A planned stop: the first signal starts the drain, a second one ends it, and so does the limit.
  *
- * <p>{@link #signalled} may be called by any thread, {@link #awaitAndRun} by the main thread only.
+ * <p>{@link #begin} and {@link #signalled} may be called by any thread, {@link #awaitAndRun} by the main thread only.
  */
 final class PlannedStop {
     private static final System.Logger LOG = System.getLogger(PlannedStop.class.getName());
@@ -25,6 +25,11 @@
         this.drainMillis = drainMillis;
     }
 
+    /** Begins the stop; a repeat changes nothing. */
+    void begin() {
+        first.countDown();
+    }
+
     /** Handles a stop signal. */
     synchronized void signalled() {
         if (first.getCount() > 0) {
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' interface of an entry, under {@code /operator/v1}. */
+package org.cornelramp.daemon.operator;
--- a/daemon/src/main/java/org/cornelramp/daemon/report/ReportPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/report/ReportPlugin.java
@@ -4,7 +4,7 @@
 import org.cornelramp.daemon.kernel.Plugin;
 import org.cornelramp.daemon.kernel.Registry;
 
-/** Shares the recorder of requests. Stateless. */
+/** Shares the recorder of requests and the status board. Stateless. */
 public final class ReportPlugin implements Plugin {
 
     @Override
@@ -27,5 +27,6 @@
         RequestMemory memory = new RequestMemory();
         registry.share(RequestRecorder.class, memory);
         registry.share(RequestMemory.class, memory);
+        registry.share(StatusBoard.class, new StatusBoard());
     }
 }
