--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/table/LoggedRecord.java
@@ -0,0 +1,12 @@
+package org.cornelramp.core.table;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * One record of the log's table stream. Immutable if its value is not changed; safe for use by any thread.
+ *
+ * @param offset place in the stream, from 0 without gaps
+ * @param at when the log took it, in milliseconds since 1970
+ * @param value what was appended
+ */
+public record LoggedRecord(long offset, long at, JsonNode value) {}
