--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/key/IdempotencyKey.java
@@ -0,0 +1,54 @@
+package org.cornelramp.core.key;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import org.cornelramp.core.model.Outcome;
+import org.cornelramp.core.model.Problem;
+import org.cornelramp.core.model.ProblemKind;
+
+/** An idempotency key that shows its age. Implementations are immutable and safe for use by any thread. */
+public sealed interface IdempotencyKey permits Ticket, OwnKey {
+    /** How far a caller's clock may run ahead of the entry's. */
+    Duration CLOCK_SKEW = Duration.ofMinutes(1);
+
+    /** The form that callers send and agents record. */
+    String text();
+
+    /** When the key was made, by the clock of whoever made it. */
+    Instant madeAt();
+
+    /**
+     * Reads a key and judges its age.
+     *
+     * <p>A key older than the window is refused with the outcome unknown: the records that would tell whether it
+     * ran may be gone, so neither running it nor denying that it ran would be safe.
+     *
+     * @param window age at which keys are refused
+     */
+    static Either<Problem, IdempotencyKey> read(String text, Instant now, Duration window) {
+        return parse(text).flatMap(key -> judgeAge(key, now, window));
+    }
+
+    private static Either<Problem, IdempotencyKey> parse(String text) {
+        try {
+            return Either.right(Ticket.isTicket(text) ? Ticket.parse(text) : OwnKey.parse(text));
+        } catch (IllegalArgumentException e) {
+            return Either.left(Problem.notRun(ProblemKind.KEY_MALFORMED, "The key is neither minted nor a UUIDv7."));
+        }
+    }
+
+    private static Either<Problem, IdempotencyKey> judgeAge(IdempotencyKey key, Instant now, Duration window) {
+        if (key.madeAt().isAfter(now.plus(CLOCK_SKEW))) {
+            return Either.left(Problem.notRun(ProblemKind.KEY_MALFORMED, "The key was made in the future."));
+        }
+        if (key.madeAt().plus(window).isBefore(now)) {
+            return Either.left(new Problem(
+                    ProblemKind.KEY_EXPIRED,
+                    Outcome.UNKNOWN,
+                    "The key is older than the window of " + window.toSeconds() + " s.",
+                    Duration.ZERO));
+        }
+        return Either.right(key);
+    }
+}
