--- a/core/src/main/java/org/cornelramp/core/member/Membership.java
+++ b/core/src/main/java/org/cornelramp/core/member/Membership.java
@@ -1,5 +1,6 @@
 package org.cornelramp.core.member;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -26,6 +27,9 @@
  * was followed by another never becomes the present one again.
  */
 public final class Membership {
+    /** How far the clocks of two processes may be apart. */
+    static final Duration CLOCK_SKEW = Duration.ofSeconds(2);
+
     private final Map<BackendServerId, Member> members = new HashMap<>();
     private final Map<BackendServerId, Listed> listed = new HashMap<>();
     private final Set<Incarnation> gone = new HashSet<>();
@@ -92,12 +96,23 @@
                 (server, member) -> member.incarnation().equals(incarnation) ? member.withLinked(false) : member);
     }
 
-    /** Whether the life is known to have ended. */
-    public boolean isGone(Incarnation incarnation) {
-        return gone.contains(incarnation)
-                || present(incarnation.server())
-                        .filter(other -> !other.equals(incarnation))
-                        .isPresent();
+    /**
+     * Whether the life is known to have ended: its agent has been heard in another life later than this one was
+     * seen.
+     *
+     * <p>Another life alone does not tell. This entry may still hold a silent link to the earlier of two, and a key
+     * of the later one would be given up as unknown though its agent lives.
+     *
+     * @param seenAt when the life was last known to run, by the clock of any process
+     */
+    public boolean isGone(Incarnation incarnation, Instant seenAt) {
+        if (gone.contains(incarnation)) {
+            return true;
+        }
+        Member present = members.get(incarnation.server());
+        return present != null
+                && !present.incarnation().equals(incarnation)
+                && present.heardAt().isAfter(seenAt.plus(CLOCK_SKEW));
     }
 
     /** The member of a life, if it is the present one. */
@@ -111,10 +126,6 @@
         return new ArrayList<>(members.values());
     }
 
-    private Optional<Incarnation> present(BackendServerId server) {
-        return Optional.ofNullable(members.get(server)).map(Member::incarnation);
-    }
-
     private boolean isListedLeaving(BackendServerId server) {
         Listed one = listed.get(server);
         return one != null && one.leaving();
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Agents.java
@@ -0,0 +1,147 @@
+package org.cornelramp.daemon.entry;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.cornelramp.core.member.Member;
+import org.cornelramp.core.member.Membership;
+import org.cornelramp.core.model.Incarnation;
+import org.cornelramp.core.route.Candidate;
+import org.cornelramp.wire.link.Link;
+import org.cornelramp.wire.message.Heartbeat;
+import org.cornelramp.wire.message.Hello;
+import org.cornelramp.wire.message.Message;
+
+/**
+ * The agents with their links and the work that this entry has sent to each.
+ *
+ * <p>Confined to the router's thread. Invariant: an incarnation has at most one link here, the newest.
+ */
+final class Agents {
+    /** Work sent this shortly before a heartbeat came may not be in the load that the heartbeat tells. */
+    private static final Duration IN_FLIGHT = Duration.ofMillis(10);
+
+    private final Membership membership = new Membership();
+    private final Map<Incarnation, Link> links = new HashMap<>();
+    private final Map<Incarnation, Sent> sent = new HashMap<>();
+
+    Membership membership() {
+        return membership;
+    }
+
+    /** Takes a new link; gives the life that it shows to have ended. */
+    Optional<Incarnation> opened(Link link, Instant now) {
+        Hello peer = link.peer();
+        Incarnation agent = peer.incarnation();
+        Link older = links.put(agent, link);
+        if (older != null && older != link) {
+            older.close("replaced by a newer link");
+        }
+        return membership.opened(agent, peer.dataCentre(), peer.address(), peer.offer(), now);
+    }
+
+    /** Takes the end of a link; whether it was the present one of its agent. */
+    boolean closed(Link link) {
+        Incarnation agent = link.peer().incarnation();
+        if (!links.remove(agent, link)) {
+            return false;
+        }
+        membership.lost(agent);
+        return true;
+    }
+
+    /** Takes a heartbeat of an agent. */
+    void heard(Incarnation agent, Heartbeat beat, Instant now) {
+        membership.heard(agent, beat.state(), beat.load(), beat.offer(), now);
+        Sent work = sent.get(agent);
+        if (work != null) {
+            work.told(now.minus(IN_FLIGHT));
+        }
+    }
+
+    boolean isLinked(Incarnation agent) {
+        return links.containsKey(agent);
+    }
+
+    /** Sends a message to an agent; false when it has no link or the link refuses it. */
+    boolean send(Incarnation agent, Message message) {
+        Link link = links.get(agent);
+        return link != null && link.send(message);
+    }
+
+    /** Counts work that begins at an agent. */
+    void begin(Incarnation agent, long tokens, Instant now) {
+        sent.computeIfAbsent(agent, key -> new Sent()).begin(tokens, now);
+    }
+
+    /** Counts work that ended at an agent. */
+    void end(Incarnation agent) {
+        Sent work = sent.get(agent);
+        if (work != null && work.end()) {
+            sent.remove(agent);
+        }
+    }
+
+    /** The agents that take new work. */
+    List<Candidate> candidates() {
+        return candidates(Member::takesWork);
+    }
+
+    /** The linked agents that the filter lets pass. */
+    List<Candidate> candidates(Predicate<Member> filter) {
+        List<Candidate> candidates = new ArrayList<>();
+        for (Member member : membership.members()) {
+            if (member.linked() && member.offer().isPresent() && filter.test(member)) {
+                candidates.add(candidate(member));
+            }
+        }
+        return candidates;
+    }
+
+    private Candidate candidate(Member member) {
+        Sent work = sent.getOrDefault(member.incarnation(), Sent.NONE);
+        return new Candidate(
+                member.incarnation(),
+                member.dataCentre(),
+                member.offer().orElseThrow(),
+                member.load(),
+                work.tokens,
+                work.calls,
+                1.0);
+    }
+
+    /** Work sent to one agent. */
+    private static final class Sent {
+        static final Sent NONE = new Sent();
+
+        private final Deque<Untold> untold = new ArrayDeque<>();
+        private long tokens;
+        private int calls;
+
+        void begin(long more, Instant now) {
+            untold.add(new Untold(now, more));
+            tokens += more;
+            calls++;
+        }
+
+        boolean end() {
+            calls--;
+            return calls <= 0;
+        }
+
+        void told(Instant before) {
+            while (!untold.isEmpty() && untold.peek().at().isBefore(before)) {
+                tokens -= untold.poll().tokens();
+            }
+        }
+    }
+
+    private record Untold(Instant at, long tokens) {}
+}
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRequestReader.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRequestReader.java
@@ -37,8 +37,8 @@
         if (!model.isTextual() || !Names.isValid(model.textValue())) {
             return malformed("model is not the name of a model.");
         }
-        return contents(root.path("messages")).flatMap(contents -> maxTokens(root)
-                .flatMap(max -> stream(root)
+        return contents(root.path("messages"))
+                .flatMap(contents -> maxTokens(root).flatMap(max -> stream(root)
                         .map(stream -> new ChatRequest(new ServiceName(model.textValue()), contents, max, stream))));
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRun.java
@@ -0,0 +1,261 @@
+package org.cornelramp.daemon.entry;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.cornelramp.core.model.Incarnation;
+import org.cornelramp.core.model.Problem;
+import org.cornelramp.core.model.ProblemKind;
+import org.cornelramp.core.route.Candidate;
+import org.cornelramp.core.route.Choice;
+import org.cornelramp.core.route.Work;
+import org.cornelramp.core.session.PipelineSession;
+import org.cornelramp.core.session.SessionAction;
+import org.cornelramp.core.text.Vocabulary;
+import org.cornelramp.wire.message.CloseStage;
+import org.cornelramp.wire.message.Message;
+import org.cornelramp.wire.message.OpenStage;
+import org.cornelramp.wire.message.SendFrom;
+import org.cornelramp.wire.message.StageLost;
+import org.cornelramp.wire.message.StageOpened;
+import org.cornelramp.wire.message.StageRefused;
+import org.cornelramp.wire.message.Step;
+import org.cornelramp.wire.message.Token;
+
+/**
+ * One chat completion in progress: does what its {@link PipelineSession} decides.
+ *
+ * <p>Confined to the router's thread. Invariant: the caller gets one final answer, and the work counted at agents
+ * is uncounted when it ends.
+ */
+final class ChatRun {
+    /** What is recorded when the caller no longer takes its answer. */
+    static final Problem CALLER_GONE =
+            Problem.unknown(ProblemKind.DEADLINE_PASSED, "The caller is gone or reads too slowly.");
+
+    private static final int MAX_REBUILDS = 8;
+
+    private final long session;
+    private final CallerRequest request;
+    private final ChatRequest chat;
+    private final String fingerprint;
+    private final Agents agents;
+    private final Selection selection;
+    private final Ends ends;
+    private final PipelineSession state;
+    private final int promptTokens;
+    private final ChatText text;
+    private final StringBuilder answer = new StringBuilder();
+    private final Deque<SessionAction> todo = new ArrayDeque<>();
+    private List<Incarnation> counted = List.of();
+    private int emitted;
+
+    ChatRun(
+            long session,
+            CallerRequest request,
+            ChatRequest chat,
+            String fingerprint,
+            Agents agents,
+            Selection selection,
+            Ends ends) {
+        this.session = session;
+        this.request = request;
+        this.chat = chat;
+        this.fingerprint = fingerprint;
+        this.agents = agents;
+        this.selection = selection;
+        this.ends = ends;
+        long[] prompt = Vocabulary.encode(chat.contents());
+        this.promptTokens = prompt.length;
+        this.state = new PipelineSession(prompt, chat.maxTokens(), MAX_REBUILDS);
+        this.text = new ChatText(request.id(), request.arrived(), chat.model());
+    }
+
+    /** Chooses the pipeline and opens it. */
+    void start(Instant now) {
+        use(selection.choose(work(), now), now);
+    }
+
+    void on(StageOpened message, Instant now) {
+        apply(state.opened(message.epoch(), message.stage(), message.position()), now);
+    }
+
+    void on(StageRefused message, Instant now) {
+        Problem why = Problem.notRun(message.kind(), message.detail())
+                .withRetryAfter(Duration.ofMillis(Math.max(0, message.retryAfterMillis())));
+        apply(state.lost(message.epoch(), message.stage(), why), now);
+    }
+
+    void on(StageLost message, Instant now) {
+        apply(state.lost(message.epoch(), message.stage(), Problem.notRun(message.kind(), message.detail())), now);
+    }
+
+    void on(Token message, Instant now) {
+        apply(state.generated(message.epoch(), message.position(), message.tokens()), now);
+    }
+
+    /** The link to an agent is lost, or its life has ended. */
+    void lost(Incarnation agent, String detail, Instant now) {
+        apply(state.lost(agent, Problem.notRun(ProblemKind.BACKEND_LOST, detail)), now);
+    }
+
+    /** Time passes. */
+    void tick(Instant now) {
+        if (!now.isBefore(request.deadline())) {
+            giveUp(Problem.notRun(ProblemKind.DEADLINE_PASSED, "No whole answer came within the deadline."), now);
+        }
+    }
+
+    /** Ends the session: its caller is gone, or the process stops. */
+    void giveUp(Problem problem, Instant now) {
+        apply(state.giveUp(problem), now);
+    }
+
+    boolean isEnded() {
+        return state.isEnded();
+    }
+
+    private void use(Either<Problem, Choice> choice, Instant now) {
+        if (choice.isLeft()) {
+            apply(state.giveUp(choice.getLeft()), now);
+            return;
+        }
+        List<Incarnation> stages =
+                choice.get().stages().stream().map(Candidate::incarnation).toList();
+        ends.decided(
+                request,
+                now,
+                "chosen",
+                "epoch=" + (state.epoch() + 1) + " stages=" + stages + " expected_millis="
+                        + choice.get().expected().toMillis());
+        count(stages, now);
+        apply(state.use(stages), now);
+    }
+
+    private void count(List<Incarnation> stages, Instant now) {
+        long tokens = (long) promptTokens + chat.maxTokens();
+        counted.stream().filter(agent -> !stages.contains(agent)).forEach(agents::end);
+        stages.stream().filter(agent -> !counted.contains(agent)).forEach(agent -> agents.begin(agent, tokens, now));
+        counted = stages;
+    }
+
+    private Work work() {
+        int left = Math.max(1, chat.maxTokens() - state.generatedTokens());
+        return new Work(chat.model(), promptTokens, left, request.deadline(), "", state.failed());
+    }
+
+    /** A send that fails adds to the actions, so they are done from a list and not by recursion. */
+    private void apply(List<SessionAction> actions, Instant now) {
+        todo.addAll(actions);
+        SessionAction action = todo.poll();
+        while (action != null) {
+            perform(action, now);
+            action = todo.poll();
+        }
+    }
+
+    private void perform(SessionAction action, Instant now) {
+        if (action instanceof SessionAction.Open open) {
+            open(open, now);
+        } else if (action instanceof SessionAction.SendFrom from) {
+            send(from.stage(), new SendFrom(session, from.epoch(), from.position()), from.epoch());
+        } else if (action instanceof SessionAction.Feed feed) {
+            send(0, new Step(session, feed.epoch(), feed.position(), feed.tokens()), feed.epoch());
+        } else if (action instanceof SessionAction.Emit emit) {
+            emit(emit.tokens(), now);
+        } else if (action instanceof SessionAction.Rechoose rechoose) {
+            ends.decided(request, now, "rebuild", "why=" + rechoose.why() + " failed=" + state.failed());
+            use(selection.replace(work(), state.stages(), now), now);
+        } else if (action instanceof SessionAction.Close close) {
+            agents.send(close.agent(), new CloseStage(session, close.epoch()));
+        } else if (action instanceof SessionAction.Finish) {
+            finish(now);
+        } else if (action instanceof SessionAction.Fail fail) {
+            fail(fail.problem(), now);
+        }
+    }
+
+    private void open(SessionAction.Open open, Instant now) {
+        List<String> addresses = open.stages().stream()
+                .map(agent -> agents.membership()
+                        .member(agent)
+                        .map(member -> member.address())
+                        .orElse(""))
+                .toList();
+        long budget = Math.max(0, Duration.between(now, request.deadline()).toMillis());
+        for (int stage = 0; stage < open.stages().size(); stage++) {
+            OpenStage message = new OpenStage(
+                    session,
+                    open.epoch(),
+                    request.id(),
+                    request.row().key().organisation(),
+                    chat.model(),
+                    stage,
+                    addresses,
+                    open.stages(),
+                    promptTokens,
+                    chat.maxTokens(),
+                    request.row().values().priority(),
+                    budget,
+                    fingerprint,
+                    Optional.empty());
+            send(stage, message, open.epoch());
+        }
+    }
+
+    private void send(int stage, Message message, int epoch) {
+        if (epoch != state.epoch() || state.isEnded() || state.isChoosing()) {
+            return;
+        }
+        if (!agents.send(state.stages().get(stage), message)) {
+            Problem why = Problem.notRun(ProblemKind.BACKEND_LOST, "The link to a stage refused a message.");
+            todo.addAll(state.lost(epoch, stage, why));
+        }
+    }
+
+    private void emit(int[] tokens, Instant now) {
+        StringBuilder piece = new StringBuilder();
+        for (int token : tokens) {
+            piece.append(Vocabulary.render(token));
+        }
+        emitted += tokens.length;
+        if (!chat.stream()) {
+            answer.append(piece);
+        } else if (!request.answer().event(text.chunk(piece.toString()))) {
+            giveUp(CALLER_GONE, now);
+        }
+    }
+
+    private void finish(Instant now) {
+        count(List.of(), now);
+        String reason = emitted < chat.maxTokens() ? "stop" : "length";
+        if (chat.stream()) {
+            if (!request.answer().event(text.lastChunk(reason))) {
+                ends.failed(request, CALLER_GONE, now);
+                return;
+            }
+            request.answer().endStream();
+        } else {
+            byte[] body = text.whole(answer.toString(), reason, promptTokens, emitted);
+            request.answer().whole(200, Headers.JSON, body);
+        }
+        ends.answered(request, now);
+    }
+
+    private void fail(Problem problem, Instant now) {
+        count(List.of(), now);
+        request.answer().problem(problem);
+        ends.failed(request, problem, now);
+    }
+
+    /** The fingerprint of a chat request, without what does not change the work. */
+    static byte[] identity(ChatRequest chat) {
+        String all = chat.model() + "\n" + chat.maxTokens() + "\n" + String.join("\n", chat.contents());
+        return all.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Ends.java
@@ -0,0 +1,65 @@
+package org.cornelramp.daemon.entry;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
+import java.time.Instant;
+import org.cornelramp.core.model.Outcome;
+import org.cornelramp.core.model.Problem;
+import org.cornelramp.daemon.report.RequestRecorder;
+
+/** Records decisions on requests and their ends. Safe for use by any thread. */
+final class Ends {
+    private final RequestRecorder recorder;
+    private final MeterRegistry meters;
+
+    Ends(RequestRecorder recorder, MeterRegistry meters) {
+        this.recorder = recorder;
+        this.meters = meters;
+    }
+
+    /** Records one decision. */
+    void decided(CallerRequest request, Instant now, String step, String facts) {
+        recorder.decided(request.id(), now, step, facts);
+    }
+
+    /** Records a whole answer. */
+    void answered(CallerRequest request, Instant now) {
+        recorder.decided(request.id(), now, "answered", "millis=" + millis(request, now));
+        end(request, Outcome.ANSWERED, "none", !now.isAfter(request.deadline()), now);
+    }
+
+    /** Records a problem. */
+    void failed(CallerRequest request, Problem problem, Instant now) {
+        String kind = problem.kind().text();
+        recorder.decided(
+                request.id(),
+                now,
+                "failed",
+                "kind=" + kind + " outcome=" + problem.outcome().text() + " millis=" + millis(request, now));
+        end(request, problem.outcome(), kind, false, now);
+    }
+
+    /** Counts a request that was refused before its row was known. */
+    void refused(Problem problem) {
+        meters.counter("cornelramp.entry.refusals", "kind", problem.kind().text())
+                .increment();
+    }
+
+    private void end(CallerRequest request, Outcome outcome, String kind, boolean inTime, Instant now) {
+        Duration latency = Duration.between(request.arrived(), now);
+        recorder.ended(request.row().key(), outcome, inTime, latency, now);
+        meters.counter(
+                        "cornelramp.entry.requests",
+                        "service",
+                        request.row().key().service().value(),
+                        "outcome",
+                        outcome.text(),
+                        "kind",
+                        kind)
+                .increment();
+    }
+
+    private static long millis(CallerRequest request, Instant now) {
+        return Duration.between(request.arrived(), now).toMillis();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryLinks.java
@@ -0,0 +1,86 @@
+package org.cornelramp.daemon.entry;
+
+import java.time.Instant;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.cornelramp.daemon.table.TableSource;
+import org.cornelramp.wire.link.Link;
+import org.cornelramp.wire.link.LinkListener;
+import org.cornelramp.wire.message.Heartbeat;
+import org.cornelramp.wire.message.Message;
+import org.cornelramp.wire.message.TableRequest;
+import org.cornelramp.wire.message.TableUpdate;
+
+/**
+ * Hands what happens on links to the router.
+ *
+ * <p>Called on the network thread; {@link #lateEnds} on the router's. Invariant: the router hears of the end of
+ * every link that it has heard of.
+ */
+final class EntryLinks implements LinkListener {
+    private final Router router;
+    private final TableSource table;
+    private final ConcurrentLinkedQueue<Ended> ended = new ConcurrentLinkedQueue<>();
+
+    EntryLinks(Router router, TableSource table) {
+        this.router = router;
+        this.table = table;
+    }
+
+    @Override
+    public void opened(Link link) {
+        if (!router.run(now -> router.opened(link, now))) {
+            link.close("the router is overloaded");
+        }
+    }
+
+    @Override
+    public void received(Link link, Message message) {
+        if (message instanceof TableRequest request) {
+            answer(link, request);
+        } else if (message instanceof TableUpdate update) {
+            table.takeSnapshot(update.offset(), update.snapshot());
+        } else {
+            if (message instanceof Heartbeat beat
+                    && beat.tableOffset() > table.current().offset()) {
+                link.send(new TableRequest(table.current().offset()));
+            }
+            handOver(link, message);
+        }
+    }
+
+    /**
+     * A message that finds the ring full cannot be refused to its sender. Dropped silently, a result would be lost
+     * while its link lives, and its call would wait until the deadline; so the link is closed, and all that is in
+     * flight on it is settled by asking.
+     */
+    private void handOver(Link link, Message message) {
+        boolean taken = router.run(now -> router.received(link, message, now));
+        if (!taken && !(message instanceof Heartbeat)) {
+            link.close("the router is overloaded");
+        }
+    }
+
+    @Override
+    public void closed(Link link, String why) {
+        if (!router.run(now -> router.closed(link, why, now))) {
+            ended.add(new Ended(link, why));
+        }
+    }
+
+    /** Tells the router of link ends that found its ring full. */
+    void lateEnds(Instant now) {
+        Ended one = ended.poll();
+        while (one != null) {
+            router.closed(one.link(), one.why(), now);
+            one = ended.poll();
+        }
+    }
+
+    private void answer(Link link, TableRequest request) {
+        if (table.isReady() && table.current().offset() > request.above()) {
+            link.send(new TableUpdate(table.current().offset(), table.snapshot()));
+        }
+    }
+
+    private record Ended(Link link, String why) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
@@ -0,0 +1,135 @@
+package org.cornelramp.daemon.entry;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.cornelramp.core.model.AgentLoad;
+import org.cornelramp.core.model.AgentState;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.Incarnation;
+import org.cornelramp.core.route.Chooser;
+import org.cornelramp.core.route.ExpectedCompletionChooser;
+import org.cornelramp.core.route.PrefixHints;
+import org.cornelramp.core.route.StaticLinkCosts;
+import org.cornelramp.core.settings.DaemonSettings;
+import org.cornelramp.core.settings.Role;
+import org.cornelramp.daemon.http.Routes;
+import org.cornelramp.daemon.kernel.Plugin;
+import org.cornelramp.daemon.kernel.Registry;
+import org.cornelramp.daemon.report.RequestRecorder;
+import org.cornelramp.daemon.table.TableSource;
+import org.cornelramp.platform.VmListClient;
+import org.cornelramp.wire.link.LinkLoop;
+import org.cornelramp.wire.link.LinkOptions;
+import org.cornelramp.wire.message.Heartbeat;
+import org.cornelramp.wire.message.Hello;
+
+/** Builds the entry role. Stateless. */
+public final class EntryPlugin implements Plugin {
+    private static final int ORDER = 100;
+    private static final int MAX_WAITING_BYTES = 1 << 18;
+    private static final List<String> METHODS = List.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
+
+    @Override
+    public String name() {
+        return "entry";
+    }
+
+    @Override
+    public int order() {
+        return ORDER;
+    }
+
+    @Override
+    public boolean servesRole(Role role) {
+        return role == Role.ENTRY;
+    }
+
+    @Override
+    public void register(Registry registry) {
+        DaemonSettings settings = registry.settings();
+        Clock clock = registry.clock();
+        TableSource table = registry.need(TableSource.class);
+        Ends ends = new Ends(registry.need(RequestRecorder.class), registry.meters());
+        Agents agents = new Agents();
+        Chooser chooser = new ExpectedCompletionChooser(PrefixHints.NONE);
+        RandomGenerator random = RandomGenerator.getDefault();
+        Selection selection = new Selection(agents, chooser, settings.dataCentre(), StaticLinkCosts.DEFAULTS, random);
+        NoLookup lookup = new NoLookup();
+        Router router = new Router(
+                clock,
+                settings.bounds().ringSlots(),
+                settings.bounds().inProgress(),
+                random,
+                agents,
+                selection,
+                lookup,
+                ends);
+        lookup.router = router;
+        EntryState state = new EntryState(router);
+        EntryLinks listener = new EntryLinks(router, table);
+        LinkLoop loop = new LinkLoop(
+                "links",
+                LinkOptions.of(
+                        settings.timing().heartbeatMillis(), settings.bounds().frameBytes()),
+                hello(settings),
+                () -> heartbeat(state, table),
+                listener);
+        Duration interval = Duration.ofMillis(settings.timing().vmListMillis());
+        VmListReader reader =
+                new VmListReader(registry.need(VmListClient.class), interval, router, agents.membership(), loop);
+        router.eachTick(listener::lateEnds);
+        router.eachTick(reader::tick);
+        registry.add(router.duty());
+        registry.add(new LinkComponent(loop));
+        registry.add(state);
+        addRoutes(registry.need(Routes.class), context(registry, router, table, ends, state));
+        registry.meters().gauge("cornelramp.entry.in.progress", router, Router::inProgress);
+    }
+
+    private static EntryContext context(
+            Registry registry, Router router, TableSource table, Ends ends, EntryState state) {
+        DaemonSettings settings = registry.settings();
+        return new EntryContext(
+                registry.clock(),
+                router,
+                new Callers(table),
+                ends,
+                settings.bounds().bodyBytes(),
+                MAX_WAITING_BYTES,
+                settings.timing().keyWindowMillis(),
+                state::isDraining);
+    }
+
+    private static void addRoutes(Routes routes, EntryContext context) {
+        routes.add("POST", "/v1/chat/completions", new ChatHandler(context));
+        routes.add("POST", "/v1/keys", new KeyHandler(context));
+        ServiceHandler services = new ServiceHandler(context);
+        METHODS.forEach(method -> routes.add(method, ServiceHandler.PREFIX, services));
+    }
+
+    private static Supplier<Hello> hello(DaemonSettings settings) {
+        long life = ThreadLocalRandom.current().nextLong();
+        Incarnation incarnation = new Incarnation(new BackendServerId(settings.name()), life);
+        Hello hello = new Hello(settings.name(), true, incarnation, settings.dataCentre(), Optional.empty(), "");
+        return () -> hello;
+    }
+
+    private static Heartbeat heartbeat(EntryState state, TableSource table) {
+        return new Heartbeat(
+                state.isDraining() ? AgentState.LEAVING : AgentState.ACTIVE,
+                AgentLoad.IDLE,
+                Optional.empty(),
+                table.current().offset(),
+                0,
+                List.of(),
+                List.of(),
+                Map.of(),
+                Map.of());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryState.java
@@ -0,0 +1,47 @@
+package org.cornelramp.daemon.entry;
+
+import java.time.Instant;
+import org.cornelramp.daemon.kernel.Component;
+
+/**
+ * Whether the entry takes new requests.
+ *
+ * <p>Safe for use by any thread. Invariant: a drain never ends but by the end of the process, and cuts no request
+ * in progress.
+ */
+final class EntryState implements Component {
+    private static final System.Logger LOG = System.getLogger(EntryState.class.getName());
+
+    private final Router router;
+    private volatile boolean draining;
+
+    EntryState(Router router) {
+        this.router = router;
+    }
+
+    boolean isDraining() {
+        return draining;
+    }
+
+    @Override
+    public String name() {
+        return "entry";
+    }
+
+    @Override
+    public void start() {}
+
+    @Override
+    public void drain(Instant limit) {
+        draining = true;
+        LOG.log(System.Logger.Level.INFO, "entry: drain begins; in_progress=" + router.inProgress());
+    }
+
+    @Override
+    public boolean isDrained() {
+        return router.inProgress() == 0 && router.duty().waiting() == 0;
+    }
+
+    @Override
+    public void stop() {}
+}
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/HttpAnswer.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/HttpAnswer.java
@@ -32,6 +32,7 @@
     private boolean streaming;
     private boolean ended;
     private boolean broken;
+    private volatile boolean waitingForAnswer;
     private Runnable onBroken = () -> {};
 
     /**
@@ -47,6 +48,16 @@
         this.maxWaiting = maxWaiting;
     }
 
+    /** Says that the body has come, so that from now on the caller waits for the entry. */
+    void bodyCame() {
+        waitingForAnswer = true;
+    }
+
+    /** Whether the caller waits while nothing is being written to it. */
+    boolean isWaiting() {
+        return waitingForAnswer;
+    }
+
     /** Sets what is called, once, when the caller is found gone in mid-stream. */
     synchronized void onBroken(Runnable action) {
         onBroken = action;
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/VmListReader.java
@@ -0,0 +1,78 @@
+package org.cornelramp.daemon.entry;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.cornelramp.core.member.Listed;
+import org.cornelramp.core.member.Membership;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.core.settings.Role;
+import org.cornelramp.platform.VmList;
+import org.cornelramp.platform.VmListClient;
+import org.cornelramp.wire.link.LinkLoop;
+
+/**
+ * Reads the VM list at an interval and keeps links to the agents that it shows.
+ *
+ * <p>Confined to the router's thread. A list that cannot be read changes nothing: what is known stays.
+ */
+final class VmListReader {
+    private static final System.Logger LOG = System.getLogger(VmListReader.class.getName());
+
+    private final VmListClient client;
+    private final Duration interval;
+    private final Router router;
+    private final Membership membership;
+    private final LinkLoop links;
+    private Instant nextAt = Instant.MIN;
+    private volatile boolean reading;
+    private boolean failing;
+
+    VmListReader(VmListClient client, Duration interval, Router router, Membership membership, LinkLoop links) {
+        this.client = client;
+        this.interval = interval;
+        this.router = router;
+        this.membership = membership;
+        this.links = links;
+    }
+
+    /** Starts a read when one is due. */
+    void tick(Instant now) {
+        if (reading || now.isBefore(nextAt)) {
+            return;
+        }
+        reading = true;
+        nextAt = now.plus(interval);
+        client.list().whenComplete((list, failure) -> {
+            if (!router.run(at -> read(list, failure))) {
+                // The ring is full; without this the reader would wait for ever for a read that has ended.
+                reading = false;
+            }
+        });
+    }
+
+    private void read(VmList list, Throwable failure) {
+        reading = false;
+        if (failure != null) {
+            if (!failing) {
+                LOG.log(System.Logger.Level.WARNING, "entry: the VM list cannot be read; why=" + failure.getMessage());
+            }
+            failing = true;
+            return;
+        }
+        failing = false;
+        List<Listed> agents = list.vms().stream()
+                .filter(vm -> vm.role() == Role.AGENT)
+                .map(VmListReader::listed)
+                .toList();
+        Membership.LinkChange change = membership.listed(agents);
+        change.forget().forEach(address -> links.forget(HostPort.parse(address)));
+        change.keep().forEach(address -> links.keep(HostPort.parse(address)));
+    }
+
+    private static Listed listed(VmList.Vm vm) {
+        boolean leaving = vm.state() == VmList.State.LEAVING;
+        return new Listed(new BackendServerId(vm.vm()), vm.address().toString(), leaving);
+    }
+}
