--- a/daemon/src/main/java/org/cornelramp/daemon/entry/BodyReader.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/BodyReader.java
@@ -5,6 +5,8 @@
 import java.util.function.Consumer;
 import org.cornelramp.core.model.Problem;
 import org.cornelramp.core.model.ProblemKind;
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 
@@ -44,8 +46,7 @@
                 return;
             }
             if (Content.Chunk.isFailure(chunk)) {
-                then.accept(Either.left(
-                        Problem.notRun(ProblemKind.MALFORMED_REQUEST, "The body did not come whole or in time.")));
+                then.accept(Either.left(failure(chunk.getFailure())));
                 return;
             }
             byte[] bytes = new byte[chunk.remaining()];
@@ -63,6 +64,13 @@
         }
     }
 
+    private Problem failure(Throwable cause) {
+        if (cause instanceof HttpException http && http.getCode() == HttpStatus.PAYLOAD_TOO_LARGE_413) {
+            return tooLarge();
+        }
+        return Problem.notRun(ProblemKind.MALFORMED_REQUEST, "The body did not come whole or in time.");
+    }
+
     private Problem tooLarge() {
         return Problem.notRun(
                 ProblemKind.REQUEST_TOO_LARGE, "The body is larger than the limit of " + maxBytes + " bytes.");
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryContext.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryContext.java
@@ -14,6 +14,7 @@
  * @param maxWaitingBytes most bytes of a stream that may wait for its caller
  * @param keyWindowMillis age at which keys are refused
  * @param draining whether the entry is stopping
+ * @param open answers that are not out yet
  */
 record EntryContext(
         Clock clock,
@@ -23,4 +24,5 @@
         int maxBodyBytes,
         int maxWaitingBytes,
         long keyWindowMillis,
-        BooleanSupplier draining) {}
+        BooleanSupplier draining,
+        OpenAnswers open) {}
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryHandler.java
@@ -28,7 +28,7 @@
         Instant now = context.clock().instant();
         ThreadLocalRandom random = ThreadLocalRandom.current();
         String id = "r-" + Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
-        HttpAnswer answer = new HttpAnswer(id, response, callback, context.maxWaitingBytes());
+        HttpAnswer answer = new HttpAnswer(id, response, context.open().track(callback), context.maxWaitingBytes());
         // The deadline ends a request, not the connection's idle timeout: a caller that waits sends nothing.
         request.addIdleTimeoutListener(timeout -> !answer.isWaiting());
         new BodyReader(request, context.maxBodyBytes(), body -> {
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryLinks.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryLinks.java
@@ -78,7 +78,7 @@
 
     private void answer(Link link, TableRequest request) {
         if (table.isReady() && table.current().offset() > request.above()) {
-            link.send(new TableUpdate(table.current().offset(), table.snapshot()));
+            link.send(new TableUpdate(table.current().offset(), table.snapshotAbove(request.above())));
         }
     }
 
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
@@ -71,7 +71,8 @@
                 lookup,
                 ends);
         lookup.router = router;
-        EntryState state = new EntryState(router);
+        OpenAnswers open = new OpenAnswers();
+        EntryState state = new EntryState(router, open);
         EntryLinks listener = new EntryLinks(router, table);
         LinkLoop loop = new LinkLoop(
                 "links",
@@ -88,12 +89,12 @@
         registry.add(router.duty());
         registry.add(new LinkComponent(loop));
         registry.add(state);
-        addRoutes(registry.need(Routes.class), context(registry, router, table, ends, state));
+        addRoutes(registry.need(Routes.class), context(registry, router, table, ends, state, open));
         registry.meters().gauge("cornelramp.entry.in.progress", router, Router::inProgress);
     }
 
     private static EntryContext context(
-            Registry registry, Router router, TableSource table, Ends ends, EntryState state) {
+            Registry registry, Router router, TableSource table, Ends ends, EntryState state, OpenAnswers open) {
         DaemonSettings settings = registry.settings();
         return new EntryContext(
                 registry.clock(),
@@ -103,7 +104,8 @@
                 settings.bounds().bodyBytes(),
                 MAX_WAITING_BYTES,
                 settings.timing().keyWindowMillis(),
-                state::isDraining);
+                state::isDraining,
+                open);
     }
 
     private static void addRoutes(Routes routes, EntryContext context) {
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryState.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryState.java
@@ -13,10 +13,12 @@
     private static final System.Logger LOG = System.getLogger(EntryState.class.getName());
 
     private final Router router;
+    private final OpenAnswers open;
     private volatile boolean draining;
 
-    EntryState(Router router) {
+    EntryState(Router router, OpenAnswers open) {
         this.router = router;
+        this.open = open;
     }
 
     boolean isDraining() {
@@ -39,7 +41,8 @@
 
     @Override
     public boolean isDrained() {
-        return router.inProgress() == 0 && router.duty().waiting() == 0;
+        // A request may have ended for the router while its last bytes still wait for a slow caller.
+        return open.count() == 0 && router.inProgress() == 0;
     }
 
     @Override
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/ServiceHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/ServiceHandler.java
@@ -38,6 +38,12 @@
             refuse(arrival.answer(), key.getLeft());
             return;
         }
+        if (key.get().filter(one -> !(one instanceof Ticket)).isPresent()) {
+            refuse(
+                    arrival.answer(),
+                    Problem.unknown(ProblemKind.LOG_UNAVAILABLE, "Own keys are not taken by this entry yet."));
+            return;
+        }
         submit(request.get(), key.get(), read(arrival, path, request.get(), key.get()));
     }
 
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/VmListReader.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/VmListReader.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.cornelramp.core.member.Listed;
 import org.cornelramp.core.member.Membership;
 import org.cornelramp.core.model.BackendServerId;
@@ -26,7 +27,7 @@
     private final Membership membership;
     private final LinkLoop links;
     private Instant nextAt = Instant.MIN;
-    private volatile boolean reading;
+    private CompletableFuture<VmList> pending = CompletableFuture.completedFuture(null);
     private boolean failing;
 
     VmListReader(VmListClient client, Duration interval, Router router, Membership membership, LinkLoop links) {
@@ -39,21 +40,14 @@
 
     /** Starts a read when one is due. */
     void tick(Instant now) {
-        if (reading || now.isBefore(nextAt)) {
+        if (!pending.isDone() || now.isBefore(nextAt)) {
             return;
         }
-        reading = true;
         nextAt = now.plus(interval);
-        client.list().whenComplete((list, failure) -> {
-            if (!router.run(at -> read(list, failure))) {
-                // The ring is full; without this the reader would wait for ever for a read that has ended.
-                reading = false;
-            }
-        });
+        pending = client.list().whenComplete((list, failure) -> router.run(at -> read(list, failure)));
     }
 
     private void read(VmList list, Throwable failure) {
-        reading = false;
         if (failure != null) {
             if (!failing) {
                 LOG.log(System.Logger.Level.WARNING, "entry: the VM list cannot be read; why=" + failure.getMessage());
