--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
@@ -86,6 +86,9 @@
                 new VmListReader(registry.need(VmListClient.class), interval, router, agents.membership(), loop);
         router.eachTick(listener::lateEnds);
         router.eachTick(reader::tick);
+        FleetView view = new FleetView(agents.membership());
+        router.eachTick(view::tick);
+        registry.share(FleetView.class, view);
         registry.add(router.duty());
         registry.add(new LinkComponent(loop));
         registry.add(state);
