Let the agent's test double answer for part of a table

Cause: the table source grew a call for the part that changed; the double beside the agent's tests lacked it. Change: the double gives its bytes.

--- a/daemon/src/test/java/org/cornelramp/daemon/agent/FakeTables.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/FakeTables.java
@@ -35,6 +35,11 @@
         return bytes;
     }
 
+    @Override
+    public byte[] snapshotAbove(long above) {
+        return bytes;
+    }
+
     @Override
     public synchronized boolean takeSnapshot(long newOffset, byte[] snapshot) {
         if (newOffset <= offset) {
