Weigh waiting over working, and draw six candidates

Change: wait for a free slot, speed of a full batch, waiting weighs four times working, six draws. Conclusion: an agent must not let more sessions share its engine than it has slots, or the deadline estimate does not hold.

--- a/core/src/main/java/org/cornelramp/core/route/Estimator.java
+++ b/core/src/main/java/org/cornelramp/core/route/Estimator.java
@@ -18,6 +18,12 @@
     private static final double FIRST_CALL_SECONDS = 0.005;
     private static final double MICROS = 1e6;
 
+    /**
+     * Weight of waiting over working time. The shortest time to one's own answer alone queues at the fastest engines
+     * while slower ones stand idle, which costs those that come after; see the design note on choice.
+     */
+    private static final double WAIT_WEIGHT = 4;
+
     private final Work work;
     private final DataCentre here;
     private final LinkCosts links;
@@ -55,24 +61,28 @@
         return time(chain, false);
     }
 
-    /** Cost by which candidates for one stage are compared: the time that each keeps its share of the work. */
+    /** Cost by which candidates for one stage are compared: waiting, by its weight, and the work itself. */
     double stageCost(Candidate c, DataCentre before) {
         if (!c.offer().isStage()) {
             return time(List.of(c), true);
         }
-        double perToken = 2 * link(before, c.dataCentre()) + stepSeconds(c);
-        return Math.max(shared(c, true), work.maxTokens() * perToken);
+        double perToken = Math.max(
+                2 * link(before, c.dataCentre()) + stepSeconds(c), c.offer().slots() / speed(c));
+        return WAIT_WEIGHT * wait(c) + prompt(c) / speed(c) + work.maxTokens() * perToken;
     }
 
-    /** Attainable tokens a second of a candidate, cut to its share. */
+    /**
+     * Attainable tokens a second of a candidate, cut to its share.
+     *
+     * <p>A speed measured with few requests is below what a full batch reaches, since each step gives every running
+     * request a token. Without this an idle engine looks slow, and honest deadlines are refused. Steps grow with the
+     * batch, so this is too high for an idle engine and comes true as it fills.
+     */
     double speed(Candidate c) {
         AgentLoad load = c.load();
         double told = load.tokensPerSecond() > 0 ? load.tokensPerSecond() : fastestTokens;
-        // A speed measured with few requests is below what a full batch reaches: each step gives every running
-        // request a token. Without this an idle engine looks slow, and honest deadlines are refused.
-        double batch = Math.min(c.offer().slots(), load.running() + 1);
-        double batched = load.meanServiceMicros() > 0 ? batch / stepSeconds(c) : 0;
-        return Math.max(told, batched) * c.share();
+        double full = load.meanServiceMicros() > 0 ? c.offer().slots() / stepSeconds(c) : 0;
+        return Math.max(told, full) * c.share();
     }
 
     private double time(List<Candidate> chain, boolean loaded) {
@@ -82,33 +92,34 @@
         if (!first.offer().isStage()) {
             return ends + call(first, loaded);
         }
-        double shared = 0;
+        double wait = 0;
         double slowest = Double.MAX_VALUE;
         double cycle = link(last.dataCentre(), first.dataCentre());
         for (int i = 0; i < chain.size(); i++) {
             Candidate c = chain.get(i);
-            shared = Math.max(shared, shared(c, loaded));
+            wait = Math.max(wait, loaded ? wait(c) : 0);
             slowest = Math.min(slowest, speed(c));
             cycle += stepSeconds(c);
             cycle += i == 0 ? 0 : link(chain.get(i - 1).dataCentre(), c.dataCentre());
         }
-        double alone = prompt(first) / slowest + work.maxTokens() * Math.max(cycle, 1 / slowest);
-        return ends + Math.max(shared, alone);
+        return ends + wait + prompt(first) / slowest + work.maxTokens() * Math.max(cycle, 1 / slowest);
     }
 
-    /** Time until a stage has done this request's tokens and those that it does before or beside them. */
-    private double shared(Candidate c, boolean loaded) {
-        double mine = prompt(c) + work.maxTokens();
-        return ((loaded ? ahead(c, mine) : 0) + mine) / speed(c);
+    /** Time until a stage has a free slot: none while one is free, then that of the work of those before this one. */
+    private double wait(Candidate c) {
+        double requests = requests(c);
+        double before = requests + 1 - c.offer().slots();
+        if (before <= 0) {
+            return 0;
+        }
+        double work = c.load().queuedTokens() + c.sentTokens();
+        return work * before / requests / speed(c);
     }
 
-    /** Running requests share the batch, so none of them takes more than this one needs before it ends. */
-    private static double ahead(Candidate c, double mine) {
-        AgentLoad load = c.load();
-        int count = load.running() + load.waiting();
-        double runningPart = count == 0 ? 1 : load.running() / (double) count;
-        double running = Math.min(load.queuedTokens() * runningPart, load.running() * mine);
-        return running + load.queuedTokens() * (1 - runningPart) + c.sentTokens();
+    /** Requests at a candidate; between two steps a pipeline's request is neither running nor waiting there. */
+    private static double requests(Candidate c) {
+        double told = c.load().running() + c.load().waiting();
+        return Math.max(told, c.sentCalls() * (double) Math.max(1, c.load().linkedEntries()));
     }
 
     private double call(Candidate c, boolean loaded) {
--- a/core/src/main/java/org/cornelramp/core/route/ExpectedCompletionChooser.java
+++ b/core/src/main/java/org/cornelramp/core/route/ExpectedCompletionChooser.java
@@ -17,7 +17,7 @@
  * and find a chain almost as good. Immutable, safe for use by any thread.
  */
 public final class ExpectedCompletionChooser implements Chooser {
-    private static final int DRAWS_PER_STAGE = 3;
+    private static final int DRAWS_PER_STAGE = 6;
     private static final int CHAINS = 4;
     private static final Duration LEAST_SPREAD = Duration.ofMillis(250);
     private static final Duration MOST_RETRY = Duration.ofSeconds(60);
