Serve a request from end to end over separate processes

Cause: the parts had never met. Ruled out: that the hash of caller keys differs between table and entry; it does not.

--- a/bench/src/main/java/org/cornelramp/bench/fleet/Fleet.java
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/Fleet.java
@@ -23,6 +23,10 @@
  * <p>Confined to one thread, but for the processes of its members. Closing it ends every process that it started.
  */
 public final class Fleet implements AutoCloseable {
+    /** Key of the fleet's operators. */
+    public static final String OPERATOR_KEY = "operator-key-of-the-fleet";
+
+    private static final Duration START_LIMIT = Duration.ofSeconds(30);
     private static final Duration END_LIMIT = Duration.ofSeconds(5);
     private static final long POLL_MILLIS = 20;
 
@@ -39,6 +43,7 @@
     private final int weightsPort = ports.take();
     private final ManagedProcess log;
     private final SettingsFiles settings;
+    private int edits;
 
     private Fleet(Path home, Path folder, FleetPlan plan, List<String> logOptions) {
         this.home = home;
@@ -51,7 +56,7 @@
     }
 
     /**
-     * Starts a fleet and waits until every entry is ready and linked to every agent.
+     * Starts a fleet and waits until every entry is ready and answers.
      *
      * @param home folder of the checkout with the built jars
      */
@@ -201,6 +206,7 @@
     public void appendEdit(String organisation, String service, long against, Map<String, Object> values) {
         Map<String, Object> edit = new LinkedHashMap<>();
         edit.put("type", "edit");
+        edit.put("id", "fleet-" + ++edits);
         edit.put("organisation", organisation);
         edit.put("service", service);
         edit.put("against", against);
@@ -277,7 +283,25 @@
         }
         publishVms();
         processes.forEach(ManagedProcess::awaitReady);
-        entries().forEach(entry -> await(entry.name() + " ready", Duration.ofSeconds(30), () -> isReady(entry)));
+        entries().forEach(this::awaitServing);
+    }
+
+    private void awaitServing(Member entry) {
+        await(entry.name() + " ready", START_LIMIT, () -> isReady(entry));
+        if (plan.services() > 0) {
+            String body = "{\"service\":\"" + FleetPlan.SERVICE + "\"}";
+            await(entry.name() + " mints keys", START_LIMIT, () -> isAnswered(entry, "/v1/keys", body));
+        }
+        if (!plan.stages().isEmpty()) {
+            String body = "{\"model\":\"" + FleetPlan.MODEL + "\",\"max_tokens\":1,"
+                    + "\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}";
+            await(entry.name() + " serves", START_LIMIT, () -> isAnswered(entry, "/v1/chat/completions", body));
+        }
+    }
+
+    private boolean isAnswered(Member entry, String path, String body) {
+        Map<String, String> caller = Map.of("Authorization", "Bearer " + callerKey(0));
+        return http.send("POST", entry.url() + path, caller, body).status() < 300;
     }
 
     private Member launchAgent(String name, String kind, ManagedProcess backend, int port, String dataCentre) {
@@ -327,7 +351,7 @@
         return "http://127.0.0.1:" + port;
     }
 
-    private static String sha256(String text) {
+    static String sha256(String text) {
         try {
             byte[] hash = MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
             return HexFormat.of().formatHex(hash);
--- a/bench/src/main/java/org/cornelramp/bench/fleet/JsonHttp.java
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/JsonHttp.java
@@ -34,6 +34,8 @@
         client.setFollowRedirects(false);
         try {
             client.start();
+            // Every answer is to be seen as it came: no redirects, no second try after a 401.
+            client.getProtocolHandlers().clear();
         } catch (Exception e) {
             throw new FleetException("Could not start the HTTP client", e);
         }
--- a/bench/src/main/java/org/cornelramp/bench/fleet/SettingsFiles.java
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/SettingsFiles.java
@@ -21,7 +21,9 @@
     }
 
     Path entry(String name, String dataCentre, int httpPort) {
-        return write(name, common("entry", name, dataCentre, httpPort));
+        ObjectNode root = common("entry", name, dataCentre, httpPort);
+        root.putObject("operators").putArray("keyHashes").add(Fleet.sha256(Fleet.OPERATOR_KEY));
+        return write(name, root);
     }
 
     Path agent(String name, String dataCentre, int httpPort, int linkPort, String backendKind, String backendUrl) {
--- a/daemon/src/main/java/org/cornelramp/daemon/platform/PlatformPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/platform/PlatformPlugin.java
@@ -45,10 +45,10 @@
     }
 
     private static void shareBackend(Registry registry, HttpPlatform http, BackendSettings backend) {
-        switch (backend.kind()) {
-            case ENGINE -> registry.share(EngineClient.class, http.engine(backend.url()));
-            case SERVICE -> registry.share(ServiceClient.class, http.service(backend.url()));
-        }
+        // The agent is built with a client of each kind and uses the one that fits the settings; an unused client
+        // holds no connection.
+        registry.share(EngineClient.class, http.engine(backend.url()));
+        registry.share(ServiceClient.class, http.service(backend.url()));
     }
 
     /** Ends the clients' threads after all other parts, which may still settle their work on the log. */
--- /dev/null
+++ b/system-tests/src/test/java/org/cornelramp/systemtests/WholePathTest.java
@@ -0,0 +1,62 @@
+package org.cornelramp.systemtests;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import org.cornelramp.bench.fleet.Fleet;
+import org.cornelramp.bench.fleet.FleetPlan;
+import org.cornelramp.bench.fleet.JsonHttp;
+import org.cornelramp.core.text.Vocabulary;
+import org.cornelramp.standins.engine.ModelMath;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** A request goes from a caller through an entry and agents to engines and services and back, all separate processes. */
+public class WholePathTest {
+    private Fleet fleet;
+
+    @BeforeClass
+    public void start() {
+        fleet = Fleet.start(Processes.home(), FleetPlan.small());
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stop() {
+        if (fleet != null) {
+            fleet.close();
+        }
+    }
+
+    @Test
+    public void aModelRequestGetsTheTokensOfAnUndisturbedRun() {
+        JsonHttp.Answer answer = Processes.chat(fleet, fleet.member("entry-0"), 0, "a sofa and two chairs", 12);
+
+        assertEquals(answer.status(), 200, answer.body());
+        String text = fleet.http()
+                .read(answer.body())
+                .at("/choices/0/message/content")
+                .asText();
+        assertEquals(text, expected("a sofa and two chairs", 12));
+    }
+
+    @Test
+    public void aBookingSentTwiceAtTwoEntriesTakesEffectOnce() {
+        String key = Processes.mintKey(fleet, fleet.member("entry-0"), 1);
+        JsonHttp.Answer first = Processes.book(fleet, fleet.member("entry-0"), 1, key, "{\"item\":\"sofa\"}");
+        JsonHttp.Answer second = Processes.book(fleet, fleet.member("entry-1"), 1, key, "{\"item\":\"sofa\"}");
+
+        assertEquals(first.status(), 200, first.body());
+        assertEquals(second.body(), first.body());
+        assertEquals(Processes.effects(fleet, key), 1);
+    }
+
+    private static String expected(String prompt, int count) {
+        long[] tokens = ModelMath.generate(Vocabulary.encode(List.of(prompt)), Processes.layers(), count);
+        StringBuilder text = new StringBuilder();
+        for (long token : tokens) {
+            text.append(Vocabulary.render((int) token));
+        }
+        return text.toString();
+    }
+}
