--- a/core/src/main/java/org/cornelramp/core/ledger/Ledger.java
+++ b/core/src/main/java/org/cornelramp/core/ledger/Ledger.java
@@ -5,10 +5,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.ProblemKind;
 
@@ -24,6 +26,8 @@
  *     time that was passed in counts.
  * <li>A key answered as not run never runs. A full ledger has no room to note that, so it raises a floor: any key
  *     that it does not hold and that was minted at or before the floor never runs either.
+ * <li>Memory is bounded by the number of keys and the bytes of answers. A key whose answer was dropped still never
+ *     runs again; its caller hears that the answer is no longer kept.
  * <li>A pause of any length changes nothing: what decides is this memory, not a lease that others may take over.
  *     A woken agent holds the same keys, and no other incarnation may run them.
  * </ul>
@@ -31,21 +35,25 @@
 public final class Ledger {
     private static final String TOO_OLD = "The key is older than the window in which keys are remembered";
 
+    private static final String DROPPED = "The call ran, and its answer is no longer kept";
+
     private final Incarnation self;
     private final Duration window;
     private final int maxKeys;
     private final long maxBytes;
     private final Map<String, Entry> entries = new HashMap<>();
     private final PriorityQueue<Entry> byExpiry = new PriorityQueue<>(Comparator.comparing((Entry e) -> e.expiry));
+    private final Set<Entry> withBody = new LinkedHashSet<>();
     private Instant latest = Instant.MIN;
     private Instant floor = Instant.MIN;
     private long bytes;
+    private int unsettled;
 
     /**
      * @param self the life that this ledger records
      * @param window age at which a key is refused
      * @param maxKeys most keys to hold
-     * @param maxBytes most bytes of results to hold; beyond, new keys are refused
+     * @param maxBytes most bytes of answers to hold; beyond, the oldest answers are dropped and their keys kept
      */
     public Ledger(Incarnation self, Duration window, int maxKeys, long maxBytes) {
         this.self = self;
@@ -74,7 +82,7 @@
             floor = request.minted();
             return new KeyVerdict.Settled(full());
         }
-        add(request, at, KeyState.QUEUED);
+        add(request, at);
         return new KeyVerdict.Run();
     }
 
@@ -84,9 +92,17 @@
             return new KeyVerdict.Settled(KeyResult.notRun(
                     ProblemKind.KEY_REUSED, "The key was used for another request; this one did not run", 0));
         }
+        if (entry.state == KeyState.TOMBSTONED) {
+            return new KeyVerdict.Settled(spent(entry.result));
+        }
         return entry.verdict();
     }
 
+    /** A refusal that asks its caller to wait would be asked for the same key for ever. */
+    private static KeyResult spent(KeyResult first) {
+        return KeyResult.notRun(ProblemKind.KEY_SPENT, "The call was refused before: " + first.detail(), 0);
+    }
+
     /**
      * Says what became of a key, and with {@code cancel} sets one that has not started to never run. A key never
      * seen is noted as one that never will: its call may still be on the way on a link that the asker gave up.
@@ -119,7 +135,7 @@
             floor = request.minted();
             return new KeyVerdict.Settled(full());
         }
-        add(request, at, KeyState.QUEUED);
+        add(request, at);
         tombstone(request.key(), cancelled());
         return entries.get(request.key()).verdict();
     }
@@ -156,7 +172,21 @@
     private void end(Entry entry, KeyState state, KeyResult result) {
         entry.state = state;
         entry.result = result;
-        bytes += result.body().length;
+        unsettled--;
+        if (result.body().length > 0) {
+            bytes += result.body().length;
+            withBody.add(entry);
+            dropOldAnswers();
+        }
+    }
+
+    private void dropOldAnswers() {
+        while (bytes > maxBytes) {
+            Entry oldest = withBody.iterator().next();
+            withBody.remove(oldest);
+            bytes -= oldest.result.body().length;
+            oldest.result = KeyResult.unknown(ProblemKind.KEY_EXPIRED, DROPPED);
+        }
     }
 
     /** Forgets keys that are older than the window; they are refused from then on by their age. */
@@ -185,7 +215,10 @@
             return;
         }
         entries.remove(entry.key);
-        bytes -= entry.result.body().length;
+        if (entry.result.body().length > 0) {
+            bytes -= entry.result.body().length;
+            withBody.remove(entry);
+        }
     }
 
     private boolean isTooOld(Instant minted, Instant at) {
@@ -193,14 +226,15 @@
     }
 
     private boolean isFull() {
-        return entries.size() >= maxKeys || bytes >= maxBytes;
+        return entries.size() >= maxKeys;
     }
 
-    private void add(KeyRequest request, Instant at, KeyState state) {
+    private void add(KeyRequest request, Instant at) {
         Instant from = request.minted().isAfter(at) ? request.minted() : at;
-        Entry entry = new Entry(request.key(), request.fingerprint(), from.plus(window), state);
+        Entry entry = new Entry(request.key(), request.fingerprint(), from.plus(window));
         entries.put(entry.key, entry);
         byExpiry.add(entry);
+        unsettled++;
     }
 
     /** How far a key has come; empty if it is not held. */
@@ -236,7 +270,7 @@
 
     /** Whether each key held is settled. */
     public boolean isSettled() {
-        return entries.values().stream().allMatch(entry -> entry.state.isSettled());
+        return unsettled == 0;
     }
 
     private KeyResult ofOtherLife(Incarnation bound) {
@@ -263,11 +297,11 @@
         KeyState state;
         KeyResult result;
 
-        Entry(String key, String fingerprint, Instant expiry, KeyState state) {
+        Entry(String key, String fingerprint, Instant expiry) {
             this.key = key;
             this.fingerprint = fingerprint;
             this.expiry = expiry;
-            this.state = state;
+            this.state = KeyState.QUEUED;
         }
 
         KeyVerdict verdict() {
