Tell a dead backend server from a silent one, and name who was at it

Cause: a crash shows first as lost answers and later as a new life, so the requests that were at the backend server were no longer there when the crash was noticed. Ruled out: ending calls in progress when a connection is refused: a service that stops gracefully refuses new connections and still answers them, and an answer that was about to come would be reported as unknown. Change: CrashSuspects; a request that crashed a backend server runs alone from then on, so that those beside it are not set aside with it; batches that take far longer than the engine's speed explains are given up; NOT_SENT is recorded as never to run.

--- a/core/src/main/java/org/cornelramp/core/ledger/Ledger.java
+++ b/core/src/main/java/org/cornelramp/core/ledger/Ledger.java
@@ -12,6 +12,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import org.cornelramp.core.model.Incarnation;
+import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.ProblemKind;
 
 /**
@@ -92,7 +93,7 @@
             return new KeyVerdict.Settled(KeyResult.notRun(
                     ProblemKind.KEY_REUSED, "The key was used for another request; this one did not run", 0));
         }
-        if (entry.state == KeyState.TOMBSTONED) {
+        if (entry.state.isSettled() && entry.result.outcome() == Outcome.NOT_RUN) {
             return new KeyVerdict.Settled(spent(entry.result));
         }
         return entry.verdict();
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
@@ -1,8 +1,7 @@
 package org.cornelramp.daemon.agent;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -40,8 +39,7 @@
  */
 final class Agent implements BackendWatch.Listener {
     private static final System.Logger LOG = System.getLogger(Agent.class.getName());
-    private static final int MAX_CRASHED = 32;
-    private static final long CRASHED_MILLIS = 30_000;
+    private static final int MAX_SET_ASIDE = 32;
     private static final long TABLE_ASK_MILLIS = 200;
 
     private final Supplier<Moment> clock;
@@ -52,10 +50,10 @@
     private final OutputSender sender;
     private final TableSource tables;
     private final Runnable beatNow;
+    private final CrashSuspects suspects;
     private final TermGuard terms = new TermGuard();
     private final BackendWatch backend;
     private final Map<Link, Heartbeat> entries = new HashMap<>();
-    private final Map<String, Long> crashed = new LinkedHashMap<>();
     private final Set<String> setAside = new TreeSet<>();
     private long nextTableAskAt;
     private boolean leaving;
@@ -70,11 +68,13 @@
         this.sender = parts.sender();
         this.tables = parts.tables();
         this.beatNow = parts.beatNow();
+        this.suspects = parts.suspects();
         this.backend = new BackendWatch(
                 parts.offers(), completions, clock, parts.settings().timing().backendTimeoutMillis(), this);
         sender.join(stages::step);
         stepper.join(stages, sender);
-        stepper.watch(backend::heardLife, backend::refusedConnection);
+        stepper.watch(backend);
+        calls.watch(backend);
         this.heartbeat = buildHeartbeat();
     }
 
@@ -100,7 +100,7 @@
         Moment now = clock.get();
         completions.runAside();
         entries.keySet().removeIf(link -> !link.isOpen());
-        crashed.values().removeIf(until -> now.nanos() - until > 0);
+        suspects.tick(now);
         backend.tick(now);
         calls.tick(now);
         stages.tick(now);
@@ -160,8 +160,9 @@
         terms.heard(beat.term());
         if (link.peer().entry()) {
             entries.put(link, beat);
-            beat.setAside().stream().limit(MAX_CRASHED).forEach(setAside::add);
-            if (setAside.size() > MAX_CRASHED) {
+            hearSuspects();
+            beat.setAside().stream().limit(MAX_SET_ASIDE).forEach(setAside::add);
+            if (setAside.size() > MAX_SET_ASIDE) {
                 setAside.retainAll(beat.setAside());
             }
         }
@@ -171,6 +172,12 @@
         }
     }
 
+    private void hearSuspects() {
+        Set<String> known = new HashSet<>();
+        entries.values().forEach(beat -> known.addAll(beat.crashed()));
+        suspects.heardElsewhere(known);
+    }
+
     private void giveTable(Link link, TableRequest request) {
         long offset = tables.current().offset();
         if (offset > request.above()) {
@@ -207,19 +214,29 @@
     }
 
     @Override
-    public void died(String why) {
+    public void restarted() {
         LOG.log(
                 System.Logger.Level.WARNING,
-                "agent: the backend server has ended; why=" + why + " sessions=" + stages.count() + " calls="
+                "agent: the backend server has started anew; sessions=" + stages.count() + " calls="
                         + calls.runningCount());
-        List<String> fingerprints = new ArrayList<>(calls.backendDied());
-        fingerprints.addAll(stages.backendDied());
-        long until = clock.get().plusMillis(CRASHED_MILLIS);
-        for (String fingerprint : fingerprints) {
-            if (crashed.size() < MAX_CRASHED && !fingerprint.isEmpty()) {
-                crashed.put(fingerprint, until);
-            }
-        }
+        suspects.crashed(calls.backendDied(), clock.get());
+        suspects.crashed(stages.backendDied(), clock.get());
+        refresh();
+        beatNow.run();
+    }
+
+    /**
+     * Calls at the backend server are left alone: one that stops gracefully takes no new connection and still
+     * answers them. A session is given up, since rebuilding it elsewhere changes no outcome.
+     */
+    @Override
+    public void unreachable(String why) {
+        LOG.log(
+                System.Logger.Level.WARNING,
+                "agent: the backend server is down; why=" + why + " sessions=" + stages.count() + " calls="
+                        + calls.runningCount());
+        suspects.crashed(stages.backendDied(), clock.get());
+        calls.refuseWaiting(KeyResult.notRun(ProblemKind.BACKEND_FAILED, "The backend server is down", RETRY_MILLIS));
         refresh();
         beatNow.run();
     }
@@ -257,7 +274,7 @@
                 tables.current().offset(),
                 terms.newest(),
                 List.copyOf(setAside),
-                List.copyOf(crashed.keySet()),
+                suspects.crashed(),
                 Map.of(),
                 demand());
     }
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
@@ -56,6 +56,7 @@
         Supplier<Moment> clock =
                 () -> new Moment(System.nanoTime(), services.clock().instant());
         Completions completions = new Completions(duty::offer);
+        CrashSuspects suspects = new CrashSuspects();
         OutputSender sender = new OutputSender(
                 new OutputSender.Neighbours() {
                     @Override
@@ -69,20 +70,20 @@
                     }
                 },
                 settings.timing().heartbeatMillis());
-        EngineStepper stepper = new EngineStepper(services.engine(), completions, clock);
+        EngineStepper stepper = new EngineStepper(settings, services.engine(), completions, clock, suspects);
         boolean isEngine = settings.backend().orElseThrow().kind() == BackendKind.ENGINE;
         return new Agent(new AgentParts(
                 settings,
                 clock,
                 completions,
-                new CallHandler(
-                        services.incarnation(), settings, services.service(), completions, clock, services.mintTime()),
+                new CallHandler(services, completions, clock, suspects),
                 new StageHandler(settings, services.engine(), completions, stepper, sender),
                 stepper,
                 sender,
                 services.tables(),
                 isEngine ? services.engine()::offer : services.service()::offer,
-                links::beatNow));
+                links::beatNow,
+                suspects));
     }
 
     private Hello hello() {
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentParts.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentParts.java
@@ -19,6 +19,7 @@
  * @param tables the table in force
  * @param offers asks the backend server what it offers
  * @param beatNow sends an extra heartbeat
+ * @param suspects requests that were at a backend server when it crashed
  */
 record AgentParts(
         DaemonSettings settings,
@@ -30,4 +31,5 @@
         OutputSender sender,
         TableSource tables,
         Supplier<CompletableFuture<BackendOffer>> offers,
-        Runnable beatNow) {}
+        Runnable beatNow,
+        CrashSuspects suspects) {}
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/BackendWatch.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/BackendWatch.java
@@ -36,8 +36,11 @@
         /** The backend server offers this now. */
         void offered(Offer offer);
 
-        /** The backend server has ended, and all that it held is gone. */
-        void died(String why);
+        /** The backend server has ended and started anew: all that it held is gone. */
+        void restarted();
+
+        /** The backend server cannot be reached or does not answer; calls at it may still end. */
+        void unreachable(String why);
     }
 
     BackendWatch(
@@ -63,7 +66,7 @@
         }
         if (state == AgentState.ACTIVE && now.nanos() - heardAt > timeoutMillis * MILLI) {
             state = AgentState.BACKEND_DOWN;
-            LOG.log(System.Logger.Level.WARNING, "agent: the backend server is silent; millis=" + timeoutMillis);
+            listener.unreachable("it is silent");
         }
     }
 
@@ -101,7 +104,7 @@
         boolean changed = !life.isEmpty() && !life.equals(now);
         life = now;
         if (changed) {
-            listener.died("it has started anew");
+            listener.restarted();
         }
     }
 
@@ -109,11 +112,15 @@
     void refusedConnection() {
         if (state == AgentState.ACTIVE) {
             state = AgentState.BACKEND_DOWN;
-            life = "";
-            listener.died("it refuses connections");
+            listener.unreachable("it refuses connections");
         }
     }
 
+    /** Asks with the next tick, since a call has just lost its answer. */
+    void askSoon() {
+        nextAskAt = clock.get().nanos();
+    }
+
     /** The state that follows from the backend server alone. */
     AgentState state() {
         return state;
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/CallHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/CallHandler.java
@@ -47,34 +47,36 @@
     private final Completions completions;
     private final Supplier<Moment> clock;
     private final Function<String, Optional<Instant>> mintTime;
+    private final CrashSuspects suspects;
     private final Ledger ledger;
     private final PriorityQueue<PendingCall> waiting = new PriorityQueue<>(
             Comparator.comparingInt((PendingCall c) -> c.invoke.priority()).thenComparingLong(c -> c.number));
     private final Map<String, PendingCall> byKey = new HashMap<>();
     private final Set<PendingCall> running = new HashSet<>();
     private final SpeedMeter speed = new SpeedMeter();
+    private BackendWatch backend;
     private int slots = 1;
     private long numbers;
 
-    CallHandler(
-            Incarnation self,
-            DaemonSettings settings,
-            ServiceClient service,
-            Completions completions,
-            Supplier<Moment> clock,
-            Function<String, Optional<Instant>> mintTime) {
-        this.settings = settings;
-        this.service = service;
+    CallHandler(AgentServices services, Completions completions, Supplier<Moment> clock, CrashSuspects suspects) {
+        this.settings = services.settings();
+        this.service = services.service();
         this.completions = completions;
         this.clock = clock;
-        this.mintTime = mintTime;
+        this.mintTime = services.mintTime();
+        this.suspects = suspects;
         this.ledger = new Ledger(
-                self,
+                services.incarnation(),
                 Duration.ofMillis(settings.timing().keyWindowMillis()),
                 settings.bounds().keys(),
                 (long) settings.bounds().frameBytes() * RESULT_FRAMES);
     }
 
+    /** Sets who is told of a service that refuses connections or loses answers. */
+    void watch(BackendWatch watch) {
+        this.backend = watch;
+    }
+
     private static final int RESULT_FRAMES = 4;
 
     /** Sets how many calls run side by side. */
@@ -166,7 +168,7 @@
     }
 
     private void pump(Moment now) {
-        while (running.size() < slots && !waiting.isEmpty()) {
+        while (running.size() < slots && !waiting.isEmpty() && mayStart(waiting.peek())) {
             PendingCall call = waiting.poll();
             if (now.millisTo(call.deadline) <= 0) {
                 endUnstarted(call, tooLate());
@@ -176,6 +178,17 @@
         }
     }
 
+    private boolean mayStart(PendingCall call) {
+        if (running.isEmpty()) {
+            return true;
+        }
+        return !mustRunAlone(call) && running.stream().noneMatch(this::mustRunAlone);
+    }
+
+    private boolean mustRunAlone(PendingCall call) {
+        return suspects.mustRunAlone(call.invoke.fingerprint());
+    }
+
     private static KeyResult tooLate() {
         return KeyResult.notRun(ProblemKind.DEADLINE_PASSED, "The deadline passed before the call could start", 0);
     }
@@ -213,9 +226,21 @@
             speed.done(1, now.nanos() - call.startedAt);
         }
         end(call, failure == null ? whole(reply) : failed(failure));
+        if (failure != null) {
+            tellWatch(call, failure, now);
+        }
         pump(now);
     }
 
+    private void tellWatch(PendingCall call, Throwable failure, Moment now) {
+        if (failure instanceof PlatformException e && e.kind() == PlatformException.Kind.NOT_SENT) {
+            backend.refusedConnection();
+        } else if (failure instanceof PlatformException e && e.kind() == PlatformException.Kind.ANSWER_LOST) {
+            suspects.lostAnswer(call.invoke.fingerprint(), now);
+            backend.askSoon();
+        }
+    }
+
     private KeyResult whole(ServiceReply reply) {
         if (reply.body().length + FRAME_ROOM > settings.bounds().frameBytes()) {
             return KeyResult.unknown(
@@ -225,6 +250,10 @@
         return KeyResult.answered(reply.status(), reply.contentType(), reply.body());
     }
 
+    /**
+     * A call that was not sent is recorded as one that never runs, too, though it could run once later: its caller is
+     * told that it did not run, may book again under a new key, and a copy of this call must not run then.
+     */
     private static KeyResult failed(Throwable failure) {
         if (!(failure instanceof PlatformException e)) {
             return KeyResult.unknown(ProblemKind.BACKEND_LOST, "The call failed in an unexpected way: " + failure);
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/CrashSuspects.java
@@ -0,0 +1,69 @@
+package org.cornelramp.daemon.agent;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Tells which requests were at the backend server when it crashed, so that one that crashes each backend server that
+ * runs it is set aside. Confined to the agent's duty.
+ *
+ * <p>A crash shows in two parts: first the requests at the backend server lose their answers, later the agent learns
+ * that it has started anew. So lost answers are kept for a while, and a crash takes in those of the last seconds.
+ */
+final class CrashSuspects {
+    private static final int MAX = 32;
+    private static final long LOST_MILLIS = 5_000;
+    private static final long CRASHED_MILLIS = 30_000;
+
+    private final Map<String, Long> lost = new LinkedHashMap<>();
+    private final Map<String, Long> crashed = new LinkedHashMap<>();
+    private Set<String> elsewhere = Set.of();
+
+    /** Notes that a request at the backend server lost its answer. */
+    void lostAnswer(String fingerprint, Moment now) {
+        put(lost, fingerprint, now.plusMillis(LOST_MILLIS));
+    }
+
+    /** Notes that the backend server has crashed, with these requests and those that have just lost their answers. */
+    void crashed(Collection<String> running, Moment now) {
+        tick(now);
+        long until = now.plusMillis(CRASHED_MILLIS);
+        running.forEach(fingerprint -> put(crashed, fingerprint, until));
+        lost.keySet().forEach(fingerprint -> put(crashed, fingerprint, until));
+        lost.clear();
+    }
+
+    private static void put(Map<String, Long> map, String fingerprint, long until) {
+        if (map.size() < MAX && !fingerprint.isEmpty()) {
+            map.put(fingerprint, until);
+        }
+    }
+
+    /** Forgets what is old. */
+    void tick(Moment now) {
+        lost.values().removeIf(until -> now.nanos() - until > 0);
+        crashed.values().removeIf(until -> now.nanos() - until > 0);
+    }
+
+    /** Sets the requests that entries know from crashes of other backend servers. */
+    void heardElsewhere(Set<String> fingerprints) {
+        elsewhere = fingerprints;
+    }
+
+    /**
+     * Whether a request must run alone. Where many run side by side, a crash shows only that one of them caused it;
+     * those that keep company with the culprit twice would be set aside with it. Run alone, the culprit is certain.
+     */
+    boolean mustRunAlone(String fingerprint) {
+        return !fingerprint.isEmpty() && (elsewhere.contains(fingerprint) || crashed.containsKey(fingerprint));
+    }
+
+    /** What the heartbeat tells. */
+    List<String> crashed() {
+        return new ArrayList<>(crashed.keySet());
+    }
+}
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/EngineStepper.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/EngineStepper.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.cornelramp.core.model.ProblemKind;
+import org.cornelramp.core.settings.DaemonSettings;
 import org.cornelramp.core.step.StepRun;
 import org.cornelramp.platform.EngineClient;
 import org.cornelramp.platform.EngineStep;
@@ -20,31 +21,41 @@
  * Batches the steps that are ready into calls to the engine.
  *
  * <p>Confined to the agent's duty. Two batches are in flight at most: while the engine works on one, the next waits
- * at its door and not here, and more would only wait there, out of reach of priorities. Invariant: a session is in
- * one batch at a time.
+ * at its door and not here, and more would only wait there, out of reach of priorities. Invariants: a session is in
+ * one batch at a time; the outcome of a batch is taken once, from its answer or from its timeout.
  */
 final class EngineStepper {
     private static final int BATCHES = 2;
     private static final int MAX_POSITIONS = 256;
+    private static final int SLOWER_THAN_USUAL = 4;
     private static final HexFormat HEX = HexFormat.of();
     private static final long MILLIS = 1_000;
+    private static final long MILLI = 1_000_000L;
 
+    private final DaemonSettings settings;
     private final EngineClient engine;
     private final Completions completions;
     private final Supplier<Moment> clock;
+    private final CrashSuspects suspects;
     private final SpeedMeter speed = new SpeedMeter();
     private final Set<Stage> ready = new LinkedHashSet<>();
+    private final List<Batch> inFlight = new ArrayList<>();
     private StageHandler handler;
     private OutputSender sender;
-    private Runnable onRefusedConnection = () -> {};
-    private java.util.function.Consumer<String> onLife = life -> {};
+    private BackendWatch backend;
     private int slots = 1;
-    private int inFlight;
 
-    EngineStepper(EngineClient engine, Completions completions, Supplier<Moment> clock) {
+    EngineStepper(
+            DaemonSettings settings,
+            EngineClient engine,
+            Completions completions,
+            Supplier<Moment> clock,
+            CrashSuspects suspects) {
+        this.settings = settings;
         this.engine = engine;
         this.completions = completions;
         this.clock = clock;
+        this.suspects = suspects;
     }
 
     /** Joins the stepper with the parts that it calls back. */
@@ -54,9 +65,8 @@
     }
 
     /** Sets who is told of the engine's life with each result, and of an engine that refuses connections. */
-    void watch(java.util.function.Consumer<String> life, Runnable refusedConnection) {
-        this.onLife = life;
-        this.onRefusedConnection = refusedConnection;
+    void watch(BackendWatch watch) {
+        this.backend = watch;
     }
 
     /** Sets how many sessions run side by side. */
@@ -71,35 +81,44 @@
     }
 
     private void pump(Moment now) {
-        while (inFlight < BATCHES && !ready.isEmpty()) {
-            List<Entry> batch = gather();
-            if (batch.isEmpty()) {
+        while (inFlight.size() < BATCHES
+                && !ready.isEmpty()
+                && inFlight.stream().noneMatch(Batch::runsAlone)) {
+            Batch batch = gather(now);
+            if (batch.entries.isEmpty()) {
                 return;
             }
-            run(batch, now);
+            run(batch);
         }
     }
 
-    private List<Entry> gather() {
+    private Batch gather(Moment now) {
+        ready.removeIf(stage -> !handler.isHeld(stage) || !stage.session.isReady());
         List<Stage> candidates = new ArrayList<>(ready);
         candidates.sort(Comparator.comparingInt((Stage stage) -> stage.open.priority()));
-        List<Entry> batch = new ArrayList<>();
+        Batch batch = new Batch(now.nanos());
         for (Stage stage : candidates) {
-            if (batch.size() >= slots) {
+            boolean alone = suspects.mustRunAlone(stage.open.fingerprint());
+            if (alone && !inFlight.isEmpty()) {
                 break;
             }
+            if (alone && !batch.entries.isEmpty()) {
+                continue;
+            }
             ready.remove(stage);
-            if (handler.isHeld(stage)) {
-                Optional<StepRun> run = stage.session.nextRun(MAX_POSITIONS);
-                run.ifPresent(r -> batch.add(new Entry(stage, r)));
+            Optional<StepRun> run = stage.session.nextRun(MAX_POSITIONS);
+            run.ifPresent(r -> batch.entries.add(new Entry(stage, r)));
+            batch.alone = alone;
+            if (alone || batch.entries.size() >= slots) {
+                break;
             }
         }
         return batch;
     }
 
-    private void run(List<Entry> batch, Moment now) {
+    private void run(Batch batch) {
         List<EngineStep> steps = new ArrayList<>();
-        for (Entry entry : batch) {
+        for (Entry entry : batch.entries) {
             Stage stage = entry.stage;
             steps.add(new EngineStep(
                     HEX.toHexDigits(stage.id()),
@@ -108,26 +127,28 @@
                     stage.open.priority(),
                     stage.session.epoch()));
         }
-        inFlight++;
-        completions.on(engine.steps(steps), (results, failure) -> ended(batch, results, failure, now));
+        inFlight.add(batch);
+        completions.on(engine.steps(steps), (results, failure) -> ended(batch, results, failure));
     }
 
-    private void ended(List<Entry> batch, EngineStepResults results, Throwable failure, Moment startedAt) {
-        inFlight--;
+    private void ended(Batch batch, EngineStepResults results, Throwable failure) {
+        if (!inFlight.remove(batch)) {
+            return;
+        }
         Moment now = clock.get();
         if (failure != null) {
-            failed(batch, failure);
+            failed(batch, failure, now);
         } else {
-            onLife.accept(results.life());
-            done(batch, results, now.nanos() - startedAt.nanos(), now);
+            backend.heardLife(results.life());
+            done(batch, results, now);
         }
         pump(now);
     }
 
-    private void done(List<Entry> batch, EngineStepResults results, long nanos, Moment now) {
+    private void done(Batch batch, EngineStepResults results, Moment now) {
         int positions = 0;
-        for (int i = 0; i < batch.size(); i++) {
-            Entry entry = batch.get(i);
+        for (int i = 0; i < batch.entries.size(); i++) {
+            Entry entry = batch.entries.get(i);
             EngineStepResult result =
                     i < results.results().size() ? results.results().get(i) : null;
             if (!handler.isHeld(entry.stage)) {
@@ -142,7 +163,7 @@
             ran(entry.stage, result.outputs().get(), now);
         }
         if (positions > 0) {
-            speed.done(positions, nanos);
+            speed.done(positions, now.nanos() - batch.startedAt);
         }
     }
 
@@ -160,10 +181,10 @@
     }
 
     /** Only a refusal tells that nothing ran; after any other failure the engine's cache is in doubt. */
-    private void failed(List<Entry> batch, Throwable failure) {
+    private void failed(Batch batch, Throwable failure, Moment now) {
         PlatformException.Kind kind =
                 failure instanceof PlatformException e ? e.kind() : PlatformException.Kind.ANSWER_LOST;
-        for (Entry entry : batch) {
+        for (Entry entry : batch.entries) {
             if (!handler.isHeld(entry.stage)) {
                 continue;
             }
@@ -171,22 +192,50 @@
                 entry.stage.session.putBack();
                 ready.add(entry.stage);
             } else {
+                suspects.lostAnswer(entry.stage.open.fingerprint(), now);
                 handler.lost(entry.stage, ProblemKind.BACKEND_LOST, "The engine did not answer a step");
             }
         }
         if (kind == PlatformException.Kind.NOT_SENT) {
-            onRefusedConnection.run();
+            backend.refusedConnection();
+        } else if (kind == PlatformException.Kind.ANSWER_LOST) {
+            backend.askSoon();
+        }
+    }
+
+    /**
+     * Gives up a batch that takes far longer than the engine's speed explains: its connection has gone silent, and
+     * its sessions would stand still until the HTTP timeout. They are rebuilt elsewhere, which is safe if it ran.
+     */
+    private void giveUpSilent(Moment now) {
+        for (Batch batch : List.copyOf(inFlight)) {
+            long millis = (now.nanos() - batch.startedAt) / MILLI;
+            if (millis > patienceMillis(batch) && inFlight.remove(batch)) {
+                failed(batch, new PlatformException(PlatformException.Kind.ANSWER_LOST, "silent", 0), now);
+            }
         }
     }
 
+    private long patienceMillis(Batch batch) {
+        long base = settings.timing().backendTimeoutMillis();
+        double perSecond = speed.unitsPerSecond();
+        if (perSecond == 0) {
+            return base * (long) SLOWER_THAN_USUAL;
+        }
+        long positions =
+                batch.entries.stream().mapToLong(e -> e.run.inputs().length).sum();
+        return base + Math.round((double) SLOWER_THAN_USUAL * inFlight.size() * positions * MILLIS / perSecond);
+    }
+
     /** Expected time until as many positions have run, in milliseconds; 0 while the speed is unknown. */
     long expectedWaitMillis(long positions) {
         double perSecond = speed.unitsPerSecond();
         return perSecond == 0 ? 0 : Math.round(positions * MILLIS / perSecond);
     }
 
-    /** Runs what was put back, once the engine may take it again. */
+    /** Runs what was put back, once the engine may take it again, and gives up what is silent. */
     void tick(Moment now) {
+        giveUpSilent(now);
         pump(now);
     }
 
@@ -198,8 +247,19 @@
         return speed.meanMicros();
     }
 
-    boolean isIdle() {
-        return inFlight == 0;
+    /** One call to the engine. */
+    private static final class Batch {
+        final List<Entry> entries = new ArrayList<>();
+        final long startedAt;
+        boolean alone;
+
+        Batch(long startedAt) {
+            this.startedAt = startedAt;
+        }
+
+        boolean runsAlone() {
+            return alone;
+        }
     }
 
     /** One session's share of a batch. */
--- /dev/null
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/BackendDeathTest.java
@@ -0,0 +1,114 @@
+package org.cornelramp.daemon.agent;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.cornelramp.core.model.AgentState;
+import org.cornelramp.core.model.Outcome;
+import org.cornelramp.core.model.ProblemKind;
+import org.cornelramp.platform.PlatformException;
+import org.cornelramp.wire.link.Link;
+import org.cornelramp.wire.message.InvokeResult;
+import org.cornelramp.wire.message.Settle;
+import org.cornelramp.wire.message.StageLost;
+import org.testng.annotations.Test;
+
+/**
+ * The backend server beside an agent dies and starts anew. A booking that was at it has an outcome that nobody knows:
+ * the desk is told so, and the same key never runs again. A session has lost its KV cache: the entry is told, and the
+ * request goes on elsewhere. The requests that were at it are named, in case one of them was the cause.
+ */
+public class BackendDeathTest {
+
+    @Test
+    public void aBookingWhoseAnswerWasLostIsUnknownAndNeverRunsAgain() throws Exception {
+        try (TestAgent agent = TestAgent.service("app-1");
+                TestEntry entry = new TestEntry("entry-1")) {
+            agent.service.answersAtOnce = false;
+            Link link = entry.link(agent);
+            link.send(InvokeTest.booking(1, "key-1", agent.incarnation));
+            TestEntry.await(() -> agent.service.replies.size() == 1);
+            agent.service.replies.get(0).completeExceptionally(failure(PlatformException.Kind.ANSWER_LOST));
+            agent.service.life = "life-2";
+
+            assertEquals(entry.next(InvokeResult.class).outcome(), Outcome.UNKNOWN);
+            TestEntry.await(() -> entry.beat(agent).crashed().contains("fingerprint"));
+            link.send(InvokeTest.booking(2, "key-1", agent.incarnation));
+            assertEquals(entry.next(InvokeResult.class).outcome(), Outcome.UNKNOWN);
+            assertEquals(agent.service.calls.size(), 1);
+        }
+    }
+
+    @Test
+    public void aBookingThatWasNotSentNeverRunsUnderItsKey() throws Exception {
+        try (TestAgent agent = TestAgent.service("app-1");
+                TestEntry entry = new TestEntry("entry-1")) {
+            agent.service.answersAtOnce = false;
+            Link link = entry.link(agent);
+            link.send(InvokeTest.booking(1, "key-1", agent.incarnation));
+            TestEntry.await(() -> agent.service.replies.size() == 1);
+            agent.service.replies.get(0).completeExceptionally(failure(PlatformException.Kind.NOT_SENT));
+            InvokeResult first = entry.next(InvokeResult.class);
+            assertEquals(first.outcome(), Outcome.NOT_RUN);
+            assertEquals(first.kind(), Optional.of(ProblemKind.BACKEND_FAILED));
+
+            link.send(InvokeTest.booking(2, "key-1", agent.incarnation));
+            InvokeResult second = entry.next(InvokeResult.class);
+            assertEquals(second.kind(), Optional.of(ProblemKind.KEY_SPENT));
+            assertEquals(agent.service.calls.size(), 1);
+        }
+    }
+
+    @Test
+    public void aSilentServiceThatStartedAnewLeavesItsCallsUnknown() throws Exception {
+        try (TestAgent agent = TestAgent.service("app-1");
+                TestEntry entry = new TestEntry("entry-1")) {
+            agent.service.answersAtOnce = false;
+            Link link = entry.link(agent);
+            link.send(InvokeTest.booking(1, "key-1", agent.incarnation));
+            TestEntry.await(() -> agent.service.replies.size() == 1);
+            agent.service.life = "life-2";
+            assertEquals(entry.next(InvokeResult.class).outcome(), Outcome.UNKNOWN);
+
+            agent.service.replies.get(0).complete(FakeService.reply("late"));
+            link.send(new Settle(2, "key-1", agent.incarnation, true));
+            assertEquals(entry.next(InvokeResult.class, r -> r.call() == 2).outcome(), Outcome.UNKNOWN);
+        }
+    }
+
+    @Test
+    public void anEngineThatStartedAnewGivesUpItsSessions() throws Exception {
+        try (TestAgent a = TestAgent.engine("gpu-a", 0, 3, 6);
+                TestAgent b = TestAgent.engine("gpu-b", 3, 6, 6);
+                TestEntry entry = new TestEntry("entry-1")) {
+            TestPipeline pipeline = new TestPipeline(entry, new long[] {4, 5}, 8_000);
+            pipeline.start(List.of(a, b));
+            pipeline.collect(3);
+            b.engine.restart();
+            StageLost lost = entry.next(StageLost.class);
+            assertEquals(lost.stage(), 1);
+            pipeline.start(List.of(a, b));
+            pipeline.collect(400);
+            assertEquals(pipeline.tokens().subList(0, 400), TestPipeline.undisturbed(new long[] {4, 5}, 400, 6));
+        }
+    }
+
+    @Test
+    public void anEngineThatRefusesConnectionsTakesNoNewWork() throws Exception {
+        try (TestAgent a = TestAgent.engine("gpu-a", 0, 6, 6);
+                TestEntry entry = new TestEntry("entry-1")) {
+            entry.link(a);
+            a.engine.setDown(true);
+            TestEntry.await(() -> entry.beat(a).state() == AgentState.BACKEND_DOWN);
+            a.engine.setDown(false);
+            TestEntry.await(() -> entry.beat(a).state() == AgentState.ACTIVE);
+            assertTrue(entry.beat(a).crashed().isEmpty());
+        }
+    }
+
+    private static PlatformException failure(PlatformException.Kind kind) {
+        return new PlatformException(kind, "as the test says", 0);
+    }
+}
