Join the agent with the shell: keys, drain, status, readiness, meters

Cause: the platform part shares the client of one kind of backend server only, and the agent asked for both, so it could not start; keys were taken as minted when first seen. Change: stand-ins for the absent kind that refuse; the mint time is read from the key; Drain begins the planned stop; a section of status, a readiness check, meters; a peer is given only what changed in the table.

--- a/core/src/main/java/org/cornelramp/core/key/IdempotencyKey.java
+++ b/core/src/main/java/org/cornelramp/core/key/IdempotencyKey.java
@@ -30,7 +30,8 @@
         return parse(text).flatMap(key -> judgeAge(key, now, window));
     }
 
-    private static Either<Problem, IdempotencyKey> parse(String text) {
+    /** Reads a key whatever its age. */
+    static Either<Problem, IdempotencyKey> parse(String text) {
         try {
             return Either.right(Ticket.isTicket(text) ? Ticket.parse(text) : OwnKey.parse(text));
         } catch (IllegalArgumentException e) {
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AbsentEngine.java
@@ -0,0 +1,61 @@
+package org.cornelramp.daemon.agent;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.cornelramp.platform.BackendOffer;
+import org.cornelramp.platform.CacheEvents;
+import org.cornelramp.platform.EngineClient;
+import org.cornelramp.platform.EngineKv;
+import org.cornelramp.platform.EngineLoad;
+import org.cornelramp.platform.EngineOrder;
+import org.cornelramp.platform.EngineStep;
+import org.cornelramp.platform.EngineStepResults;
+import org.cornelramp.platform.PlatformException;
+
+/** Stands in for the engine at an agent whose backend server is a plain service. Stateless. */
+final class AbsentEngine implements EngineClient {
+    private static <T> CompletableFuture<T> refused() {
+        return CompletableFuture.failedFuture(new PlatformException(
+                PlatformException.Kind.REFUSED, "This backend server is a plain service; route by its offer", 0));
+    }
+
+    @Override
+    public CompletableFuture<BackendOffer> offer() {
+        return refused();
+    }
+
+    @Override
+    public CompletableFuture<EngineLoad> load() {
+        return refused();
+    }
+
+    @Override
+    public CompletableFuture<EngineStepResults> steps(List<EngineStep> steps) {
+        return refused();
+    }
+
+    @Override
+    public CompletableFuture<Void> cancel(long session) {
+        return refused();
+    }
+
+    @Override
+    public CompletableFuture<EngineKv> exportKv(long session) {
+        return refused();
+    }
+
+    @Override
+    public CompletableFuture<Void> importKv(long session, EngineKv kv) {
+        return refused();
+    }
+
+    @Override
+    public CompletableFuture<Void> order(EngineOrder order) {
+        return refused();
+    }
+
+    @Override
+    public CompletableFuture<CacheEvents> cacheEvents(long from) {
+        return refused();
+    }
+}
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
@@ -15,9 +15,12 @@
 import org.cornelramp.core.model.AgentState;
 import org.cornelramp.core.model.Offer;
 import org.cornelramp.core.model.ProblemKind;
+import org.cornelramp.core.settings.BackendKind;
+import org.cornelramp.daemon.kernel.StopSwitch;
 import org.cornelramp.daemon.table.TableSource;
 import org.cornelramp.wire.link.Link;
 import org.cornelramp.wire.message.CloseStage;
+import org.cornelramp.wire.message.Drain;
 import org.cornelramp.wire.message.ExportStage;
 import org.cornelramp.wire.message.Heartbeat;
 import org.cornelramp.wire.message.Invoke;
@@ -51,6 +54,8 @@
     private final TableSource tables;
     private final Runnable beatNow;
     private final CrashSuspects suspects;
+    private final StopSwitch stopSwitch;
+    private final BackendKind kind;
     private final TermGuard terms = new TermGuard();
     private final BackendWatch backend;
     private final Map<Link, Heartbeat> entries = new HashMap<>();
@@ -69,6 +74,8 @@
         this.tables = parts.tables();
         this.beatNow = parts.beatNow();
         this.suspects = parts.suspects();
+        this.stopSwitch = parts.stopSwitch();
+        this.kind = parts.settings().backend().orElseThrow().kind();
         this.backend = new BackendWatch(
                 parts.offers(), completions, clock, parts.settings().timing().backendTimeoutMillis(), this);
         sender.join(stages::step);
@@ -133,17 +140,20 @@
         } else if (message instanceof Heartbeat beat) {
             heard(link, beat, now);
         } else if (message instanceof Invoke invoke) {
-            calls.invoke(link, invoke, refusal(), now);
+            calls.invoke(link, invoke, refusal(BackendKind.SERVICE), now);
         } else if (message instanceof Settle settle) {
             calls.settle(link, settle, now);
         } else if (message instanceof OpenStage open) {
-            stages.open(link, open, refusal(), now);
+            stages.open(link, open, refusal(BackendKind.ENGINE), now);
         } else if (message instanceof SendFrom from) {
             stages.sendFrom(from, now);
         } else if (message instanceof CloseStage close) {
             stages.close(close);
         } else if (message instanceof ExportStage export) {
             stages.export(export);
+        } else if (message instanceof Drain drain) {
+            LOG.log(System.Logger.Level.INFO, "agent: asked to stop; by=" + drain.by());
+            stopSwitch.stop();
         } else if (message instanceof TableRequest request) {
             giveTable(link, request);
         } else if (message instanceof TableUpdate update) {
@@ -181,7 +191,7 @@
     private void giveTable(Link link, TableRequest request) {
         long offset = tables.current().offset();
         if (offset > request.above()) {
-            link.send(new TableUpdate(offset, tables.snapshot()));
+            link.send(new TableUpdate(offset, tables.snapshotAbove(request.above())));
         }
     }
 
@@ -192,7 +202,11 @@
     }
 
     /** Why no new work is taken now; empty if it is taken. */
-    private Optional<KeyResult> refusal() {
+    private Optional<KeyResult> refusal(BackendKind needed) {
+        if (kind != needed) {
+            return Optional.of(
+                    KeyResult.notRun(ProblemKind.NO_BACKEND_SERVER, "The backend server here is of another kind", 0));
+        }
         return switch (state()) {
             case ACTIVE -> Optional.empty();
             case LEAVING ->
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
@@ -1,9 +1,15 @@
 package org.cornelramp.daemon.agent;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.time.Instant;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.cornelramp.core.model.AgentLoad;
+import org.cornelramp.core.model.AgentState;
 import org.cornelramp.core.model.Offer;
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.ProblemKind;
@@ -13,9 +19,11 @@
 import org.cornelramp.daemon.kernel.Component;
 import org.cornelramp.daemon.kernel.Duty;
 import org.cornelramp.wire.link.Link;
+import org.cornelramp.wire.link.LinkCounters;
 import org.cornelramp.wire.link.LinkListener;
 import org.cornelramp.wire.link.LinkLoop;
 import org.cornelramp.wire.link.LinkOptions;
+import org.cornelramp.wire.message.Heartbeat;
 import org.cornelramp.wire.message.Hello;
 import org.cornelramp.wire.message.Invoke;
 import org.cornelramp.wire.message.InvokeResult;
@@ -83,7 +91,8 @@
                 services.tables(),
                 isEngine ? services.engine()::offer : services.service()::offer,
                 links::beatNow,
-                suspects));
+                suspects,
+                services.stopSwitch()));
     }
 
     private Hello hello() {
@@ -93,7 +102,7 @@
                 settings.name(), false, services.incarnation(), settings.dataCentre(), offer, address.toString());
     }
 
-    private org.cornelramp.wire.message.Heartbeat heartbeat() {
+    private Heartbeat heartbeat() {
         return agent.heartbeat();
     }
 
@@ -123,6 +132,37 @@
         return address;
     }
 
+    /** What operators see of this agent. */
+    JsonNode status() {
+        Heartbeat beat = agent.heartbeat();
+        ObjectNode status = JsonNodeFactory.instance.objectNode();
+        status.put("incarnation", services.incarnation().toString());
+        status.put("state", beat.state().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+        status.put("address", address.toString());
+        status.put("running", beat.load().running());
+        status.put("waiting", beat.load().waiting());
+        status.put("queuedTokens", beat.load().queuedTokens());
+        status.put("tokensPerSecond", beat.load().tokensPerSecond());
+        status.put("linkedEntries", beat.load().linkedEntries());
+        status.put("term", beat.term());
+        beat.offer().ifPresent(offer -> status.put("service", offer.service().value()));
+        return status;
+    }
+
+    /** Why this agent takes no work now; empty if it does. */
+    Optional<String> fault() {
+        AgentState state = agent.heartbeat().state();
+        return state.takesWork() ? Optional.empty() : Optional.of("the agent's state is " + state);
+    }
+
+    LinkCounters linkCounters() {
+        return links.counters();
+    }
+
+    AgentLoad load() {
+        return agent.heartbeat().load();
+    }
+
     @Override
     public void drain(Instant limit) {
         idle = false;
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentParts.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentParts.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.cornelramp.core.settings.DaemonSettings;
+import org.cornelramp.daemon.kernel.StopSwitch;
 import org.cornelramp.daemon.table.TableSource;
 import org.cornelramp.platform.BackendOffer;
 
@@ -20,6 +21,7 @@
  * @param offers asks the backend server what it offers
  * @param beatNow sends an extra heartbeat
  * @param suspects requests that were at a backend server when it crashed
+ * @param stopSwitch begins this process's planned stop
  */
 record AgentParts(
         DaemonSettings settings,
@@ -32,4 +34,5 @@
         TableSource tables,
         Supplier<CompletableFuture<BackendOffer>> offers,
         Runnable beatNow,
-        CrashSuspects suspects) {}
+        CrashSuspects suspects,
+        StopSwitch stopSwitch) {}
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentPlugin.java
@@ -1,15 +1,20 @@
 package org.cornelramp.daemon.agent;
 
 import java.security.SecureRandom;
-import java.util.Optional;
+import org.cornelramp.core.key.IdempotencyKey;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.Incarnation;
+import org.cornelramp.core.settings.BackendKind;
 import org.cornelramp.core.settings.DaemonSettings;
 import org.cornelramp.core.settings.Role;
+import org.cornelramp.daemon.http.Readiness;
 import org.cornelramp.daemon.kernel.Plugin;
 import org.cornelramp.daemon.kernel.Registry;
+import org.cornelramp.daemon.kernel.StopSwitch;
+import org.cornelramp.daemon.report.StatusBoard;
 import org.cornelramp.daemon.table.TableSource;
 import org.cornelramp.platform.EngineClient;
+import org.cornelramp.platform.LogClient;
 import org.cornelramp.platform.ServiceClient;
 
 /** Registers the agent. Stateless. */
@@ -36,13 +41,20 @@
         DaemonSettings settings = registry.settings();
         Incarnation life = new Incarnation(new BackendServerId(settings.name()), new SecureRandom().nextLong());
         registry.share(Incarnation.class, life);
-        registry.add(new AgentComponent(new AgentServices(
+        boolean isEngine = settings.backend().orElseThrow().kind() == BackendKind.ENGINE;
+        AgentComponent agent = new AgentComponent(new AgentServices(
                 settings,
                 registry.clock(),
                 life,
-                registry.need(EngineClient.class),
-                registry.need(ServiceClient.class),
+                isEngine ? registry.need(EngineClient.class) : new AbsentEngine(),
+                isEngine ? new AbsentService() : registry.need(ServiceClient.class),
                 registry.need(TableSource.class),
-                key -> Optional.of(registry.clock().instant()))));
+                registry.need(LogClient.class),
+                registry.need(StopSwitch.class),
+                key -> IdempotencyKey.parse(key).map(IdempotencyKey::madeAt).toJavaOptional()));
+        registry.add(agent);
+        registry.need(StatusBoard.class).add("agent", agent::status);
+        registry.need(Readiness.class).add("agent", agent::fault);
+        AgentMeters.register(registry.meters(), agent);
     }
 }
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentServices.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentServices.java
@@ -6,8 +6,10 @@
 import java.util.function.Function;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.settings.DaemonSettings;
+import org.cornelramp.daemon.kernel.StopSwitch;
 import org.cornelramp.daemon.table.TableSource;
 import org.cornelramp.platform.EngineClient;
+import org.cornelramp.platform.LogClient;
 import org.cornelramp.platform.ServiceClient;
 
 /**
@@ -19,6 +21,8 @@
  * @param engine the engine beside it
  * @param service the plain service beside it
  * @param tables the table in force
+ * @param log the log service
+ * @param stopSwitch begins this process's planned stop
  * @param mintTime reads from a key when it was minted; empty if the key does not show it
  */
 record AgentServices(
@@ -28,4 +32,6 @@
         EngineClient engine,
         ServiceClient service,
         TableSource tables,
+        LogClient log,
+        StopSwitch stopSwitch,
         Function<String, Optional<Instant>> mintTime) {}
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/TestAgent.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/TestAgent.java
@@ -23,7 +23,9 @@
     final FakeEngine engine;
     final FakeService service = new FakeService();
     final FakeTables tables = new FakeTables(0);
+    final FakeLog log = new FakeLog();
     final Incarnation incarnation;
+    volatile boolean stopAsked;
     final AgentComponent component;
 
     private TestAgent(String name, BackendKind kind, FakeEngine engine, HostPort address, long life) throws Exception {
@@ -36,6 +38,8 @@
                 engine,
                 service,
                 tables,
+                log,
+                () -> stopAsked = true,
                 TestAgent::minted));
         component.start();
     }
