--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentParts.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentParts.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.cornelramp.core.settings.DaemonSettings;
+import org.cornelramp.daemon.kernel.StopSwitch;
 import org.cornelramp.daemon.table.TableSource;
 import org.cornelramp.platform.BackendOffer;
 
@@ -19,6 +20,8 @@
  * @param tables the table in force
  * @param offers asks the backend server what it offers
  * @param beatNow sends an extra heartbeat
+ * @param suspects requests that were at a backend server when it crashed
+ * @param stopSwitch begins this process's planned stop
  */
 record AgentParts(
         DaemonSettings settings,
@@ -30,4 +33,6 @@
         OutputSender sender,
         TableSource tables,
         Supplier<CompletableFuture<BackendOffer>> offers,
-        Runnable beatNow) {}
+        Runnable beatNow,
+        CrashSuspects suspects,
+        StopSwitch stopSwitch) {}
