--- /dev/null
+++ b/bench/src/main/java/org/cornelramp/bench/load/OpenLoop.java
@@ -0,0 +1,53 @@
+package org.cornelramp.bench.load;
+
+import java.util.SplittableRandom;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongConsumer;
+
+/**
+ * Sends requests at times drawn in advance, whether or not earlier ones have been answered.
+ *
+ * <p>Confined to the thread that runs it. Waiting for answers would slow the load down just when the system is slow,
+ * and hide the delay that callers see; here a late sending counts from the time at which it was due.
+ */
+public final class OpenLoop {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final long SPIN_NANOS = 50_000;
+
+    private final SplittableRandom random;
+
+    /** @param seed seed of the times between requests */
+    public OpenLoop(long seed) {
+        this.random = new SplittableRandom(seed);
+    }
+
+    /**
+     * Runs until the end.
+     *
+     * @param perSecond mean rate; times between requests are exponential
+     * @param startNanos start of the load, of {@link System#nanoTime}
+     * @param seconds length of the load
+     * @param send sends one request that is due at the given time; must not block
+     */
+    public void run(double perSecond, long startNanos, double seconds, LongConsumer send) {
+        long end = startNanos + (long) (seconds * NANOS_PER_SECOND);
+        long due = next(startNanos, perSecond);
+        while (due - end < 0) {
+            sleepUntil(due);
+            send.accept(due);
+            due = next(due, perSecond);
+        }
+    }
+
+    private long next(long from, double perSecond) {
+        return from + (long) (-Math.log(1 - random.nextDouble()) / perSecond * NANOS_PER_SECOND);
+    }
+
+    private static void sleepUntil(long due) {
+        long left = due - System.nanoTime();
+        while (left > SPIN_NANOS) {
+            LockSupport.parkNanos(left - SPIN_NANOS);
+            left = due - System.nanoTime();
+        }
+    }
+}
