Let the settings name the choice, and count what passes the links

Cause: the benchmarks compare the choice with its baselines on the same programs, and work out slopes of messages and bytes. Change: setting choice (expected-completion unless named) picks the chooser of an entry; both roles export cornelramp.link.frames and cornelramp.link.bytes by direction. Contract: DaemonSettings has one more component.

--- a/core/src/main/java/org/cornelramp/core/settings/DaemonSettings.java
+++ b/core/src/main/java/org/cornelramp/core/settings/DaemonSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.route.ChoicePolicy;
 
 /**
  * All settings of one daemon. Immutable, safe for use by any thread.
@@ -17,6 +18,7 @@
  * @param timing intervals and timeouts
  * @param bounds sizes of bodies, headers, rings and records
  * @param log form of the log
+ * @param choice how an entry chooses backend servers; the baselines are there to be measured against
  */
 public record DaemonSettings(
         Role role,
@@ -29,9 +31,10 @@
         Optional<OperatorSettings> operators,
         TimingSettings timing,
         BoundSettings bounds,
-        LogSettings log) {
+        LogSettings log,
+        ChoicePolicy choice) {
 
-    /** Settings whose operators' interface is closed. */
+    /** Settings with the usual choice, whose operators' interface is closed. */
     public DaemonSettings(
             Role role,
             String name,
@@ -43,6 +46,18 @@
             TimingSettings timing,
             BoundSettings bounds,
             LogSettings log) {
-        this(role, name, dataCentre, http, links, platform, backend, Optional.empty(), timing, bounds, log);
+        this(
+                role,
+                name,
+                dataCentre,
+                http,
+                links,
+                platform,
+                backend,
+                Optional.empty(),
+                timing,
+                bounds,
+                log,
+                ChoicePolicy.EXPECTED_COMPLETION);
     }
 }
--- a/core/src/main/java/org/cornelramp/core/settings/SettingsReader.java
+++ b/core/src/main/java/org/cornelramp/core/settings/SettingsReader.java
@@ -10,11 +10,13 @@
 import io.vavr.control.Either;
 import java.net.URI;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.regex.Pattern;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.Names;
+import org.cornelramp.core.route.ChoicePolicy;
 
 /**
  * Reads a daemon's settings from JSON: gives the settings, or every fault at once.
@@ -30,6 +32,8 @@
     private static final Pattern HASH = Pattern.compile("[0-9a-f]{64}");
     private static final String ADDRESS_REMEDY = "Give host:port, the port from 0 to 65535.";
     private static final String URL_REMEDY = "Give a URL such as http://10.0.3.7:7070.";
+    private static final String CHOICE_REMEDY = "Give one of "
+            + Arrays.stream(ChoicePolicy.values()).map(ChoicePolicy::text).toList() + ".";
     private static final long DAY = 86_400_000L;
 
     /** Reads settings from the text of a file. */
@@ -80,6 +84,8 @@
         TimingSettings timing = readTiming(root.section("timing"));
         BoundSettings bounds = readBounds(root.section("bounds"));
         LogSettings log = readLog(root.section("log"));
+        ChoicePolicy choice = root.optional("choice", SettingsReader::parseChoice, CHOICE_REMEDY)
+                .orElse(ChoicePolicy.EXPECTED_COMPLETION);
         root.refuseOthers();
         if (role.isEmpty() || name.isEmpty() || dataCentre.isEmpty() || http.isEmpty() || platform.isEmpty()) {
             return Optional.empty();
@@ -95,7 +101,8 @@
                 operators,
                 timing,
                 bounds,
-                log));
+                log,
+                choice));
     }
 
     private static Optional<PlatformSettings> readPlatform(Section section) {
@@ -179,6 +186,10 @@
         };
     }
 
+    private static ChoicePolicy parseChoice(JsonNode value) {
+        return ChoicePolicy.parse(parseText(value));
+    }
+
     private static BackendKind parseBackendKind(JsonNode value) {
         return switch (parseText(value)) {
             case "engine" -> BackendKind.ENGINE;
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
@@ -13,6 +13,7 @@
 import org.cornelramp.daemon.kernel.Component;
 import org.cornelramp.daemon.kernel.Duty;
 import org.cornelramp.wire.link.Link;
+import org.cornelramp.wire.link.LinkCounters;
 import org.cornelramp.wire.link.LinkListener;
 import org.cornelramp.wire.link.LinkLoop;
 import org.cornelramp.wire.link.LinkOptions;
@@ -51,6 +52,10 @@
         this.agent = build();
     }
 
+    LinkCounters linkCounters() {
+        return links.counters();
+    }
+
     private Agent build() {
         DaemonSettings settings = services.settings();
         Supplier<Moment> clock =
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentPlugin.java
@@ -8,6 +8,7 @@
 import org.cornelramp.core.settings.Role;
 import org.cornelramp.daemon.kernel.Plugin;
 import org.cornelramp.daemon.kernel.Registry;
+import org.cornelramp.daemon.report.LinkMeters;
 import org.cornelramp.daemon.table.TableSource;
 import org.cornelramp.platform.EngineClient;
 import org.cornelramp.platform.ServiceClient;
@@ -36,13 +37,15 @@
         DaemonSettings settings = registry.settings();
         Incarnation life = new Incarnation(new BackendServerId(settings.name()), new SecureRandom().nextLong());
         registry.share(Incarnation.class, life);
-        registry.add(new AgentComponent(new AgentServices(
+        AgentComponent component = new AgentComponent(new AgentServices(
                 settings,
                 registry.clock(),
                 life,
                 registry.need(EngineClient.class),
                 registry.need(ServiceClient.class),
                 registry.need(TableSource.class),
-                key -> Optional.of(registry.clock().instant()))));
+                key -> Optional.of(registry.clock().instant())));
+        new LinkMeters(component.linkCounters()).bindTo(registry.meters());
+        registry.add(component);
     }
 }
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
@@ -13,7 +13,6 @@
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.route.Chooser;
-import org.cornelramp.core.route.ExpectedCompletionChooser;
 import org.cornelramp.core.route.PrefixHints;
 import org.cornelramp.core.route.StaticLinkCosts;
 import org.cornelramp.core.settings.DaemonSettings;
@@ -21,6 +20,7 @@
 import org.cornelramp.daemon.http.Routes;
 import org.cornelramp.daemon.kernel.Plugin;
 import org.cornelramp.daemon.kernel.Registry;
+import org.cornelramp.daemon.report.LinkMeters;
 import org.cornelramp.daemon.report.RequestRecorder;
 import org.cornelramp.daemon.table.TableSource;
 import org.cornelramp.platform.VmListClient;
@@ -57,7 +57,7 @@
         TableSource table = registry.need(TableSource.class);
         Ends ends = new Ends(registry.need(RequestRecorder.class), registry.meters());
         Agents agents = new Agents();
-        Chooser chooser = new ExpectedCompletionChooser(PrefixHints.NONE);
+        Chooser chooser = settings.choice().chooser(PrefixHints.NONE);
         RandomGenerator random = RandomGenerator.getDefault();
         Selection selection = new Selection(agents, chooser, settings.dataCentre(), StaticLinkCosts.DEFAULTS, random);
         NoLookup lookup = new NoLookup();
@@ -82,6 +82,7 @@
                 () -> heartbeat(state, table),
                 listener);
         Duration interval = Duration.ofMillis(settings.timing().vmListMillis());
+        new LinkMeters(loop.counters()).bindTo(registry.meters());
         VmListReader reader =
                 new VmListReader(registry.need(VmListClient.class), interval, router, agents.membership(), loop);
         router.eachTick(listener::lateEnds);
