Let the death test wait for the stream before it kills the stage

Cause: in one of two runs the link of the dead stage ended before the first tokens were taken, so the answer was a problem document and no stream; both are honest, but the test meant the second. Change: the stage stalls, the test reads the stream's first byte, then kills.

--- a/daemon/src/test/java/org/cornelramp/daemon/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/EntryFixture.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -145,6 +146,12 @@
         return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Sends a request and gives its answer's body as it comes. */
+    InputStream open(HttpRequest.Builder request) throws IOException, InterruptedException {
+        return http.send(request.build(), HttpResponse.BodyHandlers.ofInputStream())
+                .body();
+    }
+
     CompletableFuture<HttpResponse<String>> sendAsync(HttpRequest.Builder request) {
         return http.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
     }
--- a/daemon/src/test/java/org/cornelramp/daemon/entry/FakePipeline.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/FakePipeline.java
@@ -54,6 +54,11 @@
         pauseAt = position;
     }
 
+    /** The agent stops working, though its links live. */
+    synchronized void stall(FakeAgent agent) {
+        stages.remove(agent.incarnation);
+    }
+
     /** The agent is gone with all it held. */
     synchronized void kill(FakeAgent agent) {
         stages.remove(agent.incarnation);
--- a/daemon/src/test/java/org/cornelramp/daemon/entry/StageDeathTest.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/StageDeathTest.java
@@ -4,7 +4,9 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.io.InputStream;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -63,11 +65,14 @@
 
     @Test
     public void endsTheStreamWithAnErrorWhenNoReplacementIsThere() throws Exception {
-        pipeline.onPosition(MID, () -> pipeline.kill(first[1]));
-        HttpResponse<String> response = entry.send(entry.chat(PROMPT, TOKENS, true));
-        assertTrue(Sse.isFailed(response.body()), response.body());
-        assertFalse(Sse.isComplete(response.body()));
-        assertTrue(FakePipeline.expected(PROMPT, TOKENS).startsWith(Sse.text(response.body())));
+        pipeline.onPosition(MID, () -> pipeline.stall(first[1]));
+        InputStream stream = entry.open(entry.chat(PROMPT, TOKENS, true));
+        String body = new String(new byte[] {(byte) stream.read()}, StandardCharsets.UTF_8);
+        pipeline.kill(first[1]);
+        body += new String(stream.readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(Sse.isFailed(body), body);
+        assertFalse(Sse.isComplete(body));
+        assertTrue(FakePipeline.expected(PROMPT, TOKENS).startsWith(Sse.text(body)));
         assertEquals(entry.ended, List.of("unknown"));
     }
 }
