--- a/daemon/src/main/java/org/cornelramp/daemon/Main.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/Main.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.time.Clock;
 import java.util.List;
+import java.util.ServiceConfigurationError;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -20,6 +21,7 @@
 import org.cornelramp.daemon.http.HttpServer;
 import org.cornelramp.daemon.kernel.Kernel;
 import org.cornelramp.daemon.kernel.Registry;
+import org.cornelramp.daemon.kernel.StopSwitch;
 import org.cornelramp.daemon.log.Logs;
 
 /** Starts the daemon, {@code cornelrampd --settings FILE}; see {@link ExitCode} for how it ends. Stateless. */
@@ -79,6 +81,7 @@
         Kernel kernel = new Kernel(registry, clock);
         PlannedStop stop = new PlannedStop(kernel, clock, settings.timing().drainMillis());
         try {
+            registry.share(StopSwitch.class, stop::begin);
             StopSignals.install(stop::signalled);
             kernel.start();
             System.out.println(readyLine(settings, registry));
@@ -86,7 +89,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return ExitCode.CUT;
-        } catch (Exception e) {
+        } catch (Exception | ServiceConfigurationError | LinkageError e) {
             LOG.log(System.Logger.Level.ERROR, "kernel: the daemon did not start; why=" + e, e);
             return ExitCode.NOT_STARTED;
         }
