--- a/core/src/main/java/org/cornelramp/core/key/IdempotencyKey.java
+++ b/core/src/main/java/org/cornelramp/core/key/IdempotencyKey.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.Problem;
 import org.cornelramp.core.model.ProblemKind;
@@ -30,8 +31,12 @@
         return parse(text).flatMap(key -> judgeAge(key, now, window));
     }
 
-    /** Reads a key whatever its age. */
-    static Either<Problem, IdempotencyKey> parse(String text) {
+    /** When a key was made; empty if the text is no key. */
+    static Optional<Instant> madeAt(String text) {
+        return parse(text).map(IdempotencyKey::madeAt).toJavaOptional();
+    }
+
+    private static Either<Problem, IdempotencyKey> parse(String text) {
         try {
             return Either.right(Ticket.isTicket(text) ? Ticket.parse(text) : OwnKey.parse(text));
         } catch (IllegalArgumentException e) {
--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/retry/Attempt.java
@@ -0,0 +1,18 @@
+package org.cornelramp.core.retry;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.cornelramp.core.model.Problem;
+
+/**
+ * A failed attempt at a request. Immutable, safe for use by any thread.
+ *
+ * @param problem how it failed
+ * @param idempotent whether the request may run more than once
+ * @param number attempts made, this one included
+ * @param crashes attempts that ended in a crash of the backend server, this one included
+ * @param deadline when the whole answer must be there
+ * @param expected least time that another attempt takes
+ */
+public record Attempt(
+        Problem problem, boolean idempotent, int number, int crashes, Instant deadline, Duration expected) {}
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentPlugin.java
@@ -52,7 +52,7 @@
                 registry.need(TableSource.class),
                 registry.need(LogClient.class),
                 registry.need(StopSwitch.class),
-                key -> IdempotencyKey.parse(key).map(IdempotencyKey::madeAt).toJavaOptional()));
+                IdempotencyKey::madeAt));
         registry.add(agent);
         registry.need(StatusBoard.class).add("agent", agent::status);
         registry.need(Readiness.class).add("agent", agent::fault);
