--- a/daemon/src/main/java/org/cornelramp/daemon/http/RouteHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/http/RouteHandler.java
@@ -30,7 +30,7 @@
         ProblemWriter.write(
                 response,
                 callback,
-                Problem.notRun(ProblemKind.UNKNOWN_SERVICE, "Nothing is served at this method and path."));
+                Problem.notRun(ProblemKind.NOT_FOUND, "Nothing is served at this method and path."));
         return true;
     }
 }
