--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/operate/OperatorJson.java
@@ -0,0 +1,30 @@
+package org.cornelramp.core.operate;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+
+/** Reads and writes the documents of this package. Stateless, safe for use by any thread. */
+public final class OperatorJson {
+    /** Refuses unknown, absent and mistyped names: a misspelt column must not leave a limit as it was. */
+    public static final ObjectMapper STRICT = builder()
+            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+            .build();
+
+    /** Passes over unknown names, so that a command line understands entries of a neighbouring version. */
+    public static final ObjectMapper LENIENT =
+            builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
+
+    private OperatorJson() {}
+
+    private static JsonMapper.Builder builder() {
+        return JsonMapper.builder()
+                .addModule(new Jdk8Module())
+                .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+    }
+}
--- a/core/src/main/java/org/cornelramp/core/table/FoldedTable.java
+++ b/core/src/main/java/org/cornelramp/core/table/FoldedTable.java
@@ -77,6 +77,11 @@
         return services.containsKey(service);
     }
 
+    /** Number of rows. */
+    public int size() {
+        return rows.size();
+    }
+
     /** Version that an edit of the row must name: that of the row, else of its deletion, else {@link #NO_VERSION}. */
     public long version(RowKey key) {
         return rows.get(key).map(Row::version).getOrElse(() -> deleted.get(key).getOrElse(NO_VERSION));
@@ -151,6 +156,9 @@
 
     @Override
     public boolean equals(Object other) {
+        if (this == other) {
+            return true;
+        }
         return other instanceof FoldedTable that
                 && offset == that.offset
                 && rows.equals(that.rows)
--- a/daemon/src/main/java/org/cornelramp/daemon/table/TableKeeper.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/table/TableKeeper.java
@@ -41,6 +41,12 @@
         return true;
     }
 
+    /** Whether a table of the same offset is in force and is another one. */
+    boolean differsFrom(FoldedTable other) {
+        FoldedTable now = table;
+        return ready && now.offset() == other.offset() && !now.equals(other);
+    }
+
     @Override
     public Table current() {
         return table;
--- a/daemon/src/main/java/org/cornelramp/daemon/table/TablePlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/table/TablePlugin.java
@@ -1,11 +1,13 @@
 package org.cornelramp.daemon.table;
 
-import io.micrometer.core.instrument.Gauge;
+import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.cornelramp.core.settings.Role;
 import org.cornelramp.daemon.http.Readiness;
 import org.cornelramp.daemon.kernel.Plugin;
 import org.cornelramp.daemon.kernel.Registry;
+import org.cornelramp.daemon.report.StatusBoard;
 import org.cornelramp.platform.LogClient;
 
 /** Shares the table in force: an entry follows it on the log, an agent takes what entries relay. Stateless. */
@@ -18,7 +20,7 @@
 
     @Override
     public int order() {
-        return 10;
+        return 14;
     }
 
     @Override
@@ -29,19 +31,29 @@
     @Override
     public void register(Registry registry) {
         TableKeeper keeper = new TableKeeper();
+        TableMeters meters = new TableMeters(registry.meters(), keeper);
         registry.share(TableSource.class, keeper);
         registry.share(TableKeeper.class, keeper);
-        Gauge.builder("cornelramp.table.offset", keeper, source -> source.folded()
-                        .offset())
-                .register(registry.meters());
-        if (registry.settings().role() == Role.ENTRY) {
-            registry.add(new TableFollower(registry.need(LogClient.class), keeper));
-        }
-        registry.need(Readiness.class)
-                .add(
-                        "table",
-                        () -> keeper.isReady()
-                                ? Optional.empty()
-                                : Optional.of("No table is known yet, neither from the log nor from a peer."));
+        Supplier<String> trouble = registry.settings().role() == Role.ENTRY
+                ? follow(registry, keeper, meters)
+                : () -> "no entry has sent one yet";
+        registry.need(Readiness.class).add("table", () -> keeper.isReady() ? Optional.empty() : fault(trouble.get()));
+    }
+
+    private static Supplier<String> follow(Registry registry, TableKeeper keeper, TableMeters meters) {
+        TableFollower follower = new TableFollower(
+                registry.need(LogClient.class),
+                keeper,
+                meters,
+                registry.clock(),
+                registry.settings().name(),
+                Duration.ofMillis(registry.settings().timing().snapshotMillis()));
+        registry.need(StatusBoard.class).add("log", follower::status);
+        registry.add(follower);
+        return follower::trouble;
+    }
+
+    private static Optional<String> fault(String trouble) {
+        return Optional.of("No table is known yet, neither from the log nor from a peer; why=" + trouble);
     }
 }
