Count service-level burn over several windows and settle edits by reading back

Cause: operators need to see which organisation's objective is at risk and how fast; an edit's end must come from the log. A record without the name values is no edit, so that a cut record cannot delete a row.

--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/burn/BurnRow.java
@@ -0,0 +1,54 @@
+package org.cornelramp.core.burn;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.cornelramp.core.model.OrganisationId;
+import org.cornelramp.core.model.ServiceName;
+
+/**
+ * The requests of one row that ended at one entry, or at several after {@link #plus}. Immutable, safe for use by any
+ * thread.
+ *
+ * @param organisation the organisation
+ * @param service the service
+ * @param objectivePercent share of requests that should be answered in time, from the table
+ * @param windows the counts of each window
+ */
+public record BurnRow(
+        OrganisationId organisation,
+        ServiceName service,
+        double objectivePercent,
+        Map<BurnWindow, BurnCounts> windows) {
+
+    public BurnRow {
+        windows = Map.copyOf(windows);
+    }
+
+    /** The counts of a window. */
+    public BurnCounts counts(BurnWindow window) {
+        return windows.getOrDefault(window, BurnCounts.NONE);
+    }
+
+    /** The burn rate of a window. */
+    public double rate(BurnWindow window) {
+        return counts(window).burnRate(objectivePercent);
+    }
+
+    /** How urgent the burn is. */
+    public BurnAlert alert() {
+        Map<BurnWindow, Double> rates = new EnumMap<>(BurnWindow.class);
+        for (BurnWindow window : BurnWindow.values()) {
+            rates.put(window, rate(window));
+        }
+        return BurnAlert.of(rates);
+    }
+
+    /** The requests of both, which are of the same row at different entries. */
+    public BurnRow plus(BurnRow other) {
+        Map<BurnWindow, BurnCounts> sums = new EnumMap<>(BurnWindow.class);
+        for (BurnWindow window : BurnWindow.values()) {
+            sums.put(window, counts(window).plus(other.counts(window)));
+        }
+        return new BurnRow(organisation, service, objectivePercent, sums);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/operate/EditSettlement.java
@@ -0,0 +1,67 @@
+package org.cornelramp.core.operate;
+
+import java.util.List;
+import java.util.Optional;
+import org.cornelramp.core.table.FoldedTable;
+import org.cornelramp.core.table.LoggedRecord;
+import org.cornelramp.core.table.RowHistory;
+import org.cornelramp.core.table.TableEdit;
+
+/**
+ * Tells what became of an edit from what was read back, never from whether an append was answered.
+ *
+ * <p>Pure and stateless, safe for use by any thread.
+ */
+public final class EditSettlement {
+    private EditSettlement() {}
+
+    /**
+     * What became of an edit.
+     *
+     * @param table the table in force
+     * @param edit the edit
+     * @param since all records that the log held since before the edit was first appended, up to the table's offset
+     */
+    public static EditResult settle(FoldedTable table, TableEdit edit, List<LoggedRecord> since) {
+        RowHistory history = RowHistory.of(table, edit.key(), since);
+        Optional<RowHistory.Entry> found = history.find(edit.id());
+        if (found.isEmpty()) {
+            return unknown(table, edit, Optional.empty());
+        }
+        long offset = found.get().offset();
+        return history.isAccepted(offset)
+                ? accepted(table, edit, offset)
+                : rejected(table, edit, Optional.of(offset), lostTo(table, edit, history));
+    }
+
+    /** The edit at an offset is in force. */
+    public static EditResult accepted(FoldedTable table, TableEdit edit, long offset) {
+        RowDocument own = new RowDocument(edit.key().organisation(), edit.key().service(), offset, edit.values());
+        return new EditResult(EditResult.Kind.ACCEPTED, edit.id(), own, Optional.of(offset), "");
+    }
+
+    /** The edit changed nothing and never will. */
+    public static EditResult rejected(FoldedTable table, TableEdit edit, Optional<Long> offset, String detail) {
+        return new EditResult(EditResult.Kind.REJECTED, edit.id(), RowDocument.of(table, edit.key()), offset, detail);
+    }
+
+    /** The edit may be on the log, and could not be read back. */
+    public static EditResult unknown(FoldedTable table, TableEdit edit, Optional<Long> offset) {
+        return new EditResult(
+                EditResult.Kind.UNKNOWN,
+                edit.id(),
+                RowDocument.of(table, edit.key()),
+                offset,
+                "The log could not be read back; once it can be, the row's history shows whether edit " + edit.id()
+                        + " was accepted. Editing against the same version again is harmless.");
+    }
+
+    private static String lostTo(FoldedTable table, TableEdit edit, RowHistory history) {
+        String winner = history.winnerAgainst(edit.against())
+                .map(entry -> "the edit at offset " + entry.offset() + " by "
+                        + entry.edit().by() + " came first")
+                .orElse("the row is at version " + table.version(edit.key()));
+        return "The edit was made against version " + edit.against() + ", and " + winner
+                + "; read the row again and edit that.";
+    }
+}
--- a/core/src/main/java/org/cornelramp/core/operate/OperatorJson.java
+++ b/core/src/main/java/org/cornelramp/core/operate/OperatorJson.java
@@ -1,6 +1,7 @@
 package org.cornelramp.core.operate;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
@@ -14,6 +15,7 @@
             .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+            .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
             .build();
 
     /** Passes over unknown names, so that a command line understands entries of a neighbouring version. */
--- a/core/src/main/java/org/cornelramp/core/table/TableRecords.java
+++ b/core/src/main/java/org/cornelramp/core/table/TableRecords.java
@@ -48,8 +48,8 @@
             RowKey key =
                     new RowKey(new OrganisationId(text(node, "organisation")), new ServiceName(text(node, "service")));
             JsonNode values = node.path("values");
-            Optional<RowValues> columns =
-                    values.isNull() || values.isMissingNode() ? Optional.empty() : Optional.of(readValues(values));
+            // Only an explicit null deletes; a record that lacks the name is no edit.
+            Optional<RowValues> columns = values.isNull() ? Optional.empty() : Optional.of(readValues(values));
             return Optional.of(new TableEdit(text(node, "id"), key, whole(node, "against"), columns, text(node, "by")));
         } catch (IllegalArgumentException e) {
             return Optional.empty();
