Serve operators at every entry

Cause: operators edit the table, read its history, see status and burn, and drain by name. An edit is appended and read back; an append whose answer is lost is made again, since an edit is accepted against one version only; only one that was refused each time is told as not taken. Edits have a duty of their own, so that status does not wait for the log.

--- a/core/src/main/java/org/cornelramp/core/table/TableFold.java
+++ b/core/src/main/java/org/cornelramp/core/table/TableFold.java
@@ -36,7 +36,11 @@
                 .orElseGet(() -> accept(table, next, offset, edit.get()));
     }
 
-    private static Optional<Verdict> judge(FoldedTable table, TableEdit edit) {
+    /**
+     * Why an edit would be rejected as the next record; empty if it would be accepted. A table that is behind the log
+     * may give another answer than the log will.
+     */
+    public static Optional<Verdict> judge(FoldedTable table, TableEdit edit) {
         long version = table.version(edit.key());
         if (edit.against() != version) {
             return Optional.of(new Verdict(Verdict.Kind.LOST_RACE, version, lostRace(table, edit, version)));
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/EditEndpoint.java
@@ -0,0 +1,135 @@
+package org.cornelramp.daemon.operator;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.stream.Collectors;
+import org.cornelramp.core.model.Problem;
+import org.cornelramp.core.model.ProblemKind;
+import org.cornelramp.core.operate.EditAnswer;
+import org.cornelramp.core.operate.EditDocument;
+import org.cornelramp.core.operate.EditRequest;
+import org.cornelramp.core.operate.EditResult;
+import org.cornelramp.core.operate.EditSettlement;
+import org.cornelramp.core.operate.OperatorJson;
+import org.cornelramp.core.table.ColumnFault;
+import org.cornelramp.core.table.FoldedTable;
+import org.cornelramp.core.table.RowChecks;
+import org.cornelramp.core.table.RowKey;
+import org.cornelramp.core.table.TableEdit;
+import org.cornelramp.core.table.TableFold;
+import org.cornelramp.core.table.Verdict;
+import org.cornelramp.daemon.table.TableKeeper;
+
+/** Checks edits, passes on those that may be accepted, and answers for each. Confined to the operators' duty. */
+final class EditEndpoint implements Endpoint {
+    private static final int MAX_NAME = 100;
+
+    private final TableKeeper keeper;
+    private final EditService service;
+
+    EditEndpoint(TableKeeper keeper, EditService service) {
+        this.keeper = keeper;
+        this.service = service;
+    }
+
+    @Override
+    public Either<Problem, Object> answer(OperatorCall call) throws InterruptedException {
+        Either<Problem, EditRequest> request = read(call.body());
+        if (request.isLeft()) {
+            return Either.left(request.getLeft());
+        }
+        if (!keeper.isReady()) {
+            return Either.left(Problem.notRun(ProblemKind.NOT_READY, "No table is known at this entry yet."));
+        }
+        return apply(request.get());
+    }
+
+    private static Either<Problem, EditRequest> read(String body) {
+        try {
+            EditRequest request = OperatorJson.STRICT.readValue(body, EditRequest.class);
+            return fault(request)
+                    .<Either<Problem, EditRequest>>map(
+                            detail -> Either.left(Problem.notRun(ProblemKind.MALFORMED_REQUEST, detail)))
+                    .orElseGet(() -> Either.right(request));
+        } catch (JsonMappingException e) {
+            return Either.left(
+                    Problem.notRun(ProblemKind.MALFORMED_REQUEST, placeOf(e) + ": " + e.getOriginalMessage()));
+        } catch (JsonProcessingException e) {
+            return Either.left(
+                    Problem.notRun(ProblemKind.MALFORMED_REQUEST, "The body is no JSON: " + e.getOriginalMessage()));
+        }
+    }
+
+    private static String placeOf(JsonMappingException e) {
+        return e.getPath().stream()
+                .map(part -> part.getFieldName() == null ? "[" + part.getIndex() + "]" : "/" + part.getFieldName())
+                .collect(Collectors.joining());
+    }
+
+    private static Optional<String> fault(EditRequest request) {
+        if (request == null || request.edits().isEmpty() || request.edits().size() > EditRequest.MAX_EDITS) {
+            return Optional.of("Give 1 to " + EditRequest.MAX_EDITS + " edits.");
+        }
+        if (request.by().isBlank() || request.by().length() > MAX_NAME) {
+            return Optional.of("Say in by who edits, in 1 to " + MAX_NAME + " characters.");
+        }
+        Set<RowKey> keys = new HashSet<>();
+        for (int i = 0; i < request.edits().size(); i++) {
+            EditDocument edit = request.edits().get(i);
+            String place = "edits[" + i + "] of " + edit.key() + ": ";
+            if (!keys.add(edit.key())) {
+                return Optional.of(place + "Give each row once.");
+            }
+            List<ColumnFault> faults = edit.values().map(RowChecks::check).orElse(List.of());
+            if (!faults.isEmpty()) {
+                return Optional.of(place
+                        + String.join(
+                                " ", faults.stream().map(ColumnFault::toString).toList()));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Either<Problem, Object> apply(EditRequest request) throws InterruptedException {
+        String id = UUID.randomUUID().toString();
+        FoldedTable table = keeper.folded();
+        List<TableEdit> passed = new ArrayList<>();
+        EditResult[] results = new EditResult[request.edits().size()];
+        List<Integer> places = new ArrayList<>();
+        for (int i = 0; i < results.length; i++) {
+            EditDocument document = request.edits().get(i);
+            TableEdit edit =
+                    new TableEdit(id + "-" + i, document.key(), document.against(), document.values(), request.by());
+            Optional<Verdict> verdict = rejection(table, edit);
+            if (verdict.isPresent()) {
+                results[i] = EditSettlement.rejected(
+                        table, edit, Optional.empty(), verdict.get().detail());
+            } else {
+                passed.add(edit);
+                places.add(i);
+            }
+        }
+        if (!passed.isEmpty()) {
+            Either<Problem, List<EditResult>> applied = service.apply(passed);
+            if (applied.isLeft()) {
+                return Either.left(applied.getLeft());
+            }
+            for (int i = 0; i < places.size(); i++) {
+                results[places.get(i)] = applied.get().get(i);
+            }
+        }
+        return Either.right(new EditAnswer(keeper.folded().offset(), List.of(results)));
+    }
+
+    /** Versions only grow, so an edit against a lower one is lost for good; one against a higher is ahead of us. */
+    private static Optional<Verdict> rejection(FoldedTable table, TableEdit edit) {
+        return edit.against() > table.version(edit.key()) ? Optional.empty() : TableFold.judge(table, edit);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/EntryList.java
@@ -0,0 +1,39 @@
+package org.cornelramp.daemon.operator;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.cornelramp.core.operate.AppliedDocument.PeerEntry;
+import org.cornelramp.core.settings.Role;
+import org.cornelramp.platform.VmList;
+import org.cornelramp.platform.VmListClient;
+
+/** The entries that the VM list shows as live. Waits for the VM list; confined to the operators' duty. */
+final class EntryList {
+    private static final long ANSWER_MILLIS = 3_000;
+
+    private final VmListClient vms;
+
+    EntryList(VmListClient vms) {
+        this.vms = vms;
+    }
+
+    /** The entries; none if the VM list cannot be read. */
+    List<PeerEntry> live() throws InterruptedException {
+        try {
+            return vms.list().get(ANSWER_MILLIS, TimeUnit.MILLISECONDS).vms().stream()
+                    .filter(vm -> vm.role() == Role.ENTRY && vm.state() == VmList.State.LIVE)
+                    .map(vm -> new PeerEntry(vm.vm(), vm.address().toString()))
+                    .toList();
+        } catch (ExecutionException | TimeoutException e) {
+            return List.of();
+        }
+    }
+
+    /** The live entry of a name. */
+    Optional<PeerEntry> find(String name) throws InterruptedException {
+        return live().stream().filter(entry -> entry.name().equals(name)).findFirst();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/HistoryEndpoint.java
@@ -0,0 +1,58 @@
+package org.cornelramp.daemon.operator;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import org.cornelramp.core.model.Problem;
+import org.cornelramp.core.model.ProblemKind;
+import org.cornelramp.core.operate.HistoryDocument;
+import org.cornelramp.core.operate.RowDocument;
+import org.cornelramp.core.table.FoldedTable;
+import org.cornelramp.core.table.LogBounds;
+import org.cornelramp.core.table.LoggedRecord;
+import org.cornelramp.core.table.RowHistory;
+import org.cornelramp.core.table.RowKey;
+import org.cornelramp.daemon.table.TableKeeper;
+
+/** Gives the edits of a row that the log keeps. Confined to the operators' duty. */
+final class HistoryEndpoint implements Endpoint {
+    private final TableKeeper keeper;
+    private final LogBack back;
+
+    HistoryEndpoint(TableKeeper keeper, LogBack back) {
+        this.keeper = keeper;
+        this.back = back;
+    }
+
+    @Override
+    public Either<Problem, Object> answer(OperatorCall call) throws InterruptedException {
+        Either<Problem, RowKey> key = TableEndpoint.key(call.tail());
+        if (key.isLeft()) {
+            return Either.left(key.getLeft());
+        }
+        Optional<LogBounds> bounds = back.bounds();
+        FoldedTable table = keeper.folded();
+        Optional<List<LoggedRecord>> records =
+                bounds.isPresent() ? back.read(bounds.get().oldest(), table.offset()) : Optional.empty();
+        if (records.isEmpty()) {
+            return Either.left(Problem.notRun(
+                    ProblemKind.LOG_UNAVAILABLE, "The history is on the log, which cannot be read now."));
+        }
+        RowHistory history = RowHistory.of(table, key.get(), records.get());
+        return Either.right(new HistoryDocument(
+                RowDocument.of(table, key.get()),
+                bounds.get().oldest(),
+                history.edits().stream().map(entry -> edit(history, entry)).toList()));
+    }
+
+    private static HistoryDocument.HistoryEdit edit(RowHistory history, RowHistory.Entry entry) {
+        return new HistoryDocument.HistoryEdit(
+                entry.offset(),
+                entry.at(),
+                entry.edit().id(),
+                entry.edit().by(),
+                entry.edit().against(),
+                history.isAccepted(entry.offset()),
+                entry.edit().values());
+    }
+}
--- a/daemon/src/main/java/org/cornelramp/daemon/report/ReportPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/report/ReportPlugin.java
@@ -25,8 +25,10 @@
     @Override
     public void register(Registry registry) {
         RequestMemory memory = new RequestMemory();
-        registry.share(RequestRecorder.class, memory);
+        BurnBook burn = new BurnBook();
+        registry.share(RequestRecorder.class, new Recorder(memory, burn, registry.meters()));
         registry.share(RequestMemory.class, memory);
+        registry.share(BurnBook.class, burn);
         registry.share(StatusBoard.class, new StatusBoard());
     }
 }
--- a/daemon/src/main/java/org/cornelramp/daemon/table/TableKeeper.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/table/TableKeeper.java
@@ -1,6 +1,7 @@
 package org.cornelramp.daemon.table;
 
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
@@ -17,6 +18,8 @@
 public final class TableKeeper implements TableSource {
     private static final System.Logger LOG = System.getLogger(TableKeeper.class.getName());
 
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     private final List<Consumer<Table>> listeners = new CopyOnWriteArrayList<>();
     private volatile FoldedTable table = FoldedTable.empty();
     private volatile boolean ready;
@@ -37,10 +40,24 @@
         }
         table = newer;
         ready = true;
+        notifyAll();
         listeners.forEach(listener -> listener.accept(newer));
         return true;
     }
 
+    /** Waits until the table in force covers an offset, and gives the table in force then or at the limit. */
+    public synchronized FoldedTable await(long offset, Duration limit) throws InterruptedException {
+        long end = System.nanoTime() + limit.toNanos();
+        while (table.offset() < offset) {
+            long left = end - System.nanoTime();
+            if (left <= 0) {
+                break;
+            }
+            wait(left / NANOS_PER_MILLI + 1);
+        }
+        return table;
+    }
+
     /** Whether a table of the same offset is in force and is another one. */
     boolean differsFrom(FoldedTable other) {
         FoldedTable now = table;
