--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
@@ -1,9 +1,15 @@
 package org.cornelramp.daemon.agent;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.time.Instant;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.cornelramp.core.model.AgentLoad;
+import org.cornelramp.core.model.AgentState;
 import org.cornelramp.core.model.Offer;
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.ProblemKind;
@@ -13,9 +19,11 @@
 import org.cornelramp.daemon.kernel.Component;
 import org.cornelramp.daemon.kernel.Duty;
 import org.cornelramp.wire.link.Link;
+import org.cornelramp.wire.link.LinkCounters;
 import org.cornelramp.wire.link.LinkListener;
 import org.cornelramp.wire.link.LinkLoop;
 import org.cornelramp.wire.link.LinkOptions;
+import org.cornelramp.wire.message.Heartbeat;
 import org.cornelramp.wire.message.Hello;
 import org.cornelramp.wire.message.Invoke;
 import org.cornelramp.wire.message.InvokeResult;
@@ -51,11 +59,16 @@
         this.agent = build();
     }
 
+    LinkCounters linkCounters() {
+        return links.counters();
+    }
+
     private Agent build() {
         DaemonSettings settings = services.settings();
         Supplier<Moment> clock =
                 () -> new Moment(System.nanoTime(), services.clock().instant());
         Completions completions = new Completions(duty::offer);
+        CrashSuspects suspects = new CrashSuspects();
         OutputSender sender = new OutputSender(
                 new OutputSender.Neighbours() {
                     @Override
@@ -69,20 +82,21 @@
                     }
                 },
                 settings.timing().heartbeatMillis());
-        EngineStepper stepper = new EngineStepper(services.engine(), completions, clock);
+        EngineStepper stepper = new EngineStepper(settings, services.engine(), completions, clock, suspects);
         boolean isEngine = settings.backend().orElseThrow().kind() == BackendKind.ENGINE;
         return new Agent(new AgentParts(
                 settings,
                 clock,
                 completions,
-                new CallHandler(
-                        services.incarnation(), settings, services.service(), completions, clock, services.mintTime()),
+                new CallHandler(services, completions, clock, suspects),
                 new StageHandler(settings, services.engine(), completions, stepper, sender),
                 stepper,
                 sender,
                 services.tables(),
                 isEngine ? services.engine()::offer : services.service()::offer,
-                links::beatNow));
+                links::beatNow,
+                suspects,
+                services.stopSwitch()));
     }
 
     private Hello hello() {
@@ -92,7 +106,7 @@
                 settings.name(), false, services.incarnation(), settings.dataCentre(), offer, address.toString());
     }
 
-    private org.cornelramp.wire.message.Heartbeat heartbeat() {
+    private Heartbeat heartbeat() {
         return agent.heartbeat();
     }
 
@@ -122,6 +136,37 @@
         return address;
     }
 
+    /** What operators see of this agent. */
+    JsonNode status() {
+        Heartbeat beat = agent.heartbeat();
+        ObjectNode status = JsonNodeFactory.instance.objectNode();
+        status.put("incarnation", services.incarnation().toString());
+        status.put("state", beat.state().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+        status.put("address", address.toString());
+        status.put("running", beat.load().running());
+        status.put("waiting", beat.load().waiting());
+        status.put("queuedTokens", beat.load().queuedTokens());
+        status.put("tokensPerSecond", beat.load().tokensPerSecond());
+        status.put("linkedEntries", beat.load().linkedEntries());
+        status.put("term", beat.term());
+        beat.offer().ifPresent(offer -> status.put("service", offer.service().value()));
+        return status;
+    }
+
+    /** Why this agent takes no work now; empty if it does. */
+    Optional<String> fault() {
+        AgentState state = agent.heartbeat().state();
+        return state.takesWork() ? Optional.empty() : Optional.of("the agent's state is " + state);
+    }
+
+    LinkCounters linkCounters() {
+        return links.counters();
+    }
+
+    AgentLoad load() {
+        return agent.heartbeat().load();
+    }
+
     @Override
     public void drain(Instant limit) {
         idle = false;
