--- a/daemon/src/main/java/org/cornelramp/daemon/report/LinkMeters.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/report/LinkMeters.java
@@ -20,6 +20,15 @@
         bind(meters, "cornelramp.link.frames", "out", LinkCounters::framesOut);
         bind(meters, "cornelramp.link.bytes", "in", LinkCounters::bytesIn);
         bind(meters, "cornelramp.link.bytes", "out", LinkCounters::bytesOut);
+        bind(meters, "cornelramp.link.opened", LinkCounters::opened);
+        bind(meters, "cornelramp.link.silent", LinkCounters::silent);
+        bind(meters, "cornelramp.link.garbage", LinkCounters::garbage);
+        bind(meters, "cornelramp.link.skipped", LinkCounters::skipped);
+        bind(meters, "cornelramp.link.refused.sends", LinkCounters::refusedSends);
+    }
+
+    private void bind(MeterRegistry meters, String name, ToDoubleFunction<LinkCounters> count) {
+        FunctionCounter.builder(name, counters, count).register(meters);
     }
 
     private void bind(MeterRegistry meters, String name, String direction, ToDoubleFunction<LinkCounters> count) {
