Settle every key on the log before an agent exits

Cause: a planned stop must leave no outcome unknown; the agent's memory ends with it. Ruled out: an append for each key as it ends (several hundred a second for the whole fleet); repeating an append whose answer was lost, which is settled by reading back.

--- a/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
@@ -44,6 +44,11 @@
     private static final System.Logger LOG = System.getLogger(Agent.class.getName());
     private static final int MAX_SET_ASIDE = 32;
     private static final long TABLE_ASK_MILLIS = 200;
+    private static final long MILLI = 1_000_000L;
+    /** Part of the time for a stop, and most of it, that is kept for writing the keys on the log. */
+    private static final int SETTLE_PART = 5;
+
+    private static final long SETTLE_MILLIS = 5_000;
 
     private final Supplier<Moment> clock;
     private final Completions completions;
@@ -61,7 +66,10 @@
     private final Map<Link, Heartbeat> entries = new HashMap<>();
     private final Set<String> setAside = new TreeSet<>();
     private long nextTableAskAt;
+    private final SettlementWriter settlement;
     private boolean leaving;
+    private boolean settling;
+    private long settleAt;
     private volatile Heartbeat heartbeat;
 
     Agent(AgentParts parts) {
@@ -75,6 +83,7 @@
         this.beatNow = parts.beatNow();
         this.suspects = parts.suspects();
         this.stopSwitch = parts.stopSwitch();
+        this.settlement = parts.settlement();
         this.kind = parts.settings().backend().orElseThrow().kind();
         this.backend = new BackendWatch(
                 parts.offers(), completions, clock, parts.settings().timing().backendTimeoutMillis(), this);
@@ -112,6 +121,9 @@
         calls.tick(now);
         stages.tick(now);
         stepper.tick(now);
+        if (leaving) {
+            stopStep(now);
+        }
         refresh();
     }
 
@@ -255,16 +267,37 @@
         beatNow.run();
     }
 
-    /** Takes no new work from now on, and says so at once. */
-    void leave() {
+    /**
+     * Begins the planned stop: takes no new work from now on, and says so at once. Work in progress goes on; when it
+     * has ended, or shortly before the limit, what became of each key is written on the log.
+     */
+    void leave(Moment limit) {
+        if (leaving) {
+            return;
+        }
         leaving = true;
+        Moment now = clock.get();
+        long allowed = now.millisTo(limit.nanos());
+        settleAt = limit.nanos() - Math.min(allowed / SETTLE_PART, SETTLE_MILLIS) * MILLI;
         refresh();
         beatNow.run();
     }
 
-    /** Whether no work is in progress. */
-    boolean isIdle() {
-        return calls.isIdle() && stages.count() == 0;
+    private void stopStep(Moment now) {
+        boolean worked = calls.isIdle() && stages.count() == 0;
+        if (worked || now.nanos() - settleAt >= 0) {
+            if (!settling) {
+                settling = true;
+                calls.refuseWaiting(KeyResult.notRun(ProblemKind.LEAVING, "The agent stops", 0));
+                settlement.begin(calls.lastWords());
+            }
+            settlement.tick(now);
+        }
+    }
+
+    /** Whether no work is in progress and each key's last word is on the log. */
+    boolean isStopped() {
+        return leaving && calls.isIdle() && stages.count() == 0 && settlement.isWritten();
     }
 
     private AgentState state() {
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Locale;
 import java.util.Optional;
@@ -45,8 +46,7 @@
     private final Duty<AgentEvent> duty;
     private final Agent agent;
     private volatile HostPort address;
-    private volatile boolean draining;
-    private volatile boolean idle;
+    private volatile boolean stopped;
 
     AgentComponent(AgentServices services) {
         this.services = services;
@@ -61,8 +61,7 @@
 
     private Agent build() {
         DaemonSettings settings = services.settings();
-        Supplier<Moment> clock =
-                () -> new Moment(System.nanoTime(), services.clock().instant());
+        Supplier<Moment> clock = this::now;
         Completions completions = new Completions(duty::offer);
         CrashSuspects suspects = new CrashSuspects();
         OutputSender sender = new OutputSender(
@@ -92,7 +91,12 @@
                 isEngine ? services.engine()::offer : services.service()::offer,
                 links::beatNow,
                 suspects,
-                services.stopSwitch()));
+                services.stopSwitch(),
+                new SettlementWriter(services.incarnation(), services.log(), completions)));
+    }
+
+    private Moment now() {
+        return new Moment(System.nanoTime(), services.clock().instant());
     }
 
     private Hello hello() {
@@ -112,7 +116,7 @@
 
     private void tick() {
         agent.tick();
-        idle = agent.isIdle();
+        stopped = agent.isStopped();
     }
 
     @Override
@@ -165,15 +169,18 @@
 
     @Override
     public void drain(Instant limit) {
-        idle = false;
-        if (duty.offer(new AgentEvent.Completed(agent::leave))) {
-            draining = true;
+        Moment now = now();
+        Moment end =
+                new Moment(now.plusMillis(Duration.between(now.instant(), limit).toMillis()), limit);
+        AgentEvent leave = new AgentEvent.Completed(() -> agent.leave(end));
+        while (!duty.offer(leave)) {
+            Thread.onSpinWait();
         }
     }
 
     @Override
     public boolean isDrained() {
-        return draining && idle;
+        return stopped;
     }
 
     @Override
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentParts.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentParts.java
@@ -22,6 +22,7 @@
  * @param beatNow sends an extra heartbeat
  * @param suspects requests that were at a backend server when it crashed
  * @param stopSwitch begins this process's planned stop
+ * @param settlement writes the keys' last words on the log
  */
 record AgentParts(
         DaemonSettings settings,
@@ -35,4 +36,5 @@
         Supplier<CompletableFuture<BackendOffer>> offers,
         Runnable beatNow,
         CrashSuspects suspects,
-        StopSwitch stopSwitch) {}
+        StopSwitch stopSwitch,
+        SettlementWriter settlement) {}
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/CallHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/CallHandler.java
@@ -344,6 +344,18 @@
         pump(now);
     }
 
+    /** The last word on each key; one that is still at the service counts as unknown. */
+    List<Ledger.SettledKey> lastWords() {
+        List<Ledger.SettledKey> words = new ArrayList<>(ledger.settled());
+        for (PendingCall call : running) {
+            call.key()
+                    .ifPresent(key -> words.add(new Ledger.SettledKey(
+                            key,
+                            KeyResult.unknown(ProblemKind.BACKEND_LOST, "The agent stopped before the call ended"))));
+        }
+        return words;
+    }
+
     int waitingCount() {
         return waiting.size();
     }
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/TestEntry.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/TestEntry.java
@@ -53,6 +53,11 @@
         return links.get(name);
     }
 
+    /** All links that are open. */
+    List<Link> links() {
+        return List.copyOf(links.values());
+    }
+
     Heartbeat beat(TestAgent agent) {
         return beats.get(agent.incarnation.server().value());
     }
