Pass orders only under the newest term, learned from the log first

Cause: a holder of a term that was paused wakes and gives its old order; not every engine checks terms, and a restarted agent has forgotten which it has seen. Ruled out: counting a peer's heartbeat as having learned the newest term: a peer that cannot read the log may know less than the agent forgot. A heartbeat only raises the newest term, so it can refuse more and never pass more. Change: messages Order and OrderResult (types 40 and 41), core.model.OrderKind; OrderHandler passes one order at a time, since two could overtake each other.

--- a/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
@@ -26,6 +26,7 @@
 import org.cornelramp.wire.message.Invoke;
 import org.cornelramp.wire.message.Message;
 import org.cornelramp.wire.message.OpenStage;
+import org.cornelramp.wire.message.Order;
 import org.cornelramp.wire.message.SendFrom;
 import org.cornelramp.wire.message.Settle;
 import org.cornelramp.wire.message.Step;
@@ -61,7 +62,7 @@
     private final CrashSuspects suspects;
     private final StopSwitch stopSwitch;
     private final BackendKind kind;
-    private final TermGuard terms = new TermGuard();
+    private final OrderHandler orders;
     private final BackendWatch backend;
     private final Map<Link, Heartbeat> entries = new HashMap<>();
     private final Set<String> setAside = new TreeSet<>();
@@ -84,6 +85,7 @@
         this.suspects = parts.suspects();
         this.stopSwitch = parts.stopSwitch();
         this.settlement = parts.settlement();
+        this.orders = parts.orders();
         this.kind = parts.settings().backend().orElseThrow().kind();
         this.backend = new BackendWatch(
                 parts.offers(), completions, clock, parts.settings().timing().backendTimeoutMillis(), this);
@@ -121,6 +123,7 @@
         calls.tick(now);
         stages.tick(now);
         stepper.tick(now);
+        orders.tick(now);
         if (leaving) {
             stopStep(now);
         }
@@ -163,6 +166,8 @@
             stages.close(close);
         } else if (message instanceof ExportStage export) {
             stages.export(export);
+        } else if (message instanceof Order order) {
+            orders.order(link, order);
         } else if (message instanceof Drain drain) {
             LOG.log(System.Logger.Level.INFO, "agent: asked to stop; by=" + drain.by());
             stopSwitch.stop();
@@ -179,7 +184,7 @@
     }
 
     private void heard(Link link, Heartbeat beat, Moment now) {
-        terms.heard(beat.term());
+        orders.heard(beat.term());
         if (link.peer().entry()) {
             entries.put(link, beat);
             hearSuspects();
@@ -319,7 +324,7 @@
                 load(),
                 backend.offer(),
                 tables.current().offset(),
-                terms.newest(),
+                orders.newestTerm(),
                 List.copyOf(setAside),
                 suspects.crashed(),
                 Map.of(),
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
@@ -92,7 +92,8 @@
                 links::beatNow,
                 suspects,
                 services.stopSwitch(),
-                new SettlementWriter(services.incarnation(), services.log(), completions)));
+                new SettlementWriter(services.incarnation(), services.log(), completions),
+                new OrderHandler(services.engine(), services.log(), completions)));
     }
 
     private Moment now() {
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentParts.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentParts.java
@@ -23,6 +23,7 @@
  * @param suspects requests that were at a backend server when it crashed
  * @param stopSwitch begins this process's planned stop
  * @param settlement writes the keys' last words on the log
+ * @param orders orders to the engine
  */
 record AgentParts(
         DaemonSettings settings,
@@ -37,4 +38,5 @@
         Runnable beatNow,
         CrashSuspects suspects,
         StopSwitch stopSwitch,
-        SettlementWriter settlement) {}
+        SettlementWriter settlement,
+        OrderHandler orders) {}
--- /dev/null
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/StaleOrderTest.java
@@ -0,0 +1,46 @@
+package org.cornelramp.daemon.agent;
+
+import static org.testng.Assert.assertEquals;
+
+import com.fasterxml.jackson.databind.node.TextNode;
+import java.util.List;
+import org.cornelramp.core.model.OrderKind;
+import org.cornelramp.platform.LogStream;
+import org.cornelramp.wire.link.Link;
+import org.cornelramp.wire.message.Order;
+import org.cornelramp.wire.message.OrderOutcome;
+import org.cornelramp.wire.message.OrderResult;
+import org.testng.annotations.Test;
+
+/**
+ * The holder of term 0 is paused, term 1 is claimed, and its holder gives an order. Then the first holder wakes and
+ * gives its old order to an engine that ignores terms. The agent refuses it, also when it has itself been restarted
+ * in between and has forgotten every order.
+ */
+public class StaleOrderTest {
+
+    @Test
+    public void anAgentThatWasRestartedRefusesAnOldTerm() throws Exception {
+        try (TestAgent agent = TestAgent.engine("gpu-1", 0, 6, 6);
+                TestEntry entry = new TestEntry("entry-1")) {
+            agent.log.setDown(true);
+            Link link = entry.link(agent);
+            assertEquals(order(entry, link, 0), OrderOutcome.NOT_READY);
+
+            agent.log.setDown(false);
+            agent.log
+                    .append(LogStream.TERMS, List.of(new TextNode("claim"), new TextNode("claim")))
+                    .join();
+            TestEntry.await(() -> entry.beat(agent).term() == 1);
+            assertEquals(order(entry, link, 0), OrderOutcome.STALE);
+            assertEquals(order(entry, link, 1), OrderOutcome.TAKEN);
+            assertEquals(order(entry, link, 0), OrderOutcome.STALE);
+            assertEquals(agent.engine.orders.size(), 1);
+        }
+    }
+
+    private static OrderOutcome order(TestEntry entry, Link link, long term) throws InterruptedException {
+        link.send(new Order(term, term, OrderKind.SET_VERSION, "v" + term));
+        return entry.next(OrderResult.class).outcome();
+    }
+}
--- a/wire/src/main/java/org/cornelramp/wire/codec/MessageType.java
+++ b/wire/src/main/java/org/cornelramp/wire/codec/MessageType.java
@@ -12,6 +12,8 @@
 import org.cornelramp.wire.message.InvokeResult;
 import org.cornelramp.wire.message.Message;
 import org.cornelramp.wire.message.OpenStage;
+import org.cornelramp.wire.message.Order;
+import org.cornelramp.wire.message.OrderResult;
 import org.cornelramp.wire.message.SendFrom;
 import org.cornelramp.wire.message.Settle;
 import org.cornelramp.wire.message.Settled;
@@ -47,7 +49,9 @@
     STAGE_LOST(26, StageLost.class),
     CLOSE_STAGE(27, CloseStage.class),
     EXPORT_STAGE(28, ExportStage.class),
-    STAGE_EXPORTED(29, StageExported.class);
+    STAGE_EXPORTED(29, StageExported.class),
+    ORDER(40, Order.class),
+    ORDER_RESULT(41, OrderResult.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
     private static final Map<Class<?>, MessageType> BY_FORM = new HashMap<>();
--- a/wire/src/main/java/org/cornelramp/wire/message/Message.java
+++ b/wire/src/main/java/org/cornelramp/wire/message/Message.java
@@ -25,4 +25,6 @@
                 CloseStage,
                 ExportStage,
                 StageExported,
-                Drain {}
+                Drain,
+                Order,
+                OrderResult {}
--- a/wire/src/test/java/org/cornelramp/wire/codec/FrameRoundTripTest.java
+++ b/wire/src/test/java/org/cornelramp/wire/codec/FrameRoundTripTest.java
@@ -14,6 +14,7 @@
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.LayerRange;
 import org.cornelramp.core.model.Offer;
+import org.cornelramp.core.model.OrderKind;
 import org.cornelramp.core.model.OrganisationId;
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.ProblemKind;
@@ -27,6 +28,9 @@
 import org.cornelramp.wire.message.InvokeResult;
 import org.cornelramp.wire.message.Message;
 import org.cornelramp.wire.message.OpenStage;
+import org.cornelramp.wire.message.Order;
+import org.cornelramp.wire.message.OrderOutcome;
+import org.cornelramp.wire.message.OrderResult;
 import org.cornelramp.wire.message.SendFrom;
 import org.cornelramp.wire.message.Settle;
 import org.cornelramp.wire.message.Settled;
@@ -93,6 +97,8 @@
             new Token(-5, 1, 2, new int[] {0, 9}),
             new StageLost(-5, 1, 0, ProblemKind.BACKEND_LOST, "gone"),
             new CloseStage(-5, 1),
+            new Order(1, 7, OrderKind.SET_VERSION, "2"),
+            new OrderResult(1, OrderOutcome.STALE, 8, "older"),
             new ExportStage(-5, 1),
             new StageExported(-5, 1, 0, 4, Optional.empty())
         };
