--- /dev/null
+++ b/bench/src/main/java/org/cornelramp/bench/measure/ProcessUsage.java
@@ -0,0 +1,51 @@
+package org.cornelramp.bench.measure;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Stream;
+import org.cornelramp.bench.fleet.FleetException;
+
+/**
+ * What a process has used so far, as the kernel counts it. Immutable, safe for use by any thread.
+ *
+ * @param cpuNanos processor time of its live threads, in nanoseconds
+ * @param residentBytes resident memory, in bytes
+ */
+public record ProcessUsage(long cpuNanos, long residentBytes) {
+    private static final long BYTES_PER_KILOBYTE = 1_024;
+
+    /** Reads the usage of a process that runs. */
+    public static ProcessUsage of(long pid) {
+        Path process = Path.of("/proc", Long.toString(pid));
+        try {
+            return new ProcessUsage(cpuNanos(process.resolve("task")), resident(process.resolve("status")));
+        } catch (IOException e) {
+            throw new FleetException("Process " + pid + " has ended", e);
+        }
+    }
+
+    /** The jiffies of {@code stat} are too coarse for an idle process; each thread's {@code schedstat} is exact. */
+    private static long cpuNanos(Path tasks) throws IOException {
+        try (Stream<Path> threads = Files.list(tasks)) {
+            return threads.mapToLong(ProcessUsage::threadNanos).sum();
+        }
+    }
+
+    private static long threadNanos(Path thread) {
+        try {
+            String text = Files.readString(thread.resolve("schedstat"));
+            return Long.parseLong(text.substring(0, text.indexOf(' ')));
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    private static long resident(Path status) throws IOException {
+        return Files.readAllLines(status).stream()
+                .filter(line -> line.startsWith("VmRSS:"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")) * BYTES_PER_KILOBYTE)
+                .findFirst()
+                .orElse(0);
+    }
+}
