--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
@@ -59,10 +59,6 @@
         this.agent = build();
     }
 
-    LinkCounters linkCounters() {
-        return links.counters();
-    }
-
     private Agent build() {
         DaemonSettings settings = services.settings();
         Supplier<Moment> clock =
