--- a/daemon/src/main/java/org/cornelramp/daemon/operator/EditEndpoint.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/EditEndpoint.java
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.UUID;
 import java.util.stream.Collectors;
+import org.cornelramp.core.model.Names;
 import org.cornelramp.core.model.Problem;
 import org.cornelramp.core.model.ProblemKind;
 import org.cornelramp.core.operate.EditAnswer;
@@ -77,6 +77,9 @@
         if (request == null || request.edits().isEmpty() || request.edits().size() > EditRequest.MAX_EDITS) {
             return Optional.of("Give 1 to " + EditRequest.MAX_EDITS + " edits.");
         }
+        if (!Names.isValid(request.id())) {
+            return Optional.of("Give in id a name for the request that no other has, such as a UUID.");
+        }
         if (request.by().isBlank() || request.by().length() > MAX_NAME) {
             return Optional.of("Say in by who edits, in 1 to " + MAX_NAME + " characters.");
         }
@@ -98,15 +101,14 @@
     }
 
     private Either<Problem, Object> apply(EditRequest request) throws InterruptedException {
-        String id = UUID.randomUUID().toString();
         FoldedTable table = keeper.folded();
         List<TableEdit> passed = new ArrayList<>();
         EditResult[] results = new EditResult[request.edits().size()];
         List<Integer> places = new ArrayList<>();
         for (int i = 0; i < results.length; i++) {
             EditDocument document = request.edits().get(i);
-            TableEdit edit =
-                    new TableEdit(id + "-" + i, document.key(), document.against(), document.values(), request.by());
+            TableEdit edit = new TableEdit(
+                    request.id() + "-" + i, document.key(), document.against(), document.values(), request.by());
             Optional<Verdict> verdict = rejection(table, edit);
             if (verdict.isPresent()) {
                 results[i] = EditSettlement.rejected(
