Add the operators' command line

Cause: operators edit the table, watch an edit come into force, and see status, history, explanations and burn. A 401 now carries WWW-Authenticate, without which clients refuse the answer.

--- /dev/null
+++ b/cli/src/main/java/org/cornelramp/cli/command/KeyHash.java
@@ -0,0 +1,54 @@
+package org.cornelramp.cli.command;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.cornelramp.cli.CliException;
+import org.cornelramp.cli.ExitCode;
+
+/** Hashes a key, since the table and the settings hold hashes only. Stateless. */
+public final class KeyHash implements Command {
+
+    @Override
+    public String words() {
+        return "key hash";
+    }
+
+    @Override
+    public String arguments() {
+        return "FILE";
+    }
+
+    @Override
+    public String summary() {
+        return "hash the key in a file for the table or the settings; the key is not shown";
+    }
+
+    @Override
+    public ExitCode run(Context context, CommandLine line) throws CliException {
+        String key = Context.readFile(Context.argument(line.getArgList(), 0, "the FILE that holds the key"))
+                .strip();
+        if (key.isEmpty()) {
+            throw new CliException(ExitCode.USAGE, "the file holds no key, write one into it");
+        }
+        String hash = hash(key);
+        if (context.json()) {
+            context.printJson(Map.of("hash", hash));
+        } else {
+            context.out().println(hash);
+        }
+        return ExitCode.DONE;
+    }
+
+    private static String hash(String key) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("Every Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/cornelramp/cli/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands, one class each. */
+package org.cornelramp.cli.command;
--- /dev/null
+++ b/cli/src/main/java/org/cornelramp/cli/text/package-info.java
@@ -0,0 +1,2 @@
+/** Text tables and plots. */
+package org.cornelramp.cli.text;
--- a/daemon/src/main/java/org/cornelramp/daemon/http/ProblemWriter.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/http/ProblemWriter.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import org.cornelramp.core.model.Problem;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
@@ -35,6 +36,9 @@
     public static void write(Response response, Callback callback, Problem problem) {
         response.setStatus(problem.kind().status());
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, MEDIA_TYPE);
+        if (problem.kind().status() == HttpStatus.UNAUTHORIZED_401) {
+            response.getHeaders().put(HttpHeader.WWW_AUTHENTICATE, "Bearer"); // HTTP requires it with a 401
+        }
         if (!problem.retryAfter().isZero()) {
             long seconds = Math.max(1, (problem.retryAfter().toMillis() + 999) / 1_000);
             response.getHeaders().put(HttpHeader.RETRY_AFTER, seconds);
