--- a/bench/src/main/java/org/cornelramp/bench/fleet/Fleet.java
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/Fleet.java
@@ -154,6 +154,11 @@
         return http.json("GET", url + "/trace?from=0", null).get("events");
     }
 
+    /** File that takes the trace of a member's backend server, in a plan with trace files. */
+    public Path traceFile(String name) {
+        return folder.resolve(name + ".trace");
+    }
+
     /** Says in the VM list that a member is leaving. */
     public void markLeaving(String name) {
         leaving.put(name, "leaving");
@@ -185,6 +190,7 @@
         arguments.addAll(List.of("--accelerator", stage.accelerator()));
         arguments.addAll(List.of("--base-micros", Integer.toString(stage.baseMicros())));
         arguments.addAll(List.of("--input-micros", Integer.toString(stage.inputMicros())));
+        arguments.addAll(traceOptions(name));
         return launchAgent(name, "engine", standin("engine-of-" + name, arguments), port, dataCentre);
     }
 
@@ -193,6 +199,7 @@
         int port = ports.take();
         List<String> arguments = new ArrayList<>(List.of("service", "--port", Integer.toString(port)));
         arguments.addAll(List.of("--name", FleetPlan.SERVICE, "--millis", Integer.toString(millis)));
+        arguments.addAll(traceOptions(name));
         return launchAgent(name, "service", standin("backend-of-" + name, arguments), port, dataCentre);
     }
 
@@ -304,6 +311,10 @@
         return http.send("POST", entry.url() + path, caller, body).status() < 300;
     }
 
+    private List<String> traceOptions(String name) {
+        return plan.traced() ? List.of("--trace-file", traceFile(name).toString()) : List.of();
+    }
+
     private Member launchAgent(String name, String kind, ManagedProcess backend, int port, String dataCentre) {
         int httpPort = ports.take();
         int linkPort = ports.take();
--- a/bench/src/main/java/org/cornelramp/bench/fleet/FleetPlan.java
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/FleetPlan.java
@@ -12,6 +12,7 @@
  * @param organisations number of organisations, named {@code org-0} on, each with a row for the model and the service
  * @param dataCentres number of data centres that the agents are spread over
  * @param relayed whether links to agents pass a {@link Relay}
+ * @param traced whether engines and services append their traces to files, which outlive a kill
  */
 public record FleetPlan(
         int entries,
@@ -20,7 +21,8 @@
         int serviceMillis,
         int organisations,
         int dataCentres,
-        boolean relayed) {
+        boolean relayed,
+        boolean traced) {
     /** The model of every fleet. */
     public static final String MODEL = "quote-24";
 
@@ -31,36 +33,53 @@
         stages = List.copyOf(stages);
     }
 
+    /** A plan without trace files. */
+    public FleetPlan(
+            int entries,
+            List<StagePlan> stages,
+            int services,
+            int serviceMillis,
+            int organisations,
+            int dataCentres,
+            boolean relayed) {
+        this(entries, stages, services, serviceMillis, organisations, dataCentres, relayed, false);
+    }
+
     /** Two entries, two replicas of a pipeline of three stages, two booking services, two organisations. */
     public static FleetPlan small() {
         StagePlan first = new StagePlan("0:8:24", "a100", 2_000, 50);
         StagePlan second = new StagePlan("8:16:24", "l40", 3_000, 80);
         StagePlan third = new StagePlan("16:24:24", "a100", 2_000, 50);
-        return new FleetPlan(2, List.of(first, second, third, first, second, third), 2, 10, 2, 1, false);
+        return new FleetPlan(2, List.of(first, second, third, first, second, third), 2, 10, 2, 1, false, false);
     }
 
     /** This plan with another number of entries. */
     public FleetPlan withEntries(int count) {
-        return new FleetPlan(count, stages, services, serviceMillis, organisations, dataCentres, relayed);
+        return new FleetPlan(count, stages, services, serviceMillis, organisations, dataCentres, relayed, traced);
     }
 
     /** This plan with other engines. */
     public FleetPlan withStages(List<StagePlan> plans) {
-        return new FleetPlan(entries, plans, services, serviceMillis, organisations, dataCentres, relayed);
+        return new FleetPlan(entries, plans, services, serviceMillis, organisations, dataCentres, relayed, traced);
     }
 
     /** This plan with another number of plain services, each call taking {@code millis}. */
     public FleetPlan withServices(int count, int millis) {
-        return new FleetPlan(entries, stages, count, millis, organisations, dataCentres, relayed);
+        return new FleetPlan(entries, stages, count, millis, organisations, dataCentres, relayed, traced);
     }
 
     /** This plan with another number of organisations. */
     public FleetPlan withOrganisations(int count) {
-        return new FleetPlan(entries, stages, services, serviceMillis, count, dataCentres, relayed);
+        return new FleetPlan(entries, stages, services, serviceMillis, count, dataCentres, relayed, traced);
     }
 
     /** This plan with every link to an agent passing a relay. */
     public FleetPlan withRelays() {
-        return new FleetPlan(entries, stages, services, serviceMillis, organisations, dataCentres, true);
+        return new FleetPlan(entries, stages, services, serviceMillis, organisations, dataCentres, true, traced);
+    }
+
+    /** This plan with traces in files. */
+    public FleetPlan withTraceFiles() {
+        return new FleetPlan(entries, stages, services, serviceMillis, organisations, dataCentres, relayed, true);
     }
 }
--- /dev/null
+++ b/bench/src/main/java/org/cornelramp/bench/soak/FaultRunner.java
@@ -0,0 +1,88 @@
+package org.cornelramp.bench.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.cornelramp.bench.fleet.Fleet;
+import org.cornelramp.bench.fleet.FleetException;
+import org.cornelramp.bench.fleet.Member;
+
+/** Makes the faults of a schedule happen, each on a thread of its own. Safe for use by any thread. */
+public final class FaultRunner {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final Fleet fleet;
+    private final Operators operators;
+    private final Violations violations;
+    private final long startNanos;
+    private final List<Struck> struck = new ArrayList<>();
+    private final ExecutorService threads = Executors.newCachedThreadPool(work -> {
+        Thread thread = new Thread(work, "fault");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    /**
+     * @param startNanos start of the load, of {@link System#nanoTime}
+     */
+    public FaultRunner(Fleet fleet, Operators operators, Violations violations, long startNanos) {
+        this.fleet = fleet;
+        this.operators = operators;
+        this.violations = violations;
+        this.startNanos = startNanos;
+    }
+
+    /** A fault as it happened. Immutable, safe for use by any thread. */
+    public record Struck(PlannedFault fault, String member, long beginNanos, long endNanos) {}
+
+    /** Runs the whole schedule and waits until the last fault has ended. */
+    public void run(FaultSchedule schedule) throws InterruptedException {
+        List<Future<?>> running = new ArrayList<>();
+        for (PlannedFault fault : schedule.faults()) {
+            sleepUntil(startNanos + fault.atMillis() * NANOS_PER_MILLI);
+            running.add(threads.submit(() -> strike(fault)));
+        }
+        threads.shutdown();
+        if (!threads.awaitTermination(2, TimeUnit.MINUTES)) {
+            violations.add("fault", "a fault did not end within two minutes of the last");
+        }
+    }
+
+    /** The faults that have ended, in the order of their end. */
+    public synchronized List<Struck> struck() {
+        return List.copyOf(struck);
+    }
+
+    private void strike(PlannedFault fault) {
+        List<Member> members =
+                fleet.members().stream().filter(fault.kind().target()::takes).toList();
+        Member member = members.isEmpty() ? null : members.get(fault.member());
+        FaultKind.FaultContext context = new FaultKind.FaultContext(fleet, member, operators, violations);
+        long begin = System.nanoTime();
+        try {
+            fault.kind().begin(context);
+            sleepUntil(begin + fault.lastsMillis() * NANOS_PER_MILLI);
+            fault.kind().end(context);
+        } catch (FleetException e) {
+            violations.add("fault", fault + " could not be brought about: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        String name = member == null ? fault.kind().target().name() : member.name();
+        add(new Struck(fault, name, begin, System.nanoTime()));
+    }
+
+    private synchronized void add(Struck one) {
+        struck.add(one);
+    }
+
+    private static void sleepUntil(long nanos) throws InterruptedException {
+        long left = nanos - System.nanoTime();
+        if (left > 0) {
+            TimeUnit.NANOSECONDS.sleep(left);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/cornelramp/bench/soak/FaultSchedule.java
@@ -0,0 +1,69 @@
+package org.cornelramp.bench.soak;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * The faults of a run, drawn from its seed before it starts: the same seed, length and fleet give the same ones.
+ * Immutable, safe for use by any thread.
+ *
+ * <p>Faults overlap, but for two at one member: the second would find a process that is already gone.
+ */
+public final class FaultSchedule {
+    private static final int MEAN_GAP_MILLIS = 1_200;
+    private static final int FIRST_MILLIS = 500;
+    private static final int SHORTEST_MILLIS = 200;
+    private static final int LONGEST_MILLIS = 4_000;
+    private static final int RECOVERY_MILLIS = 2_500;
+    private static final int TRIES = 20;
+
+    private final List<PlannedFault> faults;
+
+    private FaultSchedule(List<PlannedFault> faults) {
+        this.faults = List.copyOf(faults);
+    }
+
+    /**
+     * Draws a schedule.
+     *
+     * @param members number of members of each target; 1 for the platform's parts
+     */
+    public static FaultSchedule draw(long seed, int seconds, Map<FaultKind.Target, Integer> members) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Map<FaultKind.Target, long[]> freeAt = new EnumMap<>(FaultKind.Target.class);
+        members.forEach((target, count) -> freeAt.put(target, new long[count]));
+        List<PlannedFault> faults = new ArrayList<>();
+        long at = FIRST_MILLIS + random.nextInt(MEAN_GAP_MILLIS);
+        while (at < seconds * 1_000L) {
+            PlannedFault fault = next(random, at, freeAt);
+            if (fault != null) {
+                faults.add(fault);
+                freeAt.get(fault.kind().target())[fault.member()] = fault.endMillis() + RECOVERY_MILLIS;
+            }
+            at += 1 + random.nextInt(2 * MEAN_GAP_MILLIS);
+        }
+        return new FaultSchedule(faults);
+    }
+
+    /** The faults in the order of their begin. */
+    public List<PlannedFault> faults() {
+        return faults;
+    }
+
+    private static PlannedFault next(SplittableRandom random, long at, Map<FaultKind.Target, long[]> freeAt) {
+        FaultKind[] kinds = FaultKind.values();
+        for (int i = 0; i < TRIES; i++) {
+            FaultKind kind = kinds[random.nextInt(kinds.length)];
+            long[] free = freeAt.get(kind.target());
+            int member = random.nextInt(free.length);
+            long lasts = SHORTEST_MILLIS + random.nextInt(LONGEST_MILLIS - SHORTEST_MILLIS);
+            if (free[member] <= at) {
+                return new PlannedFault(kind, member, at, lasts);
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/cornelramp/bench/soak/RanStep.java
@@ -0,0 +1,19 @@
+package org.cornelramp.bench.soak;
+
+/**
+ * Consecutive positions that an engine ran for a session. Immutable, safe for use by any thread.
+ *
+ * @param life life of the engine's process
+ * @param session the session
+ * @param epoch epoch under which the step was sent
+ * @param layerFrom first layer that the engine holds
+ * @param position first position
+ * @param count number of positions
+ */
+public record RanStep(String life, String session, int epoch, int layerFrom, int position, int count) {
+
+    /** Position after the last. */
+    public int end() {
+        return position + count;
+    }
+}
--- a/standins/src/main/java/org/cornelramp/standins/Command.java
+++ b/standins/src/main/java/org/cornelramp/standins/Command.java
@@ -19,7 +19,7 @@
 
     /** Options that every kind has. */
     static Options common() {
-        return new Options().addOption(valued("port"));
+        return new Options().addOption(valued("port")).addOption(valued("trace-file"));
     }
 
     /** An option with a value. */
--- a/standins/src/main/java/org/cornelramp/standins/Main.java
+++ b/standins/src/main/java/org/cornelramp/standins/Main.java
@@ -43,7 +43,7 @@
     private static void run(Command command, String[] args) throws Exception {
         try {
             CommandLine line = new DefaultParser().parse(command.options(), args);
-            new StandInProcess(command.name()).run(command, line);
+            new StandInProcess(command.name(), line.getOptionValue("trace-file")).run(command, line);
         } catch (ParseException | IllegalArgumentException e) {
             System.err.println(command.name() + ": " + e.getMessage());
             System.exit(USAGE_STATUS);
--- a/standins/src/main/java/org/cornelramp/standins/StandInProcess.java
+++ b/standins/src/main/java/org/cornelramp/standins/StandInProcess.java
@@ -1,5 +1,6 @@
 package org.cornelramp.standins;
 
+import java.nio.file.Path;
 import java.time.Clock;
 import java.util.UUID;
 import org.apache.commons.cli.CommandLine;
@@ -12,13 +13,18 @@
 /** What a stand-in's process has: a clock, a timer, fault switches, a trace and a life. Safe for use by any thread. */
 final class StandInProcess {
     private final Faults faults = new Faults();
-    private final Trace trace = new Trace();
     private final Clock clock = Clock.systemUTC();
     private final String life = UUID.randomUUID().toString();
     private final Timer timer;
+    private final Trace trace;
 
-    StandInProcess(String name) {
+    /**
+     * @param name name of the kind
+     * @param traceFile file that takes the trace; null for none
+     */
+    StandInProcess(String name, String traceFile) {
         this.timer = new Timer(name + "-timer");
+        this.trace = traceFile == null ? new Trace() : new Trace(Path.of(traceFile), life);
     }
 
     /** Serves until the process is ended. */
