--- a/bench/src/main/java/org/cornelramp/bench/soak/FaultKind.java
+++ b/bench/src/main/java/org/cornelramp/bench/soak/FaultKind.java
@@ -1,8 +1,8 @@
 package org.cornelramp.bench.soak;
 
+import java.time.Duration;
 import java.util.Locale;
 import java.util.Map;
-import java.util.function.Predicate;
 import org.cornelramp.bench.fleet.Fleet;
 import org.cornelramp.bench.fleet.ManagedProcess;
 import org.cornelramp.bench.fleet.Member;
@@ -226,20 +226,19 @@
 
     /** What a fault strikes; of each, one fault at a time. */
     public enum Target {
-        AGENT(m -> !m.entry()),
-        ENTRY(Member::entry),
-        LOG(m -> false),
-        VM_LIST(m -> false),
-        TABLE(m -> false);
-
-        private final Predicate<Member> members;
-
-        Target(Predicate<Member> members) {
-            this.members = members;
-        }
+        /** An agent with its backend server. */
+        AGENT,
+        /** An entry. */
+        ENTRY,
+        /** The log service. */
+        LOG,
+        /** The VM list. */
+        VM_LIST,
+        /** The table. */
+        TABLE;
 
         boolean takes(Member member) {
-            return members.test(member);
+            return this == (member.entry() ? ENTRY : AGENT);
         }
     }
 
@@ -264,7 +263,7 @@
 
         /** A planned stop ends by itself, with status 0. */
         void awaitPlannedEnd() {
-            if (!daemon().awaitEnd(java.time.Duration.ofSeconds(70))) {
+            if (!daemon().awaitEnd(Duration.ofSeconds(70))) {
                 violations.add("planned-stop", member.name() + " did not end; it is killed now");
                 daemon().kill();
             } else if (daemon().exitCode() != 0) {
--- a/bench/src/main/java/org/cornelramp/bench/soak/FaultRunner.java
+++ b/bench/src/main/java/org/cornelramp/bench/soak/FaultRunner.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.cornelramp.bench.fleet.Fleet;
 import org.cornelramp.bench.fleet.FleetException;
@@ -40,10 +39,9 @@
 
     /** Runs the whole schedule and waits until the last fault has ended. */
     public void run(FaultSchedule schedule) throws InterruptedException {
-        List<Future<?>> running = new ArrayList<>();
         for (PlannedFault fault : schedule.faults()) {
             sleepUntil(startNanos + fault.atMillis() * NANOS_PER_MILLI);
-            running.add(threads.submit(() -> strike(fault)));
+            threads.execute(() -> strike(fault));
         }
         threads.shutdown();
         if (!threads.awaitTermination(2, TimeUnit.MINUTES)) {
--- a/bench/src/main/java/org/cornelramp/bench/soak/FaultSchedule.java
+++ b/bench/src/main/java/org/cornelramp/bench/soak/FaultSchedule.java
@@ -13,11 +13,11 @@
  * <p>Faults overlap, but for two at one member: the second would find a process that is already gone.
  */
 public final class FaultSchedule {
-    private static final int MEAN_GAP_MILLIS = 1_200;
-    private static final int FIRST_MILLIS = 500;
-    private static final int SHORTEST_MILLIS = 200;
-    private static final int LONGEST_MILLIS = 4_000;
-    private static final int RECOVERY_MILLIS = 2_500;
+    private static final long MEAN_GAP_MILLIS = 1_200;
+    private static final long FIRST_MILLIS = 500;
+    private static final long SHORTEST_MILLIS = 200;
+    private static final long LONGEST_MILLIS = 4_000;
+    private static final long RECOVERY_MILLIS = 2_500;
     private static final int TRIES = 20;
 
     private final List<PlannedFault> faults;
@@ -36,14 +36,14 @@
         Map<FaultKind.Target, long[]> freeAt = new EnumMap<>(FaultKind.Target.class);
         members.forEach((target, count) -> freeAt.put(target, new long[count]));
         List<PlannedFault> faults = new ArrayList<>();
-        long at = FIRST_MILLIS + random.nextInt(MEAN_GAP_MILLIS);
+        long at = FIRST_MILLIS + random.nextLong(MEAN_GAP_MILLIS);
         while (at < seconds * 1_000L) {
             PlannedFault fault = next(random, at, freeAt);
             if (fault != null) {
                 faults.add(fault);
                 freeAt.get(fault.kind().target())[fault.member()] = fault.endMillis() + RECOVERY_MILLIS;
             }
-            at += 1 + random.nextInt(2 * MEAN_GAP_MILLIS);
+            at += 1 + random.nextLong(2 * MEAN_GAP_MILLIS);
         }
         return new FaultSchedule(faults);
     }
@@ -59,7 +59,7 @@
             FaultKind kind = kinds[random.nextInt(kinds.length)];
             long[] free = freeAt.get(kind.target());
             int member = random.nextInt(free.length);
-            long lasts = SHORTEST_MILLIS + random.nextInt(LONGEST_MILLIS - SHORTEST_MILLIS);
+            long lasts = SHORTEST_MILLIS + random.nextLong(LONGEST_MILLIS - SHORTEST_MILLIS);
             if (free[member] <= at) {
                 return new PlannedFault(kind, member, at, lasts);
             }
--- a/bench/src/main/java/org/cornelramp/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/cornelramp/bench/soak/SoakRun.java
@@ -29,6 +29,7 @@
     private final Violations violations;
     private final Ledger ledger = new Ledger();
     private List<FaultRunner.Struck> struck = List.of();
+    private String seen = "";
 
     /**
      * @param home folder of the checkout with the built jars
@@ -52,9 +53,9 @@
         return struck;
     }
 
-    /** How the requests ended and which problems callers were told, as one line. */
+    /** What was checked, how the requests ended and which problems callers were told, as one line. */
     public String summary() {
-        return "ends=" + Samples.ends(ledger.all()) + " problems=" + Samples.details(ledger.all());
+        return seen + " ends=" + Samples.ends(ledger.all()) + " problems=" + Samples.details(ledger.all());
     }
 
     /** Runs it all. */
@@ -70,11 +71,19 @@
             heal(fleet);
             checkTable(fleet, operators, watch);
             Thread.sleep(LATE_EFFECTS_MILLIS);
-            StepCheck.check(TraceReader.steps(fleet), violations);
-            new OutcomeCheck(TraceReader.effects(fleet), struck).check(ledger, violations);
+            check(fleet, operators);
         }
     }
 
+    private void check(Fleet fleet, Operators operators) {
+        List<RanStep> steps = TraceReader.steps(fleet);
+        Map<String, Integer> effects = TraceReader.effects(fleet);
+        StepCheck.check(steps, violations);
+        new OutcomeCheck(effects, struck).check(ledger, violations);
+        seen = "effects=" + effects.size() + " steps=" + steps.size() + " edits="
+                + operators.accepted().size();
+    }
+
     private void underLoad(Fleet fleet, Operators operators, TableWatch watch, Callers callers)
             throws InterruptedException {
         long start = System.nanoTime();
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/SpeedMeter.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/SpeedMeter.java
@@ -8,8 +8,15 @@
     private static final double WEIGHT = 0.1;
     private static final double NANOS = 1e9;
 
+    /**
+     * Pieces of work after which the speed is told. The first ones pay for opened connections and cold code; told as
+     * the speed, they made the choice refuse deadlines that could be met.
+     */
+    private static final int WARM_UP = 8;
+
     private double meanNanos;
     private double perSecond;
+    private int pieces;
 
     /**
      * Notes one piece of work.
@@ -18,6 +25,9 @@
      * @param nanos time that it took
      */
     void done(int units, long nanos) {
+        if (++pieces <= WARM_UP) {
+            return;
+        }
         double took = Math.max(nanos, 1);
         double speed = units * NANOS / took;
         meanNanos = meanNanos == 0 ? took : meanNanos + WEIGHT * (took - meanNanos);
