Walk the rows of a table in linear time

Stacks showed the links thread in TableSnapshotCodec.writeAbove: Vavr's Java view of a map's values fetches each element by index from a linked list, which is quadratic. Change: the rows are walked through the map's iterator.

--- a/core/src/main/java/org/cornelramp/core/table/FoldedTable.java
+++ b/core/src/main/java/org/cornelramp/core/table/FoldedTable.java
@@ -64,7 +64,7 @@
 
     @Override
     public Collection<Row> rows() {
-        return rows.values().asJava();
+        return new RowsView(rows);
     }
 
     @Override
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
@@ -160,6 +160,10 @@
         return state.takesWork() ? Optional.empty() : Optional.of("the agent's state is " + state);
     }
 
+    LinkCounters linkCounters() {
+        return links.counters();
+    }
+
     AgentLoad load() {
         return agent.heartbeat().load();
     }
