Bind callers' own keys on the log, and settle calls by asking

Cause: own keys were refused, and a keyed call whose agent had stopped could not be told from one whose agent had crashed. Change: core.key.KeyIndex folds the key stream (first binding wins; a stopped agent's settlement counts only whole); KeyBinder appends bindings in groups, one append on its way, and goes on only with what was read back; a lost append answer is settled by reading. When the log is out, core.call.Denial asks every agent that may have run the key and says not-run only if core.member.Lives shows that none can be missing. A call bound to an ended life gets what the log holds of its planned stop, else unknown at once. Also: the router takes the ends of its own operations even when its ring is full, and ignores the opening of a link that has closed since.

--- a/core/src/main/java/org/cornelramp/core/call/AgentWord.java
+++ b/core/src/main/java/org/cornelramp/core/call/AgentWord.java
@@ -14,6 +14,7 @@
 public record AgentWord(Optional<CallResult> result, Optional<Problem> problem) {
     private static final Set<ProblemKind> ELSEWHERE_MAY_WORK = EnumSet.of(
             ProblemKind.OVERLOADED,
+            ProblemKind.DEADLINE_UNREACHABLE,
             ProblemKind.LEAVING,
             ProblemKind.NO_BACKEND_SERVER,
             ProblemKind.BACKEND_FAILED,
--- a/core/src/main/java/org/cornelramp/core/call/PlainCall.java
+++ b/core/src/main/java/org/cornelramp/core/call/PlainCall.java
@@ -65,8 +65,13 @@
         this.bound = bound;
         this.deadline = deadline;
         this.maxRetries = maxRetries;
+        this.askAt = askAt(now, deadline);
+    }
+
+    /** When the last question before a deadline goes out, so that its answer can come in time. */
+    public static Instant askAt(Instant now, Instant deadline) {
         Duration part = Duration.between(now, deadline).dividedBy(ASK_PART);
-        this.askAt = deadline.minus(part.compareTo(LONGEST_ASK) < 0 ? part : LONGEST_ASK);
+        return deadline.minus(part.compareTo(LONGEST_ASK) < 0 ? part : LONGEST_ASK);
     }
 
     /** Starts the call. */
--- a/core/src/test/java/org/cornelramp/core/key/KeyProperties.java
+++ b/core/src/test/java/org/cornelramp/core/key/KeyProperties.java
@@ -27,7 +27,7 @@
     boolean aKeyIsRefusedExactlyWhenItsAgeIsOutsideTheWindow(
             @ForAll @LongRange(min = -7_200_000, max = 7_200_000) long age, @ForAll long low) {
         long millis = NOW.toEpochMilli() - age;
-        UUID uuid = new UUID(millis << 16 | 0x7000L, low);
+        UUID uuid = new UUID((millis << 16) | 0x7000L, low);
         var read = IdempotencyKey.read(uuid.toString(), NOW, WINDOW);
         boolean old = age > WINDOW.toMillis();
         boolean early = age < -IdempotencyKey.CLOCK_SKEW.toMillis();
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Agents.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Agents.java
@@ -10,9 +10,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import org.cornelramp.core.member.Lives;
 import org.cornelramp.core.member.Member;
 import org.cornelramp.core.member.Membership;
 import org.cornelramp.core.model.Incarnation;
+import org.cornelramp.core.model.Offer;
 import org.cornelramp.core.route.Candidate;
 import org.cornelramp.wire.link.Link;
 import org.cornelramp.wire.message.Heartbeat;
@@ -29,9 +31,18 @@
     private static final Duration IN_FLIGHT = Duration.ofMillis(10);
 
     private final Membership membership = new Membership();
+    private final Lives lives;
     private final Map<Incarnation, Link> links = new HashMap<>();
     private final Map<Incarnation, Sent> sent = new HashMap<>();
 
+    Agents(Lives lives) {
+        this.lives = lives;
+    }
+
+    Lives lives() {
+        return lives;
+    }
+
     Membership membership() {
         return membership;
     }
@@ -44,6 +55,7 @@
         if (older != null && older != link) {
             older.close("replaced by a newer link");
         }
+        lives.seen(agent, peer.offer().map(Offer::service), now);
         return membership.opened(agent, peer.dataCentre(), peer.address(), peer.offer(), now);
     }
 
@@ -54,12 +66,17 @@
             return false;
         }
         membership.lost(agent);
+        lives.unlinked(agent);
         return true;
     }
 
     /** Takes a heartbeat of an agent. */
     void heard(Incarnation agent, Heartbeat beat, Instant now) {
+        if (!links.containsKey(agent)) {
+            return;
+        }
         membership.heard(agent, beat.state(), beat.load(), beat.offer(), now);
+        lives.seen(agent, beat.offer().map(Offer::service), now);
         Sent work = sent.get(agent);
         if (work != null) {
             work.told(now.minus(IN_FLIGHT));
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/CallRun.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/CallRun.java
@@ -12,13 +12,10 @@
 import org.cornelramp.core.call.CallResult;
 import org.cornelramp.core.call.PlainCall;
 import org.cornelramp.core.model.Incarnation;
-import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.Problem;
-import org.cornelramp.core.model.ProblemKind;
 import org.cornelramp.core.route.Choice;
 import org.cornelramp.core.route.Work;
 import org.cornelramp.wire.message.Invoke;
-import org.cornelramp.wire.message.InvokeResult;
 import org.cornelramp.wire.message.Settle;
 
 /**
@@ -37,14 +34,14 @@
     private final SettledLookup settled;
     private final Ends ends;
     private final PlainCall state;
-    private final Optional<Incarnation> bound;
+    private final Optional<Bound> bound;
     private final Deque<CallAction> todo = new ArrayDeque<>();
     private Optional<Incarnation> counted = Optional.empty();
 
     CallRun(
             long number,
             ServiceRequest call,
-            Optional<Incarnation> bound,
+            Optional<Bound> bound,
             Agents agents,
             Selection selection,
             SettledLookup settled,
@@ -57,25 +54,21 @@
         this.selection = selection;
         this.settled = settled;
         this.ends = ends;
-        this.state = new PlainCall(bound, now, call.request().deadline(), MAX_RETRIES);
+        this.state = new PlainCall(bound.map(Bound::agent), now, call.request().deadline(), MAX_RETRIES);
     }
 
     /** Starts the call; one whose bound agent has ended goes straight to what the log holds. */
     void start(Instant now) {
-        if (bound.isPresent() && isGone(bound.get())) {
-            apply(state.start(), now, true);
-        } else {
-            apply(state.start(), now, false);
-        }
+        apply(state.start(), now, isBoundGone());
     }
 
     /** Starts a call that is refused here, but for what its key's agent says. */
     void startRefused(Problem why, Instant now) {
-        apply(state.startRefused(why), now, bound.isPresent() && isGone(bound.get()));
+        apply(state.startRefused(why), now, isBoundGone());
     }
 
-    void on(InvokeResult result, Instant now) {
-        apply(state.said(word(result)), now, false);
+    void said(AgentWord word, Instant now) {
+        apply(state.said(word), now, false);
     }
 
     void linkLost(Incarnation agent, Instant now) {
@@ -84,10 +77,6 @@
 
     void linkOpened(Incarnation agent, Instant now) {
         apply(state.linkOpened(agent), now, false);
-        Optional<Incarnation> target = state.target();
-        if (target.isPresent() && !target.get().equals(agent) && isGone(target.get())) {
-            gone(target.get(), now);
-        }
     }
 
     void gone(Incarnation agent, Instant now) {
@@ -100,9 +89,8 @@
 
     void tick(Instant now) {
         apply(state.tick(now), now, false);
-        Optional<Incarnation> target = state.target();
-        if (!state.isEnded() && target.isPresent() && isGone(target.get())) {
-            gone(target.get(), now);
+        if (!state.isEnded() && isBoundGone()) {
+            gone(bound.get().agent(), now);
         }
     }
 
@@ -110,15 +98,21 @@
         return state.isEnded();
     }
 
-    private boolean isGone(Incarnation agent) {
-        return agents.membership().isGone(agent, call.keyMadeAt());
+    /** Whether the life that the key is bound to has ended: by its own settlement, or since another was seen. */
+    private boolean isBoundGone() {
+        if (bound.isEmpty()) {
+            return false;
+        }
+        Incarnation agent = bound.get().agent();
+        return settled.isSettled(agent)
+                || agents.membership().isGone(agent, bound.get().at());
     }
 
     private void apply(List<CallAction> actions, Instant now, boolean targetGone) {
         todo.addAll(actions);
         if (targetGone) {
             todo.clear();
-            todo.addAll(state.incarnationGone(bound.orElseThrow()));
+            todo.addAll(state.incarnationGone(bound.orElseThrow().agent()));
         }
         CallAction action = todo.poll();
         while (action != null) {
@@ -164,7 +158,7 @@
                 call.request().row().key().organisation(),
                 call.idempotent(),
                 call.key(),
-                bound,
+                bound.map(Bound::agent),
                 call.request().row().values().priority(),
                 Math.max(0, Duration.between(now, call.request().deadline()).toMillis()),
                 call.method(),
@@ -194,7 +188,7 @@
     private void answer(CallResult result, Instant now) {
         count(Optional.empty(), now);
         ends.answered(call.request(), now);
-        call.request().answer().whole(result.status(), result.contentType(), result.body());
+        call.request().answer().whole(result);
     }
 
     private void fail(Problem problem, Instant now) {
@@ -202,13 +196,4 @@
         ends.failed(call.request(), problem, now);
         call.request().answer().problem(problem);
     }
-
-    private static AgentWord word(InvokeResult result) {
-        if (result.outcome() == Outcome.ANSWERED) {
-            return AgentWord.of(new CallResult(result.status(), result.contentType(), result.body()));
-        }
-        ProblemKind kind = result.kind().orElse(ProblemKind.BACKEND_FAILED);
-        Duration wait = Duration.ofMillis(Math.max(0, result.retryAfterMillis()));
-        return AgentWord.of(new Problem(kind, result.outcome(), result.detail(), wait));
-    }
 }
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/CallerAnswer.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/CallerAnswer.java
@@ -1,5 +1,6 @@
 package org.cornelramp.daemon.entry;
 
+import org.cornelramp.core.call.CallResult;
 import org.cornelramp.core.model.Problem;
 
 /**
@@ -12,6 +13,11 @@
     /** Gives the whole answer. */
     void whole(int status, String contentType, byte[] body);
 
+    /** Gives the whole answer of a plain service. */
+    default void whole(CallResult result) {
+        whole(result.status(), result.contentType(), result.body());
+    }
+
     /** Gives the final problem; in a stream, as its last event, so that a cut stream never looks complete. */
     void problem(Problem problem);
 
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/ChatHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/ChatHandler.java
@@ -25,7 +25,7 @@
         }
         byte[] organisation = request.get().row().key().toString().getBytes(StandardCharsets.UTF_8);
         String fingerprint = Callers.sha256(organisation, ChatRun.identity(chat.get()));
-        if (!context().router().chat(request.get(), chat.get(), fingerprint, arrival.answer()::onBroken)) {
+        if (!context().intake().chat(request.get(), chat.get(), fingerprint, arrival.answer()::onBroken)) {
             refuse(arrival.answer(), Refusals.overloaded("The entry's queue is full."));
         }
     }
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryContext.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryContext.java
@@ -7,7 +7,7 @@
  * What the handlers of callers' requests work with. Immutable, safe for use by any thread.
  *
  * @param clock the clock
- * @param router where requests go
+ * @param intake where requests go
  * @param callers who calls
  * @param ends records of ends
  * @param maxBodyBytes largest body
@@ -18,7 +18,7 @@
  */
 record EntryContext(
         Clock clock,
-        Router router,
+        RequestIntake intake,
         Callers callers,
         Ends ends,
         int maxBodyBytes,
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryLinks.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryLinks.java
@@ -1,7 +1,5 @@
 package org.cornelramp.daemon.entry;
 
-import java.time.Instant;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import org.cornelramp.daemon.table.TableSource;
 import org.cornelramp.wire.link.Link;
 import org.cornelramp.wire.link.LinkListener;
@@ -13,13 +11,11 @@
 /**
  * Hands what happens on links to the router.
  *
- * <p>Called on the network thread; {@link #lateEnds} on the router's. Invariant: the router hears of the end of
- * every link that it has heard of.
+ * <p>Called on the network thread. Invariant: the router hears of the end of every link that it has heard of.
  */
 final class EntryLinks implements LinkListener {
     private final Router router;
     private final TableSource table;
-    private final ConcurrentLinkedQueue<Ended> ended = new ConcurrentLinkedQueue<>();
 
     EntryLinks(Router router, TableSource table) {
         this.router = router;
@@ -62,18 +58,7 @@
 
     @Override
     public void closed(Link link, String why) {
-        if (!router.run(now -> router.closed(link, why, now))) {
-            ended.add(new Ended(link, why));
-        }
-    }
-
-    /** Tells the router of link ends that found its ring full. */
-    void lateEnds(Instant now) {
-        Ended one = ended.poll();
-        while (one != null) {
-            router.closed(one.link(), one.why(), now);
-            one = ended.poll();
-        }
+        router.must(now -> router.closed(link, why, now));
     }
 
     private void answer(Link link, TableRequest request) {
@@ -81,6 +66,4 @@
             link.send(new TableUpdate(table.current().offset(), table.snapshotAbove(request.above())));
         }
     }
-
-    private record Ended(Link link, String why) {}
 }
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
@@ -5,9 +5,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.cornelramp.core.key.IdempotencyKey;
+import org.cornelramp.core.key.KeyIndex;
+import org.cornelramp.core.member.Lives;
 import org.cornelramp.core.model.AgentLoad;
 import org.cornelramp.core.model.AgentState;
 import org.cornelramp.core.model.BackendServerId;
@@ -23,6 +27,7 @@
 import org.cornelramp.daemon.kernel.Registry;
 import org.cornelramp.daemon.report.RequestRecorder;
 import org.cornelramp.daemon.table.TableSource;
+import org.cornelramp.platform.LogClient;
 import org.cornelramp.platform.VmListClient;
 import org.cornelramp.wire.link.LinkLoop;
 import org.cornelramp.wire.link.LinkOptions;
@@ -56,21 +61,19 @@
         Clock clock = registry.clock();
         TableSource table = registry.need(TableSource.class);
         Ends ends = new Ends(registry.need(RequestRecorder.class), registry.meters());
-        Agents agents = new Agents();
+        Duration keyWindow = Duration.ofMillis(settings.timing().keyWindowMillis());
+        Agents agents = new Agents(new Lives(keyWindow, IdempotencyKey.CLOCK_SKEW));
         Chooser chooser = new ExpectedCompletionChooser(PrefixHints.NONE);
-        RandomGenerator random = RandomGenerator.getDefault();
+        RandomGenerator random = new SplittableRandom();
         Selection selection = new Selection(agents, chooser, settings.dataCentre(), StaticLinkCosts.DEFAULTS, random);
-        NoLookup lookup = new NoLookup();
-        Router router = new Router(
-                clock,
-                settings.bounds().ringSlots(),
-                settings.bounds().inProgress(),
-                random,
-                agents,
-                selection,
-                lookup,
-                ends);
-        lookup.router = router;
+        Router router = new Router(clock, settings.bounds().ringSlots(), random, agents, selection, ends);
+        LogClient log = registry.need(LogClient.class);
+        KeyStream stream = new KeyStream(log, new KeyIndex(keyWindow), router);
+        RequestIntake intake = new RequestIntake(
+                router, selection, ends, random, settings.bounds().inProgress());
+        KeyBinder binder = new KeyBinder(log, stream, router, settings.bounds().inProgress(), intake::startBound);
+        intake.connect(binder);
+        stream.onProgress(binder::progressed);
         OpenAnswers open = new OpenAnswers();
         EntryState state = new EntryState(router, open);
         EntryLinks listener = new EntryLinks(router, table);
@@ -82,26 +85,27 @@
                 () -> heartbeat(state, table),
                 listener);
         Duration interval = Duration.ofMillis(settings.timing().vmListMillis());
-        VmListReader reader =
-                new VmListReader(registry.need(VmListClient.class), interval, router, agents.membership(), loop);
-        router.eachTick(listener::lateEnds);
+        VmListReader reader = new VmListReader(registry.need(VmListClient.class), interval, router, agents, loop);
+        router.connect(stream, reader::readSoon);
         router.eachTick(reader::tick);
+        router.eachTick(stream::tick);
+        router.eachTick(binder::tick);
         FleetView view = new FleetView(agents.membership());
         router.eachTick(view::tick);
         registry.share(FleetView.class, view);
         registry.add(router.duty());
         registry.add(new LinkComponent(loop));
         registry.add(state);
-        addRoutes(registry.need(Routes.class), context(registry, router, table, ends, state, open));
+        addRoutes(registry.need(Routes.class), context(registry, intake, table, ends, state, open));
         registry.meters().gauge("cornelramp.entry.in.progress", router, Router::inProgress);
     }
 
     private static EntryContext context(
-            Registry registry, Router router, TableSource table, Ends ends, EntryState state, OpenAnswers open) {
+            Registry registry, RequestIntake intake, TableSource table, Ends ends, EntryState state, OpenAnswers open) {
         DaemonSettings settings = registry.settings();
         return new EntryContext(
                 registry.clock(),
-                router,
+                intake,
                 new Callers(table),
                 ends,
                 settings.bounds().bodyBytes(),
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/KeyHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/KeyHandler.java
@@ -32,7 +32,7 @@
             refuse(arrival.answer(), request.getLeft());
             return;
         }
-        boolean taken = context().router().mint(request.get(), ticket -> arrival.answer()
+        boolean taken = context().intake().mint(request.get(), ticket -> arrival.answer()
                 .whole(200, Headers.JSON, write(ticket)));
         if (!taken) {
             refuse(arrival.answer(), Refusals.overloaded("The entry's queue is full."));
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/RequestIntake.java
@@ -0,0 +1,132 @@
+package org.cornelramp.daemon.entry;
+
+import io.vavr.control.Either;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.cornelramp.core.key.IdempotencyKey;
+import org.cornelramp.core.key.KeyIndex;
+import org.cornelramp.core.key.KeyRecord;
+import org.cornelramp.core.key.OwnKey;
+import org.cornelramp.core.key.Ticket;
+import org.cornelramp.core.model.Incarnation;
+import org.cornelramp.core.model.Problem;
+import org.cornelramp.core.model.ProblemKind;
+import org.cornelramp.core.route.Choice;
+import org.cornelramp.core.route.Work;
+
+/**
+ * Takes callers' requests to the router: refuses what may not start, binds keys, and starts the rest.
+ *
+ * <p>{@link #chat}, {@link #call} and {@link #mint} may be called by any thread; false means that the router's ring
+ * is full. The rest is confined to the router's thread.
+ */
+final class RequestIntake {
+    private final Router router;
+    private final Selection selection;
+    private KeyBinder binder;
+    private final Ends ends;
+    private final RandomGenerator random;
+    private final int maxInProgress;
+
+    RequestIntake(Router router, Selection selection, Ends ends, RandomGenerator random, int maxInProgress) {
+        this.router = router;
+        this.selection = selection;
+        this.ends = ends;
+        this.random = random;
+        this.maxInProgress = maxInProgress;
+    }
+
+    /** Joins the binder, which needs the intake itself; called before the start. */
+    void connect(KeyBinder keyBinder) {
+        binder = keyBinder;
+    }
+
+    /**
+     * Takes a chat completion.
+     *
+     * @param onCallerGone takes what is to be run when the caller is found gone
+     */
+    boolean chat(CallerRequest request, ChatRequest chat, String fingerprint, Consumer<Runnable> onCallerGone) {
+        return router.run(now -> {
+            Optional<Problem> refusal = full();
+            if (refusal.isPresent()) {
+                router.refuse(request, refusal.get(), now);
+                return;
+            }
+            long session = random.nextLong();
+            onCallerGone.accept(() -> router.must(at -> router.callerGone(session, at)));
+            router.startChat(session, request, chat, fingerprint, now);
+        });
+    }
+
+    /**
+     * Takes a call to a plain service.
+     *
+     * @param refusal why it is refused already, if so; a call with a key is still settled with its agent
+     */
+    boolean call(ServiceRequest call, Optional<IdempotencyKey> key, Optional<Problem> refusal) {
+        return router.run(now -> {
+            Optional<Problem> why = refusal.or(this::full);
+            if (key.isEmpty()) {
+                router.startCall(call, Optional.empty(), why, now);
+            } else if (key.get() instanceof Ticket ticket) {
+                router.startCall(call, Optional.of(new Bound(ticket.incarnation(), ticket.madeAt())), why, now);
+            } else if (key.get() instanceof OwnKey own) {
+                bind(call, own, why, now);
+            }
+        });
+    }
+
+    /** Takes a request for a ticket. */
+    boolean mint(CallerRequest request, Consumer<Ticket> then) {
+        return router.run(now -> {
+            Either<Problem, Incarnation> agent = agent(request, now);
+            if (agent.isLeft()) {
+                router.refuse(request, agent.getLeft(), now);
+                return;
+            }
+            ends.decided(request, now, "minted", "agent=" + agent.get());
+            ends.answered(request, now);
+            then.accept(new Ticket(agent.get(), Instant.ofEpochMilli(now.toEpochMilli()), random.nextLong()));
+        });
+    }
+
+    /** Starts a call whose key was found bound. */
+    void startBound(ServiceRequest call, KeyIndex.Binding binding, Optional<Problem> refusal, Instant now) {
+        if (!binding.fingerprint().equals(call.fingerprint())) {
+            Problem reused = Problem.notRun(
+                    ProblemKind.KEY_REUSED, "The key is bound to another request; this one did not run.");
+            router.refuse(call.request(), reused, now);
+            return;
+        }
+        ends.decided(call.request(), now, "bound", "agent=" + binding.incarnation());
+        router.startCall(call, Optional.of(new Bound(binding.incarnation(), binding.boundAt())), refusal, now);
+    }
+
+    private void bind(ServiceRequest call, OwnKey key, Optional<Problem> refusal, Instant now) {
+        Either<Problem, Incarnation> agent = agent(call.request(), now);
+        if (agent.isLeft()) {
+            binder.denyUnlessBound(call, agent.getLeft(), now);
+            return;
+        }
+        KeyRecord.Bind bind = new KeyRecord.Bind(
+                key.text(), call.request().row().key().organisation(), agent.get(), call.fingerprint());
+        binder.bind(call, bind, refusal, now);
+    }
+
+    private Either<Problem, Incarnation> agent(CallerRequest request, Instant now) {
+        Work work = new Work(request.row().key().service(), 0, 0, request.deadline(), "", Set.of());
+        Either<Problem, Choice> choice = selection.choose(work, now);
+        return choice.map(chosen -> chosen.stages().get(0).incarnation());
+    }
+
+    private Optional<Problem> full() {
+        if (router.count() < maxInProgress) {
+            return Optional.empty();
+        }
+        return Optional.of(Refusals.overloaded("The entry has as many requests in progress as it may."));
+    }
+}
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Router.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Router.java
@@ -1,6 +1,5 @@
 package org.cornelramp.daemon.entry;
 
-import io.vavr.control.Either;
 import java.time.Clock;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -8,15 +7,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.cornelramp.core.call.AgentWord;
-import org.cornelramp.core.key.Ticket;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.Problem;
-import org.cornelramp.core.route.Choice;
-import org.cornelramp.core.route.Work;
 import org.cornelramp.daemon.kernel.Duty;
 import org.cornelramp.wire.link.Link;
 import org.cornelramp.wire.message.Heartbeat;
@@ -28,47 +27,49 @@
 import org.cornelramp.wire.message.Token;
 
 /**
- * Routes the requests of one entry: the one thread that owns all that is known of agents, sessions and calls.
+ * The one thread of an entry that owns all that is known of agents, sessions and calls.
  *
- * <p>The methods that take events may be called by any thread and never block; each hands its event over through
- * the bounded ring and says false when that is full. All else is confined to the router's thread. Invariant: every
- * request that was taken gets one final answer by its deadline.
+ * <p>{@link #run}, {@link #must} and {@link #whenDone} may be called by any thread and never block; all else is
+ * confined to the router's thread. Invariant: every request that was taken gets one final answer by its deadline.
  */
 final class Router {
     private static final long TICK_MILLIS = 5;
 
     private final Clock clock;
-    private final int maxInProgress;
     private final RandomGenerator random;
     private final Agents agents;
     private final Selection selection;
-    private final SettledLookup settled;
     private final Ends ends;
     private final Duty<Runnable> duty;
     private final Map<Long, ChatRun> chats = new HashMap<>();
     private final Map<Long, CallRun> calls = new HashMap<>();
+    private final Map<Long, DenialRun> denials = new HashMap<>();
+    private final Queue<Consumer<Instant>> urgent = new ConcurrentLinkedQueue<>();
     private final List<Consumer<Instant>> onTick = new ArrayList<>();
+    private SettledLookup settled;
+    private Runnable readListSoon = () -> {};
     private volatile int inProgress;
 
-    Router(
-            Clock clock,
-            int ringSlots,
-            int maxInProgress,
-            RandomGenerator random,
-            Agents agents,
-            Selection selection,
-            SettledLookup settled,
-            Ends ends) {
+    Router(Clock clock, int ringSlots, RandomGenerator random, Agents agents, Selection selection, Ends ends) {
         this.clock = clock;
-        this.maxInProgress = maxInProgress;
         this.random = random;
         this.agents = agents;
         this.selection = selection;
-        this.settled = settled;
         this.ends = ends;
         this.duty = new Duty<>("router", ringSlots, Runnable::run, this::tick, TICK_MILLIS);
     }
 
+    /** Joins the parts that need the router themselves; called before the start. */
+    void connect(SettledLookup lookup, Runnable listReader) {
+        settled = lookup;
+        readListSoon = listReader;
+    }
+
+    /** What an operation of the platform came to; one of result and failure is null. */
+    interface Completion<T> {
+        void done(T result, Throwable failure, Instant now);
+    }
+
     /** The thread that the kernel starts and stops. */
     Duty<Runnable> duty() {
         return duty;
@@ -86,49 +87,70 @@
 
     /** Runs an action on the router's thread; false when the ring is full. */
     boolean run(Consumer<Instant> action) {
-        return duty.offer(() -> {
-            action.accept(clock.instant());
-            inProgress = chats.size() + calls.size();
+        return duty.offer(() -> perform(action));
+    }
+
+    /**
+     * Runs an action on the router's thread, at the latest at its next tick. Only for what is bounded by itself, such
+     * as the end of an operation that the router began: losing it would leave the router waiting for ever.
+     */
+    void must(Consumer<Instant> action) {
+        if (!run(action)) {
+            urgent.add(action);
+        }
+    }
+
+    /** Runs an action after the one that runs now. Called on the router's thread. */
+    void later(Consumer<Instant> action) {
+        urgent.add(action);
+    }
+
+    /** Hands the end of an operation over to the router's thread. */
+    <T> void whenDone(CompletableFuture<T> operation, Completion<T> then) {
+        CompletableFuture<T> unused = operation.whenComplete((result, failure) -> {
+            Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+            must(now -> then.done(result, cause, now));
         });
     }
 
-    /** Takes a chat completion. The caller's loss, told later, ends it. */
-    boolean chat(CallerRequest request, ChatRequest chat, String fingerprint, Consumer<Runnable> callerGone) {
-        long session = random.nextLong();
-        callerGone.accept(() -> run(now -> callerGone(session, now)));
-        return run(now -> {
-            Optional<Problem> refusal = full();
-            if (refusal.isPresent()) {
-                refuse(request, refusal.get(), now);
-                return;
-            }
-            ChatRun run = new ChatRun(session, request, chat, fingerprint, agents, selection, ends);
-            chats.put(session, run);
+    /** Starts a chat completion; gives the number by which its caller's loss is told. */
+    void startChat(long session, CallerRequest request, ChatRequest chat, String fingerprint, Instant now) {
+        ChatRun run = new ChatRun(session, request, chat, fingerprint, agents, selection, ends);
+        chats.put(session, run);
+        run.start(now);
+    }
+
+    /** Starts a call, refused here or not. */
+    void startCall(ServiceRequest call, Optional<Bound> bound, Optional<Problem> refusal, Instant now) {
+        long number = random.nextLong();
+        CallRun run = new CallRun(number, call, bound, agents, selection, settled, ends, now);
+        calls.put(number, run);
+        if (refusal.isPresent()) {
+            run.startRefused(refusal.get(), now);
+        } else {
             run.start(now);
-            sweepChat(session, run);
-        });
+        }
     }
 
-    /** Takes a call to a plain service whose key, if it has one, is bound already. */
-    boolean call(ServiceRequest call, Optional<Incarnation> bound) {
-        return run(now -> startCall(call, bound, now));
-    }
-
-    /** Takes a request for a ticket. */
-    boolean mint(CallerRequest request, Consumer<Ticket> then) {
-        return run(now -> {
-            Work work = new Work(request.row().key().service(), 0, 0, request.deadline(), "", Set.of());
-            Either<Problem, Choice> choice = selection.choose(work, now);
-            if (choice.isLeft()) {
-                refuse(request, choice.getLeft(), now);
-                return;
-            }
-            Incarnation agent = choice.get().stages().get(0).incarnation();
-            ends.decided(request, now, "minted", "agent=" + agent);
-            Instant madeAt = Instant.ofEpochMilli(now.toEpochMilli());
-            ends.answered(request, now);
-            then.accept(new Ticket(agent, madeAt, random.nextLong()));
-        });
+    /** Refuses a call whose key cannot be bound, and finds out whether it can be said not to have run. */
+    void deny(ServiceRequest call, Problem reason, Instant now) {
+        long number = random.nextLong();
+        ends.decided(call.request(), now, "denied", "kind=" + reason.kind().text());
+        DenialRun run = new DenialRun(number, call, reason, agents, ends);
+        denials.put(number, run);
+        readListSoon.run();
+        run.tick(now);
+    }
+
+    /** Refuses a request that nothing was done for. */
+    void refuse(CallerRequest request, Problem problem, Instant now) {
+        ends.failed(request, problem, now);
+        request.answer().problem(problem);
+    }
+
+    /** Requests in progress, counted on the router's thread. */
+    int count() {
+        return chats.size() + calls.size() + denials.size();
     }
 
     /** Tells a call what the log holds of its key. */
@@ -136,16 +158,22 @@
         CallRun run = calls.get(call);
         if (run != null) {
             run.lookedUp(word, now);
-            sweepCall(call, run);
         }
     }
 
+    void callerGone(long session, Instant now) {
+        onChat(session, run -> run.giveUp(ChatRun.CALLER_GONE, now));
+    }
+
     void opened(Link link, Instant now) {
+        if (!link.isOpen()) {
+            // Its end may have overtaken this event; taken as new, it would stand for an agent without a link.
+            return;
+        }
         Optional<Incarnation> ended = agents.opened(link, now);
         ended.ifPresent(agent -> gone(agent, now));
         Incarnation agent = link.peer().incarnation();
         calls.values().forEach(call -> call.linkOpened(agent, now));
-        sweep();
     }
 
     void closed(Link link, String why, Instant now) {
@@ -154,19 +182,15 @@
         }
         Incarnation agent = link.peer().incarnation();
         calls.values().forEach(call -> call.linkLost(agent, now));
+        denials.values().forEach(denial -> denial.linkLost(agent, now));
         chats.values().forEach(chat -> chat.lost(agent, "The link to a stage was lost: " + why, now));
-        sweep();
     }
 
     void received(Link link, Message message, Instant now) {
         if (message instanceof Heartbeat beat) {
             agents.heard(link.peer().incarnation(), beat, now);
         } else if (message instanceof InvokeResult result) {
-            CallRun run = calls.get(result.call());
-            if (run != null) {
-                run.on(result, now);
-                sweepCall(result.call(), run);
-            }
+            said(link.peer().incarnation(), result, now);
         } else if (message instanceof StageOpened opened) {
             onChat(opened.session(), run -> run.on(opened, now));
         } else if (message instanceof StageRefused refused) {
@@ -178,17 +202,15 @@
         }
     }
 
-    private void startCall(ServiceRequest call, Optional<Incarnation> bound, Instant now) {
-        long number = random.nextLong();
-        CallRun run = new CallRun(number, call, bound, agents, selection, settled, ends, now);
-        calls.put(number, run);
-        Optional<Problem> refusal = full();
-        if (refusal.isPresent()) {
-            run.startRefused(refusal.get(), now);
-        } else {
-            run.start(now);
+    private void said(Incarnation agent, InvokeResult result, Instant now) {
+        CallRun call = calls.get(result.call());
+        if (call != null) {
+            call.said(AgentWords.of(result), now);
+        }
+        DenialRun denial = denials.get(result.call());
+        if (denial != null) {
+            denial.said(agent, AgentWords.of(result), now);
         }
-        sweepCall(number, run);
     }
 
     private void gone(Incarnation agent, Instant now) {
@@ -196,53 +218,39 @@
         chats.values().forEach(chat -> chat.lost(agent, "A stage's agent was started anew.", now));
     }
 
-    private void callerGone(long session, Instant now) {
-        onChat(session, run -> run.giveUp(ChatRun.CALLER_GONE, now));
-    }
-
-    private Optional<Problem> full() {
-        if (chats.size() + calls.size() <= maxInProgress) {
-            return Optional.empty();
+    private void onChat(long session, Consumer<ChatRun> action) {
+        ChatRun run = chats.get(session);
+        if (run != null) {
+            action.accept(run);
         }
-        return Optional.of(Refusals.overloaded("The entry has as many requests in progress as it may."));
     }
 
-    private void refuse(CallerRequest request, Problem problem, Instant now) {
-        ends.failed(request, problem, now);
-        request.answer().problem(problem);
+    private void perform(Consumer<Instant> action) {
+        Instant now = clock.instant();
+        action.accept(now);
+        doUrgent(now);
+        inProgress = count();
     }
 
-    private void onChat(long session, Consumer<ChatRun> action) {
-        ChatRun run = chats.get(session);
-        if (run != null) {
-            action.accept(run);
-            sweepChat(session, run);
+    private void doUrgent(Instant now) {
+        Consumer<Instant> action = urgent.poll();
+        while (action != null) {
+            action.accept(now);
+            action = urgent.poll();
         }
     }
 
     private void tick() {
         Instant now = clock.instant();
+        doUrgent(now);
         onTick.forEach(action -> action.accept(now));
         chats.values().forEach(chat -> chat.tick(now));
         calls.values().forEach(call -> call.tick(now));
-        sweep();
-    }
-
-    private void sweep() {
+        denials.values().forEach(denial -> denial.tick(now));
+        doUrgent(now);
         chats.values().removeIf(ChatRun::isEnded);
         calls.values().removeIf(CallRun::isEnded);
-        inProgress = chats.size() + calls.size();
-    }
-
-    private void sweepChat(long session, ChatRun run) {
-        if (run.isEnded()) {
-            chats.remove(session);
-        }
-    }
-
-    private void sweepCall(long number, CallRun run) {
-        if (run.isEnded()) {
-            calls.remove(number);
-        }
+        denials.values().removeIf(DenialRun::isEnded);
+        inProgress = count();
     }
 }
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/ServiceHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/ServiceHandler.java
@@ -6,8 +6,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cornelramp.core.key.IdempotencyKey;
-import org.cornelramp.core.key.Ticket;
-import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.Names;
 import org.cornelramp.core.model.Problem;
 import org.cornelramp.core.model.ProblemKind;
@@ -38,22 +36,13 @@
             refuse(arrival.answer(), key.getLeft());
             return;
         }
-        if (key.get().filter(one -> !(one instanceof Ticket)).isPresent()) {
-            refuse(
-                    arrival.answer(),
-                    Problem.unknown(ProblemKind.LOG_UNAVAILABLE, "Own keys are not taken by this entry yet."));
-            return;
-        }
         submit(request.get(), key.get(), read(arrival, path, request.get(), key.get()));
     }
 
     private void submit(CallerRequest request, Optional<IdempotencyKey> key, ServiceRequest call) {
-        if (key.isEmpty() && context().draining().getAsBoolean()) {
-            refuse(request.answer(), Refusals.leaving());
-            return;
-        }
-        Optional<Incarnation> bound = key.map(one -> ((Ticket) one).incarnation());
-        if (!context().router().call(call, bound)) {
+        boolean draining = context().draining().getAsBoolean();
+        Optional<Problem> refusal = draining ? Optional.of(Refusals.leaving()) : Optional.empty();
+        if (!context().intake().call(call, key, refusal)) {
             refuse(request.answer(), queueFull(key.isPresent()));
         }
     }
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/VmListReader.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/VmListReader.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import org.cornelramp.core.member.Listed;
 import org.cornelramp.core.member.Membership;
 import org.cornelramp.core.model.BackendServerId;
@@ -24,17 +26,17 @@
     private final VmListClient client;
     private final Duration interval;
     private final Router router;
-    private final Membership membership;
+    private final Agents agentsKnown;
     private final LinkLoop links;
     private Instant nextAt = Instant.MIN;
     private CompletableFuture<VmList> pending = CompletableFuture.completedFuture(null);
     private boolean failing;
 
-    VmListReader(VmListClient client, Duration interval, Router router, Membership membership, LinkLoop links) {
+    VmListReader(VmListClient client, Duration interval, Router router, Agents agents, LinkLoop links) {
         this.client = client;
         this.interval = interval;
         this.router = router;
-        this.membership = membership;
+        this.agentsKnown = agents;
         this.links = links;
     }
 
@@ -44,10 +46,17 @@
             return;
         }
         nextAt = now.plus(interval);
-        pending = client.list().whenComplete((list, failure) -> router.run(at -> read(list, failure)));
+        Instant askedAt = now;
+        pending = client.list();
+        router.whenDone(pending, (list, failure, readAt) -> took(list, failure, askedAt, readAt));
     }
 
-    private void read(VmList list, Throwable failure) {
+    /** Asks for a read soon, since something waits for one that begins after now. */
+    void readSoon() {
+        nextAt = Instant.MIN;
+    }
+
+    private void took(VmList list, Throwable failure, Instant askedAt, Instant readAt) {
         if (failure != null) {
             if (!failing) {
                 LOG.log(System.Logger.Level.WARNING, "entry: the VM list cannot be read; why=" + failure.getMessage());
@@ -60,7 +69,9 @@
                 .filter(vm -> vm.role() == Role.AGENT)
                 .map(VmListReader::listed)
                 .toList();
-        Membership.LinkChange change = membership.listed(agents);
+        Set<BackendServerId> names = agents.stream().map(Listed::server).collect(Collectors.toSet());
+        agentsKnown.lives().listed(askedAt, names, readAt);
+        Membership.LinkChange change = agentsKnown.membership().listed(agents);
         change.forget().forEach(address -> links.forget(HostPort.parse(address)));
         change.keep().forEach(address -> links.keep(HostPort.parse(address)));
     }
--- /dev/null
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/AgentDeathTest.java
@@ -0,0 +1,88 @@
+package org.cornelramp.daemon.entry;
+
+import static org.testng.Assert.assertEquals;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.cornelramp.platform.LogStream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * A clerk books and the agent's process ends before it answers. Another life of the agent comes up; it knows nothing of the key and never gets it. After a crash the clerk is told at once that the outcome
+ * is unknown. After a planned stop the log holds what the ended life settled, and the clerk gets that: the answer,
+ * or, for a key that is not listed, that it never ran.
+ */
+public class AgentDeathTest {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private EntryFixture entry;
+    private FakeService first;
+    private FakeService second;
+    private String key;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        entry = new EntryFixture(List.of(FakeService.NAME));
+        first = new FakeService("s", 7);
+        second = new FakeService("s", 8);
+        first.beforeRun = (link, invoke) -> false;
+        entry.add(first.agent);
+        key = entry.mint(FakeService.NAME);
+    }
+
+    @AfterMethod
+    public void stop() {
+        entry.close();
+    }
+
+    @Test
+    public void saysUnknownAfterACrash() throws Exception {
+        HttpResponse<String> response = bookWhileTheAgentIsReplaced();
+        JsonNode problem = JSON.readTree(response.body());
+        assertEquals(problem.path("outcome").textValue(), "unknown");
+        assertEquals(problem.path("kind").textValue(), "backend-lost");
+        assertEquals(second.effects.get(), 0);
+    }
+
+    @Test
+    public void givesTheAnswerThatAPlannedStopSettled() throws Exception {
+        settle(result("\"outcome\":\"answered\",\"status\":200,\"contentType\":\"text/plain\",\"body\":\"c29mYQ==\""));
+        HttpResponse<String> response = bookWhileTheAgentIsReplaced();
+        assertEquals(response.statusCode(), 200);
+        assertEquals(response.body(), "sofa");
+    }
+
+    @Test
+    public void saysNotRunForAKeyThatAPlannedStopDidNotList() throws Exception {
+        settle("");
+        HttpResponse<String> response = bookWhileTheAgentIsReplaced();
+        assertEquals(JSON.readTree(response.body()).path("outcome").textValue(), "not-run");
+    }
+
+    private String result(String fields) {
+        return "{\"key\":\"" + key + "\"," + fields + "}";
+    }
+
+    private void settle(String results) throws Exception {
+        JsonNode record = JSON.readTree("{\"type\":\"settled\",\"incarnation\":\"" + first.agent.incarnation
+                + "\",\"part\":0,\"parts\":1,\"results\":[" + results + "]}");
+        entry.log.append(LogStream.KEYS, List.of(record)).get();
+    }
+
+    private HttpResponse<String> bookWhileTheAgentIsReplaced() throws Exception {
+        CompletableFuture<HttpResponse<String>> answer = entry.sendAsync(entry.book(FakeService.NAME, key, "sofa"));
+        if (entry.log.size(LogStream.KEYS) == 0) {
+            EntryFixture.await(() -> !first.agent.got.isEmpty());
+        }
+        first.agent.close();
+        entry.agents.remove(first.agent);
+        entry.add(second.agent);
+        return answer.get(15, TimeUnit.SECONDS);
+    }
+}
--- a/daemon/src/test/java/org/cornelramp/daemon/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/EntryFixture.java
@@ -51,6 +51,7 @@
     final SimpleMeterRegistry meters = new SimpleMeterRegistry();
     final FakeTable table = new FakeTable();
     final FakeLog log;
+    private final FakeLogView logView;
     final List<FakeAgent> agents = new CopyOnWriteArrayList<>();
     final List<String> ended = new CopyOnWriteArrayList<>();
     volatile List<String> leaving = List.of();
@@ -64,12 +65,13 @@
 
     EntryFixture(List<ServiceName> services, FakeLog log) throws Exception {
         this.log = log;
+        this.logView = new FakeLogView(log);
         services.forEach(service -> table.put(row(service)));
         registry = new Registry(settings(), Clock.systemUTC(), meters);
         registry.share(TableSource.class, table);
         registry.share(RequestRecorder.class, new Recorder());
         registry.share(VmListClient.class, () -> CompletableFuture.completedFuture(vms()));
-        registry.share(LogClient.class, log);
+        registry.share(LogClient.class, logView);
         new HttpPlugin().register(registry);
         new EntryPlugin().register(registry);
         for (Component component : registry.components()) {
@@ -115,8 +117,14 @@
     /** Starts agents and waits until the entry holds a link to each. */
     void add(FakeAgent... more) throws Exception {
         for (FakeAgent agent : more) {
-            agents.add(agent.start(0));
+            agent.start(0);
         }
+        know(more);
+    }
+
+    /** Lets the VM list show agents that run, and waits until the entry holds a link to each. */
+    void know(FakeAgent... more) throws Exception {
+        agents.addAll(List.of(more));
         for (FakeAgent agent : more) {
             await(() -> isCandidate(agent));
         }
@@ -175,6 +183,11 @@
                 .POST(HttpRequest.BodyPublishers.ofString(what));
     }
 
+    /** Whether this entry's reads of the log are held back, while other entries read it. */
+    void keepsBehind(boolean behind) {
+        logView.readsFail = behind;
+    }
+
     void drain() {
         components.forEach(component -> component.drain(Instant.now().plusSeconds(10)));
     }
