--- a/daemon/src/test/java/org/cornelramp/daemon/entry/FakeService.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/FakeService.java
@@ -63,6 +63,11 @@
         }
     }
 
+    /** Gives the recorded answer to a call that was kept back. */
+    void answer(Link link, Invoke invoke) {
+        link.send(numbered(record.get(invoke.key().orElseThrow()), invoke.call()));
+    }
+
     private InvokeResult run(Invoke invoke) {
         String text = invoke.idempotent()
                 ? invoke.method() + " " + invoke.path()
