--- a/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
@@ -15,14 +15,18 @@
 import org.cornelramp.core.model.AgentState;
 import org.cornelramp.core.model.Offer;
 import org.cornelramp.core.model.ProblemKind;
+import org.cornelramp.core.settings.BackendKind;
+import org.cornelramp.daemon.kernel.StopSwitch;
 import org.cornelramp.daemon.table.TableSource;
 import org.cornelramp.wire.link.Link;
 import org.cornelramp.wire.message.CloseStage;
+import org.cornelramp.wire.message.Drain;
 import org.cornelramp.wire.message.ExportStage;
 import org.cornelramp.wire.message.Heartbeat;
 import org.cornelramp.wire.message.Invoke;
 import org.cornelramp.wire.message.Message;
 import org.cornelramp.wire.message.OpenStage;
+import org.cornelramp.wire.message.Order;
 import org.cornelramp.wire.message.SendFrom;
 import org.cornelramp.wire.message.Settle;
 import org.cornelramp.wire.message.Step;
@@ -41,6 +45,11 @@
     private static final System.Logger LOG = System.getLogger(Agent.class.getName());
     private static final int MAX_SET_ASIDE = 32;
     private static final long TABLE_ASK_MILLIS = 200;
+    private static final long MILLI = 1_000_000L;
+    /** Part of the time for a stop, and most of it, that is kept for writing the keys on the log. */
+    private static final int SETTLE_PART = 5;
+
+    private static final long SETTLE_MILLIS = 5_000;
 
     private final Supplier<Moment> clock;
     private final Completions completions;
@@ -51,12 +60,17 @@
     private final TableSource tables;
     private final Runnable beatNow;
     private final CrashSuspects suspects;
-    private final TermGuard terms = new TermGuard();
+    private final StopSwitch stopSwitch;
+    private final BackendKind kind;
+    private final OrderHandler orders;
     private final BackendWatch backend;
     private final Map<Link, Heartbeat> entries = new HashMap<>();
     private final Set<String> setAside = new TreeSet<>();
     private long nextTableAskAt;
+    private final SettlementWriter settlement;
     private boolean leaving;
+    private boolean settling;
+    private long settleAt;
     private volatile Heartbeat heartbeat;
 
     Agent(AgentParts parts) {
@@ -69,6 +83,10 @@
         this.tables = parts.tables();
         this.beatNow = parts.beatNow();
         this.suspects = parts.suspects();
+        this.stopSwitch = parts.stopSwitch();
+        this.settlement = parts.settlement();
+        this.orders = parts.orders();
+        this.kind = parts.settings().backend().orElseThrow().kind();
         this.backend = new BackendWatch(
                 parts.offers(), completions, clock, parts.settings().timing().backendTimeoutMillis(), this);
         sender.join(stages::step);
@@ -105,6 +123,10 @@
         calls.tick(now);
         stages.tick(now);
         stepper.tick(now);
+        orders.tick(now);
+        if (leaving) {
+            stopStep(now);
+        }
         refresh();
     }
 
@@ -133,17 +155,22 @@
         } else if (message instanceof Heartbeat beat) {
             heard(link, beat, now);
         } else if (message instanceof Invoke invoke) {
-            calls.invoke(link, invoke, refusal(), now);
+            calls.invoke(link, invoke, refusal(BackendKind.SERVICE), now);
         } else if (message instanceof Settle settle) {
             calls.settle(link, settle, now);
         } else if (message instanceof OpenStage open) {
-            stages.open(link, open, refusal(), now);
+            stages.open(link, open, refusal(BackendKind.ENGINE), now);
         } else if (message instanceof SendFrom from) {
             stages.sendFrom(from, now);
         } else if (message instanceof CloseStage close) {
             stages.close(close);
         } else if (message instanceof ExportStage export) {
             stages.export(export);
+        } else if (message instanceof Order order) {
+            orders.order(link, order);
+        } else if (message instanceof Drain drain) {
+            LOG.log(System.Logger.Level.INFO, "agent: asked to stop; by=" + drain.by());
+            stopSwitch.stop();
         } else if (message instanceof TableRequest request) {
             giveTable(link, request);
         } else if (message instanceof TableUpdate update) {
@@ -157,7 +184,7 @@
     }
 
     private void heard(Link link, Heartbeat beat, Moment now) {
-        terms.heard(beat.term());
+        orders.heard(beat.term());
         if (link.peer().entry()) {
             entries.put(link, beat);
             hearSuspects();
@@ -181,7 +208,7 @@
     private void giveTable(Link link, TableRequest request) {
         long offset = tables.current().offset();
         if (offset > request.above()) {
-            link.send(new TableUpdate(offset, tables.snapshot()));
+            link.send(new TableUpdate(offset, tables.snapshotAbove(request.above())));
         }
     }
 
@@ -192,7 +219,11 @@
     }
 
     /** Why no new work is taken now; empty if it is taken. */
-    private Optional<KeyResult> refusal() {
+    private Optional<KeyResult> refusal(BackendKind needed) {
+        if (kind != needed) {
+            return Optional.of(
+                    KeyResult.notRun(ProblemKind.NO_BACKEND_SERVER, "The backend server here is of another kind", 0));
+        }
         return switch (state()) {
             case ACTIVE -> Optional.empty();
             case LEAVING ->
@@ -241,16 +272,37 @@
         beatNow.run();
     }
 
-    /** Takes no new work from now on, and says so at once. */
-    void leave() {
+    /**
+     * Begins the planned stop: takes no new work from now on, and says so at once. Work in progress goes on; when it
+     * has ended, or shortly before the limit, what became of each key is written on the log.
+     */
+    void leave(Moment limit) {
+        if (leaving) {
+            return;
+        }
         leaving = true;
+        Moment now = clock.get();
+        long allowed = now.millisTo(limit.nanos());
+        settleAt = limit.nanos() - Math.min(allowed / SETTLE_PART, SETTLE_MILLIS) * MILLI;
         refresh();
         beatNow.run();
     }
 
-    /** Whether no work is in progress. */
-    boolean isIdle() {
-        return calls.isIdle() && stages.count() == 0;
+    private void stopStep(Moment now) {
+        boolean worked = calls.isIdle() && stages.count() == 0;
+        if (worked || now.nanos() - settleAt >= 0) {
+            if (!settling) {
+                settling = true;
+                calls.refuseWaiting(KeyResult.notRun(ProblemKind.LEAVING, "The agent stops", 0));
+                settlement.begin(calls.lastWords());
+            }
+            settlement.tick(now);
+        }
+    }
+
+    /** Whether no work is in progress and each key's last word is on the log. */
+    boolean isStopped() {
+        return leaving && calls.isIdle() && stages.count() == 0 && settlement.isWritten();
     }
 
     private AgentState state() {
@@ -272,7 +324,7 @@
                 load(),
                 backend.offer(),
                 tables.current().offset(),
-                terms.newest(),
+                orders.newestTerm(),
                 List.copyOf(setAside),
                 suspects.crashed(),
                 Map.of(),
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
@@ -1,9 +1,16 @@
 package org.cornelramp.daemon.agent;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.time.Duration;
 import java.time.Instant;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.cornelramp.core.model.AgentLoad;
+import org.cornelramp.core.model.AgentState;
 import org.cornelramp.core.model.Offer;
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.ProblemKind;
@@ -16,6 +23,7 @@
 import org.cornelramp.wire.link.LinkListener;
 import org.cornelramp.wire.link.LinkLoop;
 import org.cornelramp.wire.link.LinkOptions;
+import org.cornelramp.wire.message.Heartbeat;
 import org.cornelramp.wire.message.Hello;
 import org.cornelramp.wire.message.Invoke;
 import org.cornelramp.wire.message.InvokeResult;
@@ -37,8 +45,7 @@
     private final Duty<AgentEvent> duty;
     private final Agent agent;
     private volatile HostPort address;
-    private volatile boolean draining;
-    private volatile boolean idle;
+    private volatile boolean stopped;
 
     AgentComponent(AgentServices services) {
         this.services = services;
@@ -53,8 +60,7 @@
 
     private Agent build() {
         DaemonSettings settings = services.settings();
-        Supplier<Moment> clock =
-                () -> new Moment(System.nanoTime(), services.clock().instant());
+        Supplier<Moment> clock = this::now;
         Completions completions = new Completions(duty::offer);
         CrashSuspects suspects = new CrashSuspects();
         OutputSender sender = new OutputSender(
@@ -83,7 +89,14 @@
                 services.tables(),
                 isEngine ? services.engine()::offer : services.service()::offer,
                 links::beatNow,
-                suspects));
+                suspects,
+                services.stopSwitch(),
+                new SettlementWriter(services.incarnation(), services.log(), completions),
+                new OrderHandler(services.engine(), services.log(), completions)));
+    }
+
+    private Moment now() {
+        return new Moment(System.nanoTime(), services.clock().instant());
     }
 
     private Hello hello() {
@@ -93,7 +106,7 @@
                 settings.name(), false, services.incarnation(), settings.dataCentre(), offer, address.toString());
     }
 
-    private org.cornelramp.wire.message.Heartbeat heartbeat() {
+    private Heartbeat heartbeat() {
         return agent.heartbeat();
     }
 
@@ -103,7 +116,7 @@
 
     private void tick() {
         agent.tick();
-        idle = agent.isIdle();
+        stopped = agent.isStopped();
     }
 
     @Override
@@ -123,17 +136,47 @@
         return address;
     }
 
+    /** What operators see of this agent. */
+    JsonNode status() {
+        Heartbeat beat = agent.heartbeat();
+        ObjectNode status = JsonNodeFactory.instance.objectNode();
+        status.put("incarnation", services.incarnation().toString());
+        status.put("state", beat.state().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+        status.put("address", address.toString());
+        status.put("running", beat.load().running());
+        status.put("waiting", beat.load().waiting());
+        status.put("queuedTokens", beat.load().queuedTokens());
+        status.put("tokensPerSecond", beat.load().tokensPerSecond());
+        status.put("linkedEntries", beat.load().linkedEntries());
+        status.put("term", beat.term());
+        beat.offer().ifPresent(offer -> status.put("service", offer.service().value()));
+        return status;
+    }
+
+    /** Why this agent takes no work now; empty if it does. */
+    Optional<String> fault() {
+        AgentState state = agent.heartbeat().state();
+        return state.takesWork() ? Optional.empty() : Optional.of("the agent's state is " + state);
+    }
+
+    AgentLoad load() {
+        return agent.heartbeat().load();
+    }
+
     @Override
     public void drain(Instant limit) {
-        idle = false;
-        if (duty.offer(new AgentEvent.Completed(agent::leave))) {
-            draining = true;
+        Moment now = now();
+        Moment end =
+                new Moment(now.plusMillis(Duration.between(now.instant(), limit).toMillis()), limit);
+        AgentEvent leave = new AgentEvent.Completed(() -> agent.leave(end));
+        while (!duty.offer(leave)) {
+            Thread.onSpinWait();
         }
     }
 
     @Override
     public boolean isDrained() {
-        return draining && idle;
+        return stopped;
     }
 
     @Override
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
@@ -17,7 +17,6 @@
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.route.Chooser;
-import org.cornelramp.core.route.ExpectedCompletionChooser;
 import org.cornelramp.core.route.PrefixHints;
 import org.cornelramp.core.route.StaticLinkCosts;
 import org.cornelramp.core.settings.DaemonSettings;
@@ -25,6 +24,7 @@
 import org.cornelramp.daemon.http.Routes;
 import org.cornelramp.daemon.kernel.Plugin;
 import org.cornelramp.daemon.kernel.Registry;
+import org.cornelramp.daemon.report.LinkMeters;
 import org.cornelramp.daemon.report.RequestRecorder;
 import org.cornelramp.daemon.table.TableSource;
 import org.cornelramp.platform.LogClient;
@@ -63,7 +63,7 @@
         Ends ends = new Ends(registry.need(RequestRecorder.class), registry.meters());
         Duration keyWindow = Duration.ofMillis(settings.timing().keyWindowMillis());
         Agents agents = new Agents(new Lives(keyWindow, IdempotencyKey.CLOCK_SKEW));
-        Chooser chooser = new ExpectedCompletionChooser(PrefixHints.NONE);
+        Chooser chooser = settings.choice().chooser(PrefixHints.NONE);
         RandomGenerator random = new SplittableRandom();
         Selection selection = new Selection(agents, chooser, settings.dataCentre(), StaticLinkCosts.DEFAULTS, random);
         Router router = new Router(clock, settings.bounds().ringSlots(), random, agents, selection, ends);
@@ -85,6 +85,7 @@
                 () -> heartbeat(state, table),
                 listener);
         Duration interval = Duration.ofMillis(settings.timing().vmListMillis());
+        new LinkMeters(loop.counters()).bindTo(registry.meters());
         VmListReader reader = new VmListReader(registry.need(VmListClient.class), interval, router, agents, loop);
         router.connect(stream, reader::readSoon);
         router.eachTick(reader::tick);
