--- /dev/null
+++ b/daemon/src/test/java/org/cornelramp/daemon/operator/RacingOperatorsTest.java
@@ -0,0 +1,79 @@
+package org.cornelramp.daemon.operator;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.cornelramp.core.operate.EditResult;
+import org.cornelramp.daemon.table.MemoryLog;
+import org.cornelramp.daemon.table.TestEntry;
+import org.testng.annotations.Test;
+
+/**
+ * Two operators read the same version of a row and edit it at two entries at the same moment. One is told that the
+ * edit is accepted, the other that it lost, and to what; both entries hold the winner's values. Round after round,
+ * since each race may go either way.
+ */
+public class RacingOperatorsTest {
+    private static final int ROUNDS = 30;
+
+    private static EditResult edit(MemoryLog log, TestEntry entry, String id, long against, int weight)
+            throws InterruptedException {
+        return new EditService(log, entry.keeper, Clock.systemUTC())
+                .apply(List.of(TestEntry.edit(id, against, weight)))
+                .get()
+                .get(0);
+    }
+
+    private static List<EditResult> race(ExecutorService operators, MemoryLog log, List<TestEntry> entries, int round)
+            throws Exception {
+        long against = entries.get(0).keeper.folded().version(TestEntry.KEY);
+        CountDownLatch both = new CountDownLatch(entries.size());
+        List<Future<EditResult>> edits = new ArrayList<>();
+        for (int i = 0; i < entries.size(); i++) {
+            int operator = i;
+            edits.add(operators.submit(() -> {
+                both.countDown();
+                both.await();
+                String id = "r" + round + "-" + operator;
+                return edit(log, entries.get(operator), id, against, 1 + 2 * round + operator);
+            }));
+        }
+        return List.of(edits.get(0).get(), edits.get(1).get());
+    }
+
+    @Test
+    public void oneIsAcceptedAndTheOtherToldWhatItLostTo() throws Exception {
+        MemoryLog log = new MemoryLog();
+        ExecutorService operators = Executors.newFixedThreadPool(2);
+        try (TestEntry first = new TestEntry(log, "e1").start();
+                TestEntry second = new TestEntry(log, "e2").start()) {
+            first.tableAt(0);
+            for (int round = 0; round < ROUNDS; round++) {
+                List<EditResult> results = race(operators, log, List.of(first, second), round);
+                EditResult winner = results.get(results.get(0).kind() == EditResult.Kind.ACCEPTED ? 0 : 1);
+                EditResult loser = results.get(results.get(0).kind() == EditResult.Kind.ACCEPTED ? 1 : 0);
+                assertEquals(winner.kind(), EditResult.Kind.ACCEPTED);
+                assertEquals(loser.kind(), EditResult.Kind.REJECTED);
+                assertTrue(
+                        loser.detail()
+                                .contains("the edit at offset "
+                                        + winner.offset().orElseThrow() + " by operator came first"),
+                        loser.detail());
+                assertEquals(loser.row(), winner.row());
+                assertEquals(first.tableAt(log.size()), second.tableAt(log.size()));
+                assertEquals(
+                        first.keeper.folded().row(TestEntry.KEY).map(row -> row.values()),
+                        winner.row().values());
+            }
+        } finally {
+            operators.shutdownNow();
+        }
+    }
+}
