--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
@@ -20,6 +20,7 @@
 import org.cornelramp.daemon.kernel.Component;
 import org.cornelramp.daemon.kernel.Duty;
 import org.cornelramp.wire.link.Link;
+import org.cornelramp.wire.link.LinkCounters;
 import org.cornelramp.wire.link.LinkListener;
 import org.cornelramp.wire.link.LinkLoop;
 import org.cornelramp.wire.link.LinkOptions;
