--- a/core/src/main/java/org/cornelramp/core/step/LongSequence.java
+++ b/core/src/main/java/org/cornelramp/core/step/LongSequence.java
@@ -34,6 +34,9 @@
     }
 
     void dropFirst(int count) {
+        if (count > size()) {
+            throw new IllegalStateException("A sequence of " + size() + " cannot drop " + count);
+        }
         from += count;
     }
 
--- a/core/src/main/java/org/cornelramp/core/step/StageSession.java
+++ b/core/src/main/java/org/cornelramp/core/step/StageSession.java
@@ -147,12 +147,14 @@
     }
 
     /**
-     * The first stage is fed by two senders: the entry with the tokens that it holds, and the last stage with new
-     * ones. After a rebuild the last stage may be the quicker, so its tokens wait here for those before them. Any
-     * other stage has one sender on one ordered link, where a gap means that something was lost.
+     * Inputs may come before those that precede them, for two reasons. The first stage has two senders, the entry
+     * with the tokens that it holds and the last stage with new ones, and after a rebuild the last may be quicker.
+     * And frames of a link that broke may be read after the first ones of the new link. In both cases the missing
+     * inputs are on their way: a link loses frames only when it breaks, and then its sender sends again. So early
+     * inputs wait here, within the bound of the session.
      */
     private StepVerdict holdAhead(int from, long[] inputs) {
-        if (!shape.isFirst() || from + inputs.length > shape.limit() + 1 || aheadCount > shape.limit()) {
+        if (from + inputs.length > shape.limit() + 1 || aheadCount > shape.limit()) {
             return StepVerdict.GAP;
         }
         long[] held = ahead.get(from);
@@ -161,7 +163,7 @@
             ahead.put(from, inputs);
             aheadCount += inputs.length - heldCount;
         }
-        return StepVerdict.TAKEN;
+        return StepVerdict.EARLY;
     }
 
     private void takeAhead() {
--- a/core/src/main/java/org/cornelramp/core/step/StepVerdict.java
+++ b/core/src/main/java/org/cornelramp/core/step/StepVerdict.java
@@ -8,7 +8,9 @@
     DUPLICATE,
     /** They belong to another epoch; nothing changes. */
     STALE,
-    /** Inputs before them are missing; the stage cannot go on by itself. */
+    /** They wait for those before them, which are on their way. */
+    EARLY,
+    /** They are beyond any position that the session can reach; something is wrong with their sender. */
     GAP,
     /** The answer has ended, so they need not run. */
     ENDED
--- /dev/null
+++ b/core/src/test/java/org/cornelramp/core/step/LateStepTest.java
@@ -0,0 +1,53 @@
+package org.cornelramp.core.step;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import org.testng.annotations.Test;
+
+/**
+ * The stage before was paused, given up and replaced; then it wakes and sends on what it had. Its steps carry the old
+ * epoch. They must change nothing, though one of them is at the very position that the stage waits for: the
+ * replacement's own outputs for it may differ in the last bits, and the KV cache would mix the two.
+ */
+public class LateStepTest {
+    private static final StageShape MIDDLE = new StageShape(1, 3, 4, 8);
+
+    @Test
+    public void aStepOfAnOldEpochChangesNothing() {
+        StageSession stage = new StageSession(MIDDLE, 1);
+        stage.accept(1, 0, new long[] {10, 11});
+        stage.nextRun(9);
+        stage.ran(new long[] {20, 21});
+        stage.open(2);
+
+        assertEquals(stage.accept(1, 2, new long[] {99}), StepVerdict.STALE);
+        assertFalse(stage.isReady());
+        assertEquals(stage.accept(2, 2, new long[] {12}), StepVerdict.TAKEN);
+        assertEquals(stage.nextRun(9).orElseThrow().inputs(), new long[] {12});
+    }
+
+    @Test
+    public void aPausedStageThatWakesSendsNothingUnderTheNewEpoch() {
+        StageSession stage = new StageSession(MIDDLE, 1);
+        stage.sendFrom(1, 0);
+        stage.accept(1, 0, new long[] {10});
+        stage.nextRun(9);
+        stage.open(2);
+        stage.ran(new long[] {20});
+
+        assertFalse(stage.nextSend(9).isPresent(), "nothing goes out before the new epoch says from where");
+        assertFalse(stage.sendFrom(1, 0));
+        stage.sendFrom(2, 0);
+        assertEquals(stage.nextSend(9).orElseThrow().outputs(), new long[] {20});
+    }
+
+    @Test
+    public void aRepeatedStepIsDroppedAndAnOverlapRunsOnlyItsNewPart() {
+        StageSession stage = new StageSession(MIDDLE, 1);
+        assertEquals(stage.accept(1, 0, new long[] {10, 11}), StepVerdict.TAKEN);
+        assertEquals(stage.accept(1, 0, new long[] {10, 11}), StepVerdict.DUPLICATE);
+        assertEquals(stage.accept(1, 1, new long[] {11, 12}), StepVerdict.TAKEN);
+        assertEquals(stage.nextRun(9).orElseThrow().inputs(), new long[] {10, 11, 12});
+    }
+}
