--- a/wire/src/main/java/org/cornelramp/wire/codec/FrameReader.java
+++ b/wire/src/main/java/org/cornelramp/wire/codec/FrameReader.java
@@ -13,6 +13,7 @@
  */
 public final class FrameReader {
     private static final int START_BYTES = 4 << 10;
+    private static final int KEPT_BYTES = 64 << 10;
 
     private final int maxBytes;
     private ByteBuffer held = ByteBuffer.allocate(START_BYTES).limit(0);
@@ -27,6 +28,8 @@
     /** Takes the bytes that a link gave, whole frames or not; the buffer is read to its end. */
     public void feed(ByteBuffer bytes) {
         if (!held.hasRemaining()) {
+            // One large frame must not hold its room for the rest of the link's life.
+            held = held.capacity() > KEPT_BYTES ? ByteBuffer.allocate(START_BYTES) : held;
             held.clear().limit(0);
         }
         int need = held.remaining() + bytes.remaining();
@@ -44,6 +47,11 @@
         return ByteBuffer.allocate(capacity).put(held).flip();
     }
 
+    /** Bytes that wait for the rest of their frame. */
+    int held() {
+        return held.remaining();
+    }
+
     /**
      * Reads the next whole frame; empty until more bytes are fed.
      *
--- /dev/null
+++ b/wire/src/test/java/org/cornelramp/wire/codec/FrameReaderProperties.java
@@ -0,0 +1,95 @@
+package org.cornelramp.wire.codec;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.cornelramp.wire.message.Message;
+import org.cornelramp.wire.message.Settle;
+import org.cornelramp.wire.message.StageOpened;
+import org.cornelramp.wire.message.TableRequest;
+
+/** Whatever bytes come, in whatever pieces, the reader gives messages or a typed error and holds little memory. */
+class FrameReaderProperties {
+    private static final int MAX = 2_000;
+
+    @Property(seed = "606", tries = 5_000)
+    void garbageGivesTypedErrors(@ForAll byte[] garbage, @ForAll @IntRange(min = 1, max = 40) int piece) {
+        readAll(garbage, piece);
+    }
+
+    /** A frame whose length, version and type are right reaches the body's decoder, which must not throw others. */
+    @Property(seed = "607", tries = 5_000)
+    void garbageInAWellFormedFrameGivesTypedErrors(
+            @ForAll @Size(max = 200) byte[] body, @ForAll @IntRange(max = 45) int type) {
+        ByteBuffer frame = ByteBuffer.allocate(6 + body.length);
+        frame.putInt(2 + body.length).put(FrameWriter.VERSION).put((byte) type).put(body);
+        readAll(frame.array(), 7);
+    }
+
+    /** One byte of a good frame is changed. */
+    @Property(seed = "608", tries = 3_000)
+    void aChangedByteGivesAMessageOrATypedError(@ForAll @IntRange(max = 300) int place, @ForAll byte value)
+            throws FrameException {
+        byte[] bytes = new FrameWriter(MAX).write(new StageOpened(4, 1, 2, 900)).array();
+        bytes[place % bytes.length] = value;
+        readAll(bytes, 3);
+    }
+
+    @Property(seed = "609", tries = 1_000)
+    void piecesOfAnySizeGiveTheSameMessages(
+            @ForAll @Size(max = 12) List<@IntRange(max = 100_000) Integer> numbers,
+            @ForAll @IntRange(min = 1, max = 90) int piece)
+            throws FrameException {
+        List<Message> sent = new ArrayList<>();
+        ByteBuffer all = ByteBuffer.allocate(4_000);
+        for (int number : numbers) {
+            Message message = new TableRequest(number);
+            sent.add(message);
+            all.put(new FrameWriter(MAX).write(message));
+        }
+        byte[] bytes = new byte[all.flip().remaining()];
+        all.get(bytes);
+        if (!readAll(bytes, piece).equals(sent)) {
+            throw new AssertionError("Other messages came than were sent");
+        }
+    }
+
+    /** Reads until a fatal error, as a link does. */
+    private static List<Message> readAll(byte[] bytes, int piece) {
+        FrameReader reader = new FrameReader(MAX);
+        List<Message> messages = new ArrayList<>();
+        for (int at = 0; at < bytes.length; at += piece) {
+            reader.feed(ByteBuffer.wrap(bytes, at, Math.min(piece, bytes.length - at)));
+            if (!drain(reader, messages)) {
+                return messages;
+            }
+            if (reader.held() > MAX + 4 + piece) {
+                throw new AssertionError("The reader holds " + reader.held() + " bytes");
+            }
+        }
+        return messages;
+    }
+
+    private static boolean drain(FrameReader reader, List<Message> messages) {
+        while (true) {
+            try {
+                Optional<Message> message = reader.next();
+                if (message.isEmpty()) {
+                    return true;
+                }
+                if (!(message.get() instanceof Settle)) {
+                    messages.add(message.get());
+                }
+            } catch (FrameException e) {
+                if (e.kind().isFatal()) {
+                    return false;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/test/java/org/cornelramp/wire/link/BadPeerTest.java
@@ -0,0 +1,115 @@
+package org.cornelramp.wire.link;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.wire.message.Heartbeat;
+import org.cornelramp.wire.message.TableRequest;
+import org.testng.annotations.Test;
+
+/**
+ * Peers connect and then say nothing, fall silent, send garbage, or do not listen. Each costs its own link and a
+ * count; a link beside them carries messages all the time.
+ */
+public class BadPeerTest {
+
+    @Test
+    public void oneThatNeverSaysHelloIsClosed() throws Exception {
+        try (Peer a = new Peer("a")) {
+            HostPort at = a.loop.listen(new HostPort("127.0.0.1", 0));
+            try (RawPeer silent = new RawPeer(at)) {
+                assertTrue(silent.isClosedByOther());
+            }
+            assertEquals(a.loop.counters().silent(), 1);
+            assertEquals(a.loop.counters().opened(), 0);
+        }
+    }
+
+    @Test
+    public void oneThatFallsSilentIsClosedAndTheListenerTold() throws Exception {
+        try (Peer a = new Peer("a")) {
+            HostPort at = a.loop.listen(new HostPort("127.0.0.1", 0));
+            try (RawPeer peer = new RawPeer(at)) {
+                peer.send(Peer.hello("b"));
+                assertEquals(a.opened().peer().process(), "b");
+                assertTrue(a.closed.tryAcquire(10, TimeUnit.SECONDS));
+                assertTrue(peer.isClosedByOther());
+            }
+            assertEquals(a.loop.counters().silent(), 1);
+        }
+    }
+
+    @Test
+    public void garbageClosesOnlyItsOwnLink() throws Exception {
+        try (Peer a = new Peer("a");
+                Peer b = new Peer("b")) {
+            HostPort at = a.loop.listen(new HostPort("127.0.0.1", 0));
+            b.loop.keep(at);
+            Link good = b.opened();
+            for (ByteBuffer garbage : new ByteBuffer[] {
+                ByteBuffer.allocate(64).putInt(0, Integer.MAX_VALUE),
+                ByteBuffer.allocate(64).putInt(0, 1),
+                ByteBuffer.allocate(64).putInt(0, 60).put(4, (byte) 9),
+                ByteBuffer.allocate(64).putInt(0, 60).put(4, (byte) 1).put(5, (byte) 1)
+            }) {
+                try (RawPeer peer = new RawPeer(at)) {
+                    peer.send(garbage);
+                    assertTrue(peer.isClosedByOther());
+                }
+            }
+            assertEquals(a.loop.counters().garbage(), 4);
+            assertTrue(good.send(new TableRequest(5)));
+            assertEquals(a.received(), new TableRequest(5));
+        }
+    }
+
+    @Test
+    public void aMessageOfALaterVersionIsSkipped() throws Exception {
+        try (Peer a = new Peer("a")) {
+            HostPort at = a.loop.listen(new HostPort("127.0.0.1", 0));
+            try (RawPeer peer = new RawPeer(at)) {
+                peer.send(Peer.hello("b"));
+                peer.send(ByteBuffer.allocate(9).putInt(0, 5).put(4, (byte) 1).put(5, (byte) 120));
+                peer.send(new TableRequest(6));
+                assertEquals(a.received(), new TableRequest(6));
+                assertEquals(a.loop.counters().skipped(), 1);
+            }
+        }
+    }
+
+    /** It sends heartbeats all the time and reads nothing: what is sent to it is bounded, refused, and then closed. */
+    @Test
+    public void oneThatDoesNotListenIsRefusedAndClosed() throws Exception {
+        LinkOptions small = LinkOptions.of(50, 1 << 16).withOutBytes(100_000);
+        try (Peer a = new Peer("a", small)) {
+            HostPort at = a.loop.listen(new HostPort("127.0.0.1", 0));
+            try (RawPeer deaf = new RawPeer(at)) {
+                deaf.send(Peer.hello("b"));
+                Link link = a.opened();
+                byte[] body = new byte[60_000];
+                boolean refused = false;
+                while (link.isOpen()) {
+                    refused |= !link.send(new org.cornelramp.wire.message.TableUpdate(1, body));
+                    Heartbeat beat = Peer.BEAT;
+                    trySend(deaf, beat);
+                }
+                assertTrue(refused);
+                assertTrue(a.closed.tryAcquire(10, TimeUnit.SECONDS));
+                assertEquals(a.loop.counters().silent(), 1);
+            }
+        }
+    }
+
+    private static void trySend(RawPeer peer, Heartbeat beat) throws Exception {
+        try {
+            peer.send(beat);
+            Thread.sleep(5);
+        } catch (java.io.IOException e) {
+            // The link was closed, which the caller's loop sees next.
+            Thread.onSpinWait();
+        }
+    }
+}
