Measure throughput against the engines' bound

Change: bench throughput runs the same load through two entries for each choice on the same engines of mixed speeds; the bound is worked out from base time, slots and time for each input.

--- a/bench/src/main/java/org/cornelramp/bench/Main.java
+++ b/bench/src/main/java/org/cornelramp/bench/Main.java
@@ -12,13 +12,15 @@
 import org.apache.commons.cli.ParseException;
 import org.cornelramp.bench.demo.DemoCommand;
 import org.cornelramp.bench.scale.ScaleCommand;
+import org.cornelramp.bench.throughput.ThroughputCommand;
 
 /** Benchmarks, the demo and the randomised runs; the first argument names the command. */
 public final class Main {
     private static final int USAGE_STATUS = 2;
     private static final String SECONDS = "90";
     private static final String SEED = "1";
-    private static final List<BenchCommand> COMMANDS = List.of(new DemoCommand(), new ScaleCommand());
+    private static final List<BenchCommand> COMMANDS =
+            List.of(new DemoCommand(), new ThroughputCommand(), new ScaleCommand());
 
     /** Held here, since a logger that nobody holds forgets its level. */
     private static final Logger HTTP_LOGGER = Logger.getLogger("org.eclipse.jetty");
--- a/bench/src/main/java/org/cornelramp/bench/fleet/Fleet.java
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/Fleet.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import org.cornelramp.core.route.ChoicePolicy;
 
 /**
  * A whole system on loopback: the platform's stand-ins, entries, and agents beside engines and services, each a
@@ -168,8 +169,13 @@
 
     /** Adds an entry, without waiting until it is ready. */
     public Member launchEntry(String name) {
+        return launchEntry(name, ChoicePolicy.EXPECTED_COMPLETION);
+    }
+
+    /** Adds an entry that chooses backend servers in another way, without waiting until it is ready. */
+    public Member launchEntry(String name, ChoicePolicy choice) {
         int httpPort = ports.take();
-        Path file = settings.entry(name, "dc-0", httpPort);
+        Path file = settings.entry(name, "dc-0", httpPort, choice);
         ManagedProcess daemon = daemon(name, file);
         Member member = new Member(name, true, httpPort, 0, "dc-0", daemon, Optional.empty(), 0, Optional.empty());
         members.put(name, member);
@@ -286,7 +292,8 @@
         entries().forEach(this::awaitServing);
     }
 
-    private void awaitServing(Member entry) {
+    /** Waits until an entry serves what the fleet has. */
+    public void awaitServing(Member entry) {
         await(entry.name() + " ready", START_LIMIT, () -> isReady(entry));
         if (plan.services() > 0) {
             String body = "{\"service\":\"" + FleetPlan.SERVICE + "\"}";
--- a/bench/src/main/java/org/cornelramp/bench/fleet/SettingsFiles.java
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/SettingsFiles.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.file.Path;
+import org.cornelramp.core.route.ChoicePolicy;
 
 /** Writes the settings files of a fleet's daemons. Confined to one thread. */
 final class SettingsFiles {
@@ -20,8 +21,9 @@
         this.weightStoreUrl = weightStoreUrl;
     }
 
-    Path entry(String name, String dataCentre, int httpPort) {
+    Path entry(String name, String dataCentre, int httpPort, ChoicePolicy choice) {
         ObjectNode root = common("entry", name, dataCentre, httpPort);
+        root.put("choice", choice.text());
         root.putObject("operators").putArray("keyHashes").add(Fleet.sha256(Fleet.OPERATOR_KEY));
         return write(name, root);
     }
