--- a/bench/src/main/java/org/cornelramp/bench/Main.java
+++ b/bench/src/main/java/org/cornelramp/bench/Main.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.ServiceLoader;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.apache.commons.cli.CommandLine;
@@ -10,20 +11,12 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-import org.cornelramp.bench.demo.DemoCommand;
-import org.cornelramp.bench.scale.ScaleCommand;
-import org.cornelramp.bench.soak.SoakCommand;
 
 /** Benchmarks, the demo and the randomised runs; the first argument names the command. */
 public final class Main {
     private static final int USAGE_STATUS = 2;
     private static final String SECONDS = "90";
     private static final String SEED = "1";
-    private static final List<BenchCommand> COMMANDS =
-            List.of(new DemoCommand(), new ScaleCommand(), new SoakCommand());
-
-    /** Held here, since a logger that nobody holds forgets its level. */
-    private static final Logger HTTP_LOGGER = Logger.getLogger("org.eclipse.jetty");
 
     private Main() {}
 
@@ -31,13 +24,16 @@
     public static void main(String[] args) throws Exception {
         HTTP_LOGGER.setLevel(Level.WARNING);
         String name = args.length == 0 ? "" : args[0];
-        BenchCommand command = COMMANDS.stream()
+        List<BenchCommand> commands = ServiceLoader.load(BenchCommand.class).stream()
+                .map(ServiceLoader.Provider::get)
+                .toList();
+        BenchCommand command = commands.stream()
                 .filter(candidate -> candidate.name().equals(name))
                 .findFirst()
                 .orElse(null);
         if (command == null) {
             System.err.println(
-                    "Name one of: " + COMMANDS.stream().map(BenchCommand::name).toList());
+                    "Name one of: " + commands.stream().map(BenchCommand::name).toList());
             System.exit(USAGE_STATUS);
             return;
         }
