Tell each crash of a backend server as a report of its own

Contract change: an agent's Heartbeat.crashed carries the text of core.poison.CrashReport in place of bare fingerprints; an entry's is as before. Cause: with bare fingerprints an entry cannot tell a second crash with the same request from the first one still being told, nor that two entries speak of one crash, so a request could be counted twice or not at all. Change: the agent names each crash by its life and a count. The test asks for a report whose suspects are exactly the one request, which is stricter than before.

--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
@@ -63,7 +63,7 @@
         DaemonSettings settings = services.settings();
         Supplier<Moment> clock = this::now;
         Completions completions = new Completions(duty::offer);
-        CrashSuspects suspects = new CrashSuspects();
+        CrashSuspects suspects = new CrashSuspects(services.incarnation());
         OutputSender sender = new OutputSender(
                 new OutputSender.Neighbours() {
                     @Override
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/CrashSuspects.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/CrashSuspects.java
@@ -6,6 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
+import org.cornelramp.core.model.Incarnation;
+import org.cornelramp.core.poison.CrashReport;
 
 /**
  * Tells which requests were at the backend server when it crashed, so that one that crashes each backend server that
@@ -16,12 +19,25 @@
  */
 final class CrashSuspects {
     private static final int MAX = 32;
+    private static final int MAX_TOLD = 8;
     private static final long LOST_MILLIS = 5_000;
     private static final long CRASHED_MILLIS = 30_000;
 
+    private final Incarnation self;
     private final Map<String, Long> lost = new LinkedHashMap<>();
     private final Map<String, Long> crashed = new LinkedHashMap<>();
+    private final List<Told> told = new ArrayList<>();
     private Set<String> elsewhere = Set.of();
+    private int crashes;
+
+    private record Told(CrashReport report, long until) {}
+
+    /**
+     * @param self life of the agent; with the count of its crashes it names each crash, the same to all entries
+     */
+    CrashSuspects(Incarnation self) {
+        this.self = self;
+    }
 
     /** Notes that a request at the backend server lost its answer. */
     void lostAnswer(String fingerprint, Moment now) {
@@ -32,9 +48,14 @@
     void crashed(Collection<String> running, Moment now) {
         tick(now);
         long until = now.plusMillis(CRASHED_MILLIS);
-        running.forEach(fingerprint -> put(crashed, fingerprint, until));
-        lost.keySet().forEach(fingerprint -> put(crashed, fingerprint, until));
+        Set<String> suspects = new TreeSet<>(lost.keySet());
+        running.stream().filter(fingerprint -> !fingerprint.isEmpty()).forEach(suspects::add);
+        suspects.forEach(fingerprint -> put(crashed, fingerprint, until));
         lost.clear();
+        if (!suspects.isEmpty()) {
+            crashes++;
+            told.add(new Told(new CrashReport(self + "#" + crashes, now.instant(), suspects), until));
+        }
     }
 
     private static void put(Map<String, Long> map, String fingerprint, long until) {
@@ -47,6 +68,7 @@
     void tick(Moment now) {
         lost.values().removeIf(until -> now.nanos() - until > 0);
         crashed.values().removeIf(until -> now.nanos() - until > 0);
+        told.removeIf(one -> now.nanos() - one.until() > 0);
     }
 
     /** Sets the requests that entries know from crashes of other backend servers. */
@@ -62,8 +84,9 @@
         return !fingerprint.isEmpty() && (elsewhere.contains(fingerprint) || crashed.containsKey(fingerprint));
     }
 
-    /** What the heartbeat tells. */
+    /** What the heartbeat tells: the newest crashes, as the text of their reports. */
     List<String> crashed() {
-        return new ArrayList<>(crashed.keySet());
+        List<Told> newest = told.subList(Math.max(0, told.size() - MAX_TOLD), told.size());
+        return newest.stream().map(one -> one.report().toString()).toList();
     }
 }
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
@@ -88,7 +88,7 @@
         new LinkMeters(loop.counters()).bindTo(registry.meters());
         VmListReader reader = new VmListReader(registry.need(VmListClient.class), interval, router, agents, loop);
         router.connect(stream, reader::readSoon);
-router.eachTick(reader::tick);
+        router.eachTick(reader::tick);
         router.eachTick(stream::tick);
         router.eachTick(binder::tick);
         FleetView view = new FleetView(agents.membership());
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/BackendDeathTest.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/BackendDeathTest.java
@@ -5,9 +5,11 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.cornelramp.core.model.AgentState;
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.ProblemKind;
+import org.cornelramp.core.poison.CrashReport;
 import org.cornelramp.platform.PlatformException;
 import org.cornelramp.wire.link.Link;
 import org.cornelramp.wire.message.InvokeResult;
@@ -34,7 +36,8 @@
             agent.service.life = "life-2";
 
             assertEquals(entry.next(InvokeResult.class).outcome(), Outcome.UNKNOWN);
-            TestEntry.await(() -> entry.beat(agent).crashed().contains("fingerprint"));
+            TestEntry.await(() -> entry.beat(agent).crashed().stream()
+                    .anyMatch(text -> CrashReport.parse(text).suspects().equals(Set.of("fingerprint"))));
             link.send(InvokeTest.booking(2, "key-1", agent.incarnation));
             assertEquals(entry.next(InvokeResult.class).outcome(), Outcome.UNKNOWN);
             assertEquals(agent.service.calls.size(), 1);
--- a/wire/src/main/java/org/cornelramp/wire/message/Heartbeat.java
+++ b/wire/src/main/java/org/cornelramp/wire/message/Heartbeat.java
@@ -16,8 +16,9 @@
  * @param offer what the backend server offers now; empty from an entry
  * @param tableOffset offset of the table that the sender applies
  * @param term newest term that the sender knows, the fencing number of orders
- * @param setAside fingerprints of requests that the sender has set aside, at most a few dozen
- * @param crashed fingerprints of requests in progress when the backend server of the sender crashed
+ * @param setAside requests that the sender has set aside, each with its time to forget, at most a few dozen
+ * @param crashed from an agent, reports of the newest crashes of its backend server with the requests in progress;
+ *     from an entry, fingerprints of requests that were in progress at crashes, which an agent runs alone
  * @param demand requests a second that the sending entry wants to pass, for each row; empty from an agent
  * @param entryDemand demand told to this agent by each linked entry, summed for each row; empty from an entry
  */
