--- a/bench/src/main/java/org/cornelramp/bench/Main.java
+++ b/bench/src/main/java/org/cornelramp/bench/Main.java
@@ -18,6 +18,9 @@
     private static final String SECONDS = "90";
     private static final String SEED = "1";
 
+    /** Held here, since a logger that nobody holds forgets its level. */
+    private static final Logger HTTP_LOGGER = Logger.getLogger("org.eclipse.jetty");
+
     private Main() {}
 
     /** Runs a command. */
