Prove that a paused agent does no harm, and rebuild stages over real links

Cause: an agent stopped for ten minutes wakes and believes that no time has passed. The test with a set clock showed one fault: on waking the agent took a backend server that had answered all the time for silent ('agent: the backend server is down; why=it is silent sessions=1'), and dropped its sessions.

--- a/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
@@ -68,6 +68,8 @@
     private final Set<String> setAside = new TreeSet<>();
     private long nextTableAskAt;
     private final SettlementWriter settlement;
+    private final long pauseNanos;
+    private long lastTickAt;
     private boolean leaving;
     private boolean settling;
     private long settleAt;
@@ -87,6 +89,7 @@
         this.settlement = parts.settlement();
         this.orders = parts.orders();
         this.kind = parts.settings().backend().orElseThrow().kind();
+        this.pauseNanos = parts.settings().timing().backendTimeoutMillis() * MILLI / 2;
         this.backend = new BackendWatch(
                 parts.offers(), completions, clock, parts.settings().timing().backendTimeoutMillis(), this);
         sender.join(stages::step);
@@ -116,6 +119,7 @@
     /** Does what is due by time. */
     void tick() {
         Moment now = clock.get();
+        noticeOwnPause(now);
         completions.runAside();
         entries.keySet().removeIf(link -> !link.isOpen());
         suspects.tick(now);
@@ -130,6 +134,17 @@
         refresh();
     }
 
+    /** After a pause of this process a backend server that answered all the time would look silent. */
+    private void noticeOwnPause(Moment now) {
+        long paused = now.nanos() - lastTickAt;
+        if (lastTickAt != 0 && paused > pauseNanos) {
+            LOG.log(System.Logger.Level.WARNING, "agent: this process stood still; millis=" + paused / MILLI);
+            backend.woke(now);
+            stepper.woke(paused);
+        }
+        lastTickAt = now.nanos();
+    }
+
     private void opened(Link link, Moment now) {
         if (link.peer().entry()) {
             entries.put(link, EMPTY);
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/BackendWatch.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/BackendWatch.java
@@ -116,6 +116,11 @@
         }
     }
 
+    /** Notes that this process itself stood still: answers that came meanwhile are still unread. */
+    void woke(Moment now) {
+        heardAt = now.nanos();
+    }
+
     /** Asks with the next tick, since a call has just lost its answer. */
     void askSoon() {
         nextAskAt = clock.get().nanos();
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/EngineStepper.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/EngineStepper.java
@@ -227,6 +227,11 @@
         return base + Math.round((double) SLOWER_THAN_USUAL * inFlight.size() * positions * MILLIS / perSecond);
     }
 
+    /** Notes that this process itself stood still for a while, which is no fault of the engine. */
+    void woke(long pausedNanos) {
+        inFlight.forEach(batch -> batch.startedAt += pausedNanos);
+    }
+
     /** Expected time until as many positions have run, in milliseconds; 0 while the speed is unknown. */
     long expectedWaitMillis(long positions) {
         double perSecond = speed.unitsPerSecond();
@@ -250,7 +255,7 @@
     /** One call to the engine. */
     private static final class Batch {
         final List<Entry> entries = new ArrayList<>();
-        final long startedAt;
+        long startedAt;
         boolean alone;
 
         Batch(long startedAt) {
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/TestPipeline.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/TestPipeline.java
@@ -22,6 +22,7 @@
     private final long[] prompt;
     private final int maxTokens;
     private final TreeMap<Integer, Integer> tokens = new TreeMap<>();
+    private List<TestAgent> present = List.of();
     private int epoch;
 
     TestPipeline(TestEntry entry, long[] prompt, int maxTokens) {
@@ -33,6 +34,7 @@
     /** Opens all stages under the next epoch and starts or resumes the session; each may bring a KV cache. */
     void start(List<TestAgent> agents, List<Optional<byte[]>> kvs) throws InterruptedException {
         epoch++;
+        present = List.copyOf(agents);
         List<String> addresses = new ArrayList<>();
         List<Incarnation> lives = new ArrayList<>();
         agents.forEach(agent -> addresses.add(agent.address().toString()));
@@ -75,6 +77,15 @@
                 kv);
     }
 
+    /** Puts another agent in the place of one stage, under a new epoch. */
+    void replace(int stage, TestAgent spare, Optional<byte[]> kv) throws InterruptedException {
+        List<TestAgent> agents = new ArrayList<>(present);
+        agents.set(stage, spare);
+        List<Optional<byte[]>> kvs = new ArrayList<>();
+        agents.forEach(agent -> kvs.add(agent == spare ? kv : Optional.empty()));
+        start(agents, kvs);
+    }
+
     private Link link(TestAgent agent) throws InterruptedException {
         return entry.link(agent);
     }
