--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentPlugin.java
@@ -11,6 +11,7 @@
 import org.cornelramp.daemon.kernel.Plugin;
 import org.cornelramp.daemon.kernel.Registry;
 import org.cornelramp.daemon.kernel.StopSwitch;
+import org.cornelramp.daemon.report.LinkMeters;
 import org.cornelramp.daemon.report.StatusBoard;
 import org.cornelramp.daemon.table.TableSource;
 import org.cornelramp.platform.EngineClient;
@@ -51,10 +52,11 @@
                 registry.need(TableSource.class),
                 registry.need(LogClient.class),
                 registry.need(StopSwitch.class),
-                key -> IdempotencyKey.parse(key).map(IdempotencyKey::madeAt).toJavaOptional()));
+                IdempotencyKey::madeAt));
         registry.add(agent);
         registry.need(StatusBoard.class).add("agent", agent::status);
         registry.need(Readiness.class).add("agent", agent::fault);
         AgentMeters.register(registry.meters(), agent);
+        new LinkMeters(agent.linkCounters()).bindTo(registry.meters());
     }
 }
