Bound what an agent holds in bytes, not only in number

Cause: the default bounds allow thousands of waiting calls of 1 MB, and sessions whose outputs outgrow the heap of 24 MB that agents run with. Change: bodies that wait and answers that are kept are bounded by bounds.frameBytes each, positions of all sessions by 64 full ones, one link's buffer by one frame.

--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
@@ -39,6 +39,9 @@
 final class AgentComponent implements Component, LinkListener {
     private static final System.Logger LOG = System.getLogger(AgentComponent.class.getName());
     private static final long TICK_MILLIS = 20;
+    /** Room on a link beside its largest frame, so that a table on its way does not hold up heartbeats. */
+    private static final long OUT_ROOM = 64 << 10;
+
     private static final byte[] NONE = new byte[0];
 
     private final AgentServices services;
@@ -53,7 +56,8 @@
         DaemonSettings settings = services.settings();
         this.address = settings.links().orElseThrow();
         LinkOptions options = LinkOptions.of(
-                settings.timing().heartbeatMillis(), settings.bounds().frameBytes());
+                        settings.timing().heartbeatMillis(), settings.bounds().frameBytes())
+                .withOutBytes(settings.bounds().frameBytes() + OUT_ROOM);
         this.links = new LinkLoop("agent-links", options, this::hello, this::heartbeat, this);
         this.duty = new Duty<>("agent", settings.bounds().ringSlots(), this::handle, this::tick, TICK_MILLIS);
         this.agent = build();
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/CallHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/CallHandler.java
@@ -55,6 +55,9 @@
     private final Set<PendingCall> running = new HashSet<>();
     private final SpeedMeter speed = new SpeedMeter();
     private BackendWatch backend;
+    /** Bodies of the calls that wait; a few thousand calls of the largest body would outgrow a small process. */
+    private long waitingBytes;
+
     private int slots = 1;
     private long numbers;
 
@@ -69,7 +72,7 @@
                 services.incarnation(),
                 Duration.ofMillis(settings.timing().keyWindowMillis()),
                 settings.bounds().keys(),
-                (long) settings.bounds().frameBytes() * RESULT_FRAMES);
+                settings.bounds().frameBytes());
     }
 
     /** Sets who is told of a service that refuses connections or loses answers. */
@@ -77,8 +80,6 @@
         this.backend = watch;
     }
 
-    private static final int RESULT_FRAMES = 4;
-
     /** Sets how many calls run side by side. */
     void slots(int count) {
         slots = Math.max(1, count);
@@ -132,12 +133,20 @@
             return;
         }
         waiting.add(call);
+        waitingBytes += call.invoke.body().length;
         pump(now);
     }
 
+    private void leaveQueue(PendingCall call) {
+        waitingBytes -= call.invoke.body().length;
+    }
+
     /** Refuses at once what would wait beyond its deadline, while its caller can still go elsewhere. */
     private Optional<KeyResult> overload(PendingCall call, Moment now) {
-        if (waiting.size() + running.size() >= settings.bounds().inProgress()) {
+        boolean tooLong = waiting.size() + running.size() >= settings.bounds().inProgress();
+        boolean tooHeavy =
+                waitingBytes + call.invoke.body().length > settings.bounds().frameBytes();
+        if (tooLong || tooHeavy) {
             return Optional.of(KeyResult.notRun(
                     ProblemKind.OVERLOADED, "The agent's queue is full", expectedWait(waiting.size())));
         }
@@ -170,6 +179,7 @@
     private void pump(Moment now) {
         while (running.size() < slots && !waiting.isEmpty() && mayStart(waiting.peek())) {
             PendingCall call = waiting.poll();
+            leaveQueue(call);
             if (now.millisTo(call.deadline) <= 0) {
                 endUnstarted(call, tooLate());
             } else if (call.key().isEmpty() || ledger.start(call.key().get())) {
@@ -299,6 +309,7 @@
             asker.answer(settled.result());
             if (pending != null && ledger.state(settle.key()).equals(Optional.of(KeyState.TOMBSTONED))) {
                 waiting.remove(pending);
+                leaveQueue(pending);
                 answer(pending, settled.result());
             }
             return;
@@ -327,6 +338,7 @@
     void refuseWaiting(KeyResult reason) {
         List<PendingCall> calls = new ArrayList<>(waiting);
         waiting.clear();
+        waitingBytes = 0;
         calls.forEach(call -> endUnstarted(call, reason));
     }
 
@@ -339,6 +351,7 @@
             }
         }
         waiting.removeAll(late);
+        late.forEach(this::leaveQueue);
         late.forEach(call -> endUnstarted(call, tooLate()));
         ledger.expire(now.instant());
         pump(now);
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/StageHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/StageHandler.java
@@ -36,6 +36,9 @@
     /** How long a session outlives its deadline, so that the entry's own verdict comes first. */
     private static final long GRACE_MILLIS = 2_000;
 
+    /** Sessions of the largest size whose outputs fit the memory of an agent; of smaller ones there may be more. */
+    private static final long FULL_SESSIONS = 64;
+
     private static final long MILLI = 1_000_000L;
     private static final long BUSY_WAIT_MILLIS = 200;
 
@@ -118,11 +121,14 @@
                 || open.stage() >= open.stages().size()) {
             return Optional.of(KeyResult.notRun(ProblemKind.MALFORMED_REQUEST, "The stages do not fit together", 0));
         }
-        if ((long) open.promptTokens() + open.maxTokens() > settings.bounds().keptOutputs()) {
+        if (positions(open) > settings.bounds().keptOutputs()) {
             return Optional.of(
                     KeyResult.notRun(ProblemKind.REQUEST_TOO_LARGE, "The tokens are more than bounds.keptOutputs", 0));
         }
-        if (stages.size() >= settings.bounds().inProgress()) {
+        boolean tooMany = stages.size() >= settings.bounds().inProgress();
+        if (tooMany
+                || reservedPositions() + positions(open)
+                        > FULL_SESSIONS * settings.bounds().keptOutputs()) {
             return Optional.of(
                     KeyResult.notRun(ProblemKind.OVERLOADED, "The agent holds all sessions it can", BUSY_WAIT_MILLIS));
         }
@@ -136,6 +142,18 @@
         return Optional.empty();
     }
 
+    private long reservedPositions() {
+        long reserved = 0;
+        for (Stage stage : stages.values()) {
+            reserved += positions(stage.open);
+        }
+        return reserved;
+    }
+
+    private static long positions(OpenStage open) {
+        return (long) open.promptTokens() + open.maxTokens();
+    }
+
     private long waitingPositions() {
         long waiting = 0;
         for (Stage stage : stages.values()) {
