--- a/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
@@ -1,5 +1,6 @@
 package org.cornelramp.daemon.agent;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -265,8 +266,9 @@
                 System.Logger.Level.WARNING,
                 "agent: the backend server has started anew; sessions=" + stages.count() + " calls="
                         + calls.runningCount());
-        suspects.crashed(calls.backendDied(), clock.get());
-        suspects.crashed(stages.backendDied(), clock.get());
+        List<String> running = new ArrayList<>(calls.backendDied());
+        running.addAll(stages.backendDied());
+        suspects.crashed(running, clock.get());
         refresh();
         beatNow.run();
     }
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/AgentHarness.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/AgentHarness.java
@@ -29,7 +29,7 @@
         AgentServices services = new AgentServices(
                 settings, null, life, engine, service, tables, log, () -> {}, key -> Optional.of(minted(key)));
         Completions completions = new Completions(events::add);
-        CrashSuspects suspects = new CrashSuspects();
+        CrashSuspects suspects = new CrashSuspects(life);
         OutputSender sender =
                 new OutputSender(new NoNeighbours(), settings.timing().heartbeatMillis());
         EngineStepper stepper = new EngineStepper(settings, engine, completions, this::now, suspects);
