--- a/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
@@ -1,5 +1,6 @@
 package org.cornelramp.daemon.agent;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -68,6 +69,8 @@
     private final Set<String> setAside = new TreeSet<>();
     private long nextTableAskAt;
     private final SettlementWriter settlement;
+    private final long pauseNanos;
+    private long lastTickAt;
     private boolean leaving;
     private boolean settling;
     private long settleAt;
@@ -87,6 +90,7 @@
         this.settlement = parts.settlement();
         this.orders = parts.orders();
         this.kind = parts.settings().backend().orElseThrow().kind();
+        this.pauseNanos = parts.settings().timing().backendTimeoutMillis() * MILLI / 2;
         this.backend = new BackendWatch(
                 parts.offers(), completions, clock, parts.settings().timing().backendTimeoutMillis(), this);
         sender.join(stages::step);
@@ -116,6 +120,7 @@
     /** Does what is due by time. */
     void tick() {
         Moment now = clock.get();
+        noticeOwnPause(now);
         completions.runAside();
         entries.keySet().removeIf(link -> !link.isOpen());
         suspects.tick(now);
@@ -130,6 +135,17 @@
         refresh();
     }
 
+    /** After a pause of this process a backend server that answered all the time would look silent. */
+    private void noticeOwnPause(Moment now) {
+        long paused = now.nanos() - lastTickAt;
+        if (lastTickAt != 0 && paused > pauseNanos) {
+            LOG.log(System.Logger.Level.WARNING, "agent: this process stood still; millis=" + paused / MILLI);
+            backend.woke(now);
+            stepper.woke(paused);
+        }
+        lastTickAt = now.nanos();
+    }
+
     private void opened(Link link, Moment now) {
         if (link.peer().entry()) {
             entries.put(link, EMPTY);
@@ -250,8 +266,9 @@
                 System.Logger.Level.WARNING,
                 "agent: the backend server has started anew; sessions=" + stages.count() + " calls="
                         + calls.runningCount());
-        suspects.crashed(calls.backendDied(), clock.get());
-        suspects.crashed(stages.backendDied(), clock.get());
+        List<String> running = new ArrayList<>(calls.backendDied());
+        running.addAll(stages.backendDied());
+        suspects.crashed(running, clock.get());
         refresh();
         beatNow.run();
     }
