Hold limits, retries, health and poison at the entry

Cause: the decisions in core.limit, core.retry, core.health and core.poison were not used by any request. Change: Admission lets a request start by room, set-aside requests and the limits of its row, told over entries by heartbeats; retries follow RetryRule and the organisation's budget; Health lowers shares and ejects, held against the best of a group so that a lone new agent is not made to look ten times slower; Poison folds crash reports from heartbeats and the set-aside stream. A session that lost two stages waits a tenth of a second for the crash report before it chooses a third, and ends if it is set aside.

--- a/core/src/main/java/org/cornelramp/core/call/PlainCall.java
+++ b/core/src/main/java/org/cornelramp/core/call/PlainCall.java
@@ -16,6 +16,8 @@
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.Problem;
 import org.cornelramp.core.model.ProblemKind;
+import org.cornelramp.core.retry.Attempt;
+import org.cornelramp.core.retry.RetryRule;
 
 /**
  * The state of one call to a plain service at its entry.
@@ -33,6 +35,9 @@
 
     private static final Duration LONGEST_ASK = Duration.ofMillis(250);
 
+    private static final Problem NOT_TAKEN =
+            Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "No backend server took the call.");
+
     private enum Phase {
         NEW,
         CHOOSING,
@@ -46,25 +51,23 @@
     private final Optional<Incarnation> bound;
     private final Instant deadline;
     private final Instant askAt;
-    private final int maxRetries;
     private final Set<Incarnation> failed = new HashSet<>();
     private Phase phase = Phase.NEW;
     private Incarnation target;
     private boolean refuse;
     private boolean sent;
     private int retries;
-    private Problem last = Problem.notRun(ProblemKind.NO_BACKEND_SERVER, "No backend server took the call.");
+    private int crashes;
+    private Problem last = NOT_TAKEN;
 
     /**
      * @param bound the incarnation that the call's key is bound to; empty for an idempotent call without a key
      * @param now the present time
      * @param deadline when the caller's final answer must be out
-     * @param maxRetries how many times an idempotent call may be sent elsewhere
      */
-    public PlainCall(Optional<Incarnation> bound, Instant now, Instant deadline, int maxRetries) {
+    public PlainCall(Optional<Incarnation> bound, Instant now, Instant deadline) {
         this.bound = bound;
         this.deadline = deadline;
-        this.maxRetries = maxRetries;
         this.askAt = askAt(now, deadline);
     }
 
@@ -120,21 +123,21 @@
     }
 
     /** The link would not take the message: nothing was handed over. */
-    public List<CallAction> notSent() {
+    public List<CallAction> notSent(Instant now) {
         if (phase == Phase.SENT) {
             sent = bound.isEmpty() && retries > 0;
-            return bound.isPresent() ? waitForLink() : elsewhere(last);
+            return bound.isPresent() ? waitForLink() : elsewhere(NOT_TAKEN, now);
         }
         return phase == Phase.ASKED ? waitForLink() : List.of();
     }
 
     /** The link to the agent that has the call is gone; the agent itself may live. */
-    public List<CallAction> linkLost(Incarnation agent) {
+    public List<CallAction> linkLost(Incarnation agent, Instant now) {
         if (!agent.equals(target) || (phase != Phase.SENT && phase != Phase.ASKED)) {
             return List.of();
         }
         Problem lost = Problem.unknown(ProblemKind.BACKEND_LOST, "The link to the backend server was lost.");
-        return bound.isPresent() ? waitForLink() : elsewhere(lost);
+        return bound.isPresent() ? waitForLink() : elsewhere(lost, now);
     }
 
     /** A new link to an agent is up. */
@@ -150,12 +153,12 @@
     }
 
     /** The agent's life has ended: a newer incarnation of it has been seen, or the platform took its VM away. */
-    public List<CallAction> incarnationGone(Incarnation agent) {
+    public List<CallAction> incarnationGone(Incarnation agent, Instant now) {
         if (phase == Phase.ENDED || phase == Phase.LOOKING_UP || !agent.equals(target)) {
             return List.of();
         }
         if (bound.isEmpty()) {
-            return linkLost(agent);
+            return linkLost(agent, now);
         }
         phase = Phase.LOOKING_UP;
         return List.of(new LookUp(target));
@@ -173,12 +176,12 @@
     }
 
     /** The agent's final word has come. */
-    public List<CallAction> said(AgentWord word) {
+    public List<CallAction> said(AgentWord word, Instant now) {
         if (phase != Phase.SENT && phase != Phase.ASKED) {
             return List.of();
         }
-        if (bound.isEmpty() && word.problem().isPresent() && word.isWorthARetry()) {
-            return elsewhere(word.problem().get());
+        if (bound.isEmpty() && word.problem().isPresent()) {
+            return elsewhere(word.problem().get(), now);
         }
         return conclude(word);
     }
@@ -232,10 +235,14 @@
         return List.of();
     }
 
-    private List<CallAction> elsewhere(Problem why) {
+    private List<CallAction> elsewhere(Problem why, Instant now) {
         failed.add(target);
         last = why;
-        if (retries >= maxRetries) {
+        if (why.kind() == ProblemKind.BACKEND_LOST && why.outcome() == Outcome.UNKNOWN) {
+            crashes++;
+        }
+        Attempt attempt = new Attempt(why, true, retries + 1, crashes, deadline, Duration.ZERO);
+        if (!RetryRule.mayRetry(attempt, now)) {
             return end(new Fail(why));
         }
         retries++;
@@ -249,7 +256,13 @@
         }
         Problem problem = word.problem().orElseThrow();
         boolean ours = refuse && problem.outcome() == Outcome.NOT_RUN;
-        return end(new Fail(ours ? withOutcome(last, Outcome.NOT_RUN) : problem));
+        return end(new Fail(ours ? spent(last) : problem));
+    }
+
+    /** The agent has noted that the key never runs, so coming back with it would be in vain. */
+    private static Problem spent(Problem why) {
+        String detail = why.detail() + " Come back with a new key: this one never runs.";
+        return new Problem(why.kind(), Outcome.NOT_RUN, detail, why.retryAfter());
     }
 
     private List<CallAction> end(CallAction action) {
--- a/core/src/test/java/org/cornelramp/core/call/PlainCallProperties.java
+++ b/core/src/test/java/org/cornelramp/core/call/PlainCallProperties.java
@@ -58,7 +58,7 @@
             this.linked = random.nextBoolean();
             // An earlier attempt with the key, through another entry, may have run.
             this.ran = bound.isPresent() && random.nextInt(4) == 0;
-            this.call = new PlainCall(bound, now, START.plusMillis(500), 2);
+            this.call = new PlainCall(bound, now, START.plusMillis(500));
         }
 
         void run() {
@@ -87,7 +87,7 @@
             if (what == 0 && linked) {
                 linked = false;
                 messages.clear();
-                call.target().ifPresent(agent -> apply(call.linkLost(agent)));
+                call.target().ifPresent(agent -> apply(call.linkLost(agent, now)));
             } else if (what <= 2 && !linked && alive) {
                 linked = true;
                 call.target().ifPresent(agent -> apply(call.linkOpened(agent)));
@@ -95,7 +95,7 @@
                 alive = false;
                 linked = false;
                 messages.clear();
-                apply(call.incarnationGone(BOUND));
+                apply(call.incarnationGone(BOUND, now));
             } else if (what > 4 && !messages.isEmpty()) {
                 messages.poll().run();
             }
@@ -115,7 +115,7 @@
                 send(send.agent());
             } else if (action instanceof CallAction.Ask) {
                 if (!linked) {
-                    apply(call.notSent());
+                    apply(call.notSent(now));
                 } else {
                     messages.add(this::settle);
                 }
@@ -132,28 +132,28 @@
         private void send(Incarnation agent) {
             sentToAFailedOne |= call.failed().contains(agent);
             if (!linked) {
-                apply(call.notSent());
+                apply(call.notSent(now));
                 return;
             }
             sends++;
             messages.add(() -> {
                 if (cancelled) {
-                    apply(call.said(AgentWord.of(Problem.notRun(ProblemKind.BACKEND_FAILED, "cancelled"))));
+                    apply(call.said(AgentWord.of(Problem.notRun(ProblemKind.BACKEND_FAILED, "cancelled")), now));
                     return;
                 }
                 ran = true;
                 if (random.nextInt(3) > 0) {
-                    apply(call.said(answer()));
+                    apply(call.said(answer(), now));
                 }
             });
         }
 
         private void settle() {
             if (ran) {
-                apply(call.said(answer()));
+                apply(call.said(answer(), now));
             } else {
                 cancelled = true;
-                apply(call.said(AgentWord.of(Problem.notRun(ProblemKind.BACKEND_FAILED, "cancelled"))));
+                apply(call.said(AgentWord.of(Problem.notRun(ProblemKind.BACKEND_FAILED, "cancelled")), now));
             }
         }
 
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Agents.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Agents.java
@@ -9,12 +9,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
+import java.util.Set;
 import org.cornelramp.core.member.Lives;
 import org.cornelramp.core.member.Member;
 import org.cornelramp.core.member.Membership;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.Offer;
+import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.route.Candidate;
 import org.cornelramp.wire.link.Link;
 import org.cornelramp.wire.message.Heartbeat;
@@ -32,11 +33,13 @@
 
     private final Membership membership = new Membership();
     private final Lives lives;
+    private final Health health;
     private final Map<Incarnation, Link> links = new HashMap<>();
     private final Map<Incarnation, Sent> sent = new HashMap<>();
 
-    Agents(Lives lives) {
+    Agents(Lives lives, Health health) {
         this.lives = lives;
+        this.health = health;
     }
 
     Lives lives() {
@@ -56,7 +59,10 @@
             older.close("replaced by a newer link");
         }
         lives.seen(agent, peer.offer().map(Offer::service), now);
-        return membership.opened(agent, peer.dataCentre(), peer.address(), peer.offer(), now);
+        health.seen(agent, peer.offer(), now);
+        Optional<Incarnation> ended = membership.opened(agent, peer.dataCentre(), peer.address(), peer.offer(), now);
+        ended.ifPresent(health::gone);
+        return ended;
     }
 
     /** Takes the end of a link; whether it was the present one of its agent. */
@@ -77,6 +83,7 @@
         }
         membership.heard(agent, beat.state(), beat.load(), beat.offer(), now);
         lives.seen(agent, beat.offer().map(Offer::service), now);
+        health.seen(agent, beat.offer(), now);
         Sent work = sent.get(agent);
         if (work != null) {
             work.told(now.minus(IN_FLIGHT));
@@ -106,23 +113,40 @@
         }
     }
 
-    /** The agents that take new work. */
-    List<Candidate> candidates() {
-        return candidates(Member::takesWork);
+    /** The agents that take new work, but for those that are ejected. */
+    List<Candidate> candidates(Instant now) {
+        List<Candidate> candidates = new ArrayList<>();
+        for (Member member : membership.members()) {
+            if (member.takesWork()) {
+                health.share(member.incarnation(), now).ifPresent(share -> candidates.add(candidate(member, share)));
+            }
+        }
+        return candidates;
+    }
+
+    /** The ejected agent of a service that is due a probe, if any; it counts as probed from now on. */
+    Optional<Candidate> probe(ServiceName service, Set<Incarnation> avoid, Instant now) {
+        for (Member member : membership.members()) {
+            boolean fits = member.takesWork() && member.offer().get().service().equals(service);
+            if (fits && !avoid.contains(member.incarnation()) && health.takeProbe(member.incarnation(), now)) {
+                return Optional.of(candidate(member, 1));
+            }
+        }
+        return Optional.empty();
     }
 
-    /** The linked agents that the filter lets pass. */
-    List<Candidate> candidates(Predicate<Member> filter) {
+    /** These agents as candidates, as far as they are linked, whether or not they take new work. */
+    List<Candidate> linked(Set<Incarnation> wanted) {
         List<Candidate> candidates = new ArrayList<>();
         for (Member member : membership.members()) {
-            if (member.linked() && member.offer().isPresent() && filter.test(member)) {
-                candidates.add(candidate(member));
+            if (member.linked() && member.offer().isPresent() && wanted.contains(member.incarnation())) {
+                candidates.add(candidate(member, 1));
             }
         }
         return candidates;
     }
 
-    private Candidate candidate(Member member) {
+    private Candidate candidate(Member member, double share) {
         Sent work = sent.getOrDefault(member.incarnation(), Sent.NONE);
         return new Candidate(
                 member.incarnation(),
@@ -131,7 +155,7 @@
                 member.load(),
                 work.tokens,
                 work.calls,
-                1.0);
+                share);
     }
 
     /** Work sent to one agent. */
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/CallRun.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/CallRun.java
@@ -13,8 +13,10 @@
 import org.cornelramp.core.call.PlainCall;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.Problem;
+import org.cornelramp.core.model.ProblemKind;
 import org.cornelramp.core.route.Choice;
 import org.cornelramp.core.route.Work;
+import org.cornelramp.core.table.RowKey;
 import org.cornelramp.wire.message.Invoke;
 import org.cornelramp.wire.message.Settle;
 
@@ -25,36 +27,26 @@
  * is uncounted when it ends.
  */
 final class CallRun {
-    private static final int MAX_RETRIES = 2;
-
     private final long number;
     private final ServiceRequest call;
+    private final Parts parts;
     private final Agents agents;
-    private final Selection selection;
-    private final SettledLookup settled;
     private final Ends ends;
     private final PlainCall state;
     private final Optional<Bound> bound;
     private final Deque<CallAction> todo = new ArrayDeque<>();
     private Optional<Incarnation> counted = Optional.empty();
+    private Duration expected = Duration.ZERO;
+    private Instant sentAt = Instant.EPOCH;
 
-    CallRun(
-            long number,
-            ServiceRequest call,
-            Optional<Bound> bound,
-            Agents agents,
-            Selection selection,
-            SettledLookup settled,
-            Ends ends,
-            Instant now) {
+    CallRun(long number, ServiceRequest call, Optional<Bound> bound, Parts parts, Instant now) {
         this.number = number;
         this.call = call;
         this.bound = bound;
-        this.agents = agents;
-        this.selection = selection;
-        this.settled = settled;
-        this.ends = ends;
-        this.state = new PlainCall(bound.map(Bound::agent), now, call.request().deadline(), MAX_RETRIES);
+        this.parts = parts;
+        this.agents = parts.agents();
+        this.ends = parts.ends();
+        this.state = new PlainCall(bound.map(Bound::agent), now, call.request().deadline());
     }
 
     /** Starts the call; one whose bound agent has ended goes straight to what the log holds. */
@@ -68,11 +60,12 @@
     }
 
     void said(AgentWord word, Instant now) {
-        apply(state.said(word), now, false);
+        noteHealth(word, now);
+        apply(state.said(word, now), now, false);
     }
 
     void linkLost(Incarnation agent, Instant now) {
-        apply(state.linkLost(agent), now, false);
+        apply(state.linkLost(agent, now), now, false);
     }
 
     void linkOpened(Incarnation agent, Instant now) {
@@ -80,7 +73,7 @@
     }
 
     void gone(Incarnation agent, Instant now) {
-        apply(state.incarnationGone(agent), now, false);
+        apply(state.incarnationGone(agent, now), now, false);
     }
 
     void lookedUp(Optional<AgentWord> word, Instant now) {
@@ -104,7 +97,7 @@
             return false;
         }
         Incarnation agent = bound.get().agent();
-        return settled.isSettled(agent)
+        return parts.settled().isSettled(agent)
                 || agents.membership().isGone(agent, bound.get().at());
     }
 
@@ -112,7 +105,7 @@
         todo.addAll(actions);
         if (targetGone) {
             todo.clear();
-            todo.addAll(state.incarnationGone(bound.orElseThrow().agent()));
+            todo.addAll(state.incarnationGone(bound.orElseThrow().agent(), now));
         }
         CallAction action = todo.poll();
         while (action != null) {
@@ -130,7 +123,7 @@
             ask(ask.agent(), now);
         } else if (action instanceof CallAction.LookUp lookUp) {
             ends.decided(call.request(), now, "look-up", "agent=" + lookUp.agent());
-            settled.lookUp(lookUp.agent(), call.key().orElseThrow(), number);
+            parts.settled().lookUp(lookUp.agent(), call.key().orElseThrow(), number);
         } else if (action instanceof CallAction.Answer answer) {
             answer(answer.result(), now);
         } else if (action instanceof CallAction.Fail fail) {
@@ -139,14 +132,31 @@
     }
 
     private void choose(Instant now) {
-        Work work = new Work(
-                call.request().row().key().service(), 0, 0, call.request().deadline(), "", state.failed());
-        Either<Problem, Choice> choice = selection.choose(work, now);
+        RowKey row = call.request().row().key();
+        if (state.retries() > 0 && !parts.admission().mayRetry(row.organisation(), now)) {
+            ends.decided(call.request(), now, "not-retried", "why=budget");
+            todo.addAll(state.notChosen(Refusals.overloaded("The organisation's retries are used up.")));
+            return;
+        }
+        Work work = new Work(row.service(), 0, 0, call.request().deadline(), "", state.failed());
+        Either<Problem, Choice> choice = parts.selection().chooseRepeatable(work, now);
         if (choice.isLeft()) {
             todo.addAll(state.notChosen(choice.getLeft()));
         } else {
-            Incarnation agent = choice.get().stages().get(0).incarnation();
-            todo.addAll(state.chosen(agent));
+            expected = choice.get().expected();
+            todo.addAll(state.chosen(choice.get().stages().get(0).incarnation()));
+        }
+    }
+
+    private void noteHealth(AgentWord word, Instant now) {
+        if (counted.isEmpty()) {
+            return;
+        }
+        Optional<ProblemKind> kind = word.problem().map(Problem::kind);
+        if (kind.isEmpty()) {
+            parts.health().succeeded(counted.get(), Duration.between(sentAt, now), expected, now);
+        } else if (kind.get() == ProblemKind.BACKEND_FAILED || kind.get() == ProblemKind.BACKEND_LOST) {
+            parts.health().failed(counted.get(), now);
         }
     }
 
@@ -167,21 +177,22 @@
                 call.body(),
                 call.fingerprint());
         count(Optional.of(agent), now);
+        sentAt = now;
         if (!agents.send(agent, message)) {
-            todo.addAll(state.notSent());
+            todo.addAll(state.notSent(now));
         }
     }
 
     private void ask(Incarnation agent, Instant now) {
         ends.decided(call.request(), now, "asked", "agent=" + agent);
         if (!agents.send(agent, new Settle(number, call.key().orElseThrow(), agent, true))) {
-            todo.addAll(state.notSent());
+            todo.addAll(state.notSent(now));
         }
     }
 
     private void count(Optional<Incarnation> agent, Instant now) {
         counted.ifPresent(agents::end);
-        agent.ifPresent(one -> agents.begin(one, 0, now));
+        agent.ifPresent(one -> agents.begin(one, 1, now));
         counted = agent;
     }
 
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRun.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRun.java
@@ -39,13 +39,15 @@
             Problem.unknown(ProblemKind.DEADLINE_PASSED, "The caller is gone or reads too slowly.");
 
     private static final int MAX_REBUILDS = 8;
+    private static final int LOSSES_BEFORE_WAIT = 2;
+    private static final Duration REPORT_TIME = Duration.ofMillis(100);
 
     private final long session;
     private final CallerRequest request;
     private final ChatRequest chat;
     private final String fingerprint;
+    private final Parts parts;
     private final Agents agents;
-    private final Selection selection;
     private final Ends ends;
     private final PipelineSession state;
     private final int promptTokens;
@@ -54,22 +56,17 @@
     private final Deque<SessionAction> todo = new ArrayDeque<>();
     private List<Incarnation> counted = List.of();
     private int emitted;
+    private int losses;
+    private Optional<Instant> rechooseAt = Optional.empty();
 
-    ChatRun(
-            long session,
-            CallerRequest request,
-            ChatRequest chat,
-            String fingerprint,
-            Agents agents,
-            Selection selection,
-            Ends ends) {
+    ChatRun(long session, CallerRequest request, ChatRequest chat, String fingerprint, Parts parts) {
         this.session = session;
         this.request = request;
         this.chat = chat;
         this.fingerprint = fingerprint;
-        this.agents = agents;
-        this.selection = selection;
-        this.ends = ends;
+        this.parts = parts;
+        this.agents = parts.agents();
+        this.ends = parts.ends();
         long[] prompt = Vocabulary.encode(chat.contents());
         this.promptTokens = prompt.length;
         this.state = new PipelineSession(prompt, chat.maxTokens(), MAX_REBUILDS);
@@ -78,7 +75,7 @@
 
     /** Chooses the pipeline and opens it. */
     void start(Instant now) {
-        use(selection.choose(work(), now), now);
+        use(parts.selection().chooseRepeatable(work(), now), now);
     }
 
     void on(StageOpened message, Instant now) {
@@ -92,9 +89,18 @@
     }
 
     void on(StageLost message, Instant now) {
+        noteFailure(message, now);
         apply(state.lost(message.epoch(), message.stage(), Problem.notRun(message.kind(), message.detail())), now);
     }
 
+    private void noteFailure(StageLost message, Instant now) {
+        boolean present = message.epoch() == state.epoch() && !state.isChoosing();
+        if (present && message.stage() >= 0 && message.stage() < state.stages().size()) {
+            losses++;
+            parts.health().failed(state.stages().get(message.stage()), now);
+        }
+    }
+
     void on(Token message, Instant now) {
         apply(state.generated(message.epoch(), message.position(), message.tokens()), now);
     }
@@ -106,6 +112,10 @@
 
     /** Time passes. */
     void tick(Instant now) {
+        if (rechooseAt.isPresent() && !now.isBefore(rechooseAt.get())) {
+            rechooseAt = Optional.empty();
+            rechoose(now);
+        }
         if (!now.isBefore(request.deadline())) {
             giveUp(Problem.notRun(ProblemKind.DEADLINE_PASSED, "No whole answer came within the deadline."), now);
         }
@@ -170,7 +180,7 @@
             emit(emit.tokens(), now);
         } else if (action instanceof SessionAction.Rechoose rechoose) {
             ends.decided(request, now, "rebuild", "why=" + rechoose.why() + " failed=" + state.failed());
-            use(selection.replace(work(), state.stages(), now), now);
+            rechooseOrWait(now);
         } else if (action instanceof SessionAction.Close close) {
             agents.send(close.agent(), new CloseStage(session, close.epoch()));
         } else if (action instanceof SessionAction.Finish) {
@@ -180,6 +190,27 @@
         }
     }
 
+    /**
+     * A request that crashed two backend servers is set aside once the second crash is reported. Its report comes
+     * shortly after the loss; a third backend server chosen before that would crash as well.
+     */
+    private void rechooseOrWait(Instant now) {
+        if (losses >= LOSSES_BEFORE_WAIT) {
+            rechooseAt = Optional.of(now.plus(REPORT_TIME));
+        } else {
+            rechoose(now);
+        }
+    }
+
+    private void rechoose(Instant now) {
+        Optional<Problem> stop = parts.admission().stop(fingerprint, now);
+        if (stop.isPresent()) {
+            giveUp(stop.get(), now);
+        } else if (state.isChoosing()) {
+            use(parts.selection().replace(work(), state.stages(), now), now);
+        }
+    }
+
     private void open(SessionAction.Open open, Instant now) {
         List<String> addresses = open.stages().stream()
                 .map(agent -> agents.membership()
@@ -232,25 +263,26 @@
     }
 
     private void finish(Instant now) {
+        state.stages().forEach(agent -> parts.health().succeeded(agent, now));
         count(List.of(), now);
         String reason = emitted < chat.maxTokens() ? "stop" : "length";
         if (chat.stream()) {
             if (!request.answer().event(text.lastChunk(reason))) {
-                ends.failed(request, CALLER_GONE, now);
+                ends.failed(request, CALLER_GONE, emitted, now);
                 return;
             }
-            ends.answered(request, now);
+            ends.answered(request, emitted, now);
             request.answer().endStream();
         } else {
             byte[] body = text.whole(answer.toString(), reason, promptTokens, emitted);
-            ends.answered(request, now);
+            ends.answered(request, emitted, now);
             request.answer().whole(200, Headers.JSON, body);
         }
     }
 
     private void fail(Problem problem, Instant now) {
         count(List.of(), now);
-        ends.failed(request, problem, now);
+        ends.failed(request, problem, emitted, now);
         request.answer().problem(problem);
     }
 
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/DenialRun.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/DenialRun.java
@@ -24,11 +24,11 @@
     private final Denial state;
     private final Deque<CallAction> todo = new ArrayDeque<>();
 
-    DenialRun(long number, ServiceRequest call, Problem reason, Agents agents, Ends ends) {
+    DenialRun(long number, ServiceRequest call, Problem reason, Parts parts) {
         this.number = number;
         this.call = call;
-        this.agents = agents;
-        this.ends = ends;
+        this.agents = parts.agents();
+        this.ends = parts.ends();
         this.state = new Denial(reason, call.request().deadline());
     }
 
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Ends.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Ends.java
@@ -7,14 +7,20 @@
 import org.cornelramp.core.model.Problem;
 import org.cornelramp.daemon.report.RequestRecorder;
 
-/** Records decisions on requests and their ends. Safe for use by any thread. */
+/**
+ * Records decisions on requests and their ends, and hands back what they held.
+ *
+ * <p>{@link #refused} is safe for use by any thread; the rest is confined to the router's.
+ */
 final class Ends {
     private final RequestRecorder recorder;
     private final MeterRegistry meters;
+    private final Admission admission;
 
-    Ends(RequestRecorder recorder, MeterRegistry meters) {
+    Ends(RequestRecorder recorder, MeterRegistry meters, Admission admission) {
         this.recorder = recorder;
         this.meters = meters;
+        this.admission = admission;
     }
 
     /** Records one decision. */
@@ -22,14 +28,26 @@
         recorder.decided(request.id(), now, step, facts);
     }
 
-    /** Records a whole answer. */
+    /** Records a whole answer that took no tokens. */
     void answered(CallerRequest request, Instant now) {
+        answered(request, 0, now);
+    }
+
+    /** Records a whole answer. */
+    void answered(CallerRequest request, int tokens, Instant now) {
+        admission.ended(request, true, tokens, now);
         recorder.decided(request.id(), now, "answered", "millis=" + millis(request, now));
         end(request, Outcome.ANSWERED, "none", !now.isAfter(request.deadline()), now);
     }
 
-    /** Records a problem. */
+    /** Records a problem after which no tokens were generated. */
     void failed(CallerRequest request, Problem problem, Instant now) {
+        failed(request, problem, 0, now);
+    }
+
+    /** Records a problem. */
+    void failed(CallerRequest request, Problem problem, int tokens, Instant now) {
+        admission.ended(request, false, tokens, now);
         String kind = problem.kind().text();
         recorder.decided(
                 request.id(),
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
@@ -60,20 +60,18 @@
         DaemonSettings settings = registry.settings();
         Clock clock = registry.clock();
         TableSource table = registry.need(TableSource.class);
-        Ends ends = new Ends(registry.need(RequestRecorder.class), registry.meters());
-        Duration keyWindow = Duration.ofMillis(settings.timing().keyWindowMillis());
-        Agents agents = new Agents(new Lives(keyWindow, IdempotencyKey.CLOCK_SKEW));
-        Chooser chooser = settings.choice().chooser(PrefixHints.NONE);
         RandomGenerator random = new SplittableRandom();
-        Selection selection = new Selection(agents, chooser, settings.dataCentre(), StaticLinkCosts.DEFAULTS, random);
-        Router router = new Router(clock, settings.bounds().ringSlots(), random, agents, selection, ends);
+        Router router = new Router(clock, settings.bounds().ringSlots(), random);
         LogClient log = registry.need(LogClient.class);
+        Duration keyWindow = Duration.ofMillis(settings.timing().keyWindowMillis());
         KeyStream stream = new KeyStream(log, new KeyIndex(keyWindow), router);
-        RequestIntake intake = new RequestIntake(
-                router, selection, ends, random, settings.bounds().inProgress());
+        Poison poison = new Poison(log, router, random);
+        Parts parts = parts(registry, stream, poison, random);
+        RequestIntake intake = new RequestIntake(router, parts, random);
         KeyBinder binder = new KeyBinder(log, stream, router, settings.bounds().inProgress(), intake::startBound);
         intake.connect(binder);
         stream.onProgress(binder::progressed);
+        Told told = new Told(parts.admission(), poison);
         OpenAnswers open = new OpenAnswers();
         EntryState state = new EntryState(router, open);
         EntryLinks listener = new EntryLinks(router, table);
@@ -82,25 +80,41 @@
                 LinkOptions.of(
                         settings.timing().heartbeatMillis(), settings.bounds().frameBytes()),
                 hello(settings),
-                () -> heartbeat(state, table),
+                () -> heartbeat(state, table, told.news()),
                 listener);
         Duration interval = Duration.ofMillis(settings.timing().vmListMillis());
         new LinkMeters(loop.counters()).bindTo(registry.meters());
-        VmListReader reader = new VmListReader(registry.need(VmListClient.class), interval, router, agents, loop);
-        router.connect(stream, reader::readSoon);
+        VmListReader reader =
+                new VmListReader(registry.need(VmListClient.class), interval, router, parts.agents(), loop);
+        router.connect(parts, reader::readSoon);
         router.eachTick(reader::tick);
         router.eachTick(stream::tick);
         router.eachTick(binder::tick);
-        FleetView view = new FleetView(agents.membership());
+        router.eachTick(poison::tick);
+        router.eachTick(told::tick);
+        FleetView view = new FleetView(parts.agents().membership());
         router.eachTick(view::tick);
         registry.share(FleetView.class, view);
         registry.add(router.duty());
         registry.add(new LinkComponent(loop));
         registry.add(state);
-        addRoutes(registry.need(Routes.class), context(registry, intake, table, ends, state, open));
+        addRoutes(registry.need(Routes.class), context(registry, intake, table, parts.ends(), state, open));
         registry.meters().gauge("cornelramp.entry.in.progress", router, Router::inProgress);
     }
 
+    private static Parts parts(Registry registry, KeyStream stream, Poison poison, RandomGenerator random) {
+        DaemonSettings settings = registry.settings();
+        Duration keyWindow = Duration.ofMillis(settings.timing().keyWindowMillis());
+        Admission admission =
+                new Admission(settings.bounds().inProgress(), settings.timing().heartbeatMillis(), poison, random);
+        Health health = new Health();
+        Agents agents = new Agents(new Lives(keyWindow, IdempotencyKey.CLOCK_SKEW), health);
+        Chooser chooser = settings.choice().chooser(PrefixHints.NONE);
+        Selection selection = new Selection(agents, chooser, settings.dataCentre(), StaticLinkCosts.DEFAULTS, random);
+        Ends ends = new Ends(registry.need(RequestRecorder.class), registry.meters(), admission);
+        return new Parts(agents, selection, admission, health, stream, ends);
+    }
+
     private static EntryContext context(
             Registry registry, RequestIntake intake, TableSource table, Ends ends, EntryState state, OpenAnswers open) {
         DaemonSettings settings = registry.settings();
@@ -130,16 +144,16 @@
         return () -> hello;
     }
 
-    private static Heartbeat heartbeat(EntryState state, TableSource table) {
+    private static Heartbeat heartbeat(EntryState state, TableSource table, Told.News news) {
         return new Heartbeat(
                 state.isDraining() ? AgentState.LEAVING : AgentState.ACTIVE,
                 AgentLoad.IDLE,
                 Optional.empty(),
                 table.current().offset(),
                 0,
-                List.of(),
-                List.of(),
-                Map.of(),
+                news.setAside(),
+                news.suspects(),
+                news.demand(),
                 Map.of());
     }
 }
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/RequestIntake.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/RequestIntake.java
@@ -25,18 +25,14 @@
  */
 final class RequestIntake {
     private final Router router;
-    private final Selection selection;
-    private KeyBinder binder;
-    private final Ends ends;
+    private final Parts parts;
     private final RandomGenerator random;
-    private final int maxInProgress;
+    private KeyBinder binder;
 
-    RequestIntake(Router router, Selection selection, Ends ends, RandomGenerator random, int maxInProgress) {
+    RequestIntake(Router router, Parts parts, RandomGenerator random) {
         this.router = router;
-        this.selection = selection;
-        this.ends = ends;
+        this.parts = parts;
         this.random = random;
-        this.maxInProgress = maxInProgress;
     }
 
     /** Joins the binder, which needs the intake itself; called before the start. */
@@ -51,7 +47,8 @@
      */
     boolean chat(CallerRequest request, ChatRequest chat, String fingerprint, Consumer<Runnable> onCallerGone) {
         return router.run(now -> {
-            Optional<Problem> refusal = full();
+            Optional<Problem> refusal =
+                    parts.admission().admit(request, fingerprint, chat.maxTokens(), router.count(), now);
             if (refusal.isPresent()) {
                 router.refuse(request, refusal.get(), now);
                 return;
@@ -69,7 +66,8 @@
      */
     boolean call(ServiceRequest call, Optional<IdempotencyKey> key, Optional<Problem> refusal) {
         return router.run(now -> {
-            Optional<Problem> why = refusal.or(this::full);
+            Optional<Problem> why = refusal.or(
+                    () -> parts.admission().admit(call.request(), call.fingerprint(), 0, router.count(), now));
             if (key.isEmpty()) {
                 router.startCall(call, Optional.empty(), why, now);
             } else if (key.get() instanceof Ticket ticket) {
@@ -88,8 +86,8 @@
                 router.refuse(request, agent.getLeft(), now);
                 return;
             }
-            ends.decided(request, now, "minted", "agent=" + agent.get());
-            ends.answered(request, now);
+            parts.ends().decided(request, now, "minted", "agent=" + agent.get());
+            parts.ends().answered(request, now);
             then.accept(new Ticket(agent.get(), Instant.ofEpochMilli(now.toEpochMilli()), random.nextLong()));
         });
     }
@@ -102,7 +100,7 @@
             router.refuse(call.request(), reused, now);
             return;
         }
-        ends.decided(call.request(), now, "bound", "agent=" + binding.incarnation());
+        parts.ends().decided(call.request(), now, "bound", "agent=" + binding.incarnation());
         router.startCall(call, Optional.of(new Bound(binding.incarnation(), binding.boundAt())), refusal, now);
     }
 
@@ -119,14 +117,7 @@
 
     private Either<Problem, Incarnation> agent(CallerRequest request, Instant now) {
         Work work = new Work(request.row().key().service(), 0, 0, request.deadline(), "", Set.of());
-        Either<Problem, Choice> choice = selection.choose(work, now);
+        Either<Problem, Choice> choice = parts.selection().choose(work, now);
         return choice.map(chosen -> chosen.stages().get(0).incarnation());
     }
-
-    private Optional<Problem> full() {
-        if (router.count() < maxInProgress) {
-            return Optional.empty();
-        }
-        return Optional.of(Refusals.overloaded("The entry has as many requests in progress as it may."));
-    }
 }
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Router.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Router.java
@@ -37,31 +37,25 @@
 
     private final Clock clock;
     private final RandomGenerator random;
-    private final Agents agents;
-    private final Selection selection;
-    private final Ends ends;
     private final Duty<Runnable> duty;
     private final Map<Long, ChatRun> chats = new HashMap<>();
     private final Map<Long, CallRun> calls = new HashMap<>();
     private final Map<Long, DenialRun> denials = new HashMap<>();
     private final Queue<Consumer<Instant>> urgent = new ConcurrentLinkedQueue<>();
     private final List<Consumer<Instant>> onTick = new ArrayList<>();
-    private SettledLookup settled;
+    private Parts parts;
     private Runnable readListSoon = () -> {};
     private volatile int inProgress;
 
-    Router(Clock clock, int ringSlots, RandomGenerator random, Agents agents, Selection selection, Ends ends) {
+    Router(Clock clock, int ringSlots, RandomGenerator random) {
         this.clock = clock;
         this.random = random;
-        this.agents = agents;
-        this.selection = selection;
-        this.ends = ends;
         this.duty = new Duty<>("router", ringSlots, Runnable::run, this::tick, TICK_MILLIS);
     }
 
     /** Joins the parts that need the router themselves; called before the start. */
-    void connect(SettledLookup lookup, Runnable listReader) {
-        settled = lookup;
+    void connect(Parts all, Runnable listReader) {
+        parts = all;
         readListSoon = listReader;
     }
 
@@ -115,7 +109,7 @@
 
     /** Starts a chat completion; gives the number by which its caller's loss is told. */
     void startChat(long session, CallerRequest request, ChatRequest chat, String fingerprint, Instant now) {
-        ChatRun run = new ChatRun(session, request, chat, fingerprint, agents, selection, ends);
+        ChatRun run = new ChatRun(session, request, chat, fingerprint, parts);
         chats.put(session, run);
         run.start(now);
     }
@@ -123,7 +117,7 @@
     /** Starts a call, refused here or not. */
     void startCall(ServiceRequest call, Optional<Bound> bound, Optional<Problem> refusal, Instant now) {
         long number = random.nextLong();
-        CallRun run = new CallRun(number, call, bound, agents, selection, settled, ends, now);
+        CallRun run = new CallRun(number, call, bound, parts, now);
         calls.put(number, run);
         if (refusal.isPresent()) {
             run.startRefused(refusal.get(), now);
@@ -135,8 +129,9 @@
     /** Refuses a call whose key cannot be bound, and finds out whether it can be said not to have run. */
     void deny(ServiceRequest call, Problem reason, Instant now) {
         long number = random.nextLong();
-        ends.decided(call.request(), now, "denied", "kind=" + reason.kind().text());
-        DenialRun run = new DenialRun(number, call, reason, agents, ends);
+        parts.ends()
+                .decided(call.request(), now, "denied", "kind=" + reason.kind().text());
+        DenialRun run = new DenialRun(number, call, reason, parts);
         denials.put(number, run);
         readListSoon.run();
         run.tick(now);
@@ -144,7 +139,7 @@
 
     /** Refuses a request that nothing was done for. */
     void refuse(CallerRequest request, Problem problem, Instant now) {
-        ends.failed(request, problem, now);
+        parts.ends().failed(request, problem, now);
         request.answer().problem(problem);
     }
 
@@ -170,17 +165,18 @@
             // Its end may have overtaken this event; taken as new, it would stand for an agent without a link.
             return;
         }
-        Optional<Incarnation> ended = agents.opened(link, now);
+        Optional<Incarnation> ended = parts.agents().opened(link, now);
         ended.ifPresent(agent -> gone(agent, now));
         Incarnation agent = link.peer().incarnation();
         calls.values().forEach(call -> call.linkOpened(agent, now));
     }
 
     void closed(Link link, String why, Instant now) {
-        if (!agents.closed(link)) {
+        if (!parts.agents().closed(link)) {
             return;
         }
         Incarnation agent = link.peer().incarnation();
+        parts.admission().lost(agent);
         calls.values().forEach(call -> call.linkLost(agent, now));
         denials.values().forEach(denial -> denial.linkLost(agent, now));
         chats.values().forEach(chat -> chat.lost(agent, "The link to a stage was lost: " + why, now));
@@ -188,7 +184,8 @@
 
     void received(Link link, Message message, Instant now) {
         if (message instanceof Heartbeat beat) {
-            agents.heard(link.peer().incarnation(), beat, now);
+            parts.agents().heard(link.peer().incarnation(), beat, now);
+            parts.admission().heard(link.peer().incarnation(), beat, now);
         } else if (message instanceof InvokeResult result) {
             said(link.peer().incarnation(), result, now);
         } else if (message instanceof StageOpened opened) {
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Selection.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Selection.java
@@ -34,9 +34,25 @@
         this.random = random;
     }
 
-    /** Chooses for new work. */
+    /** Chooses for new work that may run at most once where it is sent. */
     Either<Problem, Choice> choose(Work work, Instant now) {
-        return chooser.choose(agents.candidates(), work, here, costs, now, random);
+        return choose(agents.candidates(now), work, now);
+    }
+
+    /**
+     * Chooses for new work that may safely run again elsewhere. An ejected agent that is due a probe gets it: only
+     * such work tells whether the agent is well again, and it has all its retries left.
+     */
+    Either<Problem, Choice> chooseRepeatable(Work work, Instant now) {
+        List<Candidate> candidates = agents.candidates(now);
+        Optional<Candidate> probe = agents.probe(work.service(), work.avoid(), now);
+        if (probe.isPresent()) {
+            candidates.removeIf(candidate ->
+                    candidate.offer().layers().equals(probe.get().offer().layers())
+                            && candidate.offer().service().equals(work.service()));
+            candidates.add(probe.get());
+        }
+        return choose(candidates, work, now);
     }
 
     /**
@@ -46,15 +62,19 @@
     Either<Problem, Choice> replace(Work work, List<Incarnation> stages, Instant now) {
         Set<Incarnation> kept = new HashSet<>(stages);
         kept.removeAll(work.avoid());
-        List<Candidate> survivors = agents.candidates(member -> kept.contains(member.incarnation()));
+        List<Candidate> survivors = agents.linked(kept);
         List<Candidate> mixed = new ArrayList<>(survivors);
-        agents.candidates().stream()
+        agents.candidates(now).stream()
                 .filter(candidate -> survivors.stream().noneMatch(survivor -> overlap(survivor, candidate)))
                 .forEach(mixed::add);
-        Either<Problem, Choice> choice = chooser.choose(mixed, work, here, costs, now, random);
+        Either<Problem, Choice> choice = choose(mixed, work, now);
         return choice.isRight() ? choice : choose(work, now);
     }
 
+    private Either<Problem, Choice> choose(List<Candidate> candidates, Work work, Instant now) {
+        return chooser.choose(candidates, work, here, costs, now, random);
+    }
+
     private static boolean overlap(Candidate one, Candidate other) {
         Optional<LayerRange> a = one.offer().layers();
         Optional<LayerRange> b = other.offer().layers();
