--- a/wire/src/main/java/org/cornelramp/wire/link/LinkLoop.java
+++ b/wire/src/main/java/org/cornelramp/wire/link/LinkLoop.java
@@ -286,7 +286,7 @@
 
     private void receive(TcpLink link, Message message) {
         if (link.isIntroduced()) {
-            guard(link, () -> listener.received(link, message));
+            link.expand(message).ifPresent(whole -> guard(link, () -> listener.received(link, whole)));
             return;
         }
         if (!(message instanceof Hello said)) {
@@ -374,7 +374,7 @@
                 counters.silent.increment();
                 close(link, "took nothing for " + SilenceDetector.INTERVALS + " heartbeats");
             } else if ((link.silence.takeBeat(now) || all) && link.channel.isConnected()) {
-                link.send(heartbeat.get());
+                link.beat(heartbeat.get());
             }
         }
     }
--- a/wire/src/main/java/org/cornelramp/wire/link/TcpLink.java
+++ b/wire/src/main/java/org/cornelramp/wire/link/TcpLink.java
@@ -13,6 +13,8 @@
 import org.cornelramp.wire.codec.FrameException;
 import org.cornelramp.wire.codec.FrameReader;
 import org.cornelramp.wire.codec.FrameWriter;
+import org.cornelramp.wire.message.Beat;
+import org.cornelramp.wire.message.Heartbeat;
 import org.cornelramp.wire.message.Hello;
 import org.cornelramp.wire.message.Message;
 
@@ -24,6 +26,8 @@
  * peer that reads slowly costs its own sender a refusal, and no other link anything.
  */
 final class TcpLink implements Link {
+    private static final Beat SAME = new Beat();
+
     final SocketChannel channel;
     final SilenceDetector silence;
     final FrameReader reader;
@@ -38,6 +42,8 @@
     private volatile Hello peer;
     private volatile String closeReason;
     private ByteBuffer writing;
+    private Heartbeat said;
+    private Heartbeat heard;
 
     TcpLink(LinkLoop loop, LinkOptions options, SocketChannel channel, Optional<HostPort> kept, long now) {
         this.loop = loop;
@@ -140,6 +146,23 @@
         key.interestOps(SelectionKey.OP_READ);
     }
 
+    /** Sends a heartbeat, in short if nothing in it has changed since the last one on this link. */
+    void beat(Heartbeat beat) {
+        if (beat.equals(said)) {
+            send(SAME);
+        } else if (send(beat)) {
+            said = beat;
+        }
+    }
+
+    /** What a message means to the listener: a short heartbeat stands for the last whole one. */
+    Optional<Message> expand(Message message) {
+        if (message instanceof Heartbeat beat) {
+            heard = beat;
+        }
+        return Optional.ofNullable(message instanceof Beat ? heard : message);
+    }
+
     /** Whether bytes wait that the socket has not taken. */
     boolean hasUnsent() {
         return writing != null;
--- a/wire/src/main/java/org/cornelramp/wire/message/Message.java
+++ b/wire/src/main/java/org/cornelramp/wire/message/Message.java
@@ -9,6 +9,7 @@
 public sealed interface Message
         permits Hello,
                 Heartbeat,
+                Beat,
                 TableRequest,
                 TableUpdate,
                 Invoke,
