--- a/bench/src/main/java/org/cornelramp/bench/load/OpenLoop.java
+++ b/bench/src/main/java/org/cornelramp/bench/load/OpenLoop.java
@@ -39,6 +39,16 @@
         }
     }
 
+    /** Runs until the end with the same time between all requests, so that a dip in the answers is not one in the load. */
+    public void runEvenly(double perSecond, long startNanos, double seconds, LongConsumer send) {
+        long step = (long) (NANOS_PER_SECOND / perSecond);
+        long end = startNanos + (long) (seconds * NANOS_PER_SECOND);
+        for (long due = startNanos; due - end < 0; due += step) {
+            sleepUntil(due);
+            send.accept(due);
+        }
+    }
+
     private long next(long from, double perSecond) {
         return from + (long) (-Math.log(1 - random.nextDouble()) / perSecond * NANOS_PER_SECOND);
     }
--- /dev/null
+++ b/bench/src/main/java/org/cornelramp/bench/overload/package-info.java
@@ -0,0 +1,2 @@
+/** Measures goodput and shares at several times the capacity. */
+package org.cornelramp.bench.overload;
