Prove poison, limits and retries at the entry over real links

Cause: nothing showed that the decisions hold once requests meet agents. Change: tests of a request that crashes each engine that runs it, sent again by way of another entry; of a limit on requests in progress whose refused booking is settled before not-run; of idempotent calls that go elsewhere. Minting a ticket no longer counts as a request in the service-level report.

--- a/daemon/src/main/java/org/cornelramp/daemon/entry/RequestIntake.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/RequestIntake.java
@@ -83,11 +83,11 @@
         return router.run(now -> {
             Either<Problem, Incarnation> agent = agent(request, now);
             if (agent.isLeft()) {
-                router.refuse(request, agent.getLeft(), now);
+                parts.ends().refused(agent.getLeft());
+                request.answer().problem(agent.getLeft());
                 return;
             }
             parts.ends().decided(request, now, "minted", "agent=" + agent.get());
-            parts.ends().answered(request, now);
             then.accept(new Ticket(agent.get(), Instant.ofEpochMilli(now.toEpochMilli()), random.nextLong()));
         });
     }
--- a/daemon/src/test/java/org/cornelramp/daemon/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/EntryFixture.java
@@ -40,6 +40,7 @@
 import org.cornelramp.daemon.report.RequestRecorder;
 import org.cornelramp.daemon.table.TableSource;
 import org.cornelramp.platform.LogClient;
+import org.cornelramp.platform.LogStream;
 import org.cornelramp.platform.VmList;
 import org.cornelramp.platform.VmListClient;
 
@@ -137,6 +138,11 @@
                 .count();
     }
 
+    /** Crash reports that this entry has on the log's stream. */
+    int crashReports() {
+        return log.size(LogStream.SET_ASIDE);
+    }
+
     private boolean isCandidate(FakeAgent agent) {
         return registry.need(FleetView.class).members().stream()
                 .anyMatch(member -> member.incarnation().equals(agent.incarnation) && member.takesWork());
--- a/daemon/src/test/java/org/cornelramp/daemon/entry/FakeAgent.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/FakeAgent.java
@@ -12,6 +12,7 @@
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.Offer;
+import org.cornelramp.core.poison.CrashReport;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.wire.link.Link;
 import org.cornelramp.wire.link.LinkListener;
@@ -29,6 +30,7 @@
     final Offer offer;
     final CopyOnWriteArrayList<Message> got = new CopyOnWriteArrayList<>();
     final Map<Link, Boolean> links = new ConcurrentHashMap<>();
+    final CopyOnWriteArrayList<String> crashed = new CopyOnWriteArrayList<>();
     volatile AgentState state = AgentState.ACTIVE;
     volatile BiConsumer<Link, Message> behaviour = (link, message) -> {};
     private final LinkLoop loop;
@@ -60,6 +62,12 @@
         links.keySet().forEach(link -> link.close("cut by the test"));
     }
 
+    /** Tells at once that the backend server has crashed. */
+    void tellCrash(CrashReport report) {
+        crashed.add(report.toString());
+        loop.beatNow();
+    }
+
     void say(AgentState newState) {
         state = newState;
         loop.beatNow();
@@ -99,6 +107,7 @@
     }
 
     private Heartbeat heartbeat() {
-        return new Heartbeat(state, AgentLoad.IDLE, Optional.of(offer), 0, 0, List.of(), List.of(), Map.of(), Map.of());
+        return new Heartbeat(
+                state, AgentLoad.IDLE, Optional.of(offer), 0, 0, List.of(), List.copyOf(crashed), Map.of(), Map.of());
     }
 }
--- a/daemon/src/test/java/org/cornelramp/daemon/entry/FakePipeline.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/FakePipeline.java
@@ -1,5 +1,6 @@
 package org.cornelramp.daemon.entry;
 
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -8,17 +9,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.LayerRange;
 import org.cornelramp.core.model.Offer;
+import org.cornelramp.core.model.ProblemKind;
 import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.poison.CrashReport;
 import org.cornelramp.core.text.Vocabulary;
 import org.cornelramp.wire.link.Link;
 import org.cornelramp.wire.message.CloseStage;
 import org.cornelramp.wire.message.Message;
 import org.cornelramp.wire.message.OpenStage;
 import org.cornelramp.wire.message.SendFrom;
+import org.cornelramp.wire.message.StageLost;
 import org.cornelramp.wire.message.StageOpened;
 import org.cornelramp.wire.message.Step;
 import org.cornelramp.wire.message.Token;
@@ -36,13 +41,14 @@
     private final Map<Incarnation, Stage> stages = new HashMap<>();
     private volatile int pauseAt = Integer.MAX_VALUE;
     private volatile Runnable atPause = () -> {};
+    private volatile int poisonLength = -1;
 
     /** An agent that holds one of the three layers. */
     synchronized FakeAgent agent(String name, long life, int layer) {
         Incarnation incarnation = new Incarnation(new BackendServerId(name), life);
         Offer offer = new Offer(MODEL, Optional.of(new LayerRange(layer, layer + 1, LAYERS)), "1", "fake", 8);
         FakeAgent agent = new FakeAgent(incarnation, offer);
-        Stage stage = new Stage(layer);
+        Stage stage = new Stage(layer, agent);
         stages.put(incarnation, stage);
         agent.behaviour = (link, message) -> on(stage, link, message);
         return agent;
@@ -54,6 +60,11 @@
         pauseAt = position;
     }
 
+    /** From now on, each backend server of the second layer crashes on prompts of this length. */
+    void poison(int promptLength) {
+        poisonLength = promptLength;
+    }
+
     /** The agent stops working, though its links live. */
     synchronized void stall(FakeAgent agent) {
         stages.remove(agent.incarnation);
@@ -108,8 +119,10 @@
             link.send(new StageOpened(open.session(), open.epoch(), open.stage(), held.outputs.size()));
         } else if (message instanceof SendFrom from) {
             Held held = stage.held.get(from.session());
-            held.sendFrom = from.position();
-            pass(held, from.position(), stage);
+            if (held != null) {
+                held.sendFrom = from.position();
+                pass(held, from.position(), stage);
+            }
         } else if (message instanceof Step step) {
             step(stage, step);
         } else if (message instanceof CloseStage close) {
@@ -127,6 +140,10 @@
             held.ahead.add(step);
             return;
         }
+        if (stage.layer == 1 && held.open.promptTokens() == poisonLength) {
+            crash(stage, held);
+            return;
+        }
         run(stage, held, step);
         Step next = held.ahead.poll();
         if (next != null) {
@@ -134,6 +151,16 @@
         }
     }
 
+    private static void crash(Stage stage, Held held) {
+        OpenStage open = held.open;
+        stage.held.clear();
+        stage.crashes++;
+        String name = stage.agent.incarnation + "#" + stage.crashes;
+        held.link.send(
+                new StageLost(open.session(), open.epoch(), open.stage(), ProblemKind.BACKEND_LOST, "The engine died"));
+        stage.agent.tellCrash(new CrashReport(name, Instant.now(), Set.of(open.fingerprint())));
+    }
+
     private void run(Stage stage, Held held, Step step) {
         int from = held.outputs.size();
         for (int i = from - step.position(); i < step.inputs().length; i++) {
@@ -177,10 +204,13 @@
 
     private static final class Stage {
         final int layer;
+        final FakeAgent agent;
         final Map<Long, Held> held = new HashMap<>();
+        int crashes;
 
-        Stage(int layer) {
+        Stage(int layer, FakeAgent agent) {
             this.layer = layer;
+            this.agent = agent;
         }
     }
 
