--- a/bench/src/main/java/org/cornelramp/bench/fleet/Fleet.java
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/Fleet.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import org.cornelramp.core.route.ChoicePolicy;
 
 /**
  * A whole system on loopback: the platform's stand-ins, entries, and agents beside engines and services, each a
@@ -154,6 +155,11 @@
         return http.json("GET", url + "/trace?from=0", null).get("events");
     }
 
+    /** File that takes the trace of a member's backend server, in a plan with trace files. */
+    public Path traceFile(String name) {
+        return folder.resolve(name + ".trace");
+    }
+
     /** Says in the VM list that a member is leaving. */
     public void markLeaving(String name) {
         leaving.put(name, "leaving");
@@ -168,8 +174,13 @@
 
     /** Adds an entry, without waiting until it is ready. */
     public Member launchEntry(String name) {
+        return launchEntry(name, ChoicePolicy.EXPECTED_COMPLETION);
+    }
+
+    /** Adds an entry that chooses backend servers in another way, without waiting until it is ready. */
+    public Member launchEntry(String name, ChoicePolicy choice) {
         int httpPort = ports.take();
-        Path file = settings.entry(name, "dc-0", httpPort);
+        Path file = settings.entry(name, "dc-0", httpPort, choice);
         ManagedProcess daemon = daemon(name, file);
         Member member = new Member(name, true, httpPort, 0, "dc-0", daemon, Optional.empty(), 0, Optional.empty());
         members.put(name, member);
@@ -185,6 +196,7 @@
         arguments.addAll(List.of("--accelerator", stage.accelerator()));
         arguments.addAll(List.of("--base-micros", Integer.toString(stage.baseMicros())));
         arguments.addAll(List.of("--input-micros", Integer.toString(stage.inputMicros())));
+        arguments.addAll(traceOptions(name));
         return launchAgent(name, "engine", standin("engine-of-" + name, arguments), port, dataCentre);
     }
 
@@ -193,6 +205,7 @@
         int port = ports.take();
         List<String> arguments = new ArrayList<>(List.of("service", "--port", Integer.toString(port)));
         arguments.addAll(List.of("--name", FleetPlan.SERVICE, "--millis", Integer.toString(millis)));
+        arguments.addAll(traceOptions(name));
         return launchAgent(name, "service", standin("backend-of-" + name, arguments), port, dataCentre);
     }
 
@@ -286,7 +299,8 @@
         entries().forEach(this::awaitServing);
     }
 
-    private void awaitServing(Member entry) {
+    /** Waits until an entry serves what the fleet has. */
+    public void awaitServing(Member entry) {
         await(entry.name() + " ready", START_LIMIT, () -> isReady(entry));
         if (plan.services() > 0) {
             String body = "{\"service\":\"" + FleetPlan.SERVICE + "\"}";
@@ -304,6 +318,10 @@
         return http.send("POST", entry.url() + path, caller, body).status() < 300;
     }
 
+    private List<String> traceOptions(String name) {
+        return plan.traced() ? List.of("--trace-file", traceFile(name).toString()) : List.of();
+    }
+
     private Member launchAgent(String name, String kind, ManagedProcess backend, int port, String dataCentre) {
         int httpPort = ports.take();
         int linkPort = ports.take();
--- a/daemon/src/main/java/org/cornelramp/daemon/operator/EditService.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/EditService.java
@@ -36,6 +36,7 @@
     private static final Duration ANSWER = Duration.ofSeconds(4);
     private static final Duration READ_BACK = Duration.ofSeconds(4);
     private static final int REFUSALS = 4;
+    private static final long WINNER_RECORDS = 1_000;
     private static final long PAUSE_MILLIS = 200;
     private static final long MAX_PAUSE_MILLIS = 2_000;
 
@@ -107,6 +108,17 @@
         return back.bounds().map(bounds -> bounds.next()).orElse(0L);
     }
 
+    /**
+     * Reads what the edits lost to as well, where it is near: an entry may have applied the winner before it took up
+     * the edit, and the loser would then be told a bare version instead of who came first. Records before the start
+     * only name the winner, so that without them the verdict is the same.
+     */
+    private Optional<List<LoggedRecord>> readBack(long against, long start, long end) throws InterruptedException {
+        long from = Math.max(Math.min(start, against + 1), Math.max(0, start - WINNER_RECORDS));
+        Optional<List<LoggedRecord>> wide = back.read(from, end);
+        return wide.isPresent() || from == start ? wide : back.read(start, end);
+    }
+
     private List<EditResult> settle(FoldedTable table, List<TableEdit> edits, Optional<Long> first, long start)
             throws InterruptedException {
         Optional<List<LoggedRecord>> since = Optional.empty();
@@ -120,7 +132,7 @@
                 continue;
             }
             if (since.isEmpty()) {
-                since = back.read(start, table.offset());
+                since = readBack(edit.against(), start, table.offset());
             }
             results.add(since.map(records -> EditSettlement.settle(table, edit, records))
                     .orElseGet(() -> EditSettlement.unknown(table, edit, offset)));
