Say what an edit lost to, and take bad HTTP for what it is

Cause: two failing tests. An operator at an entry that had already read the winner was told only the row's version ('The edit was made against version 50, and the row is at version 52'), not who came first; and a request with an unknown HTTP version was answered 502 with outcome unknown, though it never reached a handler. Change: the records from the contested version on are read back for the message; only a failed handler leaves an outcome unknown. Waits in tests have an end. The limits of an edit are arguments.

--- a/core/src/main/java/org/cornelramp/core/operate/EditSettlement.java
+++ b/core/src/main/java/org/cornelramp/core/operate/EditSettlement.java
@@ -34,6 +34,11 @@
                 : rejected(table, edit, Optional.of(offset), lostTo(table, edit, history));
     }
 
+    /** The edit was made against a version that is in force no more, and was not appended. */
+    public static EditResult lost(FoldedTable table, TableEdit edit, List<LoggedRecord> since) {
+        return rejected(table, edit, Optional.empty(), lostTo(table, edit, RowHistory.of(table, edit.key(), since)));
+    }
+
     /** The edit at an offset is in force. */
     public static EditResult accepted(FoldedTable table, TableEdit edit, long offset) {
         RowDocument own = new RowDocument(edit.key().organisation(), edit.key().service(), offset, edit.values());
--- a/daemon/src/main/java/org/cornelramp/daemon/http/ProblemErrorHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/http/ProblemErrorHandler.java
@@ -14,8 +14,6 @@
  * Safe for use by any thread.
  */
 final class ProblemErrorHandler extends ErrorHandler {
-    private static final int SERVER_ERRORS = 500;
-
     private final MeterRegistry meters;
 
     ProblemErrorHandler(MeterRegistry meters) {
@@ -37,8 +35,10 @@
         if (status == HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431 || status == HttpStatus.URI_TOO_LONG_414) {
             return Problem.notRun(ProblemKind.HEADERS_TOO_LARGE, "The head is larger than this process takes.");
         }
-        if (status < SERVER_ERRORS) {
-            return Problem.notRun(ProblemKind.MALFORMED_REQUEST, "The request is not valid HTTP.");
+        boolean handlerFailed =
+                status == HttpStatus.INTERNAL_SERVER_ERROR_500 || status == HttpStatus.SERVICE_UNAVAILABLE_503;
+        if (!handlerFailed) {
+            return Problem.notRun(ProblemKind.MALFORMED_REQUEST, "The request is not valid HTTP/1.1.");
         }
         // The handler failed at an unknown point, so nobody may say that the request did not run.
         return Problem.unknown(ProblemKind.BACKEND_FAILED, "The process failed on this request.");
--- a/daemon/src/main/java/org/cornelramp/daemon/operator/EditService.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/EditService.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
 import java.time.Clock;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -32,9 +31,7 @@
  * have run. Waits for the log; confined to the operators' duty.
  */
 final class EditService {
-    private static final Duration APPEND_LIMIT = Duration.ofSeconds(8);
-    private static final Duration ANSWER = Duration.ofSeconds(4);
-    private static final Duration READ_BACK = Duration.ofSeconds(4);
+    private static final long MAX_RACE = 1_000;
     private static final int REFUSALS = 4;
     private static final long PAUSE_MILLIS = 200;
     private static final long MAX_PAUSE_MILLIS = 2_000;
@@ -43,8 +40,10 @@
     private final LogBack back;
     private final TableKeeper keeper;
     private final Clock clock;
+    private final EditLimits limits;
 
-    EditService(LogClient log, TableKeeper keeper, Clock clock) {
+    EditService(LogClient log, TableKeeper keeper, Clock clock, EditLimits limits) {
+        this.limits = limits;
         this.log = log;
         this.back = new LogBack(log);
         this.keeper = keeper;
@@ -62,21 +61,40 @@
         }
         Optional<Long> first = appended.get();
         FoldedTable table = first.isPresent()
-                ? keeper.await(first.get() + edits.size(), READ_BACK)
-                : keeper.await(endOfLog(), READ_BACK);
+                ? keeper.await(first.get() + edits.size(), limits.readBack())
+                : keeper.await(endOfLog(), limits.readBack());
         return Either.right(settle(table, edits, first, start));
     }
 
+    /** The answer to an edit against a version that is in force no more; it names the winner if the log tells it. */
+    EditResult lost(FoldedTable table, TableEdit edit) throws InterruptedException {
+        long start = startOfRace(table.offset(), edit.against());
+        return EditSettlement.lost(table, edit, back.read(start, table.offset()).orElse(List.of()));
+    }
+
+    /** The records since the edits were appended, and those that they may have lost to where the log keeps them. */
+    private Optional<List<LoggedRecord>> readBack(List<TableEdit> edits, long start, long end)
+            throws InterruptedException {
+        long early = edits.stream().mapToLong(TableEdit::against).reduce(start, this::startOfRace);
+        Optional<List<LoggedRecord>> records = back.read(early, end);
+        return records.isPresent() || early == start ? records : back.read(start, end);
+    }
+
+    /** Where the record that won against a version may be, unless that is too far back to read for a message. */
+    private long startOfRace(long offset, long against) {
+        return offset - against <= MAX_RACE ? Math.min(offset, against + 1) : offset;
+    }
+
     /** The offset of the first record; empty if it may have been appended and no answer came. */
     private Either<Problem, Optional<Long>> append(List<JsonNode> records) throws InterruptedException {
-        Instant limit = clock.instant().plus(APPEND_LIMIT);
+        Instant limit = clock.instant().plus(limits.append());
         boolean lost = false;
         int refusals = 0;
         while (true) {
             PlatformException fault;
             try {
                 return Either.right(Optional.of(
-                        log.append(LogStream.TABLE, records).get(ANSWER.toMillis(), TimeUnit.MILLISECONDS)));
+                        log.append(LogStream.TABLE, records).get(limits.answer().toMillis(), TimeUnit.MILLISECONDS)));
             } catch (ExecutionException | TimeoutException e) {
                 fault = faultOf(e);
             }
@@ -120,7 +138,7 @@
                 continue;
             }
             if (since.isEmpty()) {
-                since = back.read(start, table.offset());
+                since = readBack(edits, start, table.offset());
             }
             results.add(since.map(records -> EditSettlement.settle(table, edit, records))
                     .orElseGet(() -> EditSettlement.unknown(table, edit, offset)));
--- a/daemon/src/main/java/org/cornelramp/daemon/operator/OperatorPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/OperatorPlugin.java
@@ -63,7 +63,7 @@
         Served served = new Served(
                 registry.need(Routes.class),
                 new OperatorAccess(registry.settings().operators()));
-        EditService service = new EditService(log, keeper, registry.clock());
+        EditService service = new EditService(log, keeper, registry.clock(), EditLimits.DEFAULTS);
         served.add("POST", "edits", edits, new EditEndpoint(keeper, service));
         served.add("GET", "table", reads, new TableEndpoint(keeper));
         served.add("GET", "table/", reads, new TableEndpoint(keeper));
--- a/daemon/src/test/java/org/cornelramp/daemon/operator/LostAppendAnswerTest.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/operator/LostAppendAnswerTest.java
@@ -5,6 +5,7 @@
 
 import io.vavr.control.Either;
 import java.time.Clock;
+import java.time.Duration;
 import java.util.List;
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.Problem;
@@ -20,10 +21,13 @@
  * accepted. Only if the log refuses each time is the operator told that nothing was changed.
  */
 public class LostAppendAnswerTest {
+    /** The read-back that cannot succeed is given up on soon; the others end as soon as they succeed. */
+    private static final EditLimits LIMITS = new EditLimits(TestEntry.LONG, TestEntry.LONG, Duration.ofSeconds(1));
 
     private static Either<Problem, List<EditResult>> edit(MemoryLog log, TestEntry entry, String id, long against)
             throws InterruptedException {
-        return new EditService(log, entry.keeper, Clock.systemUTC()).apply(List.of(TestEntry.edit(id, against, 5)));
+        return new EditService(log, entry.keeper, Clock.systemUTC(), LIMITS)
+                .apply(List.of(TestEntry.edit(id, against, 5)));
     }
 
     private static void accepts(MemoryLog.AppendFault fault, int faults, long records) throws Exception {
@@ -41,7 +45,7 @@
     @Test
     public void anEditThatTookEffectIsAcceptedOnce() throws Exception {
         accepts(MemoryLog.AppendFault.LOSE_ANSWER, 1, 2);
-        accepts(MemoryLog.AppendFault.LOSE_ANSWER, 2, 3);
+        accepts(MemoryLog.AppendFault.LOSE_ANSWER, 6, 7);
     }
 
     @Test
--- a/daemon/src/test/java/org/cornelramp/daemon/operator/RacingOperatorsTest.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/operator/RacingOperatorsTest.java
@@ -25,7 +25,7 @@
 
     private static EditResult edit(MemoryLog log, TestEntry entry, String id, long against, int weight)
             throws InterruptedException {
-        return new EditService(log, entry.keeper, Clock.systemUTC())
+        return new EditService(log, entry.keeper, Clock.systemUTC(), EditLimits.DEFAULTS)
                 .apply(List.of(TestEntry.edit(id, against, weight)))
                 .get()
                 .get(0);
--- a/daemon/src/test/java/org/cornelramp/daemon/table/LogOutageTest.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/table/LogOutageTest.java
@@ -27,9 +27,7 @@
             FoldedTable before = old.tableAt(1);
             log.setReadable(false);
             fresh.start();
-            while (fresh.follower.trouble().isEmpty()) {
-                Thread.sleep(5);
-            }
+            fresh.awaitTrouble();
             assertFalse(fresh.keeper.isReady());
             assertTrue(fresh.keeper.takeSnapshot(before.offset(), old.keeper.snapshotAbove(0)));
             assertTrue(fresh.keeper.isReady());
--- a/daemon/src/test/java/org/cornelramp/daemon/table/RetentionTest.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/table/RetentionTest.java
@@ -5,7 +5,6 @@
 
 import java.util.List;
 import org.cornelramp.core.table.FoldedTable;
-import org.cornelramp.core.table.TableReading;
 import org.cornelramp.core.table.TableRecords;
 import org.cornelramp.core.table.TableSnapshotCodec;
 import org.cornelramp.platform.LogStream;
@@ -63,18 +62,10 @@
             edit(log, "b", 0, 2);
             log.forgetBelow(1);
             fresh.start();
-            while (fresh.follower.status().path("reading").asText().equals(text(TableReading.Phase.TAIL))
-                    || fresh.follower.trouble().isEmpty()) {
-                Thread.sleep(5);
-            }
             assertEquals(
-                    fresh.follower.trouble(),
+                    fresh.awaitTrouble(),
                     "the log lacks records from 0 on and holds no snapshot of them; a peer with a newer table helps");
             assertFalse(fresh.keeper.isReady());
         }
     }
-
-    private static String text(TableReading.Phase phase) {
-        return phase.name().toLowerCase(java.util.Locale.ROOT);
-    }
 }
--- a/daemon/src/test/java/org/cornelramp/daemon/table/TestEntry.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/table/TestEntry.java
@@ -46,6 +46,18 @@
         return table;
     }
 
+    /** Waits until the log is told not to help, and gives why. */
+    String awaitTrouble() throws InterruptedException {
+        long end = System.nanoTime() + LONG.toNanos();
+        while (follower.trouble().isEmpty()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("The log was never told not to help: " + follower.status());
+            }
+            Thread.sleep(5);
+        }
+        return follower.trouble();
+    }
+
     /** Columns with a weight. */
     public static RowValues values(int weight) {
         return new RowValues(weight, 0, 0, 0, 0, 1_000, 99, List.of());
