--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentPlugin.java
@@ -0,0 +1,62 @@
+package org.cornelramp.daemon.agent;
+
+import java.security.SecureRandom;
+import org.cornelramp.core.key.IdempotencyKey;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.Incarnation;
+import org.cornelramp.core.settings.BackendKind;
+import org.cornelramp.core.settings.DaemonSettings;
+import org.cornelramp.core.settings.Role;
+import org.cornelramp.daemon.http.Readiness;
+import org.cornelramp.daemon.kernel.Plugin;
+import org.cornelramp.daemon.kernel.Registry;
+import org.cornelramp.daemon.kernel.StopSwitch;
+import org.cornelramp.daemon.report.LinkMeters;
+import org.cornelramp.daemon.report.StatusBoard;
+import org.cornelramp.daemon.table.TableSource;
+import org.cornelramp.platform.EngineClient;
+import org.cornelramp.platform.LogClient;
+import org.cornelramp.platform.ServiceClient;
+
+/** Registers the agent. Stateless. */
+public final class AgentPlugin implements Plugin {
+    private static final int ORDER = 100;
+
+    @Override
+    public String name() {
+        return "agent";
+    }
+
+    @Override
+    public int order() {
+        return ORDER;
+    }
+
+    @Override
+    public boolean servesRole(Role role) {
+        return role == Role.AGENT;
+    }
+
+    @Override
+    public void register(Registry registry) {
+        DaemonSettings settings = registry.settings();
+        Incarnation life = new Incarnation(new BackendServerId(settings.name()), new SecureRandom().nextLong());
+        registry.share(Incarnation.class, life);
+        boolean isEngine = settings.backend().orElseThrow().kind() == BackendKind.ENGINE;
+        AgentComponent agent = new AgentComponent(new AgentServices(
+                settings,
+                registry.clock(),
+                life,
+                isEngine ? registry.need(EngineClient.class) : new AbsentEngine(),
+                isEngine ? new AbsentService() : registry.need(ServiceClient.class),
+                registry.need(TableSource.class),
+                registry.need(LogClient.class),
+                registry.need(StopSwitch.class),
+                IdempotencyKey::madeAt));
+        registry.add(agent);
+        registry.need(StatusBoard.class).add("agent", agent::status);
+        registry.need(Readiness.class).add("agent", agent::fault);
+        AgentMeters.register(registry.meters(), agent);
+        new LinkMeters(agent.linkCounters()).bindTo(registry.meters());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Selection.java
@@ -0,0 +1,86 @@
+package org.cornelramp.daemon.entry;
+
+import io.vavr.control.Either;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.Incarnation;
+import org.cornelramp.core.model.LayerRange;
+import org.cornelramp.core.model.Problem;
+import org.cornelramp.core.route.Candidate;
+import org.cornelramp.core.route.Choice;
+import org.cornelramp.core.route.Chooser;
+import org.cornelramp.core.route.LinkCosts;
+import org.cornelramp.core.route.Work;
+
+/** Chooses backend servers among the agents that are known. Confined to the router's thread. */
+final class Selection {
+    private final Agents agents;
+    private final Chooser chooser;
+    private final DataCentre here;
+    private final LinkCosts costs;
+    private final RandomGenerator random;
+
+    Selection(Agents agents, Chooser chooser, DataCentre here, LinkCosts costs, RandomGenerator random) {
+        this.agents = agents;
+        this.chooser = chooser;
+        this.here = here;
+        this.costs = costs;
+        this.random = random;
+    }
+
+    /** Chooses for new work that may run at most once where it is sent. */
+    Either<Problem, Choice> choose(Work work, Instant now) {
+        return choose(agents.candidates(now), work, now);
+    }
+
+    /**
+     * Chooses for new work that may safely run again elsewhere. An ejected agent that is due a probe gets it: only
+     * such work tells whether the agent is well again, and it has all its retries left.
+     */
+    Either<Problem, Choice> chooseRepeatable(Work work, Instant now) {
+        List<Candidate> candidates = agents.candidates(now);
+        Optional<Candidate> probe = agents.probe(work.service(), work.avoid(), now);
+        if (probe.isPresent()) {
+            candidates.removeIf(candidate ->
+                    candidate.offer().layers().equals(probe.get().offer().layers())
+                            && candidate.offer().service().equals(work.service()));
+            candidates.add(probe.get());
+        }
+        return choose(candidates, work, now);
+    }
+
+    /**
+     * Chooses for a session that lost a stage: the stages that live stay, since they hold the session's state, and
+     * others may come only in place of lost ones. Where that gives no whole pipeline, all are chosen anew.
+     */
+    Either<Problem, Choice> replace(Work work, List<Incarnation> stages, Instant now) {
+        Set<Incarnation> kept = new HashSet<>(stages);
+        kept.removeAll(work.avoid());
+        List<Candidate> survivors = agents.linked(kept);
+        List<Candidate> mixed = new ArrayList<>(survivors);
+        agents.candidates(now).stream()
+                .filter(candidate -> survivors.stream().noneMatch(survivor -> overlap(survivor, candidate)))
+                .forEach(mixed::add);
+        Either<Problem, Choice> choice = choose(mixed, work, now);
+        return choice.isRight() ? choice : choose(work, now);
+    }
+
+    private Either<Problem, Choice> choose(List<Candidate> candidates, Work work, Instant now) {
+        return chooser.choose(candidates, work, here, costs, now, random);
+    }
+
+    private static boolean overlap(Candidate one, Candidate other) {
+        Optional<LayerRange> a = one.offer().layers();
+        Optional<LayerRange> b = other.offer().layers();
+        return a.isPresent()
+                && b.isPresent()
+                && a.get().from() < b.get().to()
+                && b.get().from() < a.get().to();
+    }
+}
--- a/wire/src/main/java/org/cornelramp/wire/codec/MessageType.java
+++ b/wire/src/main/java/org/cornelramp/wire/codec/MessageType.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.cornelramp.wire.message.Beat;
 import org.cornelramp.wire.message.CloseStage;
 import org.cornelramp.wire.message.Drain;
 import org.cornelramp.wire.message.ExportStage;
@@ -12,6 +13,8 @@
 import org.cornelramp.wire.message.InvokeResult;
 import org.cornelramp.wire.message.Message;
 import org.cornelramp.wire.message.OpenStage;
+import org.cornelramp.wire.message.Order;
+import org.cornelramp.wire.message.OrderResult;
 import org.cornelramp.wire.message.SendFrom;
 import org.cornelramp.wire.message.Settle;
 import org.cornelramp.wire.message.Settled;
@@ -34,6 +37,7 @@
     TABLE_REQUEST(3, TableRequest.class),
     TABLE_UPDATE(4, TableUpdate.class),
     DRAIN(5, Drain.class),
+    BEAT(6, Beat.class),
     INVOKE(10, Invoke.class),
     INVOKE_RESULT(11, InvokeResult.class),
     SETTLE(12, Settle.class),
@@ -47,7 +51,9 @@
     STAGE_LOST(26, StageLost.class),
     CLOSE_STAGE(27, CloseStage.class),
     EXPORT_STAGE(28, ExportStage.class),
-    STAGE_EXPORTED(29, StageExported.class);
+    STAGE_EXPORTED(29, StageExported.class),
+    ORDER(40, Order.class),
+    ORDER_RESULT(41, OrderResult.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
     private static final Map<Class<?>, MessageType> BY_FORM = new HashMap<>();
--- a/wire/src/main/java/org/cornelramp/wire/link/LinkLoop.java
+++ b/wire/src/main/java/org/cornelramp/wire/link/LinkLoop.java
@@ -286,7 +286,7 @@
 
     private void receive(TcpLink link, Message message) {
         if (link.isIntroduced()) {
-            guard(link, () -> listener.received(link, message));
+            link.expand(message).ifPresent(whole -> guard(link, () -> listener.received(link, whole)));
             return;
         }
         if (!(message instanceof Hello said)) {
@@ -296,7 +296,7 @@
         }
         link.introduce(said);
         counters.opened.increment();
-        link.kept.map(diallers::get).ifPresent(Dialler::succeeded);
+        link.kept().map(diallers::get).ifPresent(Dialler::succeeded);
         LOG.log(System.Logger.Level.DEBUG, "link: opened; peer=" + link);
         guard(link, () -> listener.opened(link));
     }
@@ -365,7 +365,7 @@
         boolean all = beatAsked;
         beatAsked = false;
         for (TcpLink link : new ArrayList<>(links)) {
-            if (link.kept.isPresent() && !diallers.containsKey(link.kept.get())) {
+            if (link.kept().isPresent() && !diallers.containsKey(link.kept().get())) {
                 close(link, "no longer needed");
             } else if (link.silence.isSilent(now)) {
                 counters.silent.increment();
@@ -374,7 +374,7 @@
                 counters.silent.increment();
                 close(link, "took nothing for " + SilenceDetector.INTERVALS + " heartbeats");
             } else if ((link.silence.takeBeat(now) || all) && link.channel.isConnected()) {
-                link.send(heartbeat.get());
+                link.beat(heartbeat.get());
             }
         }
     }
@@ -385,7 +385,7 @@
             return;
         }
         closeQuietly(link.channel);
-        link.kept
+        link.kept()
                 .map(diallers::get)
                 .filter(dialler -> dialler.link == link)
                 .ifPresent(dialler -> dialler.failed(System.nanoTime(), options));
--- a/wire/src/main/java/org/cornelramp/wire/message/Message.java
+++ b/wire/src/main/java/org/cornelramp/wire/message/Message.java
@@ -9,6 +9,7 @@
 public sealed interface Message
         permits Hello,
                 Heartbeat,
+                Beat,
                 TableRequest,
                 TableUpdate,
                 Invoke,
@@ -25,4 +26,6 @@
                 CloseStage,
                 ExportStage,
                 StageExported,
-                Drain {}
+                Drain,
+                Order,
+                OrderResult {}
--- a/wire/src/test/java/org/cornelramp/wire/codec/FrameRoundTripTest.java
+++ b/wire/src/test/java/org/cornelramp/wire/codec/FrameRoundTripTest.java
@@ -14,10 +14,12 @@
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.LayerRange;
 import org.cornelramp.core.model.Offer;
+import org.cornelramp.core.model.OrderKind;
 import org.cornelramp.core.model.OrganisationId;
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.ProblemKind;
 import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.wire.message.Beat;
 import org.cornelramp.wire.message.CloseStage;
 import org.cornelramp.wire.message.Drain;
 import org.cornelramp.wire.message.ExportStage;
@@ -27,6 +29,9 @@
 import org.cornelramp.wire.message.InvokeResult;
 import org.cornelramp.wire.message.Message;
 import org.cornelramp.wire.message.OpenStage;
+import org.cornelramp.wire.message.Order;
+import org.cornelramp.wire.message.OrderOutcome;
+import org.cornelramp.wire.message.OrderResult;
 import org.cornelramp.wire.message.SendFrom;
 import org.cornelramp.wire.message.Settle;
 import org.cornelramp.wire.message.Settled;
@@ -66,6 +71,7 @@
             new TableRequest(Long.MAX_VALUE),
             new TableUpdate(3, bytes),
             new Drain("operator"),
+            new Beat(),
             new Invoke(
                     1, "r", ORG, false, Optional.of("k"), Optional.of(LIFE), 0, 900, "POST", "/b", "t/x", bytes, "f"),
             new InvokeResult(1, Outcome.NOT_RUN, Optional.of(ProblemKind.OVERLOADED), "full", 20, 0, "", new byte[0]),
@@ -93,6 +99,8 @@
             new Token(-5, 1, 2, new int[] {0, 9}),
             new StageLost(-5, 1, 0, ProblemKind.BACKEND_LOST, "gone"),
             new CloseStage(-5, 1),
+            new Order(1, 7, OrderKind.SET_VERSION, "2"),
+            new OrderResult(1, OrderOutcome.STALE, 8, "older"),
             new ExportStage(-5, 1),
             new StageExported(-5, 1, 0, 4, Optional.empty())
         };
