Let model requests wait at the entry in fair shares

The fair queue stood in core and nothing used it: requests were taken first come, first served while an agent could still meet their deadline. Ruled out: a queue at the agents only, which see a session after its pipeline has been chosen and hold many sessions at once; one that waits there keeps a place in two other stages. Change: when no chain of free slots makes the model whole, a request waits in a fair queue of its model, is refused at once when it can no longer be answered in time, and starts when a slot is free. Slots are split over linked entries.

--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
@@ -112,7 +112,9 @@
         Chooser chooser = settings.choice().chooser(PrefixHints.NONE);
         Selection selection = new Selection(agents, chooser, settings.dataCentre(), StaticLinkCosts.DEFAULTS, random);
         Ends ends = new Ends(registry.need(RequestRecorder.class), registry.meters(), admission);
-        return new Parts(agents, selection, admission, health, stream, ends);
+        WaitingRoom waiting =
+                new WaitingRoom(agents, selection, settings.bounds().inProgress(), random);
+        return new Parts(agents, selection, admission, health, waiting, stream, ends);
     }
 
     private static EntryContext context(
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Parts.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Parts.java
@@ -7,8 +7,15 @@
  * @param selection chooses backend servers
  * @param admission limits, retries and requests set aside
  * @param health the share of work of each agent
+ * @param waiting where model requests wait for a slot
  * @param settled what planned stops settled
  * @param ends records of decisions and ends
  */
 record Parts(
-        Agents agents, Selection selection, Admission admission, Health health, SettledLookup settled, Ends ends) {}
+        Agents agents,
+        Selection selection,
+        Admission admission,
+        Health health,
+        WaitingRoom waiting,
+        SettledLookup settled,
+        Ends ends) {}
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/RequestIntake.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/RequestIntake.java
@@ -16,6 +16,7 @@
 import org.cornelramp.core.model.ProblemKind;
 import org.cornelramp.core.route.Choice;
 import org.cornelramp.core.route.Work;
+import org.cornelramp.core.text.Vocabulary;
 
 /**
  * Takes callers' requests to the router: refuses what may not start, binds keys, and starts the rest.
@@ -55,10 +56,29 @@
             }
             long session = random.nextLong();
             onCallerGone.accept(() -> router.must(at -> router.callerGone(session, at)));
-            router.startChat(session, request, chat, fingerprint, now);
+            startOrWait(session, request, chat, fingerprint, now);
         });
     }
 
+    private void startOrWait(long session, CallerRequest request, ChatRequest chat, String fingerprint, Instant now) {
+        Work work = new Work(
+                chat.model(),
+                Vocabulary.encode(chat.contents()).length,
+                chat.maxTokens(),
+                request.deadline(),
+                "",
+                Set.of());
+        if (!parts.waiting().mustWait(work, now)) {
+            router.startChat(session, request, chat, fingerprint, now);
+            return;
+        }
+        parts.ends().decided(request, now, "waits", "reason=no-free-slot");
+        Consumer<Instant> start = at -> router.startChat(session, request, chat, fingerprint, at);
+        parts.waiting()
+                .offer(session, request, work, start, router::refuse, now)
+                .ifPresent(problem -> router.refuse(request, problem, now));
+    }
+
     /**
      * Takes a call to a plain service.
      *
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Router.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Router.java
@@ -145,7 +145,7 @@
 
     /** Requests in progress, counted on the router's thread. */
     int count() {
-        return chats.size() + calls.size() + denials.size();
+        return chats.size() + calls.size() + denials.size() + parts.waiting().size();
     }
 
     /** Tells a call what the log holds of its key. */
@@ -157,6 +157,7 @@
     }
 
     void callerGone(long session, Instant now) {
+        parts.waiting().cancel(session, now).ifPresent(request -> refuse(request, ChatRun.CALLER_GONE, now));
         onChat(session, run -> run.giveUp(ChatRun.CALLER_GONE, now));
     }
 
@@ -241,6 +242,7 @@
         Instant now = clock.instant();
         doUrgent(now);
         onTick.forEach(action -> action.accept(now));
+        parts.waiting().tick(this::refuse, now);
         chats.values().forEach(chat -> chat.tick(now));
         calls.values().forEach(call -> call.tick(now));
         denials.values().forEach(denial -> denial.tick(now));
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Selection.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Selection.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.cornelramp.core.model.AgentLoad;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.LayerRange;
@@ -55,6 +56,13 @@
         return choose(candidates, work, now);
     }
 
+    /** Chooses as if no backend server had any work, to tell how long the request itself takes. */
+    Either<Problem, Choice> chooseAsIfIdle(Work work, Instant now) {
+        List<Candidate> idle =
+                agents.candidates(now).stream().map(Selection::asIfIdle).toList();
+        return choose(idle, work, now);
+    }
+
     /**
      * Chooses for a session that lost a stage: the stages that live stay, since they hold the session's state, and
      * others may come only in place of lost ones. Where that gives no whole pipeline, all are chosen anew.
@@ -75,6 +83,13 @@
         return chooser.choose(candidates, work, here, costs, now, random);
     }
 
+    private static Candidate asIfIdle(Candidate candidate) {
+        AgentLoad told = candidate.load();
+        AgentLoad none = new AgentLoad(0, 0, 0, told.tokensPerSecond(), told.meanServiceMicros(), told.linkedEntries());
+        return new Candidate(
+                candidate.incarnation(), candidate.dataCentre(), candidate.offer(), none, 0, 0, candidate.share());
+    }
+
     private static boolean overlap(Candidate one, Candidate other) {
         Optional<LayerRange> a = one.offer().layers();
         Optional<LayerRange> b = other.offer().layers();
