--- a/wire/src/main/java/org/cornelramp/wire/codec/FrameMapper.java
+++ b/wire/src/main/java/org/cornelramp/wire/codec/FrameMapper.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.Nulls;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +23,7 @@
         ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
         mapper.registerModule(new Jdk8Module());
         mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+        mapper.disable(SerializationFeature.FAIL_ON_EMPTY_BEANS);
         JsonSetter.Value empty = JsonSetter.Value.forValueNulls(Nulls.AS_EMPTY);
         mapper.configOverride(List.class).setSetterInfo(empty);
         mapper.configOverride(Map.class).setSetterInfo(empty);
--- a/wire/src/main/java/org/cornelramp/wire/codec/MessageType.java
+++ b/wire/src/main/java/org/cornelramp/wire/codec/MessageType.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.cornelramp.wire.message.Alive;
 import org.cornelramp.wire.message.CloseStage;
 import org.cornelramp.wire.message.Drain;
 import org.cornelramp.wire.message.ExportStage;
@@ -36,6 +37,7 @@
     TABLE_REQUEST(3, TableRequest.class),
     TABLE_UPDATE(4, TableUpdate.class),
     DRAIN(5, Drain.class),
+    ALIVE(6, Alive.class),
     INVOKE(10, Invoke.class),
     INVOKE_RESULT(11, InvokeResult.class),
     SETTLE(12, Settle.class),
--- a/wire/src/main/java/org/cornelramp/wire/link/LinkLoop.java
+++ b/wire/src/main/java/org/cornelramp/wire/link/LinkLoop.java
@@ -21,6 +21,7 @@
 import java.util.function.Supplier;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.wire.codec.FrameException;
+import org.cornelramp.wire.message.Alive;
 import org.cornelramp.wire.message.Heartbeat;
 import org.cornelramp.wire.message.Hello;
 import org.cornelramp.wire.message.Message;
@@ -36,6 +37,7 @@
  */
 public final class LinkLoop implements AutoCloseable {
     private static final System.Logger LOG = System.getLogger(LinkLoop.class.getName());
+    private static final Alive ALIVE = new Alive();
     private static final int READ_BYTES = 64 << 10;
     private static final int READS_EACH = 16;
     private static final int BACKLOG = 1_024;
@@ -271,24 +273,25 @@
                 counters.framesIn.increment();
                 receive(link, message.get());
             } catch (FrameException e) {
-                refuse(link, e);
+                refuse(link, e, now);
             }
         }
     }
 
-    private void refuse(TcpLink link, FrameException e) {
+    private void refuse(TcpLink link, FrameException e, long now) {
         if (e.kind().isFatal()) {
             counters.garbage.increment();
             close(link, e.getMessage());
         } else {
             counters.skipped.increment();
+            link.silence.heard(now);
             LOG.log(System.Logger.Level.DEBUG, "link: a message was skipped; peer=" + link + " why=" + e.getMessage());
         }
     }
 
     private void receive(TcpLink link, Message message) {
         if (link.isIntroduced()) {
-            guard(link, () -> listener.received(link, message));
+            hear(link, message);
             return;
         }
         if (!(message instanceof Hello said)) {
@@ -303,6 +306,17 @@
         guard(link, () -> listener.opened(link));
     }
 
+    private void hear(TcpLink link, Message message) {
+        if (message instanceof Alive) {
+            link.beatHeard.ifPresent(beat -> guard(link, () -> listener.received(link, beat)));
+            return;
+        }
+        if (message instanceof Heartbeat beat) {
+            link.beatHeard = Optional.of(beat);
+        }
+        guard(link, () -> listener.received(link, message));
+    }
+
     /** A fault of the listener over one message must not end the thread that all links depend on. */
     private void guard(TcpLink link, Runnable call) {
         try {
@@ -381,9 +395,16 @@
         }
     }
 
-    /** Heartbeats that say the same are encoded once for all links; with many links that is most of the work. */
+    /**
+     * Sends a heartbeat: whole if it says something new, else in a few bytes. Heartbeats that say the same are encoded
+     * once for all links; with many links that is most of the work.
+     */
     private void beat(TcpLink link) {
         Heartbeat now = heartbeat.get();
+        if (link.beatSent.equals(Optional.of(now))) {
+            link.send(ALIVE);
+            return;
+        }
         if (!now.equals(encodedBeat)) {
             Optional<ByteBuffer> frame = link.encode(now);
             if (frame.isEmpty()) {
@@ -392,7 +413,9 @@
             encodedBeat = now;
             beatFrame = frame.get();
         }
-        link.send(beatFrame.duplicate());
+        if (link.send(beatFrame.duplicate())) {
+            link.beatSent = Optional.of(now);
+        }
     }
 
     private void close(TcpLink link, String why) {
--- a/wire/src/main/java/org/cornelramp/wire/link/TcpLink.java
+++ b/wire/src/main/java/org/cornelramp/wire/link/TcpLink.java
@@ -13,6 +13,7 @@
 import org.cornelramp.wire.codec.FrameException;
 import org.cornelramp.wire.codec.FrameReader;
 import org.cornelramp.wire.codec.FrameWriter;
+import org.cornelramp.wire.message.Heartbeat;
 import org.cornelramp.wire.message.Hello;
 import org.cornelramp.wire.message.Message;
 
@@ -38,6 +39,10 @@
     private volatile Hello peer;
     private volatile String closeReason;
     private ByteBuffer writing;
+    /** The last heartbeat sent; empty before the first. */
+    Optional<Heartbeat> beatSent = Optional.empty();
+    /** The last heartbeat that came; empty before the first. */
+    Optional<Heartbeat> beatHeard = Optional.empty();
 
     TcpLink(LinkLoop loop, LinkOptions options, SocketChannel channel, Optional<HostPort> kept, long now) {
         this.loop = loop;
--- a/wire/src/main/java/org/cornelramp/wire/message/Message.java
+++ b/wire/src/main/java/org/cornelramp/wire/message/Message.java
@@ -9,6 +9,7 @@
 public sealed interface Message
         permits Hello,
                 Heartbeat,
+                Alive,
                 TableRequest,
                 TableUpdate,
                 Invoke,
--- a/wire/src/test/java/org/cornelramp/wire/codec/FrameRoundTripTest.java
+++ b/wire/src/test/java/org/cornelramp/wire/codec/FrameRoundTripTest.java
@@ -19,6 +19,7 @@
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.ProblemKind;
 import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.wire.message.Alive;
 import org.cornelramp.wire.message.CloseStage;
 import org.cornelramp.wire.message.Drain;
 import org.cornelramp.wire.message.ExportStage;
@@ -70,6 +71,7 @@
             new TableRequest(Long.MAX_VALUE),
             new TableUpdate(3, bytes),
             new Drain("operator"),
+            new Alive(),
             new Invoke(
                     1, "r", ORG, false, Optional.of("k"), Optional.of(LIFE), 0, 900, "POST", "/b", "t/x", bytes, "f"),
             new InvokeResult(1, Outcome.NOT_RUN, Optional.of(ProblemKind.OVERLOADED), "full", 20, 0, "", new byte[0]),
--- a/wire/src/test/java/org/cornelramp/wire/link/Peer.java
+++ b/wire/src/test/java/org/cornelramp/wire/link/Peer.java
@@ -23,6 +23,7 @@
 
     final LinkLoop loop;
     final Semaphore closed = new Semaphore(0);
+    final Semaphore beats = new Semaphore(0);
     private final BlockingQueue<Link> links = new LinkedBlockingQueue<>();
     private final BlockingQueue<Message> messages = new LinkedBlockingQueue<>();
 
@@ -61,7 +62,9 @@
 
     @Override
     public void received(Link link, Message message) {
-        if (!(message instanceof Heartbeat)) {
+        if (message instanceof Heartbeat) {
+            beats.release();
+        } else {
             messages.add(message);
         }
     }
