--- a/wire/src/main/java/org/cornelramp/wire/message/Message.java
+++ b/wire/src/main/java/org/cornelramp/wire/message/Message.java
@@ -9,7 +9,7 @@
 public sealed interface Message
         permits Hello,
                 Heartbeat,
-                Beat,
+                Alive,
                 TableRequest,
                 TableUpdate,
                 Invoke,
