--- a/daemon/src/main/java/org/cornelramp/daemon/entry/HttpAnswer.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/HttpAnswer.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.Problem;
+import org.cornelramp.daemon.http.ProblemWriter;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -78,7 +79,7 @@
 
     @Override
     public void problem(Problem problem) {
-        byte[] body = ProblemText.write(problem, requestId);
+        byte[] body = ProblemWriter.toJson(problem, requestId).getBytes(StandardCharsets.UTF_8);
         synchronized (this) {
             if (ended) {
                 return;
@@ -92,7 +93,7 @@
             writer.iterate();
             return;
         }
-        head(problem.kind().status(), ProblemText.MEDIA_TYPE);
+        head(problem.kind().status(), ProblemWriter.MEDIA_TYPE);
         response.getHeaders().put(Headers.OUTCOME, problem.outcome().text());
         if (!problem.retryAfter().isZero()) {
             long seconds = (problem.retryAfter().toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
--- a/daemon/src/main/java/org/cornelramp/daemon/http/ProblemWriter.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/http/ProblemWriter.java
@@ -20,16 +20,28 @@
 
     private ProblemWriter() {}
 
-    /** The problem as JSON. */
+    /** The problem as JSON, for a request without an id. */
     public static String toJson(Problem problem) {
+        return toNode(problem).toString();
+    }
+
+    /** The problem as JSON. */
+    public static String toJson(Problem problem, String requestId) {
+        return toNode(problem).put("requestId", requestId).toString();
+    }
+
+    private static ObjectNode toNode(Problem problem) {
+        String kind = problem.kind().text();
         ObjectNode node = JSON.createObjectNode();
-        node.put("type", TYPE_PREFIX + problem.kind().text());
-        node.put("title", problem.kind().text());
+        node.put("type", TYPE_PREFIX + kind);
+        node.put("title", kind);
         node.put("status", problem.kind().status());
         node.put("detail", problem.detail());
+        node.put("kind", kind);
         node.put("outcome", problem.outcome().text());
         node.put("remedy", problem.kind().remedy());
-        return node.toString();
+        node.put("retryAfterMillis", problem.retryAfter().toMillis());
+        return node;
     }
 
     /** Answers with the problem and completes the callback. */
--- a/daemon/src/test/java/org/cornelramp/daemon/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/EntryFixture.java
@@ -148,9 +148,12 @@
                 .anyMatch(member -> member.incarnation().equals(agent.incarnation) && member.takesWork());
     }
 
+    int port() {
+        return registry.need(HttpServer.class).address().port();
+    }
+
     HttpRequest.Builder request(String path) {
-        URI uri = URI.create(
-                "http://127.0.0.1:" + registry.need(HttpServer.class).address().port() + path);
+        URI uri = URI.create("http://127.0.0.1:" + port() + path);
         return HttpRequest.newBuilder(uri)
                 .timeout(Duration.ofSeconds(30))
                 .header("Authorization", "Bearer " + CALLER_KEY);
