--- a/core/src/main/java/org/cornelramp/core/member/Membership.java
+++ b/core/src/main/java/org/cornelramp/core/member/Membership.java
@@ -30,6 +30,9 @@
     /** How far the clocks of two processes may be apart. */
     static final Duration CLOCK_SKEW = Duration.ofSeconds(2);
 
+    /** Silence after which an agent whose VM is no longer listed counts as ended. */
+    static final Duration LONG_SILENCE = Duration.ofSeconds(3);
+
     private final Map<BackendServerId, Member> members = new HashMap<>();
     private final Map<BackendServerId, Listed> listed = new HashMap<>();
     private final Set<Incarnation> gone = new HashSet<>();
@@ -103,16 +106,25 @@
      * <p>Another life alone does not tell. This entry may still hold a silent link to the earlier of two, and a key
      * of the later one would be given up as unknown though its agent lives.
      *
+     * <p>One whose VM the list shows no longer, and which is silent, counts as ended as well: nobody will come back
+     * with its memory. If that is wrong, a caller hears unknown too early, which is never a lie.
+     *
      * @param seenAt when the life was last known to run, by the clock of any process
      */
-    public boolean isGone(Incarnation incarnation, Instant seenAt) {
+    public boolean isGone(Incarnation incarnation, Instant seenAt, Instant now) {
         if (gone.contains(incarnation)) {
             return true;
         }
         Member present = members.get(incarnation.server());
-        return present != null
-                && !present.incarnation().equals(incarnation)
-                && present.heardAt().isAfter(seenAt.plus(CLOCK_SKEW));
+        if (present == null) {
+            return false;
+        }
+        if (present.incarnation().equals(incarnation)) {
+            boolean silent =
+                    !present.linked() && present.heardAt().plus(LONG_SILENCE).isBefore(now);
+            return silent && !listed.containsKey(incarnation.server());
+        }
+        return present.heardAt().isAfter(seenAt.plus(CLOCK_SKEW));
     }
 
     /** The member of a life, if it is the present one. */
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/CallRun.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/CallRun.java
@@ -38,6 +38,7 @@
     private Optional<Incarnation> counted = Optional.empty();
     private Duration expected = Duration.ZERO;
     private Instant sentAt = Instant.EPOCH;
+    private Optional<Instant> lostAt = Optional.empty();
 
     CallRun(long number, ServiceRequest call, Optional<Bound> bound, Parts parts, Instant now) {
         this.number = number;
@@ -51,12 +52,12 @@
 
     /** Starts the call; one whose bound agent has ended goes straight to what the log holds. */
     void start(Instant now) {
-        apply(state.start(), now, isBoundGone());
+        apply(state.start(), now, isBoundGone(now));
     }
 
     /** Starts a call that is refused here, but for what its key's agent says. */
     void startRefused(Problem why, Instant now) {
-        apply(state.startRefused(why), now, isBoundGone());
+        apply(state.startRefused(why), now, isBoundGone(now));
     }
 
     void said(AgentWord word, Instant now) {
@@ -65,6 +66,9 @@
     }
 
     void linkLost(Incarnation agent, Instant now) {
+        if (counted.equals(Optional.of(agent)) && lostAt.isEmpty()) {
+            lostAt = Optional.of(now);
+        }
         apply(state.linkLost(agent, now), now, false);
     }
 
@@ -82,7 +86,7 @@
 
     void tick(Instant now) {
         apply(state.tick(now), now, false);
-        if (!state.isEnded() && isBoundGone()) {
+        if (!state.isEnded() && isBoundGone(now)) {
             gone(bound.get().agent(), now);
         }
     }
@@ -92,13 +96,13 @@
     }
 
     /** Whether the life that the key is bound to has ended: by its own settlement, or since another was seen. */
-    private boolean isBoundGone() {
+    private boolean isBoundGone(Instant now) {
         if (bound.isEmpty()) {
             return false;
         }
         Incarnation agent = bound.get().agent();
         return parts.settled().isSettled(agent)
-                || agents.membership().isGone(agent, bound.get().at());
+                || agents.membership().isGone(agent, bound.get().at(), now);
     }
 
     private void apply(List<CallAction> actions, Instant now, boolean targetGone) {
@@ -197,12 +201,14 @@
     }
 
     private void answer(CallResult result, Instant now) {
+        lostAt.ifPresent(at -> ends.timed("settle", Duration.between(at, now)));
         count(Optional.empty(), now);
         ends.answered(call.request(), now);
         call.request().answer().whole(result);
     }
 
     private void fail(Problem problem, Instant now) {
+        lostAt.ifPresent(at -> ends.timed("settle", Duration.between(at, now)));
         count(Optional.empty(), now);
         ends.failed(call.request(), problem, now);
         call.request().answer().problem(problem);
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRun.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRun.java
@@ -58,6 +58,7 @@
     private int emitted;
     private int losses;
     private Optional<Instant> rechooseAt = Optional.empty();
+    private Optional<Instant> lostAt = Optional.empty();
 
     ChatRun(long session, CallerRequest request, ChatRequest chat, String fingerprint, Parts parts) {
         this.session = session;
@@ -179,6 +180,7 @@
         } else if (action instanceof SessionAction.Emit emit) {
             emit(emit.tokens(), now);
         } else if (action instanceof SessionAction.Rechoose rechoose) {
+            lostAt = lostAt.or(() -> Optional.of(now));
             ends.decided(request, now, "rebuild", "why=" + rechoose.why() + " failed=" + state.failed());
             rechooseOrWait(now);
         } else if (action instanceof SessionAction.Close close) {
@@ -255,6 +257,7 @@
             piece.append(Vocabulary.render(token));
         }
         emitted += tokens.length;
+        lostAt.ifPresent(at -> resumed(Duration.between(at, now), now));
         if (!chat.stream()) {
             answer.append(piece);
         } else if (!request.answer().event(text.chunk(piece.toString()))) {
@@ -262,6 +265,12 @@
         }
     }
 
+    private void resumed(Duration gap, Instant now) {
+        lostAt = Optional.empty();
+        ends.timed("rebuild", gap);
+        ends.decided(request, now, "resumed", "epoch=" + state.epoch() + " gap_millis=" + gap.toMillis());
+    }
+
     private void finish(Instant now) {
         state.stages().forEach(agent -> parts.health().succeeded(agent, now));
         count(List.of(), now);
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Ends.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Ends.java
@@ -57,6 +57,11 @@
         end(request, problem.outcome(), kind, false, now);
     }
 
+    /** Notes how long one step of a recovery took, from the loss to its repair. */
+    void timed(String step, Duration time) {
+        meters.timer("cornelramp.entry.recovery", "step", step).record(time);
+    }
+
     /** Counts a request that was refused before its row was known. */
     void refused(Problem problem) {
         meters.counter("cornelramp.entry.refusals", "kind", problem.kind().text())
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
@@ -68,7 +68,9 @@
         Poison poison = new Poison(log, router, random);
         Parts parts = parts(registry, stream, poison, random);
         RequestIntake intake = new RequestIntake(router, parts, random);
-        KeyBinder binder = new KeyBinder(log, stream, router, settings.bounds().inProgress(), intake::startBound);
+        KeyBinder binder = new KeyBinder(
+                log, stream, router, settings.bounds().inProgress(), intake::startBound, time -> parts.ends()
+                        .timed("bind", time));
         intake.connect(binder);
         stream.onProgress(binder::progressed);
         Told told = new Told(parts.admission(), poison);
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/KeyBinder.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/KeyBinder.java
@@ -9,6 +9,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.cornelramp.core.call.PlainCall;
 import org.cornelramp.core.key.KeyIndex;
 import org.cornelramp.core.key.KeyRecord;
@@ -36,6 +37,7 @@
     private final KeyStream stream;
     private final Router router;
     private final Starter starter;
+    private final Consumer<Duration> timer;
     private final int maxWaiting;
     private final Deque<Wanted> queue = new ArrayDeque<>();
     private final List<Wanted> appended = new ArrayList<>();
@@ -47,7 +49,14 @@
         void start(ServiceRequest call, KeyIndex.Binding binding, Optional<Problem> refusal, Instant now);
     }
 
-    KeyBinder(LogClient log, KeyStream stream, Router router, int maxWaiting, Starter starter) {
+    /**
+     * @param maxWaiting most calls that wait for their binding
+     * @param starter starts a call with its binding
+     * @param timer told how long each binding took from the arrival of its call
+     */
+    KeyBinder(
+            LogClient log, KeyStream stream, Router router, int maxWaiting, Starter starter, Consumer<Duration> timer) {
+        this.timer = timer;
         this.log = log;
         this.stream = stream;
         this.router = router;
@@ -209,6 +218,7 @@
             return false;
         }
         wanted.settled = true;
+        timer.accept(Duration.between(wanted.call.request().arrived(), now));
         starter.start(wanted.call, found.get(), wanted.refusal, now);
         return true;
     }
