Show operators the agents and pass drains on to them

Cause: applied, drain and status had no word of the agents: nothing connected the agents' board to the entry's links. Ruled out: needing the boards in EntryPlugin itself, whose tests run it without the operators' interface.

--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryLinks.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryLinks.java
@@ -16,14 +16,17 @@
 final class EntryLinks implements LinkListener {
     private final Router router;
     private final TableSource table;
+    private final LinkedAgents agents;
 
-    EntryLinks(Router router, TableSource table) {
+    EntryLinks(Router router, TableSource table, LinkedAgents agents) {
+        this.agents = agents;
         this.router = router;
         this.table = table;
     }
 
     @Override
     public void opened(Link link) {
+        agents.opened(link);
         if (!router.run(now -> router.opened(link, now))) {
             link.close("the router is overloaded");
         }
@@ -36,14 +39,20 @@
         } else if (message instanceof TableUpdate update) {
             table.takeSnapshot(update.offset(), update.snapshot());
         } else {
-            if (message instanceof Heartbeat beat
-                    && beat.tableOffset() > table.current().offset()) {
-                link.send(new TableRequest(table.current().offset()));
+            if (message instanceof Heartbeat beat) {
+                heard(link, beat);
             }
             handOver(link, message);
         }
     }
 
+    private void heard(Link link, Heartbeat beat) {
+        agents.heard(link, beat);
+        if (beat.tableOffset() > table.current().offset()) {
+            link.send(new TableRequest(table.current().offset()));
+        }
+    }
+
     /**
      * A message that finds the ring full cannot be refused to its sender. Dropped silently, a result would be lost
      * while its link lives, and its call would wait until the deadline; so the link is closed, and all that is in
@@ -58,6 +67,7 @@
 
     @Override
     public void closed(Link link, String why) {
+        agents.closed(link);
         router.must(now -> router.closed(link, why, now));
     }
 
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
@@ -74,7 +74,9 @@
         Told told = new Told(parts.admission(), poison);
         OpenAnswers open = new OpenAnswers();
         EntryState state = new EntryState(router, open);
-        EntryLinks listener = new EntryLinks(router, table);
+        LinkedAgents linked = new LinkedAgents();
+        registry.share(LinkedAgents.class, linked);
+        EntryLinks listener = new EntryLinks(router, table, linked);
         LinkLoop loop = new LinkLoop(
                 "links",
                 LinkOptions.of(
--- a/daemon/src/main/java/org/cornelramp/daemon/operator/AgentBoard.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/AgentBoard.java
@@ -1,7 +1,7 @@
 package org.cornelramp.daemon.operator;
 
 import java.util.Map;
-import java.util.function.Predicate;
+import java.util.function.BiPredicate;
 import java.util.function.Supplier;
 
 /**
@@ -10,16 +10,16 @@
  */
 public final class AgentBoard {
     private volatile Supplier<Map<String, Long>> offsets = Map::of;
-    private volatile Predicate<String> drain = agent -> false;
+    private volatile BiPredicate<String, String> drain = (agent, by) -> false;
 
     /**
      * Connects the agents.
      *
      * @param tableOffsets gives the table offset that each linked agent last told, by agent name; must not block
-     * @param drainAgent sends a {@link org.cornelramp.wire.message.Drain} to the named agent; false if none of that
-     *     name is linked
+     * @param drainAgent sends a {@link org.cornelramp.wire.message.Drain} to the named agent in the name
+     *     of an operator; false if none of that name is linked
      */
-    public void connect(Supplier<Map<String, Long>> tableOffsets, Predicate<String> drainAgent) {
+    public void connect(Supplier<Map<String, Long>> tableOffsets, BiPredicate<String, String> drainAgent) {
         this.offsets = tableOffsets;
         this.drain = drainAgent;
     }
@@ -30,7 +30,7 @@
     }
 
     /** Passes a drain on to an agent; false if none of that name is linked. */
-    boolean drain(String agent) {
-        return drain.test(agent);
+    boolean drain(String agent, String by) {
+        return drain.test(agent, by);
     }
 }
--- a/daemon/src/main/java/org/cornelramp/daemon/operator/DrainEndpoint.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/DrainEndpoint.java
@@ -40,7 +40,7 @@
             stop.stop();
             return Either.right(new DrainAnswer(self, self));
         }
-        if (agents.drain(request.name())) {
+        if (agents.drain(request.name(), request.by())) {
             LOG.log(
                     System.Logger.Level.INFO,
                     "operator: a drain was passed on; agent=" + request.name() + " by=" + request.by());
--- a/daemon/src/main/java/org/cornelramp/daemon/operator/EntryList.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/EntryList.java
@@ -1,6 +1,9 @@
 package org.cornelramp.daemon.operator;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +23,26 @@
         this.vms = vms;
     }
 
+    /** What the VM list shows, for status; its trouble if it cannot be read. */
+    ObjectNode status() throws InterruptedException {
+        ObjectNode node = JsonNodeFactory.instance.objectNode();
+        try {
+            VmList list = vms.list().get(ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+            node.put("reachable", true);
+            node.put("at", list.at());
+            for (VmList.Vm vm : list.vms()) {
+                node.putObject(vm.vm())
+                        .put("role", vm.role().name().toLowerCase(Locale.ROOT))
+                        .put("state", vm.state().name().toLowerCase(Locale.ROOT))
+                        .put("address", vm.address().toString())
+                        .put("dataCentre", vm.dataCentre().value());
+            }
+        } catch (ExecutionException | TimeoutException e) {
+            node.put("reachable", false);
+        }
+        return node;
+    }
+
     /** The entries; none if the VM list cannot be read. */
     List<PeerEntry> live() throws InterruptedException {
         try {
--- a/daemon/src/main/java/org/cornelramp/daemon/operator/OperatorPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/OperatorPlugin.java
@@ -1,8 +1,10 @@
 package org.cornelramp.daemon.operator;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
 import java.time.Clock;
 import java.util.List;
+import java.util.SortedMap;
 import org.cornelramp.core.model.Problem;
 import org.cornelramp.core.model.ProblemKind;
 import org.cornelramp.core.operate.AppliedDocument;
@@ -68,7 +70,7 @@
         served.add("GET", "table", reads, new TableEndpoint(keeper));
         served.add("GET", "table/", reads, new TableEndpoint(keeper));
         served.add("GET", "history/", reads, new HistoryEndpoint(keeper, new LogBack(log)));
-        served.add("GET", "status", reads, status(registry, self));
+        served.add("GET", "status", reads, status(registry, self, entries));
         served.add("GET", "applied", reads, applied(self, keeper, agents, entries));
         served.add("GET", "explain/", reads, explain(registry, self));
         served.add("GET", "burn", reads, burn(registry, self, keeper));
@@ -79,12 +81,14 @@
         return new Duty<>(name, RING_SLOTS, Runnable::run, () -> {}, TICK_MILLIS);
     }
 
-    private static Endpoint status(Registry registry, String self) {
+    private static Endpoint status(Registry registry, String self, EntryList entries) {
         Readiness readiness = registry.need(Readiness.class);
         StatusBoard board = registry.need(StatusBoard.class);
         return call -> {
             List<String> faults = readiness.faults();
-            return Either.right(new StatusDocument(self, faults.isEmpty(), faults, board.read()));
+            SortedMap<String, JsonNode> sections = board.read();
+            sections.put("vms", entries.status());
+            return Either.right(new StatusDocument(self, faults.isEmpty(), faults, sections));
         };
     }
 
