--- a/cli/src/main/java/org/cornelramp/cli/text/BurnPlot.java
+++ b/cli/src/main/java/org/cornelramp/cli/text/BurnPlot.java
@@ -16,6 +16,7 @@
 public final class BurnPlot {
     private static final int WIDTH = 1_200;
     private static final int HEIGHT = 600;
+    private static final int LABEL_DEGREES = 45;
     private static final int MAX_ROWS = 20;
 
     private BurnPlot() {}
@@ -29,7 +30,8 @@
                 .xAxisTitle("organisation/service")
                 .yAxisTitle("burn rate")
                 .build();
-        chart.getStyler().setXAxisLabelRotation(45);
+        chart.getStyler().setXAxisLabelRotation(LABEL_DEGREES);
+        chart.getStyler().setYAxisMin(0.0);
         List<BurnRow> rows =
                 report.rows().subList(0, Math.min(MAX_ROWS, report.rows().size()));
         List<String> names = new ArrayList<>();
--- a/core/src/main/java/org/cornelramp/core/table/TableSnapshotCodec.java
+++ b/core/src/main/java/org/cornelramp/core/table/TableSnapshotCodec.java
@@ -1,9 +1,13 @@
 package org.cornelramp.core.table;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import java.io.ByteArrayInputStream;
@@ -11,7 +15,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.zip.GZIPInputStream;
 import java.util.zip.GZIPOutputStream;
 import org.cornelramp.core.model.OrganisationId;
@@ -22,13 +28,17 @@
  *
  * <p>The bytes hold either the whole table or what changed at and above an offset. A change set may be applied to
  * any table at or above that offset: it names the state of each changed row, not the steps to it, so applying it
- * twice or to a newer base gives the same table. Stateless, safe for use by any thread.
+ * twice or to a newer base gives the same table. Rows are written and read one by one, since a tree of a large table
+ * would not fit the memory of an agent. Stateless, safe for use by any thread.
  */
 public final class TableSnapshotCodec {
-    /** Largest size of a snapshot once unpacked, in bytes; one that is larger is refused, not read. */
+    /** Largest size of a snapshot once unpacked, in bytes; a small packed message could otherwise take all memory. */
     public static final int MAX_BYTES = 64 << 20;
 
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = new ObjectMapper(JsonFactory.builder()
+            .streamReadConstraints(
+                    StreamReadConstraints.builder().maxDocumentLength(MAX_BYTES).build())
+            .build());
 
     private TableSnapshotCodec() {}
 
@@ -39,23 +49,32 @@
 
     /** Writes what changed at and above an offset; the whole table for offset 0. */
     public static byte[] writeAbove(FoldedTable table, long above) {
-        ObjectNode root = JSON.createObjectNode();
-        root.put("offset", table.offset());
-        root.put("above", above);
-        ArrayNode rows = root.putArray("rows");
-        for (Row row : table.rows()) {
-            if (row.version() >= above) {
-                ObjectNode node = writeKey(rows.addObject(), row.key(), row.version());
-                node.set("values", TableRecords.writeValues(row.values()));
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator out = JSON.createGenerator(new GZIPOutputStream(bytes))) {
+            out.writeStartObject();
+            out.writeNumberField("offset", table.offset());
+            out.writeNumberField("above", above);
+            out.writeArrayFieldStart("rows");
+            for (Row row : table.rows()) {
+                if (row.version() >= above) {
+                    ObjectNode node = keyNode(row.key(), row.version());
+                    node.set("values", TableRecords.writeValues(row.values()));
+                    out.writeTree(node);
+                }
             }
-        }
-        ArrayNode deleted = root.putArray("deleted");
-        table.deletions().forEach((key, version) -> {
-            if (version >= above) {
-                writeKey(deleted.addObject(), key, version);
+            out.writeEndArray();
+            out.writeArrayFieldStart("deleted");
+            for (Map.Entry<RowKey, Long> deletion : table.deletions().entrySet()) {
+                if (deletion.getValue() >= above) {
+                    out.writeTree(keyNode(deletion.getKey(), deletion.getValue()));
+                }
             }
-        });
-        return pack(root);
+            out.writeEndArray();
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException("Writing to memory does not fail", e);
+        }
+        return bytes.toByteArray();
     }
 
     /**
@@ -66,103 +85,122 @@
      */
     public static Either<String, FoldedTable> read(FoldedTable base, byte[] bytes) {
         try {
-            return readRoot(base, unpack(bytes));
+            return apply(base, parse(bytes));
         } catch (IOException | IllegalArgumentException e) {
             return Either.left("The snapshot is not in the agreed form; take one from another peer.");
         }
     }
 
-    private static Either<String, FoldedTable> readRoot(FoldedTable base, JsonNode root) {
-        long offset = whole(root, "offset");
-        long above = whole(root, "above");
-        if (above > base.offset()) {
+    /** What the bytes hold. Confined to one thread. */
+    private static final class Content {
+        private final Interner interner = new Interner();
+        private final List<Row> rows = new ArrayList<>();
+        private final Map<RowKey, Long> deleted = new LinkedHashMap<>();
+        private long offset = -1;
+        private long above = -1;
+
+        void addRow(JsonNode node) {
+            RowValues values = TableRecords.readValues(node.path("values"));
+            if (!RowChecks.check(values).isEmpty()) {
+                throw new IllegalArgumentException("A row in force has values in their ranges");
+            }
+            rows.add(new Row(key(node), whole(node.path("version")), interner.values(values)));
+        }
+
+        void addDeletion(JsonNode node) {
+            deleted.put(key(node), whole(node.path("version")));
+        }
+
+        private RowKey key(JsonNode node) {
+            return new RowKey(
+                    interner.organisation(
+                            new OrganisationId(node.path("organisation").textValue())),
+                    interner.service(new ServiceName(node.path("service").textValue())));
+        }
+
+        boolean isWhole() {
+            boolean named = offset >= 0 && above >= 0;
+            return named
+                    && rows.stream().allMatch(row -> row.version() < offset)
+                    && deleted.values().stream().allMatch(version -> version < offset);
+        }
+    }
+
+    /** Called with each element of an array. */
+    private interface Element {
+        void take(JsonNode node);
+    }
+
+    private static Content parse(byte[] bytes) throws IOException {
+        Content content = new Content();
+        try (JsonParser in = JSON.createParser(new GZIPInputStream(new ByteArrayInputStream(bytes)))) {
+            require(in.nextToken() == JsonToken.START_OBJECT);
+            while (in.nextToken() == JsonToken.FIELD_NAME) {
+                String name = in.currentName();
+                in.nextToken();
+                switch (name) {
+                    case "offset" -> content.offset = whole(in.readValueAsTree());
+                    case "above" -> content.above = whole(in.readValueAsTree());
+                    case "rows" -> each(in, content::addRow);
+                    case "deleted" -> each(in, content::addDeletion);
+                    default -> in.skipChildren();
+                }
+            }
+            require(in.currentToken() == JsonToken.END_OBJECT);
+            // The checksum stands behind the last byte, so the end must be read too.
+            require(in.nextToken() == null);
+        }
+        require(content.isWhole());
+        return content;
+    }
+
+    private static void each(JsonParser in, Element element) throws IOException {
+        require(in.currentToken() == JsonToken.START_ARRAY);
+        while (in.nextToken() != JsonToken.END_ARRAY) {
+            require(in.currentToken() == JsonToken.START_OBJECT);
+            element.take(in.readValueAsTree());
+        }
+    }
+
+    private static Either<String, FoldedTable> apply(FoldedTable base, Content content) {
+        if (content.above > base.offset()) {
             return Either.left("The snapshot starts above the table in force; ask for one from its offset.");
         }
-        if (above != 0 && offset < base.offset()) {
+        if (content.above != 0 && content.offset < base.offset()) {
             return Either.right(base);
         }
-        FoldedTable table = above == 0 ? FoldedTable.empty() : base;
-        Interner interner = new Interner();
-        List<Row> rows = readRows(interner, root, offset);
+        FoldedTable table = content.above == 0 ? FoldedTable.empty() : base;
         // A caller key may have moved from one changed row to another, so all old states go first.
-        for (Row row : rows) {
+        for (Row row : content.rows) {
             table = table.without(row.key());
         }
-        for (JsonNode node : root.path("deleted")) {
-            table = table.withDeletion(readKey(interner, node), version(node, offset));
+        for (Map.Entry<RowKey, Long> deletion : content.deleted.entrySet()) {
+            table = table.withDeletion(deletion.getKey(), deletion.getValue());
         }
-        for (Row row : rows) {
+        for (Row row : content.rows) {
             table = table.with(row);
         }
-        return Either.right(table.at(offset));
+        return Either.right(table.at(content.offset));
     }
 
-    private static List<Row> readRows(Interner interner, JsonNode root, long offset) {
-        List<Row> rows = new ArrayList<>();
-        for (JsonNode node : root.path("rows")) {
-            RowValues values = TableRecords.readValues(node.path("values"));
-            if (!RowChecks.check(values).isEmpty()) {
-                throw new IllegalArgumentException("A row in force has values in their ranges");
-            }
-            rows.add(new Row(readKey(interner, node), version(node, offset), interner.values(values)));
-        }
-        return rows;
-    }
-
-    private static ObjectNode writeKey(ObjectNode node, RowKey key, long version) {
+    private static ObjectNode keyNode(RowKey key, long version) {
+        ObjectNode node = JsonNodeFactory.instance.objectNode();
         node.put("organisation", key.organisation().value());
         node.put("service", key.service().value());
         node.put("version", version);
         return node;
     }
 
-    private static RowKey readKey(Interner interner, JsonNode node) {
-        return new RowKey(
-                interner.organisation(
-                        new OrganisationId(node.path("organisation").textValue())),
-                interner.service(new ServiceName(node.path("service").textValue())));
-    }
-
-    private static long version(JsonNode node, long offset) {
-        long version = whole(node, "version");
-        if (version < 0 || version >= offset) {
-            throw new IllegalArgumentException("A version lies below the table's offset");
-        }
-        return version;
-    }
-
-    private static long whole(JsonNode node, String name) {
-        JsonNode value = node.path(name);
-        if (!value.isIntegralNumber() || !value.canConvertToLong() || value.longValue() < 0) {
-            throw new IllegalArgumentException(name + " is not a whole number");
+    private static long whole(JsonNode value) {
+        if (value == null || !value.isIntegralNumber() || !value.canConvertToLong() || value.longValue() < 0) {
+            throw new IllegalArgumentException("Not a whole number");
         }
         return value.longValue();
     }
 
-    private static byte[] pack(ObjectNode root) {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        try (GZIPOutputStream gzip = new GZIPOutputStream(bytes)) {
-            gzip.write(JSON.writeValueAsBytes(root));
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("A table always has a JSON form", e);
-        } catch (IOException e) {
-            throw new UncheckedIOException("Writing to memory does not fail", e);
-        }
-        return bytes.toByteArray();
-    }
-
-    /** Bounds what a small packed message may unpack to, which could otherwise take all memory. */
-    private static JsonNode unpack(byte[] bytes) throws IOException {
-        try (GZIPInputStream gzip = new GZIPInputStream(new ByteArrayInputStream(bytes))) {
-            byte[] plain = gzip.readNBytes(MAX_BYTES + 1);
-            if (plain.length > MAX_BYTES) {
-                throw new IOException("The snapshot is too large");
-            }
-            JsonNode root = JSON.readTree(plain);
-            if (!root.isObject()) {
-                throw new IOException("The snapshot is no object");
-            }
-            return root;
+    private static void require(boolean holds) {
+        if (!holds) {
+            throw new IllegalArgumentException("Not in the agreed form");
         }
     }
 }
