Keep streams through silent links, and refuse own keys at once in a log outage

The log's refusal carries a Retry-After of 1 s, was taken for a rate limit and tried again until no time was left to ask the agents. Change: a session takes back agents whose link was lost and is up again, and looks for up to 5 s; the binder tries a refused append again once.

--- a/core/src/main/java/org/cornelramp/core/session/PipelineSession.java
+++ b/core/src/main/java/org/cornelramp/core/session/PipelineSession.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.Problem;
@@ -33,6 +34,7 @@
     private final int maxTokens;
     private final int maxRebuilds;
     private final Set<Incarnation> failed = new HashSet<>();
+    private final Set<Incarnation> unreachable = new HashSet<>();
     private long[] tokens;
     private int known;
     private int epoch;
@@ -100,6 +102,7 @@
         if (ended || !stages.contains(agent)) {
             return List.of();
         }
+        unreachable.add(agent);
         if (choosing) {
             failed.add(agent);
             return List.of();
@@ -141,6 +144,16 @@
         return actions;
     }
 
+    /**
+     * Takes back agents that were lost with their link and have one again: the same life, with what it held. An
+     * agent that failed the session itself stays avoided.
+     */
+    public void reconnected(Predicate<Incarnation> linked) {
+        List<Incarnation> back = unreachable.stream().filter(linked).toList();
+        back.forEach(unreachable::remove);
+        back.forEach(failed::remove);
+    }
+
     /** Agents that failed this session and must not be chosen for it again. */
     public Set<Incarnation> failed() {
         return Set.copyOf(failed);
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRun.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRun.java
@@ -41,6 +41,7 @@
     private static final int MAX_REBUILDS = 8;
     private static final int LOSSES_BEFORE_WAIT = 2;
     private static final Duration REPORT_TIME = Duration.ofMillis(100);
+    private static final Duration REBUILD_WAIT = Duration.ofSeconds(5);
 
     private final long session;
     private final CallerRequest request;
@@ -58,6 +59,7 @@
     private int emitted;
     private int losses;
     private Optional<Instant> rechooseAt = Optional.empty();
+    private Optional<Instant> rebuildUntil = Optional.empty();
 
     ChatRun(long session, CallerRequest request, ChatRequest chat, String fingerprint, Parts parts) {
         this.session = session;
@@ -207,8 +209,27 @@
         if (stop.isPresent()) {
             giveUp(stop.get(), now);
         } else if (state.isChoosing()) {
-            use(parts.selection().replace(work(), state.stages(), now), now);
+            state.reconnected(agents::isLinked);
+            Either<Problem, Choice> choice = parts.selection().replace(work(), state.stages(), now);
+            if (choice.isLeft() && mayComeBack(choice.getLeft(), now)) {
+                rechooseAt = Optional.of(now.plus(REPORT_TIME));
+            } else {
+                rebuildUntil = Optional.empty();
+                use(choice, now);
+            }
+        }
+    }
+
+    /**
+     * When all links of a stage's agents are lost at once, their agents live and are linked again within a few
+     * heartbeats. Given up at the first look, every stream over them would be cut though nothing had died.
+     */
+    private boolean mayComeBack(Problem problem, Instant now) {
+        if (problem.kind() != ProblemKind.NO_BACKEND_SERVER) {
+            return false;
         }
+        rebuildUntil = Optional.of(rebuildUntil.orElse(now.plus(REBUILD_WAIT)));
+        return now.isBefore(rebuildUntil.get());
     }
 
     private void open(SessionAction.Open open, Instant now) {
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/KeyBinder.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/KeyBinder.java
@@ -143,12 +143,16 @@
         }
         Duration wait = Duration.ofMillis(((PlatformException) failure).retryAfterMillis());
         boolean rateLimited = !wait.isZero() && wait.compareTo(LONGEST_WAIT) <= 0;
-        if (rateLimited) {
+        List<Wanted> again =
+                rateLimited ? batch.stream().filter(Wanted::mayTryAgain).toList() : List.of();
+        if (!again.isEmpty()) {
             nextAt = now.plus(wait);
-            takeBack(batch);
-        } else {
+            takeBack(again);
+        }
+        List<Wanted> denied = batch.stream().filter(one -> !again.contains(one)).toList();
+        if (!denied.isEmpty()) {
             LOG.log(System.Logger.Level.WARNING, "entry: keys were not bound; why=" + failure.getMessage());
-            denyAll(batch, wait, now);
+            denyAll(denied, wait, now);
         }
     }
 
@@ -221,6 +225,7 @@
         final Instant giveUpAt;
         long offset = Long.MAX_VALUE;
         boolean settled;
+        private boolean refusedBefore;
 
         Wanted(ServiceRequest call, KeyRecord.Bind bind, Optional<Problem> refusal, Instant giveUpAt) {
             this.call = call;
@@ -228,5 +233,16 @@
             this.refusal = refusal;
             this.giveUpAt = giveUpAt;
         }
+
+        /**
+         * A refusal with a short wait is a passing rate limit, or the start of an outage. Tried again until the
+         * deadline, a call in an outage would be held that long, and no time would be left to prove that it did not
+         * run: its caller would be told "unknown". So it is tried again once.
+         */
+        boolean mayTryAgain() {
+            boolean first = !refusedBefore;
+            refusedBefore = true;
+            return first;
+        }
     }
 }
--- a/system-tests/src/test/java/org/cornelramp/systemtests/Processes.java
+++ b/system-tests/src/test/java/org/cornelramp/systemtests/Processes.java
@@ -2,7 +2,9 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import org.cornelramp.bench.fleet.Fleet;
 import org.cornelramp.bench.fleet.FleetPlan;
 import org.cornelramp.bench.fleet.JsonHttp;
@@ -10,7 +12,11 @@
 
 /** What the tests with real processes share. Stateless, safe for use by any thread. */
 final class Processes {
+    /** Longest time that a test waits for anything; far above what it takes on a busy machine. */
+    static final Duration LIMIT = Duration.ofSeconds(60);
+
     private static final int LAYERS = 24;
+    private static final long CLOCK_AHEAD_MILLIS = 58_000;
 
     private Processes() {}
 
@@ -66,4 +72,33 @@
         }
         return count;
     }
+
+    /** Books on a thread of its own. */
+    static CompletableFuture<JsonHttp.Answer> bookLater(Fleet fleet, Member entry, String key, String body) {
+        return CompletableFuture.supplyAsync(() -> book(fleet, entry, 0, key, body));
+    }
+
+    /** What the caller is told of the effect. */
+    static String outcome(Fleet fleet, JsonHttp.Answer answer) {
+        return answer.status() == 200
+                ? "answered"
+                : fleet.http().read(answer.body()).path("outcome").asText("none: " + answer);
+    }
+
+    static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * A caller's own key: a UUIDv7 by a clock that runs ahead, as clocks may. An entry can prove that a key never ran
+     * only if it has watched the agents since a minute before the key's time, and a test's fleet is younger.
+     */
+    static String ownKey(int number) {
+        long millis = System.currentTimeMillis() + CLOCK_AHEAD_MILLIS;
+        return String.format("%08x-%04x-7000-8000-%012x", millis >>> 16, millis & 0xffff, number);
+    }
 }
--- /dev/null
+++ b/system-tests/src/test/java/org/cornelramp/systemtests/RacingOperatorsTest.java
@@ -0,0 +1,56 @@
+package org.cornelramp.systemtests;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.cornelramp.bench.fleet.Fleet;
+import org.cornelramp.bench.fleet.FleetPlan;
+import org.cornelramp.bench.fleet.Member;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/**
+ * Two operators edit the same row at two entries at the same moment, each against the version that both saw.
+ *
+ * <p>The log orders the two records; every reader takes the first and rejects the second. One operator is told
+ * "accepted", the other "rejected", and every entry shows the accepted one and stays with it.
+ */
+public class RacingOperatorsTest {
+    private static final int ROUNDS = 10;
+
+    private Fleet fleet;
+
+    @BeforeClass
+    public void start() {
+        fleet = Fleet.start(Processes.home(), FleetPlan.small().withStages(List.of()));
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stop() {
+        if (fleet != null) {
+            fleet.close();
+        }
+    }
+
+    @Test
+    public void oneIsAcceptedAndTheOtherRejected() {
+        Member one = fleet.entries().get(0);
+        Member other = fleet.entries().get(1);
+        for (int i = 0; i < ROUNDS; i++) {
+            int weight = 100 + 2 * i;
+            long against = Edits.row(fleet, one).path("version").asLong();
+            CompletableFuture<String> first =
+                    CompletableFuture.supplyAsync(() -> Edits.edit(fleet, one, against, weight));
+            CompletableFuture<String> second =
+                    CompletableFuture.supplyAsync(() -> Edits.edit(fleet, other, against, weight + 1));
+            List<String> kinds = List.of(first.join(), second.join());
+            assertEquals(kinds.stream().sorted().toList(), List.of("accepted", "rejected"));
+            int accepted = kinds.get(0).equals("accepted") ? weight : weight + 1;
+            for (Member entry : fleet.entries()) {
+                Fleet.await("the accepted edit shows", Processes.LIMIT, () -> Edits.weight(fleet, entry) == accepted);
+            }
+        }
+    }
+}
