--- a/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/Agent.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -211,7 +210,6 @@
         orders.heard(beat.term());
         if (link.peer().entry()) {
             entries.put(link, beat);
-            hearSuspects();
             beat.setAside().stream().limit(MAX_SET_ASIDE).forEach(setAside::add);
             if (setAside.size() > MAX_SET_ASIDE) {
                 setAside.retainAll(beat.setAside());
@@ -223,12 +221,6 @@
         }
     }
 
-    private void hearSuspects() {
-        Set<String> known = new HashSet<>();
-        entries.values().forEach(beat -> known.addAll(beat.crashed()));
-        suspects.heardElsewhere(known);
-    }
-
     private void giveTable(Link link, TableRequest request) {
         long offset = tables.current().offset();
         if (offset > request.above()) {
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/CallHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/CallHandler.java
@@ -177,7 +177,7 @@
     }
 
     private void pump(Moment now) {
-        while (running.size() < slots && !waiting.isEmpty() && mayStart(waiting.peek())) {
+        while (running.size() < slots && !waiting.isEmpty()) {
             PendingCall call = waiting.poll();
             leaveQueue(call);
             if (now.millisTo(call.deadline) <= 0) {
@@ -188,17 +188,6 @@
         }
     }
 
-    private boolean mayStart(PendingCall call) {
-        if (running.isEmpty()) {
-            return true;
-        }
-        return !mustRunAlone(call) && running.stream().noneMatch(this::mustRunAlone);
-    }
-
-    private boolean mustRunAlone(PendingCall call) {
-        return suspects.mustRunAlone(call.invoke.fingerprint());
-    }
-
     private static KeyResult tooLate() {
         return KeyResult.notRun(ProblemKind.DEADLINE_PASSED, "The deadline passed before the call could start", 0);
     }
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/CrashSuspects.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/CrashSuspects.java
@@ -25,9 +25,7 @@
 
     private final Incarnation self;
     private final Map<String, Long> lost = new LinkedHashMap<>();
-    private final Map<String, Long> crashed = new LinkedHashMap<>();
     private final List<Told> told = new ArrayList<>();
-    private Set<String> elsewhere = Set.of();
     private int crashes;
 
     private record Told(CrashReport report, long until) {}
@@ -50,7 +48,6 @@
         long until = now.plusMillis(CRASHED_MILLIS);
         Set<String> suspects = new TreeSet<>(lost.keySet());
         running.stream().filter(fingerprint -> !fingerprint.isEmpty()).forEach(suspects::add);
-        suspects.forEach(fingerprint -> put(crashed, fingerprint, until));
         lost.clear();
         if (!suspects.isEmpty()) {
             crashes++;
@@ -67,23 +64,9 @@
     /** Forgets what is old. */
     void tick(Moment now) {
         lost.values().removeIf(until -> now.nanos() - until > 0);
-        crashed.values().removeIf(until -> now.nanos() - until > 0);
         told.removeIf(one -> now.nanos() - one.until() > 0);
     }
 
-    /** Sets the requests that entries know from crashes of other backend servers. */
-    void heardElsewhere(Set<String> fingerprints) {
-        elsewhere = fingerprints;
-    }
-
-    /**
-     * Whether a request must run alone. Where many run side by side, a crash shows only that one of them caused it;
-     * those that keep company with the culprit twice would be set aside with it. Run alone, the culprit is certain.
-     */
-    boolean mustRunAlone(String fingerprint) {
-        return !fingerprint.isEmpty() && (elsewhere.contains(fingerprint) || crashed.containsKey(fingerprint));
-    }
-
     /** What the heartbeat tells: the newest crashes, as the text of their reports. */
     List<String> crashed() {
         List<Told> newest = told.subList(Math.max(0, told.size() - MAX_TOLD), told.size());
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/EngineStepper.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/EngineStepper.java
@@ -81,9 +81,7 @@
     }
 
     private void pump(Moment now) {
-        while (inFlight.size() < BATCHES
-                && !ready.isEmpty()
-                && inFlight.stream().noneMatch(Batch::runsAlone)) {
+        while (inFlight.size() < BATCHES && !ready.isEmpty()) {
             Batch batch = gather(now);
             if (batch.entries.isEmpty()) {
                 return;
@@ -98,18 +96,10 @@
         candidates.sort(Comparator.comparingInt((Stage stage) -> stage.open.priority()));
         Batch batch = new Batch(now.nanos());
         for (Stage stage : candidates) {
-            boolean alone = suspects.mustRunAlone(stage.open.fingerprint());
-            if (alone && !inFlight.isEmpty()) {
-                break;
-            }
-            if (alone && !batch.entries.isEmpty()) {
-                continue;
-            }
             ready.remove(stage);
             Optional<StepRun> run = stage.session.nextRun(MAX_POSITIONS);
             run.ifPresent(r -> batch.entries.add(new Entry(stage, r)));
-            batch.alone = alone;
-            if (alone || batch.entries.size() >= slots) {
+            if (batch.entries.size() >= slots) {
                 break;
             }
         }
@@ -256,15 +246,10 @@
     private static final class Batch {
         final List<Entry> entries = new ArrayList<>();
         long startedAt;
-        boolean alone;
 
         Batch(long startedAt) {
             this.startedAt = startedAt;
         }
-
-        boolean runsAlone() {
-            return alone;
-        }
     }
 
     /** One session's share of a batch. */
--- a/wire/src/main/java/org/cornelramp/wire/codec/FrameMapper.java
+++ b/wire/src/main/java/org/cornelramp/wire/codec/FrameMapper.java
@@ -1,5 +1,6 @@
 package org.cornelramp.wire.codec;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonSetter;
 import com.fasterxml.jackson.annotation.Nulls;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -24,6 +25,8 @@
         mapper.registerModule(new Jdk8Module());
         mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
         mapper.disable(SerializationFeature.FAIL_ON_EMPTY_BEANS);
+        // What is empty reads back as empty, so that its name need not be sent with every heartbeat and call.
+        mapper.setDefaultPropertyInclusion(JsonInclude.Include.NON_EMPTY);
         JsonSetter.Value empty = JsonSetter.Value.forValueNulls(Nulls.AS_EMPTY);
         mapper.configOverride(List.class).setSetterInfo(empty);
         mapper.configOverride(Map.class).setSetterInfo(empty);
