--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentComponent.java
@@ -38,7 +38,7 @@
  */
 final class AgentComponent implements Component, LinkListener {
     private static final System.Logger LOG = System.getLogger(AgentComponent.class.getName());
-    private static final long TICK_MILLIS = 20;
+    private static final long TICK_MILLIS = 50;
     /** Room on a link beside its largest frame, so that a table on its way does not hold up heartbeats. */
     private static final long OUT_ROOM = 64 << 10;
 
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/FakeEngine.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/FakeEngine.java
@@ -33,6 +33,9 @@
     private final Map<String, Integer> positions = new HashMap<>();
     private String life = "life-1";
     private boolean down;
+    private boolean silent;
+    private CompletableFuture<EngineStepResults> late;
+    private List<EngineStep> lateSteps;
 
     FakeEngine(int from, int to, int total) {
         layers = new LayerRange(from, to, total);
@@ -49,6 +52,11 @@
         down = now;
     }
 
+    /** Leaves steps without an answer. */
+    synchronized void setSilent(boolean now) {
+        silent = now;
+    }
+
     @Override
     public synchronized CompletableFuture<BackendOffer> offer() {
         return down
@@ -67,9 +75,23 @@
         if (down) {
             return refused();
         }
+        if (silent) {
+            late = new CompletableFuture<>();
+            lateSteps = steps;
+            return late;
+        }
+        return CompletableFuture.completedFuture(runAll(steps));
+    }
+
+    /** Answers the batch that stayed without an answer. */
+    synchronized void answerLate() {
+        late.complete(runAll(lateSteps));
+    }
+
+    private EngineStepResults runAll(List<EngineStep> steps) {
         List<EngineStepResult> results = new ArrayList<>();
         steps.forEach(step -> results.add(run(step)));
-        return CompletableFuture.completedFuture(new EngineStepResults(life, results));
+        return new EngineStepResults(life, results);
     }
 
     private static <T> CompletableFuture<T> refused() {
--- /dev/null
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/Relay.java
@@ -0,0 +1,88 @@
+package org.cornelramp.daemon.agent;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cornelramp.core.settings.HostPort;
+
+/** Passes connections on to an address, and cuts them when the test says so. Safe for use by any thread. */
+final class Relay implements AutoCloseable {
+    private static final int BUFFER = 8_192;
+
+    private final ServerSocket server;
+    private final HostPort target;
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private final AtomicInteger accepted = new AtomicInteger();
+
+    Relay(HostPort target) throws IOException {
+        this.target = target;
+        this.server = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+        start(this::accept);
+    }
+
+    HostPort address() {
+        return new HostPort("127.0.0.1", server.getLocalPort());
+    }
+
+    /** Connections taken so far. */
+    int accepted() {
+        return accepted.get();
+    }
+
+    /** Cuts all connections, with what is on its way; new ones are passed on. */
+    void cut() throws IOException {
+        for (Socket socket : sockets) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+        sockets.clear();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket near = server.accept();
+                Socket far = new Socket(target.host(), target.port());
+                accepted.incrementAndGet();
+                sockets.add(near);
+                sockets.add(far);
+                start(() -> pipe(near, far));
+                start(() -> pipe(far, near));
+            }
+        } catch (IOException e) {
+            // The relay was closed.
+            Thread.onSpinWait();
+        }
+    }
+
+    private static void pipe(Socket from, Socket to) {
+        byte[] buffer = new byte[BUFFER];
+        try (InputStream in = from.getInputStream();
+                OutputStream out = to.getOutputStream()) {
+            for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+                out.write(buffer, 0, count);
+            }
+        } catch (IOException e) {
+            // One end was cut; the other follows.
+            Thread.onSpinWait();
+        }
+    }
+
+    private static void start(Runnable work) {
+        Thread thread = new Thread(work, "relay");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        cut();
+    }
+}
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/TestPipeline.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/TestPipeline.java
@@ -1,12 +1,15 @@
 package org.cornelramp.daemon.agent;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.OrganisationId;
 import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.wire.link.Link;
 import org.cornelramp.wire.message.OpenStage;
 import org.cornelramp.wire.message.SendFrom;
@@ -22,6 +25,7 @@
     private final long[] prompt;
     private final int maxTokens;
     private final TreeMap<Integer, Integer> tokens = new TreeMap<>();
+    private final Map<TestAgent, HostPort> detours = new HashMap<>();
     private List<TestAgent> present = List.of();
     private int epoch;
 
@@ -37,7 +41,8 @@
         present = List.copyOf(agents);
         List<String> addresses = new ArrayList<>();
         List<Incarnation> lives = new ArrayList<>();
-        agents.forEach(agent -> addresses.add(agent.address().toString()));
+        agents.forEach(agent ->
+                addresses.add(detours.getOrDefault(agent, agent.address()).toString()));
         agents.forEach(agent -> lives.add(agent.incarnation));
         int[] positions = new int[agents.size()];
         for (int i = 0; i < agents.size(); i++) {
@@ -77,6 +82,11 @@
                 kv);
     }
 
+    /** Makes the stage before an agent reach it at another address. */
+    void reachAt(TestAgent agent, HostPort address) {
+        detours.put(agent, address);
+    }
+
     /** Puts another agent in the place of one stage, under a new epoch. */
     void replace(int stage, TestAgent spare, Optional<byte[]> kv) throws InterruptedException {
         List<TestAgent> agents = new ArrayList<>(present);
