Keep a session through a broken link to a living agent

Cause: in soaks most sessions that ended with no-backend-server had lost only the links to their agents: on a busy machine several links fall silent at once and are up again within some tens of milliseconds, while the agents still hold the stages. Change: a lost link no longer puts its agent on the list to avoid. A replacement is taken at once if there is one; else the entry looks again for up to a second while a lost link may come back, and opens the same stage under a new epoch. A stage that was left behind an unlinked agent is closed when the agent is linked again. An agent's own word or its ended life still ends the session at once where there is no replacement.

--- a/core/src/main/java/org/cornelramp/core/session/PipelineSession.java
+++ b/core/src/main/java/org/cornelramp/core/session/PipelineSession.java
@@ -95,7 +95,7 @@
         return isStale(ofEpoch, stage) ? List.of() : replace(stages.get(stage), why);
     }
 
-    /** An agent is gone, or its link is. */
+    /** An agent's life has ended, and what it held is gone. */
     public List<SessionAction> lost(Incarnation agent, Problem why) {
         if (ended || !stages.contains(agent)) {
             return List.of();
@@ -107,6 +107,17 @@
         return replace(agent, why);
     }
 
+    /**
+     * The link to an agent is lost. The agent may live and still hold its stage, so it is not avoided: it may be
+     * chosen again once a new link to it is up.
+     */
+    public List<SessionAction> unlinked(Incarnation agent, Problem why) {
+        if (ended || choosing || !stages.contains(agent)) {
+            return List.of();
+        }
+        return rechoose(why);
+    }
+
     /**
      * Generated tokens have come.
      *
@@ -197,6 +208,10 @@
 
     private List<SessionAction> replace(Incarnation agent, Problem why) {
         failed.add(agent);
+        return rechoose(why);
+    }
+
+    private List<SessionAction> rechoose(Problem why) {
         if (rebuilds >= maxRebuilds) {
             return giveUp(why);
         }
--- a/core/src/test/java/org/cornelramp/core/session/PipelineSessionProperties.java
+++ b/core/src/test/java/org/cornelramp/core/session/PipelineSessionProperties.java
@@ -90,7 +90,8 @@
                 if (random.nextInt(25) == 0) {
                     apply(session.lost(session.epoch(), random.nextInt(STAGES), why()));
                 } else if (random.nextInt(40) == 0) {
-                    apply(session.lost(session.stages().get(random.nextInt(STAGES)), why()));
+                    Incarnation agent = session.stages().get(random.nextInt(STAGES));
+                    apply(random.nextBoolean() ? session.lost(agent, why()) : session.unlinked(agent, why()));
                 } else {
                     deliver();
                 }
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Agents.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Agents.java
@@ -18,6 +18,7 @@
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.route.Candidate;
 import org.cornelramp.wire.link.Link;
+import org.cornelramp.wire.message.CloseStage;
 import org.cornelramp.wire.message.Heartbeat;
 import org.cornelramp.wire.message.Hello;
 import org.cornelramp.wire.message.Message;
@@ -31,11 +32,14 @@
     /** Work sent this shortly before a heartbeat came may not be in the load that the heartbeat tells. */
     private static final Duration IN_FLIGHT = Duration.ofMillis(10);
 
+    private static final int MOST_UNCLOSED = 1_024;
+
     private final Membership membership = new Membership();
     private final Lives lives;
     private final Health health;
     private final Map<Incarnation, Link> links = new HashMap<>();
     private final Map<Incarnation, Sent> sent = new HashMap<>();
+    private final Map<Incarnation, Deque<Unclosed>> unclosed = new HashMap<>();
 
     Agents(Lives lives, Health health) {
         this.lives = lives;
@@ -62,6 +66,8 @@
         health.seen(agent, peer.offer(), now);
         Optional<Incarnation> ended = membership.opened(agent, peer.dataCentre(), peer.address(), peer.offer(), now);
         ended.ifPresent(health::gone);
+        ended.ifPresent(unclosed::remove);
+        closeLeft(agent, now);
         return ended;
     }
 
@@ -100,6 +106,28 @@
         return link != null && link.send(message);
     }
 
+    /**
+     * Closes a session's stage at an agent; without a link, once the agent is linked again. An agent that came back
+     * would else hold the stage, and its place at the engine, until the session's deadline.
+     */
+    void close(Incarnation agent, CloseStage close, Instant until) {
+        if (send(agent, close)) {
+            return;
+        }
+        Deque<Unclosed> kept = unclosed.computeIfAbsent(agent, key -> new ArrayDeque<>());
+        kept.add(new Unclosed(close, until));
+        if (kept.size() > MOST_UNCLOSED) {
+            kept.poll();
+        }
+    }
+
+    private void closeLeft(Incarnation agent, Instant now) {
+        Deque<Unclosed> kept = unclosed.remove(agent);
+        if (kept != null) {
+            kept.stream().filter(one -> now.isBefore(one.until())).forEach(one -> send(agent, one.close()));
+        }
+    }
+
     /** Counts work that begins at an agent. */
     void begin(Incarnation agent, long tokens, Instant now) {
         sent.computeIfAbsent(agent, key -> new Sent()).begin(tokens, now);
@@ -184,5 +212,7 @@
         }
     }
 
+    private record Unclosed(CloseStage close, Instant until) {}
+
     private record Untold(Instant at, long tokens) {}
 }
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRun.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRun.java
@@ -41,6 +41,8 @@
     private static final int MAX_REBUILDS = 8;
     private static final int LOSSES_BEFORE_WAIT = 2;
     private static final Duration REPORT_TIME = Duration.ofMillis(100);
+    private static final Duration PATIENCE = Duration.ofSeconds(1);
+    private static final Duration RETRY_TIME = Duration.ofMillis(20);
 
     private final long session;
     private final CallerRequest request;
@@ -106,7 +108,12 @@
         apply(state.generated(message.epoch(), message.position(), message.tokens()), now);
     }
 
-    /** The link to an agent is lost, or its life has ended. */
+    /** The link to an agent is lost; the agent may live. */
+    void unlinked(Incarnation agent, String detail, Instant now) {
+        apply(state.unlinked(agent, Problem.notRun(ProblemKind.BACKEND_LOST, detail)), now);
+    }
+
+    /** The life of an agent has ended. */
     void lost(Incarnation agent, String detail, Instant now) {
         apply(state.lost(agent, Problem.notRun(ProblemKind.BACKEND_LOST, detail)), now);
     }
@@ -184,7 +191,7 @@
             ends.decided(request, now, "rebuild", "why=" + rechoose.why() + " failed=" + state.failed());
             rechooseOrWait(now);
         } else if (action instanceof SessionAction.Close close) {
-            agents.send(close.agent(), new CloseStage(session, close.epoch()));
+            agents.close(close.agent(), new CloseStage(session, close.epoch()), request.deadline());
         } else if (action instanceof SessionAction.Finish) {
             finish(now);
         } else if (action instanceof SessionAction.Fail fail) {
@@ -205,12 +212,33 @@
     }
 
     private void rechoose(Instant now) {
+        if (!state.isChoosing()) {
+            return;
+        }
         Optional<Problem> stop = parts.admission().stop(fingerprint, now);
         if (stop.isPresent()) {
             giveUp(stop.get(), now);
-        } else if (state.isChoosing()) {
-            use(parts.selection().replace(work(), state.stages(), now), now);
+            return;
         }
+        Either<Problem, Choice> choice = parts.selection().replace(work(), state.stages(), now);
+        if (choice.isLeft() && mayComeBack(now)) {
+            rechooseAt = Optional.of(now.plus(RETRY_TIME));
+        } else {
+            use(choice, now);
+        }
+    }
+
+    /**
+     * Whether a stage whose link was lost may be back in a moment. A link that breaks between living processes is up
+     * again within some tens of milliseconds, and the agent still holds its stage; giving up at once would fail
+     * every session through it where there is no other replica.
+     */
+    private boolean mayComeBack(Instant now) {
+        boolean patient = lostAt.isPresent() && now.isBefore(lostAt.get().plus(PATIENCE));
+        return patient
+                && state.stages().stream()
+                        .anyMatch(agent ->
+                                !agents.isLinked(agent) && !state.failed().contains(agent));
     }
 
     private void open(SessionAction.Open open, Instant now) {
@@ -247,7 +275,7 @@
         }
         if (!agents.send(state.stages().get(stage), message)) {
             Problem why = Problem.notRun(ProblemKind.BACKEND_LOST, "The link to a stage refused a message.");
-            todo.addAll(state.lost(epoch, stage, why));
+            todo.addAll(state.unlinked(state.stages().get(stage), why));
         }
     }
 
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Router.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Router.java
@@ -179,7 +179,7 @@
         parts.admission().lost(agent);
         calls.values().forEach(call -> call.linkLost(agent, now));
         denials.values().forEach(denial -> denial.linkLost(agent, now));
-        chats.values().forEach(chat -> chat.lost(agent, "The link to a stage was lost: " + why, now));
+        chats.values().forEach(chat -> chat.unlinked(agent, "The link to a stage was lost: " + why, now));
     }
 
     void received(Link link, Message message, Instant now) {
