--- a/core/src/main/java/org/cornelramp/core/session/PipelineSession.java
+++ b/core/src/main/java/org/cornelramp/core/session/PipelineSession.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Predicate;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.Problem;
@@ -34,7 +33,6 @@
     private final int maxTokens;
     private final int maxRebuilds;
     private final Set<Incarnation> failed = new HashSet<>();
-    private final Set<Incarnation> unreachable = new HashSet<>();
     private long[] tokens;
     private int known;
     private int epoch;
@@ -97,12 +95,11 @@
         return isStale(ofEpoch, stage) ? List.of() : replace(stages.get(stage), why);
     }
 
-    /** An agent is gone, or its link is. */
+    /** An agent's life has ended, and what it held is gone. */
     public List<SessionAction> lost(Incarnation agent, Problem why) {
         if (ended || !stages.contains(agent)) {
             return List.of();
         }
-        unreachable.add(agent);
         if (choosing) {
             failed.add(agent);
             return List.of();
@@ -110,6 +107,17 @@
         return replace(agent, why);
     }
 
+    /**
+     * The link to an agent is lost. The agent may live and still hold its stage, so it is not avoided: it may be
+     * chosen again once a new link to it is up.
+     */
+    public List<SessionAction> unlinked(Incarnation agent, Problem why) {
+        if (ended || choosing || !stages.contains(agent)) {
+            return List.of();
+        }
+        return rechoose(why);
+    }
+
     /**
      * Generated tokens have come.
      *
@@ -144,16 +152,6 @@
         return actions;
     }
 
-    /**
-     * Takes back agents that were lost with their link and have one again: the same life, with what it held. An
-     * agent that failed the session itself stays avoided.
-     */
-    public void reconnected(Predicate<Incarnation> linked) {
-        List<Incarnation> back = unreachable.stream().filter(linked).toList();
-        back.forEach(unreachable::remove);
-        back.forEach(failed::remove);
-    }
-
     /** Agents that failed this session and must not be chosen for it again. */
     public Set<Incarnation> failed() {
         return Set.copyOf(failed);
@@ -210,6 +208,10 @@
 
     private List<SessionAction> replace(Incarnation agent, Problem why) {
         failed.add(agent);
+        return rechoose(why);
+    }
+
+    private List<SessionAction> rechoose(Problem why) {
         if (rebuilds >= maxRebuilds) {
             return giveUp(why);
         }
