Give up on bodies that stall, not on answers that take long

Cause: a request in progress was exempt from the idle timeout for eleven minutes, so that long answers were not cut; a caller that sent half a body held its place as long. Change: the idle timeout of 30 s holds for reads and writes that stall, and not while the caller waits for us; connections are limited to twice the requests in progress.

--- a/daemon/src/main/java/org/cornelramp/daemon/http/HttpServer.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/http/HttpServer.java
@@ -7,6 +7,7 @@
 import org.cornelramp.daemon.kernel.Component;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.server.handler.SizeLimitHandler;
@@ -23,8 +24,7 @@
     private static final int MIN_THREADS = 4;
     private static final int BACKLOG = 1_024;
     private static final long IDLE_MILLIS = 30_000;
-    /** Above the longest deadline: a request that waits for its answer is not idle. */
-    private static final long REQUEST_IDLE_MILLIS = 660_000;
+    private static final int CONNECTIONS_PER_REQUEST = 2;
 
     private final HostPort wanted;
     private final Server server;
@@ -32,6 +32,14 @@
     private volatile boolean leaving;
 
     HttpServer(HostPort wanted, BoundSettings bounds, Routes routes, MeterRegistry meters) {
+        this(wanted, bounds, routes, meters, IDLE_MILLIS);
+    }
+
+    /**
+     * @param idleMillis silence after which a connection without a request in progress is closed, and a body that
+     *     does not come on or an answer that is not taken is given up on
+     */
+    HttpServer(HostPort wanted, BoundSettings bounds, Routes routes, MeterRegistry meters, long idleMillis) {
         this.wanted = wanted;
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
         threads.setName("http");
@@ -40,8 +48,10 @@
         connector.setHost(wanted.host());
         connector.setPort(wanted.port());
         connector.setAcceptQueueSize(BACKLOG);
-        connector.setIdleTimeout(IDLE_MILLIS);
+        connector.setIdleTimeout(idleMillis);
         server.addConnector(connector);
+        // A caller that opens connections and sends nothing on them must not fill the memory.
+        server.addBean(new NetworkConnectionLimit(CONNECTIONS_PER_REQUEST * bounds.inProgress() + MAX_THREADS, server));
         SizeLimitHandler limit = new SizeLimitHandler(bounds.bodyBytes(), -1);
         limit.setHandler(new RouteHandler(routes, meters));
         server.setHandler(limit);
@@ -52,7 +62,6 @@
         HttpConfiguration configuration = new HttpConfiguration();
         configuration.setRequestHeaderSize(bounds.headerBytes());
         configuration.setSendServerVersion(false);
-        configuration.setIdleTimeout(REQUEST_IDLE_MILLIS);
         return configuration;
     }
 
--- a/daemon/src/main/java/org/cornelramp/daemon/http/RouteHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/http/RouteHandler.java
@@ -22,6 +22,8 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) throws Exception {
+        // A request that waits for its answer is not idle; reads and writes that stall still time out.
+        request.addIdleTimeoutListener(timeout -> false);
         Optional<Handler> handler = routes.find(request.getMethod(), Request.getPathInContext(request));
         if (handler.isPresent() && handler.get().handle(request, response, callback)) {
             return true;
--- a/daemon/src/main/java/org/cornelramp/daemon/operator/OperatorHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/OperatorHandler.java
@@ -15,6 +15,7 @@
 import org.cornelramp.core.operate.OperatorJson;
 import org.cornelramp.daemon.http.ProblemWriter;
 import org.cornelramp.daemon.kernel.Duty;
+import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
@@ -54,10 +55,24 @@
         Content.Source.asString(
                 request,
                 StandardCharsets.UTF_8,
-                Promise.from(body -> offer(call(request, body), response, callback), callback::failed));
+                Promise.from(
+                        body -> offer(call(request, body), response, callback),
+                        failure -> refuseBody(failure, response, callback)));
         return true;
     }
 
+    /** Nothing was done with a body that did not come whole, and the answer must say so. */
+    private static void refuseBody(Throwable failure, Response response, Callback callback) {
+        if (failure instanceof HttpException) {
+            callback.failed(failure);
+            return;
+        }
+        ProblemWriter.write(
+                response,
+                callback,
+                Problem.notRun(ProblemKind.MALFORMED_REQUEST, "The body did not come whole or in time."));
+    }
+
     private OperatorCall call(Request request, String body) {
         String below = Request.getPathInContext(request).substring(path.length());
         List<String> tail =
