--- a/daemon/src/main/java/org/cornelramp/daemon/entry/KeyBinder.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/KeyBinder.java
@@ -9,6 +9,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.cornelramp.core.call.PlainCall;
 import org.cornelramp.core.key.KeyIndex;
 import org.cornelramp.core.key.KeyRecord;
@@ -36,6 +37,7 @@
     private final KeyStream stream;
     private final Router router;
     private final Starter starter;
+    private final Consumer<Duration> timer;
     private final int maxWaiting;
     private final Deque<Wanted> queue = new ArrayDeque<>();
     private final List<Wanted> appended = new ArrayList<>();
@@ -47,7 +49,14 @@
         void start(ServiceRequest call, KeyIndex.Binding binding, Optional<Problem> refusal, Instant now);
     }
 
-    KeyBinder(LogClient log, KeyStream stream, Router router, int maxWaiting, Starter starter) {
+    /**
+     * @param maxWaiting most calls that wait for their binding
+     * @param starter starts a call with its binding
+     * @param timer told how long each binding took from the arrival of its call
+     */
+    KeyBinder(
+            LogClient log, KeyStream stream, Router router, int maxWaiting, Starter starter, Consumer<Duration> timer) {
+        this.timer = timer;
         this.log = log;
         this.stream = stream;
         this.router = router;
@@ -143,12 +152,16 @@
         }
         Duration wait = Duration.ofMillis(((PlatformException) failure).retryAfterMillis());
         boolean rateLimited = !wait.isZero() && wait.compareTo(LONGEST_WAIT) <= 0;
-        if (rateLimited) {
+        List<Wanted> again =
+                rateLimited ? batch.stream().filter(Wanted::mayTryAgain).toList() : List.of();
+        if (!again.isEmpty()) {
             nextAt = now.plus(wait);
-            takeBack(batch);
-        } else {
+            takeBack(again);
+        }
+        List<Wanted> denied = batch.stream().filter(one -> !again.contains(one)).toList();
+        if (!denied.isEmpty()) {
             LOG.log(System.Logger.Level.WARNING, "entry: keys were not bound; why=" + failure.getMessage());
-            denyAll(batch, wait, now);
+            denyAll(denied, wait, now);
         }
     }
 
@@ -209,6 +222,7 @@
             return false;
         }
         wanted.settled = true;
+        timer.accept(Duration.between(wanted.call.request().arrived(), now));
         starter.start(wanted.call, found.get(), wanted.refusal, now);
         return true;
     }
@@ -221,6 +235,7 @@
         final Instant giveUpAt;
         long offset = Long.MAX_VALUE;
         boolean settled;
+        private boolean refusedBefore;
 
         Wanted(ServiceRequest call, KeyRecord.Bind bind, Optional<Problem> refusal, Instant giveUpAt) {
             this.call = call;
@@ -228,5 +243,16 @@
             this.refusal = refusal;
             this.giveUpAt = giveUpAt;
         }
+
+        /**
+         * A refusal with a short wait is a passing rate limit, or the start of an outage. Tried again until the
+         * deadline, a call in an outage would be held that long, and no time would be left to prove that it did not
+         * run: its caller would be told "unknown". So it is tried again once.
+         */
+        boolean mayTryAgain() {
+            boolean first = !refusedBefore;
+            refusedBefore = true;
+            return first;
+        }
     }
 }
