Let a backend server that paused once show its speed again

An engine frozen for seconds told the pause as its step time; every deadline looked unreachable, no work came that would have shown the true speed, and 100 requests were refused as deadline-unreachable. Ruled out: a longer mean (it only delays the same end).

--- a/daemon/src/main/java/org/cornelramp/daemon/agent/CallHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/CallHandler.java
@@ -233,7 +233,7 @@
         }
         Moment now = clock.get();
         if (failure == null) {
-            speed.done(1, now.nanos() - call.startedAt);
+            speed.done(1, now.nanos() - call.startedAt, now.nanos());
         }
         end(call, failure == null ? whole(reply) : failed(failure));
         if (failure != null) {
@@ -344,6 +344,7 @@
 
     /** Ends calls whose deadline has passed while they waited, and forgets old keys. */
     void tick(Moment now) {
+        speed.age(now.nanos());
         List<PendingCall> late = new ArrayList<>();
         for (PendingCall call : waiting) {
             if (now.millisTo(call.deadline) <= 0) {
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/EngineStepper.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/EngineStepper.java
@@ -163,7 +163,7 @@
             ran(entry.stage, result.outputs().get(), now);
         }
         if (positions > 0) {
-            speed.done(positions, now.nanos() - batch.startedAt);
+            speed.done(positions, now.nanos() - batch.startedAt, now.nanos());
         }
     }
 
@@ -241,6 +241,7 @@
     /** Runs what was put back, once the engine may take it again, and gives up what is silent. */
     void tick(Moment now) {
         giveUpSilent(now);
+        speed.age(now.nanos());
         pump(now);
     }
 
