--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryPlugin.java
@@ -68,13 +68,17 @@
         Poison poison = new Poison(log, router, random);
         Parts parts = parts(registry, stream, poison, random);
         RequestIntake intake = new RequestIntake(router, parts, random);
-        KeyBinder binder = new KeyBinder(log, stream, router, settings.bounds().inProgress(), intake::startBound);
+        KeyBinder binder = new KeyBinder(
+                log, stream, router, settings.bounds().inProgress(), intake::startBound, time -> parts.ends()
+                        .timed("bind", time));
         intake.connect(binder);
         stream.onProgress(binder::progressed);
         Told told = new Told(parts.admission(), poison);
         OpenAnswers open = new OpenAnswers();
         EntryState state = new EntryState(router, open);
-        EntryLinks listener = new EntryLinks(router, table);
+        LinkedAgents linked = new LinkedAgents();
+        registry.share(LinkedAgents.class, linked);
+        EntryLinks listener = new EntryLinks(router, table, linked);
         LinkLoop loop = new LinkLoop(
                 "links",
                 LinkOptions.of(
@@ -112,7 +116,9 @@
         Chooser chooser = settings.choice().chooser(PrefixHints.NONE);
         Selection selection = new Selection(agents, chooser, settings.dataCentre(), StaticLinkCosts.DEFAULTS, random);
         Ends ends = new Ends(registry.need(RequestRecorder.class), registry.meters(), admission);
-        return new Parts(agents, selection, admission, health, stream, ends);
+        WaitingRoom waiting =
+                new WaitingRoom(agents, selection, settings.bounds().inProgress(), random);
+        return new Parts(agents, selection, admission, health, waiting, stream, ends);
     }
 
     private static EntryContext context(
--- a/wire/src/main/java/org/cornelramp/wire/link/LinkLoop.java
+++ b/wire/src/main/java/org/cornelramp/wire/link/LinkLoop.java
@@ -21,6 +21,7 @@
 import java.util.function.Supplier;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.wire.codec.FrameException;
+import org.cornelramp.wire.message.Alive;
 import org.cornelramp.wire.message.Heartbeat;
 import org.cornelramp.wire.message.Hello;
 import org.cornelramp.wire.message.Message;
@@ -36,6 +37,7 @@
  */
 public final class LinkLoop implements AutoCloseable {
     private static final System.Logger LOG = System.getLogger(LinkLoop.class.getName());
+    private static final Alive ALIVE = new Alive();
     private static final int READ_BYTES = 64 << 10;
     private static final int READS_EACH = 16;
     private static final int BACKLOG = 1_024;
@@ -54,6 +56,8 @@
     private final Map<HostPort, Dialler> diallers = new ConcurrentHashMap<>();
     private final Queue<TcpLink> flushes = new ConcurrentLinkedQueue<>();
     private final Queue<ServerSocketChannel> listeners = new ConcurrentLinkedQueue<>();
+    private Heartbeat encodedBeat;
+    private ByteBuffer beatFrame;
     private volatile boolean running = true;
     private volatile boolean beatAsked;
 
@@ -269,24 +273,25 @@
                 counters.framesIn.increment();
                 receive(link, message.get());
             } catch (FrameException e) {
-                refuse(link, e);
+                refuse(link, e, now);
             }
         }
     }
 
-    private void refuse(TcpLink link, FrameException e) {
+    private void refuse(TcpLink link, FrameException e, long now) {
         if (e.kind().isFatal()) {
             counters.garbage.increment();
             close(link, e.getMessage());
         } else {
             counters.skipped.increment();
+            link.silence.heard(now);
             LOG.log(System.Logger.Level.DEBUG, "link: a message was skipped; peer=" + link + " why=" + e.getMessage());
         }
     }
 
     private void receive(TcpLink link, Message message) {
         if (link.isIntroduced()) {
-            link.expand(message).ifPresent(whole -> guard(link, () -> listener.received(link, whole)));
+            hear(link, message);
             return;
         }
         if (!(message instanceof Hello said)) {
@@ -301,6 +306,17 @@
         guard(link, () -> listener.opened(link));
     }
 
+    private void hear(TcpLink link, Message message) {
+        if (message instanceof Alive) {
+            link.beatHeard.ifPresent(beat -> guard(link, () -> listener.received(link, beat)));
+            return;
+        }
+        if (message instanceof Heartbeat beat) {
+            link.beatHeard = Optional.of(beat);
+        }
+        guard(link, () -> listener.received(link, message));
+    }
+
     /** A fault of the listener over one message must not end the thread that all links depend on. */
     private void guard(TcpLink link, Runnable call) {
         try {
@@ -374,11 +390,34 @@
                 counters.silent.increment();
                 close(link, "took nothing for " + SilenceDetector.INTERVALS + " heartbeats");
             } else if ((link.silence.takeBeat(now) || all) && link.channel.isConnected()) {
-                link.beat(heartbeat.get());
+                beat(link);
             }
         }
     }
 
+    /**
+     * Sends a heartbeat: whole if it says something new, else in a few bytes. Heartbeats that say the same are encoded
+     * once for all links; with many links that is most of the work.
+     */
+    private void beat(TcpLink link) {
+        Heartbeat now = heartbeat.get();
+        if (link.beatSent.equals(Optional.of(now))) {
+            link.send(ALIVE);
+            return;
+        }
+        if (!now.equals(encodedBeat)) {
+            Optional<ByteBuffer> frame = link.encode(now);
+            if (frame.isEmpty()) {
+                return;
+            }
+            encodedBeat = now;
+            beatFrame = frame.get();
+        }
+        if (link.send(beatFrame.duplicate())) {
+            link.beatSent = Optional.of(now);
+        }
+    }
+
     private void close(TcpLink link, String why) {
         link.markClosed(why);
         if (!links.remove(link)) {
--- a/wire/src/main/java/org/cornelramp/wire/link/TcpLink.java
+++ b/wire/src/main/java/org/cornelramp/wire/link/TcpLink.java
@@ -13,7 +13,6 @@
 import org.cornelramp.wire.codec.FrameException;
 import org.cornelramp.wire.codec.FrameReader;
 import org.cornelramp.wire.codec.FrameWriter;
-import org.cornelramp.wire.message.Beat;
 import org.cornelramp.wire.message.Heartbeat;
 import org.cornelramp.wire.message.Hello;
 import org.cornelramp.wire.message.Message;
@@ -26,8 +25,6 @@
  * peer that reads slowly costs its own sender a refusal, and no other link anything.
  */
 final class TcpLink implements Link {
-    private static final Beat SAME = new Beat();
-
     final SocketChannel channel;
     final SilenceDetector silence;
     final FrameReader reader;
@@ -42,8 +39,10 @@
     private volatile Hello peer;
     private volatile String closeReason;
     private ByteBuffer writing;
-    private Heartbeat said;
-    private Heartbeat heard;
+    /** The last heartbeat sent; empty before the first. */
+    Optional<Heartbeat> beatSent = Optional.empty();
+    /** The last heartbeat that came; empty before the first. */
+    Optional<Heartbeat> beatHeard = Optional.empty();
 
     TcpLink(LinkLoop loop, LinkOptions options, SocketChannel channel, Optional<HostPort> kept, long now) {
         this.loop = loop;
@@ -80,15 +79,25 @@
             loop.counters().refusedSends.increment();
             return false;
         }
-        ByteBuffer frame;
+        Optional<ByteBuffer> frame = encode(message);
+        return frame.isPresent() && send(frame.get());
+    }
+
+    /** Writes a message as a frame; empty, and reported, if it cannot be sent. */
+    Optional<ByteBuffer> encode(Message message) {
         try {
-            frame = writer.write(message);
+            return Optional.of(writer.write(message));
         } catch (FrameException e) {
             loop.reportUnsent(this, e);
-            return false;
+            return Optional.empty();
         }
+    }
+
+    /** Queues a frame as {@link #send(Message)} queues a message. */
+    boolean send(ByteBuffer frame) {
         int size = frame.remaining();
-        if (waiting.addAndGet(size) > outBytes) {
+        boolean fits = waiting.addAndGet(size) <= outBytes;
+        if (!fits || !isOpen()) {
             waiting.addAndGet(-size);
             loop.counters().refusedSends.increment();
             return false;
@@ -146,23 +155,6 @@
         key.interestOps(SelectionKey.OP_READ);
     }
 
-    /** Sends a heartbeat, in short if nothing in it has changed since the last one on this link. */
-    void beat(Heartbeat beat) {
-        if (beat.equals(said)) {
-            send(SAME);
-        } else if (send(beat)) {
-            said = beat;
-        }
-    }
-
-    /** What a message means to the listener: a short heartbeat stands for the last whole one. */
-    Optional<Message> expand(Message message) {
-        if (message instanceof Heartbeat beat) {
-            heard = beat;
-        }
-        return Optional.ofNullable(message instanceof Beat ? heard : message);
-    }
-
     /** Whether bytes wait that the socket has not taken. */
     boolean hasUnsent() {
         return writing != null;
