--- a/daemon/src/test/java/org/cornelramp/daemon/entry/LostStageLinkTest.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/LostStageLinkTest.java
@@ -40,7 +40,7 @@
             long before = opened(cut);
             pipeline.onPosition(PROMPT.length() + 6, cut::cutLinks);
             HttpResponse<String> response = entry.send(entry.chat(PROMPT, TOKENS, true));
-            assertEquals(Sse.text(response.body()), FakePipeline.expected(PROMPT, TOKENS));
+            assertEquals(Sse.text(response.body()), FakePipeline.expected(PROMPT, TOKENS), response.body());
             assertTrue(Sse.isComplete(response.body()));
             assertTrue(opened(cut) >= before + 1);
         }
