End the drain by a second signal also when it comes at once

Cause: a second signal between the first one and the main thread's wake-up ended the process without stopping its parts. Change: it is kept and ends the drain at its first wait. SecondSignalTest runs the kernel with one part that never ends, one that does, a second signal, and the limit.

--- a/daemon/src/main/java/org/cornelramp/daemon/Main.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/Main.java
@@ -86,9 +86,6 @@
             kernel.start();
             System.out.println(readyLine(settings, registry));
             return stop.awaitAndRun();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return ExitCode.CUT;
         } catch (Exception | ServiceConfigurationError | LinkageError e) {
             LOG.log(System.Logger.Level.ERROR, "kernel: the daemon did not start; why=" + e, e);
             return ExitCode.NOT_STARTED;
--- a/daemon/src/main/java/org/cornelramp/daemon/PlannedStop.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/PlannedStop.java
@@ -40,8 +40,13 @@
     }
 
     /** Waits for the first signal, drains and stops. */
-    ExitCode awaitAndRun() throws InterruptedException {
-        first.await();
+    ExitCode awaitAndRun() {
+        try {
+            first.await();
+        } catch (InterruptedException e) {
+            // The second signal came at once: the drain tells all parts and then ends at its first wait.
+            Thread.currentThread().interrupt();
+        }
         LOG.log(System.Logger.Level.INFO, "kernel: a planned stop begins; limitMillis=" + drainMillis);
         boolean drained = drain(clock.instant().plusMillis(drainMillis));
         kernel.stop();
