Spread refused callers also behind a very long queue

Cause: a time to come back was cut to 60 s after it was drawn, so behind a queue of more than a minute all callers were told the same time and came back together. Change: the queue's time is cut first and the draw added to it.

--- a/core/src/main/java/org/cornelramp/core/route/ExpectedCompletionChooser.java
+++ b/core/src/main/java/org/cornelramp/core/route/ExpectedCompletionChooser.java
@@ -106,8 +106,8 @@
      * overload it again, so each is given a time drawn from as long a span after it.
      */
     private static Duration retryAfter(double excess, RandomGenerator random) {
-        double spread = Math.max(excess, Estimator.seconds(LEAST_SPREAD));
-        Duration wait = Estimator.duration(excess + spread * random.nextDouble());
-        return wait.compareTo(MOST_RETRY) < 0 ? wait : MOST_RETRY;
+        double wait = Math.min(excess, Estimator.seconds(MOST_RETRY));
+        double spread = Math.max(wait, Estimator.seconds(LEAST_SPREAD));
+        return Estimator.duration(wait + spread * random.nextDouble());
     }
 }
