--- a/daemon/src/test/java/org/cornelramp/daemon/agent/Relay.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/Relay.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -38,12 +39,21 @@
     /** Cuts all connections, with what is on its way; new ones are passed on. */
     void cut() throws IOException {
         for (Socket socket : sockets) {
-            socket.setSoLinger(true, 0);
-            socket.close();
+            cut(socket);
         }
         sockets.clear();
     }
 
+    private static void cut(Socket socket) throws IOException {
+        try {
+            socket.setSoLinger(true, 0);
+        } catch (SocketException e) {
+            // Its other end was cut before, and closed it.
+            Thread.onSpinWait();
+        }
+        socket.close();
+    }
+
     private void accept() {
         try {
             while (true) {
