Free the slot of a call that its client refuses by throwing

Cause: a path of which no URL can be made lets the HTTP client throw; the call kept its slot, was never answered, and a few of them would have stopped the agent.

--- a/daemon/src/main/java/org/cornelramp/daemon/agent/CallHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/CallHandler.java
@@ -204,7 +204,7 @@
                 invoke.key(),
                 invoke.requestId(),
                 timeoutMillis(call, now));
-        completions.on(service.call(request), (reply, failure) -> ended(call, reply, failure));
+        completions.call(() -> service.call(request), (reply, failure) -> ended(call, reply, failure));
     }
 
     /**
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/Completions.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/Completions.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.cornelramp.platform.PlatformException;
 
 /**
  * Brings the ends of calls to the backend server back to the agent's duty. Safe for use by any thread.
@@ -30,6 +32,21 @@
                 call.whenComplete((result, failure) -> post(() -> then.accept(result, unwrapped(failure))));
     }
 
+    /**
+     * Makes a call and handles its end as {@link #on} does. A client that refuses a request by throwing, as for a path
+     * that is no URL, has sent nothing; without this the call would keep its slot and its caller for ever.
+     */
+    <T> void call(Supplier<CompletableFuture<T>> call, BiConsumer<T, Throwable> then) {
+        CompletableFuture<T> future;
+        try {
+            future = call.get();
+        } catch (RuntimeException e) {
+            future = CompletableFuture.failedFuture(
+                    new PlatformException(PlatformException.Kind.REFUSED, "Not sent: " + e.getMessage(), 0));
+        }
+        on(future, then);
+    }
+
     private void post(Runnable then) {
         if (!duty.test(new AgentEvent.Completed(then))) {
             aside.add(then);
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/OrderHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/OrderHandler.java
@@ -95,8 +95,8 @@
         if (decision == Decision.PASS) {
             busy = true;
             EngineOrder.Kind kind = EngineOrder.Kind.valueOf(order.kind().name());
-            completions.on(
-                    engine.order(new EngineOrder(order.term(), kind, order.argument())),
+            completions.call(
+                    () -> engine.order(new EngineOrder(order.term(), kind, order.argument())),
                     (done, failure) -> ended(asked, Optional.ofNullable(failure)));
             return;
         }
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/FakeService.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/FakeService.java
@@ -27,6 +27,9 @@
 
     @Override
     public CompletableFuture<ServiceReply> call(ServiceCall call) {
+        if (call.path().isEmpty()) {
+            throw new IllegalArgumentException("no path");
+        }
         CompletableFuture<ServiceReply> reply = new CompletableFuture<>();
         calls.add(call);
         replies.add(reply);
