--- a/bench/src/main/java/org/cornelramp/bench/scale/CostMeter.java
+++ b/bench/src/main/java/org/cornelramp/bench/scale/CostMeter.java
@@ -27,7 +27,7 @@
         Reading now = read();
         double seconds = (now.atNanos - last.atNanos) / NANOS_PER_SECOND;
         Cost cost = new Cost(
-                (now.usage.cpuNanos() - last.usage.cpuNanos()) / NANOS_PER_SECOND / seconds * PERCENT,
+                now.usage.cpuNanosSince(last.usage) / NANOS_PER_SECOND / seconds * PERCENT,
                 now.usage.residentBytes(),
                 (now.frames - last.frames) / seconds,
                 (now.bytes - last.bytes) / seconds);
