--- a/daemon/src/main/java/org/cornelramp/daemon/agent/EngineStepper.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/EngineStepper.java
@@ -81,9 +81,7 @@
     }
 
     private void pump(Moment now) {
-        while (inFlight.size() < BATCHES
-                && !ready.isEmpty()
-                && inFlight.stream().noneMatch(Batch::runsAlone)) {
+        while (inFlight.size() < BATCHES && !ready.isEmpty()) {
             Batch batch = gather(now);
             if (batch.entries.isEmpty()) {
                 return;
@@ -98,18 +96,10 @@
         candidates.sort(Comparator.comparingInt((Stage stage) -> stage.open.priority()));
         Batch batch = new Batch(now.nanos());
         for (Stage stage : candidates) {
-            boolean alone = suspects.mustRunAlone(stage.open.fingerprint());
-            if (alone && !inFlight.isEmpty()) {
-                break;
-            }
-            if (alone && !batch.entries.isEmpty()) {
-                continue;
-            }
             ready.remove(stage);
             Optional<StepRun> run = stage.session.nextRun(MAX_POSITIONS);
             run.ifPresent(r -> batch.entries.add(new Entry(stage, r)));
-            batch.alone = alone;
-            if (alone || batch.entries.size() >= slots) {
+            if (batch.entries.size() >= slots) {
                 break;
             }
         }
@@ -163,7 +153,7 @@
             ran(entry.stage, result.outputs().get(), now);
         }
         if (positions > 0) {
-            speed.done(positions, now.nanos() - batch.startedAt);
+            speed.done(positions, now.nanos() - batch.startedAt, now.nanos());
         }
     }
 
@@ -241,6 +231,7 @@
     /** Runs what was put back, once the engine may take it again, and gives up what is silent. */
     void tick(Moment now) {
         giveUpSilent(now);
+        speed.age(now.nanos());
         pump(now);
     }
 
@@ -256,15 +247,10 @@
     private static final class Batch {
         final List<Entry> entries = new ArrayList<>();
         long startedAt;
-        boolean alone;
 
         Batch(long startedAt) {
             this.startedAt = startedAt;
         }
-
-        boolean runsAlone() {
-            return alone;
-        }
     }
 
     /** One session's share of a batch. */
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Selection.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Selection.java
@@ -1,6 +1,7 @@
 package org.cornelramp.daemon.entry;
 
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -21,6 +22,8 @@
 
 /** Chooses backend servers among the agents that are known. Confined to the router's thread. */
 final class Selection {
+    private static final Duration UNHURRIED = Duration.ofDays(1);
+
     private final Agents agents;
     private final Chooser chooser;
     private final DataCentre here;
@@ -67,7 +70,16 @@
      * Chooses for a session that lost a stage: the stages that live stay, since they hold the session's state, and
      * others may come only in place of lost ones. Where that gives no whole pipeline, all are chosen anew.
      */
-    Either<Problem, Choice> replace(Work work, List<Incarnation> stages, Instant now) {
+    Either<Problem, Choice> replace(Work lost, List<Incarnation> stages, Instant now) {
+        // A prediction must not cut a stream under way that may still be in time: only its deadline ends it. Speeds
+        // measured in the seconds after a fault are low, and streams were given up on with half their time left.
+        Work work = new Work(
+                lost.service(),
+                lost.promptTokens(),
+                lost.maxTokens(),
+                now.plus(UNHURRIED),
+                lost.prefix(),
+                lost.avoid());
         Set<Incarnation> kept = new HashSet<>(stages);
         kept.removeAll(work.avoid());
         List<Candidate> survivors = agents.linked(kept);
