Hand a keyed call only to an agent of the wanted service

Cause: a ticket names its agent, and a caller may write any name into one; the entry sent the call there unchecked, past the row of that agent's service. Change: a call whose key names an agent of another service is settled with that agent and refused as key-reused. Not-run is still only the agent's word, since an agent's offer may change and the key may have run before.

--- a/core/src/main/java/org/cornelramp/core/call/PlainCall.java
+++ b/core/src/main/java/org/cornelramp/core/call/PlainCall.java
@@ -204,6 +204,17 @@
         return List.of();
     }
 
+    /** Refuses a keyed call instead of handing it over; as in {@link #startRefused}, its agent has the word. */
+    public List<CallAction> refuse(Problem why) {
+        if (phase != Phase.SENT) {
+            return List.of();
+        }
+        last = why;
+        refuse = true;
+        phase = Phase.ASKED;
+        return List.of(new Ask(target));
+    }
+
     /** Agents that failed this call. */
     public Set<Incarnation> failed() {
         return Set.copyOf(failed);
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/CallRun.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/CallRun.java
@@ -11,6 +11,7 @@
 import org.cornelramp.core.call.CallAction;
 import org.cornelramp.core.call.CallResult;
 import org.cornelramp.core.call.PlainCall;
+import org.cornelramp.core.member.Member;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.Problem;
 import org.cornelramp.core.model.ProblemKind;
@@ -27,6 +28,9 @@
  * is uncounted when it ends.
  */
 final class CallRun {
+    private static final Problem OTHER_SERVICE =
+            Problem.notRun(ProblemKind.KEY_REUSED, "The key was not minted for this service; the request did not run.");
+
     private final long number;
     private final ServiceRequest call;
     private final Parts parts;
@@ -164,7 +168,25 @@
         }
     }
 
+    /**
+     * A ticket names any agent that its caller writes into it. Sent on unchecked, a call would reach the service of
+     * that agent, for which the caller's organisation may have no row. An agent whose backend server is down shows
+     * no offer, and refuses by itself.
+     */
+    private boolean servesOther(Incarnation agent) {
+        return agents.membership()
+                .member(agent)
+                .flatMap(Member::offer)
+                .filter(offer ->
+                        offer.service().equals(call.request().row().key().service()))
+                .isEmpty();
+    }
+
     private void send(Incarnation agent, Instant now) {
+        if (bound.isPresent() && servesOther(agent)) {
+            todo.addAll(state.refuse(OTHER_SERVICE));
+            return;
+        }
         ends.decided(call.request(), now, "sent", "agent=" + agent + " retries=" + state.retries());
         Invoke message = new Invoke(
                 number,
--- a/daemon/src/test/java/org/cornelramp/daemon/entry/PlainServiceTest.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/PlainServiceTest.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.List;
+import org.cornelramp.core.model.ServiceName;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -42,6 +43,16 @@
         assertEquals(first.headers().firstValue(Headers.OUTCOME).orElse(""), "answered");
     }
 
+    @Test
+    public void refusesATicketThatNamesAnAgentOfAnotherService() throws Exception {
+        ServiceName coupons = new ServiceName("coupons");
+        entry.table.put(EntryFixture.row(coupons));
+        String key = entry.mint(FakeService.NAME);
+        HttpResponse<String> response = entry.send(entry.book(coupons, key, "code"));
+        assertEquals(JSON.readTree(response.body()).path("kind").textValue(), "key-reused");
+        assertEquals(service.effects.get(), 0);
+    }
+
     @Test
     public void refusesABookingWithoutAKey() throws Exception {
         HttpResponse<String> response = entry.send(entry.request("/services/" + FakeService.NAME + "/book")
