--- a/daemon/src/main/java/org/cornelramp/daemon/agent/CallHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/CallHandler.java
@@ -177,7 +177,7 @@
     }
 
     private void pump(Moment now) {
-        while (running.size() < slots && !waiting.isEmpty() && mayStart(waiting.peek())) {
+        while (running.size() < slots && !waiting.isEmpty()) {
             PendingCall call = waiting.poll();
             leaveQueue(call);
             if (now.millisTo(call.deadline) <= 0) {
@@ -188,17 +188,6 @@
         }
     }
 
-    private boolean mayStart(PendingCall call) {
-        if (running.isEmpty()) {
-            return true;
-        }
-        return !mustRunAlone(call) && running.stream().noneMatch(this::mustRunAlone);
-    }
-
-    private boolean mustRunAlone(PendingCall call) {
-        return suspects.mustRunAlone(call.invoke.fingerprint());
-    }
-
     private static KeyResult tooLate() {
         return KeyResult.notRun(ProblemKind.DEADLINE_PASSED, "The deadline passed before the call could start", 0);
     }
@@ -233,7 +222,7 @@
         }
         Moment now = clock.get();
         if (failure == null) {
-            speed.done(1, now.nanos() - call.startedAt);
+            speed.done(1, now.nanos() - call.startedAt, now.nanos());
         }
         end(call, failure == null ? whole(reply) : failed(failure));
         if (failure != null) {
@@ -344,6 +333,7 @@
 
     /** Ends calls whose deadline has passed while they waited, and forgets old keys. */
     void tick(Moment now) {
+        speed.age(now.nanos());
         List<PendingCall> late = new ArrayList<>();
         for (PendingCall call : waiting) {
             if (now.millisTo(call.deadline) <= 0) {
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRun.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRun.java
@@ -41,7 +41,7 @@
     private static final int MAX_REBUILDS = 8;
     private static final int LOSSES_BEFORE_WAIT = 2;
     private static final Duration REPORT_TIME = Duration.ofMillis(100);
-    private static final Duration PATIENCE = Duration.ofSeconds(1);
+    private static final Duration PATIENCE = Duration.ofSeconds(5);
     private static final Duration RETRY_TIME = Duration.ofMillis(20);
 
     private final long session;
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Selection.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Selection.java
@@ -1,6 +1,7 @@
 package org.cornelramp.daemon.entry;
 
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -8,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.cornelramp.core.model.AgentLoad;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.Incarnation;
 import org.cornelramp.core.model.LayerRange;
@@ -20,6 +22,8 @@
 
 /** Chooses backend servers among the agents that are known. Confined to the router's thread. */
 final class Selection {
+    private static final Duration UNHURRIED = Duration.ofDays(1);
+
     private final Agents agents;
     private final Chooser chooser;
     private final DataCentre here;
@@ -55,11 +59,27 @@
         return choose(candidates, work, now);
     }
 
+    /** Chooses as if no backend server had any work, to tell how long the request itself takes. */
+    Either<Problem, Choice> chooseAsIfIdle(Work work, Instant now) {
+        List<Candidate> idle =
+                agents.candidates(now).stream().map(Selection::asIfIdle).toList();
+        return choose(idle, work, now);
+    }
+
     /**
      * Chooses for a session that lost a stage: the stages that live stay, since they hold the session's state, and
      * others may come only in place of lost ones. Where that gives no whole pipeline, all are chosen anew.
      */
-    Either<Problem, Choice> replace(Work work, List<Incarnation> stages, Instant now) {
+    Either<Problem, Choice> replace(Work lost, List<Incarnation> stages, Instant now) {
+        // A prediction must not cut a stream under way that may still be in time: only its deadline ends it. Speeds
+        // measured in the seconds after a fault are low, and streams were given up on with half their time left.
+        Work work = new Work(
+                lost.service(),
+                lost.promptTokens(),
+                lost.maxTokens(),
+                now.plus(UNHURRIED),
+                lost.prefix(),
+                lost.avoid());
         Set<Incarnation> kept = new HashSet<>(stages);
         kept.removeAll(work.avoid());
         List<Candidate> survivors = agents.linked(kept);
@@ -75,6 +95,13 @@
         return chooser.choose(candidates, work, here, costs, now, random);
     }
 
+    private static Candidate asIfIdle(Candidate candidate) {
+        AgentLoad told = candidate.load();
+        AgentLoad none = new AgentLoad(0, 0, 0, told.tokensPerSecond(), told.meanServiceMicros(), told.linkedEntries());
+        return new Candidate(
+                candidate.incarnation(), candidate.dataCentre(), candidate.offer(), none, 0, 0, candidate.share());
+    }
+
     private static boolean overlap(Candidate one, Candidate other) {
         Optional<LayerRange> a = one.offer().layers();
         Optional<LayerRange> b = other.offer().layers();
