--- a/bench/src/main/java/org/cornelramp/bench/soak/FaultKind.java
+++ b/bench/src/main/java/org/cornelramp/bench/soak/FaultKind.java
@@ -18,7 +18,7 @@
 
         @Override
         void end(FaultContext c) {
-            c.daemon().launch();
+            c.restart(c.daemon());
         }
     },
     /** An engine or a service dies and comes back. */
@@ -30,7 +30,7 @@
 
         @Override
         void end(FaultContext c) {
-            c.backend().launch();
+            c.restart(c.backend());
         }
     },
     /** A backend server and its agent die together, as their VM does. */
@@ -44,7 +44,7 @@
         @Override
         void end(FaultContext c) {
             c.backend().launch();
-            c.daemon().launch();
+            c.restart(c.daemon());
         }
     },
     /** An entry dies and comes back. */
@@ -56,7 +56,7 @@
 
         @Override
         void end(FaultContext c) {
-            c.daemon().launch();
+            c.restart(c.daemon());
         }
     },
     /** An agent is paused past its timeouts and wakes. */
@@ -180,7 +180,7 @@
         @Override
         void end(FaultContext c) {
             c.awaitPlannedEnd();
-            c.daemon().launch();
+            c.restart(c.daemon());
         }
     },
     /** An entry is stopped as planned and replaced. */
@@ -193,7 +193,7 @@
         @Override
         void end(FaultContext c) {
             c.awaitPlannedEnd();
-            c.daemon().launch();
+            c.restart(c.daemon());
         }
     };
 
@@ -261,6 +261,11 @@
             fleet.faults(fleet.vmListUrl(), switches);
         }
 
+        /** A fault lasts until its process is back and ready, however long a busy machine takes to start it. */
+        void restart(ManagedProcess process) {
+            process.start();
+        }
+
         /** A planned stop ends by itself, with status 0. */
         void awaitPlannedEnd() {
             if (!daemon().awaitEnd(Duration.ofSeconds(70))) {
