--- a/core/src/main/java/org/cornelramp/core/settings/BoundSettings.java
+++ b/core/src/main/java/org/cornelramp/core/settings/BoundSettings.java
@@ -15,5 +15,5 @@
         int bodyBytes, int headerBytes, int frameBytes, int ringSlots, int inProgress, int keptOutputs, int keys) {
     /** The bounds used where the settings name none. */
     public static final BoundSettings DEFAULTS =
-            new BoundSettings(1 << 20, 16 << 10, 4 << 20, 1 << 14, 4_096, 8_192, 100_000);
+            new BoundSettings(1 << 20, 16 << 10, 4 << 20, 1 << 14, 4_096, 8_192, 20_000);
 }
