Count no lost link as the rebuild of a dead stage

Change: a new choice after a lost link does not count against the bound; the patience for links and the deadline bound it. SilentLinkTest with this change was NOT run to its end: the build was cut off by its time limit on a loaded machine. Conclusion: run SilentLinkTest before taking this in.

--- a/core/src/main/java/org/cornelramp/core/session/PipelineSession.java
+++ b/core/src/main/java/org/cornelramp/core/session/PipelineSession.java
@@ -115,7 +115,10 @@
         if (ended || choosing || !stages.contains(agent)) {
             return List.of();
         }
-        return rechoose(why);
+        // When every link goes silent at once, they are found one after the other, and each costs a new choice. Counted
+        // as rebuilds of dead stages, they would use up the bound and give the session up though nothing has died.
+        choosing = true;
+        return List.of(new Rechoose(why.kind().text()));
     }
 
     /**
