Look again at a link that refused a message only after a moment

Cause: SilentLinkTest, after lost links no longer counted as rebuilds: nothing was answered within a minute after all links fell silent. A link that is closed refuses messages before its end has reached the router's thread; the session chose the same agent again at once, was refused again, and so on without end on that thread, which could then never hear of the link's end. Before, the bound of 8 rebuilds hid this and ended the streams as backend-lost. Ruled out: the agents' neighbour links (no stage was waiting for one). Before: backend-lost for all streams, then a standstill. After: SilentLinkTest passes in 6 s, with StageDeathTest, LostStageLinkTest and PipelineSessionProperties.

--- a/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRun.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/ChatRun.java
@@ -59,6 +59,7 @@
     private List<Incarnation> counted = List.of();
     private int emitted;
     private int losses;
+    private boolean refusedByLink;
     private Optional<Instant> rechooseAt = Optional.empty();
     private Optional<Instant> lostAt = Optional.empty();
 
@@ -202,9 +203,16 @@
     /**
      * A request that crashed two backend servers is set aside once the second crash is reported. Its report comes
      * shortly after the loss; a third backend server chosen before that would crash as well.
+     *
+     * <p>A link that refuses a message may be closed without its end having reached this thread. Chosen again at once
+     * it would refuse again, for ever, and this thread, which must hear of the end, would do nothing else: all
+     * requests of the entry stood still.
      */
     private void rechooseOrWait(Instant now) {
-        if (losses >= LOSSES_BEFORE_WAIT) {
+        if (refusedByLink) {
+            refusedByLink = false;
+            rechooseAt = Optional.of(now.plus(RETRY_TIME));
+        } else if (losses >= LOSSES_BEFORE_WAIT) {
             rechooseAt = Optional.of(now.plus(REPORT_TIME));
         } else {
             rechoose(now);
@@ -275,6 +283,7 @@
         }
         if (!agents.send(state.stages().get(stage), message)) {
             Problem why = Problem.notRun(ProblemKind.BACKEND_LOST, "The link to a stage refused a message.");
+            refusedByLink = true;
             todo.addAll(state.unlinked(state.stages().get(stage), why));
         }
     }
