Close the listening socket with the links

Cause: a port could not be bound again in one process after LinkLoop.close; the channel stayed registered with a closed selector and open. Ruled out: the peers' connections; SO_REUSEADDR is set. Change: the loop closes what it listens on. Before: ReboundPortTest fails with 'Address already in use'. Conclusion: none further.

--- a/wire/src/main/java/org/cornelramp/wire/link/LinkLoop.java
+++ b/wire/src/main/java/org/cornelramp/wire/link/LinkLoop.java
@@ -11,13 +11,13 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.wire.codec.FrameException;
@@ -39,7 +39,6 @@
     private static final int READ_BYTES = 64 << 10;
     private static final int READS_EACH = 16;
     private static final int BACKLOG = 1_024;
-    private static final long MILLI = 1_000_000L;
     private static final long STOP_MILLIS = 2_000;
 
     private final LinkOptions options;
@@ -54,6 +53,7 @@
     private final Map<HostPort, Dialler> diallers = new ConcurrentHashMap<>();
     private final Queue<TcpLink> flushes = new ConcurrentLinkedQueue<>();
     private final Queue<ServerSocketChannel> listeners = new ConcurrentLinkedQueue<>();
+    private final List<ServerSocketChannel> servers = new ArrayList<>();
     private volatile boolean running = true;
     private volatile boolean beatAsked;
 
@@ -105,7 +105,7 @@
 
     /** Holds a link to an address, connecting again whenever it is lost, until {@link #forget}. */
     public void keep(HostPort address) {
-        if (diallers.putIfAbsent(address, new Dialler(address)) == null) {
+        if (diallers.putIfAbsent(address, new Dialler(address, options)) == null) {
             selector.wakeup();
         }
     }
@@ -163,6 +163,9 @@
             }
         }
         new ArrayList<>(links).forEach(link -> close(link, "this process stops"));
+        // A channel that its selector no longer knows stays bound, and the port could not be listened on again.
+        servers.forEach(LinkLoop::closeQuietly);
+        listeners.forEach(LinkLoop::closeQuietly);
         closeQuietly(selector);
     }
 
@@ -185,6 +188,7 @@
         ServerSocketChannel server = listeners.poll();
         while (server != null) {
             server.register(selector, SelectionKey.OP_ACCEPT);
+            servers.add(server);
             server = listeners.poll();
         }
     }
@@ -356,7 +360,7 @@
             if (dialler.link != null) {
                 close(dialler.link, "not connected: " + e.getMessage());
             } else {
-                dialler.failed(now, options);
+                dialler.failed(now);
             }
         }
     }
@@ -388,7 +392,7 @@
         link.kept()
                 .map(diallers::get)
                 .filter(dialler -> dialler.link == link)
-                .ifPresent(dialler -> dialler.failed(System.nanoTime(), options));
+                .ifPresent(dialler -> dialler.failed(System.nanoTime()));
         if (link.isIntroduced()) {
             LOG.log(System.Logger.Level.INFO, "link: closed; peer=" + link + " why=" + link.closeReason());
             guard(link, () -> listener.closed(link, link.closeReason()));
@@ -402,39 +406,4 @@
             LOG.log(System.Logger.Level.DEBUG, "link: close failed", e);
         }
     }
-
-    /** Connects to one kept address again and again. Confined to the network thread, but for {@link #forget}. */
-    private static final class Dialler {
-        final HostPort address;
-        TcpLink link;
-        private int failures;
-        private long nextAt;
-        private boolean waits;
-        private volatile boolean forgotten;
-
-        Dialler(HostPort address) {
-            this.address = address;
-        }
-
-        boolean isDue(long now) {
-            return link == null && !forgotten && (!waits || now - nextAt >= 0);
-        }
-
-        void succeeded() {
-            failures = 0;
-        }
-
-        void failed(long now, LinkOptions options) {
-            link = null;
-            failures++;
-            waits = true;
-            Backoff backoff = new Backoff(options.backoffBaseMillis(), options.backoffCapMillis());
-            nextAt = now
-                    + backoff.waitMillis(failures, ThreadLocalRandom.current().nextDouble()) * MILLI;
-        }
-
-        void forget() {
-            forgotten = true;
-        }
-    }
 }
--- /dev/null
+++ b/wire/src/test/java/org/cornelramp/wire/link/ReboundPortTest.java
@@ -0,0 +1,32 @@
+package org.cornelramp.wire.link;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+
+import org.cornelramp.core.settings.HostPort;
+import org.testng.annotations.Test;
+
+/**
+ * A process stops its links and another starts at the same address. The first left its listening socket open, so that
+ * the second could not bind the port; now it binds, and peers find it there.
+ */
+public class ReboundPortTest {
+
+    @Test
+    public void aPortCanBeListenedOnAgainAfterTheLinksAreClosed() throws Exception {
+        HostPort at;
+        try (Peer first = new Peer("first")) {
+            at = first.loop.listen(new HostPort("127.0.0.1", 0));
+            try (Peer caller = new Peer("caller")) {
+                caller.loop.keep(at);
+                assertNotNull(caller.opened());
+            }
+        }
+        try (Peer second = new Peer("second");
+                Peer caller = new Peer("caller")) {
+            assertEquals(second.loop.listen(at), at);
+            caller.loop.keep(at);
+            assertEquals(caller.opened().peer().process(), "second");
+        }
+    }
+}
