--- a/bench/src/main/java/org/cornelramp/bench/fleet/Fleet.java
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/Fleet.java
@@ -9,12 +9,14 @@
 import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.cornelramp.core.route.ChoicePolicy;
 
 /**
@@ -27,6 +29,9 @@
     /** Key of the fleet's operators. */
     public static final String OPERATOR_KEY = "operator-key-of-the-fleet";
 
+    /** Where this environment variable is set, the folder of settings and outputs stays. */
+    private static final String KEEP_VARIABLE = "CORNELRAMP_KEEP";
+
     private static final Duration START_LIMIT = Duration.ofSeconds(30);
     private static final Duration END_LIMIT = Duration.ofSeconds(5);
     private static final long POLL_MILLIS = 20;
@@ -272,6 +277,21 @@
             }
         }
         http.close();
+        deleteFolder();
+    }
+
+    /** Outputs of a fleet are kept only on demand: test runs by the hundred would fill the temporary folder. */
+    private void deleteFolder() {
+        if (System.getenv(KEEP_VARIABLE) != null || !Files.exists(folder)) {
+            return;
+        }
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        } catch (IOException e) {
+            throw new FleetException("Could not delete " + folder, e);
+        }
     }
 
     private void startAll() {
