--- a/core/src/main/java/org/cornelramp/core/route/Estimator.java
+++ b/core/src/main/java/org/cornelramp/core/route/Estimator.java
@@ -18,6 +18,12 @@
     private static final double FIRST_CALL_SECONDS = 0.005;
     private static final double MICROS = 1e6;
 
+    /**
+     * Weight of waiting over working time. The shortest time to one's own answer alone queues at the fastest engines
+     * while slower ones stand idle, which costs those that come after; see the design note on choice.
+     */
+    private static final double WAIT_WEIGHT = 4;
+
     private final Work work;
     private final DataCentre here;
     private final LinkCosts links;
@@ -55,12 +61,14 @@
         return time(chain, false);
     }
 
-    /** Cost by which candidates for one stage are compared: the shared time, and that of the steps and links. */
+    /** Cost by which candidates for one stage are compared: waiting, by its weight, and the work itself. */
     double stageCost(Candidate c, DataCentre before) {
         if (!c.offer().isStage()) {
             return time(List.of(c), true);
         }
-        return shareSeconds(c) + prompt(c) / speed(c) + work.maxTokens() * 2 * link(before, c.dataCentre());
+        double perToken = Math.max(
+                2 * link(before, c.dataCentre()) + stepSeconds(c), c.offer().slots() / speed(c));
+        return WAIT_WEIGHT * wait(c) + prompt(c) / speed(c) + work.maxTokens() * perToken;
     }
 
     /**
@@ -84,40 +92,28 @@
         if (!first.offer().isStage()) {
             return ends + call(first, loaded);
         }
-        double share = 0;
+        double wait = 0;
         double slowest = Double.MAX_VALUE;
         double cycle = link(last.dataCentre(), first.dataCentre());
         for (int i = 0; i < chain.size(); i++) {
             Candidate c = chain.get(i);
-            share = Math.max(share, loaded ? shareSeconds(c) : 0);
+            wait = Math.max(wait, loaded ? wait(c) : 0);
             slowest = Math.min(slowest, speed(c));
             cycle += stepSeconds(c);
             cycle += i == 0 ? 0 : link(chain.get(i - 1).dataCentre(), c.dataCentre());
         }
-        return ends + prompt(first) / slowest + Math.max(share, work.maxTokens() * Math.max(cycle, 1 / slowest));
-    }
-
-    /**
-     * Time of all tokens at a stage that is shared with the sessions there. An engine that batches continuously
-     * advances its sessions together, so none waits for another to end; beyond its slots they take turns. A speed in
-     * positions a second is no measure for it, since it rises with each prompt that happens to be in the batch.
-     */
-    private double shareSeconds(Candidate c) {
-        double queued = c.load().queuedTokens() / speed(c);
-        return queued + work.maxTokens() * roundSeconds(c);
-    }
-
-    /** Time in which every session at a candidate is advanced by one token. */
-    private double roundSeconds(Candidate c) {
-        double turns = (requests(c) + 1) / Math.max(1, c.offer().slots());
-        return iterationSeconds(c) * Math.max(1, turns) / c.share();
+        return ends + wait + prompt(first) / slowest + work.maxTokens() * Math.max(cycle, 1 / slowest);
     }
 
-    private double iterationSeconds(Candidate c) {
-        if (c.load().meanServiceMicros() > 0) {
-            return stepSeconds(c);
+    /** Time until a stage has a free slot: none while one is free, then that of the work of those before this one. */
+    private double wait(Candidate c) {
+        double requests = requests(c);
+        double before = requests + 1 - c.offer().slots();
+        if (before <= 0) {
+            return 0;
         }
-        return c.load().tokensPerSecond() > 0 ? c.offer().slots() / c.load().tokensPerSecond() : fastestCall;
+        double work = c.load().queuedTokens() + c.sentTokens();
+        return work * before / requests / speed(c);
     }
 
     /** Requests at a candidate; between two steps a pipeline's request is neither running nor waiting there. */
--- a/core/src/main/java/org/cornelramp/core/route/ExpectedCompletionChooser.java
+++ b/core/src/main/java/org/cornelramp/core/route/ExpectedCompletionChooser.java
@@ -19,12 +19,6 @@
 public final class ExpectedCompletionChooser implements Chooser {
     private static final int DRAWS_PER_STAGE = 6;
     private static final int CHAINS = 4;
-    /**
-     * The expected time is a mean. Were requests taken until it reached their deadline, an overload would bring half
-     * of them just past it, and the engines' work on them would be lost; so what load adds counts for more.
-     */
-    private static final double SPREAD = 1.5;
-
     private static final Duration LEAST_SPREAD = Duration.ofMillis(250);
     private static final Duration MOST_RETRY = Duration.ofSeconds(60);
 
@@ -92,13 +86,11 @@
     private static Either<Problem, Choice> check(
             List<Candidate> chain, Estimator estimator, double budget, RandomGenerator random) {
         double expected = estimator.expected(chain);
-        double unloaded = estimator.unloaded(chain);
-        double cautious = unloaded + SPREAD * (expected - unloaded);
-        if (cautious <= budget) {
+        if (expected <= budget) {
             return Either.right(new Choice(List.copyOf(chain), Estimator.duration(expected)));
         }
         Duration time = Estimator.duration(expected);
-        if (unloaded > budget) {
+        if (estimator.unloaded(chain) > budget) {
             return Either.left(Problem.notRun(
                     ProblemKind.DEADLINE_UNREACHABLE,
                     "The whole answer takes about " + time.toMillis() + " ms even without waiting"));
@@ -106,7 +98,7 @@
         return Either.left(Problem.notRun(
                         ProblemKind.OVERLOADED,
                         "The whole answer would take about " + time.toMillis() + " ms behind the work that waits")
-                .withRetryAfter(retryAfter((cautious - budget) / SPREAD, random)));
+                .withRetryAfter(retryAfter(expected - budget, random)));
     }
 
     /**
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/EngineStepper.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/EngineStepper.java
@@ -25,6 +25,7 @@
  * one batch at a time; the outcome of a batch is taken once, from its answer or from its timeout.
  */
 final class EngineStepper {
+    private static final int BATCHES = 2;
     private static final int MAX_POSITIONS = 256;
     private static final int SLOWER_THAN_USUAL = 4;
     private static final HexFormat HEX = HexFormat.of();
@@ -43,8 +44,6 @@
     private OutputSender sender;
     private BackendWatch backend;
     private int slots = 1;
-    private long iteration;
-    private long turnedAt;
 
     EngineStepper(
             DaemonSettings settings,
@@ -81,48 +80,26 @@
         pump(now);
     }
 
-    /**
-     * Sends what is ready, as much as fits into the engine's next iteration. A step that is held back until an
-     * earlier call returns misses that iteration, and a call that holds more than one iteration takes makes its
-     * first steps wait for its last: either leaves the engine's slots half empty while it is never idle.
-     */
     private void pump(Moment now) {
-        int room = slots - stepsForNextIteration();
-        while (room > 0 && !ready.isEmpty() && inFlight.stream().noneMatch(Batch::runsAlone)) {
-            Batch batch = gather(now, room);
+        while (inFlight.size() < BATCHES && !ready.isEmpty()) {
+            Batch batch = gather(now);
             if (batch.entries.isEmpty()) {
                 return;
             }
             run(batch);
-            room -= batch.entries.size();
         }
     }
 
-    private int stepsForNextIteration() {
-        return inFlight.stream()
-                .filter(batch -> batch.iteration > iteration)
-                .mapToInt(batch -> batch.entries.size())
-                .sum();
-    }
-
-    private Batch gather(Moment now, int room) {
+    private Batch gather(Moment now) {
         ready.removeIf(stage -> !handler.isHeld(stage) || !stage.session.isReady());
         List<Stage> candidates = new ArrayList<>(ready);
         candidates.sort(Comparator.comparingInt((Stage stage) -> stage.open.priority()));
-        Batch batch = new Batch(now.nanos(), inFlight.isEmpty() ? iteration : iteration + 1);
+        Batch batch = new Batch(now.nanos());
         for (Stage stage : candidates) {
-            boolean alone = suspects.mustRunAlone(stage.open.fingerprint());
-            if (alone && !inFlight.isEmpty()) {
-                break;
-            }
-            if (alone && !batch.entries.isEmpty()) {
-                continue;
-            }
             ready.remove(stage);
             Optional<StepRun> run = stage.session.nextRun(MAX_POSITIONS);
             run.ifPresent(r -> batch.entries.add(new Entry(stage, r)));
-            batch.alone = alone;
-            if (alone || batch.entries.size() >= room) {
+            if (batch.entries.size() >= slots) {
                 break;
             }
         }
@@ -149,7 +126,6 @@
             return;
         }
         Moment now = clock.get();
-        turn(batch, failure == null, now);
         if (failure != null) {
             failed(batch, failure, now);
         } else {
@@ -159,30 +135,8 @@
         pump(now);
     }
 
-    /**
-     * The first answer of an iteration tells that the engine has begun the next, with all that was sent for it. Its
-     * time counts from the iteration before, or from the sending to an engine that was idle.
-     */
-    private void turn(Batch first, boolean ran, Moment now) {
-        if (first.iteration < iteration) {
-            return;
-        }
-        int positions = first.positions();
-        long from = first.startedAt;
-        for (Batch batch : inFlight) {
-            if (batch.iteration == first.iteration) {
-                positions += batch.positions();
-                from = Math.min(from, batch.startedAt);
-            }
-        }
-        if (ran) {
-            speed.done(positions, now.nanos() - Math.max(from, turnedAt));
-        }
-        turnedAt = now.nanos();
-        iteration = first.iteration + 1;
-    }
-
     private void done(Batch batch, EngineStepResults results, Moment now) {
+        int positions = 0;
         for (int i = 0; i < batch.entries.size(); i++) {
             Entry entry = batch.entries.get(i);
             EngineStepResult result =
@@ -195,8 +149,12 @@
                 handler.lost(entry.stage, ProblemKind.BACKEND_FAILED, "The engine did not run a step: " + why);
                 continue;
             }
+            positions += result.outputs().get().length;
             ran(entry.stage, result.outputs().get(), now);
         }
+        if (positions > 0) {
+            speed.done(positions, now.nanos() - batch.startedAt, now.nanos());
+        }
     }
 
     private void ran(Stage stage, long[] outputs, Moment now) {
@@ -242,26 +200,26 @@
     private void giveUpSilent(Moment now) {
         for (Batch batch : List.copyOf(inFlight)) {
             long millis = (now.nanos() - batch.startedAt) / MILLI;
-            if (millis > patienceMillis() && inFlight.remove(batch)) {
+            if (millis > patienceMillis(batch) && inFlight.remove(batch)) {
                 failed(batch, new PlatformException(PlatformException.Kind.ANSWER_LOST, "silent", 0), now);
             }
         }
     }
 
-    private long patienceMillis() {
+    private long patienceMillis(Batch batch) {
         long base = settings.timing().backendTimeoutMillis();
         double perSecond = speed.unitsPerSecond();
         if (perSecond == 0) {
             return base * (long) SLOWER_THAN_USUAL;
         }
-        long positions = inFlight.stream().mapToLong(Batch::positions).sum();
-        return base + Math.round((double) SLOWER_THAN_USUAL * positions * MILLIS / perSecond);
+        long positions =
+                batch.entries.stream().mapToLong(e -> e.run.inputs().length).sum();
+        return base + Math.round((double) SLOWER_THAN_USUAL * inFlight.size() * positions * MILLIS / perSecond);
     }
 
     /** Notes that this process itself stood still for a while, which is no fault of the engine. */
     void woke(long pausedNanos) {
         inFlight.forEach(batch -> batch.startedAt += pausedNanos);
-        turnedAt += pausedNanos;
     }
 
     /** Expected time until as many positions have run, in milliseconds; 0 while the speed is unknown. */
@@ -273,6 +231,7 @@
     /** Runs what was put back, once the engine may take it again, and gives up what is silent. */
     void tick(Moment now) {
         giveUpSilent(now);
+        speed.age(now.nanos());
         pump(now);
     }
 
@@ -288,20 +247,9 @@
     private static final class Batch {
         final List<Entry> entries = new ArrayList<>();
         long startedAt;
-        final long iteration;
-        boolean alone;
 
-        Batch(long startedAt, long iteration) {
+        Batch(long startedAt) {
             this.startedAt = startedAt;
-            this.iteration = iteration;
-        }
-
-        int positions() {
-            return entries.stream().mapToInt(e -> e.run.inputs().length).sum();
-        }
-
-        boolean runsAlone() {
-            return alone;
         }
     }
 
