--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/path/PathFinder.java
@@ -0,0 +1,188 @@
+package org.cornelramp.core.path;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.routing.CardKind;
+import org.cornelramp.core.routing.EngineSpec;
+
+/**
+ * Finds the fastest way through the model over the engines that hold its layers.
+ *
+ * <p>A shortest path over (layer, data centre): each engine that holds the next layer runs all that it holds from
+ * there on. Its cost is the expected time of a token, which grows with what runs there, so that requests spread over
+ * copies; an engine without memory for the request is left out. Stateless, safe for use by any thread.
+ */
+public final class PathFinder {
+    /** A token that comes while a step is under way waits for half of it on average, then takes its own. */
+    private static final double WAITING_FACTOR = 1.5;
+
+    /** Network and handling for each hop within a data centre, in milliseconds; twice the links' delay. */
+    private static final double HOP_MILLIS = 0.2;
+
+    /**
+     * Cost of a hop to another data centre, in milliseconds of token time. The pipe between data centres carries the
+     * activations of about half of the usual requests over one hop, so it is for standing in, not for balance.
+     */
+    private static final double CROSS_MILLIS = 25;
+
+    /** Cost of a first engine in another data centre: its events cross, but no activations do. */
+    private static final double ENTRY_MILLIS = 8;
+
+    /** Share of an engine's memory that this process fills; the rest is for others and for longer answers. */
+    private static final double MEMORY_SHARE = 0.9;
+
+    private PathFinder() {}
+
+    /**
+     * What a path is for. Immutable, safe for use by any thread.
+     *
+     * @param home data centre of the process that passes the events on
+     * @param prompt tokens to read
+     * @param tokens tokens that the request is expected to take in the end
+     */
+    public record Demand(DataCentre home, int prompt, int tokens) {}
+
+    private record Step(double cost, Step before, BackendServer server, int from, int to, DataCentre at) {}
+
+    /** The fastest path over the given engines, each of which may take work; empty if no path has room. */
+    public static Optional<StagePath> find(
+            EngineSpec spec, List<BackendServer> engines, EngineLoads loads, Demand demand) {
+        return search(new Step(0, null, null, 0, 0, demand.home()), spec, engines, loads, demand);
+    }
+
+    /** The fastest path that starts with the given hop; empty if no path has room. */
+    public static Optional<StagePath> findAfter(
+            Hop first, EngineSpec spec, List<BackendServer> engines, EngineLoads loads, Demand demand) {
+        DataCentre at = first.server().dataCentre();
+        Step nothing = new Step(0, null, null, 0, 0, at);
+        List<BackendServer> others = engines.stream()
+                .filter(server -> !server.id().equals(first.server().id()))
+                .toList();
+        return search(new Step(0, nothing, first.server(), 0, first.to(), at), spec, others, loads, demand);
+    }
+
+    private static Optional<StagePath> search(
+            Step start, EngineSpec spec, List<BackendServer> engines, EngineLoads loads, Demand demand) {
+        List<Engine> usable = new ArrayList<>();
+        for (BackendServer server : engines) {
+            spec.card(server.card())
+                    .filter(card -> server.layers().isPresent())
+                    .map(card -> new Engine(server, card, spec, loads))
+                    .ifPresent(usable::add);
+        }
+        List<List<Step>> best = new ArrayList<>();
+        for (int layer = 0; layer <= spec.layers(); layer++) {
+            best.add(new ArrayList<>());
+        }
+        best.get(start.to()).add(start);
+        for (int layer = start.to(); layer < spec.layers(); layer++) {
+            for (Engine engine : usable) {
+                extend(best, layer, engine, demand);
+            }
+        }
+        return best.get(spec.layers()).stream()
+                .min(Comparator.comparingDouble(Step::cost))
+                .map(last -> path(last, spec, demand));
+    }
+
+    private static void extend(List<List<Step>> best, int layer, Engine engine, Demand demand) {
+        if (best.get(layer).isEmpty() || !engine.canRun(layer, demand)) {
+            return;
+        }
+        int to = engine.end();
+        double own = engine.tokenMillis(to - layer) + HOP_MILLIS;
+        Step found = null;
+        for (Step before : best.get(layer)) {
+            double cost = before.cost() + own + crossing(before, engine.server(), layer);
+            if (found == null || cost < found.cost()) {
+                found = new Step(cost, before, engine.server(), layer, to, engine.server().dataCentre());
+            }
+        }
+        keepCheapest(best.get(to), found);
+    }
+
+    private static double crossing(Step before, BackendServer server, int layer) {
+        if (before.at().equals(server.dataCentre())) {
+            return 0;
+        }
+        return layer == 0 ? ENTRY_MILLIS : CROSS_MILLIS;
+    }
+
+    /** Keeps one step for each data centre: which of them is best depends on the hops that follow. */
+    private static void keepCheapest(List<Step> steps, Step found) {
+        for (int i = 0; i < steps.size(); i++) {
+            if (steps.get(i).at().equals(found.at())) {
+                if (found.cost() < steps.get(i).cost()) {
+                    steps.set(i, found);
+                }
+                return;
+            }
+        }
+        steps.add(found);
+    }
+
+    private static StagePath path(Step last, EngineSpec spec, Demand demand) {
+        Deque<Hop> hops = new ArrayDeque<>();
+        double readMillis = 0;
+        for (Step step = last; step.server() != null; step = step.before()) {
+            hops.addFirst(new Hop(step.server(), step.from(), step.to()));
+            CardKind card = spec.card(step.server().card()).orElseThrow();
+            double share = (step.to() - step.from()) / (double) spec.layers();
+            readMillis += demand.prompt() / spec.readPerMilli() * card.readFactor() * share;
+        }
+        return new StagePath(List.copyOf(hops), last.cost(), readMillis);
+    }
+
+    /** One engine with what it has under way. */
+    private static final class Engine {
+        private final BackendServer server;
+        private final CardKind card;
+        private final EngineSpec spec;
+        private final EngineLoads.Load load;
+        private final double pace;
+
+        Engine(BackendServer server, CardKind card, EngineSpec spec, EngineLoads loads) {
+            this.server = server;
+            this.card = card;
+            this.spec = spec;
+            this.load = loads.load(server.id());
+            this.pace = loads.pace(server.id());
+        }
+
+        BackendServer server() {
+            return server;
+        }
+
+        int end() {
+            return server.layers().orElseThrow().to();
+        }
+
+        boolean canRun(int layer, Demand demand) {
+            if (!server.holds(layer) || (layer == 0 && load.asFirst() >= server.slots())) {
+                return false;
+            }
+            double taken = (load.tokenLayers() + (double) demand.tokens() * (end() - layer)) * spec.tokenLayerMb();
+            return taken <= MEMORY_SHARE * freeMb();
+        }
+
+        private double freeMb() {
+            var range = server.layers().orElseThrow();
+            return card.memoryMb() - (range.to() - range.from()) * spec.layerMb();
+        }
+
+        /**
+         * Time of a token with all that runs here. Requests are spread over the hops of their paths, so a step has
+         * only a part of them; half is a cautious guess that keeps copies evenly loaded.
+         */
+        double tokenMillis(int layers) {
+            double step = spec.stepMillis() + (load.requests() + 1) / 2.0 * spec.usualRequestMillis();
+            return WAITING_FACTOR * step * card.stepFactor() * pace * layers / spec.layers();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/placement/Planner.java
@@ -0,0 +1,208 @@
+package org.cornelramp.core.placement;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.LayerRange;
+import org.cornelramp.core.routing.CardKind;
+import org.cornelramp.core.routing.EngineSpec;
+
+/**
+ * Places the layers of a model on engines with different cards.
+ *
+ * <p>Each data centre gets a whole copy first, since activations between data centres share one pipe; engines that
+ * are left hold second copies, so that a death is mended by a new path instead of a load. Engines that hold layers
+ * keep them: only empty ones are filled, and an engine is moved only if all it holds has another holder in its data
+ * centre while some layer there has none. The result depends on the input alone, so any process that knows the same
+ * comes to the same plan. Stateless, safe for use by any thread.
+ */
+public final class Planner {
+    /** Requests that shall fit beside the weights if the cards allow it; more than this never run at once. */
+    private static final int MOST_REQUESTS = 240;
+
+    /** Fewest requests that shall fit beside the weights, however few cards there are. */
+    private static final int FEWEST_REQUESTS = 24;
+
+    private static final int REQUESTS_STEP = 6;
+
+    /** Copies of the model that a data centre's cards shall hold: one, and a third for the engines that die. */
+    private static final double WANTED_COPIES = 1.3;
+
+    /** What a layer is worth that no engine anywhere holds, none in the data centre, one, or more. */
+    private static final double NOWHERE = 1e6;
+
+    private static final double NOT_HERE = 1e3;
+    private static final double ONCE_HERE = 10;
+    private static final double MORE_HERE = 1;
+
+    private Planner() {}
+
+    /**
+     * The layers to order now.
+     *
+     * @param spec the model
+     * @param engines the engines that take work and can be reached, with the layers that they hold or are loading
+     */
+    public static List<Placement> plan(EngineSpec spec, List<BackendServer> engines) {
+        return new Plan(spec, engines).run();
+    }
+
+    /** One planning run. */
+    private static final class Plan {
+        private final EngineSpec spec;
+        private final Map<DataCentre, List<BackendServer>> byDataCentre = new HashMap<>();
+        private final Map<DataCentre, int[]> held = new HashMap<>();
+        private final int requests;
+
+        Plan(EngineSpec spec, List<BackendServer> engines) {
+            this.spec = spec;
+            for (BackendServer engine : engines) {
+                if (spec.card(engine.card()).isPresent()) {
+                    byDataCentre
+                            .computeIfAbsent(engine.dataCentre(), at -> new ArrayList<>())
+                            .add(engine);
+                }
+            }
+            byDataCentre.forEach((at, here) -> {
+                here.sort(Comparator.comparingDouble((BackendServer engine) ->
+                                card(engine).stepFactor())
+                        .thenComparing(engine -> -card(engine).memoryMb())
+                        .thenComparing(BackendServer::id));
+                held.put(at, new int[spec.layers()]);
+                here.forEach(engine -> engine.layers().ifPresent(range -> count(at, range, 1)));
+            });
+            this.requests = requestsThatFit();
+        }
+
+        List<Placement> run() {
+            List<Placement> orders = new ArrayList<>();
+            byDataCentre.keySet().stream().sorted().forEach(at -> {
+                int before = orders.size();
+                fillEmpty(at, orders);
+                if (orders.size() == before) {
+                    moveOne(at).ifPresent(orders::add);
+                }
+            });
+            return orders;
+        }
+
+        private void fillEmpty(DataCentre at, List<Placement> orders) {
+            for (BackendServer engine : byDataCentre.get(at)) {
+                int most = capacity(engine, requests);
+                if (engine.layers().isEmpty() && most > 0) {
+                    LayerRange range = neediest(at, most);
+                    count(at, range, 1);
+                    orders.add(new Placement(engine, range));
+                }
+            }
+        }
+
+        /** Moves one engine whose layers all have another holder here to layers that have none. */
+        private Optional<Placement> moveOne(DataCentre at) {
+            int[] here = held.get(at);
+            if (Arrays.stream(here).noneMatch(holders -> holders == 0)) {
+                return Optional.empty();
+            }
+            Placement best = null;
+            int mostFilled = 0;
+            for (BackendServer engine : byDataCentre.get(at)) {
+                LayerRange old = engine.layers().orElse(null);
+                if (old == null || !isSpare(here, old)) {
+                    continue;
+                }
+                count(at, old, -1);
+                LayerRange range = neediest(at, capacity(engine, requests));
+                int filled = holes(here, range);
+                count(at, old, 1);
+                if (filled > mostFilled) {
+                    mostFilled = filled;
+                    best = new Placement(engine, range);
+                }
+            }
+            return Optional.ofNullable(best);
+        }
+
+        private static boolean isSpare(int[] here, LayerRange range) {
+            return holes(here, range, 1) == 0;
+        }
+
+        private static int holes(int[] here, LayerRange range) {
+            return holes(here, range, 0);
+        }
+
+        /** Layers of the range that have at most so many holders. */
+        private static int holes(int[] here, LayerRange range, int most) {
+            int holes = 0;
+            for (int layer = range.from(); layer < range.to(); layer++) {
+                holes += here[layer] <= most ? 1 : 0;
+            }
+            return holes;
+        }
+
+        /** The range of that many layers that is worth most; the first of equals, so that ranges join. */
+        private LayerRange neediest(DataCentre at, int layers) {
+            int size = Math.min(layers, spec.layers());
+            double bestWorth = -1;
+            int bestFrom = 0;
+            for (int from = 0; from + size <= spec.layers(); from++) {
+                double worth = 0;
+                for (int layer = from; layer < from + size; layer++) {
+                    worth += worth(at, layer);
+                }
+                if (worth > bestWorth) {
+                    bestWorth = worth;
+                    bestFrom = from;
+                }
+            }
+            return new LayerRange(bestFrom, bestFrom + size, spec.layers());
+        }
+
+        private double worth(DataCentre at, int layer) {
+            int here = held.get(at)[layer];
+            if (here > 0) {
+                return here == 1 ? ONCE_HERE : MORE_HERE;
+            }
+            boolean nowhere = held.values().stream().allMatch(counts -> counts[layer] == 0);
+            return nowhere ? NOWHERE : NOT_HERE;
+        }
+
+        private void count(DataCentre at, LayerRange range, int by) {
+            int[] counts = held.get(at);
+            for (int layer = range.from(); layer < range.to(); layer++) {
+                counts[layer] += by;
+            }
+        }
+
+        /** Most requests, up to a bound, beside which each data centre's cards still hold enough copies. */
+        private int requestsThatFit() {
+            for (int most = MOST_REQUESTS; most > FEWEST_REQUESTS; most -= REQUESTS_STEP) {
+                int fit = most;
+                boolean enough = byDataCentre.values().stream()
+                        .allMatch(here -> here.stream()
+                                        .mapToInt(engine -> capacity(engine, fit))
+                                        .sum()
+                                >= WANTED_COPIES * spec.layers());
+                if (enough) {
+                    return most;
+                }
+            }
+            return FEWEST_REQUESTS;
+        }
+
+        /** Layers that fit on the engine's card beside the memory of so many ordinary requests. */
+        private int capacity(BackendServer engine, int requests) {
+            double requestsMb = requests * spec.usualTokens() * spec.tokenLayerMb();
+            return (int) Math.min(spec.layers(), card(engine).memoryMb() / (spec.layerMb() + requestsMb));
+        }
+
+        private CardKind card(BackendServer engine) {
+            return spec.card(engine.card()).orElseThrow();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Which engine holds which layers of the model. */
+package org.cornelramp.core.placement;
--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/retry/RetryWindow.java
@@ -0,0 +1,73 @@
+package org.cornelramp.core.retry;
+
+import java.util.Arrays;
+
+/**
+ * Bounds the repeats that this process sends to one service within a sliding window.
+ *
+ * <p>The platform allows all processes together a share of the requests and a reserve. Each process takes the share
+ * of its own requests and a part of the reserve, so the sum keeps the bound without a central count. Owned by one
+ * thread.
+ *
+ * <p>Invariant: in any window at most {@code ratio × requests + reserve} repeats.
+ */
+public final class RetryWindow {
+    private static final int BUCKETS = 20;
+
+    private final double ratio;
+    private final double reserve;
+    private final long bucketMillis;
+    private final int[] requests = new int[BUCKETS + 1];
+    private final int[] repeats = new int[BUCKETS + 1];
+    private long newest = Long.MIN_VALUE;
+
+    /**
+     * @param ratio repeats for each request
+     * @param reserve repeats besides, within a window
+     * @param windowMillis length of the window
+     */
+    public RetryWindow(double ratio, double reserve, long windowMillis) {
+        this.ratio = ratio;
+        this.reserve = reserve;
+        this.bucketMillis = Math.max(1, windowMillis / BUCKETS);
+    }
+
+    /** Notes a client's request. */
+    public void request(long nowMillis) {
+        requests[slot(nowMillis)]++;
+    }
+
+    /** Takes one repeat; false if none is left now. */
+    public boolean tryRepeat(long nowMillis) {
+        int slot = slot(nowMillis);
+        if (sum(repeats) + 1 > ratio * sum(requests) + reserve) {
+            return false;
+        }
+        repeats[slot]++;
+        return true;
+    }
+
+    private int slot(long nowMillis) {
+        long bucket = Math.floorDiv(nowMillis, bucketMillis);
+        if (newest == Long.MIN_VALUE || bucket - newest > BUCKETS) {
+            Arrays.fill(requests, 0);
+            Arrays.fill(repeats, 0);
+            newest = bucket;
+        }
+        while (newest < bucket) {
+            newest++;
+            int slot = (int) Math.floorMod(newest, BUCKETS + 1);
+            requests[slot] = 0;
+            repeats[slot] = 0;
+        }
+        return (int) Math.floorMod(newest, BUCKETS + 1);
+    }
+
+    private static int sum(int[] counts) {
+        int sum = 0;
+        for (int count : counts) {
+            sum += count;
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/routing/WeightedService.java
@@ -0,0 +1,11 @@
+package org.cornelramp.core.routing;
+
+import org.cornelramp.core.model.ServiceName;
+
+/**
+ * A service with its share of a route's requests. Immutable, safe for use by any thread.
+ *
+ * @param service the service
+ * @param weight its share, relative to the other services of the route; not negative
+ */
+public record WeightedService(ServiceName service, double weight) {}
--- a/core/src/main/java/org/cornelramp/core/settings/Section.java
+++ b/core/src/main/java/org/cornelramp/core/settings/Section.java
@@ -72,6 +72,12 @@
                 .orElse(byDefault);
     }
 
+    /** A number within bounds. */
+    double decimal(String name, double min, double max, double byDefault) {
+        String remedy = "Give a number from " + min + " to " + max + ".";
+        return optional(name, value -> decimalInRange(value, min, max), remedy).orElse(byDefault);
+    }
+
     /** True or false. */
     boolean flag(String name, boolean byDefault) {
         return optional(name, Section::parseFlag, "Give true or false.").orElse(byDefault);
@@ -123,6 +129,14 @@
         return number;
     }
 
+    private static double decimalInRange(JsonNode value, double min, double max) {
+        double number = value.asDouble();
+        if (!value.isNumber() || number < min || number > max) {
+            throw new IllegalArgumentException("out of range");
+        }
+        return number;
+    }
+
     private static boolean parseFlag(JsonNode value) {
         if (!value.isBoolean()) {
             throw new IllegalArgumentException("not a boolean");
--- a/daemon/src/main/java/org/cornelramp/daemon/Main.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/Main.java
@@ -21,6 +21,7 @@
 import org.cornelramp.daemon.http.HttpServer;
 import org.cornelramp.daemon.kernel.Kernel;
 import org.cornelramp.daemon.kernel.Registry;
+import org.cornelramp.daemon.kernel.Signals;
 import org.cornelramp.daemon.kernel.StopSwitch;
 import org.cornelramp.daemon.log.Logs;
 
@@ -82,7 +83,7 @@
         PlannedStop stop = new PlannedStop(kernel, clock, settings.timing().drainMillis());
         try {
             registry.share(StopSwitch.class, stop::begin);
-            StopSignals.install(stop::signalled);
+            Signals.onStop(stop::signalled);
             kernel.start();
             System.out.println(readyLine(settings, registry));
             return stop.awaitAndRun();
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AbsentEngine.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AbsentEngine.java
@@ -2,15 +2,15 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.cornelramp.platform.BackendOffer;
-import org.cornelramp.platform.CacheEvents;
-import org.cornelramp.platform.EngineClient;
-import org.cornelramp.platform.EngineKv;
-import org.cornelramp.platform.EngineLoad;
-import org.cornelramp.platform.EngineOrder;
-import org.cornelramp.platform.EngineStep;
-import org.cornelramp.platform.EngineStepResults;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.BackendOffer;
+import org.cornelramp.ports.CacheEvents;
+import org.cornelramp.ports.EngineClient;
+import org.cornelramp.ports.EngineKv;
+import org.cornelramp.ports.EngineLoad;
+import org.cornelramp.ports.EngineOrder;
+import org.cornelramp.ports.EngineStep;
+import org.cornelramp.ports.EngineStepResults;
+import org.cornelramp.ports.PlatformException;
 
 /** Stands in for the engine at an agent whose backend server is a plain service. Stateless. */
 final class AbsentEngine implements EngineClient {
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AbsentService.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AbsentService.java
@@ -1,11 +1,11 @@
 package org.cornelramp.daemon.agent;
 
 import java.util.concurrent.CompletableFuture;
-import org.cornelramp.platform.BackendOffer;
-import org.cornelramp.platform.PlatformException;
-import org.cornelramp.platform.ServiceCall;
-import org.cornelramp.platform.ServiceClient;
-import org.cornelramp.platform.ServiceReply;
+import org.cornelramp.ports.BackendOffer;
+import org.cornelramp.ports.PlatformException;
+import org.cornelramp.ports.ServiceCall;
+import org.cornelramp.ports.ServiceClient;
+import org.cornelramp.ports.ServiceReply;
 
 /** Stands in for the plain service at an agent whose backend server is an engine. Stateless. */
 final class AbsentService implements ServiceClient {
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentParts.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentParts.java
@@ -5,7 +5,7 @@
 import org.cornelramp.core.settings.DaemonSettings;
 import org.cornelramp.daemon.kernel.StopSwitch;
 import org.cornelramp.daemon.table.TableSource;
-import org.cornelramp.platform.BackendOffer;
+import org.cornelramp.ports.BackendOffer;
 
 /**
  * What an {@link Agent} is made of. Confined to the thread that builds it.
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentPlugin.java
@@ -14,9 +14,9 @@
 import org.cornelramp.daemon.report.LinkMeters;
 import org.cornelramp.daemon.report.StatusBoard;
 import org.cornelramp.daemon.table.TableSource;
-import org.cornelramp.platform.EngineClient;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.ServiceClient;
+import org.cornelramp.ports.EngineClient;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.ServiceClient;
 
 /** Registers the agent. Stateless. */
 public final class AgentPlugin implements Plugin {
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/AgentServices.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/AgentServices.java
@@ -8,9 +8,9 @@
 import org.cornelramp.core.settings.DaemonSettings;
 import org.cornelramp.daemon.kernel.StopSwitch;
 import org.cornelramp.daemon.table.TableSource;
-import org.cornelramp.platform.EngineClient;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.ServiceClient;
+import org.cornelramp.ports.EngineClient;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.ServiceClient;
 
 /**
  * What an agent needs from outside. Immutable, safe for use by any thread.
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/BackendWatch.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/BackendWatch.java
@@ -5,8 +5,8 @@
 import java.util.function.Supplier;
 import org.cornelramp.core.model.AgentState;
 import org.cornelramp.core.model.Offer;
-import org.cornelramp.platform.BackendOffer;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.BackendOffer;
+import org.cornelramp.ports.PlatformException;
 
 /**
  * Follows the backend server beside the agent: what it offers, and whether it lives.
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/Completions.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/Completions.java
@@ -7,7 +7,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.PlatformException;
 
 /**
  * Brings the ends of calls to the backend server back to the agent's duty. Safe for use by any thread.
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/EngineStepper.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/EngineStepper.java
@@ -11,11 +11,11 @@
 import org.cornelramp.core.model.ProblemKind;
 import org.cornelramp.core.settings.DaemonSettings;
 import org.cornelramp.core.step.StepRun;
-import org.cornelramp.platform.EngineClient;
-import org.cornelramp.platform.EngineStep;
-import org.cornelramp.platform.EngineStepResult;
-import org.cornelramp.platform.EngineStepResults;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.EngineClient;
+import org.cornelramp.ports.EngineStep;
+import org.cornelramp.ports.EngineStepResult;
+import org.cornelramp.ports.EngineStepResults;
+import org.cornelramp.ports.PlatformException;
 
 /**
  * Batches the steps that are ready into calls to the engine.
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/ExportedStage.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/ExportedStage.java
@@ -5,7 +5,7 @@
 import java.io.IOException;
 import java.util.Optional;
 import org.cornelramp.core.step.StageSnapshot;
-import org.cornelramp.platform.EngineKv;
+import org.cornelramp.ports.EngineKv;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/SettlementWriter.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/SettlementWriter.java
@@ -7,11 +7,11 @@
 import org.cornelramp.core.ledger.Ledger;
 import org.cornelramp.core.ledger.SettledRecords;
 import org.cornelramp.core.model.Incarnation;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogPage;
-import org.cornelramp.platform.LogRecord;
-import org.cornelramp.platform.LogStream;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogPage;
+import org.cornelramp.ports.LogRecord;
+import org.cornelramp.ports.LogStream;
+import org.cornelramp.ports.PlatformException;
 
 /**
  * Writes on the log what became of this life's keys, before the agent exits.
--- a/daemon/src/main/java/org/cornelramp/daemon/agent/StageHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/agent/StageHandler.java
@@ -11,7 +11,7 @@
 import org.cornelramp.core.step.StageSession;
 import org.cornelramp.core.step.StageShape;
 import org.cornelramp.core.step.StepVerdict;
-import org.cornelramp.platform.EngineClient;
+import org.cornelramp.ports.EngineClient;
 import org.cornelramp.wire.link.Link;
 import org.cornelramp.wire.message.CloseStage;
 import org.cornelramp.wire.message.ExportStage;
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/KeyBinder.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/KeyBinder.java
@@ -16,9 +16,9 @@
 import org.cornelramp.core.key.KeyRecordCodec;
 import org.cornelramp.core.model.Problem;
 import org.cornelramp.core.model.ProblemKind;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogStream;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogStream;
+import org.cornelramp.ports.PlatformException;
 
 /**
  * Binds callers' own keys by records on the log, many in one append.
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/KeyStream.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/KeyStream.java
@@ -5,9 +5,9 @@
 import org.cornelramp.core.key.KeyIndex;
 import org.cornelramp.core.key.KeyRecordCodec;
 import org.cornelramp.core.model.Incarnation;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogRecord;
-import org.cornelramp.platform.LogStream;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogRecord;
+import org.cornelramp.ports.LogStream;
 
 /** Folds the key stream of the log into the index. Confined to the router's thread. */
 final class KeyStream implements SettledLookup, LogFollower.Fold {
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/LogFollower.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/LogFollower.java
@@ -6,11 +6,11 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogPage;
-import org.cornelramp.platform.LogRecord;
-import org.cornelramp.platform.LogStream;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogPage;
+import org.cornelramp.ports.LogRecord;
+import org.cornelramp.ports.LogStream;
+import org.cornelramp.ports.PlatformException;
 
 /**
  * Follows one stream of the log and folds its records.
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/Poison.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/Poison.java
@@ -16,9 +16,9 @@
 import org.cornelramp.core.model.ProblemKind;
 import org.cornelramp.core.poison.CrashReport;
 import org.cornelramp.core.poison.SetAside;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogRecord;
-import org.cornelramp.platform.LogStream;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogRecord;
+import org.cornelramp.ports.LogStream;
 import org.cornelramp.wire.message.Heartbeat;
 
 /**
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/VmListReader.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/VmListReader.java
@@ -11,8 +11,8 @@
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.core.settings.Role;
-import org.cornelramp.platform.VmList;
-import org.cornelramp.platform.VmListClient;
+import org.cornelramp.ports.VmList;
+import org.cornelramp.ports.VmListClient;
 import org.cornelramp.wire.link.LinkLoop;
 
 /**
--- a/daemon/src/main/java/org/cornelramp/daemon/StopSignals.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/kernel/Signals.java
@@ -1,21 +1,31 @@
-package org.cornelramp.daemon;
+package org.cornelramp.daemon.kernel;
 
 import java.lang.reflect.Proxy;
+import java.util.List;
 
 /**
- * Hands stop signals to the program instead of to the virtual machine.
+ * Hands signals to the program instead of to the virtual machine.
  *
  * <p>A shutdown hook hears only the first signal: while it runs, the virtual machine ignores the second, and an
  * operator could not end a drain that takes too long. The platform's only other interface is {@code sun.misc.Signal},
  * reached by reflection because the compiler warns of it. Stateless, safe for use by any thread.
  */
-final class StopSignals {
-    private static final String[] NAMES = {"TERM", "INT"};
+public final class Signals {
+    private static final List<String> STOP = List.of("TERM", "INT");
 
-    private StopSignals() {}
+    private Signals() {}
 
     /** Calls the handler on each stop signal, on a thread of the virtual machine. */
-    static void install(Runnable handler) throws ReflectiveOperationException {
+    public static void onStop(Runnable handler) throws ReflectiveOperationException {
+        install(STOP, handler);
+    }
+
+    /** Calls the handler when the settings file has changed; without one the signal would end the process. */
+    public static void onReload(Runnable handler) throws ReflectiveOperationException {
+        install(List.of("HUP"), handler);
+    }
+
+    private static void install(List<String> names, Runnable handler) throws ReflectiveOperationException {
         Class<?> signal = Class.forName("sun.misc.Signal");
         Class<?> type = Class.forName("sun.misc.SignalHandler");
         Object proxy = Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type}, (self, method, args) -> {
@@ -24,7 +34,7 @@
             }
             return null;
         });
-        for (String name : NAMES) {
+        for (String name : names) {
             Object one = signal.getConstructor(String.class).newInstance(name);
             signal.getMethod("handle", signal, type).invoke(null, one, proxy);
         }
--- a/daemon/src/main/java/org/cornelramp/daemon/operator/EditService.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/EditService.java
@@ -19,9 +19,9 @@
 import org.cornelramp.core.table.TableEdit;
 import org.cornelramp.core.table.TableRecords;
 import org.cornelramp.daemon.table.TableKeeper;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogStream;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogStream;
+import org.cornelramp.ports.PlatformException;
 
 /**
  * Appends edits to the log and tells what became of them, by reading them back.
--- a/daemon/src/main/java/org/cornelramp/daemon/operator/EntryList.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/EntryList.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.TimeoutException;
 import org.cornelramp.core.operate.AppliedDocument.PeerEntry;
 import org.cornelramp.core.settings.Role;
-import org.cornelramp.platform.VmList;
-import org.cornelramp.platform.VmListClient;
+import org.cornelramp.ports.VmList;
+import org.cornelramp.ports.VmListClient;
 
 /** The entries that the VM list shows as live. Waits for the VM list; confined to the operators' duty. */
 final class EntryList {
--- a/daemon/src/main/java/org/cornelramp/daemon/operator/LogBack.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/LogBack.java
@@ -9,9 +9,9 @@
 import java.util.concurrent.TimeoutException;
 import org.cornelramp.core.table.LogBounds;
 import org.cornelramp.core.table.LoggedRecord;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogPage;
-import org.cornelramp.platform.LogStream;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogPage;
+import org.cornelramp.ports.LogStream;
 
 /** Reads the table's stream back. Waits for the log, so only threads that may wait call it. Safe for any of these. */
 final class LogBack {
--- a/daemon/src/main/java/org/cornelramp/daemon/operator/OperatorPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/operator/OperatorPlugin.java
@@ -22,8 +22,8 @@
 import org.cornelramp.daemon.report.RequestMemory;
 import org.cornelramp.daemon.report.StatusBoard;
 import org.cornelramp.daemon.table.TableKeeper;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.VmListClient;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.VmListClient;
 
 /**
  * Serves operators at an entry, and shares the {@link AgentBoard} that connects it to the agents. Stateless.
--- a/daemon/src/main/java/org/cornelramp/daemon/platform/PlatformPlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/platform/PlatformPlugin.java
@@ -6,13 +6,13 @@
 import org.cornelramp.daemon.kernel.Component;
 import org.cornelramp.daemon.kernel.Plugin;
 import org.cornelramp.daemon.kernel.Registry;
-import org.cornelramp.platform.EngineClient;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.ServiceClient;
-import org.cornelramp.platform.VmListClient;
-import org.cornelramp.platform.WeightStoreClient;
-import org.cornelramp.platform.http.HttpPlatform;
-import org.cornelramp.platform.http.HttpTimeouts;
+import org.cornelramp.ports.EngineClient;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.ServiceClient;
+import org.cornelramp.ports.VmListClient;
+import org.cornelramp.ports.WeightStoreClient;
+import org.cornelramp.ports.http.HttpPlatform;
+import org.cornelramp.ports.http.HttpTimeouts;
 import org.eclipse.jetty.client.HttpClient;
 
 /** Shares the clients of the platform and, at an agent, of its backend server. Stateless. */
--- a/daemon/src/main/java/org/cornelramp/daemon/table/TableFollower.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/table/TableFollower.java
@@ -17,10 +17,10 @@
 import org.cornelramp.core.table.TableRecords;
 import org.cornelramp.core.table.TableSnapshotCodec;
 import org.cornelramp.daemon.kernel.Component;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogPage;
-import org.cornelramp.platform.LogStream;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogPage;
+import org.cornelramp.ports.LogStream;
+import org.cornelramp.ports.PlatformException;
 
 /**
  * Follows the table's stream on the log and brings each new table to the keeper; writes a snapshot when one is due.
--- a/daemon/src/main/java/org/cornelramp/daemon/table/TablePlugin.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/table/TablePlugin.java
@@ -8,7 +8,7 @@
 import org.cornelramp.daemon.kernel.Plugin;
 import org.cornelramp.daemon.kernel.Registry;
 import org.cornelramp.daemon.report.StatusBoard;
-import org.cornelramp.platform.LogClient;
+import org.cornelramp.ports.LogClient;
 
 /** Shares the table in force: an entry follows it on the log, an agent takes what entries relay. Stateless. */
 public final class TablePlugin implements Plugin {
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/BackendDeathTest.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/BackendDeathTest.java
@@ -10,7 +10,7 @@
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.ProblemKind;
 import org.cornelramp.core.poison.CrashReport;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.PlatformException;
 import org.cornelramp.wire.link.Link;
 import org.cornelramp.wire.message.InvokeResult;
 import org.cornelramp.wire.message.Settle;
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/FakeEngine.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/FakeEngine.java
@@ -8,16 +8,16 @@
 import java.util.concurrent.CompletableFuture;
 import org.cornelramp.core.model.LayerRange;
 import org.cornelramp.core.model.ServiceName;
-import org.cornelramp.platform.BackendOffer;
-import org.cornelramp.platform.CacheEvents;
-import org.cornelramp.platform.EngineClient;
-import org.cornelramp.platform.EngineKv;
-import org.cornelramp.platform.EngineLoad;
-import org.cornelramp.platform.EngineOrder;
-import org.cornelramp.platform.EngineStep;
-import org.cornelramp.platform.EngineStepResult;
-import org.cornelramp.platform.EngineStepResults;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.BackendOffer;
+import org.cornelramp.ports.CacheEvents;
+import org.cornelramp.ports.EngineClient;
+import org.cornelramp.ports.EngineKv;
+import org.cornelramp.ports.EngineLoad;
+import org.cornelramp.ports.EngineOrder;
+import org.cornelramp.ports.EngineStep;
+import org.cornelramp.ports.EngineStepResult;
+import org.cornelramp.ports.EngineStepResults;
+import org.cornelramp.ports.PlatformException;
 
 /**
  * An engine in memory: the output of a layer depends on its input and on all earlier positions, so a step that is
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/FakeLog.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/FakeLog.java
@@ -8,11 +8,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogPage;
-import org.cornelramp.platform.LogRecord;
-import org.cornelramp.platform.LogStream;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogPage;
+import org.cornelramp.ports.LogRecord;
+import org.cornelramp.ports.LogStream;
+import org.cornelramp.ports.PlatformException;
 
 /** A log in memory with outages and lost answers. Safe for use by any thread. */
 final class FakeLog implements LogClient {
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/FakeService.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/FakeService.java
@@ -6,10 +6,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.cornelramp.core.model.ServiceName;
-import org.cornelramp.platform.BackendOffer;
-import org.cornelramp.platform.ServiceCall;
-import org.cornelramp.platform.ServiceClient;
-import org.cornelramp.platform.ServiceReply;
+import org.cornelramp.ports.BackendOffer;
+import org.cornelramp.ports.ServiceCall;
+import org.cornelramp.ports.ServiceClient;
+import org.cornelramp.ports.ServiceReply;
 
 /** A plain service whose calls end when the test says so. Safe for use by any thread. */
 final class FakeService implements ServiceClient {
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/StaleOrderTest.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/StaleOrderTest.java
@@ -5,7 +5,7 @@
 import com.fasterxml.jackson.databind.node.TextNode;
 import java.util.List;
 import org.cornelramp.core.model.OrderKind;
-import org.cornelramp.platform.LogStream;
+import org.cornelramp.ports.LogStream;
 import org.cornelramp.wire.link.Link;
 import org.cornelramp.wire.message.Order;
 import org.cornelramp.wire.message.OrderOutcome;
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/TestPipeline.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/TestPipeline.java
@@ -139,7 +139,7 @@
         long[] inputs = prompt;
         int position = 0;
         while (tokens.size() < maxTokens) {
-            long[] outputs = whole.steps(List.of(new org.cornelramp.platform.EngineStep("s", position, inputs, 0, 1)))
+            long[] outputs = whole.steps(List.of(new org.cornelramp.ports.EngineStep("s", position, inputs, 0, 1)))
                     .join()
                     .results()
                     .get(0)
--- a/daemon/src/test/java/org/cornelramp/daemon/entry/AgentDeathTest.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/AgentDeathTest.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.cornelramp.platform.LogStream;
+import org.cornelramp.ports.LogStream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
--- a/daemon/src/test/java/org/cornelramp/daemon/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/EntryFixture.java
@@ -39,10 +39,10 @@
 import org.cornelramp.daemon.kernel.Registry;
 import org.cornelramp.daemon.report.RequestRecorder;
 import org.cornelramp.daemon.table.TableSource;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogStream;
-import org.cornelramp.platform.VmList;
-import org.cornelramp.platform.VmListClient;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogStream;
+import org.cornelramp.ports.VmList;
+import org.cornelramp.ports.VmListClient;
 
 /** A whole entry on loopback with fakes for the platform, the table and the agents. */
 final class EntryFixture implements AutoCloseable {
--- a/daemon/src/test/java/org/cornelramp/daemon/entry/FakeLog.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/FakeLog.java
@@ -6,11 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogPage;
-import org.cornelramp.platform.LogRecord;
-import org.cornelramp.platform.LogStream;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogPage;
+import org.cornelramp.ports.LogRecord;
+import org.cornelramp.ports.LogStream;
+import org.cornelramp.ports.PlatformException;
 
 /** A log in memory, with switches for an outage and for answers lost after the append took effect. */
 final class FakeLog implements LogClient {
--- a/daemon/src/test/java/org/cornelramp/daemon/entry/FakeLogView.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/FakeLogView.java
@@ -3,10 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogPage;
-import org.cornelramp.platform.LogStream;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogPage;
+import org.cornelramp.ports.LogStream;
+import org.cornelramp.ports.PlatformException;
 
 /** One entry's access to a log that others use as well. */
 final class FakeLogView implements LogClient {
--- a/daemon/src/test/java/org/cornelramp/daemon/entry/OwnKeyTest.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/OwnKeyTest.java
@@ -10,7 +10,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.cornelramp.platform.LogStream;
+import org.cornelramp.ports.LogStream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
--- a/daemon/src/test/java/org/cornelramp/daemon/table/LogOutageTest.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/table/LogOutageTest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import org.cornelramp.core.table.FoldedTable;
 import org.cornelramp.core.table.TableRecords;
-import org.cornelramp.platform.LogStream;
+import org.cornelramp.ports.LogStream;
 import org.testng.annotations.Test;
 
 /**
--- a/daemon/src/test/java/org/cornelramp/daemon/table/MemoryLog.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/table/MemoryLog.java
@@ -4,11 +4,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogPage;
-import org.cornelramp.platform.LogRecord;
-import org.cornelramp.platform.LogStream;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogPage;
+import org.cornelramp.ports.LogRecord;
+import org.cornelramp.ports.LogStream;
+import org.cornelramp.ports.PlatformException;
 
 /** A log in memory with the faults of the real one. Safe for use by any thread. */
 public final class MemoryLog implements LogClient {
--- a/daemon/src/test/java/org/cornelramp/daemon/table/TestEntry.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/table/TestEntry.java
@@ -12,7 +12,7 @@
 import org.cornelramp.core.table.RowKey;
 import org.cornelramp.core.table.RowValues;
 import org.cornelramp.core.table.TableEdit;
-import org.cornelramp.platform.LogClient;
+import org.cornelramp.ports.LogClient;
 
 /** The table's part of one entry, for tests. Safe for use by any thread. */
 public final class TestEntry implements AutoCloseable {
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -0,0 +1,84 @@
+package org.cornelramp.gateway;
+
+import java.util.concurrent.CountDownLatch;
+import org.cornelramp.core.settings.GatewaySettings;
+import org.cornelramp.gateway.follow.ConfigFollower;
+import org.cornelramp.gateway.follow.ServerFollower;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.place.PlacementDuty;
+import org.cornelramp.gateway.request.FrontServer;
+import org.cornelramp.gateway.route.ConfigHolder;
+import org.cornelramp.gateway.route.EngineDesk;
+import org.cornelramp.gateway.route.Router;
+import org.cornelramp.platform.EngineControl;
+import org.cornelramp.platform.MetadataStore;
+
+/** All parts of one gateway. {@link #beginStop} may be called by any thread, the rest by the main thread only. */
+public final class Gateway {
+    /** After two missed questions, a second apart, the balancer sends no new connections; then a margin. */
+    private static final long UNLISTED_MILLIS = 2_500;
+
+    /** Left of the grace time for the last answers to leave and the process to end. */
+    private static final long MARGIN_MILLIS = 700;
+
+    private static final long POLL_MILLIS = 20;
+
+    private final GatewaySettings settings;
+    private final SteadyClock clock;
+    private final EventLog log;
+    private final HttpClients clients;
+    private final Router router;
+    private final ConfigFollower configFollower;
+    private final ServerFollower serverFollower;
+    private final PlacementDuty placement;
+    private final FrontServer front;
+    private final CountDownLatch stop = new CountDownLatch(1);
+
+    public Gateway(GatewaySettings settings, SteadyClock clock, EventLog log) {
+        this.settings = settings;
+        this.clock = clock;
+        this.log = log;
+        this.clients = new HttpClients();
+        ConfigHolder config = new ConfigHolder();
+        MetadataStore store = new MetadataStore(clients.pooled(), settings.store());
+        EngineControl control = new EngineControl(clients.pooled());
+        this.router = new Router(
+                settings, clients.pooled(), clients.single(), config, clock, log, new EngineDesk(control));
+        this.configFollower = new ConfigFollower(store, config, log);
+        this.serverFollower = new ServerFollower(store, router::offer, log);
+        this.placement = new PlacementDuty(settings.name(), store, control, config, router::view, clock, log);
+        this.front = new FrontServer(settings, clients.threads(), config, router, clock, log);
+    }
+
+    /** Starts all parts. */
+    public void start() throws Exception {
+        log.line("process", "start").with("dataCentre", settings.dataCentre()).write();
+        clients.start();
+        configFollower.start();
+        serverFollower.start();
+        router.start();
+        front.start();
+        placement.start();
+    }
+
+    /** Begins a planned stop; a repeat changes nothing. */
+    public void beginStop() {
+        stop.countDown();
+    }
+
+    /** Waits for the stop, lets the requests under way end, and ends all parts. */
+    public void awaitStop() throws Exception {
+        stop.await();
+        long begun = clock.millis();
+        log.line("process", "stop begins").with("underWay", router.underWay()).write();
+        front.leave();
+        placement.stop();
+        long limit = begun + settings.timing().graceMillis() - MARGIN_MILLIS;
+        while (clock.millis() < limit && (clock.millis() < begun + UNLISTED_MILLIS || router.underWay() > 0)) {
+            Thread.sleep(POLL_MILLIS);
+        }
+        log.line("process", "stop").with("cut", router.underWay()).write();
+        configFollower.stop();
+        serverFollower.stop();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
@@ -0,0 +1,80 @@
+package org.cornelramp.gateway;
+
+import org.eclipse.jetty.client.AbstractConnectionPool;
+import org.eclipse.jetty.client.DuplexConnectionPool;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** The HTTP clients of one gateway, on shared threads. Started once; the clients are safe for use by any thread. */
+final class HttpClients {
+    private static final int MAX_THREADS = 16;
+    private static final int MIN_THREADS = 4;
+
+    /** Answers come within a few milliseconds; a backend server that takes no connection by then is dead. */
+    private static final long CONNECT_MILLIS = 500;
+
+    /** Shorter than the time after which backend servers close idle connections. */
+    private static final long IDLE_MILLIS = 25_000;
+
+    private static final int MOST_CONNECTIONS = 512;
+
+    private final QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+    private final HttpClient pooled;
+    private final HttpClient single;
+
+    HttpClients() {
+        threads.setName("http");
+        pooled = client(-1);
+        single = client(1);
+    }
+
+    private HttpClient client(int usages) {
+        ClientConnector connector = new ClientConnector();
+        connector.setExecutor(threads);
+        connector.setSelectors(1);
+        HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
+        transport.setConnectionPoolFactory(destination -> {
+            AbstractConnectionPool pool =
+                    new DuplexConnectionPool(destination, destination.getHttpClient().getMaxConnectionsPerDestination());
+            pool.setMaxUsage(usages);
+            return pool;
+        });
+        HttpClient client = new HttpClient(transport);
+        client.setExecutor(threads);
+        client.setConnectTimeout(CONNECT_MILLIS);
+        client.setIdleTimeout(IDLE_MILLIS);
+        client.setMaxConnectionsPerDestination(MOST_CONNECTIONS);
+        client.setFollowRedirects(false);
+        client.setUserAgentField(null);
+        client.setHttpCookieStore(new HttpCookieStore.Empty());
+        return client;
+    }
+
+    void start() throws Exception {
+        threads.start();
+        for (HttpClient client : new HttpClient[] {pooled, single}) {
+            client.start();
+            // An answer is passed on as it came: neither decoded, nor followed, nor answered.
+            client.getContentDecoderFactories().clear();
+            client.getProtocolHandlers().clear();
+        }
+    }
+
+    /** Sends over kept connections. */
+    HttpClient pooled() {
+        return pooled;
+    }
+
+    /** Sends each request over a connection of its own. */
+    HttpClient single() {
+        return single;
+    }
+
+    /** The threads, for the server as well. */
+    QueuedThreadPool threads() {
+        return threads;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ConfigFollower.java
@@ -0,0 +1,83 @@
+package org.cornelramp.gateway.follow;
+
+import io.vavr.control.Either;
+import org.cornelramp.core.routing.RoutingConfig;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.route.ConfigHolder;
+import org.cornelramp.platform.ConfigDecoder;
+import org.cornelramp.platform.MetadataStore;
+import org.cornelramp.platform.StoreFault;
+
+/**
+ * Keeps the configuration in force up to date: each version is here as soon as the store has it. Used by its own
+ * thread only, but for start and stop.
+ */
+public final class ConfigFollower extends Follower {
+    private static final String KEY = "config";
+
+    /**
+     * How long the store holds a call back until something changes. A connection that has gone silent costs this and
+     * the call's own timeout, together less than the two seconds in which a change must be in force.
+     */
+    private static final long WAIT_MILLIS = 800;
+
+    private final MetadataStore store;
+    private final ConfigHolder holder;
+    private final EventLog log;
+    private long next = -1;
+
+    public ConfigFollower(MetadataStore store, ConfigHolder holder, EventLog log) {
+        super("config");
+        this.store = store;
+        this.holder = holder;
+        this.log = log;
+    }
+
+    @Override
+    long step() {
+        Either<StoreFault, MetadataStore.Page> page = next < 0
+                ? store.newest(MetadataStore.Topic.OPERATORS)
+                : store.read(MetadataStore.Topic.OPERATORS, next, WAIT_MILLIS);
+        if (page.isLeft()) {
+            return fault(page.getLeft());
+        }
+        page.get().records().forEach(this::take);
+        boolean nothingYet = next < 0 && holder.current().isEmpty();
+        next = page.get().next();
+        return nothingYet ? 50 : 0;
+    }
+
+    private long fault(StoreFault fault) {
+        if (fault.kind() == StoreFault.Kind.GONE) {
+            next = -1;
+            return 0;
+        }
+        log.line("config", "not read").with("fault", fault).write();
+        return -1;
+    }
+
+    private void take(MetadataStore.KeyedRecord record) {
+        if (!record.key().equals(KEY) || record.value().isEmpty()) {
+            return;
+        }
+        Either<StoreFault, RoutingConfig> config = ConfigDecoder.decode(record.value().get());
+        if (config.isLeft()) {
+            log.line("config", "unreadable")
+                    .with("offset", record.offset())
+                    .with("fault", config.getLeft())
+                    .write();
+            return;
+        }
+        boolean newer = holder.offer(config.get());
+        log.line("config", newer ? "in force" : "older than the one in force")
+                .with("version", config.get().version())
+                .with("offset", record.offset())
+                .with("routes", config.get().routeCount())
+                .write();
+    }
+
+    @Override
+    void failed(RuntimeException fault) {
+        log.line("config", "follower failed").with("fault", fault).write();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ServerFollower.java
@@ -0,0 +1,99 @@
+package org.cornelramp.gateway.follow;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.fleet.ServerRegistry;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.Names;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.route.RouterEvent;
+import org.cornelramp.platform.MetadataStore;
+import org.cornelramp.platform.RegistrationDecoder;
+import org.cornelramp.platform.StoreFault;
+
+/**
+ * Reads the backend servers' registrations. Used by its own thread only, but for start and stop.
+ *
+ * <p>Forty servers register some thirty times a second together; a call that waits for the next record would be
+ * made thirty times a second by each process. Reading at a pace gets the same news, a quarter of a second old on
+ * average, for two calls a second; a leaving server must be known within two seconds.
+ */
+public final class ServerFollower extends Follower {
+    private static final long PAUSE_MILLIS = 450;
+
+    private final MetadataStore store;
+    private final Predicate<RouterEvent> router;
+    private final EventLog log;
+    private long next = -1;
+
+    public ServerFollower(MetadataStore store, Predicate<RouterEvent> router, EventLog log) {
+        super("servers");
+        this.store = store;
+        this.router = router;
+        this.log = log;
+    }
+
+    @Override
+    long step() {
+        boolean whole = next < 0;
+        Either<StoreFault, MetadataStore.Page> page = whole
+                ? store.newest(MetadataStore.Topic.SERVERS)
+                : store.read(MetadataStore.Topic.SERVERS, next, 0);
+        if (page.isLeft()) {
+            return fault(page.getLeft());
+        }
+        router.test(new RouterEvent.StoreAnswers(true));
+        long end = page.get().next();
+        // Only what the ring took counts as read; the rest is read again.
+        if (router.test(new RouterEvent.Registered(decode(page.get()), whole, end))) {
+            next = end;
+        }
+        return PAUSE_MILLIS;
+    }
+
+    private long fault(StoreFault fault) {
+        if (fault.kind() == StoreFault.Kind.GONE) {
+            next = -1;
+            return 0;
+        }
+        router.test(new RouterEvent.StoreAnswers(false));
+        log.line("servers", "not read").with("fault", fault).write();
+        return -1;
+    }
+
+    private List<ServerRegistry.Registration> decode(MetadataStore.Page page) {
+        List<ServerRegistry.Registration> registrations = new ArrayList<>();
+        for (MetadataStore.KeyedRecord record : page.records()) {
+            if (!Names.isValid(record.key())) {
+                log.line("servers", "unreadable id").with("offset", record.offset()).write();
+                continue;
+            }
+            BackendServerId id = new BackendServerId(record.key());
+            if (record.value().isEmpty()) {
+                registrations.add(new ServerRegistry.Registration(record.offset(), id, Optional.empty()));
+                continue;
+            }
+            Either<StoreFault, BackendServer> server =
+                    RegistrationDecoder.decode(id, record.value().get());
+            if (server.isLeft()) {
+                log.line("servers", "unreadable")
+                        .with("server", id)
+                        .with("fault", server.getLeft())
+                        .write();
+            } else {
+                registrations.add(
+                        new ServerRegistry.Registration(record.offset(), id, Optional.of(server.get())));
+            }
+        }
+        return registrations;
+    }
+
+    @Override
+    void failed(RuntimeException fault) {
+        log.line("servers", "follower failed").with("fault", fault).write();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/package-info.java
@@ -0,0 +1,2 @@
+/** Threads that follow the platform's store. */
+package org.cornelramp.gateway.follow;
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/PlacementDuty.java
@@ -0,0 +1,244 @@
+package org.cornelramp.gateway.place;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.LayerRange;
+import org.cornelramp.core.placement.Placement;
+import org.cornelramp.core.placement.Planner;
+import org.cornelramp.core.routing.EngineSpec;
+import org.cornelramp.core.routing.RoutingConfig;
+import org.cornelramp.core.routing.ServiceSpec;
+import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.route.ConfigHolder;
+import org.cornelramp.gateway.route.FleetView;
+import org.cornelramp.platform.EngineControl;
+import org.cornelramp.platform.EngineReport;
+import org.cornelramp.platform.MetadataStore;
+import org.cornelramp.platform.StoreFault;
+
+/**
+ * Gives the engines their layers while this process leads.
+ *
+ * <p>One process leads at a time: the one to which the store gives the first partition of a group's topic. A leader
+ * that was paused and wakes late may still give orders for a moment; each names how many orders went before it, so
+ * an engine that has heard another one meanwhile refuses. Owned by its own thread, but for start and stop.
+ */
+public final class PlacementDuty {
+    private static final String GROUP = "placement";
+    private static final long STEP_MILLIS = 150;
+
+    /** A lost leader is replaced after this time; renewals cost a tenth of a call. */
+    private static final long TTL_MILLIS = 2_000;
+
+    private static final long JOIN_MILLIS = 600;
+
+    /** The first plan waits until no more engines come, so that the fast ones get their share first. */
+    private static final long SETTLE_MILLIS = 1_200;
+
+    /** An order whose layers do not show by then is taken as lost; loads may take three times as long as alone. */
+    private static final long LOST_MILLIS = 4_000;
+
+    private static final double LOAD_FACTOR = 3;
+
+    private final String name;
+    private final MetadataStore store;
+    private final EngineControl engines;
+    private final ConfigHolder config;
+    private final Supplier<FleetView> fleet;
+    private final SteadyClock clock;
+    private final EventLog log;
+    private final Thread thread = new Thread(this::run, "placement");
+    private final Map<BackendServerId, Order> orders = new HashMap<>();
+    private final Map<BackendServerId, Long> accepted = new HashMap<>();
+    private volatile boolean running = true;
+    private boolean leads;
+    private long generation;
+    private long joinedMillis;
+    private long heldUntil;
+    private int enginesSeen;
+    private long enginesSeenMillis;
+
+    private record Order(LayerRange layers, long untilMillis) {}
+
+    public PlacementDuty(
+            String name,
+            MetadataStore store,
+            EngineControl engines,
+            ConfigHolder config,
+            Supplier<FleetView> fleet,
+            SteadyClock clock,
+            EventLog log) {
+        this.name = name;
+        this.store = store;
+        this.engines = engines;
+        this.config = config;
+        this.fleet = fleet;
+        this.clock = clock;
+        this.log = log;
+        this.joinedMillis = clock.millis() - JOIN_MILLIS;
+        thread.setDaemon(true);
+    }
+
+    /** Starts the duty's thread. */
+    public void start() {
+        thread.start();
+    }
+
+    /** Tells the thread to end; a call under way is not waited for. */
+    public void stop() {
+        running = false;
+        thread.interrupt();
+    }
+
+    private void run() {
+        while (running) {
+            try {
+                step(clock.millis());
+            } catch (RuntimeException e) {
+                log.line("placement", "step failed").with("fault", e).write();
+            }
+            LockSupport.parkNanos(this, STEP_MILLIS * 1_000_000L);
+        }
+    }
+
+    private void step(long now) {
+        if (now - joinedMillis >= JOIN_MILLIS) {
+            join(now);
+        }
+        boolean may = leads && now < heldUntil;
+        FleetView view = fleet.get();
+        Optional<RoutingConfig> version = config.current();
+        if (!may || version.isEmpty() || !view.known()) {
+            return;
+        }
+        for (ServiceSpec service : version.get().services()) {
+            service.engine().ifPresent(spec -> place(service, spec, view, now));
+        }
+    }
+
+    private void join(long now) {
+        joinedMillis = now;
+        Either<StoreFault, MetadataStore.Membership> joined =
+                store.join(GROUP, name, GROUP, TTL_MILLIS, generation);
+        if (joined.isLeft()) {
+            log.line("placement", "not joined").with("fault", joined.getLeft()).write();
+            return;
+        }
+        generation = joined.get().generation();
+        boolean leading = joined.get().holdsFirst();
+        if (leading != leads) {
+            log.line("placement", leading ? "leads" : "follows")
+                    .with("generation", generation)
+                    .write();
+            orders.clear();
+            accepted.clear();
+        }
+        leads = leading;
+        heldUntil = now + TTL_MILLIS;
+    }
+
+    private void place(ServiceSpec service, EngineSpec spec, FleetView view, long now) {
+        List<BackendServer> known = new ArrayList<>();
+        for (BackendServer server : view.servers()) {
+            boolean fits = server.service().equals(service.name())
+                    && server.state().takesWork()
+                    && !view.suspects().contains(server.id());
+            if (fits) {
+                known.add(withOrder(server, now));
+            }
+        }
+        if (!hasSettled(known, now)) {
+            return;
+        }
+        for (Placement placement : Planner.plan(spec, known)) {
+            order(placement, spec, now);
+        }
+    }
+
+    /** The server with the layers that it has been ordered to load. */
+    private BackendServer withOrder(BackendServer server, long now) {
+        Order order = orders.get(server.id());
+        if (order == null) {
+            return server;
+        }
+        boolean done = server.layers().filter(held -> sameRange(held, order.layers())).isPresent();
+        if (done || now >= order.untilMillis()) {
+            orders.remove(server.id());
+            return server;
+        }
+        return server.withLayers(Optional.of(order.layers()));
+    }
+
+    private static boolean sameRange(LayerRange a, LayerRange b) {
+        return a.from() == b.from() && a.to() == b.to();
+    }
+
+    private boolean hasSettled(List<BackendServer> known, long now) {
+        long holding = known.stream().filter(server -> server.layers().isPresent()).count();
+        if (known.size() != enginesSeen) {
+            enginesSeen = known.size();
+            enginesSeenMillis = now;
+        }
+        return holding > 0 || now - enginesSeenMillis >= SETTLE_MILLIS;
+    }
+
+    private void order(Placement placement, EngineSpec spec, long now) {
+        BackendServer engine = placement.server();
+        long before = accepted.getOrDefault(engine.id(), 0L);
+        if (engine.layers().isPresent() && !accepted.containsKey(engine.id())) {
+            learn(engine, now);
+            return;
+        }
+        Either<StoreFault, byte[]> result = engines.place(engine, placement.layers(), before);
+        log.line("placement", result.isRight() ? "ordered" : "order failed")
+                .with("server", engine.id())
+                .with("layers", placement.layers().from() + "-" + placement.layers().to())
+                .with("ordersBefore", before)
+                .with("generation", generation)
+                .with("fault", result.fold(StoreFault::toString, any -> ""))
+                .write();
+        if (result.isRight()) {
+            accepted.put(engine.id(), before + 1);
+        }
+        if (result.isLeft() && result.getLeft().kind() == StoreFault.Kind.CONFLICT) {
+            learn(engine, now);
+            return;
+        }
+        // An order without an answer may have been accepted or may be carried out late: it counts until it is lost.
+        double share = (placement.layers().to() - placement.layers().from()) / (double) spec.layers();
+        long until = now + LOST_MILLIS + Math.round(LOAD_FACTOR * 1_000 * spec.loadSeconds() * share);
+        orders.put(engine.id(), new Order(placement.layers(), until));
+    }
+
+    /** Asks an engine for its count of orders; while it is busy, nothing is ordered. */
+    private void learn(BackendServer engine, long now) {
+        Either<StoreFault, EngineReport> report = engines.report(engine);
+        if (report.isLeft()) {
+            log.line("placement", "no report")
+                    .with("server", engine.id())
+                    .with("fault", report.getLeft())
+                    .write();
+            orders.put(engine.id(), new Order(anything(engine), now + LOST_MILLIS));
+            return;
+        }
+        accepted.put(engine.id(), report.get().orders());
+        if (report.get().busy()) {
+            Optional<LayerRange> loading = report.get().layers();
+            orders.put(engine.id(), new Order(loading.orElse(anything(engine)), now + LOST_MILLIS / 4));
+        }
+    }
+
+    /** Stands for layers that are not known: the engine is left alone, and no plan counts on it for much. */
+    private static LayerRange anything(BackendServer engine) {
+        return engine.layers().orElse(new LayerRange(0, 1, 1));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/package-info.java
@@ -0,0 +1,2 @@
+/** The duty that gives the engines their layers while this process leads. */
+package org.cornelramp.gateway.place;
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -0,0 +1,280 @@
+package org.cornelramp.gateway.request;
+
+import java.io.ByteArrayOutputStream;
+import java.net.ConnectException;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BiConsumer;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.path.StagePath;
+import org.cornelramp.core.routing.RouteKind;
+import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.platform.AnswerHead;
+import org.cornelramp.platform.ForwardHead;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * One attempt at a backend server: sends the request once, passes the events of a stream on as they come, and tells
+ * how it ended. {@link #start} is called once; {@link #cancel} by any thread.
+ *
+ * <p>Invariant: the end is told once. Events are read only when the client has taken those before, so a slow client
+ * holds back its backend server instead of filling the memory.
+ */
+public final class Attempt {
+    /** An answer that is larger than this is not one of a plain service; streams are not buffered. */
+    private static final int MAX_BUFFERED = 16 << 20;
+
+    private final HttpClient http;
+    private final Exchange exchange;
+    private final BackendServer server;
+    private final ForwardHead head;
+    private final SteadyClock clock;
+    private final BiConsumer<Attempt, AttemptEnd> onEnd;
+    private final EventSplitter splitter = new EventSplitter();
+    private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+    private final AtomicReference<AttemptEnd> told = new AtomicReference<>();
+    private volatile StagePath path;
+    private volatile Request request;
+    private volatile boolean begun;
+    private volatile boolean answering;
+    private volatile boolean relaying;
+    private volatile boolean contentEnded;
+    private volatile Throwable clientFailure;
+    private volatile AnswerHead answer;
+    private volatile HttpFields fields = HttpFields.EMPTY;
+    private boolean writing;
+    private Result endedWhileWriting;
+    private long startMillis;
+
+    /** @param onEnd called once, by any thread, when the attempt has ended */
+    public Attempt(
+            HttpClient http,
+            Exchange exchange,
+            BackendServer server,
+            ForwardHead head,
+            SteadyClock clock,
+            BiConsumer<Attempt, AttemptEnd> onEnd) {
+        this.http = http;
+        this.exchange = exchange;
+        this.server = server;
+        this.head = head;
+        this.clock = clock;
+        this.onEnd = onEnd;
+        this.path = head.path().orElse(null);
+    }
+
+    /** The exchange that it serves. */
+    public Exchange exchange() {
+        return exchange;
+    }
+
+    /** Where it was sent. */
+    public BackendServer server() {
+        return server;
+    }
+
+    /** The engines that run it now; empty for a plain service. */
+    public Optional<StagePath> path() {
+        return Optional.ofNullable(path);
+    }
+
+    /** Notes that the engine has moved the request to another path. */
+    public void movedTo(StagePath other) {
+        path = other;
+    }
+
+    /** When it was started, on the steady clock. */
+    public long startMillis() {
+        return startMillis;
+    }
+
+    /** Whether the backend server has begun to answer. */
+    public boolean isAnswering() {
+        return answering;
+    }
+
+    /** Sends the request. */
+    public void start(long nowMillis) {
+        startMillis = nowMillis;
+        Exchange.Call call = exchange.call();
+        Request out = http.newRequest(
+                        server.address().host(), server.address().port())
+                .method(call.method())
+                .path(call.pathQuery())
+                .headers(own -> head.write(call.fields(), own));
+        if (call.body().length > 0 || !HttpMethod.GET.is(call.method())) {
+            out.body(new BytesRequestContent((String) null, call.body()));
+        }
+        out.onRequestBegin(any -> begun = true);
+        out.onResponseContentSource(this::onContent);
+        request = out;
+        out.send(this::onComplete);
+    }
+
+    /** Ends the attempt; closing the connection makes the backend server stop. */
+    public void cancel(String why) {
+        Request out = request;
+        if (out != null) {
+            out.abort(new CancelledAttempt(why));
+        }
+    }
+
+    /** Marks an end that the gateway itself brought about. Immutable. */
+    private static final class CancelledAttempt extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        CancelledAttempt(String why) {
+            super(why, null, false, false);
+        }
+    }
+
+    private void onContent(Response response, Content.Source source) {
+        fields = response.getHeaders();
+        AnswerHead decoded = AnswerHead.decode(response.getStatus(), fields);
+        answer = decoded;
+        answering = true;
+        relaying = exchange.call().route().kind() == RouteKind.STREAMING && decoded.isSuccess() && isOwn(decoded);
+        read(source);
+    }
+
+    /** An answer without the request's id, or with another one, belongs to an earlier request of the connection. */
+    private boolean isOwn(AnswerHead decoded) {
+        return decoded.requestId().equals(exchange.call().id());
+    }
+
+    private void read(Content.Source source) {
+        while (true) {
+            Content.Chunk chunk = source.read();
+            if (chunk == null) {
+                source.demand(() -> read(source));
+                return;
+            }
+            if (Content.Chunk.isFailure(chunk)) {
+                return; // the failure ends the exchange, see onComplete
+            }
+            boolean last = chunk.isLast();
+            ByteBuffer events = take(chunk);
+            contentEnded = last;
+            if (events.hasRemaining()) {
+                relay(source, events, last);
+                return;
+            }
+            if (last) {
+                return;
+            }
+        }
+    }
+
+    /** The whole events that the chunk completes; none where the answer is buffered. */
+    private ByteBuffer take(Content.Chunk chunk) {
+        ByteBuffer bytes = chunk.getByteBuffer();
+        try {
+            if (relaying) {
+                return splitter.take(bytes);
+            }
+            byte[] copy = new byte[bytes.remaining()];
+            bytes.get(copy);
+            buffer.writeBytes(copy);
+            if (buffer.size() > MAX_BUFFERED) {
+                cancel("the answer is too large");
+            }
+            return ByteBuffer.allocate(0);
+        } finally {
+            chunk.release();
+        }
+    }
+
+    private void relay(Content.Source source, ByteBuffer events, boolean last) {
+        setWriting(true);
+        Callback done = Callback.from(() -> relayed(source, last), this::clientLost);
+        exchange.relay(fields, events, splitter.lastId(), clock.millis(), done);
+    }
+
+    private void relayed(Content.Source source, boolean last) {
+        setWriting(false);
+        if (!last) {
+            read(source);
+        }
+    }
+
+    private void clientLost(Throwable failure) {
+        clientFailure = failure;
+        cancel("the client has gone");
+        setWriting(false);
+    }
+
+    /** An end that came during a write is told after it: two writes at once on one connection would fail. */
+    private void setWriting(boolean now) {
+        Result result;
+        synchronized (this) {
+            writing = now;
+            result = now ? null : endedWhileWriting;
+        }
+        if (result != null) {
+            tell(end(result));
+        }
+    }
+
+    private void onComplete(Result result) {
+        synchronized (this) {
+            if (writing) {
+                endedWhileWriting = result;
+                return;
+            }
+        }
+        tell(end(result));
+    }
+
+    private AttemptEnd end(Result result) {
+        Throwable failure = result.getFailure();
+        if (clientFailure != null) {
+            return AttemptEnd.without(AttemptEnd.Kind.CLIENT_GONE, String.valueOf(clientFailure));
+        }
+        AnswerHead decoded = answer;
+        if (result.isFailed() || decoded == null) {
+            boolean unsent = !begun || failure instanceof ConnectException;
+            return AttemptEnd.without(
+                    unsent ? AttemptEnd.Kind.NOT_SENT : AttemptEnd.Kind.BROKEN, String.valueOf(failure));
+        }
+        if (!isOwn(decoded) && !decoded.saysNotRun()) {
+            return AttemptEnd.without(AttemptEnd.Kind.BROKEN, "the answer belongs to another request");
+        }
+        if (relaying) {
+            boolean whole = contentEnded && splitter.isWhole();
+            return new AttemptEnd(
+                    whole ? AttemptEnd.Kind.RELAYED : AttemptEnd.Kind.BROKEN,
+                    decoded.status(),
+                    fields,
+                    new byte[0],
+                    decoded.faultAt(),
+                    whole ? "" : "the stream ended within an event");
+        }
+        return answered(decoded);
+    }
+
+    private AttemptEnd answered(AnswerHead decoded) {
+        AttemptEnd.Kind kind = AttemptEnd.Kind.ANSWERED;
+        if (decoded.saysNotRun()) {
+            kind = AttemptEnd.Kind.NOT_RUN;
+        } else if (!decoded.signed() || decoded.encoded()) {
+            kind = AttemptEnd.Kind.BROKEN;
+        }
+        return new AttemptEnd(
+                kind, decoded.status(), fields, buffer.toByteArray(), decoded.faultAt(), "status " + decoded.status());
+    }
+
+    private void tell(AttemptEnd end) {
+        if (told.compareAndSet(null, end)) {
+            onEnd.accept(this, end);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/FrontServer.java
@@ -0,0 +1,99 @@
+package org.cornelramp.gateway.request;
+
+import org.cornelramp.core.settings.GatewaySettings;
+import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.route.ConfigHolder;
+import org.cornelramp.gateway.route.Router;
+import org.cornelramp.platform.Environment;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/**
+ * Takes clients' requests, and answers the balancer's question whether this process is ready. Started once;
+ * {@link #leave} by any thread.
+ */
+public final class FrontServer {
+    private static final int BACKLOG = 1_024;
+    private static final int HEADER_BYTES = 24 * 1_024;
+
+    /** A little longer than clients keep connections idle, so that a client closes before this side does. */
+    private static final long IDLE_MILLIS = 60_000;
+
+    private final Server server;
+    private final ConfigHolder config;
+    private final Router router;
+    private volatile boolean leaving;
+
+    public FrontServer(
+            GatewaySettings settings,
+            QueuedThreadPool threads,
+            ConfigHolder config,
+            Router router,
+            SteadyClock clock,
+            EventLog log) {
+        this.config = config;
+        this.router = router;
+        this.server = new Server(threads);
+        ServerConnector requests = connector(settings.requests(), "requests");
+        ServerConnector readiness = connector(settings.readiness(), "readiness");
+        server.addConnector(requests);
+        server.addConnector(readiness);
+        Intake intake = new Intake(config, router, clock, log, () -> leaving);
+        server.setHandler(new Handler.Abstract.NonBlocking() {
+            @Override
+            public boolean handle(Request request, Response response, Callback callback) {
+                if (request.getConnectionMetaData().getConnector() == readiness) {
+                    readiness(request, response, callback);
+                } else {
+                    intake.handle(request, response, callback);
+                }
+                return true;
+            }
+        });
+    }
+
+    private ServerConnector connector(HostPort address, String name) {
+        HttpConfiguration http = new HttpConfiguration();
+        http.setRequestHeaderSize(HEADER_BYTES);
+        http.setSendServerVersion(false);
+        http.setSendDateHeader(false);
+        ServerConnector connector =
+                new ServerConnector(server, null, null, null, 0, 1, new HttpConnectionFactory(http));
+        connector.setName(name);
+        connector.setHost(address.host());
+        connector.setPort(address.port());
+        connector.setAcceptQueueSize(BACKLOG);
+        connector.setIdleTimeout(IDLE_MILLIS);
+        return connector;
+    }
+
+    private void readiness(Request request, Response response, Callback callback) {
+        boolean known = Request.getPathInContext(request).equals(Environment.READINESS_PATH);
+        response.setStatus(!known ? HttpStatus.NOT_FOUND_404 : isReady() ? HttpStatus.OK_200 : 503);
+        response.write(true, null, callback);
+    }
+
+    private boolean isReady() {
+        return !leaving && config.current().isPresent() && router.view().known();
+    }
+
+    /** Starts to listen. */
+    public void start() throws Exception {
+        server.start();
+    }
+
+    /** Says that this process is not ready any more, and closes each connection after its next answer. */
+    public void leave() {
+        leaving = true;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Intake.java
@@ -0,0 +1,135 @@
+package org.cornelramp.gateway.request;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.cornelramp.core.routing.Route;
+import org.cornelramp.core.routing.RoutingConfig;
+import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.route.ConfigHolder;
+import org.cornelramp.gateway.route.Router;
+import org.cornelramp.gateway.route.RouterEvent;
+import org.cornelramp.platform.CallHead;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Reads a client's request, finds its route and organisation, and hands it to the router. Stateless but for its
+ * parts, safe for use by any thread.
+ */
+final class Intake {
+    private final ConfigHolder config;
+    private final Router router;
+    private final SteadyClock clock;
+    private final EventLog log;
+    private final BooleanSupplier leaving;
+
+    Intake(ConfigHolder config, Router router, SteadyClock clock, EventLog log, BooleanSupplier leaving) {
+        this.config = config;
+        this.router = router;
+        this.clock = clock;
+        this.log = log;
+        this.leaving = leaving;
+    }
+
+    void handle(Request request, Response response, Callback callback) {
+        long now = clock.millis();
+        // A request that waits for its answer is not idle; reads and writes that stall still time out.
+        request.addIdleTimeoutListener(timeout -> false);
+        HttpFields fields = request.getHeaders().asImmutable();
+        CallHead head = CallHead.decode(fields);
+        Optional<RoutingConfig> version = config.current();
+        if (version.isEmpty()) {
+            refuse(request, response, callback, head, Refusal.NO_CONFIGURATION);
+            return;
+        }
+        Optional<Route> route = version.get().route(host(fields), request.getHttpURI().getCanonicalPath());
+        if (route.isEmpty()) {
+            refuse(request, response, callback, head, Refusal.NO_ROUTE);
+            return;
+        }
+        Optional<RoutingConfig.Organisation> organisation = head.key().flatMap(version.get()::organisation);
+        if (version.get().needsKey(route.get()) && organisation.isEmpty()) {
+            refuse(request, response, callback, head, Refusal.NO_KEY);
+            return;
+        }
+        read(request, response, callback, new Known(version.get(), route.get(), organisation, head, fields, now));
+    }
+
+    /** What the head of a request has shown. Immutable. */
+    private record Known(
+            RoutingConfig version,
+            Route route,
+            Optional<RoutingConfig.Organisation> organisation,
+            CallHead head,
+            HttpFields fields,
+            long now) {}
+
+    private void read(Request request, Response response, Callback callback, Known known) {
+        int most = known.version().limits().bodyBytes();
+        if (request.getLength() > most) {
+            refuse(request, response, callback, known.head(), Refusal.TOO_LARGE);
+            return;
+        }
+        Content.Source.asByteBufferAsync(request, most).whenComplete((body, failure) -> {
+            if (failure instanceof IllegalStateException) {
+                refuse(request, response, callback, known.head(), Refusal.TOO_LARGE);
+            } else if (failure != null) {
+                callback.failed(failure);
+            } else {
+                handOver(request, response, callback, known, BufferUtil.toArray(body));
+            }
+        });
+    }
+
+    private void handOver(Request request, Response response, Callback callback, Known known, byte[] body) {
+        Route route = known.route();
+        long wait = Math.min(known.head().remainingMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
+        Exchange.Call call = new Exchange.Call(
+                known.head(),
+                request.getMethod(),
+                request.getHttpURI().getPathQuery(),
+                known.fields(),
+                body,
+                route,
+                known.organisation().map(RoutingConfig.Organisation::id),
+                known.organisation().flatMap(RoutingConfig.Organisation::priority).orElse(route.priority()),
+                known.now(),
+                known.now() + wait);
+        Exchange exchange = new Exchange(call, response, callback, leaving);
+        if (!router.offer(new RouterEvent.Arrived(exchange))) {
+            exchange.refuse(Refusal.OVERLOADED, Refusal.OVERLOADED.retryMillis());
+            logRefused(known.head(), Refusal.OVERLOADED, "the router's ring is full");
+        }
+    }
+
+    private void refuse(Request request, Response response, Callback callback, CallHead head, Refusal refusal) {
+        String path = request.getHttpURI().getPath();
+        logRefused(head, refusal, "host " + request.getHeaders().get(HttpHeader.HOST) + " path " + path);
+        Exchange.refuse(response, callback, refusal, refusal.retryMillis(), leaving.getAsBoolean());
+    }
+
+    private void logRefused(CallHead head, Refusal refusal, String why) {
+        log.line("intake", "refused")
+                .with("id", head.requestId())
+                .with("as", refusal)
+                .with("why", why)
+                .with("configVersion", config.current().map(RoutingConfig::version).orElse(-1L))
+                .write();
+    }
+
+    private static String host(HttpFields fields) {
+        String host = fields.get(HttpHeader.HOST);
+        if (host == null) {
+            return "";
+        }
+        int port = host.lastIndexOf(':');
+        return (port < 0 ? host : host.substring(0, port)).toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Refusal.java
@@ -0,0 +1,42 @@
+package org.cornelramp.gateway.request;
+
+/**
+ * Answers that the gateway gives by itself. A request that ends with one of them has not run and will not run, but
+ * for {@link #UNKNOWN} and {@link #TIMED_OUT}, which promise nothing. Immutable, safe for use by any thread.
+ */
+public enum Refusal {
+    NO_CONFIGURATION(503, "This process has no configuration yet; come again soon.", 400),
+    NO_ROUTE(404, "No route takes this host and path; check both.", 0),
+    NO_KEY(401, "The key is missing or unknown; send a valid one.", 0),
+    TOO_LARGE(413, "The body is larger than the configuration allows; send less.", 0),
+    NO_SERVER(503, "No backend server can take this request now; come again.", 1_000),
+    OVERLOADED(503, "All backend servers are full; come again.", 1_500),
+    NOT_RUN_IN_TIME(503, "No backend server ran this request in time; come again.", 500),
+    TIMED_OUT(504, "No answer came in time, and the request may have run.", 0),
+    UNKNOWN(502, "The backend server was lost, and the request may have run.", 0);
+
+    private final int status;
+    private final String text;
+    private final long retryMillis;
+
+    Refusal(int status, String text, long retryMillis) {
+        this.status = status;
+        this.text = text;
+        this.retryMillis = retryMillis;
+    }
+
+    /** HTTP status. */
+    public int status() {
+        return status;
+    }
+
+    /** What happened and what to do. */
+    public String text() {
+        return text;
+    }
+
+    /** Least time after which the client may come again, in milliseconds; 0 if that does not help. */
+    public long retryMillis() {
+        return retryMillis;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
@@ -0,0 +1,55 @@
+package org.cornelramp.gateway.route;
+
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.path.StagePath;
+import org.cornelramp.gateway.request.Attempt;
+import org.cornelramp.platform.EngineControl;
+
+/**
+ * Asks engines and gives them orders on threads of its own, so that a silent engine holds up no decision. Safe for
+ * use by any thread; what finds no place in its bounded queue is refused.
+ */
+public final class EngineDesk {
+    private static final int THREADS = 3;
+    private static final int QUEUE = 256;
+
+    private final EngineControl control;
+    private final ThreadPoolExecutor threads;
+
+    public EngineDesk(EngineControl control) {
+        this.control = control;
+        this.threads = new ThreadPoolExecutor(
+                THREADS, THREADS, 5, TimeUnit.SECONDS, new ArrayBlockingQueue<>(QUEUE), task -> {
+                    Thread thread = new Thread(task, "engines");
+                    thread.setDaemon(true);
+                    return thread;
+                });
+        threads.allowCoreThreadTimeOut(true);
+    }
+
+    /** Asks an engine for its report; false if too many calls wait. */
+    boolean ask(BackendServer engine, Consumer<RouterEvent> router) {
+        return submit(() -> router.accept(new RouterEvent.Reported(engine, control.report(engine))));
+    }
+
+    /** Orders an engine to move a running request; false if too many calls wait. */
+    boolean move(Attempt attempt, StagePath path, Consumer<RouterEvent> router) {
+        String id = attempt.exchange().call().id();
+        return submit(() -> router.accept(
+                new RouterEvent.Moved(attempt, path, control.repath(attempt.server(), id, path))));
+    }
+
+    private boolean submit(Runnable call) {
+        try {
+            threads.execute(call);
+            return true;
+        } catch (RejectedExecutionException e) {
+            return false; // the caller tries again at its next tick
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
@@ -0,0 +1,117 @@
+package org.cornelramp.gateway.route;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.path.StagePath;
+import org.cornelramp.core.routing.Route;
+import org.cornelramp.gateway.request.Attempt;
+import org.cornelramp.gateway.request.Exchange;
+
+/** A request under way, as the router sees it. Owned by the router's duty. */
+final class Flight {
+    private final Exchange exchange;
+    private final ServiceName service;
+    private final int tokens;
+    private final Set<BackendServerId> avoid = new HashSet<>();
+    private Attempt attempt;
+    private StagePath loaded;
+    private int sent;
+    private int mayHaveRun;
+    private boolean moving;
+    private long waitingSince;
+    private long askedMillis;
+
+    /** @param tokens tokens that the request is expected to take in the end; 0 for a plain service */
+    Flight(Exchange exchange, ServiceName service, int tokens) {
+        this.exchange = exchange;
+        this.service = service;
+        this.tokens = tokens;
+    }
+
+    Exchange exchange() {
+        return exchange;
+    }
+
+    Route route() {
+        return exchange.call().route();
+    }
+
+    ServiceName service() {
+        return service;
+    }
+
+    int tokens() {
+        return tokens;
+    }
+
+    /** Servers that failed this request. */
+    Set<BackendServerId> avoid() {
+        return avoid;
+    }
+
+    /** The attempt under way; null if none is. */
+    Attempt attempt() {
+        return attempt;
+    }
+
+    void begin(Attempt next) {
+        attempt = next;
+        sent++;
+        moving = false;
+        waitingSince = 0;
+    }
+
+    void endAttempt(boolean surelyNotRun) {
+        attempt = null;
+        moving = false;
+        mayHaveRun += surelyNotRun ? 0 : 1;
+    }
+
+    /** Attempts so far. */
+    int sent() {
+        return sent;
+    }
+
+    /** Attempts after which the request may have run. */
+    int mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    /** The path whose engines bear this request's load; null for none. */
+    StagePath loaded() {
+        return loaded;
+    }
+
+    void setLoaded(StagePath path) {
+        loaded = path;
+    }
+
+    /** Whether an order to move it to another path is under way. */
+    boolean isMoving() {
+        return moving;
+    }
+
+    void setMoving(boolean now) {
+        moving = now;
+    }
+
+    /** Since when a broken stream waits for a path; 0 if it does not wait. */
+    long waitingSince() {
+        return waitingSince;
+    }
+
+    void waitSince(long nowMillis) {
+        waitingSince = nowMillis;
+    }
+
+    /** When its engine was last asked why no event comes. */
+    long askedMillis() {
+        return askedMillis;
+    }
+
+    void asked(long nowMillis) {
+        askedMillis = nowMillis;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -0,0 +1,500 @@
+package org.cornelramp.gateway.route;
+
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.path.PathFinder;
+import org.cornelramp.core.path.StagePath;
+import org.cornelramp.core.retry.RetryWindow;
+import org.cornelramp.core.routing.EngineSpec;
+import org.cornelramp.core.routing.RouteKind;
+import org.cornelramp.core.routing.ServiceSpec;
+import org.cornelramp.core.settings.GatewaySettings;
+import org.cornelramp.daemon.kernel.Duty;
+import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.request.Attempt;
+import org.cornelramp.gateway.request.AttemptEnd;
+import org.cornelramp.gateway.request.Exchange;
+import org.cornelramp.gateway.request.Refusal;
+import org.cornelramp.platform.CallHead;
+import org.cornelramp.platform.EngineReport;
+import org.cornelramp.platform.ForwardHead;
+import org.cornelramp.platform.StoreFault;
+import org.eclipse.jetty.client.HttpClient;
+
+/**
+ * Decides where each request goes, and again when an attempt fails.
+ *
+ * <p>One thread owns all state here; other threads only {@link #offer} events. Invariant: a request that may not be
+ * repeated is sent again only after an attempt that surely did not run.
+ */
+public final class Router {
+    private static final int RING = 8_192;
+    private static final long TICK_MILLIS = 20;
+
+    /** Share of the common reserve of repeats that one process takes: eight processes may fail at once. */
+    private static final double RESERVE_SHARE = 1.0 / 8;
+
+    /** Most attempts at one request, those that did not run included: more would not find a server either. */
+    private static final int MOST_SENT = 5;
+
+    /** How long a broken stream waits for a path; its client leaves two seconds after the last event. */
+    private static final long RESUME_WAIT_MILLIS = 1_500;
+
+    /** An answer of a plain service that has not come by this share of its target is tried elsewhere. */
+    private static final double PATIENCE = 1.2;
+
+    private final GatewaySettings settings;
+    private final HttpClient pooled;
+    private final HttpClient single;
+    private final ConfigHolder config;
+    private final SteadyClock clock;
+    private final EventLog log;
+    private final EngineDesk desk;
+    private final Beliefs beliefs = new Beliefs();
+    private final Map<Exchange, Flight> flights = new IdentityHashMap<>();
+    private final Map<ServiceName, RetryWindow> repeats = new HashMap<>();
+    private final AtomicInteger underWay = new AtomicInteger();
+    private final Duty<RouterEvent> duty;
+    private final StreamWatch watch;
+    private volatile FleetView view = FleetView.NOTHING;
+    private boolean storeAnswers;
+
+    /**
+     * @param pooled sends over kept connections
+     * @param single sends each request over a connection of its own
+     * @param desk asks engines and gives them orders
+     */
+    public Router(
+            GatewaySettings settings,
+            HttpClient pooled,
+            HttpClient single,
+            ConfigHolder config,
+            SteadyClock clock,
+            EventLog log,
+            EngineDesk desk) {
+        this.settings = settings;
+        this.pooled = pooled;
+        this.single = single;
+        this.config = config;
+        this.clock = clock;
+        this.log = log;
+        this.desk = desk;
+        this.duty = new Duty<>("router", RING, this::handle, this::tick, TICK_MILLIS);
+        this.watch = new StreamWatch(beliefs, desk, log, this::offer);
+    }
+
+    /** Starts the duty's thread. */
+    public void start() {
+        duty.start();
+    }
+
+    /** Ends the duty's thread. */
+    public void stop() {
+        duty.stop();
+    }
+
+    /** Hands an event to the duty; false when its ring is full. */
+    public boolean offer(RouterEvent event) {
+        return duty.offer(event);
+    }
+
+    /** Requests under way. */
+    public int underWay() {
+        return underWay.get();
+    }
+
+    /** What is believed of the fleet. */
+    public FleetView view() {
+        return view;
+    }
+
+    private void handle(RouterEvent event) {
+        long now = clock.millis();
+        if (event instanceof RouterEvent.Arrived arrived) {
+            arrived(arrived.exchange(), now);
+        } else if (event instanceof RouterEvent.Ended ended) {
+            ended(ended.attempt(), ended.end(), now);
+        } else if (event instanceof RouterEvent.Registered registered) {
+            registered(registered, now);
+        } else if (event instanceof RouterEvent.StoreAnswers answers) {
+            storeAnswers(answers.answers(), now);
+        } else if (event instanceof RouterEvent.Reported reported) {
+            reported(reported.engine(), reported.report(), now);
+        } else if (event instanceof RouterEvent.Moved moved) {
+            moved(moved, now);
+        }
+    }
+
+    private void arrived(Exchange exchange, long now) {
+        Exchange.Call call = exchange.call();
+        double draw = (call.id().hashCode() & 0x7fffffff) / (double) (1L << 31);
+        ServiceName service = call.route().service(draw);
+        Flight flight = new Flight(exchange, service, expectedTokens(call.head()));
+        flights.put(exchange, flight);
+        underWay.incrementAndGet();
+        repeats(service).request(now);
+        send(flight, now);
+    }
+
+    private static int expectedTokens(CallHead head) {
+        int guess = head.guessedOutputTokens() > 0 ? head.guessedOutputTokens() : head.mostOutputTokens();
+        int output = head.mostOutputTokens() > 0 ? Math.min(guess, head.mostOutputTokens()) : guess;
+        return head.promptTokens() + output;
+    }
+
+    private RetryWindow repeats(ServiceName service) {
+        GatewaySettings.Retries by = settings.retries();
+        return repeats.computeIfAbsent(
+                service, any -> new RetryWindow(by.ratio(), by.reserve() * RESERVE_SHARE, by.windowMillis()));
+    }
+
+    /** Sends a request to the best server, or refuses it when there is none. */
+    private void send(Flight flight, long now) {
+        if (now >= flight.exchange().call().deadlineMillis()) {
+            giveUp(flight, Refusal.NOT_RUN_IN_TIME, "deadline");
+            return;
+        }
+        Optional<EngineSpec> engine = config.current()
+                .flatMap(version -> version.service(flight.service()))
+                .flatMap(ServiceSpec::engine);
+        boolean sent = engine.isPresent() ? sendToEngines(flight, engine.get(), now) : sendPlain(flight, now);
+        if (sent) {
+            return;
+        }
+        boolean streaming = flight.exchange().isCommitted();
+        long since = flight.waitingSince() == 0 ? now : flight.waitingSince();
+        if (streaming && now - since < RESUME_WAIT_MILLIS) {
+            flight.waitSince(since);
+            return;
+        }
+        giveUp(flight, Refusal.NO_SERVER, "no server");
+    }
+
+    private boolean sendToEngines(Flight flight, EngineSpec spec, long now) {
+        CallHead head = flight.exchange().call().head();
+        int tokens = flight.tokens() > 0 ? flight.tokens() : spec.usualTokens();
+        PathFinder.Demand demand = new PathFinder.Demand(settings.dataCentre(), head.promptTokens(), tokens);
+        List<BackendServer> usable = beliefs.usable(flight.service(), now).stream()
+                .filter(server -> !flight.avoid().contains(server.id()))
+                .toList();
+        Optional<StagePath> path = PathFinder.find(spec, usable, beliefs.loads(), demand);
+        path.ifPresent(way -> {
+            load(flight, way);
+            begin(flight, way.first(), Optional.of(way), now);
+        });
+        return path.isPresent();
+    }
+
+    private void load(Flight flight, StagePath path) {
+        unload(flight);
+        beliefs.loads().add(path, flight.tokens());
+        flight.setLoaded(path);
+    }
+
+    private void unload(Flight flight) {
+        if (flight.loaded() != null) {
+            beliefs.loads().remove(flight.loaded(), flight.tokens());
+            flight.setLoaded(null);
+        }
+    }
+
+    private boolean sendPlain(Flight flight, long now) {
+        Optional<BackendServer> server = beliefs.plain()
+                .choose(beliefs.usable(flight.service(), now), flight.avoid(), settings.dataCentre());
+        server.ifPresent(chosen -> {
+            beliefs.plain().sent(chosen.id());
+            begin(flight, chosen, Optional.empty(), now);
+        });
+        return server.isPresent();
+    }
+
+    private void begin(Flight flight, BackendServer server, Optional<StagePath> path, long now) {
+        Exchange exchange = flight.exchange();
+        Exchange.Call call = exchange.call();
+        ForwardHead head = new ForwardHead(
+                server.id(),
+                call.deadlineMillis() - now,
+                call.organisation(),
+                path,
+                path.map(way -> call.priority()),
+                exchange.lastEvent());
+        // A request that may not be repeated must not meet a kept connection that its server is just closing.
+        HttpClient http = flight.route().mayRepeat() ? pooled : single;
+        Attempt attempt = new Attempt(http, exchange, server, head, clock, this::attemptEnded);
+        flight.begin(attempt);
+        log.ordinary("route", "sent")
+                .with("id", call.id())
+                .with("server", server.id())
+                .with("attempt", flight.sent())
+                .with("path", path.map(StagePath::text).orElse(""))
+                .with("tokenMicros", path.map(way -> Math.round(way.tokenMillis() * 1_000)).orElse(0L))
+                .with("underWay", underWay.get())
+                .with("lastEvent", exchange.lastEvent().orElse(-1L))
+                .with("configVersion", configVersion())
+                .write();
+        attempt.start(now);
+    }
+
+    private long configVersion() {
+        return config.current().map(version -> version.version()).orElse(-1L);
+    }
+
+    private void attemptEnded(Attempt attempt, AttemptEnd end) {
+        RouterEvent event = new RouterEvent.Ended(attempt, end);
+        while (!offer(event)) {
+            Thread.onSpinWait(); // an end that is lost would keep its load counted for ever
+        }
+    }
+
+    private void ended(Attempt attempt, AttemptEnd end, long now) {
+        Flight flight = flights.get(attempt.exchange());
+        boolean current = flight != null && flight.attempt() == attempt;
+        if (attempt.path().isEmpty()) {
+            boolean good = end.kind() == AttemptEnd.Kind.ANSWERED && end.status() < 500;
+            beliefs.plain().ended(attempt.server().id(), good, now - attempt.startMillis());
+        }
+        if (!current) {
+            return;
+        }
+        unload(flight);
+        flight.endAttempt(end.kind().surelyNotRun());
+        switch (end.kind()) {
+            case RELAYED -> complete(flight, end, now);
+            case CLIENT_GONE -> drop(flight, "client gone", now);
+            case ANSWERED -> answered(flight, attempt, end, now);
+            default -> failed(flight, attempt, end, now);
+        }
+    }
+
+    private void complete(Flight flight, AttemptEnd end, long now) {
+        flight.exchange().complete(end.fields());
+        finish(flight, "complete", end.status(), now);
+    }
+
+    private void answered(Flight flight, Attempt attempt, AttemptEnd end, long now) {
+        boolean serverFailed = end.status() >= 500;
+        if (serverFailed && flight.route().mayRepeat() && trySend(flight, attempt, end, now)) {
+            return;
+        }
+        if (flight.exchange().isCommitted()) {
+            breakOff(flight, "a repeat was answered with status " + end.status(), now);
+            return;
+        }
+        flight.exchange().answer(end.status(), end.fields(), end.body());
+        finish(flight, "answered", end.status(), now);
+    }
+
+    private void failed(Flight flight, Attempt attempt, AttemptEnd end, long now) {
+        blame(attempt, end, now);
+        log.line("route", "attempt failed")
+                .with("id", flight.exchange().call().id())
+                .with("server", attempt.server().id())
+                .with("kind", end.kind())
+                .with("detail", end.detail())
+                .with("faultAt", end.faultAt().map(Object::toString).orElse(""))
+                .with("afterMillis", now - attempt.startMillis())
+                .write();
+        boolean mayRepeat = end.kind().surelyNotRun() || flight.route().mayRepeat();
+        if (mayRepeat && trySend(flight, attempt, end, now)) {
+            return;
+        }
+        boolean notRun = flight.mayHaveRun() == 0;
+        giveUp(flight, notRun ? Refusal.OVERLOADED : Refusal.UNKNOWN, end.detail());
+    }
+
+    /** Sends the request once more if the rules leave room for it. */
+    private boolean trySend(Flight flight, Attempt failed, AttemptEnd end, long now) {
+        boolean attemptsLeft = flight.sent() < MOST_SENT && flight.mayHaveRun() < flight.route().maxAttempts();
+        boolean resumes = flight.exchange().isCommitted();
+        if (!resumes && !attemptsLeft || flight.sent() >= 2 * MOST_SENT) {
+            return false;
+        }
+        if (end.kind() != AttemptEnd.Kind.NOT_SENT && !repeats(flight.service()).tryRepeat(now)) {
+            return false;
+        }
+        if (failed.path().isEmpty() || end.faultAt().isEmpty()) {
+            flight.avoid().add(failed.server().id());
+        }
+        end.faultAt().flatMap(beliefs::at).ifPresent(server -> flight.avoid().add(server.id()));
+        send(flight, now);
+        return true;
+    }
+
+    /** Learns from a failure which server to leave alone for a while. */
+    private void blame(Attempt attempt, AttemptEnd end, long now) {
+        Optional<BackendServer> named = end.faultAt().flatMap(beliefs::at);
+        boolean lost = end.kind() == AttemptEnd.Kind.NOT_SENT;
+        if (named.isPresent()) {
+            suspect(named.get(), "blamed by " + attempt.server().id() + " " + end.detail(), now);
+        } else if (lost) {
+            suspect(attempt.server(), end.detail(), now);
+        }
+    }
+
+    private void suspect(BackendServer server, String why, long now) {
+        if (beliefs.suspicions().suspect(server.id(), now)) {
+            log.line("fleet", "suspected")
+                    .with("server", server.id())
+                    .with("address", server.address())
+                    .with("why", why)
+                    .write();
+        }
+    }
+
+    private void giveUp(Flight flight, Refusal refusal, String why) {
+        long now = clock.millis();
+        if (flight.exchange().isCommitted()) {
+            breakOff(flight, why, now);
+            return;
+        }
+        flight.exchange().refuse(refusal, refusal.retryMillis());
+        log.line("request", "refused")
+                .with("id", flight.exchange().call().id())
+                .with("as", refusal)
+                .with("why", why)
+                .with("attempts", flight.sent())
+                .write();
+        finish(flight, "refused", refusal.status(), now);
+    }
+
+    private void breakOff(Flight flight, String why, long now) {
+        flight.exchange().breakOff(why);
+        drop(flight, why, now);
+    }
+
+    private void drop(Flight flight, String why, long now) {
+        flight.exchange().breakOff(why);
+        log.line("request", "broken off")
+                .with("id", flight.exchange().call().id())
+                .with("why", why)
+                .write();
+        finish(flight, "broken", 0, now);
+    }
+
+    private void finish(Flight flight, String outcome, int status, long now) {
+        unload(flight);
+        flights.remove(flight.exchange());
+        underWay.decrementAndGet();
+        Exchange.Call call = flight.exchange().call();
+        log.ordinary("request", "ended")
+                .with("id", call.id())
+                .with("route", call.route().name())
+                .with("outcome", outcome)
+                .with("status", status)
+                .with("attempts", flight.sent())
+                .with("millis", now - call.receivedMillis())
+                .write();
+    }
+
+    private void registered(RouterEvent.Registered registered, long now) {
+        boolean changed = false;
+        if (registered.whole()) {
+            changed = beliefs.registry().replaceAll(registered.records(), registered.end(), now);
+        } else {
+            for (var record : registered.records()) {
+                changed |= beliefs.registry().apply(record, now);
+            }
+        }
+        beliefs.setKnown();
+        if (changed) {
+            log.line("fleet", "changed")
+                    .with("end", registered.end())
+                    .with("servers", beliefs.registry().servers().size())
+                    .write();
+            beliefs.forgetGone();
+        }
+    }
+
+    private void storeAnswers(boolean answers, long now) {
+        if (answers != storeAnswers) {
+            storeAnswers = answers;
+            log.line("store", answers ? "regained" : "lost").write();
+        }
+        beliefs.registry().storeAnswers(answers, now);
+    }
+
+    private void reported(BackendServer engine, Either<StoreFault, EngineReport> report, long now) {
+        if (report.isLeft()) {
+            suspect(engine, "no report: " + report.getLeft(), now);
+            return;
+        }
+        beliefs.loads().setPace(engine.id(), report.get().pace());
+        for (EngineReport.Stalled stalled : report.get().stalled()) {
+            beliefs.at(stalled.address()).ifPresent(server -> suspect(server, "work stalls there", now));
+        }
+    }
+
+    private void moved(RouterEvent.Moved moved, long now) {
+        Flight flight = flights.get(moved.attempt().exchange());
+        if (flight == null || flight.attempt() != moved.attempt()) {
+            return;
+        }
+        flight.setMoving(false);
+        log.line("route", moved.result().isRight() ? "moved" : "not moved")
+                .with("id", flight.exchange().call().id())
+                .with("path", moved.path().text())
+                .with("detail", moved.result().fold(StoreFault::toString, any -> ""))
+                .write();
+        if (moved.result().isRight()) {
+            moved.attempt().movedTo(moved.path());
+            load(flight, moved.path());
+        } else {
+            moved.attempt().cancel("it cannot move to another path");
+        }
+    }
+
+    private void tick() {
+        long now = clock.millis();
+        for (Flight flight : List.copyOf(flights.values())) {
+            checkTime(flight, now);
+        }
+        watch.check(flights.values(), config.current(), now);
+        if (beliefs.registry().expire(now)) {
+            beliefs.forgetGone();
+        }
+        publish(now);
+    }
+
+    private void checkTime(Flight flight, long now) {
+        Attempt attempt = flight.attempt();
+        if (now >= flight.exchange().call().deadlineMillis()) {
+            if (attempt != null) {
+                flight.endAttempt(false);
+                attempt.cancel("the deadline has passed");
+            }
+            giveUp(flight, flight.mayHaveRun() == 0 ? Refusal.NOT_RUN_IN_TIME : Refusal.TIMED_OUT, "deadline");
+        } else if (attempt == null) {
+            send(flight, now);
+        } else if (flight.route().kind() == RouteKind.SAFE && isOverdue(flight, attempt, now)) {
+            attempt.cancel("it takes too long");
+        }
+    }
+
+    /** A repeat pays only while time is left for it and another server may take it. */
+    private static boolean isOverdue(Flight flight, Attempt attempt, long now) {
+        double patience = PATIENCE * flight.route().targetMillis();
+        return flight.sent() == 1 && !attempt.isAnswering() && now - attempt.startMillis() > patience;
+    }
+
+    private void publish(long now) {
+        Set<BackendServerId> suspects = new HashSet<>();
+        List<BackendServer> servers = beliefs.registry().servers();
+        for (BackendServer server : servers) {
+            if (beliefs.suspicions().isSuspect(server.id(), now)) {
+                suspects.add(server.id());
+            }
+        }
+        view = new FleetView(servers, suspects, storeAnswers, beliefs.isKnown());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
@@ -0,0 +1,38 @@
+package org.cornelramp.gateway.route;
+
+import io.vavr.control.Either;
+import java.util.List;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.fleet.ServerRegistry;
+import org.cornelramp.core.path.StagePath;
+import org.cornelramp.gateway.request.Attempt;
+import org.cornelramp.gateway.request.AttemptEnd;
+import org.cornelramp.gateway.request.Exchange;
+import org.cornelramp.platform.EngineReport;
+import org.cornelramp.platform.StoreFault;
+
+/** What the router's duty is told. Immutable, safe for use by any thread. */
+public sealed interface RouterEvent {
+
+    /** A client's request has been read whole. */
+    record Arrived(Exchange exchange) implements RouterEvent {}
+
+    /** An attempt has ended. */
+    record Ended(Attempt attempt, AttemptEnd end) implements RouterEvent {}
+
+    /** Registrations have been read; {@code whole} if they are all there are up to {@code end}. */
+    record Registered(List<ServerRegistry.Registration> records, boolean whole, long end) implements RouterEvent {
+        public Registered {
+            records = List.copyOf(records);
+        }
+    }
+
+    /** The store answered, or did not. */
+    record StoreAnswers(boolean answers) implements RouterEvent {}
+
+    /** An engine was asked how it is. */
+    record Reported(BackendServer engine, Either<StoreFault, EngineReport> report) implements RouterEvent {}
+
+    /** An engine was ordered to move a running request. */
+    record Moved(Attempt attempt, StagePath path, Either<StoreFault, byte[]> result) implements RouterEvent {}
+}
--- a/platform/src/main/java/org/cornelramp/platform/LogClient.java
+++ b/ports/src/main/java/org/cornelramp/ports/LogClient.java
@@ -1,4 +1,4 @@
-package org.cornelramp.platform;
+package org.cornelramp.ports;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
--- a/platform/src/main/java/org/cornelramp/platform/PlatformException.java
+++ b/ports/src/main/java/org/cornelramp/ports/PlatformException.java
@@ -1,4 +1,4 @@
-package org.cornelramp.platform;
+package org.cornelramp.ports;
 
 /** Reports that the platform or a backend server did not do what was asked. Immutable, safe for use by any thread. */
 public final class PlatformException extends RuntimeException {
--- a/platform/src/main/java/org/cornelramp/platform/ServiceClient.java
+++ b/ports/src/main/java/org/cornelramp/ports/ServiceClient.java
@@ -1,4 +1,4 @@
-package org.cornelramp.platform;
+package org.cornelramp.ports;
 
 import java.util.concurrent.CompletableFuture;
 
--- a/platform/src/main/java/org/cornelramp/platform/http/HttpCalls.java
+++ b/ports/src/main/java/org/cornelramp/ports/http/HttpCalls.java
@@ -1,4 +1,4 @@
-package org.cornelramp.platform.http;
+package org.cornelramp.ports.http;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.PlatformException;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
--- a/platform/src/main/java/org/cornelramp/platform/http/HttpLogClient.java
+++ b/ports/src/main/java/org/cornelramp/ports/http/HttpLogClient.java
@@ -1,13 +1,13 @@
-package org.cornelramp.platform.http;
+package org.cornelramp.ports.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogPage;
-import org.cornelramp.platform.LogRecord;
-import org.cornelramp.platform.LogStream;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogPage;
+import org.cornelramp.ports.LogRecord;
+import org.cornelramp.ports.LogStream;
 import org.eclipse.jetty.http.HttpMethod;
 
 /** The log service over HTTP. Safe for use by any thread. */
--- a/platform/src/main/java/org/cornelramp/platform/http/HttpPlatform.java
+++ b/ports/src/main/java/org/cornelramp/ports/http/HttpPlatform.java
@@ -1,15 +1,15 @@
-package org.cornelramp.platform.http;
+package org.cornelramp.ports.http;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
-import org.cornelramp.platform.EngineClient;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.PlatformException;
-import org.cornelramp.platform.ServiceClient;
-import org.cornelramp.platform.VmListClient;
-import org.cornelramp.platform.WeightStoreClient;
+import org.cornelramp.ports.EngineClient;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.PlatformException;
+import org.cornelramp.ports.ServiceClient;
+import org.cornelramp.ports.VmListClient;
+import org.cornelramp.ports.WeightStoreClient;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
--- a/platform/src/main/java/org/cornelramp/platform/http/HttpServiceClient.java
+++ b/ports/src/main/java/org/cornelramp/ports/http/HttpServiceClient.java
@@ -1,11 +1,11 @@
-package org.cornelramp.platform.http;
+package org.cornelramp.ports.http;
 
 import java.util.concurrent.CompletableFuture;
-import org.cornelramp.platform.BackendOffer;
-import org.cornelramp.platform.PlatformException;
-import org.cornelramp.platform.ServiceCall;
-import org.cornelramp.platform.ServiceClient;
-import org.cornelramp.platform.ServiceReply;
+import org.cornelramp.ports.BackendOffer;
+import org.cornelramp.ports.PlatformException;
+import org.cornelramp.ports.ServiceCall;
+import org.cornelramp.ports.ServiceClient;
+import org.cornelramp.ports.ServiceReply;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpMethod;
--- a/platform/src/main/java/org/cornelramp/platform/http/HttpTimeouts.java
+++ b/ports/src/main/java/org/cornelramp/ports/http/HttpTimeouts.java
@@ -1,4 +1,4 @@
-package org.cornelramp.platform.http;
+package org.cornelramp.ports.http;
 
 /**
  * Timeouts of the platform's clients, all in milliseconds. Immutable, safe for use by any thread.
--- a/platform/src/main/java/org/cornelramp/platform/http/HttpVmListClient.java
+++ b/ports/src/main/java/org/cornelramp/ports/http/HttpVmListClient.java
@@ -1,8 +1,8 @@
-package org.cornelramp.platform.http;
+package org.cornelramp.ports.http;
 
 import java.util.concurrent.CompletableFuture;
-import org.cornelramp.platform.VmList;
-import org.cornelramp.platform.VmListClient;
+import org.cornelramp.ports.VmList;
+import org.cornelramp.ports.VmListClient;
 import org.eclipse.jetty.http.HttpMethod;
 
 /** The VM list over HTTP. Safe for use by any thread. */
--- a/platform/src/main/java/org/cornelramp/platform/http/HttpWeightStoreClient.java
+++ b/ports/src/main/java/org/cornelramp/ports/http/HttpWeightStoreClient.java
@@ -1,8 +1,8 @@
-package org.cornelramp.platform.http;
+package org.cornelramp.ports.http;
 
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import org.cornelramp.platform.WeightStoreClient;
+import org.cornelramp.ports.WeightStoreClient;
 import org.eclipse.jetty.http.HttpMethod;
 
 /** The weight store over HTTP. Safe for use by any thread. */
--- a/platform/src/main/java/org/cornelramp/platform/http/package-info.java
+++ b/ports/src/main/java/org/cornelramp/ports/http/package-info.java
@@ -1,2 +1,2 @@
 /** The platform's interfaces over HTTP; docs/PLATFORM.md is the contract. */
-package org.cornelramp.platform.http;
+package org.cornelramp.ports.http;
--- /dev/null
+++ b/ports/src/main/java/org/cornelramp/ports/package-info.java
@@ -0,0 +1,2 @@
+/** One client for each interface of the platform. */
+package org.cornelramp.ports;
--- a/platform/src/test/java/org/cornelramp/platform/http/AnswerStatusTest.java
+++ b/ports/src/test/java/org/cornelramp/ports/http/AnswerStatusTest.java
@@ -1,12 +1,12 @@
-package org.cornelramp.platform.http;
+package org.cornelramp.ports.http;
 
 import static org.testng.Assert.assertEquals;
 
 import com.fasterxml.jackson.databind.node.TextNode;
 import java.util.List;
-import org.cornelramp.platform.LogClient;
-import org.cornelramp.platform.LogStream;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.LogClient;
+import org.cornelramp.ports.LogStream;
+import org.cornelramp.ports.PlatformException;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
--- a/platform/src/test/java/org/cornelramp/platform/http/LostAnswerTest.java
+++ b/ports/src/test/java/org/cornelramp/ports/http/LostAnswerTest.java
@@ -1,9 +1,9 @@
-package org.cornelramp.platform.http;
+package org.cornelramp.ports.http;
 
 import static org.testng.Assert.assertEquals;
 
-import org.cornelramp.platform.PlatformException;
-import org.cornelramp.platform.ServiceClient;
+import org.cornelramp.ports.PlatformException;
+import org.cornelramp.ports.ServiceClient;
 import org.testng.annotations.Test;
 
 /**
--- a/platform/src/test/java/org/cornelramp/platform/http/PlatformFixture.java
+++ b/ports/src/test/java/org/cornelramp/ports/http/PlatformFixture.java
@@ -1,4 +1,4 @@
-package org.cornelramp.platform.http;
+package org.cornelramp.ports.http;
 
 import static org.testng.Assert.fail;
 
@@ -6,8 +6,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import org.cornelramp.platform.PlatformException;
-import org.cornelramp.platform.ServiceCall;
+import org.cornelramp.ports.PlatformException;
+import org.cornelramp.ports.ServiceCall;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 
--- a/platform/src/test/java/org/cornelramp/platform/http/RawServer.java
+++ b/ports/src/test/java/org/cornelramp/ports/http/RawServer.java
@@ -1,4 +1,4 @@
-package org.cornelramp.platform.http;
+package org.cornelramp.ports.http;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/platform/src/test/java/org/cornelramp/platform/http/RefusedConnectionTest.java
+++ b/ports/src/test/java/org/cornelramp/ports/http/RefusedConnectionTest.java
@@ -1,10 +1,10 @@
-package org.cornelramp.platform.http;
+package org.cornelramp.ports.http;
 
 import static org.testng.Assert.assertEquals;
 
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import org.cornelramp.platform.PlatformException;
+import org.cornelramp.ports.PlatformException;
 import org.testng.annotations.Test;
 
 /**
--- a/platform/src/test/java/org/cornelramp/platform/http/SilentConnectionsTest.java
+++ b/ports/src/test/java/org/cornelramp/ports/http/SilentConnectionsTest.java
@@ -1,13 +1,13 @@
-package org.cornelramp.platform.http;
+package org.cornelramp.ports.http;
 
 import static org.testng.Assert.assertEquals;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.cornelramp.platform.PlatformException;
-import org.cornelramp.platform.ServiceClient;
-import org.cornelramp.platform.ServiceReply;
+import org.cornelramp.ports.PlatformException;
+import org.cornelramp.ports.ServiceClient;
+import org.cornelramp.ports.ServiceReply;
 import org.testng.annotations.Test;
 
 /**
