--- a/core/src/main/java/org/cornelramp/core/fleet/PlainServers.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/PlainServers.java
@@ -41,7 +41,8 @@
         double least = Double.MAX_VALUE;
         for (BackendServer server : servers) {
             double cost = cost(server, home);
-            boolean better = cost < least || (cost == least && best != null && server.id().compareTo(best.id()) < 0);
+            boolean better = cost < least
+                    || (cost == least && best != null && server.id().compareTo(best.id()) < 0);
             if (!avoid.contains(server.id()) && better) {
                 best = server;
                 least = cost;
--- a/core/src/main/java/org/cornelramp/core/fleet/ServerRegistry.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/ServerRegistry.java
@@ -31,8 +31,8 @@
     private static final class Entry {
         private BackendServer server;
         private long offset;
-        private long heardMillis;
         private long removeAtMillis = Long.MAX_VALUE;
+        private long leavingSinceMillis = Long.MAX_VALUE;
     }
 
     /**
@@ -44,7 +44,7 @@
      */
     public record Registration(long offset, BackendServerId id, Optional<BackendServer> server) {}
 
-    /** Takes one record; true if it changed more than the time at which the server was heard of. */
+    /** Takes one record; true if it changed anything. */
     public boolean apply(Registration record, long nowMillis) {
         Entry known = entries.get(record.id());
         if (record.offset() <= removed.getOrDefault(record.id(), -1L)
@@ -58,8 +58,9 @@
         boolean changed = !record.server().get().equals(entry.server) || entry.removeAtMillis != Long.MAX_VALUE;
         entry.server = record.server().get();
         entry.offset = record.offset();
-        entry.heardMillis = nowMillis;
         entry.removeAtMillis = Long.MAX_VALUE;
+        boolean leaves = !entry.server.state().takesWork();
+        entry.leavingSinceMillis = leaves ? Math.min(entry.leavingSinceMillis, nowMillis) : Long.MAX_VALUE;
         return changed;
     }
 
@@ -131,8 +132,10 @@
         return Optional.ofNullable(entries.get(id)).map(entry -> entry.server);
     }
 
-    /** When a record of the server was last read; empty if it is not known. */
-    public Optional<Long> heardMillis(BackendServerId id) {
-        return Optional.ofNullable(entries.get(id)).map(entry -> entry.heardMillis);
+    /** Since when the server is known to be leaving; empty while it is not. */
+    public Optional<Long> leavingSinceMillis(BackendServerId id) {
+        return Optional.ofNullable(entries.get(id))
+                .map(entry -> entry.leavingSinceMillis)
+                .filter(since -> since != Long.MAX_VALUE);
     }
 }
--- a/core/src/main/java/org/cornelramp/core/fleet/Suspicions.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/Suspicions.java
@@ -1,6 +1,8 @@
 package org.cornelramp.core.fleet;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
 import org.cornelramp.core.model.BackendServerId;
@@ -13,35 +15,55 @@
  * thread.
  */
 public final class Suspicions {
-    /** First time without work: about one heartbeat, after which a living server has been heard of again. */
-    public static final long FIRST_MILLIS = 1_500;
+    /** Time without failures after which the count starts anew. */
+    private static final long FORGET_MILLIS = 10_000;
 
-    /** Longest time without work: a crashed server is replaced within seconds, under another id. */
-    public static final long MOST_MILLIS = 8_000;
+    /** How long before its end a suspicion is due for a trial: two round trips and the age of a report. */
+    private static final long TRIAL_MILLIS = 300;
 
-    /** Time without failures after which the count starts anew. */
-    private static final long FORGET_MILLIS = 15_000;
+    private static final int MOST_DOUBLINGS = 3;
 
     private final Map<BackendServerId, Mark> marks = new HashMap<>();
 
-    private record Mark(long sinceMillis, long untilMillis, int failures) {}
+    /** What was seen. Immutable, safe for use by any thread. */
+    public enum Evidence {
+        /**
+         * It takes no connection, says nothing, or work stalls there: it is dead or cut off, and comes back under
+         * another id after some seconds, if at all.
+         */
+        LOST(2_000),
+        /** It refused a request at once: it is full, or is just giving layers up. Both pass within moments. */
+        BUSY(250);
+
+        private final long firstMillis;
+
+        Evidence(long firstMillis) {
+            this.firstMillis = firstMillis;
+        }
+    }
 
-    /** Notes a failure that says the server is dead or cut off. True if it was trusted until now. */
-    public boolean suspect(BackendServerId id, long nowMillis) {
+    private record Mark(Evidence evidence, long untilMillis, int failures, boolean tried) {}
+
+    /** Notes a failure. True if the server was trusted until now. */
+    public boolean suspect(BackendServerId id, Evidence evidence, long nowMillis) {
         Mark old = marks.get(id);
-        boolean known = old != null && nowMillis - old.untilMillis() < FORGET_MILLIS;
-        if (known && nowMillis < old.untilMillis()) {
-            return false;
+        if (old != null && nowMillis < old.untilMillis() && old.evidence().firstMillis >= evidence.firstMillis) {
+            return false; // the same failure, told by another request
         }
-        int failures = known ? old.failures() + 1 : 1;
-        long span = Math.min(MOST_MILLIS, FIRST_MILLIS << Math.min(failures - 1, 4));
-        marks.put(id, new Mark(nowMillis, nowMillis + span, failures));
+        mark(id, evidence, old, nowMillis);
         return true;
     }
 
-    /** Notes that the server has answered. */
-    public void trust(BackendServerId id) {
-        marks.remove(id);
+    /** Notes that a trial has failed: the time starts again, twice as long. */
+    public void trialFailed(BackendServerId id, long nowMillis) {
+        mark(id, Evidence.LOST, marks.get(id), nowMillis);
+    }
+
+    private void mark(BackendServerId id, Evidence evidence, Mark old, long nowMillis) {
+        boolean known = old != null && old.evidence() == evidence && nowMillis - old.untilMillis() < FORGET_MILLIS;
+        int failures = known ? old.failures() + 1 : 1;
+        long span = evidence.firstMillis << Math.min(failures - 1, MOST_DOUBLINGS);
+        marks.put(id, new Mark(evidence, nowMillis + span, failures, false));
     }
 
     /** Whether nothing is sent to the server now. */
@@ -50,6 +72,25 @@
         return mark != null && nowMillis < mark.untilMillis();
     }
 
+    /** Whether the server is held to be dead or cut off, so that work which runs there should move. */
+    public boolean isLost(BackendServerId id, long nowMillis) {
+        return isSuspect(id, nowMillis) && marks.get(id).evidence() == Evidence.LOST;
+    }
+
+    /** Servers whose time is nearly over and which should be asked how they are; each is given once. */
+    public List<BackendServerId> dueForTrial(long nowMillis) {
+        List<BackendServerId> due = new ArrayList<>();
+        marks.replaceAll((id, mark) -> {
+            boolean nearlyOver = !mark.tried() && nowMillis > mark.untilMillis() - TRIAL_MILLIS;
+            if (!nearlyOver || mark.evidence() != Evidence.LOST) {
+                return mark;
+            }
+            due.add(id);
+            return new Mark(mark.evidence(), mark.untilMillis(), mark.failures(), true);
+        });
+        return due;
+    }
+
     /** Forgets servers that nobody knows any more. */
     public void retain(Predicate<BackendServerId> known) {
         marks.keySet().removeIf(id -> !known.test(id));
--- a/core/src/main/java/org/cornelramp/core/path/EngineLoads.java
+++ b/core/src/main/java/org/cornelramp/core/path/EngineLoads.java
@@ -6,15 +6,21 @@
 import org.cornelramp.core.model.BackendServerId;
 
 /**
- * What this process has under way on each engine, and how slow each was last seen to be. Owned by one thread.
+ * What this process and its peers have under way on each engine, and how slow each was last seen to be. Owned by one
+ * thread.
  *
  * <p>Invariant: every path that is added is removed once, with the same tokens.
  */
 public final class EngineLoads {
     private static final Load NONE = new Load(0, 0, 0);
 
+    /** Age up to which a pace is believed; a slow engine is avoided, so nobody would notice its recovery. */
+    private static final long PACE_MILLIS = 4_000;
+
     private final Map<BackendServerId, Load> loads = new HashMap<>();
-    private final Map<BackendServerId, Double> paces = new HashMap<>();
+    private final Map<String, News> peers = new HashMap<>();
+    private final Map<BackendServerId, Pace> paces = new HashMap<>();
+    private int ownCrossings;
 
     /**
      * Load of one engine. Immutable, safe for use by any thread.
@@ -23,7 +29,45 @@
      * @param asFirst those of them that were sent to it
      * @param tokenLayers tokens times layers that they take
      */
-    public record Load(int requests, int asFirst, long tokenLayers) {}
+    public record Load(int requests, int asFirst, long tokenLayers) {
+        Load plus(Load other) {
+            return new Load(requests + other.requests, asFirst + other.asFirst, tokenLayers + other.tokenLayers);
+        }
+    }
+
+    private record News(Map<BackendServerId, Load> loads, int crossings, long heardMillis) {}
+
+    private record Pace(double factor, long heardMillis) {}
+
+    /** Notes what a peer has under way; it counts until the next news, or until the peer falls silent. */
+    public void peer(String name, Map<BackendServerId, Load> underWay, int crossings, long nowMillis) {
+        peers.put(name, new News(Map.copyOf(underWay), crossings, nowMillis));
+    }
+
+    /** Forgets peers that have been silent for so long; what a dead process had under way has ended. */
+    public void forgetSilent(long silenceMillis, long nowMillis) {
+        peers.values().removeIf(news -> nowMillis - news.heardMillis() > silenceMillis);
+    }
+
+    /** Number of peers heard of. */
+    public int peerCount() {
+        return peers.size();
+    }
+
+    /** Hops to another data centre of all requests under way, by this process and its peers. */
+    public int crossings() {
+        return ownCrossings + peers.values().stream().mapToInt(News::crossings).sum();
+    }
+
+    /** Hops to another data centre of this process's own requests under way. */
+    public int ownCrossings() {
+        return ownCrossings;
+    }
+
+    /** What this process itself has under way. */
+    public Map<BackendServerId, Load> own() {
+        return Map.copyOf(loads);
+    }
 
     /** Adds a request. */
     public void add(StagePath path, int tokens) {
@@ -36,6 +80,7 @@
     }
 
     private void change(StagePath path, int tokens, int sign) {
+        ownCrossings += sign * path.crossings();
         for (Hop hop : path.hops()) {
             int first = hop.from() == 0 ? sign : 0;
             long tokenLayers = (long) sign * tokens * hop.layers();
@@ -44,24 +89,45 @@
     }
 
     private static Load sum(Load a, Load b) {
-        Load sum = new Load(
-                a.requests() + b.requests(), a.asFirst() + b.asFirst(), a.tokenLayers() + b.tokenLayers());
+        Load sum = new Load(a.requests() + b.requests(), a.asFirst() + b.asFirst(), a.tokenLayers() + b.tokenLayers());
         return sum.requests() == 0 ? null : sum;
     }
 
-    /** Load of an engine. */
+    /** Load of an engine, by this process and its peers. */
     public Load load(BackendServerId id) {
-        return loads.getOrDefault(id, NONE);
+        Load sum = loads.getOrDefault(id, NONE);
+        for (News news : peers.values()) {
+            Load theirs = news.loads().get(id);
+            sum = theirs == null ? sum : sum.plus(theirs);
+        }
+        return sum;
     }
 
-    /** How many times longer than usual the engine takes, as last told; 1 if it never told. */
+    /** How many times longer than usual the engine takes, as last told; 1 if it has not told lately. */
     public double pace(BackendServerId id) {
-        return paces.getOrDefault(id, 1.0);
+        Pace pace = paces.get(id);
+        return pace == null ? 1 : pace.factor();
     }
 
     /** Notes how many times longer than usual an engine takes. */
-    public void setPace(BackendServerId id, double pace) {
-        paces.put(id, pace);
+    public void setPace(BackendServerId id, double factor, long nowMillis) {
+        paces.put(id, new Pace(factor, nowMillis));
+    }
+
+    /** The paces that are not usual. */
+    public Map<BackendServerId, Double> unusualPaces() {
+        Map<BackendServerId, Double> unusual = new HashMap<>();
+        paces.forEach((id, pace) -> {
+            if (pace.factor() > 1) {
+                unusual.put(id, pace.factor());
+            }
+        });
+        return unusual;
+    }
+
+    /** Forgets paces that were told too long ago. */
+    public void forgetPaces(long nowMillis) {
+        paces.values().removeIf(pace -> nowMillis - pace.heardMillis() > PACE_MILLIS);
     }
 
     /** Forgets the pace of engines that nobody knows any more. */
--- a/core/src/main/java/org/cornelramp/core/path/PathFinder.java
+++ b/core/src/main/java/org/cornelramp/core/path/PathFinder.java
@@ -6,7 +6,9 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.routing.CardKind;
 import org.cornelramp.core.routing.EngineSpec;
@@ -25,17 +27,25 @@
     /** Network and handling for each hop within a data centre, in milliseconds; twice the links' delay. */
     private static final double HOP_MILLIS = 0.2;
 
+    /** Cost of a hop to another data centre over an idle pipe, in milliseconds of token time. */
+    private static final double CROSS_MILLIS = 20;
+
     /**
-     * Cost of a hop to another data centre, in milliseconds of token time. The pipe between data centres carries the
-     * activations of about half of the usual requests over one hop, so it is for standing in, not for balance.
+     * Share of the pipe between data centres that paths may plan to use. The pipe carries one transfer after another,
+     * so beyond this the waiting grows faster than any engine is slow, and every stream that crosses stalls.
      */
-    private static final double CROSS_MILLIS = 25;
+    private static final double PIPE_SHARE = 0.5;
+
+    /** Time that an ordinary stream is under way, in seconds, over which its tokens cross. */
+    private static final double STREAM_SECONDS = 4;
+
+    private static final double BITS_PER_MEGABIT = 1e6;
 
     /** Cost of a first engine in another data centre: its events cross, but no activations do. */
     private static final double ENTRY_MILLIS = 8;
 
-    /** Share of an engine's memory that this process fills; the rest is for others and for longer answers. */
-    private static final double MEMORY_SHARE = 0.9;
+    /** Share of an engine's memory that is filled; the rest is for what peers have just sent and for long answers. */
+    private static final double MEMORY_SHARE = 0.92;
 
     private PathFinder() {}
 
@@ -45,8 +55,17 @@
      * @param home data centre of the process that passes the events on
      * @param prompt tokens to read
      * @param tokens tokens that the request is expected to take in the end
+     * @param firsts the engines that may take the request; empty for any
      */
-    public record Demand(DataCentre home, int prompt, int tokens) {}
+    public record Demand(DataCentre home, int prompt, int tokens, Set<BackendServerId> firsts) {
+        public Demand {
+            firsts = Set.copyOf(firsts);
+        }
+
+        boolean mayStartAt(BackendServer server) {
+            return firsts.isEmpty() || firsts.contains(server.id());
+        }
+    }
 
     private record Step(double cost, Step before, BackendServer server, int from, int to, DataCentre at) {}
 
@@ -81,9 +100,10 @@
             best.add(new ArrayList<>());
         }
         best.get(start.to()).add(start);
+        double crossMillis = crossMillis(spec, loads);
         for (int layer = start.to(); layer < spec.layers(); layer++) {
             for (Engine engine : usable) {
-                extend(best, layer, engine, demand);
+                extend(best, layer, engine, demand, crossMillis);
             }
         }
         return best.get(spec.layers()).stream()
@@ -91,7 +111,18 @@
                 .map(last -> path(last, spec, demand));
     }
 
-    private static void extend(List<List<Step>> best, int layer, Engine engine, Demand demand) {
+    /** Cost of a hop to another data centre with all that crosses already; infinite when the pipe is full. */
+    private static double crossMillis(EngineSpec spec, EngineLoads loads) {
+        if (spec.crossMbps() <= 0) {
+            return CROSS_MILLIS;
+        }
+        double tokensPerSecond = spec.usualTokens() / STREAM_SECONDS;
+        double megabits = spec.activationBytes() * Byte.SIZE * tokensPerSecond / BITS_PER_MEGABIT;
+        double share = (loads.crossings() + 1) * megabits / (spec.crossMbps() * PIPE_SHARE);
+        return share >= 1 ? Double.POSITIVE_INFINITY : CROSS_MILLIS / (1 - share);
+    }
+
+    private static void extend(List<List<Step>> best, int layer, Engine engine, Demand demand, double crossMillis) {
         if (best.get(layer).isEmpty() || !engine.canRun(layer, demand)) {
             return;
         }
@@ -99,19 +130,22 @@
         double own = engine.tokenMillis(to - layer) + HOP_MILLIS;
         Step found = null;
         for (Step before : best.get(layer)) {
-            double cost = before.cost() + own + crossing(before, engine.server(), layer);
-            if (found == null || cost < found.cost()) {
-                found = new Step(cost, before, engine.server(), layer, to, engine.server().dataCentre());
+            boolean crosses = !before.at().equals(engine.server().dataCentre());
+            double crossing = layer == 0 ? ENTRY_MILLIS : crossMillis;
+            double cost = before.cost() + own + (crosses ? crossing : 0);
+            if (Double.isFinite(cost) && (found == null || cost < found.cost())) {
+                found = new Step(
+                        cost,
+                        before,
+                        engine.server(),
+                        layer,
+                        to,
+                        engine.server().dataCentre());
             }
         }
-        keepCheapest(best.get(to), found);
-    }
-
-    private static double crossing(Step before, BackendServer server, int layer) {
-        if (before.at().equals(server.dataCentre())) {
-            return 0;
+        if (found != null) {
+            keepCheapest(best.get(to), found);
         }
-        return layer == 0 ? ENTRY_MILLIS : CROSS_MILLIS;
     }
 
     /** Keeps one step for each data centre: which of them is best depends on the hops that follow. */
@@ -164,7 +198,8 @@
         }
 
         boolean canRun(int layer, Demand demand) {
-            if (!server.holds(layer) || (layer == 0 && load.asFirst() >= server.slots())) {
+            boolean mayStart = load.asFirst() < server.slots() && demand.mayStartAt(server);
+            if (!server.holds(layer) || (layer == 0 && !mayStart)) {
                 return false;
             }
             double taken = (load.tokenLayers() + (double) demand.tokens() * (end() - layer)) * spec.tokenLayerMb();
--- a/core/src/main/java/org/cornelramp/core/path/StagePath.java
+++ b/core/src/main/java/org/cornelramp/core/path/StagePath.java
@@ -32,6 +32,19 @@
         return hops.get(0).server();
     }
 
+    /** Number of hops that lead to another data centre. */
+    public int crossings() {
+        int crossings = 0;
+        for (int i = 1; i < hops.size(); i++) {
+            boolean same = hops.get(i)
+                    .server()
+                    .dataCentre()
+                    .equals(hops.get(i - 1).server().dataCentre());
+            crossings += same ? 0 : 1;
+        }
+        return crossings;
+    }
+
     /** The hop on that engine. */
     public Optional<Hop> hop(BackendServerId id) {
         return hops.stream().filter(hop -> hop.server().id().equals(id)).findFirst();
--- a/core/src/main/java/org/cornelramp/core/placement/Planner.java
+++ b/core/src/main/java/org/cornelramp/core/placement/Planner.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.LayerRange;
 import org.cornelramp.core.routing.CardKind;
@@ -31,8 +33,11 @@
 
     private static final int REQUESTS_STEP = 6;
 
-    /** Copies of the model that a data centre's cards shall hold: one, and a third for the engines that die. */
-    private static final double WANTED_COPIES = 1.3;
+    /**
+     * Copies of the model that a data centre's cards shall hold: one, and a little for the engines that die. More
+     * copies leave less memory for requests, and a data centre whose neighbour fails needs that first.
+     */
+    private static final double WANTED_COPIES = 1.12;
 
     /** What a layer is worth that no engine anywhere holds, none in the data centre, one, or more. */
     private static final double NOWHERE = 1e6;
@@ -48,9 +53,12 @@
      *
      * @param spec the model
      * @param engines the engines that take work and can be reached, with the layers that they hold or are loading
+     * @param fixed engines that get no order, since they are still carrying one out
+     * @param newcomers empty engines that are kept for layers that nobody in their data centre holds
      */
-    public static List<Placement> plan(EngineSpec spec, List<BackendServer> engines) {
-        return new Plan(spec, engines).run();
+    public static List<Placement> plan(
+            EngineSpec spec, List<BackendServer> engines, Set<BackendServerId> fixed, Set<BackendServerId> newcomers) {
+        return new Plan(spec, engines, fixed, newcomers).run();
     }
 
     /** One planning run. */
@@ -58,10 +66,14 @@
         private final EngineSpec spec;
         private final Map<DataCentre, List<BackendServer>> byDataCentre = new HashMap<>();
         private final Map<DataCentre, int[]> held = new HashMap<>();
+        private final Set<BackendServerId> fixed;
+        private final Set<BackendServerId> newcomers;
         private final int requests;
 
-        Plan(EngineSpec spec, List<BackendServer> engines) {
+        Plan(EngineSpec spec, List<BackendServer> engines, Set<BackendServerId> fixed, Set<BackendServerId> newcomers) {
             this.spec = spec;
+            this.fixed = fixed;
+            this.newcomers = newcomers;
             for (BackendServer engine : engines) {
                 if (spec.card(engine.card()).isPresent()) {
                     byDataCentre
@@ -70,8 +82,8 @@
                 }
             }
             byDataCentre.forEach((at, here) -> {
-                here.sort(Comparator.comparingDouble((BackendServer engine) ->
-                                card(engine).stepFactor())
+                here.sort(Comparator.comparingDouble(
+                                (BackendServer engine) -> card(engine).stepFactor())
                         .thenComparing(engine -> -card(engine).memoryMb())
                         .thenComparing(BackendServer::id));
                 held.put(at, new int[spec.layers()]);
@@ -95,7 +107,8 @@
         private void fillEmpty(DataCentre at, List<Placement> orders) {
             for (BackendServer engine : byDataCentre.get(at)) {
                 int most = capacity(engine, requests);
-                if (engine.layers().isEmpty() && most > 0) {
+                boolean waits = newcomers.contains(engine.id()) && !hasHole(at);
+                if (engine.layers().isEmpty() && most > 0 && !waits && !fixed.contains(engine.id())) {
                     LayerRange range = neediest(at, most);
                     count(at, range, 1);
                     orders.add(new Placement(engine, range));
@@ -103,31 +116,39 @@
             }
         }
 
-        /** Moves one engine whose layers all have another holder here to layers that have none. */
+        /**
+         * Moves one engine whose layers all have another holder here to layers that have none: the one that fills
+         * them with the least of its memory, and of equals the slowest, so that no fast engine leaves a path.
+         */
         private Optional<Placement> moveOne(DataCentre at) {
             int[] here = held.get(at);
-            if (Arrays.stream(here).noneMatch(holders -> holders == 0)) {
+            if (!hasHole(at)) {
                 return Optional.empty();
             }
             Placement best = null;
-            int mostFilled = 0;
+            double bestShare = 0;
             for (BackendServer engine : byDataCentre.get(at)) {
                 LayerRange old = engine.layers().orElse(null);
-                if (old == null || !isSpare(here, old)) {
+                int most = capacity(engine, requests);
+                if (old == null || most == 0 || fixed.contains(engine.id()) || !isSpare(here, old)) {
                     continue;
                 }
                 count(at, old, -1);
-                LayerRange range = neediest(at, capacity(engine, requests));
-                int filled = holes(here, range);
+                LayerRange range = neediest(at, most);
+                double share = holes(here, range) / (double) most;
                 count(at, old, 1);
-                if (filled > mostFilled) {
-                    mostFilled = filled;
+                if (share > 0 && share >= bestShare) {
+                    bestShare = share;
                     best = new Placement(engine, range);
                 }
             }
             return Optional.ofNullable(best);
         }
 
+        private boolean hasHole(DataCentre at) {
+            return Arrays.stream(held.get(at)).anyMatch(holders -> holders == 0);
+        }
+
         private static boolean isSpare(int[] here, LayerRange range) {
             return holes(here, range, 1) == 0;
         }
--- a/core/src/main/java/org/cornelramp/core/retry/RetryWindow.java
+++ b/core/src/main/java/org/cornelramp/core/retry/RetryWindow.java
@@ -15,7 +15,6 @@
     private static final int BUCKETS = 20;
 
     private final double ratio;
-    private final double reserve;
     private final long bucketMillis;
     private final int[] requests = new int[BUCKETS + 1];
     private final int[] repeats = new int[BUCKETS + 1];
@@ -23,12 +22,10 @@
 
     /**
      * @param ratio repeats for each request
-     * @param reserve repeats besides, within a window
      * @param windowMillis length of the window
      */
-    public RetryWindow(double ratio, double reserve, long windowMillis) {
+    public RetryWindow(double ratio, long windowMillis) {
         this.ratio = ratio;
-        this.reserve = reserve;
         this.bucketMillis = Math.max(1, windowMillis / BUCKETS);
     }
 
@@ -37,8 +34,12 @@
         requests[slot(nowMillis)]++;
     }
 
-    /** Takes one repeat; false if none is left now. */
-    public boolean tryRepeat(long nowMillis) {
+    /**
+     * Takes one repeat; false if none is left now.
+     *
+     * @param reserve repeats besides the share of the requests, within a window
+     */
+    public boolean tryRepeat(double reserve, long nowMillis) {
         int slot = slot(nowMillis);
         if (sum(repeats) + 1 > ratio * sum(requests) + reserve) {
             return false;
--- a/core/src/main/java/org/cornelramp/core/settings/GatewaySettings.java
+++ b/core/src/main/java/org/cornelramp/core/settings/GatewaySettings.java
@@ -10,6 +10,7 @@
  * @param requests address on which clients' requests are taken
  * @param readiness address on which the balancer asks whether this process is ready
  * @param metrics address on which the metrics are read
+ * @param peers address on which news of other gateways are taken
  * @param store address of the platform's store
  * @param timing times that the platform agreed on
  * @param retries bounds of repeated requests
@@ -20,6 +21,7 @@
         HostPort requests,
         HostPort readiness,
         HostPort metrics,
+        HostPort peers,
         HostPort store,
         Timing timing,
         Retries retries) {
--- a/core/src/main/java/org/cornelramp/core/settings/GatewaySettingsReader.java
+++ b/core/src/main/java/org/cornelramp/core/settings/GatewaySettingsReader.java
@@ -32,7 +32,8 @@
         try {
             root = JSON.readTree(text);
         } catch (JsonProcessingException e) {
-            String place = e.getLocation() == null ? "" : "line " + e.getLocation().getLineNr();
+            String place =
+                    e.getLocation() == null ? "" : "line " + e.getLocation().getLineNr();
             return Either.left(List.of(new SettingsFault("", place, "Correct the JSON there; names may not repeat.")));
         }
         List<SettingsFault> faults = new ArrayList<>();
@@ -46,6 +47,7 @@
         Optional<HostPort> requests = address(root, "requests");
         Optional<HostPort> readiness = address(root, "readiness");
         Optional<HostPort> metrics = address(root, "metrics");
+        Optional<HostPort> peers = address(root, "peers");
         Optional<HostPort> store = address(root, "store");
         GatewaySettings.Timing timing = readTiming(root.section("timing"));
         GatewaySettings.Retries retries = readRetries(root.section("retries"));
@@ -55,6 +57,7 @@
                 || requests.isEmpty()
                 || readiness.isEmpty()
                 || metrics.isEmpty()
+                || peers.isEmpty()
                 || store.isEmpty()) {
             return Optional.empty();
         }
@@ -64,6 +67,7 @@
                 requests.get(),
                 readiness.get(),
                 metrics.get(),
+                peers.get(),
                 store.get(),
                 timing,
                 retries));
--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -3,8 +3,12 @@
 import java.util.concurrent.CountDownLatch;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.gateway.follow.ConfigFollower;
+import org.cornelramp.gateway.follow.PeerRecords;
+import org.cornelramp.gateway.follow.PeerRecordsHandler;
+import org.cornelramp.gateway.follow.RecordCache;
 import org.cornelramp.gateway.follow.ServerFollower;
 import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.peer.PeerLink;
 import org.cornelramp.gateway.place.PlacementDuty;
 import org.cornelramp.gateway.request.FrontServer;
 import org.cornelramp.gateway.route.ConfigHolder;
@@ -19,7 +23,7 @@
     private static final long UNLISTED_MILLIS = 2_500;
 
     /** Left of the grace time for the last answers to leave and the process to end. */
-    private static final long MARGIN_MILLIS = 700;
+    private static final long MARGIN_MILLIS = 400;
 
     private static final long POLL_MILLIS = 20;
 
@@ -30,6 +34,7 @@
     private final Router router;
     private final ConfigFollower configFollower;
     private final ServerFollower serverFollower;
+    private final PeerLink peers;
     private final PlacementDuty placement;
     private final FrontServer front;
     private final CountDownLatch stop = new CountDownLatch(1);
@@ -42,12 +47,18 @@
         ConfigHolder config = new ConfigHolder();
         MetadataStore store = new MetadataStore(clients.pooled(), settings.store());
         EngineControl control = new EngineControl(clients.pooled());
-        this.router = new Router(
-                settings, clients.pooled(), clients.single(), config, clock, log, new EngineDesk(control));
-        this.configFollower = new ConfigFollower(store, config, log);
-        this.serverFollower = new ServerFollower(store, router::offer, log);
-        this.placement = new PlacementDuty(settings.name(), store, control, config, router::view, clock, log);
-        this.front = new FrontServer(settings, clients.threads(), config, router, clock, log);
+        this.router =
+                new Router(settings, clients.pooled(), clients.single(), config, clock, log, new EngineDesk(control));
+        RecordCache cache = new RecordCache();
+        this.peers = new PeerLink(settings.peers(), router::news, router::peerTold, clock, log);
+        PeerRecords peerRecords =
+                new PeerRecords(clients.pooled(), settings.metrics().port(), peers::peers);
+        this.configFollower = new ConfigFollower(store, config, cache, peerRecords, clock, log);
+        this.serverFollower = new ServerFollower(store, router::offer, cache, peerRecords, clock, log);
+        this.placement = new PlacementDuty(
+                settings.name(), settings.peers(), peers::setPeers, store, control, config, router::view, clock, log);
+        this.front = new FrontServer(
+                settings, clients.threads(), config, router, new PeerRecordsHandler(cache, clock), clock, log);
     }
 
     /** Starts all parts. */
@@ -58,6 +69,7 @@
         serverFollower.start();
         router.start();
         front.start();
+        peers.start();
         placement.start();
     }
 
@@ -74,8 +86,12 @@
         front.leave();
         placement.stop();
         long limit = begun + settings.timing().graceMillis() - MARGIN_MILLIS;
+        long refuseAt = begun + UNLISTED_MILLIS;
         while (clock.millis() < limit && (clock.millis() < begun + UNLISTED_MILLIS || router.underWay() > 0)) {
             Thread.sleep(POLL_MILLIS);
+            if (clock.millis() >= refuseAt) {
+                front.refuseNew(); // what begins now would be cut when the grace time ends
+            }
         }
         log.line("process", "stop").with("cut", router.underWay()).write();
         configFollower.stop();
--- a/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
@@ -32,13 +32,13 @@
     }
 
     private HttpClient client(int usages) {
-        ClientConnector connector = new ClientConnector();
+        ClientConnector connector = new ResetAwareConnector();
         connector.setExecutor(threads);
         connector.setSelectors(1);
         HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
         transport.setConnectionPoolFactory(destination -> {
-            AbstractConnectionPool pool =
-                    new DuplexConnectionPool(destination, destination.getHttpClient().getMaxConnectionsPerDestination());
+            AbstractConnectionPool pool = new DuplexConnectionPool(
+                    destination, destination.getHttpClient().getMaxConnectionsPerDestination());
             pool.setMaxUsage(usages);
             return pool;
         });
--- a/gateway/src/main/java/org/cornelramp/gateway/Main.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Main.java
@@ -1,8 +1,8 @@
 package org.cornelramp.gateway;
 
 import io.vavr.control.Either;
-import java.io.FileOutputStream;
 import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -32,7 +32,9 @@
             return;
         }
         EventLog log = new EventLog(
-                new FileOutputStream(FileDescriptor.out), Clock.systemUTC(), settings.get().name());
+                new FileOutputStream(FileDescriptor.out),
+                Clock.systemUTC(),
+                settings.get().name());
         log.start();
         end(run(settings.get(), file(args).get(), log));
     }
@@ -75,11 +77,9 @@
 
     private static Either<String, GatewaySettings> read(Path file) {
         try {
-            return new GatewaySettingsReader()
-                    .read(Files.readString(file))
-                    .mapLeft(faults -> faults.stream()
-                            .map(Object::toString)
-                            .collect(Collectors.joining("\n  ", "settings: the file has faults\n  ", "")));
+            return new GatewaySettingsReader().read(Files.readString(file)).mapLeft(faults -> faults.stream()
+                    .map(Object::toString)
+                    .collect(Collectors.joining("\n  ", "settings: the file has faults\n  ", "")));
         } catch (IOException e) {
             return Either.left("settings: the file cannot be read, correct its path or rights; " + e);
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ConfigFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ConfigFollower.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import org.cornelramp.core.routing.RoutingConfig;
+import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.route.ConfigHolder;
 import org.cornelramp.platform.ConfigDecoder;
@@ -15,19 +16,25 @@
 public final class ConfigFollower extends Follower {
     private static final String KEY = "config";
 
-    /**
-     * How long the store holds a call back until something changes. A connection that has gone silent costs this and
-     * the call's own timeout, together less than the two seconds in which a change must be in force.
-     */
-    private static final long WAIT_MILLIS = 800;
-
     private final MetadataStore store;
     private final ConfigHolder holder;
+    private final RecordCache cache;
+    private final PeerRecords peers;
+    private final SteadyClock clock;
     private final EventLog log;
     private long next = -1;
 
-    public ConfigFollower(MetadataStore store, ConfigHolder holder, EventLog log) {
+    public ConfigFollower(
+            MetadataStore store,
+            ConfigHolder holder,
+            RecordCache cache,
+            PeerRecords peers,
+            SteadyClock clock,
+            EventLog log) {
         super("config");
+        this.cache = cache;
+        this.peers = peers;
+        this.clock = clock;
         this.store = store;
         this.holder = holder;
         this.log = log;
@@ -37,10 +44,11 @@
     long step() {
         Either<StoreFault, MetadataStore.Page> page = next < 0
                 ? store.newest(MetadataStore.Topic.OPERATORS)
-                : store.read(MetadataStore.Topic.OPERATORS, next, WAIT_MILLIS);
+                : store.read(MetadataStore.Topic.OPERATORS, next, LONG_POLL_MILLIS);
         if (page.isLeft()) {
             return fault(page.getLeft());
         }
+        cache.take(MetadataStore.Topic.OPERATORS, page.get(), next < 0, clock.millis());
         page.get().records().forEach(this::take);
         boolean nothingYet = next < 0 && holder.current().isEmpty();
         next = page.get().next();
@@ -53,6 +61,8 @@
             return 0;
         }
         log.line("config", "not read").with("fault", fault).write();
+        peers.read(MetadataStore.Topic.OPERATORS)
+                .ifPresent(page -> page.records().forEach(this::take));
         return -1;
     }
 
@@ -60,7 +70,8 @@
         if (!record.key().equals(KEY) || record.value().isEmpty()) {
             return;
         }
-        Either<StoreFault, RoutingConfig> config = ConfigDecoder.decode(record.value().get());
+        Either<StoreFault, RoutingConfig> config =
+                ConfigDecoder.decode(record.value().get());
         if (config.isLeft()) {
             log.line("config", "unreadable")
                     .with("offset", record.offset())
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/Follower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/Follower.java
@@ -13,6 +13,13 @@
     /** Longest pause after a fault: what the store knows must be here within two seconds of its return. */
     private static final long LONGEST_PAUSE = 700;
 
+    /**
+     * How long the store holds a call back until something changes. A connection may go silent for good; it is
+     * noticed after this time and the call's own timeout, before a change must be in force that is made as soon as
+     * the process counts as connected again.
+     */
+    static final long LONG_POLL_MILLIS = 2_500;
+
     private final Thread thread;
     private volatile boolean running = true;
     private long faultPause = FIRST_PAUSE;
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecords.java
@@ -0,0 +1,69 @@
+package org.cornelramp.gateway.follow;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.platform.MetadataStore;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+
+/**
+ * Reads the store's records from a peer while the store turns this process away.
+ *
+ * <p>The store may refuse some machines for many seconds and serve the others; meanwhile engines are replaced, and a
+ * gateway that does not hear of it sends its requests to engines that are gone. Records from a peer are a little
+ * older, and their offsets tell which is newer, so they never undo what the store itself said. Safe for use by any
+ * thread; calls block.
+ */
+public final class PeerRecords {
+    private static final long TIMEOUT_MILLIS = 250;
+    private static final int MOST_PEERS = 2;
+    private static final int OK = 200;
+
+    private final HttpClient http;
+    private final int port;
+    private final Supplier<List<HostPort>> peers;
+
+    /** @param port port on which every gateway answers its peers */
+    public PeerRecords(HttpClient http, int port, Supplier<List<HostPort>> peers) {
+        this.http = http;
+        this.port = port;
+        this.peers = peers;
+    }
+
+    /** The newest records of a topic; empty if no peer that was asked has read them lately. */
+    Optional<MetadataStore.Page> read(MetadataStore.Topic topic) {
+        List<HostPort> some = new ArrayList<>(peers.get());
+        Collections.shuffle(some);
+        for (HostPort peer : some.subList(0, Math.min(MOST_PEERS, some.size()))) {
+            Optional<MetadataStore.Page> page = ask(peer, topic);
+            if (page.isPresent()) {
+                return page;
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<MetadataStore.Page> ask(HostPort peer, MetadataStore.Topic topic) {
+        try {
+            ContentResponse answer = http.newRequest(peer.host(), port)
+                    .path(PeerRecordsHandler.path(topic))
+                    .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                    .send();
+            return answer.getStatus() == OK
+                    ? RecordsCodec.read(answer.getContent()).toJavaOptional()
+                    : Optional.empty();
+        } catch (TimeoutException | ExecutionException e) {
+            return Optional.empty(); // the next peer, or the store's next call, will do
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Optional.empty();
+        }
+    }
+}
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ServerFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ServerFollower.java
@@ -9,6 +9,7 @@
 import org.cornelramp.core.fleet.ServerRegistry;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.Names;
+import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.route.RouterEvent;
 import org.cornelramp.platform.MetadataStore;
@@ -18,20 +19,31 @@
 /**
  * Reads the backend servers' registrations. Used by its own thread only, but for start and stop.
  *
- * <p>Forty servers register some thirty times a second together; a call that waits for the next record would be
- * made thirty times a second by each process. Reading at a pace gets the same news, a quarter of a second old on
- * average, for two calls a second; a leaving server must be known within two seconds.
+ * <p>The store keeps a record only when more than a heartbeat's number has changed, so a call that waits for the next
+ * record is rare on a calm day. A short pause after each gathers the records of many servers that change together.
  */
 public final class ServerFollower extends Follower {
-    private static final long PAUSE_MILLIS = 450;
+    private static final long PAUSE_MILLIS = 80;
 
     private final MetadataStore store;
     private final Predicate<RouterEvent> router;
+    private final RecordCache cache;
+    private final PeerRecords peers;
+    private final SteadyClock clock;
     private final EventLog log;
     private long next = -1;
 
-    public ServerFollower(MetadataStore store, Predicate<RouterEvent> router, EventLog log) {
+    public ServerFollower(
+            MetadataStore store,
+            Predicate<RouterEvent> router,
+            RecordCache cache,
+            PeerRecords peers,
+            SteadyClock clock,
+            EventLog log) {
         super("servers");
+        this.cache = cache;
+        this.peers = peers;
+        this.clock = clock;
         this.store = store;
         this.router = router;
         this.log = log;
@@ -42,12 +54,13 @@
         boolean whole = next < 0;
         Either<StoreFault, MetadataStore.Page> page = whole
                 ? store.newest(MetadataStore.Topic.SERVERS)
-                : store.read(MetadataStore.Topic.SERVERS, next, 0);
+                : store.read(MetadataStore.Topic.SERVERS, next, LONG_POLL_MILLIS);
         if (page.isLeft()) {
             return fault(page.getLeft());
         }
         router.test(new RouterEvent.StoreAnswers(true));
         long end = page.get().next();
+        cache.take(MetadataStore.Topic.SERVERS, page.get(), whole, clock.millis());
         // Only what the ring took counts as read; the rest is read again.
         if (router.test(new RouterEvent.Registered(decode(page.get()), whole, end))) {
             next = end;
@@ -62,6 +75,8 @@
         }
         router.test(new RouterEvent.StoreAnswers(false));
         log.line("servers", "not read").with("fault", fault).write();
+        peers.read(MetadataStore.Topic.SERVERS)
+                .ifPresent(page -> router.test(new RouterEvent.Registered(decode(page), true, page.next())));
         return -1;
     }
 
@@ -69,7 +84,9 @@
         List<ServerRegistry.Registration> registrations = new ArrayList<>();
         for (MetadataStore.KeyedRecord record : page.records()) {
             if (!Names.isValid(record.key())) {
-                log.line("servers", "unreadable id").with("offset", record.offset()).write();
+                log.line("servers", "unreadable id")
+                        .with("offset", record.offset())
+                        .write();
                 continue;
             }
             BackendServerId id = new BackendServerId(record.key());
@@ -85,8 +102,7 @@
                         .with("fault", server.getLeft())
                         .write();
             } else {
-                registrations.add(
-                        new ServerRegistry.Registration(record.offset(), id, Optional.of(server.get())));
+                registrations.add(new ServerRegistry.Registration(record.offset(), id, Optional.of(server.get())));
             }
         }
         return registrations;
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
@@ -0,0 +1,159 @@
+package org.cornelramp.gateway.peer;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.log.EventLog;
+
+/**
+ * Tells this gateway's news to its peers, and takes theirs, by datagrams.
+ *
+ * <p>Each gateway alone would send its requests to the engines that look idle to it, and all would meet there. News
+ * are whole each time, so a lost datagram needs no repeat. Owned by its own thread, but for start, stop and
+ * {@link #setPeers}.
+ */
+public final class PeerLink {
+    /** Interval of the news: a tenth of the time in which load moves noticeably. */
+    private static final int INTERVAL_MILLIS = 120;
+
+    /** Below the usual limit of a datagram that is not split on its way. */
+    private static final int MAX_BYTES = 8_192;
+
+    private final HostPort address;
+    private final Supplier<PeerNews> own;
+    private final Consumer<PeerNews> onNews;
+    private final SteadyClock clock;
+    private final EventLog log;
+    private final Thread thread = new Thread(this::run, "peers");
+    private final Map<String, long[]> newest = new HashMap<>();
+    private volatile List<HostPort> peers = List.of();
+    private volatile boolean running = true;
+
+    /**
+     * @param address where this gateway takes news
+     * @param own makes its own news
+     * @param onNews takes a peer's news
+     */
+    public PeerLink(
+            HostPort address, Supplier<PeerNews> own, Consumer<PeerNews> onNews, SteadyClock clock, EventLog log) {
+        this.address = address;
+        this.own = own;
+        this.onNews = onNews;
+        this.clock = clock;
+        this.log = log;
+        thread.setDaemon(true);
+    }
+
+    /** A number that tells this life from others of the same gateway. */
+    public static long newLife() {
+        return ThreadLocalRandom.current().nextLong(Long.MAX_VALUE);
+    }
+
+    /** Starts the thread. */
+    public void start() {
+        thread.start();
+    }
+
+    /** Tells the thread to end. */
+    public void stop() {
+        running = false;
+    }
+
+    /** Sets whom to tell. */
+    public void setPeers(List<HostPort> addresses) {
+        peers = addresses.stream().filter(peer -> !peer.equals(address)).toList();
+    }
+
+    /** The peers that are told. */
+    public List<HostPort> peers() {
+        return peers;
+    }
+
+    private void run() {
+        while (running) {
+            try (DatagramSocket socket = new DatagramSocket(new InetSocketAddress(address.host(), address.port()))) {
+                exchange(socket);
+            } catch (IOException e) {
+                log.line("peers", "socket failed").with("fault", e).write();
+                pause();
+            }
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(500);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void exchange(DatagramSocket socket) throws IOException {
+        long nextSend = clock.millis();
+        byte[] buffer = new byte[MAX_BYTES];
+        while (running) {
+            long left = nextSend - clock.millis();
+            if (left <= 0) {
+                tell(socket);
+                nextSend = clock.millis() + INTERVAL_MILLIS;
+                continue;
+            }
+            socket.setSoTimeout((int) left);
+            try {
+                DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
+                socket.receive(packet);
+                take(buffer, packet.getLength());
+            } catch (SocketTimeoutException e) {
+                continue; // time to send
+            }
+        }
+    }
+
+    private void tell(DatagramSocket socket) {
+        List<HostPort> to = peers;
+        if (to.isEmpty()) {
+            return;
+        }
+        PeerNews news = own.get();
+        byte[] bytes = PeerNewsCodec.write(news);
+        if (bytes.length > MAX_BYTES) {
+            bytes = PeerNewsCodec.write(news.withoutLoads());
+        }
+        for (HostPort peer : to) {
+            try {
+                socket.send(new DatagramPacket(bytes, bytes.length, new InetSocketAddress(peer.host(), peer.port())));
+            } catch (IOException e) {
+                log.ordinary("peers", "not told")
+                        .with("peer", peer)
+                        .with("fault", e)
+                        .write();
+            }
+        }
+    }
+
+    private void take(byte[] bytes, int length) {
+        Either<String, PeerNews> read = PeerNewsCodec.read(bytes, length);
+        if (read.isLeft()) {
+            log.ordinary("peers", "unreadable").with("fault", read.getLeft()).write();
+            return;
+        }
+        PeerNews news = read.get();
+        long[] last = newest.get(news.name());
+        boolean old = last != null && last[0] == news.life() && last[1] >= news.number();
+        if (!old) {
+            newest.put(news.name(), new long[] {news.life(), news.number()});
+            onNews.accept(news);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNewsCodec.java
@@ -0,0 +1,80 @@
+package org.cornelramp.gateway.peer;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.path.EngineLoads;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** The MessagePack form of news between gateways. Stateless, safe for use by any thread. */
+final class PeerNewsCodec {
+    private static final int FORMAT = 1;
+
+    private PeerNewsCodec() {}
+
+    static byte[] write(PeerNews news) {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            out.packInt(FORMAT);
+            out.packString(news.name());
+            out.packLong(news.life());
+            out.packLong(news.number());
+            out.packMapHeader(news.loads().size());
+            for (Map.Entry<BackendServerId, EngineLoads.Load> load :
+                    news.loads().entrySet()) {
+                out.packString(load.getKey().value());
+                out.packInt(load.getValue().requests());
+                out.packInt(load.getValue().asFirst());
+                out.packLong(load.getValue().tokenLayers());
+            }
+            out.packInt(news.crossings());
+            out.packMapHeader(news.paces().size());
+            for (Map.Entry<BackendServerId, Double> pace : news.paces().entrySet()) {
+                out.packString(pace.getKey().value());
+                out.packDouble(pace.getValue());
+            }
+            out.packArrayHeader(news.suspects().size());
+            for (BackendServerId id : news.suspects()) {
+                out.packString(id.value());
+            }
+            return out.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("Memory takes every byte", e);
+        }
+    }
+
+    /** Reads news; the left side says what is wrong with the bytes. */
+    static Either<String, PeerNews> read(byte[] bytes, int length) {
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
+            int format = in.unpackInt();
+            if (format != FORMAT) {
+                return Either.left("unknown format " + format);
+            }
+            String name = in.unpackString();
+            long life = in.unpackLong();
+            long number = in.unpackLong();
+            Map<BackendServerId, EngineLoads.Load> loads = new HashMap<>();
+            for (int left = in.unpackMapHeader(); left > 0; left--) {
+                BackendServerId id = new BackendServerId(in.unpackString());
+                loads.put(id, new EngineLoads.Load(in.unpackInt(), in.unpackInt(), in.unpackLong()));
+            }
+            int crossings = in.unpackInt();
+            Map<BackendServerId, Double> paces = new HashMap<>();
+            for (int left = in.unpackMapHeader(); left > 0; left--) {
+                paces.put(new BackendServerId(in.unpackString()), in.unpackDouble());
+            }
+            Set<BackendServerId> suspects = new HashSet<>();
+            for (int left = in.unpackArrayHeader(); left > 0; left--) {
+                suspects.add(new BackendServerId(in.unpackString()));
+            }
+            return Either.right(new PeerNews(name, life, number, loads, crossings, paces, suspects));
+        } catch (IOException | RuntimeException e) {
+            return Either.left(e.toString());
+        }
+    }
+}
--- a/gateway/src/main/java/org/cornelramp/gateway/place/PlacementDuty.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/PlacementDuty.java
@@ -3,10 +3,13 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
@@ -16,6 +19,7 @@
 import org.cornelramp.core.routing.EngineSpec;
 import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.core.routing.ServiceSpec;
+import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.route.ConfigHolder;
@@ -41,6 +45,14 @@
 
     private static final long JOIN_MILLIS = 600;
 
+    /** Interval in which the members are read; a new gateway is told news of others after this time. */
+    private static final long MEMBERS_MILLIS = 4_000;
+
+    /** While fewer members than this are known, they are read more often, as at a start of all. */
+    private static final long FIRST_MEMBERS_MILLIS = 1_000;
+
+    private static final char MEMBER_SEPARATOR = '~';
+
     /** The first plan waits until no more engines come, so that the fast ones get their share first. */
     private static final long SETTLE_MILLIS = 1_200;
 
@@ -49,7 +61,17 @@
 
     private static final double LOAD_FACTOR = 3;
 
-    private final String name;
+    /**
+     * How long a new engine is kept for layers that nobody holds. In a release a new engine comes about a second before
+     * the old one says that it leaves; filled with a second copy at once, it would have to load twice.
+     */
+    private static final long NEWCOMER_MILLIS = 2_500;
+
+    /** Pause after an engine has refused an order: it is busy with one, and its report is a little old. */
+    private static final long REFUSED_MILLIS = 700;
+
+    private final String member;
+    private final Consumer<List<HostPort>> onPeers;
     private final MetadataStore store;
     private final EngineControl engines;
     private final ConfigHolder config;
@@ -64,20 +86,31 @@
     private long generation;
     private long joinedMillis;
     private long heldUntil;
+    private long membersDue;
+    private int peersKnown;
     private int enginesSeen;
     private long enginesSeenMillis;
 
+    private final Map<BackendServerId, Long> firstSeen = new HashMap<>();
+
     private record Order(LayerRange layers, long untilMillis) {}
 
+    /**
+     * @param address where this process takes its peers' news
+     * @param onPeers is told the addresses of all members of the group
+     */
     public PlacementDuty(
             String name,
+            HostPort address,
+            Consumer<List<HostPort>> onPeers,
             MetadataStore store,
             EngineControl engines,
             ConfigHolder config,
             Supplier<FleetView> fleet,
             SteadyClock clock,
             EventLog log) {
-        this.name = name;
+        this.member = name + MEMBER_SEPARATOR + address;
+        this.onPeers = onPeers;
         this.store = store;
         this.engines = engines;
         this.config = config;
@@ -114,6 +147,9 @@
         if (now - joinedMillis >= JOIN_MILLIS) {
             join(now);
         }
+        if (now >= membersDue) {
+            readMembers(now);
+        }
         boolean may = leads && now < heldUntil;
         FleetView view = fleet.get();
         Optional<RoutingConfig> version = config.current();
@@ -125,10 +161,32 @@
         }
     }
 
+    private void readMembers(long now) {
+        Either<StoreFault, Set<String>> members = store.members(GROUP);
+        List<HostPort> peers = new ArrayList<>();
+        members.getOrElse(Set.of()).forEach(one -> address(one).ifPresent(peers::add));
+        boolean many = peers.size() > 1 && peers.size() == peersKnown;
+        membersDue = now + (many ? MEMBERS_MILLIS : FIRST_MEMBERS_MILLIS);
+        if (members.isRight()) {
+            if (peers.size() != peersKnown) {
+                log.line("peers", "known").with("count", peers.size()).write();
+            }
+            peersKnown = peers.size();
+            onPeers.accept(List.copyOf(peers));
+        }
+    }
+
+    private static Optional<HostPort> address(String member) {
+        try {
+            return Optional.of(HostPort.parse(member.substring(member.indexOf(MEMBER_SEPARATOR) + 1)));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty(); // a member of another version, which takes no news
+        }
+    }
+
     private void join(long now) {
         joinedMillis = now;
-        Either<StoreFault, MetadataStore.Membership> joined =
-                store.join(GROUP, name, GROUP, TTL_MILLIS, generation);
+        Either<StoreFault, MetadataStore.Membership> joined = store.join(GROUP, member, GROUP, TTL_MILLIS, generation);
         if (joined.isLeft()) {
             log.line("placement", "not joined").with("fault", joined.getLeft()).write();
             return;
@@ -159,7 +217,17 @@
         if (!hasSettled(known, now)) {
             return;
         }
-        for (Placement placement : Planner.plan(spec, known)) {
+        Set<BackendServerId> fixed = new HashSet<>(orders.keySet());
+        known.forEach(server -> firstSeen.putIfAbsent(server.id(), now));
+        firstSeen
+                .keySet()
+                .retainAll(view.servers().stream().map(BackendServer::id).toList());
+        Set<BackendServerId> newcomers = new HashSet<>();
+        known.stream()
+                .map(BackendServer::id)
+                .filter(id -> now - firstSeen.get(id) < NEWCOMER_MILLIS)
+                .forEach(newcomers::add);
+        for (Placement placement : Planner.plan(spec, known, fixed, newcomers)) {
             order(placement, spec, now);
         }
     }
@@ -170,7 +238,8 @@
         if (order == null) {
             return server;
         }
-        boolean done = server.layers().filter(held -> sameRange(held, order.layers())).isPresent();
+        boolean done =
+                server.layers().filter(held -> sameRange(held, order.layers())).isPresent();
         if (done || now >= order.untilMillis()) {
             orders.remove(server.id());
             return server;
@@ -183,7 +252,8 @@
     }
 
     private boolean hasSettled(List<BackendServer> known, long now) {
-        long holding = known.stream().filter(server -> server.layers().isPresent()).count();
+        long holding =
+                known.stream().filter(server -> server.layers().isPresent()).count();
         if (known.size() != enginesSeen) {
             enginesSeen = known.size();
             enginesSeenMillis = now;
@@ -196,12 +266,15 @@
         long before = accepted.getOrDefault(engine.id(), 0L);
         if (engine.layers().isPresent() && !accepted.containsKey(engine.id())) {
             learn(engine, now);
+            orders.remove(engine.id());
             return;
         }
         Either<StoreFault, byte[]> result = engines.place(engine, placement.layers(), before);
         log.line("placement", result.isRight() ? "ordered" : "order failed")
                 .with("server", engine.id())
-                .with("layers", placement.layers().from() + "-" + placement.layers().to())
+                .with(
+                        "layers",
+                        placement.layers().from() + "-" + placement.layers().to())
                 .with("ordersBefore", before)
                 .with("generation", generation)
                 .with("fault", result.fold(StoreFault::toString, any -> ""))
@@ -219,7 +292,7 @@
         orders.put(engine.id(), new Order(placement.layers(), until));
     }
 
-    /** Asks an engine for its count of orders; while it is busy, nothing is ordered. */
+    /** Asks an engine for its count of orders, and leaves it alone for a moment. */
     private void learn(BackendServer engine, long now) {
         Either<StoreFault, EngineReport> report = engines.report(engine);
         if (report.isLeft()) {
@@ -231,10 +304,8 @@
             return;
         }
         accepted.put(engine.id(), report.get().orders());
-        if (report.get().busy()) {
-            Optional<LayerRange> loading = report.get().layers();
-            orders.put(engine.id(), new Order(loading.orElse(anything(engine)), now + LOST_MILLIS / 4));
-        }
+        Optional<LayerRange> held = report.get().layers();
+        orders.put(engine.id(), new Order(held.orElse(anything(engine)), now + REFUSED_MILLIS));
     }
 
     /** Stands for layers that are not known: the engine is left alone, and no plan counts on it for much. */
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -106,8 +106,7 @@
     public void start(long nowMillis) {
         startMillis = nowMillis;
         Exchange.Call call = exchange.call();
-        Request out = http.newRequest(
-                        server.address().host(), server.address().port())
+        Request out = http.newRequest(server.address().host(), server.address().port())
                 .method(call.method())
                 .path(call.pathQuery())
                 .headers(own -> head.write(call.fields(), own));
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -30,6 +30,7 @@
     private final Response response;
     private final Callback callback;
     private final BooleanSupplier leaving;
+    private final ClientProbe probe;
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile boolean committed;
     private volatile long lastEvent;
@@ -67,7 +68,8 @@
         }
     }
 
-    public Exchange(Call call, Response response, Callback callback, BooleanSupplier leaving) {
+    Exchange(Call call, Response response, Callback callback, BooleanSupplier leaving, ClientProbe probe) {
+        this.probe = probe;
         this.call = call;
         this.response = response;
         this.callback = callback;
@@ -100,6 +102,19 @@
         return lastEventMillis;
     }
 
+    /** Whether the client has closed its connection; asked only while no event has been passed on lately. */
+    public boolean hasClientLeft(long nowMillis) {
+        long quiet = nowMillis - Math.max(lastEventMillis, call.receivedMillis());
+        return !ended.get() && quiet > ClientProbe.INTERVAL_MILLIS && probe.hasClosed(nowMillis);
+    }
+
+    /** Ends the exchange; false if it has ended before. The probe must not read what comes after the answer. */
+    private boolean end() {
+        boolean first = ended.compareAndSet(false, true);
+        probe.stop();
+        return first;
+    }
+
     /** Passes whole events on; the head of the first answer goes before them. */
     void relay(HttpFields fields, ByteBuffer events, long lastId, long nowMillis, Callback done) {
         if (!committed) {
@@ -114,7 +129,7 @@
 
     /** Ends a stream that was passed on whole. */
     public boolean complete(HttpFields fields) {
-        if (!ended.compareAndSet(false, true)) {
+        if (!end()) {
             return false;
         }
         if (!committed) {
@@ -127,7 +142,7 @@
 
     /** Passes a whole answer of a backend server on. */
     public boolean answer(int status, HttpFields fields, byte[] body) {
-        if (committed || !ended.compareAndSet(false, true)) {
+        if (committed || !end()) {
             return false;
         }
         begin(status);
@@ -143,7 +158,7 @@
      *     that clients refused together do not come back together
      */
     public boolean refuse(Refusal refusal, long retryMillis) {
-        if (committed || !ended.compareAndSet(false, true)) {
+        if (committed || !end()) {
             return false;
         }
         refuse(response, callback, refusal, retryMillis, leaving.getAsBoolean());
@@ -158,7 +173,9 @@
             fields.put(HttpHeader.CONNECTION, "close");
         }
         if (retryMillis > 0) {
-            double seconds = retryMillis / 1_000.0 * (1 + SPREAD * ThreadLocalRandom.current().nextDouble());
+            double seconds = retryMillis
+                    / 1_000.0
+                    * (1 + SPREAD * ThreadLocalRandom.current().nextDouble());
             fields.put(HttpHeader.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", seconds));
         }
         fields.put(HttpHeader.CONTENT_TYPE, "text/plain");
@@ -167,7 +184,7 @@
 
     /** Breaks the answer off, so that it does not look complete. */
     public boolean breakOff(String why) {
-        if (!ended.compareAndSet(false, true)) {
+        if (!end()) {
             return false;
         }
         callback.failed(new IOException(why));
--- a/gateway/src/main/java/org/cornelramp/gateway/request/FrontServer.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/FrontServer.java
@@ -8,6 +8,7 @@
 import org.cornelramp.gateway.route.Router;
 import org.cornelramp.platform.Environment;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -33,12 +34,14 @@
     private final ConfigHolder config;
     private final Router router;
     private volatile boolean leaving;
+    private volatile boolean refusing;
 
     public FrontServer(
             GatewaySettings settings,
             QueuedThreadPool threads,
             ConfigHolder config,
             Router router,
+            Handler internal,
             SteadyClock clock,
             EventLog log) {
         this.config = config;
@@ -48,14 +51,19 @@
         ServerConnector readiness = connector(settings.readiness(), "readiness");
         server.addConnector(requests);
         server.addConnector(readiness);
-        Intake intake = new Intake(config, router, clock, log, () -> leaving);
+        ServerConnector own = connector(settings.metrics(), "internal");
+        server.addConnector(own);
+        Intake intake = new Intake(config, router, clock, log, () -> leaving, () -> refusing);
         server.setHandler(new Handler.Abstract.NonBlocking() {
             @Override
-            public boolean handle(Request request, Response response, Callback callback) {
-                if (request.getConnectionMetaData().getConnector() == readiness) {
+            public boolean handle(Request request, Response response, Callback callback) throws Exception {
+                Connector connector = request.getConnectionMetaData().getConnector();
+                if (connector == requests) {
+                    intake.handle(request, response, callback);
+                } else if (connector == readiness) {
                     readiness(request, response, callback);
                 } else {
-                    intake.handle(request, response, callback);
+                    return internal.handle(request, response, callback);
                 }
                 return true;
             }
@@ -92,6 +100,11 @@
         server.start();
     }
 
+    /** Refuses new requests from now on; those under way go on. */
+    public void refuseNew() {
+        refusing = true;
+    }
+
     /** Says that this process is not ready any more, and closes each connection after its next answer. */
     public void leave() {
         leaving = true;
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Intake.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Intake.java
@@ -29,13 +29,25 @@
     private final SteadyClock clock;
     private final EventLog log;
     private final BooleanSupplier leaving;
+    private final BooleanSupplier refusing;
 
-    Intake(ConfigHolder config, Router router, SteadyClock clock, EventLog log, BooleanSupplier leaving) {
+    /**
+     * @param leaving whether connections are closed after their answers
+     * @param refusing whether new requests are refused because this process stops
+     */
+    Intake(
+            ConfigHolder config,
+            Router router,
+            SteadyClock clock,
+            EventLog log,
+            BooleanSupplier leaving,
+            BooleanSupplier refusing) {
         this.config = config;
         this.router = router;
         this.clock = clock;
         this.log = log;
         this.leaving = leaving;
+        this.refusing = refusing;
     }
 
     void handle(Request request, Response response, Callback callback) {
@@ -44,12 +56,17 @@
         request.addIdleTimeoutListener(timeout -> false);
         HttpFields fields = request.getHeaders().asImmutable();
         CallHead head = CallHead.decode(fields);
+        if (refusing.getAsBoolean()) {
+            refuse(request, response, callback, head, Refusal.LEAVING);
+            return;
+        }
         Optional<RoutingConfig> version = config.current();
         if (version.isEmpty()) {
             refuse(request, response, callback, head, Refusal.NO_CONFIGURATION);
             return;
         }
-        Optional<Route> route = version.get().route(host(fields), request.getHttpURI().getCanonicalPath());
+        Optional<Route> route =
+                version.get().route(host(fields), request.getHttpURI().getCanonicalPath());
         if (route.isEmpty()) {
             refuse(request, response, callback, head, Refusal.NO_ROUTE);
             return;
@@ -99,10 +116,12 @@
                 body,
                 route,
                 known.organisation().map(RoutingConfig.Organisation::id),
-                known.organisation().flatMap(RoutingConfig.Organisation::priority).orElse(route.priority()),
+                known.organisation()
+                        .flatMap(RoutingConfig.Organisation::priority)
+                        .orElse(route.priority()),
                 known.now(),
                 known.now() + wait);
-        Exchange exchange = new Exchange(call, response, callback, leaving);
+        Exchange exchange = new Exchange(call, response, callback, leaving, ClientProbe.of(request));
         if (!router.offer(new RouterEvent.Arrived(exchange))) {
             exchange.refuse(Refusal.OVERLOADED, Refusal.OVERLOADED.retryMillis());
             logRefused(known.head(), Refusal.OVERLOADED, "the router's ring is full");
@@ -120,7 +139,9 @@
                 .with("id", head.requestId())
                 .with("as", refusal)
                 .with("why", why)
-                .with("configVersion", config.current().map(RoutingConfig::version).orElse(-1L))
+                .with(
+                        "configVersion",
+                        config.current().map(RoutingConfig::version).orElse(-1L))
                 .write();
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
@@ -7,18 +7,30 @@
 import org.cornelramp.core.fleet.PlainServers;
 import org.cornelramp.core.fleet.ServerRegistry;
 import org.cornelramp.core.fleet.Suspicions;
+import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.EngineLoads;
 import org.cornelramp.core.settings.HostPort;
 
 /** What the gateway believes of the backend servers. Owned by the router's duty. */
 public final class Beliefs {
+    /** Age of a registration when it is read, at most: the pause between two reads and a slow answer. */
+    private static final long NEWS_AGE_MILLIS = 800;
+
     private final ServerRegistry registry = new ServerRegistry();
     private final Suspicions suspicions = new Suspicions();
     private final EngineLoads loads = new EngineLoads();
     private final PlainServers plain = new PlainServers();
+    private final long leavingUsableMillis;
     private boolean known;
 
+    /**
+     * @param drainMillis time after which a leaving server gets nothing new, counted from its registration
+     */
+    public Beliefs(long drainMillis) {
+        this.leavingUsableMillis = Math.max(0, drainMillis - NEWS_AGE_MILLIS);
+    }
+
     /** The registrations. */
     public ServerRegistry registry() {
         return registry;
@@ -49,18 +61,36 @@
         known = true;
     }
 
-    /** The servers of a service that take work and are trusted now. */
+    /**
+     * The servers of a service that take work and are trusted now. One that is leaving still takes work for a while;
+     * its successor loads its layers meanwhile.
+     */
     public List<BackendServer> usable(ServiceName service, long nowMillis) {
         List<BackendServer> usable = new ArrayList<>();
         for (BackendServer server : registry.servers()) {
-            boolean fits = server.service().equals(service) && server.state().takesWork();
-            if (fits && !suspicions.isSuspect(server.id(), nowMillis)) {
+            boolean takesWork = leavingMillis(server.id(), nowMillis) < leavingUsableMillis;
+            if (server.service().equals(service) && takesWork && !isSuspect(server.id(), nowMillis)) {
                 usable.add(server);
             }
         }
         return usable;
     }
 
+    /** How long a server is known to be leaving; negative while it is not. */
+    private long leavingMillis(BackendServerId id, long nowMillis) {
+        return registry.leavingSinceMillis(id).map(since -> nowMillis - since).orElse(-1L);
+    }
+
+    /** Whether the server stops soon, or has already taken back its registration. */
+    public boolean isLeaving(BackendServerId id) {
+        return registry.server(id).isEmpty() || registry.leavingSinceMillis(id).isPresent();
+    }
+
+    /** Whether nothing is sent to the server now because it has just failed. */
+    public boolean isSuspect(BackendServerId id, long nowMillis) {
+        return suspicions.isSuspect(id, nowMillis);
+    }
+
     /** The server at an address. */
     public Optional<BackendServer> at(HostPort address) {
         return registry.servers().stream()
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ConfigHolder.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ConfigHolder.java
@@ -15,8 +15,8 @@
 
     /** Takes a version if it is newer; true if it was. */
     public boolean offer(RoutingConfig config) {
-        RoutingConfig before = current.getAndUpdate(
-                old -> old == null || config.version() > old.version() ? config : old);
+        RoutingConfig before =
+                current.getAndUpdate(old -> old == null || config.version() > old.version() ? config : old);
         return before == null || config.version() > before.version();
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
@@ -23,8 +23,8 @@
 
     public EngineDesk(EngineControl control) {
         this.control = control;
-        this.threads = new ThreadPoolExecutor(
-                THREADS, THREADS, 5, TimeUnit.SECONDS, new ArrayBlockingQueue<>(QUEUE), task -> {
+        this.threads =
+                new ThreadPoolExecutor(THREADS, THREADS, 5, TimeUnit.SECONDS, new ArrayBlockingQueue<>(QUEUE), task -> {
                     Thread thread = new Thread(task, "engines");
                     thread.setDaemon(true);
                     return thread;
@@ -40,8 +40,8 @@
     /** Orders an engine to move a running request; false if too many calls wait. */
     boolean move(Attempt attempt, StagePath path, Consumer<RouterEvent> router) {
         String id = attempt.exchange().call().id();
-        return submit(() -> router.accept(
-                new RouterEvent.Moved(attempt, path, control.repath(attempt.server(), id, path))));
+        return submit(
+                () -> router.accept(new RouterEvent.Moved(attempt, path, control.repath(attempt.server(), id, path))));
     }
 
     private boolean submit(Runnable call) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
@@ -15,13 +15,14 @@
     private final ServiceName service;
     private final int tokens;
     private final Set<BackendServerId> avoid = new HashSet<>();
+    private final Set<BackendServerId> firsts = new HashSet<>();
     private Attempt attempt;
     private StagePath loaded;
     private int sent;
     private int mayHaveRun;
     private boolean moving;
     private long waitingSince;
-    private long askedMillis;
+    private long triedMillis = Long.MIN_VALUE / 2;
 
     /** @param tokens tokens that the request is expected to take in the end; 0 for a plain service */
     Flight(Exchange exchange, ServiceName service, int tokens) {
@@ -51,6 +52,11 @@
         return avoid;
     }
 
+    /** Engines that took it and may have run it. */
+    Set<BackendServerId> firsts() {
+        return firsts;
+    }
+
     /** The attempt under way; null if none is. */
     Attempt attempt() {
         return attempt;
@@ -106,12 +112,10 @@
         waitingSince = nowMillis;
     }
 
-    /** When its engine was last asked why no event comes. */
-    long askedMillis() {
-        return askedMillis;
-    }
-
-    void asked(long nowMillis) {
-        askedMillis = nowMillis;
+    /** Whether a try to move it is due; each try that is due counts as made. */
+    boolean mayMove(long nowMillis, long pauseMillis) {
+        boolean due = nowMillis - triedMillis >= pauseMillis;
+        triedMillis = due ? nowMillis : triedMillis;
+        return due;
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -1,7 +1,6 @@
 package org.cornelramp.gateway.route;
 
 import io.vavr.control.Either;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
@@ -10,11 +9,11 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.fleet.Suspicions.Evidence;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.PathFinder;
 import org.cornelramp.core.path.StagePath;
-import org.cornelramp.core.retry.RetryWindow;
 import org.cornelramp.core.routing.EngineSpec;
 import org.cornelramp.core.routing.RouteKind;
 import org.cornelramp.core.routing.ServiceSpec;
@@ -22,6 +21,7 @@
 import org.cornelramp.daemon.kernel.Duty;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.peer.PeerNews;
 import org.cornelramp.gateway.request.Attempt;
 import org.cornelramp.gateway.request.AttemptEnd;
 import org.cornelramp.gateway.request.Exchange;
@@ -42,11 +42,8 @@
     private static final int RING = 8_192;
     private static final long TICK_MILLIS = 20;
 
-    /** Share of the common reserve of repeats that one process takes: eight processes may fail at once. */
-    private static final double RESERVE_SHARE = 1.0 / 8;
-
     /** Most attempts at one request, those that did not run included: more would not find a server either. */
-    private static final int MOST_SENT = 5;
+    private static final int MOST_SENT = 6;
 
     /** How long a broken stream waits for a path; its client leaves two seconds after the last event. */
     private static final long RESUME_WAIT_MILLIS = 1_500;
@@ -61,9 +58,10 @@
     private final SteadyClock clock;
     private final EventLog log;
     private final EngineDesk desk;
-    private final Beliefs beliefs = new Beliefs();
+    private final Beliefs beliefs;
     private final Map<Exchange, Flight> flights = new IdentityHashMap<>();
-    private final Map<ServiceName, RetryWindow> repeats = new HashMap<>();
+    private final Repeats repeats;
+    private final PeerTalk talk;
     private final AtomicInteger underWay = new AtomicInteger();
     private final Duty<RouterEvent> duty;
     private final StreamWatch watch;
@@ -84,6 +82,7 @@
             EventLog log,
             EngineDesk desk) {
         this.settings = settings;
+        this.beliefs = new Beliefs(settings.timing().drainMillis());
         this.pooled = pooled;
         this.single = single;
         this.config = config;
@@ -91,6 +90,8 @@
         this.log = log;
         this.desk = desk;
         this.duty = new Duty<>("router", RING, this::handle, this::tick, TICK_MILLIS);
+        this.repeats = new Repeats(settings.retries());
+        this.talk = new PeerTalk(settings.name(), beliefs, log);
         this.watch = new StreamWatch(beliefs, desk, log, this::offer);
     }
 
@@ -119,6 +120,16 @@
         return view;
     }
 
+    /** What this process tells its peers. */
+    public PeerNews news() {
+        return talk.news();
+    }
+
+    /** Takes a peer's news. */
+    public void peerTold(PeerNews told) {
+        offer(new RouterEvent.PeerTold(told));
+    }
+
     private void handle(RouterEvent event) {
         long now = clock.millis();
         if (event instanceof RouterEvent.Arrived arrived) {
@@ -127,6 +138,8 @@
             ended(ended.attempt(), ended.end(), now);
         } else if (event instanceof RouterEvent.Registered registered) {
             registered(registered, now);
+        } else if (event instanceof RouterEvent.PeerTold told) {
+            talk.told(told.news(), now);
         } else if (event instanceof RouterEvent.StoreAnswers answers) {
             storeAnswers(answers.answers(), now);
         } else if (event instanceof RouterEvent.Reported reported) {
@@ -143,7 +156,7 @@
         Flight flight = new Flight(exchange, service, expectedTokens(call.head()));
         flights.put(exchange, flight);
         underWay.incrementAndGet();
-        repeats(service).request(now);
+        repeats.request(service, now);
         send(flight, now);
     }
 
@@ -153,12 +166,6 @@
         return head.promptTokens() + output;
     }
 
-    private RetryWindow repeats(ServiceName service) {
-        GatewaySettings.Retries by = settings.retries();
-        return repeats.computeIfAbsent(
-                service, any -> new RetryWindow(by.ratio(), by.reserve() * RESERVE_SHARE, by.windowMillis()));
-    }
-
     /** Sends a request to the best server, or refuses it when there is none. */
     private void send(Flight flight, long now) {
         if (now >= flight.exchange().call().deadlineMillis()) {
@@ -184,7 +191,8 @@
     private boolean sendToEngines(Flight flight, EngineSpec spec, long now) {
         CallHead head = flight.exchange().call().head();
         int tokens = flight.tokens() > 0 ? flight.tokens() : spec.usualTokens();
-        PathFinder.Demand demand = new PathFinder.Demand(settings.dataCentre(), head.promptTokens(), tokens);
+        PathFinder.Demand demand =
+                new PathFinder.Demand(settings.dataCentre(), head.promptTokens(), tokens, allowedFirsts(flight, now));
         List<BackendServer> usable = beliefs.usable(flight.service(), now).stream()
                 .filter(server -> !flight.avoid().contains(server.id()))
                 .toList();
@@ -196,6 +204,20 @@
         return path.isPresent();
     }
 
+    /**
+     * The engines that may take the request: any, until as many as its route allows have had it, then those again.
+     * One that has died or was cut off does not count.
+     */
+    private Set<BackendServerId> allowedFirsts(Flight flight, long now) {
+        Set<BackendServerId> alive = new HashSet<>();
+        for (BackendServerId id : flight.firsts()) {
+            if (beliefs.registry().server(id).isPresent() && !beliefs.isSuspect(id, now)) {
+                alive.add(id);
+            }
+        }
+        return alive.size() < flight.route().maxAttempts() ? Set.of() : alive;
+    }
+
     private void load(Flight flight, StagePath path) {
         unload(flight);
         beliefs.loads().add(path, flight.tokens());
@@ -210,8 +232,8 @@
     }
 
     private boolean sendPlain(Flight flight, long now) {
-        Optional<BackendServer> server = beliefs.plain()
-                .choose(beliefs.usable(flight.service(), now), flight.avoid(), settings.dataCentre());
+        Optional<BackendServer> server =
+                beliefs.plain().choose(beliefs.usable(flight.service(), now), flight.avoid(), settings.dataCentre());
         server.ifPresent(chosen -> {
             beliefs.plain().sent(chosen.id());
             begin(flight, chosen, Optional.empty(), now);
@@ -238,7 +260,9 @@
                 .with("server", server.id())
                 .with("attempt", flight.sent())
                 .with("path", path.map(StagePath::text).orElse(""))
-                .with("tokenMicros", path.map(way -> Math.round(way.tokenMillis() * 1_000)).orElse(0L))
+                .with(
+                        "tokenMicros",
+                        path.map(way -> Math.round(way.tokenMillis() * 1_000)).orElse(0L))
                 .with("underWay", underWay.get())
                 .with("lastEvent", exchange.lastEvent().orElse(-1L))
                 .with("configVersion", configVersion())
@@ -269,6 +293,9 @@
         }
         unload(flight);
         flight.endAttempt(end.kind().surelyNotRun());
+        if (attempt.path().isPresent() && !end.kind().surelyNotRun()) {
+            flight.firsts().add(attempt.server().id());
+        }
         switch (end.kind()) {
             case RELAYED -> complete(flight, end, now);
             case CLIENT_GONE -> drop(flight, "client gone", now);
@@ -315,15 +342,16 @@
 
     /** Sends the request once more if the rules leave room for it. */
     private boolean trySend(Flight flight, Attempt failed, AttemptEnd end, long now) {
-        boolean attemptsLeft = flight.sent() < MOST_SENT && flight.mayHaveRun() < flight.route().maxAttempts();
-        boolean resumes = flight.exchange().isCommitted();
-        if (!resumes && !attemptsLeft || flight.sent() >= 2 * MOST_SENT) {
+        boolean engines = failed.path().isPresent();
+        boolean attemptsLeft = engines || flight.mayHaveRun() < flight.route().maxAttempts();
+        if (!attemptsLeft || flight.sent() >= MOST_SENT) {
             return false;
         }
-        if (end.kind() != AttemptEnd.Kind.NOT_SENT && !repeats(flight.service()).tryRepeat(now)) {
+        if (end.kind() != AttemptEnd.Kind.NOT_SENT
+                && !repeats.tryRepeat(flight.service(), beliefs.loads().peerCount(), now)) {
             return false;
         }
-        if (failed.path().isEmpty() || end.faultAt().isEmpty()) {
+        if (!engines || (end.kind().surelyNotRun() && end.faultAt().isEmpty())) {
             flight.avoid().add(failed.server().id());
         }
         end.faultAt().flatMap(beliefs::at).ifPresent(server -> flight.avoid().add(server.id()));
@@ -334,22 +362,28 @@
     /** Learns from a failure which server to leave alone for a while. */
     private void blame(Attempt attempt, AttemptEnd end, long now) {
         Optional<BackendServer> named = end.faultAt().flatMap(beliefs::at);
-        boolean lost = end.kind() == AttemptEnd.Kind.NOT_SENT;
         if (named.isPresent()) {
-            suspect(named.get(), "blamed by " + attempt.server().id() + " " + end.detail(), now);
-        } else if (lost) {
-            suspect(attempt.server(), end.detail(), now);
+            // A dead engine is named only after its work has stalled; one that is full or moving refuses at once.
+            boolean stalled = now - attempt.startMillis() > settings.timing().stallMillis() / 2;
+            suspect(named.get(), stalled ? Evidence.LOST : Evidence.BUSY, "blamed with " + end.detail(), now);
+        } else if (end.kind() == AttemptEnd.Kind.NOT_SENT) {
+            suspect(attempt.server(), Evidence.LOST, end.detail(), now);
         }
     }
 
-    private void suspect(BackendServer server, String why, long now) {
-        if (beliefs.suspicions().suspect(server.id(), now)) {
-            log.line("fleet", "suspected")
-                    .with("server", server.id())
-                    .with("address", server.address())
-                    .with("why", why)
-                    .write();
+    private void suspect(BackendServer server, Evidence evidence, String why, long now) {
+        if (!beliefs.suspicions().suspect(server.id(), evidence, now)) {
+            return;
         }
+        if (evidence == Evidence.LOST) {
+            talk.sawFail(server.id(), now);
+        }
+        log.line("fleet", "suspected")
+                .with("server", server.id())
+                .with("address", server.address())
+                .with("evidence", evidence)
+                .with("why", why)
+                .write();
     }
 
     private void giveUp(Flight flight, Refusal refusal, String why) {
@@ -426,12 +460,16 @@
 
     private void reported(BackendServer engine, Either<StoreFault, EngineReport> report, long now) {
         if (report.isLeft()) {
-            suspect(engine, "no report: " + report.getLeft(), now);
+            if (beliefs.suspicions().isLost(engine.id(), now)) {
+                beliefs.suspicions().trialFailed(engine.id(), now);
+            } else {
+                suspect(engine, Evidence.LOST, "no report: " + report.getLeft(), now);
+            }
             return;
         }
-        beliefs.loads().setPace(engine.id(), report.get().pace());
+        beliefs.loads().setPace(engine.id(), report.get().pace(), now);
         for (EngineReport.Stalled stalled : report.get().stalled()) {
-            beliefs.at(stalled.address()).ifPresent(server -> suspect(server, "work stalls there", now));
+            beliefs.at(stalled.address()).ifPresent(server -> suspect(server, Evidence.LOST, "work stalls there", now));
         }
     }
 
@@ -459,6 +497,12 @@
         for (Flight flight : List.copyOf(flights.values())) {
             checkTime(flight, now);
         }
+        for (BackendServerId id : beliefs.suspicions().dueForTrial(now)) {
+            beliefs.registry()
+                    .server(id)
+                    .filter(server -> !server.card().isEmpty())
+                    .ifPresent(server -> desk.ask(server, this::offer));
+        }
         watch.check(flights.values(), config.current(), now);
         if (beliefs.registry().expire(now)) {
             beliefs.forgetGone();
@@ -468,6 +512,14 @@
 
     private void checkTime(Flight flight, long now) {
         Attempt attempt = flight.attempt();
+        if (flight.exchange().hasClientLeft(now)) {
+            if (attempt != null) {
+                flight.endAttempt(false);
+                attempt.cancel("the client has gone");
+            }
+            drop(flight, "client gone", now);
+            return;
+        }
         if (now >= flight.exchange().call().deadlineMillis()) {
             if (attempt != null) {
                 flight.endAttempt(false);
@@ -491,10 +543,11 @@
         Set<BackendServerId> suspects = new HashSet<>();
         List<BackendServer> servers = beliefs.registry().servers();
         for (BackendServer server : servers) {
-            if (beliefs.suspicions().isSuspect(server.id(), now)) {
+            if (beliefs.isSuspect(server.id(), now)) {
                 suspects.add(server.id());
             }
         }
+        talk.prepare(now);
         view = new FleetView(servers, suspects, storeAnswers, beliefs.isKnown());
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
@@ -5,6 +5,7 @@
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerRegistry;
 import org.cornelramp.core.path.StagePath;
+import org.cornelramp.gateway.peer.PeerNews;
 import org.cornelramp.gateway.request.Attempt;
 import org.cornelramp.gateway.request.AttemptEnd;
 import org.cornelramp.gateway.request.Exchange;
@@ -27,6 +28,9 @@
         }
     }
 
+    /** A peer has told its news. */
+    record PeerTold(PeerNews news) implements RouterEvent {}
+
     /** The store answered, or did not. */
     record StoreAnswers(boolean answers) implements RouterEvent {}
 
