Test the gateway against stand-ins, and find a dead engine by the first request that it is blamed for

Cause: after a death every stream through the engine paused for half a second or more, until the silence was noticed; new requests were refused at once in its name, which nobody followed up. A request that failed on one plain server was run again on another although it fails everywhere. A request that had run and found no second server was told that it had not run. Ruled out: taking every such refusal for a death (an engine that is full or moving refuses the same way). Change: an engine that is blamed is asked at once and has 80 ms to answer; a signed failure is repeated only where its server fails often; a refusal is given only where nothing may have run. Dispatcher leaves the router.

--- a/core/src/main/java/org/cornelramp/core/path/PathFinder.java
+++ b/core/src/main/java/org/cornelramp/core/path/PathFinder.java
@@ -41,8 +41,11 @@
 
     private static final double BITS_PER_MEGABIT = 1e6;
 
-    /** Cost of a first engine in another data centre: its events cross, but no activations do. */
-    private static final double ENTRY_MILLIS = 8;
+    /**
+     * Cost of a first engine in another data centre: its events cross, but no activations do. A little more than the
+     * way there and back, so that equal copies keep their own clients.
+     */
+    private static final double ENTRY_MILLIS = 3;
 
     /** Share of an engine's memory that is filled; the rest is for what peers have just sent and for long answers. */
     private static final double MEMORY_SHARE = 0.92;
--- a/core/src/main/java/org/cornelramp/core/placement/Planner.java
+++ b/core/src/main/java/org/cornelramp/core/placement/Planner.java
@@ -61,6 +61,27 @@
         return new Plan(spec, engines, fixed, newcomers).run();
     }
 
+    /** For each data centre with engines, how many layers have no holder there, and how many just one. */
+    public static String coverage(EngineSpec spec, List<BackendServer> engines) {
+        Plan plan = new Plan(spec, engines, Set.of(), Set.of());
+        StringBuilder text = new StringBuilder();
+        plan.held.entrySet().stream().sorted(Map.Entry.comparingByKey()).forEach(entry -> {
+            long none = Arrays.stream(entry.getValue())
+                    .filter(holders -> holders == 0)
+                    .count();
+            long once = Arrays.stream(entry.getValue())
+                    .filter(holders -> holders == 1)
+                    .count();
+            text.append(entry.getKey())
+                    .append(" none ")
+                    .append(none)
+                    .append(" once ")
+                    .append(once)
+                    .append("; ");
+        });
+        return text.toString();
+    }
+
     /** One planning run. */
     private static final class Plan {
         private final EngineSpec spec;
--- /dev/null
+++ b/core/src/test/java/org/cornelramp/core/path/PathFinderTest.java
@@ -0,0 +1,173 @@
+package org.cornelramp.core.path;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.routing.EngineSpec;
+import org.testng.annotations.Test;
+
+/** Which engines a stream passes, by place, load, memory and slowness. */
+public class PathFinderTest {
+    private static final EngineSpec SPEC = Engines.spec(9_000);
+
+    private static List<BackendServer> copy(String dataCentre) {
+        List<BackendServer> copy = new ArrayList<>();
+        copy.add(Engines.engine(dataCentre + "-a", dataCentre, "h100", 0, 27));
+        copy.add(Engines.engine(dataCentre + "-b", dataCentre, "h100", 27, 54));
+        copy.add(Engines.engine(dataCentre + "-c", dataCentre, "h100", 54, 80));
+        return copy;
+    }
+
+    private static List<BackendServer> slowCopy(String dataCentre) {
+        List<BackendServer> copy = new ArrayList<>();
+        for (int from = 0; from < Engines.LAYERS; from += 8) {
+            copy.add(Engines.engine(dataCentre + "-" + from, dataCentre, "l4", from, from + 8));
+        }
+        return copy;
+    }
+
+    private static Set<String> dataCentres(StagePath path) {
+        return path.hops().stream()
+                .map(hop -> hop.server().dataCentre().value())
+                .collect(Collectors.toSet());
+    }
+
+    @Test
+    public void staysInItsOwnDataCentreWhileThatHasACopy() {
+        List<BackendServer> engines = new ArrayList<>(copy("dc1"));
+        engines.addAll(copy("dc2"));
+        StagePath path = PathFinder.find(SPEC, engines, new EngineLoads(), Engines.demand("dc2"))
+                .orElseThrow();
+        assertEquals(dataCentres(path), Set.of("dc2"));
+        assertEquals(path.crossings(), 0);
+    }
+
+    /**
+     * An engine of the own data centre dies, and no other there holds its layers. A stream that left its data centre
+     * for these layers alone would cross the shared pipe twice with every token; it goes to the other copy whole.
+     */
+    @Test
+    public void goesToAnotherCopyWholeRatherThanThereAndBack() {
+        List<BackendServer> engines = new ArrayList<>(copy("dc1"));
+        engines.remove(1);
+        engines.addAll(copy("dc2"));
+        StagePath path = PathFinder.find(SPEC, engines, new EngineLoads(), Engines.demand("dc1"))
+                .orElseThrow();
+        assertEquals(dataCentres(path), Set.of("dc2"));
+        assertEquals(path.crossings(), 0);
+    }
+
+    /**
+     * Each of two data centres lacks layers that the other has, so every path crosses. The pipe of today carries the
+     * activations of about 28 ordinary requests a second over one hop; what exceeds half of that is refused at once
+     * instead of stalling all that cross.
+     */
+    @Test
+    public void plansNoMoreCrossingsThanThePipeCarries() {
+        List<BackendServer> engines = new ArrayList<>();
+        engines.add(Engines.engine("left", "dc1", "h100", 0, 27));
+        engines.add(Engines.engine("middle", "dc2", "h100", 27, 54));
+        engines.add(Engines.engine("right", "dc2", "h100", 54, 80));
+        EngineSpec roomy = Engines.spec(9_000);
+        EngineLoads loads = new EngineLoads();
+        int placed = 0;
+        Optional<StagePath> path = PathFinder.find(roomy, engines, loads, Engines.demand("dc1"));
+        while (path.isPresent() && placed < 1_000) {
+            loads.add(path.get(), 1);
+            placed++;
+            path = PathFinder.find(
+                    roomy,
+                    engines,
+                    loads,
+                    new PathFinder.Demand(Engines.demand("dc1").home(), 772, 1, Set.of()));
+        }
+        double tokensPerSecond = placed * roomy.usualTokens() / 4.0;
+        double megabits = tokensPerSecond * roomy.activationBytes() * 8 / 1e6;
+        assertTrue(placed > 20, "the pipe is used at all, placed " + placed);
+        assertTrue(megabits <= 9_000 * 0.5, "planned " + megabits + " Mbit/s");
+    }
+
+    /**
+     * After a death all gateways send their streams to the copies that are left. Each counts what its peers have under
+     * way, so the streams spread over both copies instead of filling the faster one until it runs out of memory.
+     */
+    @Test
+    public void spreadsOverCopiesByWhatPeersHaveUnderWay() {
+        List<BackendServer> engines = new ArrayList<>(slowCopy("dc1"));
+        engines.addAll(slowCopy("dc2"));
+        EngineLoads loads = new EngineLoads();
+        EngineLoads peer = new EngineLoads();
+        for (int i = 0; i < 60; i++) {
+            peer.add(
+                    PathFinder.find(SPEC, slowCopy("dc1"), peer, Engines.demand("dc1"))
+                            .orElseThrow(),
+                    944);
+        }
+        loads.peer("peer", peer.own(), 0, 0);
+        StagePath path =
+                PathFinder.find(SPEC, engines, loads, Engines.demand("dc1")).orElseThrow();
+        assertEquals(dataCentres(path), Set.of("dc2"));
+    }
+
+    @Test
+    public void leavesOutAnEngineWithoutMemory() {
+        EngineLoads loads = new EngineLoads();
+        List<BackendServer> engines = copy("dc1");
+        int placed = 0;
+        Optional<StagePath> path = PathFinder.find(SPEC, engines, loads, Engines.demand("dc1"));
+        while (path.isPresent()) {
+            loads.add(path.get(), 944);
+            placed++;
+            path = PathFinder.find(SPEC, engines, loads, Engines.demand("dc1"));
+        }
+        double freeMb = 72_000 - 27 * 1_750;
+        double takenMb = placed * 944.0 * 27 * SPEC.tokenLayerMb();
+        assertTrue(takenMb <= freeMb, "taken " + takenMb + " of " + freeMb);
+        assertTrue(takenMb > freeMb * 0.85, "the memory is used, taken " + takenMb + " of " + freeMb);
+    }
+
+    @Test
+    public void goesAroundASlowEngine() {
+        List<BackendServer> engines = copy("dc1");
+        engines.add(Engines.engine("twin", "dc1", "h100", 27, 54));
+        EngineLoads loads = new EngineLoads();
+        loads.setPace(new BackendServerId("dc1-b"), 5, 0);
+        StagePath path =
+                PathFinder.find(SPEC, engines, loads, Engines.demand("dc1")).orElseThrow();
+        assertTrue(path.hop(new BackendServerId("twin")).isPresent(), path.text());
+        loads.forgetPaces(60_000);
+        assertEquals(loads.pace(new BackendServerId("dc1-b")), 1.0);
+    }
+
+    @Test
+    public void startsOnlyAtAnEngineThatMayTakeTheRequest() {
+        List<BackendServer> engines = copy("dc1");
+        engines.addAll(copy("dc2"));
+        PathFinder.Demand demand =
+                new PathFinder.Demand(Engines.demand("dc1").home(), 10, 20, Set.of(new BackendServerId("dc2-a")));
+        StagePath path =
+                PathFinder.find(SPEC, engines, new EngineLoads(), demand).orElseThrow();
+        assertEquals(path.first().id(), new BackendServerId("dc2-a"));
+    }
+
+    @Test
+    public void keepsTheFirstHopOfARunningRequest() {
+        List<BackendServer> engines = copy("dc1");
+        engines.add(Engines.engine("twin", "dc1", "h100", 27, 54));
+        Hop first = new Hop(engines.get(0), 0, 27);
+        List<BackendServer> left = engines.stream()
+                .filter(one -> !one.id().value().equals("dc1-b"))
+                .toList();
+        StagePath path = PathFinder.findAfter(first, SPEC, left, new EngineLoads(), Engines.demand("dc1"))
+                .orElseThrow();
+        assertEquals(path.hops().get(0), first);
+        assertTrue(path.hop(new BackendServerId("twin")).isPresent(), path.text());
+    }
+}
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/EntryHandler.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/EntryHandler.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.cornelramp.core.model.Problem;
 import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.daemon.http.BodyReader;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/BodyReader.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/http/BodyReader.java
@@ -1,4 +1,4 @@
-package org.cornelramp.daemon.entry;
+package org.cornelramp.daemon.http;
 
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
@@ -19,7 +19,7 @@
  * <p>Called by the server, one call at a time, and by its scheduler. Invariants: at most the bound is held, and what
  * follows is called once, at the latest when the time for the body is over.
  */
-final class BodyReader implements Runnable {
+public final class BodyReader implements Runnable {
     /** Longest time for a whole body; a caller that sends a byte now and then would else hold its place for ever. */
     private static final long LONGEST_SECONDS = 10;
 
@@ -30,14 +30,15 @@
     private final AtomicBoolean ended = new AtomicBoolean();
     private Scheduler.Task timeout = () -> true;
 
-    BodyReader(Request request, int maxBytes, Consumer<Either<Problem, byte[]>> then) {
+    /** @param then called once, with the whole body or why there is none */
+    public BodyReader(Request request, int maxBytes, Consumer<Either<Problem, byte[]>> then) {
         this.request = request;
         this.maxBytes = maxBytes;
         this.then = then;
     }
 
     /** Starts reading. */
-    void start() {
+    public void start() {
         if (request.getLength() > maxBytes) {
             end(Either.left(tooLarge()));
             return;
--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -18,7 +18,7 @@
 import org.cornelramp.platform.MetadataStore;
 
 /** All parts of one gateway. {@link #beginStop} may be called by any thread, the rest by the main thread only. */
-public final class Gateway {
+public final class Gateway implements AutoCloseable {
     /** After two missed questions, a second apart, the balancer sends no new connections; then a margin. */
     private static final long UNLISTED_MILLIS = 2_500;
 
@@ -47,8 +47,7 @@
         ConfigHolder config = new ConfigHolder();
         MetadataStore store = new MetadataStore(clients.pooled(), settings.store());
         EngineControl control = new EngineControl(clients.pooled());
-        this.router =
-                new Router(settings, clients.pooled(), clients.single(), config, clock, log, new EngineDesk(control));
+        this.router = new Router(settings, clients, config, clock, log, new EngineDesk(control));
         RecordCache cache = new RecordCache();
         this.peers = new PeerLink(settings.peers(), router::news, router::peerTold, clock, log);
         PeerRecords peerRecords =
@@ -94,7 +93,18 @@
             }
         }
         log.line("process", "stop").with("cut", router.underWay()).write();
+        close();
+    }
+
+    /** Ends all parts at once, whatever is under way. */
+    @Override
+    public void close() throws Exception {
         configFollower.stop();
         serverFollower.stop();
+        placement.stop();
+        peers.stop();
+        front.stop();
+        router.stop();
+        clients.stop();
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
@@ -9,7 +9,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** The HTTP clients of one gateway, on shared threads. Started once; the clients are safe for use by any thread. */
-final class HttpClients {
+public final class HttpClients {
     private static final int MAX_THREADS = 16;
     private static final int MIN_THREADS = 4;
 
@@ -63,13 +63,19 @@
         }
     }
 
+    void stop() throws Exception {
+        pooled.stop();
+        single.stop();
+        threads.stop();
+    }
+
     /** Sends over kept connections. */
-    HttpClient pooled() {
+    public HttpClient pooled() {
         return pooled;
     }
 
     /** Sends each request over a connection of its own. */
-    HttpClient single() {
+    public HttpClient single() {
         return single;
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/archive/ArchiveRun.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/archive/ArchiveRun.java
@@ -69,7 +69,10 @@
             served += good ? 1 : 0;
             Thread.sleep(good ? 1 : 100);
         }
-        log.line("archive", "ran").with("served", served).with("servers", servers.size()).write();
+        log.line("archive", "ran")
+                .with("served", served)
+                .with("servers", servers.size())
+                .write();
         log.stop();
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/place/PlacementDuty.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/PlacementDuty.java
@@ -86,6 +86,7 @@
     private long generation;
     private long joinedMillis;
     private long heldUntil;
+    private String toldCoverage = "";
     private long membersDue;
     private int peersKnown;
     private int enginesSeen;
@@ -217,6 +218,15 @@
         if (!hasSettled(known, now)) {
             return;
         }
+        String coverage = Planner.coverage(spec, known);
+        if (!coverage.equals(toldCoverage)) {
+            toldCoverage = coverage;
+            log.line("placement", "coverage")
+                    .with("layers", coverage)
+                    .with("engines", known.size())
+                    .with("loading", orders.size())
+                    .write();
+        }
         Set<BackendServerId> fixed = new HashSet<>(orders.keySet());
         known.forEach(server -> firstSeen.putIfAbsent(server.id(), now));
         firstSeen
--- a/gateway/src/main/java/org/cornelramp/gateway/request/FrontServer.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/FrontServer.java
@@ -100,6 +100,11 @@
         server.start();
     }
 
+    /** Closes all connections. */
+    public void stop() throws Exception {
+        server.stop();
+    }
+
     /** Refuses new requests from now on; those under way go on. */
     public void refuseNew() {
         refusing = true;
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Intake.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Intake.java
@@ -1,10 +1,13 @@
 package org.cornelramp.gateway.request;
 
+import java.io.IOException;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import org.cornelramp.core.model.ProblemKind;
 import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.routing.RoutingConfig;
+import org.cornelramp.daemon.http.BodyReader;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.route.ConfigHolder;
@@ -13,10 +16,8 @@
 import org.cornelramp.platform.CallHead;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
-import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 
 /**
@@ -90,19 +91,16 @@
 
     private void read(Request request, Response response, Callback callback, Known known) {
         int most = known.version().limits().bodyBytes();
-        if (request.getLength() > most) {
-            refuse(request, response, callback, known.head(), Refusal.TOO_LARGE);
-            return;
-        }
-        Content.Source.asByteBufferAsync(request, most).whenComplete((body, failure) -> {
-            if (failure instanceof IllegalStateException) {
-                refuse(request, response, callback, known.head(), Refusal.TOO_LARGE);
-            } else if (failure != null) {
-                callback.failed(failure);
-            } else {
-                handOver(request, response, callback, known, BufferUtil.toArray(body));
-            }
-        });
+        new BodyReader(request, most, body -> {
+                    if (body.isRight()) {
+                        handOver(request, response, callback, known, body.get());
+                    } else if (body.getLeft().kind() == ProblemKind.REQUEST_TOO_LARGE) {
+                        refuse(request, response, callback, known.head(), Refusal.TOO_LARGE);
+                    } else {
+                        callback.failed(new IOException(body.getLeft().detail()));
+                    }
+                })
+                .start();
     }
 
     private void handOver(Request request, Response response, Callback callback, Known known, byte[] body) {
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -0,0 +1,148 @@
+package org.cornelramp.gateway.route;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.path.PathFinder;
+import org.cornelramp.core.path.StagePath;
+import org.cornelramp.core.routing.EngineSpec;
+import org.cornelramp.core.routing.ServiceSpec;
+import org.cornelramp.core.settings.GatewaySettings;
+import org.cornelramp.gateway.HttpClients;
+import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.request.Attempt;
+import org.cornelramp.gateway.request.AttemptEnd;
+import org.cornelramp.gateway.request.Exchange;
+import org.cornelramp.platform.ForwardHead;
+import org.eclipse.jetty.client.HttpClient;
+
+/**
+ * Sends a request to the best backend server, and keeps count of what that puts on engines and servers. Owned by the
+ * router's duty.
+ */
+final class Dispatcher {
+    private final GatewaySettings settings;
+    private final HttpClients clients;
+    private final ConfigHolder config;
+    private final Beliefs beliefs;
+    private final SteadyClock clock;
+    private final EventLog log;
+    private final BiConsumer<Attempt, AttemptEnd> onEnd;
+
+    /** @param onEnd called once for each attempt, by any thread, when it has ended */
+    Dispatcher(
+            GatewaySettings settings,
+            HttpClients clients,
+            ConfigHolder config,
+            Beliefs beliefs,
+            SteadyClock clock,
+            EventLog log,
+            BiConsumer<Attempt, AttemptEnd> onEnd) {
+        this.settings = settings;
+        this.clients = clients;
+        this.config = config;
+        this.beliefs = beliefs;
+        this.clock = clock;
+        this.log = log;
+        this.onEnd = onEnd;
+    }
+
+    /** Sends the request; false if no server can take it now. */
+    boolean send(Flight flight, long now) {
+        Optional<EngineSpec> engine = config.current()
+                .flatMap(version -> version.service(flight.service()))
+                .flatMap(ServiceSpec::engine);
+        return engine.isPresent() ? sendToEngines(flight, engine.get(), now) : sendPlain(flight, now);
+    }
+
+    private boolean sendToEngines(Flight flight, EngineSpec spec, long now) {
+        int prompt = flight.exchange().call().head().promptTokens();
+        flight.expectTokens(spec.usualTokens());
+        PathFinder.Demand demand =
+                new PathFinder.Demand(settings.dataCentre(), prompt, flight.tokens(), allowedFirsts(flight, now));
+        List<BackendServer> usable = beliefs.usable(flight.service(), now).stream()
+                .filter(server -> !flight.avoid().contains(server.id()))
+                .toList();
+        Optional<StagePath> path = PathFinder.find(spec, usable, beliefs.loads(), demand);
+        path.ifPresent(way -> {
+            load(flight, way);
+            begin(flight, way.first(), Optional.of(way), now);
+        });
+        return path.isPresent();
+    }
+
+    /**
+     * The engines that may take the request: any, until as many as its route allows have had it, then those again.
+     * One that has died or was cut off does not count.
+     */
+    private Set<BackendServerId> allowedFirsts(Flight flight, long now) {
+        Set<BackendServerId> alive = new HashSet<>();
+        for (BackendServerId id : flight.firsts()) {
+            if (beliefs.registry().server(id).isPresent() && !beliefs.isSuspect(id, now)) {
+                alive.add(id);
+            }
+        }
+        return alive.size() < flight.route().maxAttempts() ? Set.of() : alive;
+    }
+
+    /** Counts the request on the engines of a path, and no longer on those of another. */
+    void load(Flight flight, StagePath path) {
+        unload(flight);
+        beliefs.loads().add(path, flight.tokens());
+        flight.setLoaded(path);
+    }
+
+    /** Counts the request on no engine any more. */
+    void unload(Flight flight) {
+        if (flight.loaded() != null) {
+            beliefs.loads().remove(flight.loaded(), flight.tokens());
+            flight.setLoaded(null);
+        }
+    }
+
+    private boolean sendPlain(Flight flight, long now) {
+        Optional<BackendServer> server =
+                beliefs.plain().choose(beliefs.usable(flight.service(), now), flight.avoid(), settings.dataCentre());
+        server.ifPresent(chosen -> {
+            beliefs.plain().sent(chosen.id());
+            begin(flight, chosen, Optional.empty(), now);
+        });
+        return server.isPresent();
+    }
+
+    private void begin(Flight flight, BackendServer server, Optional<StagePath> path, long now) {
+        Exchange exchange = flight.exchange();
+        Exchange.Call call = exchange.call();
+        ForwardHead head = new ForwardHead(
+                server.id(),
+                call.deadlineMillis() - now,
+                call.organisation(),
+                path,
+                path.map(way -> call.priority()),
+                exchange.lastEvent());
+        // A request that may not be repeated must not meet a kept connection that its server is just closing.
+        HttpClient http = flight.route().mayRepeat() ? clients.pooled() : clients.single();
+        Attempt attempt = new Attempt(http, exchange, server, head, clock, onEnd);
+        flight.begin(attempt);
+        log.ordinary("route", "sent")
+                .with("id", call.id())
+                .with("server", server.id())
+                .with("attempt", flight.sent())
+                .with("path", path.map(StagePath::text).orElse(""))
+                .with(
+                        "tokenMicros",
+                        path.map(way -> Math.round(way.tokenMillis() * 1_000)).orElse(0L))
+                .with("crossings", beliefs.loads().crossings())
+                .with("lastEvent", exchange.lastEvent().orElse(-1L))
+                .with(
+                        "configVersion",
+                        config.current().map(version -> version.version()).orElse(-1L))
+                .write();
+        attempt.start(now);
+    }
+}
--- a/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
@@ -1,11 +1,14 @@
 package org.cornelramp.gateway.route;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.gateway.request.Attempt;
 import org.cornelramp.platform.EngineControl;
@@ -18,8 +21,14 @@
     private static final int THREADS = 3;
     private static final int QUEUE = 256;
 
+    /** Some twenty times an engine's usual time to answer, and little against the pause that a client notices. */
+    private static final long QUICK_TIMEOUT_MILLIS = 80;
+
+    private static final long QUICK_PAUSE_MILLIS = 250;
+
     private final EngineControl control;
     private final ThreadPoolExecutor threads;
+    private final Map<BackendServerId, Long> asked = new HashMap<>();
 
     public EngineDesk(EngineControl control) {
         this.control = control;
@@ -32,6 +41,18 @@
         threads.allowCoreThreadTimeOut(true);
     }
 
+    /**
+     * Asks an engine that was just blamed, and takes a short silence for death: an engine answers within some
+     * milliseconds, and the streams that wait for a dead one can still go on elsewhere unnoticed. Asked at most once in
+     * a while; called by the router's duty only.
+     */
+    void askQuickly(BackendServer engine, Consumer<RouterEvent> router, long now) {
+        asked.values().removeIf(at -> now - at > QUICK_PAUSE_MILLIS);
+        if (asked.putIfAbsent(engine.id(), now) == null) {
+            submit(() -> router.accept(new RouterEvent.Reported(engine, control.report(engine, QUICK_TIMEOUT_MILLIS))));
+        }
+    }
+
     /** Asks an engine for its report; false if too many calls wait. */
     boolean ask(BackendServer engine, Consumer<RouterEvent> router) {
         return submit(() -> router.accept(new RouterEvent.Reported(engine, control.report(engine))));
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
@@ -13,7 +13,7 @@
 final class Flight {
     private final Exchange exchange;
     private final ServiceName service;
-    private final int tokens;
+    private int tokens;
     private final Set<BackendServerId> avoid = new HashSet<>();
     private final Set<BackendServerId> firsts = new HashSet<>();
     private Attempt attempt;
@@ -47,6 +47,11 @@
         return tokens;
     }
 
+    /** Sets the tokens of a request that did not tell any. */
+    void expectTokens(int usual) {
+        tokens = tokens > 0 ? tokens : usual;
+    }
+
     /** Servers that failed this request. */
     Set<BackendServerId> avoid() {
         return avoid;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -12,13 +11,10 @@
 import org.cornelramp.core.fleet.Suspicions.Evidence;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
-import org.cornelramp.core.path.PathFinder;
-import org.cornelramp.core.path.StagePath;
-import org.cornelramp.core.routing.EngineSpec;
 import org.cornelramp.core.routing.RouteKind;
-import org.cornelramp.core.routing.ServiceSpec;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.daemon.kernel.Duty;
+import org.cornelramp.gateway.HttpClients;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.peer.PeerNews;
@@ -28,9 +24,7 @@
 import org.cornelramp.gateway.request.Refusal;
 import org.cornelramp.platform.CallHead;
 import org.cornelramp.platform.EngineReport;
-import org.cornelramp.platform.ForwardHead;
 import org.cornelramp.platform.StoreFault;
-import org.eclipse.jetty.client.HttpClient;
 
 /**
  * Decides where each request goes, and again when an attempt fails.
@@ -51,40 +45,38 @@
     /** An answer of a plain service that has not come by this share of its target is tried elsewhere. */
     private static final double PATIENCE = 1.2;
 
+    /** Lowest status by which a backend server says that it failed. */
+    private static final int SERVER_ERROR = 500;
+
     private final GatewaySettings settings;
-    private final HttpClient pooled;
-    private final HttpClient single;
     private final ConfigHolder config;
     private final SteadyClock clock;
     private final EventLog log;
     private final EngineDesk desk;
     private final Beliefs beliefs;
-    private final Map<Exchange, Flight> flights = new IdentityHashMap<>();
+    private final IdentityHashMap<Exchange, Flight> flights = new IdentityHashMap<>();
     private final Repeats repeats;
     private final PeerTalk talk;
     private final AtomicInteger underWay = new AtomicInteger();
     private final Duty<RouterEvent> duty;
+    private final Dispatcher dispatcher;
     private final StreamWatch watch;
     private volatile FleetView view = FleetView.NOTHING;
     private boolean storeAnswers;
 
     /**
-     * @param pooled sends over kept connections
-     * @param single sends each request over a connection of its own
+     * @param clients send the requests
      * @param desk asks engines and gives them orders
      */
     public Router(
             GatewaySettings settings,
-            HttpClient pooled,
-            HttpClient single,
+            HttpClients clients,
             ConfigHolder config,
             SteadyClock clock,
             EventLog log,
             EngineDesk desk) {
         this.settings = settings;
         this.beliefs = new Beliefs(settings.timing().drainMillis());
-        this.pooled = pooled;
-        this.single = single;
         this.config = config;
         this.clock = clock;
         this.log = log;
@@ -92,6 +84,7 @@
         this.duty = new Duty<>("router", RING, this::handle, this::tick, TICK_MILLIS);
         this.repeats = new Repeats(settings.retries());
         this.talk = new PeerTalk(settings.name(), beliefs, log);
+        this.dispatcher = new Dispatcher(settings, clients, config, beliefs, clock, log, this::attemptEnded);
         this.watch = new StreamWatch(beliefs, desk, log, this::offer);
     }
 
@@ -145,7 +138,7 @@
         } else if (event instanceof RouterEvent.Reported reported) {
             reported(reported.engine(), reported.report(), now);
         } else if (event instanceof RouterEvent.Moved moved) {
-            moved(moved, now);
+            moved(moved);
         }
     }
 
@@ -166,112 +159,23 @@
         return head.promptTokens() + output;
     }
 
-    /** Sends a request to the best server, or refuses it when there is none. */
+    /** Sends a request, or ends it when no server can take it. */
     private void send(Flight flight, long now) {
         if (now >= flight.exchange().call().deadlineMillis()) {
             giveUp(flight, Refusal.NOT_RUN_IN_TIME, "deadline");
-            return;
-        }
-        Optional<EngineSpec> engine = config.current()
-                .flatMap(version -> version.service(flight.service()))
-                .flatMap(ServiceSpec::engine);
-        boolean sent = engine.isPresent() ? sendToEngines(flight, engine.get(), now) : sendPlain(flight, now);
-        if (sent) {
-            return;
+        } else if (!dispatcher.send(flight, now)) {
+            waitOrGiveUp(flight, now);
         }
-        boolean streaming = flight.exchange().isCommitted();
+    }
+
+    /** A stream that has begun waits for a path for a while; what has not begun is refused at once. */
+    private void waitOrGiveUp(Flight flight, long now) {
         long since = flight.waitingSince() == 0 ? now : flight.waitingSince();
-        if (streaming && now - since < RESUME_WAIT_MILLIS) {
+        if (flight.exchange().isCommitted() && now - since < RESUME_WAIT_MILLIS) {
             flight.waitSince(since);
             return;
         }
-        giveUp(flight, Refusal.NO_SERVER, "no server");
-    }
-
-    private boolean sendToEngines(Flight flight, EngineSpec spec, long now) {
-        CallHead head = flight.exchange().call().head();
-        int tokens = flight.tokens() > 0 ? flight.tokens() : spec.usualTokens();
-        PathFinder.Demand demand =
-                new PathFinder.Demand(settings.dataCentre(), head.promptTokens(), tokens, allowedFirsts(flight, now));
-        List<BackendServer> usable = beliefs.usable(flight.service(), now).stream()
-                .filter(server -> !flight.avoid().contains(server.id()))
-                .toList();
-        Optional<StagePath> path = PathFinder.find(spec, usable, beliefs.loads(), demand);
-        path.ifPresent(way -> {
-            load(flight, way);
-            begin(flight, way.first(), Optional.of(way), now);
-        });
-        return path.isPresent();
-    }
-
-    /**
-     * The engines that may take the request: any, until as many as its route allows have had it, then those again.
-     * One that has died or was cut off does not count.
-     */
-    private Set<BackendServerId> allowedFirsts(Flight flight, long now) {
-        Set<BackendServerId> alive = new HashSet<>();
-        for (BackendServerId id : flight.firsts()) {
-            if (beliefs.registry().server(id).isPresent() && !beliefs.isSuspect(id, now)) {
-                alive.add(id);
-            }
-        }
-        return alive.size() < flight.route().maxAttempts() ? Set.of() : alive;
-    }
-
-    private void load(Flight flight, StagePath path) {
-        unload(flight);
-        beliefs.loads().add(path, flight.tokens());
-        flight.setLoaded(path);
-    }
-
-    private void unload(Flight flight) {
-        if (flight.loaded() != null) {
-            beliefs.loads().remove(flight.loaded(), flight.tokens());
-            flight.setLoaded(null);
-        }
-    }
-
-    private boolean sendPlain(Flight flight, long now) {
-        Optional<BackendServer> server =
-                beliefs.plain().choose(beliefs.usable(flight.service(), now), flight.avoid(), settings.dataCentre());
-        server.ifPresent(chosen -> {
-            beliefs.plain().sent(chosen.id());
-            begin(flight, chosen, Optional.empty(), now);
-        });
-        return server.isPresent();
-    }
-
-    private void begin(Flight flight, BackendServer server, Optional<StagePath> path, long now) {
-        Exchange exchange = flight.exchange();
-        Exchange.Call call = exchange.call();
-        ForwardHead head = new ForwardHead(
-                server.id(),
-                call.deadlineMillis() - now,
-                call.organisation(),
-                path,
-                path.map(way -> call.priority()),
-                exchange.lastEvent());
-        // A request that may not be repeated must not meet a kept connection that its server is just closing.
-        HttpClient http = flight.route().mayRepeat() ? pooled : single;
-        Attempt attempt = new Attempt(http, exchange, server, head, clock, this::attemptEnded);
-        flight.begin(attempt);
-        log.ordinary("route", "sent")
-                .with("id", call.id())
-                .with("server", server.id())
-                .with("attempt", flight.sent())
-                .with("path", path.map(StagePath::text).orElse(""))
-                .with(
-                        "tokenMicros",
-                        path.map(way -> Math.round(way.tokenMillis() * 1_000)).orElse(0L))
-                .with("underWay", underWay.get())
-                .with("lastEvent", exchange.lastEvent().orElse(-1L))
-                .with("configVersion", configVersion())
-                .write();
-        attempt.start(now);
-    }
-
-    private long configVersion() {
-        return config.current().map(version -> version.version()).orElse(-1L);
+        giveUp(flight, flight.mayHaveRun() == 0 ? Refusal.NO_SERVER : Refusal.UNKNOWN, "no server");
     }
 
     private void attemptEnded(Attempt attempt, AttemptEnd end) {
@@ -285,13 +189,13 @@
         Flight flight = flights.get(attempt.exchange());
         boolean current = flight != null && flight.attempt() == attempt;
         if (attempt.path().isEmpty()) {
-            boolean good = end.kind() == AttemptEnd.Kind.ANSWERED && end.status() < 500;
+            boolean good = end.kind() == AttemptEnd.Kind.ANSWERED && end.status() < SERVER_ERROR;
             beliefs.plain().ended(attempt.server().id(), good, now - attempt.startMillis());
         }
         if (!current) {
             return;
         }
-        unload(flight);
+        dispatcher.unload(flight);
         flight.endAttempt(end.kind().surelyNotRun());
         if (attempt.path().isPresent() && !end.kind().surelyNotRun()) {
             flight.firsts().add(attempt.server().id());
@@ -310,8 +214,11 @@
     }
 
     private void answered(Flight flight, Attempt attempt, AttemptEnd end, long now) {
-        boolean serverFailed = end.status() >= 500;
-        if (serverFailed && flight.route().mayRepeat() && trySend(flight, attempt, end, now)) {
+        boolean worthRepeating = end.status() >= SERVER_ERROR
+                && flight.route().mayRepeat()
+                && (attempt.path().isPresent()
+                        || beliefs.plain().failsOften(attempt.server().id()));
+        if (worthRepeating && trySend(flight, attempt, end, now)) {
             return;
         }
         if (flight.exchange().isCommitted()) {
@@ -355,8 +262,12 @@
             flight.avoid().add(failed.server().id());
         }
         end.faultAt().flatMap(beliefs::at).ifPresent(server -> flight.avoid().add(server.id()));
-        send(flight, now);
-        return true;
+        boolean sent = now < flight.exchange().call().deadlineMillis() && dispatcher.send(flight, now);
+        if (!sent && flight.exchange().isCommitted()) {
+            waitOrGiveUp(flight, now);
+            return true;
+        }
+        return sent;
     }
 
     /** Learns from a failure which server to leave alone for a while. */
@@ -366,6 +277,9 @@
             // A dead engine is named only after its work has stalled; one that is full or moving refuses at once.
             boolean stalled = now - attempt.startMillis() > settings.timing().stallMillis() / 2;
             suspect(named.get(), stalled ? Evidence.LOST : Evidence.BUSY, "blamed with " + end.detail(), now);
+            if (!stalled && named.get().layers().isPresent()) {
+                desk.askQuickly(named.get(), this::offer, now);
+            }
         } else if (end.kind() == AttemptEnd.Kind.NOT_SENT) {
             suspect(attempt.server(), Evidence.LOST, end.detail(), now);
         }
@@ -417,7 +331,7 @@
     }
 
     private void finish(Flight flight, String outcome, int status, long now) {
-        unload(flight);
+        dispatcher.unload(flight);
         flights.remove(flight.exchange());
         underWay.decrementAndGet();
         Exchange.Call call = flight.exchange().call();
@@ -473,7 +387,7 @@
         }
     }
 
-    private void moved(RouterEvent.Moved moved, long now) {
+    private void moved(RouterEvent.Moved moved) {
         Flight flight = flights.get(moved.attempt().exchange());
         if (flight == null || flight.attempt() != moved.attempt()) {
             return;
@@ -486,7 +400,7 @@
                 .write();
         if (moved.result().isRight()) {
             moved.attempt().movedTo(moved.path());
-            load(flight, moved.path());
+            dispatcher.load(flight, moved.path());
         } else {
             moved.attempt().cancel("it cannot move to another path");
         }
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/WholePathTest.java
@@ -0,0 +1,182 @@
+package org.cornelramp.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.cornelramp.platform.standin.StandInClient;
+import org.cornelramp.platform.standin.StandInServer;
+import org.cornelramp.platform.standin.StandInServer.Behaviour;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A gateway before stand-ins of the users' platform: what clients get and what backend servers see. */
+public class WholePathTest {
+    private static final String FIVE_EVENTS = "id: 0\ndata: piece 0\n\nid: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+            + "id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n";
+
+    private GatewayFixture fixture;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        fixture = new GatewayFixture();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        fixture.close();
+    }
+
+    private void behave(Behaviour behaviour) {
+        for (StandInServer server :
+                new StandInServer[] {fixture.firstEngine, fixture.secondEngine, fixture.firstApp, fixture.secondApp}) {
+            server.setBehaviour(behaviour);
+        }
+    }
+
+    @Test
+    public void passesAStreamOnWithItsHeadersAndKeepsTheKey() throws Exception {
+        HttpResponse<String> answer = fixture.client().send("/chat/a?b=%20c", "r1", "hello");
+        assertEquals(answer.statusCode(), 200);
+        assertEquals(answer.body(), FIVE_EVENTS);
+        assertEquals(answer.headers().firstValue("x-attempt-id"), Optional.of("r1"));
+        StandInServer.Received seen = Stream.of(fixture.firstEngine, fixture.secondEngine)
+                .flatMap(engine -> engine.received().stream())
+                .filter(request -> request.body().equals("hello"))
+                .findFirst()
+                .orElseThrow();
+        assertEquals(seen.path(), "/chat/a?b=%20c");
+        assertEquals(seen.fields().get("X-Tenant"), "org");
+        assertFalse(seen.fields().toString().contains(GatewayFixture.KEY), "the key stays here");
+        assertFalse(fixture.log().contains(GatewayFixture.KEY), "no key is logged");
+    }
+
+    @Test
+    public void refusesWhatHasNoRouteOrNoKey() throws Exception {
+        assertEquals(fixture.client().send("/nowhere/a", "r2", "x").statusCode(), 404);
+        StandInClient stranger = new StandInClient(fixture.settings.requests(), "unknown");
+        assertEquals(stranger.send("/chat/a", "r3", "x").statusCode(), 401);
+        assertEquals(fixture.client().send("/look/a", "r4", "y".repeat(20_001)).statusCode(), 413);
+        assertEquals(fixture.received("x"), 1, "only the first chat of the fixture arrived");
+    }
+
+    /**
+     * The client reads a stream whose engine closes the connection in the middle of the third event. The gateway has
+     * passed two whole events on; it asks another engine for those after them, so the client gets each event once.
+     */
+    @Test
+    public void aStreamThatBreaksWithinAnEventGoesOnElsewhere() throws Exception {
+        behave(Behaviour.ordinary().withBreakAfter(2));
+        HttpResponse<String> answer = fixture.client().send("/chat/a", "r5", "breaks");
+        assertEquals(answer.body(), FIVE_EVENTS);
+        assertTrue(fixture.received("breaks") >= 2);
+    }
+
+    /**
+     * A booking is sent, and its backend server closes the connection without an answer. Whether it has booked nobody
+     * knows, so no other server gets it, and the client is not told that it has not run.
+     */
+    @Test
+    public void aBookingOfUnknownOutcomeIsSentOnceAndNotDenied() throws Exception {
+        behave(Behaviour.ordinary().withBreakAfter(0));
+        HttpResponse<String> answer = fixture.client().send("/book/a", "r6", "once");
+        assertEquals(answer.statusCode(), 502);
+        assertEquals(fixture.received("once"), 1);
+    }
+
+    /** The first server says that it has not run the booking, as it is full; another one books it, once. */
+    @Test
+    public void aBookingThatDidNotRunGoesToAnotherServer() throws Exception {
+        fixture.firstApp.setBehaviour(Behaviour.refusing());
+        for (int i = 0; i < 6; i++) {
+            assertEquals(fixture.client().send("/book/a", "r7-" + i, "b" + i).statusCode(), 200);
+        }
+        assertEquals(fixture.secondApp.received().size(), 6);
+    }
+
+    /** Every server refuses; the client hears at once that nothing ran, and when to come back. */
+    @Test
+    public void whatNobodyTakesIsRefusedWithATimeToComeBack() throws Exception {
+        behave(Behaviour.refusing());
+        HttpResponse<String> answer = fixture.client().send("/book/a", "r8", "full");
+        assertEquals(answer.statusCode(), 503);
+        assertTrue(StandInClient.retryAfter(answer).orElseThrow() > 0);
+    }
+
+    /** A server answers with a failure of its own. The client gets just this answer; it is no refusal of ours. */
+    @Test
+    public void aServersOwnFailureIsPassedOnAsItIs() throws Exception {
+        behave(Behaviour.ordinary().withStatus(500));
+        HttpResponse<String> answer = fixture.client().send("/look/a", "r9", "fails");
+        assertEquals(answer.statusCode(), 500);
+        assertTrue(answer.body().startsWith("answer of a"), answer.body());
+        assertEquals(fixture.received("fails"), 1);
+    }
+
+    /** A newer version takes the route away, and an older one is written after it. The route stays away. */
+    @Test
+    public void aConfigurationNeverSlipsBack() throws Exception {
+        fixture.store.publishConfig(GatewayFixture.config(5, "/talk/"));
+        GatewayFixture.await(() -> status("/talk/a") == 200, "version 5 is in force");
+        assertEquals(status("/chat/a"), 404);
+        fixture.store.publishConfig(GatewayFixture.config(4, "/chat/"));
+        GatewayFixture.await(() -> fixture.log().contains("older than the one in force"), "version 4 was read");
+        assertEquals(status("/chat/a"), 404);
+        assertEquals(status("/talk/a"), 200);
+    }
+
+    private int status(String path) {
+        try {
+            return fixture.client().send(path, "s" + System.nanoTime(), "s").statusCode();
+        } catch (Exception e) {
+            return -1;
+        }
+    }
+
+    /** The store turns the gateway away; what it knows stays in force, and its clients notice nothing. */
+    @Test
+    public void servesOnWhileTheStoreRefuses() throws Exception {
+        fixture.store.setRefuses(true);
+        GatewayFixture.await(() -> fixture.log().contains("\"event\":\"lost\""), "the loss is noticed");
+        assertEquals(fixture.client().send("/chat/a", "r10", "x").body(), FIVE_EVENTS);
+        assertEquals(fixture.client().send("/book/a", "r11", "x").statusCode(), 200);
+    }
+
+    /** A server says that it is leaving; when the time has passed in which it may get work, it gets none. */
+    @Test
+    public void aLeavingServerGetsNothingNew() throws Exception {
+        fixture.firstApp.register("draining");
+        Thread.sleep(1_500); // longer than a leaving server may still be given work
+        for (int i = 0; i < 6; i++) {
+            assertEquals(
+                    fixture.client().send("/look/a", "r12-" + i, "late" + i).statusCode(), 200);
+        }
+        assertTrue(fixture.firstApp.received().stream()
+                .noneMatch(request -> request.body().startsWith("late")));
+    }
+
+    /**
+     * A stop is planned while a stream runs. The gateway says that it is not ready, lets the stream end, and refuses
+     * what comes after the balancer has had time to notice.
+     */
+    @Test
+    public void aPlannedStopCutsNoStream() throws Exception {
+        behave(Behaviour.ordinary().withEvents(12).withPauseMillis(100));
+        var running = CompletableFuture.supplyAsync(() -> {
+            try {
+                return fixture.client().send("/chat/a", "r13", "long").body();
+            } catch (Exception e) {
+                return e.toString();
+            }
+        });
+        GatewayFixture.await(() -> fixture.received("long") == 1, "the stream runs");
+        fixture.gateway.beginStop();
+        fixture.gateway.awaitStop();
+        assertTrue(running.get().endsWith("id: 11\ndata: piece 11\n\n"), running.get());
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/PeerNewsCodecTest.java
@@ -0,0 +1,39 @@
+package org.cornelramp.gateway.peer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Set;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.path.EngineLoads;
+import org.testng.annotations.Test;
+
+/** News between gateways, whole and damaged. */
+public class PeerNewsCodecTest {
+    private static final BackendServerId ID = new BackendServerId("i-1");
+    private static final PeerNews NEWS =
+            new PeerNews("g1", 7, 9, Map.of(ID, new EngineLoads.Load(3, 1, 50_000)), 4, Map.of(ID, 2.5), Set.of(ID));
+
+    @Test
+    public void readsWhatWasWritten() {
+        byte[] bytes = PeerNewsCodec.write(NEWS);
+        assertEquals(PeerNewsCodec.read(bytes, bytes.length).get(), NEWS);
+    }
+
+    @Test
+    public void anyCutIsAFaultAndNoException() {
+        byte[] bytes = PeerNewsCodec.write(NEWS);
+        for (int length = 0; length < bytes.length; length++) {
+            assertTrue(PeerNewsCodec.read(Arrays.copyOf(bytes, length), length).isLeft());
+        }
+    }
+
+    @Test
+    public void anotherFormatIsAFault() {
+        byte[] bytes = PeerNewsCodec.write(NEWS);
+        bytes[0] = 2;
+        assertTrue(PeerNewsCodec.read(bytes, bytes.length).isLeft());
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/EventSplitterProperties.java
@@ -0,0 +1,51 @@
+package org.cornelramp.gateway.request;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** However the bytes of a stream arrive, whole events leave, in order, and the last id is that of the last of them. */
+class EventSplitterProperties {
+
+    @Property(tries = 300, seed = "3")
+    void givesWholeEventsOnly(
+            @ForAll @IntRange(max = 20) int events,
+            @ForAll @Size(max = 60) List<@IntRange(min = 1, max = 30) Integer> cuts) {
+        StringBuilder whole = new StringBuilder();
+        for (int i = 0; i < events; i++) {
+            whole.append(i % 3 == 0 ? "weights: 3\n" : "")
+                    .append("id: ")
+                    .append(i)
+                    .append("\ndata: p")
+                    .append(i);
+            whole.append("\n\n");
+        }
+        byte[] bytes = whole.toString().getBytes(StandardCharsets.UTF_8);
+        EventSplitter splitter = new EventSplitter();
+        StringBuilder out = new StringBuilder();
+        int at = 0;
+        for (int cut : cuts) {
+            int to = Math.min(bytes.length, at + cut);
+            String part = StandardCharsets.UTF_8
+                    .decode(splitter.take(ByteBuffer.wrap(bytes, at, to - at)))
+                    .toString();
+            out.append(part);
+            at = to;
+            check(out.toString(), whole.substring(0, at), splitter);
+        }
+    }
+
+    private static void check(String out, String in, EventSplitter splitter) {
+        int end = in.lastIndexOf("\n\n");
+        String expected = end < 0 ? "" : in.substring(0, end + 2);
+        int id = expected.lastIndexOf("id: ");
+        long lastId = id < 0 ? -1 : Long.parseLong(expected.substring(id + 4, expected.indexOf('\n', id)));
+        if (!out.equals(expected) || splitter.lastId() != lastId || splitter.isWhole() != expected.equals(in)) {
+            throw new AssertionError("in [" + in + "] out [" + out + "] last " + splitter.lastId());
+        }
+    }
+}
