--- a/core/src/main/java/org/cornelramp/core/path/EngineLoads.java
+++ b/core/src/main/java/org/cornelramp/core/path/EngineLoads.java
@@ -12,7 +12,7 @@
  * <p>Invariant: every path that is added is removed once, with the same tokens.
  */
 public final class EngineLoads {
-    private static final Load NONE = new Load(0, 0, 0);
+    private static final Load NONE = new Load(0, 0, 0, 0);
 
     /** Age up to which a pace is believed; a slow engine is avoided, so nobody would notice its recovery. */
     private static final long PACE_MILLIS = 4_000;
@@ -28,10 +28,15 @@
      * @param requests requests that pass it
      * @param asFirst those of them that were sent to it
      * @param tokenLayers tokens times layers that they take
+     * @param reading prompt tokens of those whose first event has not come
      */
-    public record Load(int requests, int asFirst, long tokenLayers) {
+    public record Load(int requests, int asFirst, long tokenLayers, int reading) {
         Load plus(Load other) {
-            return new Load(requests + other.requests, asFirst + other.asFirst, tokenLayers + other.tokenLayers);
+            return new Load(
+                    requests + other.requests,
+                    asFirst + other.asFirst,
+                    tokenLayers + other.tokenLayers,
+                    reading + other.reading);
         }
     }
 
@@ -74,6 +79,13 @@
         change(path, tokens, 1);
     }
 
+    /** Notes that the engines of a path have this many prompt tokens more to read, or fewer if negative. */
+    public void reading(StagePath path, int tokens) {
+        for (Hop hop : path.hops()) {
+            loads.merge(hop.server().id(), new Load(0, 0, 0, tokens), EngineLoads::sum);
+        }
+    }
+
     /** Removes a request. */
     public void remove(StagePath path, int tokens) {
         change(path, tokens, -1);
@@ -84,13 +96,13 @@
         for (Hop hop : path.hops()) {
             int first = hop.from() == 0 ? sign : 0;
             long tokenLayers = (long) sign * tokens * hop.layers();
-            loads.merge(hop.server().id(), new Load(sign, first, tokenLayers), EngineLoads::sum);
+            loads.merge(hop.server().id(), new Load(sign, first, tokenLayers, 0), EngineLoads::sum);
         }
     }
 
     private static Load sum(Load a, Load b) {
-        Load sum = new Load(a.requests() + b.requests(), a.asFirst() + b.asFirst(), a.tokenLayers() + b.tokenLayers());
-        return sum.requests() == 0 ? null : sum;
+        Load sum = a.plus(b);
+        return sum.requests() == 0 && sum.reading() == 0 ? null : sum;
     }
 
     /** Load of an engine, by this process and its peers. */
--- a/core/src/main/java/org/cornelramp/core/path/PathFinder.java
+++ b/core/src/main/java/org/cornelramp/core/path/PathFinder.java
@@ -47,6 +47,13 @@
      */
     private static final double ENTRY_MILLIS = 3;
 
+    /**
+     * Part of the time that an engine needs for prompts still to be read which counts as time of a token. When a chain
+     * of engines dies, thirty prompts are read anew at once; without this all of them queue at the next best chain for
+     * 200 ms, while another could read half of them.
+     */
+    private static final double READING_PART = 0.05;
+
     /** Share of an engine's memory that is filled; the rest is for what peers have just sent and for long answers. */
     private static final double MEMORY_SHARE = 0.92;
 
@@ -220,7 +227,8 @@
          */
         double tokenMillis(int layers) {
             double step = spec.stepMillis() + (load.requests() + 1) / 2.0 * spec.usualRequestMillis();
-            return WAITING_FACTOR * step * card.stepFactor() * pace * layers / spec.layers();
+            double reading = load.reading() / spec.readPerMilli() * card.readFactor();
+            return (WAITING_FACTOR * step * card.stepFactor() + READING_PART * reading) * pace * layers / spec.layers();
         }
     }
 }
--- a/core/src/main/java/org/cornelramp/core/placement/Planner.java
+++ b/core/src/main/java/org/cornelramp/core/placement/Planner.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
@@ -119,7 +120,7 @@
                 int before = orders.size();
                 fillEmpty(at, orders);
                 if (orders.size() == before) {
-                    moveOne(at).ifPresent(orders::add);
+                    moveOne(at).or(() -> growOne(at)).ifPresent(orders::add);
                 }
             });
             return orders;
@@ -166,6 +167,91 @@
             return Optional.ofNullable(best);
         }
 
+        /**
+         * Lets one engine beside a hole take layers of it, or where its card is full, pass on layers at its other end
+         * that another engine holds as well; else lets the engine behind take over such layers. After engines have
+         * left for good, the rest close the gap step by step with the memory that they kept for requests, and whatever
+         * they hold goes on serving.
+         */
+        private Optional<Placement> growOne(DataCentre at) {
+            int[] here = held.get(at);
+            int from = 0;
+            while (from < here.length && here[from] > 0) {
+                from++;
+            }
+            if (from == here.length) {
+                return Optional.empty();
+            }
+            int to = from;
+            while (to < here.length && here[to] == 0) {
+                to++;
+            }
+            int low = from;
+            int high = to;
+            return best(at, engine -> stretched(engine, here, low, high))
+                    .or(() -> best(at, engine -> relieving(engine, at, low, high)));
+        }
+
+        /** The order that adds most layers; of equals the one to the fastest engine, which stands first. */
+        private Optional<Placement> best(DataCentre at, Function<BackendServer, Optional<LayerRange>> wanted) {
+            return byDataCentre.get(at).stream()
+                    .filter(engine -> engine.layers().isPresent() && !fixed.contains(engine.id()))
+                    .flatMap(engine -> wanted.apply(engine).map(range -> new Placement(engine, range)).stream())
+                    .max(Comparator.comparingInt(Plan::added));
+        }
+
+        private static int added(Placement placement) {
+            LayerRange old = placement.server().layers().orElseThrow();
+            return Math.max(0, old.from() - placement.layers().from())
+                    + Math.max(0, placement.layers().to() - old.to());
+        }
+
+        /** The range with which an engine that ends at the hole reaches furthest into it. */
+        private Optional<LayerRange> stretched(BackendServer engine, int[] here, int from, int to) {
+            LayerRange old = engine.layers().orElseThrow();
+            int most = capacity(engine, FEWEST_REQUESTS);
+            if (old.to() == from) {
+                int start = old.from();
+                while (start < old.to() - 1 && here[start] > 1) {
+                    start++;
+                }
+                int end = Math.min(to, start + most);
+                return end > from ? Optional.of(range(Math.max(old.from(), end - most), end)) : Optional.empty();
+            }
+            if (old.from() == to) {
+                int end = old.to();
+                while (end > old.from() + 1 && here[end - 1] > 1) {
+                    end--;
+                }
+                int start = Math.max(from, end - most);
+                return start < to ? Optional.of(range(start, Math.min(old.to(), start + most))) : Optional.empty();
+            }
+            return Optional.empty();
+        }
+
+        /** The range with which an engine takes over layers of a neighbour that ends at the hole. */
+        private Optional<LayerRange> relieving(BackendServer engine, DataCentre at, int from, int to) {
+            LayerRange old = engine.layers().orElseThrow();
+            int spare = capacity(engine, FEWEST_REQUESTS) - (old.to() - old.from());
+            for (BackendServer other : byDataCentre.get(at)) {
+                LayerRange range = other.layers().orElse(null);
+                if (range == null || other.equals(engine) || spare <= 0) {
+                    continue;
+                }
+                if (range.to() == from && range.from() <= old.to() && old.to() < range.to()) {
+                    return Optional.of(range(old.from(), Math.min(range.to() - 1, old.to() + spare)));
+                }
+                if (range.from() == to && range.to() >= old.from() && old.from() > range.from()) {
+                    return Optional.of(range(Math.max(range.from() + 1, old.from() - spare), old.to()));
+                }
+            }
+            return Optional.empty();
+        }
+
+        private LayerRange range(int from, int to) {
+            return new LayerRange(from, to, spec.layers());
+        }
+
         private boolean hasHole(DataCentre at) {
             return Arrays.stream(held.get(at)).anyMatch(holders -> holders == 0);
         }
@@ -202,7 +288,7 @@
                     bestFrom = from;
                 }
             }
-            return new LayerRange(bestFrom, bestFrom + size, spec.layers());
+            return range(bestFrom, bestFrom + size);
         }
 
         private double worth(DataCentre at, int layer) {
--- a/core/src/test/java/org/cornelramp/core/path/PathFinderTest.java
+++ b/core/src/test/java/org/cornelramp/core/path/PathFinderTest.java
@@ -170,4 +170,24 @@
         assertEquals(path.hops().get(0), first);
         assertTrue(path.hop(new BackendServerId("twin")).isPresent(), path.text());
     }
+
+    /**
+     * A chain of engines has died, and thirty streams start anew in the same moment. They spread over the two copies
+     * that are left by the prompts which each has still to read, so that none waits for thirty prompts.
+     */
+    @Test
+    public void spreadsPromptsThatAreReadAtOnce() {
+        List<BackendServer> engines = new ArrayList<>(slowCopy("dc1"));
+        engines.addAll(slowCopy("dc2"));
+        EngineLoads loads = new EngineLoads();
+        int away = 0;
+        for (int i = 0; i < 30; i++) {
+            StagePath path =
+                    PathFinder.find(SPEC, engines, loads, Engines.demand("dc1")).orElseThrow();
+            loads.add(path, 944);
+            loads.reading(path, 772);
+            away += dataCentres(path).contains("dc2") ? 1 : 0;
+        }
+        assertTrue(away >= 10 && away <= 15, "sent to the other copy: " + away);
+    }
 }
--- a/core/src/test/java/org/cornelramp/core/placement/PlannerTest.java
+++ b/core/src/test/java/org/cornelramp/core/placement/PlannerTest.java
@@ -156,4 +156,37 @@
         Set<BackendServerId> all = empty.stream().map(BackendServer::id).collect(Collectors.toSet());
         assertEquals(Planner.plan(SPEC, empty, all, Set.of()), List.of());
     }
+
+    /**
+     * Engines have left for good, and no spare one is left in the data centre. Without this its copy would stay broken
+     * for the rest of the day and the others would carry its traffic. The engines beside the gap take its layers with
+     * memory that they kept for requests, step by step, and never give up a layer that nobody else holds.
+     */
+    @Test
+    public void theRestCloseAGapThatNoSpareEngineFills() {
+        List<BackendServer> placed = apply(today(), plan(today()));
+        for (String gone : List.of("norte-a100s-1", "norte-t4-6")) {
+            placed.removeIf(one -> one.id().value().equals(gone));
+        }
+        assertTrue(!covers(placed, "norte"));
+        for (int rounds = 0; rounds < 30 && !covers(placed, "norte"); rounds++) {
+            List<Placement> orders = plan(placed);
+            List<BackendServer> next = apply(placed, orders);
+            for (int layer = 0; layer < Engines.LAYERS; layer++) {
+                assertTrue(holders(next, layer) > 0 || holders(placed, layer) == 0, "layer " + layer + " " + orders);
+            }
+            for (Placement order : orders) {
+                double mb = SPEC.card(order.server().card()).orElseThrow().memoryMb();
+                assertTrue((order.layers().to() - order.layers().from()) * SPEC.layerMb() < mb, order.toString());
+            }
+            placed = next;
+        }
+        assertTrue(covers(placed, "norte"), Planner.coverage(SPEC, placed));
+    }
+
+    private static long holders(List<BackendServer> engines, int layer) {
+        return engines.stream()
+                .filter(one -> one.dataCentre().value().equals("norte") && one.holds(layer))
+                .count();
+    }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -1,6 +1,7 @@
 package org.cornelramp.gateway;
 
 import java.util.concurrent.CountDownLatch;
+import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.gateway.follow.ConfigFollower;
 import org.cornelramp.gateway.follow.PeerRecords;
@@ -8,9 +9,12 @@
 import org.cornelramp.gateway.follow.RecordCache;
 import org.cornelramp.gateway.follow.ServerFollower;
 import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.peer.PeerLink;
+import org.cornelramp.gateway.place.LeaderLease;
 import org.cornelramp.gateway.place.PlacementDuty;
 import org.cornelramp.gateway.request.FrontServer;
+import org.cornelramp.gateway.request.InternalHandler;
 import org.cornelramp.gateway.route.ConfigHolder;
 import org.cornelramp.gateway.route.EngineDesk;
 import org.cornelramp.gateway.route.Router;
@@ -25,6 +29,12 @@
     /** Left of the grace time for the last answers to leave and the process to end. */
     private static final long MARGIN_MILLIS = 400;
 
+    /** After this time from the stop signal no stream is begun: it would be cut when the grace time ends. */
+    private static final long STREAMS_MILLIS = 2_800;
+
+    /** Before the end no plain request is begun; the longest ones take a second. */
+    private static final long SHORT_MILLIS = 1_200;
+
     private static final long POLL_MILLIS = 20;
 
     private final GatewaySettings settings;
@@ -35,6 +45,7 @@
     private final ConfigFollower configFollower;
     private final ServerFollower serverFollower;
     private final PeerLink peers;
+    private final LeaderLease lease;
     private final PlacementDuty placement;
     private final FrontServer front;
     private final CountDownLatch stop = new CountDownLatch(1);
@@ -44,20 +55,38 @@
         this.clock = clock;
         this.log = log;
         this.clients = new HttpClients();
+        Meters meters = new Meters();
         ConfigHolder config = new ConfigHolder();
         MetadataStore store = new MetadataStore(clients.pooled(), settings.store());
         EngineControl control = new EngineControl(clients.pooled());
-        this.router = new Router(settings, clients, config, clock, log, new EngineDesk(control));
+        this.router = new Router(settings, clients, config, clock, log, meters, new EngineDesk(control));
         RecordCache cache = new RecordCache();
         this.peers = new PeerLink(settings.peers(), router::news, router::peerTold, clock, log);
         PeerRecords peerRecords =
                 new PeerRecords(clients.pooled(), settings.metrics().port(), peers::peers);
-        this.configFollower = new ConfigFollower(store, config, cache, peerRecords, clock, log);
-        this.serverFollower = new ServerFollower(store, router::offer, cache, peerRecords, clock, log);
-        this.placement = new PlacementDuty(
-                settings.name(), settings.peers(), peers::setPeers, store, control, config, router::view, clock, log);
+        this.configFollower = new ConfigFollower(store, config, cache, peerRecords, clock, log, meters);
+        this.serverFollower = new ServerFollower(store, router, cache, peerRecords, clock, log, meters);
+        this.lease = new LeaderLease(
+                settings.name(), settings.peers(), peers::setPeers, router::peersTerm, store, clock, log, meters);
+        router.setOwnTerm(() -> lease.term(clock.millis()));
+        this.placement = new PlacementDuty(lease, control, config, router::view, clock, log, meters);
+        meters.gauge("requests.underway", router::underWay);
+        meters.gauge("servers", () -> router.view().servers().size());
+        meters.gauge("servers.suspected", () -> router.view().suspects().size());
+        meters.gauge(
+                "config.version",
+                () -> config.current().map(RoutingConfig::version).orElse(-1L));
+        meters.gauge("log.dropped", log::dropped);
+        meters.gauge("log.skipped", log::skipped);
         this.front = new FrontServer(
-                settings, clients.threads(), config, router, new PeerRecordsHandler(cache, clock), clock, log);
+                settings,
+                clients.threads(),
+                config,
+                router,
+                new InternalHandler(meters, new PeerRecordsHandler(cache, clock)),
+                clock,
+                log,
+                meters);
     }
 
     /** Starts all parts. */
@@ -69,6 +98,7 @@
         router.start();
         front.start();
         peers.start();
+        lease.start();
         placement.start();
     }
 
@@ -83,13 +113,17 @@
         long begun = clock.millis();
         log.line("process", "stop begins").with("underWay", router.underWay()).write();
         front.leave();
+        router.leave();
         placement.stop();
+        lease.stop();
         long limit = begun + settings.timing().graceMillis() - MARGIN_MILLIS;
-        long refuseAt = begun + UNLISTED_MILLIS;
         while (clock.millis() < limit && (clock.millis() < begun + UNLISTED_MILLIS || router.underWay() > 0)) {
             Thread.sleep(POLL_MILLIS);
-            if (clock.millis() >= refuseAt) {
-                front.refuseNew(); // what begins now would be cut when the grace time ends
+            if (clock.millis() >= begun + STREAMS_MILLIS) {
+                front.refuseStreams();
+            }
+            if (clock.millis() >= limit - SHORT_MILLIS) {
+                front.refuseNew();
             }
         }
         log.line("process", "stop").with("cut", router.underWay()).write();
@@ -102,6 +136,7 @@
         configFollower.stop();
         serverFollower.stop();
         placement.stop();
+        lease.stop();
         peers.stop();
         front.stop();
         router.stop();
--- a/gateway/src/main/java/org/cornelramp/gateway/Main.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Main.java
@@ -9,6 +9,8 @@
 import java.time.Clock;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import java.util.stream.Collectors;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.GatewaySettingsReader;
@@ -31,6 +33,7 @@
             end(FAULTY_SETTINGS);
             return;
         }
+        Logger.getLogger("").setLevel(Level.WARNING); // what libraries say of their ordinary work is not ours to log
         EventLog log = new EventLog(
                 new FileOutputStream(FileDescriptor.out),
                 Clock.systemUTC(),
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ConfigFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ConfigFollower.java
@@ -4,6 +4,7 @@
 import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.route.ConfigHolder;
 import org.cornelramp.platform.ConfigDecoder;
 import org.cornelramp.platform.MetadataStore;
@@ -22,6 +23,7 @@
     private final PeerRecords peers;
     private final SteadyClock clock;
     private final EventLog log;
+    private final Meters meters;
     private long next = -1;
 
     public ConfigFollower(
@@ -30,7 +32,8 @@
             RecordCache cache,
             PeerRecords peers,
             SteadyClock clock,
-            EventLog log) {
+            EventLog log,
+            Meters meters) {
         super("config");
         this.cache = cache;
         this.peers = peers;
@@ -38,6 +41,7 @@
         this.store = store;
         this.holder = holder;
         this.log = log;
+        this.meters = meters;
     }
 
     @Override
@@ -48,6 +52,7 @@
         if (page.isLeft()) {
             return fault(page.getLeft());
         }
+        meters.storeCall("config", "ok");
         cache.take(MetadataStore.Topic.OPERATORS, page.get(), next < 0, clock.millis());
         page.get().records().forEach(this::take);
         boolean nothingYet = next < 0 && holder.current().isEmpty();
@@ -60,6 +65,7 @@
             next = -1;
             return 0;
         }
+        meters.storeCall("config", fault.kind().name());
         log.line("config", "not read").with("fault", fault).write();
         peers.read(MetadataStore.Topic.OPERATORS)
                 .ifPresent(page -> page.records().forEach(this::take));
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ServerFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ServerFollower.java
@@ -4,13 +4,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Predicate;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerRegistry;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.Names;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
+import org.cornelramp.gateway.route.Router;
 import org.cornelramp.gateway.route.RouterEvent;
 import org.cornelramp.platform.MetadataStore;
 import org.cornelramp.platform.RegistrationDecoder;
@@ -26,20 +27,22 @@
     private static final long PAUSE_MILLIS = 80;
 
     private final MetadataStore store;
-    private final Predicate<RouterEvent> router;
+    private final Router router;
     private final RecordCache cache;
     private final PeerRecords peers;
     private final SteadyClock clock;
     private final EventLog log;
+    private final Meters meters;
     private long next = -1;
 
     public ServerFollower(
             MetadataStore store,
-            Predicate<RouterEvent> router,
+            Router router,
             RecordCache cache,
             PeerRecords peers,
             SteadyClock clock,
-            EventLog log) {
+            EventLog log,
+            Meters meters) {
         super("servers");
         this.cache = cache;
         this.peers = peers;
@@ -47,6 +50,7 @@
         this.store = store;
         this.router = router;
         this.log = log;
+        this.meters = meters;
     }
 
     @Override
@@ -58,11 +62,12 @@
         if (page.isLeft()) {
             return fault(page.getLeft());
         }
-        router.test(new RouterEvent.StoreAnswers(true));
+        meters.storeCall("servers", "ok");
+        router.offer(new RouterEvent.StoreAnswers(true));
         long end = page.get().next();
         cache.take(MetadataStore.Topic.SERVERS, page.get(), whole, clock.millis());
         // Only what the ring took counts as read; the rest is read again.
-        if (router.test(new RouterEvent.Registered(decode(page.get()), whole, end))) {
+        if (router.offer(new RouterEvent.Registered(decode(page.get()), whole, end))) {
             next = end;
         }
         return PAUSE_MILLIS;
@@ -73,10 +78,11 @@
             next = -1;
             return 0;
         }
-        router.test(new RouterEvent.StoreAnswers(false));
+        meters.storeCall("servers", fault.kind().name());
+        router.offer(new RouterEvent.StoreAnswers(false));
         log.line("servers", "not read").with("fault", fault).write();
         peers.read(MetadataStore.Topic.SERVERS)
-                .ifPresent(page -> router.test(new RouterEvent.Registered(decode(page), true, page.next())));
+                .ifPresent(page -> router.offer(new RouterEvent.Registered(decode(page), true, page.next())));
         return -1;
     }
 
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and latency histograms of a gateway. */
+package org.cornelramp.gateway.metrics;
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
@@ -115,7 +115,7 @@
                 socket.receive(packet);
                 take(buffer, packet.getLength());
             } catch (SocketTimeoutException e) {
-                continue; // time to send
+                // nobody told anything; it is time to send
             }
         }
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNews.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNews.java
@@ -11,6 +11,8 @@
  * @param name the gateway
  * @param life tells its lives apart
  * @param number grows with each news of a life; an older one that comes late is ignored
+ * @param term term in which it leads; negative if it does not
+ * @param leaving whether it is stopping
  * @param loads what it has under way on each engine
  * @param crossings hops to another data centre of all that it has under way
  * @param paces how many times longer than usual engines take, where it is not once
@@ -20,6 +22,8 @@
         String name,
         long life,
         long number,
+        long term,
+        boolean leaving,
         Map<BackendServerId, EngineLoads.Load> loads,
         int crossings,
         Map<BackendServerId, Double> paces,
@@ -33,6 +37,6 @@
 
     /** The same news without what does not fit into one datagram. */
     PeerNews withoutLoads() {
-        return new PeerNews(name, life, number, Map.of(), crossings, paces, suspects);
+        return new PeerNews(name, life, number, term, leaving, Map.of(), crossings, paces, suspects);
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNewsCodec.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNewsCodec.java
@@ -24,6 +24,8 @@
             out.packString(news.name());
             out.packLong(news.life());
             out.packLong(news.number());
+            out.packLong(news.term());
+            out.packBoolean(news.leaving());
             out.packMapHeader(news.loads().size());
             for (Map.Entry<BackendServerId, EngineLoads.Load> load :
                     news.loads().entrySet()) {
@@ -31,6 +33,7 @@
                 out.packInt(load.getValue().requests());
                 out.packInt(load.getValue().asFirst());
                 out.packLong(load.getValue().tokenLayers());
+                out.packInt(load.getValue().reading());
             }
             out.packInt(news.crossings());
             out.packMapHeader(news.paces().size());
@@ -58,10 +61,12 @@
             String name = in.unpackString();
             long life = in.unpackLong();
             long number = in.unpackLong();
+            long term = in.unpackLong();
+            boolean leaving = in.unpackBoolean();
             Map<BackendServerId, EngineLoads.Load> loads = new HashMap<>();
             for (int left = in.unpackMapHeader(); left > 0; left--) {
                 BackendServerId id = new BackendServerId(in.unpackString());
-                loads.put(id, new EngineLoads.Load(in.unpackInt(), in.unpackInt(), in.unpackLong()));
+                loads.put(id, new EngineLoads.Load(in.unpackInt(), in.unpackInt(), in.unpackLong(), in.unpackInt()));
             }
             int crossings = in.unpackInt();
             Map<BackendServerId, Double> paces = new HashMap<>();
@@ -72,7 +77,7 @@
             for (int left = in.unpackArrayHeader(); left > 0; left--) {
                 suspects.add(new BackendServerId(in.unpackString()));
             }
-            return Either.right(new PeerNews(name, life, number, loads, crossings, paces, suspects));
+            return Either.right(new PeerNews(name, life, number, term, leaving, loads, crossings, paces, suspects));
         } catch (IOException | RuntimeException e) {
             return Either.left(e.toString());
         }
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
@@ -0,0 +1,176 @@
+package org.cornelramp.gateway.place;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
+import org.cornelramp.platform.MetadataStore;
+import org.cornelramp.platform.StoreFault;
+
+/**
+ * Says whether this process leads, and knows the other members of its group.
+ *
+ * <p>The store shares a topic's partitions out among the members of a group; whoever holds the first one leads. While
+ * the store answers nobody, no other process can take the lead, so the leader goes on until a peer tells of a later
+ * term. Its own thread calls the store, so that a silent store holds up no plan; {@link #term} may be called by any
+ * thread.
+ */
+public final class LeaderLease {
+    /** The term of a process that does not lead. */
+    public static final long NONE = -1;
+
+    private static final String GROUP = "placement";
+    private static final char MEMBER_SEPARATOR = '~';
+    private static final long STEP_MILLIS = 100;
+
+    /** A lost leader is replaced after this time; renewals cost a tenth of a call. */
+    private static final long TTL_MILLIS = 2_000;
+
+    private static final long JOIN_MILLIS = 600;
+
+    /** How long a leader whose store does not answer goes on; the store is seldom away for longer. */
+    private static final long ALONE_MILLIS = 15_000;
+
+    /** Interval in which the members are read; a new gateway is told news of others after this time. */
+    private static final long MEMBERS_MILLIS = 4_000;
+
+    /** While the number of members changes, they are read more often, as at a start of all. */
+    private static final long FIRST_MEMBERS_MILLIS = 1_000;
+
+    private final String member;
+    private final Consumer<List<HostPort>> onPeers;
+    private final LongSupplier peersTerm;
+    private final MetadataStore store;
+    private final SteadyClock clock;
+    private final EventLog log;
+    private final Meters meters;
+    private final Thread thread = new Thread(this::run, "lease");
+    private volatile boolean running = true;
+    private volatile State state = new State(NONE, 0, false);
+    private long generation;
+    private long joinDue;
+    private long membersDue;
+    private int peersKnown;
+
+    private record State(long term, long untilMillis, boolean storeSilent) {}
+
+    /**
+     * @param name name of this process
+     * @param address where it takes its peers' news
+     * @param onPeers is told the addresses of all members
+     * @param peersTerm latest term that a peer has told of
+     */
+    public LeaderLease(
+            String name,
+            HostPort address,
+            Consumer<List<HostPort>> onPeers,
+            LongSupplier peersTerm,
+            MetadataStore store,
+            SteadyClock clock,
+            EventLog log,
+            Meters meters) {
+        this.member = name + MEMBER_SEPARATOR + address;
+        this.onPeers = onPeers;
+        this.peersTerm = peersTerm;
+        this.store = store;
+        this.clock = clock;
+        this.log = log;
+        this.meters = meters;
+        thread.setDaemon(true);
+    }
+
+    /** Starts the thread. */
+    public void start() {
+        thread.start();
+    }
+
+    /** Tells the thread to end; a call under way is not waited for. */
+    public void stop() {
+        running = false;
+        thread.interrupt();
+    }
+
+    /** The term in which this process leads; {@link #NONE} if it does not. */
+    public long term(long nowMillis) {
+        State now = state;
+        long until = now.untilMillis() + (now.storeSilent() ? ALONE_MILLIS : 0);
+        boolean leads = now.term() != NONE && nowMillis < until && peersTerm.getAsLong() <= now.term();
+        return leads ? now.term() : NONE;
+    }
+
+    private void run() {
+        while (running) {
+            try {
+                step(clock.millis());
+            } catch (RuntimeException e) {
+                log.line("lease", "step failed").with("fault", e).write();
+            }
+            LockSupport.parkNanos(this, STEP_MILLIS * 1_000_000L);
+        }
+    }
+
+    private void step(long now) {
+        if (now >= joinDue) {
+            joinDue = now + JOIN_MILLIS;
+            join(now);
+        }
+        if (now >= membersDue) {
+            readMembers(now);
+        }
+    }
+
+    private void join(long now) {
+        Either<StoreFault, MetadataStore.Membership> joined = store.join(GROUP, member, GROUP, TTL_MILLIS, generation);
+        meters.storeCall("join", joined.fold(fault -> fault.kind().name(), any -> "ok"));
+        State old = state;
+        if (joined.isLeft()) {
+            log.line("lease", "not joined").with("fault", joined.getLeft()).write();
+            // A store that refuses this process may serve others, and give them the lead.
+            boolean silent = joined.getLeft().kind() == StoreFault.Kind.NO_ANSWER;
+            state = new State(old.term(), old.untilMillis(), silent);
+            return;
+        }
+        boolean leading = joined.get().holdsFirst();
+        generation = joined.get().generation();
+        boolean goesOn = leading && old.term() != NONE;
+        state = new State(!leading ? NONE : goesOn ? old.term() : generation, now + TTL_MILLIS, false);
+        if (leading != (old.term() != NONE)) {
+            log.line("lease", leading ? "leads" : "follows")
+                    .with("term", generation)
+                    .write();
+        }
+    }
+
+    private void readMembers(long now) {
+        Either<StoreFault, Set<String>> members = store.members(GROUP);
+        meters.storeCall("members", members.fold(fault -> fault.kind().name(), any -> "ok"));
+        List<HostPort> peers = new ArrayList<>();
+        members.getOrElse(Set.of()).forEach(one -> address(one).ifPresent(peers::add));
+        boolean settled = peers.size() > 1 && peers.size() == peersKnown;
+        membersDue = now + (settled ? MEMBERS_MILLIS : FIRST_MEMBERS_MILLIS);
+        if (members.isLeft()) {
+            return;
+        }
+        if (peers.size() != peersKnown) {
+            log.line("peers", "known").with("count", peers.size()).write();
+        }
+        peersKnown = peers.size();
+        onPeers.accept(List.copyOf(peers));
+    }
+
+    private static Optional<HostPort> address(String member) {
+        try {
+            return Optional.of(HostPort.parse(member.substring(member.indexOf(MEMBER_SEPARATOR) + 1)));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty(); // a member of another version, which takes no news
+        }
+    }
+}
--- a/gateway/src/main/java/org/cornelramp/gateway/place/PlacementDuty.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/PlacementDuty.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
@@ -19,40 +18,25 @@
 import org.cornelramp.core.routing.EngineSpec;
 import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.core.routing.ServiceSpec;
-import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.route.ConfigHolder;
 import org.cornelramp.gateway.route.FleetView;
 import org.cornelramp.platform.EngineControl;
 import org.cornelramp.platform.EngineReport;
-import org.cornelramp.platform.MetadataStore;
 import org.cornelramp.platform.StoreFault;
 
 /**
  * Gives the engines their layers while this process leads.
  *
- * <p>One process leads at a time: the one to which the store gives the first partition of a group's topic. A leader
- * that was paused and wakes late may still give orders for a moment; each names how many orders went before it, so
- * an engine that has heard another one meanwhile refuses. Owned by its own thread, but for start and stop.
+ * <p>A leader that was paused and wakes late may still give orders for a moment, and so may one whose lease ran out
+ * unseen; each order names how many went before it, so an engine that has heard another one meanwhile refuses. Owned
+ * by its own thread, but for start and stop.
  */
 public final class PlacementDuty {
-    private static final String GROUP = "placement";
     private static final long STEP_MILLIS = 150;
 
-    /** A lost leader is replaced after this time; renewals cost a tenth of a call. */
-    private static final long TTL_MILLIS = 2_000;
-
-    private static final long JOIN_MILLIS = 600;
-
-    /** Interval in which the members are read; a new gateway is told news of others after this time. */
-    private static final long MEMBERS_MILLIS = 4_000;
-
-    /** While fewer members than this are known, they are read more often, as at a start of all. */
-    private static final long FIRST_MEMBERS_MILLIS = 1_000;
-
-    private static final char MEMBER_SEPARATOR = '~';
-
     /** The first plan waits until no more engines come, so that the fast ones get their share first. */
     private static final long SETTLE_MILLIS = 1_200;
 
@@ -70,25 +54,19 @@
     /** Pause after an engine has refused an order: it is busy with one, and its report is a little old. */
     private static final long REFUSED_MILLIS = 700;
 
-    private final String member;
-    private final Consumer<List<HostPort>> onPeers;
-    private final MetadataStore store;
+    private final LeaderLease lease;
     private final EngineControl engines;
     private final ConfigHolder config;
     private final Supplier<FleetView> fleet;
     private final SteadyClock clock;
     private final EventLog log;
+    private final Meters meters;
     private final Thread thread = new Thread(this::run, "placement");
     private final Map<BackendServerId, Order> orders = new HashMap<>();
     private final Map<BackendServerId, Long> accepted = new HashMap<>();
     private volatile boolean running = true;
-    private boolean leads;
-    private long generation;
-    private long joinedMillis;
-    private long heldUntil;
     private String toldCoverage = "";
-    private long membersDue;
-    private int peersKnown;
+    private long lastTerm = LeaderLease.NONE;
     private int enginesSeen;
     private long enginesSeenMillis;
 
@@ -96,29 +74,21 @@
 
     private record Order(LayerRange layers, long untilMillis) {}
 
-    /**
-     * @param address where this process takes its peers' news
-     * @param onPeers is told the addresses of all members of the group
-     */
     public PlacementDuty(
-            String name,
-            HostPort address,
-            Consumer<List<HostPort>> onPeers,
-            MetadataStore store,
+            LeaderLease lease,
             EngineControl engines,
             ConfigHolder config,
             Supplier<FleetView> fleet,
             SteadyClock clock,
-            EventLog log) {
-        this.member = name + MEMBER_SEPARATOR + address;
-        this.onPeers = onPeers;
-        this.store = store;
+            EventLog log,
+            Meters meters) {
+        this.lease = lease;
         this.engines = engines;
         this.config = config;
         this.fleet = fleet;
         this.clock = clock;
         this.log = log;
-        this.joinedMillis = clock.millis() - JOIN_MILLIS;
+        this.meters = meters;
         thread.setDaemon(true);
     }
 
@@ -145,16 +115,15 @@
     }
 
     private void step(long now) {
-        if (now - joinedMillis >= JOIN_MILLIS) {
-            join(now);
-        }
-        if (now >= membersDue) {
-            readMembers(now);
+        long term = lease.term(now);
+        if (term != lastTerm) {
+            orders.clear();
+            accepted.clear();
+            lastTerm = term;
         }
-        boolean may = leads && now < heldUntil;
         FleetView view = fleet.get();
         Optional<RoutingConfig> version = config.current();
-        if (!may || version.isEmpty() || !view.known()) {
+        if (term == LeaderLease.NONE || version.isEmpty() || !view.known()) {
             return;
         }
         for (ServiceSpec service : version.get().services()) {
@@ -162,49 +131,6 @@
         }
     }
 
-    private void readMembers(long now) {
-        Either<StoreFault, Set<String>> members = store.members(GROUP);
-        List<HostPort> peers = new ArrayList<>();
-        members.getOrElse(Set.of()).forEach(one -> address(one).ifPresent(peers::add));
-        boolean many = peers.size() > 1 && peers.size() == peersKnown;
-        membersDue = now + (many ? MEMBERS_MILLIS : FIRST_MEMBERS_MILLIS);
-        if (members.isRight()) {
-            if (peers.size() != peersKnown) {
-                log.line("peers", "known").with("count", peers.size()).write();
-            }
-            peersKnown = peers.size();
-            onPeers.accept(List.copyOf(peers));
-        }
-    }
-
-    private static Optional<HostPort> address(String member) {
-        try {
-            return Optional.of(HostPort.parse(member.substring(member.indexOf(MEMBER_SEPARATOR) + 1)));
-        } catch (IllegalArgumentException e) {
-            return Optional.empty(); // a member of another version, which takes no news
-        }
-    }
-
-    private void join(long now) {
-        joinedMillis = now;
-        Either<StoreFault, MetadataStore.Membership> joined = store.join(GROUP, member, GROUP, TTL_MILLIS, generation);
-        if (joined.isLeft()) {
-            log.line("placement", "not joined").with("fault", joined.getLeft()).write();
-            return;
-        }
-        generation = joined.get().generation();
-        boolean leading = joined.get().holdsFirst();
-        if (leading != leads) {
-            log.line("placement", leading ? "leads" : "follows")
-                    .with("generation", generation)
-                    .write();
-            orders.clear();
-            accepted.clear();
-        }
-        leads = leading;
-        heldUntil = now + TTL_MILLIS;
-    }
-
     private void place(ServiceSpec service, EngineSpec spec, FleetView view, long now) {
         List<BackendServer> known = new ArrayList<>();
         for (BackendServer server : view.servers()) {
@@ -280,13 +206,14 @@
             return;
         }
         Either<StoreFault, byte[]> result = engines.place(engine, placement.layers(), before);
+        meters.ordered(result.isRight());
         log.line("placement", result.isRight() ? "ordered" : "order failed")
                 .with("server", engine.id())
                 .with(
                         "layers",
                         placement.layers().from() + "-" + placement.layers().to())
                 .with("ordersBefore", before)
-                .with("generation", generation)
+                .with("term", lastTerm)
                 .with("fault", result.fold(StoreFault::toString, any -> ""))
                 .write();
         if (result.isRight()) {
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -123,7 +123,7 @@
     public void cancel(String why) {
         Request out = request;
         if (out != null) {
-            out.abort(new CancelledAttempt(why));
+            var unused = out.abort(new CancelledAttempt(why)); // the end is told by onComplete
         }
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -35,6 +35,8 @@
     private volatile boolean committed;
     private volatile long lastEvent;
     private volatile long lastEventMillis;
+    private volatile long firstEventMillis;
+    private volatile long longestPauseMillis;
 
     /**
      * What the client asked for. Immutable, safe for use by any thread.
@@ -102,6 +104,16 @@
         return lastEventMillis;
     }
 
+    /** Time from the request to its first event; negative before that. */
+    public long firstEventAfterMillis() {
+        return firstEventMillis == 0 ? -1 : firstEventMillis - call.receivedMillis();
+    }
+
+    /** Longest pause between two events so far. */
+    public long longestPauseMillis() {
+        return longestPauseMillis;
+    }
+
     /** Whether the client has closed its connection; asked only while no event has been passed on lately. */
     public boolean hasClientLeft(long nowMillis) {
         long quiet = nowMillis - Math.max(lastEventMillis, call.receivedMillis());
@@ -123,6 +135,11 @@
             AnswerHead.copy(fields, response.getHeaders());
         }
         lastEvent = Math.max(lastEvent, lastId);
+        if (lastEventMillis == 0) {
+            firstEventMillis = nowMillis;
+        } else {
+            longestPauseMillis = Math.max(longestPauseMillis, nowMillis - lastEventMillis);
+        }
         lastEventMillis = nowMillis;
         response.write(false, events, done);
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/request/FrontServer.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/FrontServer.java
@@ -1,9 +1,11 @@
 package org.cornelramp.gateway.request;
 
+import org.cornelramp.core.routing.RouteKind;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.route.ConfigHolder;
 import org.cornelramp.gateway.route.Router;
 import org.cornelramp.platform.Environment;
@@ -34,6 +36,7 @@
     private final ConfigHolder config;
     private final Router router;
     private volatile boolean leaving;
+    private volatile boolean refusingStreams;
     private volatile boolean refusing;
 
     public FrontServer(
@@ -43,7 +46,8 @@
             Router router,
             Handler internal,
             SteadyClock clock,
-            EventLog log) {
+            EventLog log,
+            Meters meters) {
         this.config = config;
         this.router = router;
         this.server = new Server(threads);
@@ -53,7 +57,7 @@
         server.addConnector(readiness);
         ServerConnector own = connector(settings.metrics(), "internal");
         server.addConnector(own);
-        Intake intake = new Intake(config, router, clock, log, () -> leaving, () -> refusing);
+        Intake intake = new Intake(config, router, clock, log, () -> leaving, this::refuses, meters);
         server.setHandler(new Handler.Abstract.NonBlocking() {
             @Override
             public boolean handle(Request request, Response response, Callback callback) throws Exception {
@@ -105,11 +109,20 @@
         server.stop();
     }
 
-    /** Refuses new requests from now on; those under way go on. */
+    /** Refuses new streams from now on; they would be cut when this process ends. */
+    public void refuseStreams() {
+        refusingStreams = true;
+    }
+
+    /** Refuses all new requests from now on; those under way go on. */
     public void refuseNew() {
         refusing = true;
     }
 
+    private boolean refuses(RouteKind kind) {
+        return refusing || (refusingStreams && kind == RouteKind.STREAMING);
+    }
+
     /** Says that this process is not ready any more, and closes each connection after its next answer. */
     public void leave() {
         leaving = true;
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Intake.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Intake.java
@@ -4,12 +4,15 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import org.cornelramp.core.model.ProblemKind;
 import org.cornelramp.core.routing.Route;
+import org.cornelramp.core.routing.RouteKind;
 import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.daemon.http.BodyReader;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.route.ConfigHolder;
 import org.cornelramp.gateway.route.Router;
 import org.cornelramp.gateway.route.RouterEvent;
@@ -30,11 +33,12 @@
     private final SteadyClock clock;
     private final EventLog log;
     private final BooleanSupplier leaving;
-    private final BooleanSupplier refusing;
+    private final Predicate<RouteKind> refuses;
+    private final Meters meters;
 
     /**
      * @param leaving whether connections are closed after their answers
-     * @param refusing whether new requests are refused because this process stops
+     * @param refuses whether new requests of a kind are refused because this process stops
      */
     Intake(
             ConfigHolder config,
@@ -42,13 +46,15 @@
             SteadyClock clock,
             EventLog log,
             BooleanSupplier leaving,
-            BooleanSupplier refusing) {
+            Predicate<RouteKind> refuses,
+            Meters meters) {
         this.config = config;
         this.router = router;
         this.clock = clock;
         this.log = log;
         this.leaving = leaving;
-        this.refusing = refusing;
+        this.refuses = refuses;
+        this.meters = meters;
     }
 
     void handle(Request request, Response response, Callback callback) {
@@ -57,10 +63,6 @@
         request.addIdleTimeoutListener(timeout -> false);
         HttpFields fields = request.getHeaders().asImmutable();
         CallHead head = CallHead.decode(fields);
-        if (refusing.getAsBoolean()) {
-            refuse(request, response, callback, head, Refusal.LEAVING);
-            return;
-        }
         Optional<RoutingConfig> version = config.current();
         if (version.isEmpty()) {
             refuse(request, response, callback, head, Refusal.NO_CONFIGURATION);
@@ -72,6 +74,11 @@
             refuse(request, response, callback, head, Refusal.NO_ROUTE);
             return;
         }
+        if (refuses.test(route.get().kind())) {
+            Refusal refusal = router.hasStayingPeer() ? Refusal.LEAVING : Refusal.ALL_LEAVING;
+            refuse(request, response, callback, head, refusal);
+            return;
+        }
         Optional<RoutingConfig.Organisation> organisation = head.key().flatMap(version.get()::organisation);
         if (version.get().needsKey(route.get()) && organisation.isEmpty()) {
             refuse(request, response, callback, head, Refusal.NO_KEY);
@@ -133,6 +140,7 @@
     }
 
     private void logRefused(CallHead head, Refusal refusal, String why) {
+        meters.refused(refusal.name());
         log.line("intake", "refused")
                 .with("id", head.requestId())
                 .with("as", refusal)
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Refusal.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Refusal.java
@@ -7,6 +7,7 @@
 public enum Refusal {
     NO_CONFIGURATION(503, "This process has no configuration yet; come again soon.", 400),
     LEAVING(503, "This process stops; come again on a new connection.", 100),
+    ALL_LEAVING(503, "All processes stop or start; come again in a while.", 1_500),
     NO_ROUTE(404, "No route takes this host and path; check both.", 0),
     NO_KEY(401, "The key is missing or unknown; send a valid one.", 0),
     TOO_LARGE(413, "The body is larger than the configuration allows; send less.", 0),
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
@@ -1,8 +1,10 @@
 package org.cornelramp.gateway.route;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.PlainServers;
 import org.cornelramp.core.fleet.ServerRegistry;
@@ -15,7 +17,7 @@
 /** What the gateway believes of the backend servers. Owned by the router's duty. */
 public final class Beliefs {
     /** Age of a registration when it is read, at most: the pause between two reads and a slow answer. */
-    private static final long NEWS_AGE_MILLIS = 800;
+    private static final long NEWS_AGE_MILLIS = 1_400;
 
     private final ServerRegistry registry = new ServerRegistry();
     private final Suspicions suspicions = new Suspicions();
@@ -23,6 +25,7 @@
     private final PlainServers plain = new PlainServers();
     private final long leavingUsableMillis;
     private boolean known;
+    private boolean connected;
 
     /**
      * @param drainMillis time after which a leaving server gets nothing new, counted from its registration
@@ -62,13 +65,15 @@
     }
 
     /**
-     * The servers of a service that take work and are trusted now. One that is leaving still takes work for a while;
-     * its successor loads its layers meanwhile.
+     * The servers of a service that take work and are trusted now. An engine that is leaving still takes work for a
+     * moment, while its successor loads its layers; not while the store is away, since the news may be old then.
      */
     public List<BackendServer> usable(ServiceName service, long nowMillis) {
         List<BackendServer> usable = new ArrayList<>();
         for (BackendServer server : registry.servers()) {
-            boolean takesWork = leavingMillis(server.id(), nowMillis) < leavingUsableMillis;
+            long leaving = leavingMillis(server.id(), nowMillis);
+            boolean lends = connected && server.layers().isPresent() && leaving < leavingUsableMillis;
+            boolean takesWork = leaving < 0 || lends;
             if (server.service().equals(service) && takesWork && !isSuspect(server.id(), nowMillis)) {
                 usable.add(server);
             }
@@ -76,6 +81,12 @@
         return usable;
     }
 
+    /** Notes whether the store answers. */
+    public void storeAnswers(boolean answers, long nowMillis) {
+        connected = answers;
+        registry.storeAnswers(answers, nowMillis);
+    }
+
     /** How long a server is known to be leaving; negative while it is not. */
     private long leavingMillis(BackendServerId id, long nowMillis) {
         return registry.leavingSinceMillis(id).map(since -> nowMillis - since).orElse(-1L);
@@ -98,6 +109,18 @@
                 .findFirst();
     }
 
+    /** What is believed now, for other duties. */
+    public FleetView view(long nowMillis) {
+        List<BackendServer> servers = registry.servers();
+        Set<BackendServerId> suspects = new HashSet<>();
+        for (BackendServer server : servers) {
+            if (isSuspect(server.id(), nowMillis)) {
+                suspects.add(server.id());
+            }
+        }
+        return new FleetView(servers, suspects, connected, known);
+    }
+
     /** Forgets what is known of servers that are not registered any more. */
     public void forgetGone() {
         suspicions.retain(id -> registry.server(id).isPresent());
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -71,6 +71,8 @@
         Optional<StagePath> path = PathFinder.find(spec, usable, beliefs.loads(), demand);
         path.ifPresent(way -> {
             load(flight, way);
+            flight.setReading(prompt);
+            beliefs.loads().reading(way, prompt);
             begin(flight, way.first(), Optional.of(way), now);
         });
         return path.isPresent();
@@ -97,9 +99,18 @@
         flight.setLoaded(path);
     }
 
+    /** Notes that the engines have read the prompt. */
+    void promptRead(Flight flight) {
+        if (flight.reading() != 0) {
+            beliefs.loads().reading(flight.loaded(), -flight.reading());
+            flight.setReading(0);
+        }
+    }
+
     /** Counts the request on no engine any more. */
     void unload(Flight flight) {
         if (flight.loaded() != null) {
+            promptRead(flight);
             beliefs.loads().remove(flight.loaded(), flight.tokens());
             flight.setLoaded(null);
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
@@ -22,7 +22,7 @@
     private static final int QUEUE = 256;
 
     /** Some twenty times an engine's usual time to answer, and little against the pause that a client notices. */
-    private static final long QUICK_TIMEOUT_MILLIS = 80;
+    private static final long QUICK_TIMEOUT_MILLIS = 60;
 
     private static final long QUICK_PAUSE_MILLIS = 250;
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
@@ -18,6 +18,7 @@
     private final Set<BackendServerId> firsts = new HashSet<>();
     private Attempt attempt;
     private StagePath loaded;
+    private int reading;
     private int sent;
     private int mayHaveRun;
     private boolean moving;
@@ -99,6 +100,15 @@
         loaded = path;
     }
 
+    /** Prompt tokens that its engines still have to read. */
+    int reading() {
+        return reading;
+    }
+
+    void setReading(int prompt) {
+        reading = prompt;
+    }
+
     /** Whether an order to move it to another path is under way. */
     boolean isMoving() {
         return moving;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PeerTalk.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PeerTalk.java
@@ -3,12 +3,15 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 import org.cornelramp.core.fleet.Suspicions.Evidence;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.EngineLoads;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.peer.PeerLink;
 import org.cornelramp.gateway.peer.PeerNews;
+import org.cornelramp.gateway.place.LeaderLease;
 
 /** What this gateway tells its peers, and what it believes of what they tell. Owned by the router's duty. */
 final class PeerTalk {
@@ -26,6 +29,10 @@
     private final EventLog log;
     private final long life = PeerLink.newLife();
     private final Map<BackendServerId, Long> seenFail = new HashMap<>();
+    private volatile LongSupplier ownTerm = () -> LeaderLease.NONE;
+    private final Map<String, Long> staying = new ConcurrentHashMap<>();
+    private volatile boolean leaving;
+    private volatile long peersTerm = LeaderLease.NONE;
     private long number;
     private volatile PeerNews news;
 
@@ -33,7 +40,7 @@
         this.name = name;
         this.beliefs = beliefs;
         this.log = log;
-        this.news = new PeerNews(name, life, 0, Map.of(), 0, Map.of(), Set.of());
+        this.news = new PeerNews(name, life, 0, LeaderLease.NONE, false, Map.of(), 0, Map.of(), Set.of());
     }
 
     /** The news to tell now; may be called by any thread. */
@@ -41,6 +48,26 @@
         return news;
     }
 
+    /** Latest term of the lead that a peer has told of; may be called by any thread. */
+    long peersTerm() {
+        return peersTerm;
+    }
+
+    /** Notes that this process is stopping. */
+    void leave() {
+        leaving = true;
+    }
+
+    /** Whether a peer is there that is not stopping; may be called by any thread. */
+    boolean hasStayingPeer() {
+        return !staying.isEmpty();
+    }
+
+    /** Sets where to ask for this process's own term. */
+    void setOwnTerm(LongSupplier term) {
+        ownTerm = term;
+    }
+
     /** Notes that this process itself has seen a server fail. What peers tell is not told on, or it would never end. */
     void sawFail(BackendServerId id, long nowMillis) {
         seenFail.put(id, nowMillis);
@@ -51,13 +78,28 @@
         EngineLoads loads = beliefs.loads();
         loads.forgetPaces(nowMillis);
         loads.forgetSilent(PEER_SILENCE_MILLIS, nowMillis);
+        staying.values().removeIf(at -> nowMillis - at > PEER_SILENCE_MILLIS);
         seenFail.values().removeIf(at -> nowMillis - at > TELL_MILLIS);
         news = new PeerNews(
-                name, life, ++number, loads.own(), loads.ownCrossings(), loads.unusualPaces(), seenFail.keySet());
+                name,
+                life,
+                ++number,
+                ownTerm.getAsLong(),
+                leaving,
+                loads.own(),
+                loads.ownCrossings(),
+                loads.unusualPaces(),
+                seenFail.keySet());
     }
 
     /** Takes a peer's news. */
     void told(PeerNews theirs, long nowMillis) {
+        peersTerm = Math.max(peersTerm, theirs.term());
+        if (theirs.leaving()) {
+            staying.remove(theirs.name());
+        } else {
+            staying.put(theirs.name(), nowMillis);
+        }
         EngineLoads loads = beliefs.loads();
         loads.peer(theirs.name(), theirs.loads(), theirs.crossings(), nowMillis);
         theirs.paces().forEach((id, pace) -> {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -1,12 +1,11 @@
 package org.cornelramp.gateway.route;
 
 import io.vavr.control.Either;
-import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.Suspicions.Evidence;
 import org.cornelramp.core.model.BackendServerId;
@@ -17,6 +16,7 @@
 import org.cornelramp.gateway.HttpClients;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.peer.PeerNews;
 import org.cornelramp.gateway.request.Attempt;
 import org.cornelramp.gateway.request.AttemptEnd;
@@ -52,6 +52,7 @@
     private final ConfigHolder config;
     private final SteadyClock clock;
     private final EventLog log;
+    private final Meters meters;
     private final EngineDesk desk;
     private final Beliefs beliefs;
     private final IdentityHashMap<Exchange, Flight> flights = new IdentityHashMap<>();
@@ -74,12 +75,14 @@
             ConfigHolder config,
             SteadyClock clock,
             EventLog log,
+            Meters meters,
             EngineDesk desk) {
         this.settings = settings;
         this.beliefs = new Beliefs(settings.timing().drainMillis());
         this.config = config;
         this.clock = clock;
         this.log = log;
+        this.meters = meters;
         this.desk = desk;
         this.duty = new Duty<>("router", RING, this::handle, this::tick, TICK_MILLIS);
         this.repeats = new Repeats(settings.retries());
@@ -118,6 +121,26 @@
         return talk.news();
     }
 
+    /** Latest term of the lead that a peer has told of. */
+    public long peersTerm() {
+        return talk.peersTerm();
+    }
+
+    /** Sets where to ask for the term in which this process leads; called before the start. */
+    public void setOwnTerm(LongSupplier term) {
+        talk.setOwnTerm(term);
+    }
+
+    /** Notes that this process is stopping, for its peers. */
+    public void leave() {
+        talk.leave();
+    }
+
+    /** Whether a peer is there that is not stopping. */
+    public boolean hasStayingPeer() {
+        return talk.hasStayingPeer();
+    }
+
     /** Takes a peer's news. */
     public void peerTold(PeerNews told) {
         offer(new RouterEvent.PeerTold(told));
@@ -187,6 +210,7 @@
 
     private void ended(Attempt attempt, AttemptEnd end, long now) {
         Flight flight = flights.get(attempt.exchange());
+        meters.attemptEnded(end.kind().name());
         boolean current = flight != null && flight.attempt() == attempt;
         if (attempt.path().isEmpty()) {
             boolean good = end.kind() == AttemptEnd.Kind.ANSWERED && end.status() < SERVER_ERROR;
@@ -292,6 +316,7 @@
         if (evidence == Evidence.LOST) {
             talk.sawFail(server.id(), now);
         }
+        meters.suspected(evidence.name());
         log.line("fleet", "suspected")
                 .with("server", server.id())
                 .with("address", server.address())
@@ -307,6 +332,7 @@
             return;
         }
         flight.exchange().refuse(refusal, refusal.retryMillis());
+        meters.refused(refusal.name());
         log.line("request", "refused")
                 .with("id", flight.exchange().call().id())
                 .with("as", refusal)
@@ -342,7 +368,14 @@
                 .with("status", status)
                 .with("attempts", flight.sent())
                 .with("millis", now - call.receivedMillis())
+                .with("firstEventMillis", flight.exchange().firstEventAfterMillis())
+                .with("longestPauseMillis", flight.exchange().longestPauseMillis())
                 .write();
+        meters.requestEnded(call.route().kind(), outcome, now - call.receivedMillis());
+        if (flight.exchange().firstEventAfterMillis() >= 0) {
+            meters.firstEvent(flight.exchange().firstEventAfterMillis());
+            meters.longestPause(flight.exchange().longestPauseMillis());
+        }
     }
 
     private void registered(RouterEvent.Registered registered, long now) {
@@ -369,7 +402,7 @@
             storeAnswers = answers;
             log.line("store", answers ? "regained" : "lost").write();
         }
-        beliefs.registry().storeAnswers(answers, now);
+        beliefs.storeAnswers(answers, now);
     }
 
     private void reported(BackendServer engine, Either<StoreFault, EngineReport> report, long now) {
@@ -393,6 +426,7 @@
             return;
         }
         flight.setMoving(false);
+        meters.moved(moved.result().isRight());
         log.line("route", moved.result().isRight() ? "moved" : "not moved")
                 .with("id", flight.exchange().call().id())
                 .with("path", moved.path().text())
@@ -421,7 +455,8 @@
         if (beliefs.registry().expire(now)) {
             beliefs.forgetGone();
         }
-        publish(now);
+        talk.prepare(now);
+        view = beliefs.view(now);
     }
 
     private void checkTime(Flight flight, long now) {
@@ -442,6 +477,8 @@
             giveUp(flight, flight.mayHaveRun() == 0 ? Refusal.NOT_RUN_IN_TIME : Refusal.TIMED_OUT, "deadline");
         } else if (attempt == null) {
             send(flight, now);
+        } else if (flight.exchange().lastEventMillis() > attempt.startMillis()) {
+            dispatcher.promptRead(flight);
         } else if (flight.route().kind() == RouteKind.SAFE && isOverdue(flight, attempt, now)) {
             attempt.cancel("it takes too long");
         }
@@ -452,16 +489,4 @@
         double patience = PATIENCE * flight.route().targetMillis();
         return flight.sent() == 1 && !attempt.isAnswering() && now - attempt.startMillis() > patience;
     }
-
-    private void publish(long now) {
-        Set<BackendServerId> suspects = new HashSet<>();
-        List<BackendServer> servers = beliefs.registry().servers();
-        for (BackendServer server : servers) {
-            if (beliefs.isSuspect(server.id(), now)) {
-                suspects.add(server.id());
-            }
-        }
-        talk.prepare(now);
-        view = new FleetView(servers, suspects, storeAnswers, beliefs.isKnown());
-    }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/WholePathTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/WholePathTest.java
@@ -7,6 +7,8 @@
 import java.net.http.HttpResponse;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.cornelramp.platform.standin.StandInClient;
 import org.cornelramp.platform.standin.StandInServer;
@@ -17,8 +19,9 @@
 
 /** A gateway before stand-ins of the users' platform: what clients get and what backend servers see. */
 public class WholePathTest {
-    private static final String FIVE_EVENTS = "id: 0\ndata: piece 0\n\nid: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
-            + "id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n";
+    private static final String FIVE_EVENTS = IntStream.range(0, 5)
+            .mapToObj(event -> "id: " + event + "\ndata: piece " + event + "\n\n")
+            .collect(Collectors.joining());
 
     private GatewayFixture fixture;
 
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/PeerNewsCodecTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/PeerNewsCodecTest.java
@@ -13,8 +13,8 @@
 /** News between gateways, whole and damaged. */
 public class PeerNewsCodecTest {
     private static final BackendServerId ID = new BackendServerId("i-1");
-    private static final PeerNews NEWS =
-            new PeerNews("g1", 7, 9, Map.of(ID, new EngineLoads.Load(3, 1, 50_000)), 4, Map.of(ID, 2.5), Set.of(ID));
+    private static final PeerNews NEWS = new PeerNews(
+            "g1", 7, 9, 2, true, Map.of(ID, new EngineLoads.Load(3, 1, 50_000, 772)), 4, Map.of(ID, 2.5), Set.of(ID));
 
     @Test
     public void readsWhatWasWritten() {
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/BeliefsTest.java
@@ -0,0 +1,68 @@
+package org.cornelramp.gateway.route;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.fleet.ServerRegistry;
+import org.cornelramp.core.fleet.ServerState;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.LayerRange;
+import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.settings.HostPort;
+import org.testng.annotations.Test;
+
+/** Which servers may be given work while they leave. */
+public class BeliefsTest {
+    private static final long DRAIN_MILLIS = 2_000;
+    private static final ServiceName SERVICE = new ServiceName("s");
+
+    private static BackendServer server(boolean engine) {
+        Optional<LayerRange> layers = engine ? Optional.of(new LayerRange(0, 8, 8)) : Optional.empty();
+        return new BackendServer(
+                new BackendServerId("i-1"),
+                SERVICE,
+                new HostPort("10.0.0.1", 80),
+                new DataCentre("dc1"),
+                ServerState.DRAINING,
+                6,
+                engine ? "big" : "",
+                layers);
+    }
+
+    private static Beliefs leaving(boolean engine) {
+        Beliefs beliefs = new Beliefs(DRAIN_MILLIS);
+        beliefs.storeAnswers(true, 0);
+        BackendServer server = server(engine);
+        beliefs.registry().apply(new ServerRegistry.Registration(1, server.id(), Optional.of(server)), 10_000);
+        return beliefs;
+    }
+
+    /**
+     * A plain server said that it leaves; the news took 0.8 s through a slow store, and a request was sent 1.2 s after
+     * it, 29 ms too late. Another server can always take a plain request, so one that leaves gets none from the moment
+     * its news are read.
+     */
+    @Test
+    public void aPlainServerThatLeavesGetsNothingNew() {
+        assertEquals(leaving(false).usable(SERVICE, 10_001), List.of());
+    }
+
+    /** Nobody else may hold an engine's layers, so it is used for what is left of its time after the oldest news. */
+    @Test
+    public void anEngineThatLeavesLendsItsLayersForAMoment() {
+        Beliefs beliefs = leaving(true);
+        assertEquals(beliefs.usable(SERVICE, 10_300).size(), 1);
+        assertEquals(beliefs.usable(SERVICE, 10_000 + DRAIN_MILLIS - 1_400), List.of());
+    }
+
+    /** News that a peer passes on while the store is away are older than those of the store. */
+    @Test
+    public void anEngineThatLeavesGetsNothingWhileTheStoreIsAway() {
+        Beliefs beliefs = leaving(true);
+        beliefs.storeAnswers(false, 10_100);
+        assertEquals(beliefs.usable(SERVICE, 10_200), List.of());
+    }
+}
