--- a/core/src/main/java/org/cornelramp/core/fleet/PlainServers.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/PlainServers.java
@@ -26,12 +26,6 @@
     /** What a failed answer costs its client, in milliseconds: the time of another try. */
     private static final double FAILURE_MILLIS = 400;
 
-    /**
-     * Share of failed answers above which a server is held to be at fault. Some requests fail everywhere, about one in
-     * seven of the worst kind; repeating those elsewhere only costs another run.
-     */
-    private static final double OFTEN = 0.3;
-
     private final Map<BackendServerId, Stats> stats = new HashMap<>();
 
     private static final class Stats {
@@ -82,12 +76,6 @@
         }
     }
 
-    /** Whether the server fails so often that the fault is its own and not the requests'. */
-    public boolean failsOften(BackendServerId id) {
-        Stats known = stats.get(id);
-        return known != null && known.failures > OFTEN;
-    }
-
     /** Requests that are under way from here. */
     public int underWay(BackendServerId id) {
         Stats known = stats.get(id);
--- a/core/src/main/java/org/cornelramp/core/path/PathFinder.java
+++ b/core/src/main/java/org/cornelramp/core/path/PathFinder.java
@@ -10,6 +10,7 @@
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.LayerRange;
 import org.cornelramp.core.routing.CardKind;
 import org.cornelramp.core.routing.EngineSpec;
 
@@ -100,10 +101,8 @@
             Step start, EngineSpec spec, List<BackendServer> engines, EngineLoads loads, Demand demand) {
         List<Engine> usable = new ArrayList<>();
         for (BackendServer server : engines) {
-            spec.card(server.card())
-                    .filter(card -> server.layers().isPresent())
-                    .map(card -> new Engine(server, card, spec, loads))
-                    .ifPresent(usable::add);
+            spec.card(server.card()).ifPresent(card -> server.layers()
+                    .ifPresent(layers -> usable.add(new Engine(server, layers, card, spec, loads))));
         }
         List<List<Step>> best = new ArrayList<>();
         for (int layer = 0; layer <= spec.layers(); layer++) {
@@ -112,7 +111,7 @@
         best.get(start.to()).add(start);
         double crossMillis = crossMillis(spec, loads);
         for (int layer = start.to(); layer < spec.layers(); layer++) {
-            for (Engine engine : usable) {
+            for (Engine engine : best.get(layer).isEmpty() ? List.<Engine>of() : usable) {
                 extend(best, layer, engine, demand, crossMillis);
             }
         }
@@ -133,7 +132,7 @@
     }
 
     private static void extend(List<List<Step>> best, int layer, Engine engine, Demand demand, double crossMillis) {
-        if (best.get(layer).isEmpty() || !engine.canRun(layer, demand)) {
+        if (!engine.canRun(layer, demand)) {
             return;
         }
         int to = engine.end();
@@ -183,20 +182,34 @@
         return new StagePath(List.copyOf(hops), last.cost(), readMillis);
     }
 
-    /** One engine with what it has under way. */
+    /** One engine with what it has under way; its figures are worked out once, since a search asks for them often. */
     private static final class Engine {
         private final BackendServer server;
-        private final CardKind card;
-        private final EngineSpec spec;
-        private final EngineLoads.Load load;
-        private final double pace;
-
-        Engine(BackendServer server, CardKind card, EngineSpec spec, EngineLoads loads) {
+        private final int from;
+        private final int to;
+        private final boolean hasSlot;
+        private final double freeTokenLayers;
+        private final double layerMillis;
+
+        Engine(BackendServer server, LayerRange layers, CardKind card, EngineSpec spec, EngineLoads loads) {
+            EngineLoads.Load load = loads.load(server.id());
+            double freeMb = card.memoryMb() - (layers.to() - layers.from()) * spec.layerMb();
             this.server = server;
-            this.card = card;
-            this.spec = spec;
-            this.load = loads.load(server.id());
-            this.pace = loads.pace(server.id());
+            this.from = layers.from();
+            this.to = layers.to();
+            this.hasSlot = load.asFirst() < server.slots();
+            this.freeTokenLayers = MEMORY_SHARE * freeMb / spec.tokenLayerMb() - load.tokenLayers();
+            this.layerMillis = layerMillis(load, card, spec) * loads.pace(server.id());
+        }
+
+        /**
+         * Time of a token for one layer with all that runs here. Requests are spread over the hops of their paths, so a
+         * step has only a part of them; half is a cautious guess that keeps copies evenly loaded.
+         */
+        private static double layerMillis(EngineLoads.Load load, CardKind card, EngineSpec spec) {
+            double step = spec.stepMillis() + (load.requests() + 1) / 2.0 * spec.usualRequestMillis();
+            double reading = load.reading() / spec.readPerMilli() * card.readFactor();
+            return (WAITING_FACTOR * step * card.stepFactor() + READING_PART * reading) / spec.layers();
         }
 
         BackendServer server() {
@@ -204,31 +217,16 @@
         }
 
         int end() {
-            return server.layers().orElseThrow().to();
+            return to;
         }
 
         boolean canRun(int layer, Demand demand) {
-            boolean mayStart = load.asFirst() < server.slots() && demand.mayStartAt(server);
-            if (!server.holds(layer) || (layer == 0 && !mayStart)) {
-                return false;
-            }
-            double taken = (load.tokenLayers() + (double) demand.tokens() * (end() - layer)) * spec.tokenLayerMb();
-            return taken <= MEMORY_SHARE * freeMb();
-        }
-
-        private double freeMb() {
-            var range = server.layers().orElseThrow();
-            return card.memoryMb() - (range.to() - range.from()) * spec.layerMb();
+            boolean starts = layer > 0 || (hasSlot && demand.mayStartAt(server));
+            return from <= layer && layer < to && starts && (double) demand.tokens() * (to - layer) <= freeTokenLayers;
         }
 
-        /**
-         * Time of a token with all that runs here. Requests are spread over the hops of their paths, so a step has
-         * only a part of them; half is a cautious guess that keeps copies evenly loaded.
-         */
         double tokenMillis(int layers) {
-            double step = spec.stepMillis() + (load.requests() + 1) / 2.0 * spec.usualRequestMillis();
-            double reading = load.reading() / spec.readPerMilli() * card.readFactor();
-            return (WAITING_FACTOR * step * card.stepFactor() + READING_PART * reading) * pace * layers / spec.layers();
+            return layerMillis * layers;
         }
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -64,6 +64,7 @@
     private final StreamWatch watch;
     private volatile FleetView view = FleetView.NOTHING;
     private boolean storeAnswers;
+    private boolean lostSeen;
 
     /**
      * @param clients send the requests
@@ -163,6 +164,10 @@
         } else if (event instanceof RouterEvent.Moved moved) {
             moved(moved);
         }
+        if (lostSeen) {
+            lostSeen = false;
+            watch.check(flights.values(), config.current(), now); // its streams go on before their clients notice
+        }
     }
 
     private void arrived(Exchange exchange, long now) {
@@ -238,10 +243,7 @@
     }
 
     private void answered(Flight flight, Attempt attempt, AttemptEnd end, long now) {
-        boolean worthRepeating = end.status() >= SERVER_ERROR
-                && flight.route().mayRepeat()
-                && (attempt.path().isPresent()
-                        || beliefs.plain().failsOften(attempt.server().id()));
+        boolean worthRepeating = end.status() >= SERVER_ERROR && flight.route().mayRepeat();
         if (worthRepeating && trySend(flight, attempt, end, now)) {
             return;
         }
@@ -315,6 +317,7 @@
         }
         if (evidence == Evidence.LOST) {
             talk.sawFail(server.id(), now);
+            lostSeen = true;
         }
         meters.suspected(evidence.name());
         log.line("fleet", "suspected")
