--- /dev/null
+++ b/core/src/test/java/org/cornelramp/core/settings/GatewaySettingsReaderTest.java
@@ -0,0 +1,48 @@
+package org.cornelramp.core.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** A gateway's settings, right and wrong. */
+public class GatewaySettingsReaderTest {
+    private static final String GOOD =
+            """
+            {"name":"g1","dataCentre":"dc1","requests":"10.0.0.1:80","readiness":"10.0.0.1:81",
+             "metrics":"10.0.0.1:82","peers":"10.0.0.1:83","store":"10.0.0.2:90",
+             "timing":{"heartbeatMillis":1200,"drainMillis":2000,"graceSeconds":8,"stallMillis":2000},
+             "retries":{"ratio":0.2,"reserve":198,"windowSeconds":10}}
+            """;
+
+    private static List<SettingsFault> faults(String text) {
+        return new GatewaySettingsReader().read(text).getLeft();
+    }
+
+    @Test
+    public void readsAllFields() {
+        GatewaySettings settings = new GatewaySettingsReader().read(GOOD).get();
+        assertEquals(settings.timing().graceMillis(), 8_000);
+        assertEquals(settings.retries().reserve(), 198.0);
+        assertEquals(settings.peers().port(), 83);
+    }
+
+    @Test
+    public void everyFaultIsToldAtOnceWithItsPlaceAndRemedy() {
+        String wrong = GOOD.replace("10.0.0.1:80", "nowhere")
+                .replace("\"ratio\":0.2", "\"ratio\":-1")
+                .replace("\"dataCentre\":\"dc1\",", "")
+                .replace("\"store\"", "\"stroe\"");
+        List<String> places =
+                faults(wrong).stream().map(SettingsFault::path).sorted().toList();
+        assertEquals(places, List.of("/dataCentre", "/requests", "/retries/ratio", "/store", "/stroe"));
+        faults(wrong).forEach(fault -> assertTrue(!fault.remedy().isBlank()));
+    }
+
+    @Test
+    public void textThatIsNoJsonIsOneFault() {
+        assertEquals(faults("{").size(), 1);
+        assertEquals(faults("").isEmpty(), false);
+    }
+}
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
@@ -5,10 +5,13 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.net.SocketTimeoutException;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -27,6 +30,12 @@
     /** Interval of the news: a tenth of the time in which load moves noticeably. */
     private static final int INTERVAL_MILLIS = 120;
 
+    /**
+     * How long a gateway that tells its news is told ours, though the store does not list it. One that the store turns
+     * away drops out of the list while it serves on; without our news it would send its streams where all others do.
+     */
+    private static final long ANSWER_MILLIS = 5_000;
+
     /** Below the usual limit of a datagram that is not split on its way. */
     private static final int MAX_BYTES = 8_192;
 
@@ -37,6 +46,7 @@
     private final EventLog log;
     private final Thread thread = new Thread(this::run, "peers");
     private final Map<String, long[]> newest = new HashMap<>();
+    private final Map<InetSocketAddress, Long> heard = new HashMap<>();
     private volatile List<HostPort> peers = List.of();
     private volatile boolean running = true;
 
@@ -113,7 +123,7 @@
             try {
                 DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
                 socket.receive(packet);
-                take(buffer, packet.getLength());
+                take(buffer, packet.getLength(), packet.getSocketAddress());
             } catch (SocketTimeoutException e) {
                 // nobody told anything; it is time to send
             }
@@ -121,7 +131,9 @@
     }
 
     private void tell(DatagramSocket socket) {
-        List<HostPort> to = peers;
+        heard.values().removeIf(at -> clock.millis() - at > ANSWER_MILLIS);
+        Set<InetSocketAddress> to = new HashSet<>(heard.keySet());
+        peers.forEach(peer -> to.add(new InetSocketAddress(peer.host(), peer.port())));
         if (to.isEmpty()) {
             return;
         }
@@ -130,9 +142,9 @@
         if (bytes.length > MAX_BYTES) {
             bytes = PeerNewsCodec.write(news.withoutLoads());
         }
-        for (HostPort peer : to) {
+        for (InetSocketAddress peer : to) {
             try {
-                socket.send(new DatagramPacket(bytes, bytes.length, new InetSocketAddress(peer.host(), peer.port())));
+                socket.send(new DatagramPacket(bytes, bytes.length, peer));
             } catch (IOException e) {
                 log.ordinary("peers", "not told")
                         .with("peer", peer)
@@ -142,13 +154,16 @@
         }
     }
 
-    private void take(byte[] bytes, int length) {
+    private void take(byte[] bytes, int length, SocketAddress from) {
         Either<String, PeerNews> read = PeerNewsCodec.read(bytes, length);
         if (read.isLeft()) {
             log.ordinary("peers", "unreadable").with("fault", read.getLeft()).write();
             return;
         }
         PeerNews news = read.get();
+        if (from instanceof InetSocketAddress address) {
+            heard.put(address, clock.millis());
+        }
         long[] last = newest.get(news.name());
         boolean old = last != null && last[0] == news.life() && last[1] >= news.number();
         if (!old) {
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/PeerLinkTest.java
@@ -0,0 +1,59 @@
+package org.cornelramp.gateway.peer;
+
+import java.io.ByteArrayOutputStream;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.time.Clock;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.gateway.GatewayFixture;
+import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.log.EventLog;
+import org.testng.annotations.Test;
+
+/** Who is told whose news. */
+public class PeerLinkTest {
+
+    private static HostPort freeAddress() throws Exception {
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return new HostPort("127.0.0.1", socket.getLocalPort());
+        }
+    }
+
+    private static PeerLink link(String name, HostPort address, Queue<PeerNews> heard) {
+        AtomicLong number = new AtomicLong();
+        EventLog log = new EventLog(new ByteArrayOutputStream(), Clock.systemUTC(), name);
+        return new PeerLink(
+                address,
+                () -> new PeerNews(name, 1, number.incrementAndGet(), -1, false, Map.of(), 0, Map.of(), Set.of()),
+                heard::add,
+                SteadyClock.system(),
+                log);
+    }
+
+    /**
+     * The store turns one gateway away for seconds. It drops out of the members that the others read, but still knows
+     * them and tells them its news; they tell it theirs, so it goes on choosing by what all have under way.
+     */
+    @Test
+    public void aGatewayThatTheStoreDoesNotListIsToldWhatItsPeersHaveUnderWay() throws Exception {
+        HostPort listed = freeAddress();
+        HostPort turnedAway = freeAddress();
+        Queue<PeerNews> heardThere = new ConcurrentLinkedQueue<>();
+        PeerLink one = link("listed", listed, new ConcurrentLinkedQueue<>());
+        PeerLink other = link("turned away", turnedAway, heardThere);
+        one.setPeers(List.of());
+        other.setPeers(List.of(listed));
+        one.start();
+        other.start();
+        GatewayFixture.await(
+                () -> heardThere.stream().anyMatch(news -> news.name().equals("listed")), "news come back");
+        one.stop();
+        other.stop();
+    }
+}
