Place no layers while the store is away

The leader went on placing layers, which no gateway could see in a registration: gaps opened and closed seven times, and when the last whole data centre lost an engine 160 streams in four seconds found no path. Ruled out: telling layers to the peers from the leader's orders (an order that is accepted has not loaded yet). Change: the leader waits until the store answers. The test fails without it (layers are placed while it is away).

--- a/gateway/src/main/java/org/cornelramp/gateway/place/PlacementDuty.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/PlacementDuty.java
@@ -123,7 +123,8 @@
         }
         FleetView view = fleet.get();
         Optional<RoutingConfig> version = config.current();
-        if (term == LeaderLease.NONE || version.isEmpty() || !view.known()) {
+        // Without the store no gateway learns of new layers, this one included: moved engines would be moved again.
+        if (term == LeaderLease.NONE || version.isEmpty() || !view.known() || !view.storeAnswers()) {
             return;
         }
         for (ServiceSpec service : version.get().services()) {
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/place/PlacementDutyTest.java
@@ -0,0 +1,98 @@
+package org.cornelramp.gateway.place;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.fleet.ServerState;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.gateway.GatewayFixture;
+import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
+import org.cornelramp.gateway.route.ConfigHolder;
+import org.cornelramp.gateway.route.FleetView;
+import org.cornelramp.platform.ConfigDecoder;
+import org.cornelramp.platform.EngineControl;
+import org.cornelramp.platform.MetadataStore;
+import org.cornelramp.platform.standin.StandInServer;
+import org.cornelramp.platform.standin.StandInStore;
+import org.eclipse.jetty.client.HttpClient;
+import org.testng.annotations.Test;
+
+/** When the leader places layers. */
+public class PlacementDutyTest {
+    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+
+    private static BackendServer empty(StandInServer engine) {
+        return new BackendServer(
+                new BackendServerId(engine.id()),
+                new ServiceName("llm"),
+                engine.address(),
+                new DataCentre("dc1"),
+                ServerState.READY,
+                8,
+                "big",
+                Optional.empty());
+    }
+
+    /**
+     * The store is silent for eight seconds. What a leader orders meanwhile shows in no registration, so after each
+     * order was taken as lost it moved another engine, while all gateways went on sending to the old layers: when the
+     * last whole data centre lost an engine, 160 streams in four seconds found no path. The leader waits for the store.
+     */
+    @Test
+    public void placesNothingWhileTheStoreIsAway() throws Exception {
+        HttpClient http = new HttpClient();
+        http.start();
+        EventLog log = new EventLog(logged, Clock.systemUTC(), "g1");
+        log.start();
+        ConfigHolder config = new ConfigHolder();
+        config.offer(ConfigDecoder.decode(GatewayFixture.config(1, "/chat/").getBytes(StandardCharsets.UTF_8))
+                .get());
+        AtomicBoolean storeAnswers = new AtomicBoolean();
+        Meters meters = new Meters();
+        SteadyClock clock = SteadyClock.system();
+        try (StandInStore store = new StandInStore();
+                StandInServer engine = new StandInServer(store, "e1", "llm", "dc1", "big")) {
+            LeaderLease lease = new LeaderLease(
+                    "g1",
+                    new HostPort("127.0.0.1", 1),
+                    peers -> {},
+                    () -> LeaderLease.NONE,
+                    new MetadataStore(http, store.address()),
+                    clock,
+                    log,
+                    meters);
+            PlacementDuty duty = new PlacementDuty(
+                    lease,
+                    new EngineControl(http),
+                    config,
+                    () -> new FleetView(List.of(empty(engine)), Set.of(), storeAnswers.get(), true),
+                    clock,
+                    log,
+                    meters);
+            lease.start();
+            duty.start();
+            GatewayFixture.await(() -> lease.term(clock.millis()) != LeaderLease.NONE, "it leads");
+            Thread.sleep(2_000); // longer than the first plan waits for more engines
+            assertEquals(engine.layers(), "0-0");
+            storeAnswers.set(true);
+            GatewayFixture.await(() -> engine.layers().equals("0-8"), "the layers are placed");
+            duty.stop();
+            lease.stop();
+        } finally {
+            log.stop();
+            http.stop();
+        }
+    }
+}
