--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -1,6 +1,5 @@
 package org.cornelramp.gateway.route;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -9,6 +8,7 @@
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.PathFinder;
 import org.cornelramp.core.path.StagePath;
+import org.cornelramp.core.retry.RunLimit;
 import org.cornelramp.core.routing.EngineSpec;
 import org.cornelramp.core.routing.ServiceSpec;
 import org.cornelramp.core.settings.GatewaySettings;
@@ -78,18 +78,11 @@
         return path.isPresent();
     }
 
-    /**
-     * The engines that may take the request: any, until as many as its route allows have had it, then those again.
-     * One that has died or was cut off does not count.
-     */
     private Set<BackendServerId> allowedFirsts(Flight flight, long now) {
-        Set<BackendServerId> alive = new HashSet<>();
-        for (BackendServerId id : flight.firsts()) {
-            if (beliefs.registry().server(id).isPresent() && !beliefs.isSuspect(id, now)) {
-                alive.add(id);
-            }
-        }
-        return alive.size() < flight.route().maxAttempts() ? Set.of() : alive;
+        return RunLimit.allowed(
+                flight.firsts(),
+                id -> beliefs.registry().server(id).isPresent() && !beliefs.isSuspect(id, now),
+                flight.route().maxAttempts());
     }
 
     /** Counts the request on the engines of a path, and no longer on those of another. */
--- a/gateway/src/test/java/org/cornelramp/gateway/WholePathTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/WholePathTest.java
@@ -5,7 +5,11 @@
 import static org.testng.Assert.assertTrue;
 
 import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -185,4 +189,39 @@
         fixture.gateway.awaitStop();
         assertTrue(running.get().endsWith("id: 11\ndata: piece 11\n\n"), running.get());
     }
+
+    /**
+     * Clients go on sending streams of two seconds to a gateway that has been told to stop. Those that it takes must
+     * end whole within its grace time, so it takes none that could not; the others hear at once that nothing ran and
+     * when to come back. Before, each stream sent in the last seconds was cut in the middle.
+     */
+    @Test
+    public void whatIsSentDuringAStopIsServedWholeOrRefused() throws Exception {
+        behave(Behaviour.ordinary().withEvents(20).withPauseMillis(100));
+        CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> {
+            try {
+                fixture.gateway.beginStop();
+                fixture.gateway.awaitStop();
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < 14; i++) {
+            answers.add(fixture.client().sendLater("/chat/a", "stop-" + i, "s" + i));
+            Thread.sleep(300);
+        }
+        Set<Integer> statuses = new TreeSet<>();
+        for (var answer : answers) {
+            HttpResponse<String> one = answer.get();
+            statuses.add(one.statusCode());
+            if (one.statusCode() == 200) {
+                assertTrue(one.body().endsWith("id: 19\ndata: piece 19\n\n"), one.body());
+            } else {
+                assertTrue(StandInClient.retryAfter(one).orElseThrow() > 0);
+            }
+        }
+        assertEquals(statuses, Set.of(200, 503));
+        stopped.get();
+    }
 }
