Soak the gateways as separate processes under random faults, with the promises checked

Cause: the soak knew only entries and agents; nothing but the users' bench struck the program that the users run. Ruled out: engines as processes of their own (what they saw would have to be gathered from files; they stand behind relays that cut, silence, delay and mute them instead); stepping the clocks (gateways decide by the steady clock alone). Change: bin/soak starts gateways as processes before stand-ins of the users' protocols and strikes them with 24 kinds of fault, in series and overlapping: killed, half of them killed, stopped, frozen, told to reload; links to clients, store and backend servers cut, silenced, one way, delayed; the store refusing, slow, losing answers; servers dying, dark, leaving, slow, failing, losing answers, sending stray ones; configurations in quick succession. The soak of entries and agents goes on as bench agent-soak.

--- a/bench/src/main/java/org/cornelramp/bench/fleet/ManagedProcess.java
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/ManagedProcess.java
@@ -23,7 +23,12 @@
     private final Path output;
     private Process process;
 
-    ManagedProcess(String name, List<String> command, Path output) {
+    /**
+     * @param name name of the process within its fleet
+     * @param command program and arguments
+     * @param output file that takes what the process prints
+     */
+    public ManagedProcess(String name, List<String> command, Path output) {
         this.name = name;
         this.command = List.copyOf(command);
         this.output = output;
@@ -80,6 +85,11 @@
         signal("TERM");
     }
 
+    /** Tells the process that its settings have changed (SIGHUP). */
+    public void hangUp() {
+        signal("HUP");
+    }
+
     /** Freezes the process (SIGSTOP): its connections stay open and go silent. */
     public void freeze() {
         signal("STOP");
--- a/bench/src/main/java/org/cornelramp/bench/fleet/Ports.java
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/Ports.java
@@ -12,14 +12,15 @@
  * <p>A port is probed below the range from which the system draws the ports of outgoing connections; a drawn
  * port could be taken by a client connection before the process that is to listen on it has started.
  */
-final class Ports {
+public final class Ports {
     private static final int FIRST = 12_000;
     private static final int LAST = 32_000;
 
     private final Set<Integer> given = new HashSet<>();
     private int next = FIRST + (int) (ProcessHandle.current().pid() * 131 % (LAST - FIRST));
 
-    int take() {
+    /** A port that was free a moment ago and that nobody else is given. */
+    public int take() {
         for (int tries = FIRST; tries < LAST; tries++) {
             int port = next;
             next = next + 1 < LAST ? next + 1 : FIRST;
--- a/bench/src/main/java/org/cornelramp/bench/fleet/Relay.java
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/Relay.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * Stands between the two ends of TCP connections, to cut them or to let them go silent for good.
+ * Stands between the two ends of TCP connections, to cut, delay or silence them.
  *
  * <p>Safe for use by any thread. A silent connection stays open and passes nothing more; new ones work.
  */
@@ -21,6 +21,10 @@
     private final int target;
     private final List<Pair> pairs = new CopyOnWriteArrayList<>();
     private volatile boolean refusing;
+    private volatile boolean dark;
+    private volatile boolean muted;
+    private volatile long delayMillis;
+    private volatile byte[] stray = new byte[0];
 
     /** Listens on {@code port} and passes connections on to {@code target}, both on loopback. */
     public Relay(int port, int target) {
@@ -41,7 +45,6 @@
     /** Closes the connections that are open now. */
     public void cut() {
         pairs.forEach(Pair::close);
-        pairs.clear();
     }
 
     /** Whether new connections are closed at once; with {@link #cut} this is a cut link. */
@@ -49,6 +52,26 @@
         refusing = refuse;
     }
 
+    /** Whether nothing passes and nothing is closed, as before a machine without power. */
+    public void darken(boolean now) {
+        dark = now;
+    }
+
+    /** Whether nothing passes from the target back, while the way to it is open. */
+    public void mute(boolean now) {
+        muted = now;
+    }
+
+    /** Holds every piece of data up for so long. */
+    public void delay(long millis) {
+        delayMillis = millis;
+    }
+
+    /** Bytes that follow the next data from the target, as a faulty one might send; empty for none. */
+    public void strayAfterNext(byte[] bytes) {
+        stray = bytes.clone();
+    }
+
     @Override
     public void close() {
         try {
@@ -88,8 +111,8 @@
         far.setTcpNoDelay(true);
         Pair pair = new Pair(near, far);
         pairs.add(pair);
-        daemon("relay-out", () -> pair.pump(near, far));
-        daemon("relay-in", () -> pair.pump(far, near));
+        daemon("relay-out", () -> pair.pump(near, far, false));
+        daemon("relay-in", () -> pair.pump(far, near, true));
     }
 
     private static void daemon(String name, Runnable work) {
@@ -98,8 +121,14 @@
         thread.start();
     }
 
+    private byte[] takeStray() {
+        byte[] bytes = stray;
+        stray = new byte[0];
+        return bytes;
+    }
+
     /** The two connections of one passage. */
-    private static final class Pair {
+    private final class Pair {
         private final Socket near;
         private final Socket far;
         private volatile boolean silent;
@@ -109,28 +138,33 @@
             this.far = far;
         }
 
-        void pump(Socket from, Socket to) {
+        void pump(Socket from, Socket to, boolean back) {
             byte[] buffer = new byte[BUFFER];
             try {
                 InputStream in = from.getInputStream();
                 OutputStream out = to.getOutputStream();
                 for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
-                    if (!silent) {
+                    Thread.sleep(delayMillis);
+                    if (!silent && !dark && !(back && muted)) {
                         out.write(buffer, 0, n);
+                        out.write(back ? takeStray() : new byte[0]);
                     }
                 }
             } catch (IOException e) {
                 // One end has gone; the other must see it too, unless the passage is silent.
                 close();
                 return;
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
             }
             close();
         }
 
         void close() {
-            if (silent) {
+            if (silent || dark) {
                 return;
             }
+            pairs.remove(this);
             try {
                 near.close();
                 far.close();
--- /dev/null
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/SoakBackend.java
@@ -0,0 +1,51 @@
+package org.cornelramp.bench.gateway;
+
+import org.cornelramp.bench.fleet.Ports;
+import org.cornelramp.bench.fleet.Relay;
+import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.platform.standin.StandInBackend;
+import org.cornelramp.platform.standin.StandInConfig;
+import org.cornelramp.platform.standin.StandInFleet;
+import org.cornelramp.platform.standin.StandInStore;
+
+/** A backend server behind a relay. Safe for use by any thread; a fault of its life holds its monitor. */
+final class SoakBackend implements AutoCloseable {
+    private final StandInBackend server;
+    private final Relay relay;
+    private final boolean engine;
+
+    SoakBackend(
+            StandInStore store,
+            StandInFleet fleet,
+            StandInConfig config,
+            String name,
+            String dataCentre,
+            boolean engine,
+            Ports ports)
+            throws Exception {
+        int port = ports.take();
+        int seen = ports.take();
+        this.engine = engine;
+        this.relay = new Relay(seen, port);
+        this.server = new StandInBackend(
+                store, fleet, config, name, dataCentre, engine, port, new HostPort("127.0.0.1", seen));
+    }
+
+    StandInBackend server() {
+        return server;
+    }
+
+    Relay relay() {
+        return relay;
+    }
+
+    boolean isEngine() {
+        return engine;
+    }
+
+    @Override
+    public void close() throws Exception {
+        server.close();
+        relay.close();
+    }
+}
--- a/bench/src/main/java/org/cornelramp/bench/soak/SoakCommand.java
+++ b/bench/src/main/java/org/cornelramp/bench/soak/SoakCommand.java
@@ -9,14 +9,14 @@
 import org.cornelramp.bench.load.Sample;
 
 /**
- * {@code soak --seed N --seconds S}: random faults under load with invariants checked. Prints the schedule and every
+ * {@code agent-soak --seed N --seconds S}: random faults under load with invariants checked. Prints the schedule and every
  * violation if there is one, then one line of figures; the status is 1 after a violation. Stateless.
  */
 public final class SoakCommand implements BenchCommand {
 
     @Override
     public String name() {
-        return "soak";
+        return "agent-soak";
     }
 
     @Override
