Tell news to a few peers in turn, and introduce those that the store does not list

Cause: each gateway told all others its news eight times a second. In a grown deployment of 28 that is 225 datagrams a second to write and as many to read, on machines with a quarter of a core, and it grows with the square of the fleet. The store lists only members that hold one of 24 partitions, so four of 28 gateways did not hear of one another. Ruled out: a longer interval for all (failures would be told late); more partitions (each read of the members grows). Change: a round goes to eight peers in turn, and to all when it tells of a failure or a stop for the first time; news name some peers that were heard lately. The term in the news and the lead that outlived a silent store are gone: nothing is placed without the store, so neither bought anything.

--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -66,9 +66,7 @@
                 new PeerRecords(clients.pooled(), settings.metrics().port(), peers::peers);
         this.configFollower = new ConfigFollower(store, config, cache, peerRecords, clock, log, meters);
         this.serverFollower = new ServerFollower(store, router, cache, peerRecords, clock, log, meters);
-        this.lease = new LeaderLease(
-                settings.name(), settings.peers(), peers::setPeers, router::peersTerm, store, clock, log, meters);
-        router.setOwnTerm(() -> lease.term(clock.millis()));
+        this.lease = new LeaderLease(settings.name(), settings.peers(), peers::setPeers, store, clock, log, meters);
         this.placement = new PlacementDuty(lease, control, config, router::view, clock, log, meters);
         meters.gauge("requests.underway", router::underWay);
         meters.gauge("servers", () -> router.view().servers().size());
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
@@ -27,9 +28,6 @@
  * {@link #setPeers}.
  */
 public final class PeerLink {
-    /** Interval of the news: a tenth of the time in which load moves noticeably. */
-    private static final int INTERVAL_MILLIS = 120;
-
     /**
      * How long a gateway that tells its news is told ours, though the store does not list it. One that the store turns
      * away drops out of the list while it serves on; without our news it would send its streams where all others do.
@@ -47,6 +45,10 @@
     private final Thread thread = new Thread(this::run, "peers");
     private final Map<String, long[]> newest = new HashMap<>();
     private final Map<InetSocketAddress, Long> heard = new HashMap<>();
+    private final PeerTurns turns = new PeerTurns();
+    private final PeerTurns introductions = new PeerTurns();
+    private Set<BackendServerId> toldSuspects = Set.of();
+    private boolean toldLeaving;
     private volatile List<HostPort> peers = List.of();
     private volatile boolean running = true;
 
@@ -116,7 +118,7 @@
             long left = nextSend - clock.millis();
             if (left <= 0) {
                 tell(socket);
-                nextSend = clock.millis() + INTERVAL_MILLIS;
+                nextSend = clock.millis() + PeerTurns.ROUND_MILLIS;
                 continue;
             }
             socket.setSoTimeout((int) left);
@@ -132,17 +134,17 @@
 
     private void tell(DatagramSocket socket) {
         heard.values().removeIf(at -> clock.millis() - at > ANSWER_MILLIS);
-        Set<InetSocketAddress> to = new HashSet<>(heard.keySet());
-        peers.forEach(peer -> to.add(new InetSocketAddress(peer.host(), peer.port())));
-        if (to.isEmpty()) {
+        Set<InetSocketAddress> all = new HashSet<>(heard.keySet());
+        peers.forEach(peer -> all.add(new InetSocketAddress(peer.host(), peer.port())));
+        if (all.isEmpty()) {
             return;
         }
-        PeerNews news = own.get();
+        PeerNews news = own.get().withHeard(introduced());
         byte[] bytes = PeerNewsCodec.write(news);
         if (bytes.length > MAX_BYTES) {
             bytes = PeerNewsCodec.write(news.withoutLoads());
         }
-        for (InetSocketAddress peer : to) {
+        for (InetSocketAddress peer : turns.take(all, isUrgent(news))) {
             try {
                 socket.send(new DatagramPacket(bytes, bytes.length, peer));
             } catch (IOException e) {
@@ -154,6 +156,32 @@
         }
     }
 
+    /**
+     * Some of the peers that were heard lately. The store lists only members that hold a partition, so in a fleet with
+     * more gateways than partitions those without one would never hear of each other.
+     */
+    private List<HostPort> introduced() {
+        return introductions.take(heard.keySet(), false).stream()
+                .limit(PeerTurns.MOST_A_ROUND)
+                .map(peer -> new HostPort(peer.getHostString(), peer.getPort()))
+                .toList();
+    }
+
+    /** Whether the news tell of a failure, or of this gateway's stop, for the first time. */
+    private boolean isUrgent(PeerNews news) {
+        boolean urgent = !toldSuspects.containsAll(news.suspects()) || (news.leaving() && !toldLeaving);
+        toldSuspects = news.suspects();
+        toldLeaving = news.leaving();
+        return urgent;
+    }
+
+    /** A peer that another one has heard is told our news, and so hears of us. */
+    private void meet(HostPort peer) {
+        if (!peer.equals(address)) {
+            heard.putIfAbsent(new InetSocketAddress(peer.host(), peer.port()), clock.millis());
+        }
+    }
+
     private void take(byte[] bytes, int length, SocketAddress from) {
         Either<String, PeerNews> read = PeerNewsCodec.read(bytes, length);
         if (read.isLeft()) {
@@ -161,9 +189,10 @@
             return;
         }
         PeerNews news = read.get();
-        if (from instanceof InetSocketAddress address) {
-            heard.put(address, clock.millis());
+        if (from instanceof InetSocketAddress sender) {
+            heard.put(sender, clock.millis());
         }
+        news.heard().forEach(this::meet);
         long[] last = newest.get(news.name());
         boolean old = last != null && last[0] == news.life() && last[1] >= news.number();
         if (!old) {
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNews.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNews.java
@@ -1,9 +1,11 @@
 package org.cornelramp.gateway.peer;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.EngineLoads;
+import org.cornelramp.core.settings.HostPort;
 
 /**
  * What one gateway tells its peers. Immutable, safe for use by any thread.
@@ -11,32 +13,38 @@
  * @param name the gateway
  * @param life tells its lives apart
  * @param number grows with each news of a life; an older one that comes late is ignored
- * @param term term in which it leads; negative if it does not
  * @param leaving whether it is stopping
  * @param loads what it has under way on each engine
  * @param crossings hops to another data centre of all that it has under way
  * @param paces how many times longer than usual engines take, where it is not once
  * @param suspects servers that it has seen fail since its last news or just before
+ * @param heard addresses of some peers that it has heard lately
  */
 public record PeerNews(
         String name,
         long life,
         long number,
-        long term,
         boolean leaving,
         Map<BackendServerId, EngineLoads.Load> loads,
         int crossings,
         Map<BackendServerId, Double> paces,
-        Set<BackendServerId> suspects) {
+        Set<BackendServerId> suspects,
+        List<HostPort> heard) {
 
     public PeerNews {
         loads = Map.copyOf(loads);
         paces = Map.copyOf(paces);
         suspects = Set.copyOf(suspects);
+        heard = List.copyOf(heard);
+    }
+
+    /** The same news with addresses of peers. */
+    PeerNews withHeard(List<HostPort> addresses) {
+        return new PeerNews(name, life, number, leaving, loads, crossings, paces, suspects, addresses);
     }
 
     /** The same news without what does not fit into one datagram. */
     PeerNews withoutLoads() {
-        return new PeerNews(name, life, number, term, leaving, Map.of(), crossings, paces, suspects);
+        return new PeerNews(name, life, number, leaving, Map.of(), crossings, paces, suspects, heard);
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNewsCodec.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNewsCodec.java
@@ -2,19 +2,22 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.EngineLoads;
+import org.cornelramp.core.settings.HostPort;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 
 /** The MessagePack form of news between gateways. Stateless, safe for use by any thread. */
 final class PeerNewsCodec {
-    private static final int FORMAT = 1;
+    private static final int FORMAT = 2;
 
     private PeerNewsCodec() {}
 
@@ -24,7 +27,6 @@
             out.packString(news.name());
             out.packLong(news.life());
             out.packLong(news.number());
-            out.packLong(news.term());
             out.packBoolean(news.leaving());
             out.packMapHeader(news.loads().size());
             for (Map.Entry<BackendServerId, EngineLoads.Load> load :
@@ -45,6 +47,10 @@
             for (BackendServerId id : news.suspects()) {
                 out.packString(id.value());
             }
+            out.packArrayHeader(news.heard().size());
+            for (HostPort peer : news.heard()) {
+                out.packString(peer.toString());
+            }
             return out.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("Memory takes every byte", e);
@@ -61,7 +67,6 @@
             String name = in.unpackString();
             long life = in.unpackLong();
             long number = in.unpackLong();
-            long term = in.unpackLong();
             boolean leaving = in.unpackBoolean();
             Map<BackendServerId, EngineLoads.Load> loads = new HashMap<>();
             for (int left = in.unpackMapHeader(); left > 0; left--) {
@@ -77,7 +82,11 @@
             for (int left = in.unpackArrayHeader(); left > 0; left--) {
                 suspects.add(new BackendServerId(in.unpackString()));
             }
-            return Either.right(new PeerNews(name, life, number, term, leaving, loads, crossings, paces, suspects));
+            List<HostPort> heard = new ArrayList<>();
+            for (int left = in.unpackArrayHeader(); left > 0; left--) {
+                heard.add(HostPort.parse(in.unpackString()));
+            }
+            return Either.right(new PeerNews(name, life, number, leaving, loads, crossings, paces, suspects, heard));
         } catch (IOException | RuntimeException e) {
             return Either.left(e.toString());
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
@@ -18,9 +17,9 @@
 /**
  * Says whether this process leads, and knows the other members of its group.
  *
- * <p>The store shares a topic's partitions out among the members of a group; whoever holds the first one leads. While
- * the store answers nobody, no other process can take the lead, so the leader goes on until a peer tells of a later
- * term. Its own thread calls the store, so that a silent store holds up no plan; {@link #term} may be called by any
+ * <p>The store shares a topic's partitions out among the members of a group; whoever holds the first one leads, and
+ * goes on leading for the membership's time to live after the last call that the store answered: nothing is placed
+ * while the store is away, so a longer lead would buy nothing. Its own thread calls the store, so that a silent store holds up no plan; {@link #term} may be called by any
  * thread.
  */
 public final class LeaderLease {
@@ -36,9 +35,6 @@
 
     private static final long JOIN_MILLIS = 600;
 
-    /** How long a leader whose store does not answer goes on; the store is seldom away for longer. */
-    private static final long ALONE_MILLIS = 15_000;
-
     /** Interval in which the members are read; a new gateway is told news of others after this time. */
     private static final long MEMBERS_MILLIS = 4_000;
 
@@ -47,39 +43,35 @@
 
     private final String member;
     private final Consumer<List<HostPort>> onPeers;
-    private final LongSupplier peersTerm;
     private final MetadataStore store;
     private final SteadyClock clock;
     private final EventLog log;
     private final Meters meters;
     private final Thread thread = new Thread(this::run, "lease");
     private volatile boolean running = true;
-    private volatile State state = new State(NONE, 0, false);
+    private volatile State state = new State(NONE, 0);
     private long generation;
     private long joinDue;
     private long membersDue;
     private int peersKnown;
 
-    private record State(long term, long untilMillis, boolean storeSilent) {}
+    private record State(long term, long untilMillis) {}
 
     /**
      * @param name name of this process
      * @param address where it takes its peers' news
      * @param onPeers is told the addresses of all members
-     * @param peersTerm latest term that a peer has told of
      */
     public LeaderLease(
             String name,
             HostPort address,
             Consumer<List<HostPort>> onPeers,
-            LongSupplier peersTerm,
             MetadataStore store,
             SteadyClock clock,
             EventLog log,
             Meters meters) {
         this.member = name + MEMBER_SEPARATOR + address;
         this.onPeers = onPeers;
-        this.peersTerm = peersTerm;
         this.store = store;
         this.clock = clock;
         this.log = log;
@@ -101,9 +93,7 @@
     /** The term in which this process leads; {@link #NONE} if it does not. */
     public long term(long nowMillis) {
         State now = state;
-        long until = now.untilMillis() + (now.storeSilent() ? ALONE_MILLIS : 0);
-        boolean leads = now.term() != NONE && nowMillis < until && peersTerm.getAsLong() <= now.term();
-        return leads ? now.term() : NONE;
+        return nowMillis < now.untilMillis() ? now.term() : NONE;
     }
 
     private void run() {
@@ -130,18 +120,15 @@
     private void join(long now) {
         Either<StoreFault, MetadataStore.Membership> joined = store.join(GROUP, member, GROUP, TTL_MILLIS, generation);
         meters.storeCall("join", joined.fold(fault -> fault.kind().name(), any -> "ok"));
-        State old = state;
         if (joined.isLeft()) {
             log.line("lease", "not joined").with("fault", joined.getLeft()).write();
-            // A store that refuses this process may serve others, and give them the lead.
-            boolean silent = joined.getLeft().kind() == StoreFault.Kind.NO_ANSWER;
-            state = new State(old.term(), old.untilMillis(), silent);
             return;
         }
+        State old = state;
         boolean leading = joined.get().holdsFirst();
         generation = joined.get().generation();
         boolean goesOn = leading && old.term() != NONE;
-        state = new State(!leading ? NONE : goesOn ? old.term() : generation, now + TTL_MILLIS, false);
+        state = new State(!leading ? NONE : goesOn ? old.term() : generation, now + TTL_MILLIS);
         if (leading != (old.term() != NONE)) {
             log.line("lease", leading ? "leads" : "follows")
                     .with("term", generation)
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PeerTalk.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PeerTalk.java
@@ -1,38 +1,36 @@
 package org.cornelramp.gateway.route;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.LongSupplier;
 import org.cornelramp.core.fleet.Suspicions.Evidence;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.EngineLoads;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.peer.PeerLink;
 import org.cornelramp.gateway.peer.PeerNews;
-import org.cornelramp.gateway.place.LeaderLease;
+import org.cornelramp.gateway.peer.PeerTurns;
 
 /** What this gateway tells its peers, and what it believes of what they tell. Owned by the router's duty. */
 final class PeerTalk {
-    /** A peer that is silent for so long is dead or cut off. */
-    private static final long PEER_SILENCE_MILLIS = 1_000;
-
     /** A pace that a peer tells counts as so old, so that two gateways do not keep it alive for each other. */
     private static final long PACE_AGE_MILLIS = 2_500;
 
-    /** How long a failure that this process has seen is told to its peers: datagrams may be lost. */
-    private static final long TELL_MILLIS = 400;
+    /**
+     * How long a failure that this process has seen is told to its peers, since datagrams may be lost. Less than a
+     * suspicion lasts, or a server that has just come back would be suspected again.
+     */
+    private static final long TELL_MILLIS = 1_000;
 
     private final String name;
     private final Beliefs beliefs;
     private final EventLog log;
     private final long life = PeerLink.newLife();
     private final Map<BackendServerId, Long> seenFail = new HashMap<>();
-    private volatile LongSupplier ownTerm = () -> LeaderLease.NONE;
     private final Map<String, Long> staying = new ConcurrentHashMap<>();
     private volatile boolean leaving;
-    private volatile long peersTerm = LeaderLease.NONE;
     private long number;
     private volatile PeerNews news;
 
@@ -40,7 +38,7 @@
         this.name = name;
         this.beliefs = beliefs;
         this.log = log;
-        this.news = new PeerNews(name, life, 0, LeaderLease.NONE, false, Map.of(), 0, Map.of(), Set.of());
+        this.news = new PeerNews(name, life, 0, false, Map.of(), 0, Map.of(), Set.of(), List.of());
     }
 
     /** The news to tell now; may be called by any thread. */
@@ -48,11 +46,6 @@
         return news;
     }
 
-    /** Latest term of the lead that a peer has told of; may be called by any thread. */
-    long peersTerm() {
-        return peersTerm;
-    }
-
     /** Notes that this process is stopping. */
     void leave() {
         leaving = true;
@@ -63,11 +56,6 @@
         return !staying.isEmpty();
     }
 
-    /** Sets where to ask for this process's own term. */
-    void setOwnTerm(LongSupplier term) {
-        ownTerm = term;
-    }
-
     /** Notes that this process itself has seen a server fail. What peers tell is not told on, or it would never end. */
     void sawFail(BackendServerId id, long nowMillis) {
         seenFail.put(id, nowMillis);
@@ -77,24 +65,24 @@
     void prepare(long nowMillis) {
         EngineLoads loads = beliefs.loads();
         loads.forgetPaces(nowMillis);
-        loads.forgetSilent(PEER_SILENCE_MILLIS, nowMillis);
-        staying.values().removeIf(at -> nowMillis - at > PEER_SILENCE_MILLIS);
+        long silence = PeerTurns.silenceMillis(loads.peerCount());
+        loads.forgetSilent(silence, nowMillis);
+        staying.values().removeIf(at -> nowMillis - at > silence);
         seenFail.values().removeIf(at -> nowMillis - at > TELL_MILLIS);
         news = new PeerNews(
                 name,
                 life,
                 ++number,
-                ownTerm.getAsLong(),
                 leaving,
                 loads.own(),
                 loads.ownCrossings(),
                 loads.unusualPaces(),
-                seenFail.keySet());
+                seenFail.keySet(),
+                List.of());
     }
 
     /** Takes a peer's news. */
     void told(PeerNews theirs, long nowMillis) {
-        peersTerm = Math.max(peersTerm, theirs.term());
         if (theirs.leaving()) {
             staying.remove(theirs.name());
         } else {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.LongSupplier;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.Suspicions.Evidence;
 import org.cornelramp.core.model.BackendServerId;
@@ -122,16 +121,6 @@
         return talk.news();
     }
 
-    /** Latest term of the lead that a peer has told of. */
-    public long peersTerm() {
-        return talk.peersTerm();
-    }
-
-    /** Sets where to ask for the term in which this process leads; called before the start. */
-    public void setOwnTerm(LongSupplier term) {
-        talk.setOwnTerm(term);
-    }
-
     /** Notes that this process is stopping, for its peers. */
     public void leave() {
         talk.leave();
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/PeerLinkTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/PeerLinkTest.java
@@ -30,7 +30,8 @@
         EventLog log = new EventLog(new ByteArrayOutputStream(), Clock.systemUTC(), name);
         return new PeerLink(
                 address,
-                () -> new PeerNews(name, 1, number.incrementAndGet(), -1, false, Map.of(), 0, Map.of(), Set.of()),
+                () -> new PeerNews(
+                        name, 1, number.incrementAndGet(), false, Map.of(), 0, Map.of(), Set.of(), List.of()),
                 heard::add,
                 SteadyClock.system(),
                 log);
@@ -56,4 +57,28 @@
         one.stop();
         other.stop();
     }
+
+    /**
+     * There are more gateways than the store's topic has partitions, so it lists two of them to nobody. Both tell their
+     * news to one that is listed; it introduces them to each other, and each hears what the other has under way.
+     */
+    @Test
+    public void gatewaysThatTheStoreDoesNotListAreIntroducedToEachOther() throws Exception {
+        HostPort listed = freeAddress();
+        Queue<PeerNews> heardByFirst = new ConcurrentLinkedQueue<>();
+        PeerLink between = link("listed", listed, new ConcurrentLinkedQueue<>());
+        PeerLink first = link("first", freeAddress(), heardByFirst);
+        PeerLink second = link("second", freeAddress(), new ConcurrentLinkedQueue<>());
+        first.setPeers(List.of(listed));
+        second.setPeers(List.of(listed));
+        for (PeerLink link : List.of(between, first, second)) {
+            link.start();
+        }
+        GatewayFixture.await(
+                () -> heardByFirst.stream().anyMatch(news -> news.name().equals("second")),
+                "the first hears the second");
+        for (PeerLink link : List.of(between, first, second)) {
+            link.stop();
+        }
+    }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/PeerNewsCodecTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/PeerNewsCodecTest.java
@@ -4,17 +4,27 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.EngineLoads;
+import org.cornelramp.core.settings.HostPort;
 import org.testng.annotations.Test;
 
 /** News between gateways, whole and damaged. */
 public class PeerNewsCodecTest {
     private static final BackendServerId ID = new BackendServerId("i-1");
     private static final PeerNews NEWS = new PeerNews(
-            "g1", 7, 9, 2, true, Map.of(ID, new EngineLoads.Load(3, 1, 50_000, 772)), 4, Map.of(ID, 2.5), Set.of(ID));
+            "g1",
+            7,
+            9,
+            true,
+            Map.of(ID, new EngineLoads.Load(3, 1, 50_000, 772)),
+            4,
+            Map.of(ID, 2.5),
+            Set.of(ID),
+            List.of(new HostPort("10.0.0.1", 7_000)));
 
     @Test
     public void readsWhatWasWritten() {
@@ -33,7 +43,7 @@
     @Test
     public void anotherFormatIsAFault() {
         byte[] bytes = PeerNewsCodec.write(NEWS);
-        bytes[0] = 2;
+        bytes[0] = 1;
         assertTrue(PeerNewsCodec.read(bytes, bytes.length).isLeft());
     }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/place/PlacementDutyTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/place/PlacementDutyTest.java
@@ -68,7 +68,6 @@
                     "g1",
                     new HostPort("127.0.0.1", 1),
                     peers -> {},
-                    () -> LeaderLease.NONE,
                     new MetadataStore(http, store.address()),
                     clock,
                     log,
