Ask the engines that nothing passes any more after 100 ms, and leave a leaving engine one stream at a time

The engine that died at 6.7 s was found at 7.02 s, as a stream counted as silent only after 300 ms and its first engine's report is 200 ms old; a client takes a pause of 200 ms for late. Ruled out: a shorter silence with all engines of the path asked (eight to ten questions for every pause, which are paid for); asking the first engine whom it waits for (its answer is as old as the pause). Streams leave a leaving engine over 1.4 s, each at a moment of its own.

--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/path/SilentEngines.java
@@ -0,0 +1,79 @@
+package org.cornelramp.core.path;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cornelramp.core.model.BackendServerId;
+
+/**
+ * Tells from the pauses of streams which engines may be dead, and so are worth a question.
+ *
+ * <p>An engine in the middle of a path that dies is on no connection of the router; its streams only fall silent. Each of
+ * them passes eight to ten engines, and asking all of them for every pause would cost more than it saves. But whatever
+ * passed an engine a moment ago shows that it lived then, so only those are left that nothing has passed since the
+ * silence began: one or two where many streams are under way. Stateless, safe for use by any thread.
+ */
+public final class SilentEngines {
+    /**
+     * Silence of a stream that counts, at least. A client takes a stream for late after a pause of 200 ms or more; of
+     * that, finding the dead engine may take about half, since the prompt has to be read again elsewhere.
+     */
+    static final long LEAST_SILENCE_MILLIS = 100;
+
+    /** Silence that counts however slow the stream is: ten usual pauses between events. */
+    static final long MOST_SILENCE_MILLIS = 300;
+
+    /** Silence before the first event that counts; a prompt is usually read in a tenth of it. */
+    static final long FIRST_SILENCE_MILLIS = 400;
+
+    /** A stream is silent after so many of its own usual pauses. */
+    private static final double USUAL_PAUSES = 4;
+
+    /** Events that passed different paths at the same time reach the router so much apart. */
+    private static final long SPREAD_MILLIS = 20;
+
+    private SilentEngines() {}
+
+    /**
+     * One stream under way. Immutable, safe for use by any thread.
+     *
+     * @param engines the engines that it passes
+     * @param lastMillis when its last event came, or when it was sent if none has come since
+     * @param begun whether an event has come since it was sent
+     * @param usualPauseMillis its usual time between two events; 0 if that is not known
+     */
+    public record Stream(List<BackendServerId> engines, long lastMillis, boolean begun, double usualPauseMillis) {
+        public Stream {
+            engines = List.copyOf(engines);
+        }
+
+        boolean isSilent(long nowMillis) {
+            double usual = Math.min(MOST_SILENCE_MILLIS, USUAL_PAUSES * usualPauseMillis);
+            double limit = begun ? Math.max(LEAST_SILENCE_MILLIS, usual) : FIRST_SILENCE_MILLIS;
+            return nowMillis - lastMillis > limit;
+        }
+    }
+
+    /** The engines that may be dead. */
+    public static Set<BackendServerId> find(Collection<Stream> streams, long nowMillis) {
+        Map<BackendServerId, Long> passed = new HashMap<>();
+        for (Stream stream : streams) {
+            if (stream.begun()) {
+                stream.engines().forEach(id -> passed.merge(id, stream.lastMillis(), Math::max));
+            }
+        }
+        Set<BackendServerId> found = new HashSet<>();
+        for (Stream stream : streams) {
+            if (stream.isSilent(nowMillis)) {
+                long since = stream.lastMillis() + SPREAD_MILLIS;
+                stream.engines().stream()
+                        .filter(id -> passed.getOrDefault(id, Long.MIN_VALUE) <= since)
+                        .forEach(found::add);
+            }
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/cornelramp/core/path/SilentEnginesTest.java
@@ -0,0 +1,74 @@
+package org.cornelramp.core.path;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.path.SilentEngines.Stream;
+import org.testng.annotations.Test;
+
+/** Which engines are asked when streams pause. Figures are of the deployments of today: an event in about 27 ms. */
+public class SilentEnginesTest {
+    private static final long NOW = 100_000;
+    private static final double USUAL = 27;
+
+    private static List<BackendServerId> path(String dataCentre, int engines) {
+        return IntStream.range(0, engines)
+                .mapToObj(i -> new BackendServerId(dataCentre + "-" + i))
+                .toList();
+    }
+
+    private static Stream stream(List<BackendServerId> path, long silentMillis) {
+        return new Stream(path, NOW - silentMillis, true, USUAL);
+    }
+
+    private static Set<String> asked(List<Stream> streams) {
+        return SilentEngines.find(streams, NOW).stream()
+                .map(BackendServerId::value)
+                .collect(Collectors.toSet());
+    }
+
+    /**
+     * Load of a busy evening: thirty streams over two copies of one data centre that share engines, and one of the
+     * engines dies. All streams through it fall silent; the others pass every engine but that one.
+     */
+    @Test
+    public void asksTheOneEngineThatNothingPasses() {
+        List<BackendServerId> one = path("dc1", 8);
+        List<BackendServerId> other = new ArrayList<>(one);
+        other.set(5, new BackendServerId("dc1-spare"));
+        List<Stream> streams = new ArrayList<>();
+        for (int i = 0; i < 15; i++) {
+            streams.add(stream(one, 115 + i));
+            streams.add(stream(other, i));
+        }
+        assertEquals(asked(streams), Set.of("dc1-5"));
+    }
+
+    /** Nobody else passes the path, so any of its engines may be the dead one. */
+    @Test
+    public void asksTheWholePathOfALonelyStream() {
+        assertEquals(asked(List.of(stream(path("dc1", 8), 120))).size(), 8);
+    }
+
+    /** Under load every stream is slow, at 60 ms an event; a pause of 200 ms is usual then and asks nobody. */
+    @Test
+    public void aPauseThatIsUsualForTheStreamAsksNobody() {
+        Stream slow = new Stream(path("dc1", 8), NOW - 200, true, 60);
+        assertEquals(asked(List.of(slow)), Set.of());
+        assertEquals(asked(List.of(stream(path("dc1", 8), 100))), Set.of());
+    }
+
+    /** A prompt takes longer than an event; only a stream whose first event is long due asks. */
+    @Test
+    public void waitsLongerForTheFirstEvent() {
+        Stream reading = new Stream(path("dc1", 2), NOW - 400, false, 0);
+        assertEquals(asked(List.of(reading)), Set.of());
+        Stream due = new Stream(path("dc1", 2), NOW - 401, false, 0);
+        assertEquals(asked(List.of(due)).size(), 2);
+    }
+}
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -37,6 +37,7 @@
     private volatile long lastEventMillis;
     private volatile long firstEventMillis;
     private volatile long longestPauseMillis;
+    private volatile int writes;
 
     /**
      * What the client asked for. Immutable, safe for use by any thread.
@@ -109,6 +110,12 @@
         return firstEventMillis == 0 ? -1 : firstEventMillis - call.receivedMillis();
     }
 
+    /** Usual time between two of the pieces that were passed on; 0 before the second. */
+    public double usualPauseMillis() {
+        int pauses = writes - 1;
+        return pauses < 1 ? 0 : (lastEventMillis - firstEventMillis) / (double) pauses;
+    }
+
     /** Longest pause between two events so far. */
     public long longestPauseMillis() {
         return longestPauseMillis;
@@ -144,6 +151,8 @@
             longestPauseMillis = Math.max(longestPauseMillis, nowMillis - lastEventMillis);
         }
         lastEventMillis = nowMillis;
+        int before = writes;
+        writes = before + 1;
         response.write(false, events, done);
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
@@ -1,5 +1,6 @@
 package org.cornelramp.gateway.route;
 
+import io.vavr.control.Either;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -12,6 +13,8 @@
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.gateway.request.Attempt;
 import org.cornelramp.platform.EngineControl;
+import org.cornelramp.platform.EngineReport;
+import org.cornelramp.platform.StoreFault;
 
 /**
  * Asks engines and gives them orders on threads of its own, so that a silent engine holds up no decision. Safe for
@@ -42,17 +45,23 @@
     }
 
     /**
-     * Asks an engine that was just blamed, and takes a short silence for death: an engine answers within some
-     * milliseconds, and the streams that wait for a dead one can still go on elsewhere unnoticed. Asked at most once in
-     * a while; called by the router's duty only.
+     * Asks an engine that may be dead, and takes a short silence for death: an engine answers within some
+     * milliseconds, and the streams that wait for a dead one can still go on elsewhere unnoticed. It is asked twice, as
+     * one in twenty questions over a link that loses packets gets no answer in time, and a living engine would be
+     * avoided for seconds. Asked at most once in a while; called by the router's duty only.
      */
     void askQuickly(BackendServer engine, Consumer<RouterEvent> router, long now) {
         asked.values().removeIf(at -> now - at > QUICK_PAUSE_MILLIS);
         if (asked.putIfAbsent(engine.id(), now) == null) {
-            submit(() -> router.accept(new RouterEvent.Reported(engine, control.report(engine, QUICK_TIMEOUT_MILLIS))));
+            submit(() -> router.accept(new RouterEvent.Reported(engine, reportQuickly(engine))));
         }
     }
 
+    private Either<StoreFault, EngineReport> reportQuickly(BackendServer engine) {
+        Either<StoreFault, EngineReport> first = control.report(engine, QUICK_TIMEOUT_MILLIS);
+        return first.isRight() ? first : control.report(engine, QUICK_TIMEOUT_MILLIS);
+    }
+
     /** Asks an engine for its report; false if too many calls wait. */
     boolean ask(BackendServer engine, Consumer<RouterEvent> router) {
         return submit(() -> router.accept(new RouterEvent.Reported(engine, control.report(engine))));
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
@@ -24,6 +24,7 @@
     private boolean moving;
     private long waitingSince;
     private long triedMillis = Long.MIN_VALUE / 2;
+    private long leavingSinceMillis;
 
     /** @param tokens tokens that the request is expected to take in the end; 0 for a plain service */
     Flight(Exchange exchange, ServiceName service, int tokens) {
@@ -73,6 +74,7 @@
         sent++;
         moving = false;
         waitingSince = 0;
+        leavingSinceMillis = 0;
     }
 
     void endAttempt(boolean surelyNotRun) {
@@ -127,9 +129,18 @@
         waitingSince = nowMillis;
     }
 
-    /** Whether a try to move it is due; each try that is due counts as made. */
-    boolean mayMove(long nowMillis, long pauseMillis) {
-        boolean due = nowMillis - triedMillis >= pauseMillis;
+    /**
+     * Whether a try to move it off an engine that leaves is due; each try that is due counts as made.
+     *
+     * @param spreadMillis time over which the streams of an engine leave it, each at a moment of its own
+     * @param pauseMillis least time between two tries
+     */
+    boolean mayLeave(long nowMillis, long spreadMillis, long pauseMillis) {
+        if (leavingSinceMillis == 0) {
+            leavingSinceMillis = nowMillis;
+        }
+        long moment = Math.floorMod(exchange.call().id().hashCode(), spreadMillis);
+        boolean due = nowMillis - leavingSinceMillis >= moment && nowMillis - triedMillis >= pauseMillis;
         triedMillis = due ? nowMillis : triedMillis;
         return due;
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
@@ -1,9 +1,8 @@
 package org.cornelramp.gateway.route;
 
+import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -12,6 +11,7 @@
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.Hop;
 import org.cornelramp.core.path.PathFinder;
+import org.cornelramp.core.path.SilentEngines;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.core.routing.ServiceSpec;
@@ -22,31 +22,25 @@
  * Finds streams that have stopped, and moves them off dead engines.
  *
  * <p>An engine in the middle of a path that dies is on no connection of the gateway: the first engine only falls
- * silent, and cuts the stream off seconds later, when the client has left. So after a short silence the first engine
- * is asked which engine it waits for; that one is avoided, and running streams are moved to a path around it. Owned
- * by the router's duty.
+ * silent, and cuts the stream off seconds later, when the client has left. So after a short silence the engines that may
+ * be dead are asked; one that does not answer is avoided, and running streams are moved to a path around it. Owned by
+ * the router's duty.
  */
 final class StreamWatch {
-    /** Silence after which the first engine is asked: ten usual pauses between events. */
-    private static final long SILENCE_MILLIS = 300;
-
-    /** Silence before the first event after which it is asked; a prompt is usually read in half of it. */
-    private static final long FIRST_SILENCE_MILLIS = 700;
-
     /** Least time between two tries to move one stream off an engine that leaves: its successor is loading. */
     private static final long MOVE_PAUSE_MILLIS = 250;
 
-    /** Least time between two questions to one engine; its answer is some 200 ms old. */
-    private static final long ASK_PAUSE_MILLIS = 250;
-
-    /** Least time between two questions to an engine further on, which tells only how slow it is. */
-    private static final long PACE_PAUSE_MILLIS = 1_500;
+    /**
+     * Streams leave an engine that leaves within this time, each at a moment of its own. All at once, thirty of them were
+     * read anew by its successor and paused for 200 to 400 ms; and a stream that ends before its moment need not move.
+     * The engine serves on for two seconds or more.
+     */
+    private static final long LEAVE_MILLIS = 1_400;
 
     private final Beliefs beliefs;
     private final EngineDesk desk;
     private final EventLog log;
     private final Consumer<RouterEvent> router;
-    private final Map<BackendServerId, Long> asked = new HashMap<>();
 
     StreamWatch(Beliefs beliefs, EngineDesk desk, EventLog log, Consumer<RouterEvent> router) {
         this.beliefs = beliefs;
@@ -64,7 +58,32 @@
             }
             check(flight, attempt, attempt.path().get(), config, now);
         }
-        asked.values().removeIf(at -> now - at > PACE_PAUSE_MILLIS);
+        askSilent(flights, now);
+    }
+
+    /** Asks the engines that may be dead, so that their streams go on elsewhere before their clients notice. */
+    private void askSilent(Collection<Flight> flights, long now) {
+        List<SilentEngines.Stream> streams = new ArrayList<>();
+        for (Flight flight : flights) {
+            if (flight.attempt() != null && flight.attempt().path().isPresent() && !flight.isMoving()) {
+                streams.add(
+                        stream(flight, flight.attempt(), flight.attempt().path().get()));
+            }
+        }
+        for (BackendServerId id : SilentEngines.find(streams, now)) {
+            if (!beliefs.suspicions().isLost(id, now)) {
+                beliefs.registry().server(id).ifPresent(engine -> desk.askQuickly(engine, router, now));
+            }
+        }
+    }
+
+    private static SilentEngines.Stream stream(Flight flight, Attempt attempt, StagePath path) {
+        long lastEvent = flight.exchange().lastEventMillis();
+        return new SilentEngines.Stream(
+                path.hops().stream().map(hop -> hop.server().id()).toList(),
+                Math.max(attempt.startMillis(), lastEvent),
+                lastEvent > attempt.startMillis(),
+                flight.exchange().usualPauseMillis());
     }
 
     private void check(Flight flight, Attempt attempt, StagePath path, Optional<RoutingConfig> config, long now) {
@@ -72,11 +91,9 @@
             attempt.cancel("its first engine is lost");
         } else if (passes(path, id -> beliefs.suspicions().isLost(id, now))) {
             moveOrCancel(flight, attempt, path, config, now);
-        } else if (passes(path, beliefs::isLeaving) && flight.mayMove(now, MOVE_PAUSE_MILLIS)) {
+        } else if (passes(path, beliefs::isLeaving) && flight.mayLeave(now, LEAVE_MILLIS, MOVE_PAUSE_MILLIS)) {
             // An engine that leaves serves on for seconds, so nothing is broken off for it.
             around(flight, path, config, now).ifPresent(way -> move(flight, attempt, path, way));
-        } else if (isSilent(flight, attempt, now)) {
-            path.hops().forEach(hop -> ask(hop.server(), hop.from() == 0 ? ASK_PAUSE_MILLIS : PACE_PAUSE_MILLIS, now));
         }
     }
 
@@ -84,18 +101,6 @@
         return path.hops().stream().anyMatch(hop -> engines.test(hop.server().id()));
     }
 
-    private static boolean isSilent(Flight flight, Attempt attempt, long now) {
-        long last = Math.max(attempt.startMillis(), flight.exchange().lastEventMillis());
-        boolean started = flight.exchange().lastEventMillis() > attempt.startMillis();
-        return now - last > (started ? SILENCE_MILLIS : FIRST_SILENCE_MILLIS);
-    }
-
-    private void ask(BackendServer engine, long pauseMillis, long now) {
-        if (now - asked.getOrDefault(engine.id(), now - pauseMillis) >= pauseMillis && desk.ask(engine, router)) {
-            asked.put(engine.id(), now);
-        }
-    }
-
     private void moveOrCancel(Flight flight, Attempt attempt, StagePath old, Optional<RoutingConfig> config, long now) {
         Optional<StagePath> path = around(flight, old, config, now);
         if (path.isEmpty()) {
