--- a/core/src/main/java/org/cornelramp/core/retry/RunLimit.java
+++ b/core/src/main/java/org/cornelramp/core/retry/RunLimit.java
@@ -9,8 +9,9 @@
  * Keeps one request from running on more backend servers than its route allows. Stateless, safe for use by any thread.
  *
  * <p>A stream that breaks off is started anew on another engine. Without a limit, one that always breaks, or a request
- * that makes its engine crash, would visit the whole fleet. Servers that have died meanwhile do not count: what ran
- * there has ended with them, and a rack that fails under a stream must not use up its attempts.
+ * that makes its engine crash, would visit the whole fleet. Servers that have gone meanwhile do not count: what ran
+ * there has ended with them, and a rack that fails under a stream must not use up its attempts. One that is only suspected
+ * counts: a link that loses packets makes living engines look dead, and streams ran on three of two.
  */
 public final class RunLimit {
     private RunLimit() {}
@@ -20,7 +21,7 @@
      * ones have run it; after that only those again.
      *
      * @param ran servers that may have run the request
-     * @param alive whether a server is registered and trusted now
+     * @param alive whether a server is still registered
      * @param most servers on which the route lets a request run
      */
     public static Set<BackendServerId> allowed(Set<BackendServerId> ran, Predicate<BackendServerId> alive, int most) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -64,7 +64,7 @@
         int prompt = flight.exchange().call().head().promptTokens();
         flight.expectTokens(spec.usualTokens());
         PathFinder.Demand demand =
-                new PathFinder.Demand(settings.dataCentre(), prompt, flight.tokens(), allowedFirsts(flight, now));
+                new PathFinder.Demand(settings.dataCentre(), prompt, flight.tokens(), allowedFirsts(flight));
         List<BackendServer> usable = beliefs.usable(flight.service(), now).stream()
                 .filter(server -> !flight.avoid().contains(server.id()))
                 .toList();
@@ -78,10 +78,10 @@
         return path.isPresent();
     }
 
-    private Set<BackendServerId> allowedFirsts(Flight flight, long now) {
+    private Set<BackendServerId> allowedFirsts(Flight flight) {
         return RunLimit.allowed(
                 flight.firsts(),
-                id -> beliefs.registry().server(id).isPresent() && !beliefs.isSuspect(id, now),
+                id -> beliefs.registry().server(id).isPresent(),
                 flight.route().maxAttempts());
     }
 
