--- a/cli/src/main/java/org/cornelramp/cli/Main.java
+++ b/cli/src/main/java/org/cornelramp/cli/Main.java
@@ -21,6 +21,7 @@
 import org.cornelramp.cli.command.Drain;
 import org.cornelramp.cli.command.Explain;
 import org.cornelramp.cli.command.KeyHash;
+import org.cornelramp.cli.command.LogExplain;
 import org.cornelramp.cli.command.ReportBurn;
 import org.cornelramp.cli.command.SettingsCheck;
 import org.cornelramp.cli.command.Status;
@@ -43,6 +44,7 @@
             new Status(),
             new Drain(),
             new Explain(),
+            new LogExplain(),
             new ReportBurn());
 
     private static final String ENTRY_VARIABLE = "CORNELRAMP_ENTRY";
--- /dev/null
+++ b/cli/src/main/java/org/cornelramp/cli/log/package-info.java
@@ -0,0 +1,2 @@
+/** What the gateways' log lines tell afterwards. */
+package org.cornelramp.cli.log;
