Move the judgement of servers out of the router

Change: ServerJudge holds what is learned from ends of attempts and from reports; code moved unchanged.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -1,13 +1,8 @@
 package org.cornelramp.gateway.route;
 
-import io.vavr.control.Either;
 import java.util.IdentityHashMap;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.cornelramp.core.fleet.BackendServer;
-import org.cornelramp.core.fleet.Suspicions.Evidence;
-import org.cornelramp.core.fleet.UnansweredQuestions;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.routing.RouteKind;
@@ -23,7 +18,6 @@
 import org.cornelramp.gateway.request.Exchange;
 import org.cornelramp.gateway.request.Refusal;
 import org.cornelramp.platform.CallHead;
-import org.cornelramp.platform.EngineReport;
 import org.cornelramp.platform.StoreFault;
 
 /**
@@ -57,15 +51,14 @@
     private final Beliefs beliefs;
     private final IdentityHashMap<Exchange, Flight> flights = new IdentityHashMap<>();
     private final Repeats repeats;
+    private final ServerJudge judge;
     private final PeerTalk talk;
     private final AtomicInteger underWay = new AtomicInteger();
     private final Duty<RouterEvent> duty;
     private final Dispatcher dispatcher;
     private final StreamWatch watch;
     private volatile FleetView view = FleetView.NOTHING;
-    private final UnansweredQuestions unanswered = new UnansweredQuestions();
     private boolean storeAnswers;
-    private boolean lostSeen;
 
     /**
      * @param clients send the requests
@@ -88,7 +81,9 @@
         this.desk = desk;
         this.duty = new Duty<>("router", RING, this::handle, this::tick, TICK_MILLIS);
         this.repeats = new Repeats(settings.retries());
-        this.talk = new PeerTalk(settings.name(), beliefs, this::askWhetherItLives);
+        this.judge = new ServerJudge(beliefs, desk, settings.timing().stallMillis(), log, meters, this::offer);
+        this.talk = new PeerTalk(settings.name(), beliefs, server -> judge.askWhetherItLives(server, clock.millis()));
+        judge.setOnLost(talk::sawFail);
         this.dispatcher = new Dispatcher(settings, clients, config, beliefs, clock, log, this::attemptEnded);
         this.watch = new StreamWatch(beliefs, desk, log, this::offer);
     }
@@ -151,12 +146,11 @@
         } else if (event instanceof RouterEvent.StoreAnswers answers) {
             storeAnswers(answers.answers(), now);
         } else if (event instanceof RouterEvent.Reported reported) {
-            reported(reported.engine(), reported.report(), now);
+            judge.reported(reported.engine(), reported.report(), now);
         } else if (event instanceof RouterEvent.Moved moved) {
             moved(moved);
         }
-        if (lostSeen) {
-            lostSeen = false;
+        if (judge.takeLostSeen()) {
             watch.check(flights.values(), config.current(), now); // its streams go on before their clients notice
         }
     }
@@ -208,7 +202,7 @@
         Flight flight = flights.get(attempt.exchange());
         meters.attemptEnded(end.kind().name());
         boolean current = flight != null && flight.attempt() == attempt;
-        learn(attempt, end, now);
+        judge.learn(attempt, end, now);
         if (!current) {
             return;
         }
@@ -225,24 +219,6 @@
         }
     }
 
-    /** Takes from an end how well the server does that the request was sent to. */
-    private void learn(Attempt attempt, AttemptEnd end, long now) {
-        if (attempt.path().isEmpty()) {
-            boolean good = end.kind() == AttemptEnd.Kind.ANSWERED && end.status() < SERVER_ERROR;
-            beliefs.plain().ended(attempt.server().id(), good, now - attempt.startMillis());
-        } else if (end.kind() == AttemptEnd.Kind.RELAYED) {
-            beliefs.loads().ended(attempt.server().id(), false);
-        } else if (isOwnFailure(attempt, end)) {
-            beliefs.loads().ended(attempt.server().id(), true);
-        }
-    }
-
-    /** Whether an engine broke off by itself, neither for another engine of the path nor on our word. */
-    private static boolean isOwnFailure(Attempt attempt, AttemptEnd end) {
-        boolean broken = end.kind() == AttemptEnd.Kind.BROKEN || end.kind() == AttemptEnd.Kind.ANSWERED;
-        return attempt.path().isPresent() && broken && end.faultAt().isEmpty() && !attempt.isCancelled();
-    }
-
     private void complete(Flight flight, AttemptEnd end, long now) {
         flight.exchange().complete(end.fields());
         finish(flight, "complete", end.status(), now);
@@ -262,7 +238,7 @@
     }
 
     private void failed(Flight flight, Attempt attempt, AttemptEnd end, long now) {
-        blame(attempt, end, now);
+        judge.blame(attempt, end, now);
         log.line("route", "attempt failed")
                 .with("id", flight.exchange().call().id())
                 .with("server", attempt.server().id())
@@ -302,41 +278,6 @@
         return sent;
     }
 
-    /** Learns from a failure which server to leave alone for a while. */
-    private void blame(Attempt attempt, AttemptEnd end, long now) {
-        Optional<BackendServer> named = end.faultAt().flatMap(beliefs::at);
-        if (named.isPresent()) {
-            // A dead engine is named only after its work has stalled; one that is full or moving refuses at once.
-            boolean stalled = now - attempt.startMillis() > settings.timing().stallMillis() / 2;
-            suspect(named.get(), stalled ? Evidence.LOST : Evidence.BUSY, "blamed with " + end.detail(), now);
-            if (!stalled && named.get().layers().isPresent()) {
-                desk.askQuickly(named.get(), this::offer, now);
-            }
-        } else if (end.kind() == AttemptEnd.Kind.NOT_SENT) {
-            suspect(attempt.server(), Evidence.LOST, end.detail(), now);
-        } else if (isOwnFailure(attempt, end)) {
-            desk.askQuickly(
-                    attempt.server(), this::offer, now); // a crash resets connections before it refuses new ones
-        }
-    }
-
-    private void suspect(BackendServer server, Evidence evidence, String why, long now) {
-        if (!beliefs.suspicions().suspect(server.id(), evidence, now)) {
-            return;
-        }
-        if (evidence == Evidence.LOST) {
-            talk.sawFail(server.id(), now);
-            lostSeen = true;
-        }
-        meters.suspected(evidence.name());
-        log.line("fleet", "suspected")
-                .with("server", server.id())
-                .with("address", server.address())
-                .with("evidence", evidence)
-                .with("why", why)
-                .write();
-    }
-
     private void giveUp(Flight flight, Refusal refusal, String why) {
         long now = clock.millis();
         if (flight.exchange().isCommitted()) {
@@ -409,13 +350,6 @@
         }
     }
 
-    /** An engine is asked for its report; a plain server has none, and is found by the next request that it fails. */
-    private void askWhetherItLives(BackendServer server) {
-        if (!server.card().isEmpty()) {
-            desk.askQuickly(server, this::offer, clock.millis());
-        }
-    }
-
     private void storeAnswers(boolean answers, long now) {
         if (answers != storeAnswers) {
             storeAnswers = answers;
@@ -424,27 +358,6 @@
         beliefs.storeAnswers(answers, now);
     }
 
-    private void reported(BackendServer engine, Either<StoreFault, EngineReport> report, long now) {
-        if (report.isLeft()) {
-            unreported(engine, report.getLeft(), now);
-            return;
-        }
-        beliefs.loads().setPace(engine.id(), report.get().pace(), now);
-        for (EngineReport.Stalled stalled : report.get().stalled()) {
-            beliefs.at(stalled.address()).ifPresent(server -> suspect(server, Evidence.LOST, "work stalls there", now));
-        }
-    }
-
-    private void unreported(BackendServer engine, StoreFault fault, long now) {
-        if (beliefs.suspicions().isLost(engine.id(), now)) {
-            beliefs.suspicions().trialFailed(engine.id(), now);
-        } else if (unanswered.isOwnFault(engine.id(), now)) {
-            desk.ask(engine, this::offer); // with a timeout that an overloaded process keeps as well
-        } else {
-            suspect(engine, Evidence.LOST, "no report: " + fault, now);
-        }
-    }
-
     private void moved(RouterEvent.Moved moved) {
         Flight flight = flights.get(moved.attempt().exchange());
         if (flight == null || flight.attempt() != moved.attempt()) {
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
@@ -0,0 +1,151 @@
+package org.cornelramp.gateway.route;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.fleet.Suspicions.Evidence;
+import org.cornelramp.core.fleet.UnansweredQuestions;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
+import org.cornelramp.gateway.request.Attempt;
+import org.cornelramp.gateway.request.AttemptEnd;
+import org.cornelramp.platform.EngineReport;
+import org.cornelramp.platform.StoreFault;
+
+/**
+ * Takes from the ends of attempts and from engines' reports which servers fail, and notes it in the beliefs. Owned by the
+ * router's duty.
+ *
+ * <p>Invariant: a server is held to be dead only on what this process has seen itself.
+ */
+final class ServerJudge {
+    /** Lowest status by which a backend server says that it failed. */
+    private static final int SERVER_ERROR = 500;
+
+    private final Beliefs beliefs;
+    private final EngineDesk desk;
+    private final long stallMillis;
+    private final EventLog log;
+    private final Meters meters;
+    private final Consumer<RouterEvent> router;
+    private final UnansweredQuestions unanswered = new UnansweredQuestions();
+    private BiConsumer<BackendServerId, Long> onLost = (id, nowMillis) -> {};
+    private boolean lostSeen;
+
+    /**
+     * @param desk asks engines for their reports
+     * @param stallMillis time that work waits for a dead engine until it is cut off
+     * @param router takes the reports
+     */
+    ServerJudge(
+            Beliefs beliefs,
+            EngineDesk desk,
+            long stallMillis,
+            EventLog log,
+            Meters meters,
+            Consumer<RouterEvent> router) {
+        this.beliefs = beliefs;
+        this.desk = desk;
+        this.stallMillis = stallMillis;
+        this.log = log;
+        this.meters = meters;
+        this.router = router;
+    }
+
+    /** Sets who is told of each server that was found dead, and when. */
+    void setOnLost(BiConsumer<BackendServerId, Long> listener) {
+        onLost = listener;
+    }
+
+    /** Whether a server has been found dead since the last call. */
+    boolean takeLostSeen() {
+        boolean seen = lostSeen;
+        lostSeen = false;
+        return seen;
+    }
+
+    /** Takes from an end how well the server does that the request was sent to. */
+    void learn(Attempt attempt, AttemptEnd end, long now) {
+        if (attempt.path().isEmpty()) {
+            boolean good = end.kind() == AttemptEnd.Kind.ANSWERED && end.status() < SERVER_ERROR;
+            beliefs.plain().ended(attempt.server().id(), good, now - attempt.startMillis());
+        } else if (end.kind() == AttemptEnd.Kind.RELAYED) {
+            beliefs.loads().ended(attempt.server().id(), false);
+        } else if (isOwnFailure(attempt, end)) {
+            beliefs.loads().ended(attempt.server().id(), true);
+        }
+    }
+
+    /** Whether an engine broke off by itself, neither for another engine of the path nor on our word. */
+    private static boolean isOwnFailure(Attempt attempt, AttemptEnd end) {
+        boolean broken = end.kind() == AttemptEnd.Kind.BROKEN || end.kind() == AttemptEnd.Kind.ANSWERED;
+        return attempt.path().isPresent() && broken && end.faultAt().isEmpty() && !attempt.isCancelled();
+    }
+
+    /** Learns from a failure which server to leave alone for a while. */
+    void blame(Attempt attempt, AttemptEnd end, long now) {
+        Optional<BackendServer> named = end.faultAt().flatMap(beliefs::at);
+        if (named.isPresent()) {
+            // A dead engine is named only after its work has stalled; one that is full or moving refuses at once.
+            boolean stalled = now - attempt.startMillis() > stallMillis / 2;
+            suspect(named.get(), stalled ? Evidence.LOST : Evidence.BUSY, "blamed with " + end.detail(), now);
+            if (!stalled && named.get().layers().isPresent()) {
+                desk.askQuickly(named.get(), router, now);
+            }
+        } else if (end.kind() == AttemptEnd.Kind.NOT_SENT) {
+            suspect(attempt.server(), Evidence.LOST, end.detail(), now);
+        } else if (isOwnFailure(attempt, end)) {
+            // A crash resets the connections that are open before it refuses new ones.
+            desk.askQuickly(attempt.server(), router, now);
+        }
+    }
+
+    private void suspect(BackendServer server, Evidence evidence, String why, long now) {
+        if (!beliefs.suspicions().suspect(server.id(), evidence, now)) {
+            return;
+        }
+        if (evidence == Evidence.LOST) {
+            onLost.accept(server.id(), now);
+            lostSeen = true;
+        }
+        meters.suspected(evidence.name());
+        log.line("fleet", "suspected")
+                .with("server", server.id())
+                .with("address", server.address())
+                .with("evidence", evidence)
+                .with("why", why)
+                .write();
+    }
+
+    /** Asks an engine for its report; a plain server has none, and is found by the next request that it fails. */
+    void askWhetherItLives(BackendServer server, long now) {
+        if (!server.card().isEmpty()) {
+            desk.askQuickly(server, router, now);
+        }
+    }
+
+    /** Takes an engine's report, or that there was none. */
+    void reported(BackendServer engine, Either<StoreFault, EngineReport> report, long now) {
+        if (report.isLeft()) {
+            unreported(engine, report.getLeft(), now);
+            return;
+        }
+        beliefs.loads().setPace(engine.id(), report.get().pace(), now);
+        for (EngineReport.Stalled stalled : report.get().stalled()) {
+            beliefs.at(stalled.address()).ifPresent(server -> suspect(server, Evidence.LOST, "work stalls there", now));
+        }
+    }
+
+    private void unreported(BackendServer engine, StoreFault fault, long now) {
+        if (beliefs.suspicions().isLost(engine.id(), now)) {
+            beliefs.suspicions().trialFailed(engine.id(), now);
+        } else if (unanswered.isOwnFault(engine.id(), now)) {
+            desk.ask(engine, router); // with a timeout that an overloaded process keeps as well
+        } else {
+            suspect(engine, Evidence.LOST, "no report: " + fault, now);
+        }
+    }
+}
