--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -42,7 +42,6 @@
     /** Lowest status by which a backend server says that it failed. */
     private static final int SERVER_ERROR = 500;
 
-    private final GatewaySettings settings;
     private final ConfigHolder config;
     private final SteadyClock clock;
     private final EventLog log;
@@ -72,7 +71,6 @@
             EventLog log,
             Meters meters,
             EngineDesk desk) {
-        this.settings = settings;
         this.beliefs = new Beliefs(settings.timing().drainMillis());
         this.config = config;
         this.clock = clock;
