Introduce only peers that were heard, so that a dead gateway's address does not go round

Cause: found on reading the change: a gateway that was introduced was introduced on, so the address of a dead one would pass from peer to peer for good, and each round of news would be spent on more of them. Ruled out: a longer memory of the dead (it would grow with every replaced machine).

--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
@@ -8,7 +8,6 @@
 import java.net.SocketAddress;
 import java.net.SocketTimeoutException;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,12 +30,6 @@
  * {@link #setPeers}.
  */
 public final class PeerLink {
-    /**
-     * How long a gateway that tells its news is told ours, though the store does not list it. One that the store turns
-     * away drops out of the list while it serves on; without our news it would send its streams where all others do.
-     */
-    private static final long ANSWER_MILLIS = 5_000;
-
     /** Below the usual limit of a datagram that is not split on its way. */
     private static final int MAX_BYTES = 8_192;
 
@@ -49,7 +42,7 @@
     private final EventLog log;
     private final Thread thread = new Thread(this::run, "peers");
     private final Map<String, long[]> newest = new HashMap<>();
-    private final Map<InetSocketAddress, Long> heard = new HashMap<>();
+    private final PeerBook<InetSocketAddress> book = new PeerBook<>();
     private final PeerTurns turns = new PeerTurns();
     private final PeerTurns introductions = new PeerTurns();
     private Set<BackendServerId> toldSuspects = Set.of();
@@ -149,9 +142,8 @@
     }
 
     private void tell(DatagramSocket socket) {
-        heard.values().removeIf(at -> clock.millis() - at > ANSWER_MILLIS);
-        Set<InetSocketAddress> all = new HashSet<>(heard.keySet());
-        peers.forEach(peer -> all.add(new InetSocketAddress(peer.host(), peer.port())));
+        Set<InetSocketAddress> all =
+                book.toTell(peers.stream().map(PeerLink::socketAddress).toList(), clock.millis());
         if (all.isEmpty()) {
             return;
         }
@@ -178,7 +170,7 @@
      * more gateways than partitions those without one would never hear of each other.
      */
     private List<HostPort> introduced() {
-        return introductions.take(heard.keySet(), false, false).stream()
+        return introductions.take(book.toIntroduce(clock.millis()), false, false).stream()
                 .limit(PeerTurns.MOST_A_ROUND)
                 .map(peer -> new HostPort(peer.getHostString(), peer.getPort()))
                 .toList();
@@ -194,11 +186,8 @@
         return urgent;
     }
 
-    /** A peer that another one has heard is told our news, and so hears of us. */
-    private void meet(HostPort peer) {
-        if (!peer.equals(address)) {
-            heard.putIfAbsent(new InetSocketAddress(peer.host(), peer.port()), clock.millis());
-        }
+    private static InetSocketAddress socketAddress(HostPort peer) {
+        return new InetSocketAddress(peer.host(), peer.port());
     }
 
     private void take(byte[] bytes, int length, SocketAddress from) {
@@ -209,9 +198,11 @@
         }
         PeerNews news = read.get();
         if (from instanceof InetSocketAddress sender) {
-            heard.put(sender, clock.millis());
+            book.heard(sender, clock.millis());
         }
-        news.heard().forEach(this::meet);
+        news.heard().stream()
+                .filter(peer -> !peer.equals(address))
+                .forEach(peer -> book.introduced(socketAddress(peer), clock.millis()));
         long[] last = newest.get(news.name());
         boolean old = last != null && last[0] == news.life() && last[1] >= news.number();
         if (!old) {
