Give the stand-ins one HTTP server, one configuration and one way to find ports

Cause: read-through of the change. Three stand-ins each set up the same HTTP server; the configuration stood three times, and StandInConfig's own short form was unused; freePorts stood twice; a gateway test spelled the platform's header names; the soak searched all calls for each arrival. Change: StandInHttp, FreePorts, StandInConfig and StandInClient.text serve all of them; GatewayChecks looks calls up by id. No code of the gateway that runs on the users' machines changes, but for a comment; assertions are as they were.

--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewayChecks.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewayChecks.java
@@ -50,6 +50,7 @@
     private final Disturbances disturbances;
     private final Violations violations;
     private final Map<String, List<Arrival>> byRequest;
+    private final Map<String, Call> byId;
 
     GatewayChecks(List<Call> calls, List<Arrival> arrivals, Disturbances disturbances, Violations violations) {
         this.calls = calls;
@@ -57,6 +58,7 @@
         this.disturbances = disturbances;
         this.violations = violations;
         this.byRequest = arrivals.stream().collect(Collectors.groupingBy(Arrival::requestId));
+        this.byId = calls.stream().collect(Collectors.toMap(Call::id, call -> call));
     }
 
     /** Checks all. */
@@ -157,10 +159,10 @@
         if (engine && arrival.hasRun() && !StandInHop.coverOnce(arrival.hops(), GatewayWorld.LAYERS)) {
             violations.add("layers", what + " passed " + arrival.hops());
         }
-        calls.stream()
-                .filter(call -> call.id().equals(arrival.requestId()))
-                .findFirst()
-                .ifPresent(call -> checkDrain(call, arrival));
+        Call call = byId.get(arrival.requestId());
+        if (call != null) {
+            checkDrain(call, arrival);
+        }
     }
 
     private void checkDrain(Call call, Arrival arrival) {
--- a/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
@@ -19,8 +19,8 @@
  *
  * <p>The store shares a topic's partitions out among the members of a group; whoever holds the first one leads, and
  * goes on leading for the membership's time to live after the last call that the store answered: nothing is placed
- * while the store is away, so a longer lead would buy nothing. Its own thread calls the store, so that a silent store holds up no plan; {@link #term} may be called by any
- * thread.
+ * while the store is away, so a longer lead would buy nothing. Its own thread calls the store, so that a silent store
+ * holds up no plan; {@link #term} may be called by any thread.
  */
 public final class LeaderLease {
     /** The term of a process that does not lead. */
--- a/gateway/src/test/java/org/cornelramp/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/GatewayFixture.java
@@ -1,23 +1,23 @@
 package org.cornelramp.gateway;
 
 import java.io.ByteArrayOutputStream;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.GatewaySettingsReader;
 import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.platform.standin.FreePorts;
 import org.cornelramp.platform.standin.StandInClient;
+import org.cornelramp.platform.standin.StandInConfig;
 import org.cornelramp.platform.standin.StandInServer;
 import org.cornelramp.platform.standin.StandInStore;
 
 /** A gateway before two engines and two plain services, all on loopback. */
 public final class GatewayFixture implements AutoCloseable {
     /** The key that the configuration knows. */
-    public static final String KEY = "secret-key-of-org";
+    public static final String KEY = StandInConfig.KEY;
 
     private static final long PATIENCE_MILLIS = 20_000;
 
@@ -37,7 +37,7 @@
         secondEngine = new StandInServer(store, "e2", "llm", "dc1", "big");
         firstApp = new StandInServer(store, "a1", "app", "dc1", "");
         secondApp = new StandInServer(store, "a2", "app", "dc1", "");
-        List<Integer> ports = freePorts();
+        List<Integer> ports = FreePorts.take(5);
         ports.set(4, store.address().port());
         settings = new GatewaySettingsReader().read(settingsText(ports)).get();
         log = new EventLog(logged, Clock.systemUTC(), "g1");
@@ -50,21 +50,7 @@
 
     /** A configuration of that version whose streams are served below a prefix. */
     public static String config(int version, String chatPrefix) {
-        return """
-            {"version":%d,"routes":[
-            {"name":"chat","host":"127.0.0.1","pathPrefix":"%s","kind":"streaming","timeoutMs":9000,
-             "targetLatencyMs":500,"priority":1,"service":"llm","maxAttempts":2,"streamResumption":true},
-            {"name":"look","host":"127.0.0.1","pathPrefix":"/look/","kind":"safe","timeoutMs":3000,
-             "targetLatencyMs":300,"priority":2,"service":"app","maxAttempts":2},
-            {"name":"book","host":"127.0.0.1","pathPrefix":"/book/","kind":"unsafe","timeoutMs":2000,
-             "targetLatencyMs":300,"priority":2,"service":"app","maxAttempts":2}],
-            "services":[{"name":"llm","maxConnections":100,"engine":{"slots":8,"layers":8,"layerMb":10,
-             "kvTokenBytes":800,"step_ms":1,"read_per_s":100000,"usual":{"prompt":10,"answer":10},
-             "kinds":[{"name":"big","mb":400,"pace":1,"readFactor":1}]}},{"name":"app","maxConnections":100}],
-            "limits":{"maxHeaderBytes":16384,"maxBodyBytes":20000,"idleTimeoutMs":15000},
-            "tenants":[{"name":"org","apiKeys":["%s"]}]}
-            """
-                .formatted(version, chatPrefix, KEY);
+        return StandInConfig.small(version).withChatPrefix(chatPrefix).json();
     }
 
     private static String settingsText(List<Integer> ports) {
@@ -75,20 +61,6 @@
                 .formatted(ports.toArray());
     }
 
-    private static List<Integer> freePorts() throws Exception {
-        List<ServerSocket> sockets = new ArrayList<>();
-        List<Integer> ports = new ArrayList<>();
-        for (int i = 0; i < 5; i++) {
-            ServerSocket socket = new ServerSocket(0);
-            sockets.add(socket);
-            ports.add(socket.getLocalPort());
-        }
-        for (ServerSocket socket : sockets) {
-            socket.close();
-        }
-        return ports;
-    }
-
     private boolean chats() {
         try {
             return client().send("/chat/warm", "warm", "x").statusCode() == 200;
--- a/gateway/src/test/java/org/cornelramp/gateway/request/ClientProbeTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/ClientProbeTest.java
@@ -37,10 +37,8 @@
                 fixture.settings.requests().host(), fixture.settings.requests().port());
     }
 
-    private static void send(Socket socket, String path, String id) throws IOException {
-        String request = "POST " + path + " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: " + id
-                + "\r\nX-Deadline-Ms: 9000\r\nX-Token-Counts: 10,10\r\nAuthorization: Token " + GatewayFixture.KEY
-                + "\r\nContent-Length: " + id.length() + "\r\n\r\n" + id;
+    private void send(Socket socket, String path, String id) throws IOException {
+        String request = fixture.client().text(path, id);
         socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
     }
 
