Tell lives of one server apart, pass over records of other writers, and lend repeats between gateways

Cause: a server may start again under its id, and what was believed of the life before (suspicion, pace, failures, that it leaves, its count of orders, open connections) was believed of the new one. Registrations with fields of another type became servers with defaults, and one keyed record of another form stopped a follower for good. Change: the adapter names a life by name and birth (BackendServerId.inLife), so all that is known is keyed by life; a registration that cannot be read names no server; connections are pooled by life. RepeatAccount and ReserveShare lend parts of the reserve by totals that are told, safe against lost and late news; fresh requests leave a third of the repeats to begun streams; a begun stream waits for a repeat while its client does. Each such wait is logged with its figures. Ruled out: ordering lives by birth, as clocks may go back; cumulative loans without totals, which a lost datagram breaks.

--- a/core/src/main/java/org/cornelramp/core/fleet/BackendServer.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/BackendServer.java
@@ -10,7 +10,8 @@
 /**
  * One life of a backend server, as its last registration says. Immutable, safe for use by any thread.
  *
- * @param id names this life; a restart has another id
+ * @param id names this life; the next one has another id, so what is known of this one ends with it
+ * @param name what the server calls itself; it may start again under the same name
  * @param service the service it belongs to
  * @param address where it takes requests
  * @param dataCentre where it runs
@@ -21,6 +22,7 @@
  */
 public record BackendServer(
         BackendServerId id,
+        BackendServerId name,
         ServiceName service,
         HostPort address,
         DataCentre dataCentre,
@@ -37,11 +39,11 @@
 
     /** The same life with other layers. */
     public BackendServer withLayers(Optional<LayerRange> other) {
-        return new BackendServer(id, service, address, dataCentre, state, slots, card, other);
+        return new BackendServer(id, name, service, address, dataCentre, state, slots, card, other);
     }
 
     /** The same life in another state. */
     public BackendServer withState(ServerState other) {
-        return new BackendServer(id, service, address, dataCentre, other, slots, card, layers);
+        return new BackendServer(id, name, service, address, dataCentre, other, slots, card, layers);
     }
 }
--- a/core/src/main/java/org/cornelramp/core/fleet/ServerRegistry.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/ServerRegistry.java
@@ -3,15 +3,19 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cornelramp.core.model.BackendServerId;
 
 /**
  * The backend servers registered in the platform's store, as far as this process has read.
  *
+ * <p>A server may start again under the name that it had. Its new life is another server with another id: whatever was
+ * believed of the old one, that it leaves or is being removed for instance, ends with it.
+ *
  * <p>Records may be read more than once and pages out of order; the offset of each record decides, so an older one
  * never undoes a newer. Owned by one thread.
  *
@@ -23,8 +27,17 @@
     /** Registrations that ran out during an outage are back within two seconds; half a second for reading them. */
     public static final long RETURN_MILLIS = 2_500;
 
+    /** Most ended lives remembered; requests that still run there end within seconds. */
+    private static final int MOST_REPLACED = 256;
+
+    /** By the name that a server keeps over its lives. */
     private final Map<BackendServerId, Entry> entries = new HashMap<>();
+
+    /** By the id of the life. */
+    private final Map<BackendServerId, Entry> lives = new HashMap<>();
+
     private final Map<BackendServerId, Long> removed = new HashMap<>();
+    private final Set<BackendServerId> replaced = new LinkedHashSet<>();
     private boolean connected = true;
     private long connectedAt = Long.MIN_VALUE / 2;
 
@@ -39,22 +52,26 @@
      * One record of the registrations. Immutable, safe for use by any thread.
      *
      * @param offset place of the record; higher is newer
-     * @param id whom it is about
-     * @param server what it says; empty if the registration was removed
+     * @param name the server that it is about
+     * @param server what it says; empty if the registration was removed, or names no server that can be used
      */
-    public record Registration(long offset, BackendServerId id, Optional<BackendServer> server) {}
+    public record Registration(long offset, BackendServerId name, Optional<BackendServer> server) {}
 
     /** Takes one record; true if it changed anything. */
     public boolean apply(Registration record, long nowMillis) {
-        Entry known = entries.get(record.id());
-        if (record.offset() <= removed.getOrDefault(record.id(), -1L)
+        Entry known = entries.get(record.name());
+        if (record.offset() <= removed.getOrDefault(record.name(), -1L)
                 || (known != null && record.offset() <= known.offset)) {
             return false;
         }
         if (record.server().isEmpty()) {
             return remove(record, nowMillis);
         }
-        Entry entry = entries.computeIfAbsent(record.id(), id -> new Entry());
+        if (known != null && !known.server.id().equals(record.server().get().id())) {
+            endLife(known);
+        }
+        Entry entry = entries.computeIfAbsent(record.name(), name -> new Entry());
+        lives.put(record.server().get().id(), entry);
         boolean changed = !record.server().get().equals(entry.server) || entry.removeAtMillis != Long.MAX_VALUE;
         entry.server = record.server().get();
         entry.offset = record.offset();
@@ -64,6 +81,19 @@
         return changed;
     }
 
+    private void endLife(Entry old) {
+        forget(old);
+        replaced.add(old.server.id());
+        if (replaced.size() > MOST_REPLACED) {
+            replaced.remove(replaced.iterator().next());
+        }
+    }
+
+    private void forget(Entry entry) {
+        entries.remove(entry.server.name());
+        lives.remove(entry.server.id());
+    }
+
     /**
      * Takes the newest record of every server at once; whoever is not among them has gone.
      *
@@ -74,20 +104,20 @@
         boolean changed = false;
         Map<BackendServerId, Registration> newest = new HashMap<>();
         for (Registration record : records) {
-            newest.put(record.id(), record);
+            newest.put(record.name(), record);
             changed |= apply(record, nowMillis);
         }
-        for (BackendServerId id : List.copyOf(entries.keySet())) {
-            if (!newest.containsKey(id) && entries.get(id).offset < end) {
-                changed |= remove(new Registration(end - 1, id, Optional.empty()), nowMillis);
+        for (BackendServerId name : List.copyOf(entries.keySet())) {
+            if (!newest.containsKey(name) && entries.get(name).offset < end) {
+                changed |= remove(new Registration(end - 1, name, Optional.empty()), nowMillis);
             }
         }
         return changed;
     }
 
     private boolean remove(Registration record, long nowMillis) {
-        removed.put(record.id(), record.offset());
-        Entry entry = entries.get(record.id());
+        removed.put(record.name(), record.offset());
+        Entry entry = entries.get(record.name());
         if (entry == null) {
             return false;
         }
@@ -96,7 +126,7 @@
             entry.removeAtMillis = Math.max(nowMillis, connectedAt + RETURN_MILLIS);
             return true;
         }
-        entries.remove(record.id());
+        forget(entry);
         return true;
     }
 
@@ -110,14 +140,11 @@
 
     /** Removes those whose registration did not come back in time; true if there were any. */
     public boolean expire(long nowMillis) {
-        boolean changed = false;
-        for (Iterator<Entry> each = entries.values().iterator(); each.hasNext(); ) {
-            if (each.next().removeAtMillis <= nowMillis && connected) {
-                each.remove();
-                changed = true;
-            }
-        }
-        return changed;
+        List<Entry> due = entries.values().stream()
+                .filter(entry -> entry.removeAtMillis <= nowMillis && connected)
+                .toList();
+        due.forEach(this::forget);
+        return !due.isEmpty();
     }
 
     /** The servers known now. */
@@ -127,14 +154,19 @@
         return servers;
     }
 
-    /** The server of that id. */
+    /** The server in the life of that id; empty if the life is not known or has ended. */
     public Optional<BackendServer> server(BackendServerId id) {
-        return Optional.ofNullable(entries.get(id)).map(entry -> entry.server);
+        return Optional.ofNullable(lives.get(id)).map(entry -> entry.server);
+    }
+
+    /** Whether the life has ended, as its server has registered in another one; what ran in it is lost. */
+    public boolean isReplaced(BackendServerId id) {
+        return replaced.contains(id);
     }
 
     /** Since when the server is known to be leaving; empty while it is not. */
     public Optional<Long> leavingSinceMillis(BackendServerId id) {
-        return Optional.ofNullable(entries.get(id))
+        return Optional.ofNullable(lives.get(id))
                 .map(entry -> entry.leavingSinceMillis)
                 .filter(since -> since != Long.MAX_VALUE);
     }
--- a/core/src/main/java/org/cornelramp/core/model/BackendServerId.java
+++ b/core/src/main/java/org/cornelramp/core/model/BackendServerId.java
@@ -15,6 +15,15 @@
         Names.check("backend server", value);
     }
 
+    /**
+     * Names one life of the server. Two lives never share a name, so what is known of one is never taken for the other.
+     *
+     * @param bornMillis when the life began, by the server's own clock; lives are told apart by it, not ordered
+     */
+    public BackendServerId inLife(long bornMillis) {
+        return new BackendServerId(value + "." + Long.toString(bornMillis, Character.MAX_RADIX));
+    }
+
     @Override
     public int compareTo(BackendServerId other) {
         return value.compareTo(other.value);
--- a/core/src/main/java/org/cornelramp/core/path/EngineLoads.java
+++ b/core/src/main/java/org/cornelramp/core/path/EngineLoads.java
@@ -58,6 +58,11 @@
         peers.values().removeIf(news -> nowMillis - news.heardMillis() > silenceMillis);
     }
 
+    /** Whether a peer has been heard lately. */
+    public boolean isHeard(String name) {
+        return peers.containsKey(name);
+    }
+
     /** Number of peers heard of. */
     public int peerCount() {
         return peers.size();
--- a/core/src/main/java/org/cornelramp/core/retry/RetryWindow.java
+++ b/core/src/main/java/org/cornelramp/core/retry/RetryWindow.java
@@ -38,16 +38,23 @@
      * Takes one repeat; false if none is left now.
      *
      * @param reserve repeats besides the share of the requests, within a window
+     * @param part part of all that is allowed which this repeat may come out of, from 0 to 1
      */
-    public boolean tryRepeat(double reserve, long nowMillis) {
+    public boolean tryRepeat(double reserve, double part, long nowMillis) {
         int slot = slot(nowMillis);
-        if (sum(repeats) + 1 > ratio * sum(requests) + reserve) {
+        if (sum(repeats) + 1 > part * (ratio * sum(requests) + reserve)) {
             return false;
         }
         repeats[slot]++;
         return true;
     }
 
+    /** Repeats that are left now; negative if the reserve has become smaller than what was taken. */
+    public double left(double reserve, long nowMillis) {
+        slot(nowMillis);
+        return ratio * sum(requests) + reserve - sum(repeats);
+    }
+
     private int slot(long nowMillis) {
         long bucket = Math.floorDiv(nowMillis, bucketMillis);
         if (newest == Long.MIN_VALUE || bucket - newest > BUCKETS) {
--- a/core/src/test/java/org/cornelramp/core/path/Engines.java
+++ b/core/src/test/java/org/cornelramp/core/path/Engines.java
@@ -47,6 +47,7 @@
     public static BackendServer engine(String id, String dataCentre, String card, int from, int to) {
         Optional<LayerRange> layers = from < to ? Optional.of(new LayerRange(from, to, LAYERS)) : Optional.empty();
         return new BackendServer(
+                new BackendServerId(id),
                 new BackendServerId(id),
                 new ServiceName("llm"),
                 new HostPort("10.0.0.1", 1 + Math.floorMod(id.hashCode(), 60_000)),
--- a/core/src/test/java/org/cornelramp/core/retry/RetryWindowProperties.java
+++ b/core/src/test/java/org/cornelramp/core/retry/RetryWindowProperties.java
@@ -25,7 +25,7 @@
             if (i % 3 == 0) {
                 window.request(now);
                 requests.add(now);
-            } else if (window.tryRepeat(RESERVE, now)) {
+            } else if (window.tryRepeat(RESERVE, 1, now)) {
                 repeats.add(now);
                 check(requests, repeats, now);
             }
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ConfigFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ConfigFollower.java
@@ -47,10 +47,7 @@
         Either<StoreFault, RoutingConfig> config =
                 ConfigDecoder.decode(record.value().get());
         if (config.isLeft()) {
-            line("unreadable")
-                    .with("offset", record.offset())
-                    .with("fault", config.getLeft())
-                    .write();
+            unreadable(record.offset(), config.getLeft().toString());
             return;
         }
         boolean newer = holder.offer(config.get());
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/Follower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/Follower.java
@@ -93,6 +93,16 @@
         return parts.log().line(thread.getName(), event);
     }
 
+    /** Counts and logs a record that names nothing to use; sampled, as its writer may repeat it without end. */
+    final void unreadable(long offset, String fault) {
+        parts.meters().unreadable(thread.getName());
+        parts.log()
+                .ordinary(thread.getName(), "unreadable")
+                .with("offset", offset)
+                .with("fault", fault)
+                .write();
+    }
+
     /**
      * Makes one step.
      *
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ServerFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ServerFollower.java
@@ -50,25 +50,22 @@
         List<ServerRegistry.Registration> registrations = new ArrayList<>();
         for (MetadataStore.KeyedRecord record : page.records()) {
             if (!Names.isValid(record.key())) {
-                line("unreadable id").with("offset", record.offset()).write();
+                unreadable(record.offset(), "its key is no server's name");
                 continue;
             }
-            BackendServerId id = new BackendServerId(record.key());
-            if (record.value().isEmpty()) {
-                registrations.add(new ServerRegistry.Registration(record.offset(), id, Optional.empty()));
-                continue;
-            }
-            Either<StoreFault, BackendServer> server =
-                    RegistrationDecoder.decode(id, record.value().get());
-            if (server.isLeft()) {
-                line("unreadable")
-                        .with("server", id)
-                        .with("fault", server.getLeft())
-                        .write();
-            } else {
-                registrations.add(new ServerRegistry.Registration(record.offset(), id, Optional.of(server.get())));
-            }
+            BackendServerId name = new BackendServerId(record.key());
+            Optional<BackendServer> server = record.value().flatMap(value -> decode(name, value, record.offset()));
+            registrations.add(new ServerRegistry.Registration(record.offset(), name, server));
         }
         return registrations;
     }
+
+    /** A registration that cannot be read names no server to use, whatever stood under its name before. */
+    private Optional<BackendServer> decode(BackendServerId name, byte[] value, long offset) {
+        Either<StoreFault, BackendServer> server = RegistrationDecoder.decode(name, value);
+        if (server.isLeft()) {
+            unreadable(offset, server.getLeft().toString());
+        }
+        return server.toJavaOptional();
+    }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNews.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNews.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.EngineLoads;
+import org.cornelramp.core.retry.RepeatNews;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.follow.ReadingShare;
 
@@ -20,6 +21,7 @@
  * @param crossings hops to another data centre of all that it has under way
  * @param paces how many times longer than usual engines take, where it is not once
  * @param suspects servers that it has seen fail since its last news or just before
+ * @param repeats what it lacks and lends of the repeats that all gateways share
  * @param heard addresses of some peers that it has heard lately
  * @param reading how far it has read the store for all; empty if it does not
  */
@@ -32,6 +34,7 @@
         int crossings,
         Map<BackendServerId, Double> paces,
         Set<BackendServerId> suspects,
+        RepeatNews repeats,
         List<HostPort> heard,
         Optional<ReadingShare.Reading> reading) {
 
@@ -51,23 +54,25 @@
             Map<BackendServerId, EngineLoads.Load> loads,
             int crossings,
             Map<BackendServerId, Double> paces,
-            Set<BackendServerId> suspects) {
+            Set<BackendServerId> suspects,
+            RepeatNews repeats) {
         return new PeerNews(
-                name, life, number, leaving, loads, crossings, paces, suspects, List.of(), Optional.empty());
+                name, life, number, leaving, loads, crossings, paces, suspects, repeats, List.of(), Optional.empty());
     }
 
     /** The same news with addresses of peers. */
     PeerNews withHeard(List<HostPort> addresses) {
-        return new PeerNews(name, life, number, leaving, loads, crossings, paces, suspects, addresses, reading);
+        return new PeerNews(
+                name, life, number, leaving, loads, crossings, paces, suspects, repeats, addresses, reading);
     }
 
     /** The same news with what this gateway has read for all. */
     PeerNews withReading(Optional<ReadingShare.Reading> read) {
-        return new PeerNews(name, life, number, leaving, loads, crossings, paces, suspects, heard, read);
+        return new PeerNews(name, life, number, leaving, loads, crossings, paces, suspects, repeats, heard, read);
     }
 
     /** The same news without what does not fit into one datagram. */
     PeerNews withoutLoads() {
-        return new PeerNews(name, life, number, leaving, Map.of(), crossings, paces, suspects, heard, reading);
+        return new PeerNews(name, life, number, leaving, Map.of(), crossings, paces, suspects, repeats, heard, reading);
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNewsCodec.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNewsCodec.java
@@ -10,7 +10,9 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.EngineLoads;
+import org.cornelramp.core.retry.RepeatNews;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.follow.ReadingShare;
 import org.msgpack.core.MessageBufferPacker;
@@ -19,7 +21,7 @@
 
 /** The MessagePack form of news between gateways. Stateless, safe for use by any thread. */
 final class PeerNewsCodec {
-    private static final int FORMAT = 2;
+    private static final int FORMAT = 3;
 
     private PeerNewsCodec() {}
 
@@ -49,6 +51,7 @@
             for (BackendServerId id : news.suspects()) {
                 out.packString(id.value());
             }
+            writeRepeats(news.repeats(), out);
             out.packArrayHeader(news.heard().size());
             for (HostPort peer : news.heard()) {
                 out.packString(peer.toString());
@@ -66,6 +69,32 @@
         }
     }
 
+    private static void writeRepeats(RepeatNews repeats, MessageBufferPacker out) throws IOException {
+        out.packMapHeader(repeats.wanted().size());
+        for (Map.Entry<ServiceName, Integer> wanted : repeats.wanted().entrySet()) {
+            out.packString(wanted.getKey().value());
+            out.packInt(wanted.getValue());
+        }
+        out.packArrayHeader(repeats.loans().size());
+        for (RepeatNews.Loan loan : repeats.loans()) {
+            out.packString(loan.service().value());
+            out.packString(loan.to());
+            out.packInt(loan.total());
+        }
+    }
+
+    private static RepeatNews readRepeats(MessageUnpacker in) throws IOException {
+        Map<ServiceName, Integer> wanted = new HashMap<>();
+        for (int left = in.unpackMapHeader(); left > 0; left--) {
+            wanted.put(new ServiceName(in.unpackString()), in.unpackInt());
+        }
+        List<RepeatNews.Loan> loans = new ArrayList<>();
+        for (int left = in.unpackArrayHeader(); left > 0; left--) {
+            loans.add(new RepeatNews.Loan(new ServiceName(in.unpackString()), in.unpackString(), in.unpackInt()));
+        }
+        return new RepeatNews(wanted, loans);
+    }
+
     /** Reads news; the left side says what is wrong with the bytes. */
     static Either<String, PeerNews> read(byte[] bytes, int length) {
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
@@ -91,6 +120,7 @@
             for (int left = in.unpackArrayHeader(); left > 0; left--) {
                 suspects.add(new BackendServerId(in.unpackString()));
             }
+            RepeatNews repeats = readRepeats(in);
             List<HostPort> heard = new ArrayList<>();
             for (int left = in.unpackArrayHeader(); left > 0; left--) {
                 heard.add(HostPort.parse(in.unpackString()));
@@ -99,8 +129,8 @@
                     ? Optional.of(new ReadingShare.Reading(
                             HostPort.parse(in.unpackString()), in.unpackLong(), in.unpackLong()))
                     : Optional.empty();
-            return Either.right(
-                    new PeerNews(name, life, number, leaving, loads, crossings, paces, suspects, heard, reading));
+            return Either.right(new PeerNews(
+                    name, life, number, leaving, loads, crossings, paces, suspects, repeats, heard, reading));
         } catch (IOException | RuntimeException e) {
             return Either.left(e.toString());
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -110,6 +110,7 @@
         Request out = http.newRequest(server.address().host(), server.address().port())
                 .method(call.method())
                 .path(call.pathQuery())
+                .tag(server.id()) // a connection to an earlier life at the address is never used again
                 .headers(own -> head.write(call.fields(), own));
         if (call.body().length > 0 || !HttpMethod.GET.is(call.method())) {
             out.body(new BytesRequestContent((String) null, call.body()));
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
@@ -102,10 +102,16 @@
         return suspicions.isSuspect(id, nowMillis);
     }
 
-    /** The server at an address. */
-    public Optional<BackendServer> at(HostPort address) {
+    /** Whether a server is dead or cut off, or has started again, so that what runs there should move. */
+    public boolean isLost(BackendServerId id, long nowMillis) {
+        return suspicions.isLost(id, nowMillis) || registry.isReplaced(id);
+    }
+
+    /** The server of a service at an address; another service may have registered the same one. */
+    public Optional<BackendServer> at(HostPort address, ServiceName service) {
         return registry.servers().stream()
-                .filter(server -> server.address().equals(address))
+                .filter(server ->
+                        server.address().equals(address) && server.service().equals(service))
                 .findFirst();
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -123,7 +123,7 @@
         Exchange exchange = flight.exchange();
         Exchange.Call call = exchange.call();
         ForwardHead head = new ForwardHead(
-                server.id(),
+                server.name(),
                 call.deadlineMillis() - now,
                 call.organisation(),
                 path,
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
@@ -22,6 +22,7 @@
     private int sent;
     private int mayHaveRun;
     private boolean moving;
+    private boolean awaitingRepeat;
     private long waitingSince;
     private long triedMillis = Long.MIN_VALUE / 2;
     private long leavingSinceMillis;
@@ -93,6 +94,20 @@
         return mayHaveRun;
     }
 
+    /** Attempts that count towards the most that are made. */
+    int attemptsThatCount() {
+        return exchange.isCommitted() ? mayHaveRun : sent;
+    }
+
+    /** Whether a begun stream waits until a repeat is left for it. */
+    boolean isAwaitingRepeat() {
+        return awaitingRepeat;
+    }
+
+    void setAwaitingRepeat(boolean now) {
+        awaitingRepeat = now;
+    }
+
     /** The path whose engines bear this request's load; null for none. */
     StagePath loaded() {
         return loaded;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PeerTalk.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PeerTalk.java
@@ -8,6 +8,7 @@
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.EngineLoads;
+import org.cornelramp.core.retry.RepeatNews;
 import org.cornelramp.gateway.peer.PeerLink;
 import org.cornelramp.gateway.peer.PeerNews;
 import org.cornelramp.gateway.peer.PeerTurns;
@@ -25,6 +26,7 @@
 
     private final String name;
     private final Beliefs beliefs;
+    private final Repeats repeats;
     private final Consumer<BackendServer> ask;
     private final long life = PeerLink.newLife();
     private final Map<BackendServerId, Long> seenFail = new HashMap<>();
@@ -34,11 +36,12 @@
     private volatile PeerNews news;
 
     /** @param ask asks a server that a peer has seen fail whether it lives */
-    PeerTalk(String name, Beliefs beliefs, Consumer<BackendServer> ask) {
+    PeerTalk(String name, Beliefs beliefs, Repeats repeats, Consumer<BackendServer> ask) {
         this.name = name;
         this.beliefs = beliefs;
+        this.repeats = repeats;
         this.ask = ask;
-        this.news = PeerNews.of(name, life, 0, false, Map.of(), 0, Map.of(), Set.of());
+        this.news = PeerNews.of(name, life, 0, false, Map.of(), 0, Map.of(), Set.of(), RepeatNews.NONE);
     }
 
     /** The news to tell now; may be called by any thread. */
@@ -67,6 +70,8 @@
         loads.forgetPaces(nowMillis);
         long silence = PeerTurns.silenceMillis(loads.peerCount());
         loads.forgetSilent(silence, nowMillis);
+        repeats.setPeers(loads.peerCount());
+        repeats.forgetLenders(loads::isHeard);
         staying.values().removeIf(at -> nowMillis - at > silence);
         seenFail.values().removeIf(at -> nowMillis - at > TELL_MILLIS);
         news = PeerNews.of(
@@ -77,7 +82,8 @@
                 loads.own(),
                 loads.ownCrossings(),
                 loads.unusualPaces(),
-                seenFail.keySet());
+                seenFail.keySet(),
+                repeats.news(nowMillis));
     }
 
     /** Takes a peer's news. */
@@ -89,6 +95,7 @@
         }
         EngineLoads loads = beliefs.loads();
         loads.peer(theirs.name(), theirs.loads(), theirs.crossings(), nowMillis);
+        repeats.told(theirs.name(), theirs.repeats(), nowMillis);
         theirs.paces().forEach((id, pace) -> {
             if (loads.pace(id) == 1) {
                 loads.setPace(id, pace, nowMillis - PACE_AGE_MILLIS);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -30,7 +30,10 @@
     private static final int RING = 8_192;
     private static final long TICK_MILLIS = 20;
 
-    /** Most attempts at one request, those that did not run included: more would not find a server either. */
+    /**
+     * Most attempts at one request: more would not find a server either. Those that did not run count until the answer has
+     * begun; then only the others do, as engines that are just being filled refuse a stream several times in a moment.
+     */
     private static final int MOST_SENT = 6;
 
     /** How long a broken stream waits for a path; its client leaves two seconds after the last event. */
@@ -78,9 +81,10 @@
         this.meters = meters;
         this.desk = desk;
         this.duty = new Duty<>("router", RING, this::handle, this::tick, TICK_MILLIS);
-        this.repeats = new Repeats(settings.retries());
+        this.repeats = new Repeats(settings.name(), settings.retries());
         this.judge = new ServerJudge(beliefs, desk, settings.timing().stallMillis(), log, meters, this::offer);
-        this.talk = new PeerTalk(settings.name(), beliefs, server -> judge.askWhetherItLives(server, clock.millis()));
+        this.talk = new PeerTalk(
+                settings.name(), beliefs, repeats, server -> judge.askWhetherItLives(server, clock.millis()));
         judge.setOnLost(talk::sawFail);
         this.dispatcher = new Dispatcher(settings, clients, config, beliefs, clock, log, this::attemptEnded);
         this.watch = new StreamWatch(beliefs, desk, log, this::offer);
@@ -257,17 +261,19 @@
     private boolean trySend(Flight flight, Attempt failed, AttemptEnd end, long now) {
         boolean engines = failed.path().isPresent();
         boolean attemptsLeft = engines || flight.mayHaveRun() < flight.route().maxAttempts();
-        if (!attemptsLeft || flight.sent() >= MOST_SENT) {
+        if (!attemptsLeft || flight.attemptsThatCount() >= MOST_SENT) {
             return false;
         }
-        if (end.kind() != AttemptEnd.Kind.NOT_SENT
-                && !repeats.tryRepeat(flight.service(), beliefs.loads().peerCount(), now)) {
-            return false;
+        boolean begun = flight.exchange().isCommitted();
+        if (end.kind() != AttemptEnd.Kind.NOT_SENT && !takeRepeat(flight, now)) {
+            flight.setAwaitingRepeat(begun);
+            return begun;
         }
         if (!engines || (end.kind().surelyNotRun() && end.faultAt().isEmpty())) {
             flight.avoid().add(failed.server().id());
         }
-        end.faultAt().flatMap(beliefs::at).ifPresent(server -> flight.avoid().add(server.id()));
+        end.faultAt().flatMap(address -> beliefs.at(address, flight.service())).ifPresent(server -> flight.avoid()
+                .add(server.id()));
         boolean sent = now < flight.exchange().call().deadlineMillis() && dispatcher.send(flight, now);
         if (!sent && flight.exchange().isCommitted()) {
             waitOrGiveUp(flight, now);
@@ -276,6 +282,32 @@
         return sent;
     }
 
+    private boolean takeRepeat(Flight flight, long now) {
+        boolean begun = flight.exchange().isCommitted();
+        boolean taken = repeats.tryRepeat(flight.service(), begun, now);
+        if (!taken && !flight.isAwaitingRepeat()) {
+            log.line("route", "no repeat left")
+                    .with("id", flight.exchange().call().id())
+                    .with("begun", begun)
+                    .with("left", repeats.left(flight.service(), now))
+                    .with("peers", beliefs.loads().peerCount())
+                    .with("outcome", begun ? "waits for one" : "not repeated")
+                    .write();
+        }
+        return taken;
+    }
+
+    /**
+     * Sends a stream again that waits for a repeat. Closed at once, it would be lost to its client although engines could
+     * carry it on; repeats come free with time, and peers lend theirs within moments. The client ends the wait by leaving.
+     */
+    private void resume(Flight flight, long now) {
+        if (!flight.isAwaitingRepeat() || takeRepeat(flight, now)) {
+            flight.setAwaitingRepeat(false);
+            send(flight, now);
+        }
+    }
+
     private void giveUp(Flight flight, Refusal refusal, String why) {
         long now = clock.millis();
         if (flight.exchange().isCommitted()) {
@@ -412,7 +444,7 @@
             }
             giveUp(flight, flight.mayHaveRun() == 0 ? Refusal.NOT_RUN_IN_TIME : Refusal.TIMED_OUT, "deadline");
         } else if (attempt == null) {
-            send(flight, now);
+            resume(flight, now);
         } else if (flight.exchange().lastEventMillis() > attempt.startMillis()) {
             dispatcher.promptRead(flight);
         } else if (flight.route().kind() == RouteKind.SAFE && isOverdue(flight, attempt, now)) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
@@ -87,7 +87,8 @@
 
     /** Learns from a failure which server to leave alone for a while. */
     void blame(Attempt attempt, AttemptEnd end, long now) {
-        Optional<BackendServer> named = end.faultAt().flatMap(beliefs::at);
+        Optional<BackendServer> named = end.faultAt()
+                .flatMap(address -> beliefs.at(address, attempt.server().service()));
         if (named.isPresent()) {
             // A dead engine is named only after its work has stalled; one that is full or moving refuses at once.
             boolean stalled = now - attempt.startMillis() > stallMillis / 2;
@@ -135,7 +136,8 @@
         }
         beliefs.loads().setPace(engine.id(), report.get().pace(), now);
         for (EngineReport.Stalled stalled : report.get().stalled()) {
-            beliefs.at(stalled.address()).ifPresent(server -> suspect(server, Evidence.LOST, "work stalls there", now));
+            beliefs.at(stalled.address(), engine.service())
+                    .ifPresent(server -> suspect(server, Evidence.LOST, "work stalls there", now));
         }
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
@@ -87,9 +87,9 @@
     }
 
     private void check(Flight flight, Attempt attempt, StagePath path, Optional<RoutingConfig> config, long now) {
-        if (beliefs.suspicions().isLost(path.first().id(), now)) {
+        if (beliefs.isLost(path.first().id(), now)) {
             attempt.cancel("its first engine is lost");
-        } else if (passes(path, id -> beliefs.suspicions().isLost(id, now))) {
+        } else if (passes(path, id -> beliefs.isLost(id, now))) {
             moveOrCancel(flight, attempt, path, config, now);
         } else if (passes(path, beliefs::isLeaving) && flight.mayLeave(now, LEAVE_MILLIS, MOVE_PAUSE_MILLIS)) {
             // An engine that leaves serves on for seconds, so nothing is broken off for it.
--- a/gateway/src/test/java/org/cornelramp/gateway/WholePathTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/WholePathTest.java
@@ -267,4 +267,48 @@
                 .count();
         assertTrue(atFaulty < 15, atFaulty + " of 60 streams were sent to an engine that breaks every one off");
     }
+
+    /**
+     * Both engines crash and start again under their ids, empty. A client's stream is refused or served, and never cut;
+     * the leader, which had given each of them orders, places the layers anew although their counts start at zero.
+     */
+    @Test
+    public void enginesThatStartAgainUnderTheirIdsAreFilledAnew() throws Exception {
+        fixture.firstEngine.restart();
+        fixture.secondEngine.restart();
+        GatewayFixture.await(
+                () -> fixture.firstEngine.layers().equals("0-8")
+                        && fixture.secondEngine.layers().equals("0-8"),
+                "the layers are placed in the new lives");
+        HttpResponse<String> answer = null;
+        for (int i = 0; answer == null || answer.statusCode() == 503; i++) {
+            assertTrue(i < 50, "still refused");
+            answer = fixture.client().send("/chat/a", "again-" + i, "x");
+            Thread.sleep(50);
+        }
+        assertEquals(answer.body(), FIVE_EVENTS);
+    }
+
+    /**
+     * Someone else writes registrations of another form, one of them at the address of an engine, and repeats them. The
+     * servers that are there hold, and an engine that registers after them is heard of.
+     */
+    @Test
+    public void registrationsOfAnotherWriterDisturbNobody() throws Exception {
+        for (int i = 0; i < 100; i++) {
+            fixture.store.register("stranger", "{\"service\":7,\"state\":\"resting\"}");
+            fixture.store.register("other", "not json");
+            fixture.store.register("no name !", "{}");
+        }
+        fixture.store.register(
+                "thief",
+                "{\"service\":\"else\",\"address\":\"" + fixture.firstEngine.address()
+                        + "\",\"zone\":\"dc1\",\"slots\":1,\"state\":\"ready\"}");
+        fixture.firstEngine.register("draining");
+        GatewayFixture.await(() -> fixture.log().contains("unreadable"), "the records are read");
+        for (int i = 0; i < 20; i++) {
+            assertEquals(fixture.client().send("/chat/a", "calm-" + i, "calm").body(), FIVE_EVENTS);
+            assertEquals(fixture.client().send("/book/a", "book-" + i, "calm").statusCode(), 200);
+        }
+    }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/PeerLinkTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/PeerLinkTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import org.cornelramp.core.retry.RepeatNews;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.GatewayFixture;
 import org.cornelramp.gateway.SteadyClock;
@@ -31,7 +32,8 @@
         EventLog log = new EventLog(new ByteArrayOutputStream(), Clock.systemUTC(), name);
         return new PeerLink(
                 address,
-                () -> PeerNews.of(name, 1, number.incrementAndGet(), false, Map.of(), 0, Map.of(), Set.of()),
+                () -> PeerNews.of(
+                        name, 1, number.incrementAndGet(), false, Map.of(), 0, Map.of(), Set.of(), RepeatNews.NONE),
                 heard::add,
                 new ReadingShare(address),
                 () -> false,
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/PeerNewsCodecTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/PeerNewsCodecTest.java
@@ -9,7 +9,9 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.EngineLoads;
+import org.cornelramp.core.retry.RepeatNews;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.follow.ReadingShare;
 import org.testng.annotations.Test;
@@ -17,6 +19,7 @@
 /** News between gateways, whole and damaged. */
 public class PeerNewsCodecTest {
     private static final BackendServerId ID = new BackendServerId("i-1");
+    private static final ServiceName SERVICE = new ServiceName("llm");
     private static final HostPort ADDRESS = new HostPort("10.0.0.1", 7_000);
     private static final PeerNews NEWS = new PeerNews(
             "g1",
@@ -27,6 +30,7 @@
             4,
             Map.of(ID, 2.5),
             Set.of(ID),
+            new RepeatNews(Map.of(SERVICE, 3), List.of(new RepeatNews.Loan(SERVICE, "g2", 5))),
             List.of(ADDRESS),
             Optional.of(new ReadingShare.Reading(ADDRESS, 12, 345)));
 
--- a/gateway/src/test/java/org/cornelramp/gateway/place/PlacementDutyTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/place/PlacementDutyTest.java
@@ -35,6 +35,7 @@
 
     private static BackendServer empty(StandInServer engine) {
         return new BackendServer(
+                new BackendServerId(engine.id()),
                 new BackendServerId(engine.id()),
                 new ServiceName("llm"),
                 engine.address(),
--- a/gateway/src/test/java/org/cornelramp/gateway/route/BeliefsTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/BeliefsTest.java
@@ -22,6 +22,7 @@
     private static BackendServer server(boolean engine) {
         Optional<LayerRange> layers = engine ? Optional.of(new LayerRange(0, 8, 8)) : Optional.empty();
         return new BackendServer(
+                new BackendServerId("i-1"),
                 new BackendServerId("i-1"),
                 SERVICE,
                 new HostPort("10.0.0.1", 80),
