Hold what comes during a start until the configuration is known

Cause: after a loss of power of all gateways clients come back while the processes start; until the address was taken they were turned away by the system, and for another 0.4 s they were refused for want of a configuration, which used up the only repeat of each. Change: the address is taken first of all; requests that come before the configuration, or before the servers are known, are held for a second at most, within the first three seconds of a process. A client that left meanwhile is dropped. Tests: StartTest.

--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -1,5 +1,7 @@
 package org.cornelramp.gateway;
 
+import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import org.cornelramp.core.routing.RoutingConfig;
@@ -54,7 +56,9 @@
     private final FrontServer front;
     private final CountDownLatch stop = new CountDownLatch(1);
 
-    public Gateway(GatewaySettings settings, SteadyClock clock, EventLog log) {
+    /** Takes the address for clients' requests at once; they are served after {@link #start}. */
+    public Gateway(GatewaySettings settings, SteadyClock clock, EventLog log) throws IOException {
+        ServerSocketChannel door = FrontServer.open(settings.requests());
         this.settings = settings;
         this.clock = clock;
         this.log = log;
@@ -85,6 +89,7 @@
         meters.gauge("log.skipped", log::skipped);
         this.front = new FrontServer(
                 settings,
+                door,
                 clients.threads(),
                 config,
                 router,
--- a/gateway/src/main/java/org/cornelramp/gateway/request/FrontServer.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/FrontServer.java
@@ -1,5 +1,9 @@
 package org.cornelramp.gateway.request;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import org.cornelramp.core.routing.RouteKind;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.HostPort;
@@ -39,19 +43,23 @@
     private volatile boolean refusingStreams;
     private volatile boolean refusing;
 
+    /** @param door where clients' connections arrive, see {@link #open} */
     public FrontServer(
             GatewaySettings settings,
+            ServerSocketChannel door,
             QueuedThreadPool threads,
             ConfigHolder config,
             Router router,
             Handler internal,
             SteadyClock clock,
             EventLog log,
-            Meters meters) {
+            Meters meters)
+            throws IOException {
         this.config = config;
         this.router = router;
         this.server = new Server(threads);
         ServerConnector requests = connector(settings.requests(), "requests");
+        requests.open(door);
         ServerConnector readiness = connector(settings.readiness(), "readiness");
         server.addConnector(requests);
         server.addConnector(readiness);
@@ -74,6 +82,17 @@
         });
     }
 
+    /**
+     * Opens the address for clients' requests, long before anything takes them. Clients that come while the process
+     * starts wait for some hundred milliseconds in the system's queue; without a socket they are turned away at once, and
+     * one that repeats once has used up its repeat.
+     */
+    public static ServerSocketChannel open(HostPort address) throws IOException {
+        ServerSocketChannel channel = ServerSocketChannel.open();
+        channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        return channel.bind(new InetSocketAddress(address.host(), address.port()), BACKLOG);
+    }
+
     private ServerConnector connector(HostPort address, String name) {
         HttpConfiguration http = new HttpConfiguration();
         http.setRequestHeaderSize(HEADER_BYTES);
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Intake.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Intake.java
@@ -32,6 +32,7 @@
     private final Router router;
     private final SteadyClock clock;
     private final EventLog log;
+    private final EarlyRequests early;
     private final BooleanSupplier leaving;
     private final Predicate<RouteKind> refuses;
     private final Meters meters;
@@ -49,6 +50,7 @@
             Predicate<RouteKind> refuses,
             Meters meters) {
         this.config = config;
+        this.early = new EarlyRequests(config, clock.millis());
         this.router = router;
         this.clock = clock;
         this.log = log;
@@ -61,6 +63,14 @@
         long now = clock.millis();
         // A request that waits for its answer is not idle; reads and writes that stall still time out.
         request.addIdleTimeoutListener(timeout -> false);
+        boolean held =
+                config.current().isEmpty() && early.hold(request, () -> handle(request, response, callback, now), now);
+        if (!held) {
+            handle(request, response, callback, now);
+        }
+    }
+
+    private void handle(Request request, Response response, Callback callback, long now) {
         HttpFields fields = request.getHeaders().asImmutable();
         CallHead head = CallHead.decode(fields);
         Optional<RoutingConfig> version = config.current();
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -39,6 +39,9 @@
     /** How long a broken stream waits for a path; its client leaves two seconds after the last event. */
     private static final long RESUME_WAIT_MILLIS = 1_500;
 
+    /** How long a request waits at a start until the servers are known, in milliseconds; they are read in a tenth of it. */
+    private static final long START_WAIT_MILLIS = 1_000;
+
     /** An answer of a plain service that has not come by this share of its target is tried elsewhere. */
     private static final double PATIENCE = 1.2;
 
@@ -165,6 +168,10 @@
         flights.put(exchange, flight);
         underWay.incrementAndGet();
         repeats.request(service, now);
+        if (exchange.hasClientLeft(now)) {
+            drop(flight, "client gone", now); // while its request was held
+            return;
+        }
         send(flight, now);
     }
 
@@ -183,8 +190,14 @@
         }
     }
 
-    /** A stream that has begun waits for a path for a while; what has not begun is refused at once. */
+    /**
+     * A stream that has begun waits for a path for a while; what has not begun is refused at once, but for the moment
+     * after a start in which the servers are not known yet.
+     */
     private void waitOrGiveUp(Flight flight, long now) {
+        if (!beliefs.isKnown() && now - flight.exchange().call().receivedMillis() < START_WAIT_MILLIS) {
+            return;
+        }
         long since = flight.waitingSince() == 0 ? now : flight.waitingSince();
         if (flight.exchange().isCommitted() && now - since < RESUME_WAIT_MILLIS) {
             flight.waitSince(since);
@@ -351,6 +364,9 @@
                 .with("status", status)
                 .with("attempts", flight.sent())
                 .with("millis", now - call.receivedMillis())
+                .with("promptTokens", call.head().promptTokens())
+                .with("guessedTokens", call.head().guessedOutputTokens())
+                .with("mostTokens", call.head().mostOutputTokens())
                 .with("firstEventMillis", flight.exchange().firstEventAfterMillis())
                 .with("longestPauseMillis", flight.exchange().longestPauseMillis())
                 .write();
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/StartTest.java
@@ -0,0 +1,85 @@
+package org.cornelramp.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import java.io.ByteArrayOutputStream;
+import java.net.http.HttpResponse;
+import java.time.Clock;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.cornelramp.core.settings.GatewaySettings;
+import org.cornelramp.core.settings.GatewaySettingsReader;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.platform.standin.FreePorts;
+import org.cornelramp.platform.standin.StandInClient;
+import org.cornelramp.platform.standin.StandInConfig;
+import org.cornelramp.platform.standin.StandInServer;
+import org.cornelramp.platform.standin.StandInStore;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * All gateways lose power at once, and their clients come back in the moment in which the processes start. The load is
+ * that of the first second: requests before anything is known.
+ */
+public class StartTest {
+    private final EventLog log = new EventLog(new ByteArrayOutputStream(), Clock.systemUTC(), "g1");
+    private StandInStore store;
+    private StandInServer app;
+    private GatewaySettings settings;
+    private Gateway gateway;
+
+    @BeforeMethod
+    public void open() throws Exception {
+        store = new StandInStore();
+        app = new StandInServer(store, "a1", "app", "dc1", "");
+        List<Integer> ports = FreePorts.take(4);
+        String address = "\"127.0.0.1:%d\"";
+        String json = "{\"name\":\"g1\",\"dataCentre\":\"dc1\",\"requests\":" + address + ",\"readiness\":" + address
+                + ",\"metrics\":" + address + ",\"peers\":" + address + ",\"store\":\"" + store.address() + "\"}";
+        settings = new GatewaySettingsReader()
+                .read(json.formatted(ports.toArray()))
+                .get();
+        gateway = new Gateway(settings, SteadyClock.system(), log);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void close() throws Exception {
+        gateway.close();
+        app.close();
+        store.close();
+    }
+
+    private CompletableFuture<HttpResponse<String>> send(String id) {
+        return new StandInClient(settings.requests(), StandInConfig.KEY).sendLater("/book/a", id, "x");
+    }
+
+    /**
+     * Clients connect while the process has only its address, and again while it has no configuration. Nobody is turned
+     * away: all are answered as soon as the configuration is read.
+     */
+    @Test
+    public void whatComesDuringAStartWaitsForTheConfiguration() throws Exception {
+        CompletableFuture<HttpResponse<String>> first = send("before-start");
+        Thread.sleep(100);
+        gateway.start();
+        CompletableFuture<HttpResponse<String>> second = send("before-configuration");
+        Thread.sleep(200);
+        assertFalse(second.isDone(), "answered without a configuration");
+        store.publishConfig(StandInConfig.small(1).json());
+        assertEquals(first.get().statusCode(), 200);
+        assertEquals(second.get().statusCode(), 200);
+    }
+
+    /** The store has no configuration for longer than a client waits: it is told to come again, and that nothing ran. */
+    @Test
+    public void whatCannotBeServedSoonIsRefused() throws Exception {
+        gateway.start();
+        HttpResponse<String> answer = send("no-configuration").get();
+        assertEquals(answer.statusCode(), 503);
+        assertEquals(StandInClient.retryAfter(answer).isPresent(), true);
+        assertEquals(app.received().size(), 0);
+    }
+}
