--- a/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
@@ -24,6 +24,7 @@
     private final EngineLoads loads = new EngineLoads();
     private final PlainServers plain = new PlainServers();
     private final long leavingUsableMillis;
+    private long lagMillis;
     private boolean known;
     private boolean connected;
 
@@ -54,6 +55,20 @@
         return plain;
     }
 
+    /** How late this process's own duty was of late, in milliseconds. */
+    public long lagMillis() {
+        return lagMillis;
+    }
+
+    /**
+     * Notes how late a tick of this process came. A gateway that has just started, or whose processor is full, reads
+     * answers late; it must not take the servers for dead that it has not heard. The lag halves with each tick that is not
+     * late, so it is forgotten within a fifth of a second.
+     */
+    public void tickLate(long millis) {
+        lagMillis = Math.max(millis, lagMillis / 2);
+    }
+
     /** Whether the registrations have been read at least once. */
     public boolean isKnown() {
         return known;
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FlightLog.java
@@ -0,0 +1,82 @@
+package org.cornelramp.gateway.route;
+
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
+import org.cornelramp.gateway.request.Attempt;
+import org.cornelramp.gateway.request.AttemptEnd;
+import org.cornelramp.gateway.request.Exchange;
+import org.cornelramp.gateway.request.Refusal;
+
+/** Logs and counts what becomes of requests under way. Owned by the router's duty. */
+final class FlightLog {
+    private final EventLog log;
+    private final Meters meters;
+
+    FlightLog(EventLog log, Meters meters) {
+        this.log = log;
+        this.meters = meters;
+    }
+
+    void attemptFailed(Flight flight, Attempt attempt, AttemptEnd end, long nowMillis) {
+        log.line("route", "attempt failed")
+                .with("id", flight.exchange().call().id())
+                .with("server", attempt.server().id())
+                .with("kind", end.kind())
+                .with("detail", end.detail())
+                .with("faultAt", end.faultAt().map(Object::toString).orElse(""))
+                .with("afterMillis", nowMillis - attempt.startMillis())
+                .write();
+    }
+
+    /** @param left repeats left for the service, which may be some that only begun streams may take */
+    void noRepeat(Flight flight, long left, int peers) {
+        boolean begun = flight.exchange().isCommitted();
+        log.line("route", "no repeat left")
+                .with("id", flight.exchange().call().id())
+                .with("begun", begun)
+                .with("left", left)
+                .with("peers", peers)
+                .with("outcome", begun ? "waits for one" : "not repeated")
+                .write();
+    }
+
+    void refused(Flight flight, Refusal refusal, String why) {
+        meters.refused(refusal.name());
+        log.line("request", "refused")
+                .with("id", flight.exchange().call().id())
+                .with("as", refusal)
+                .with("why", why)
+                .with("attempts", flight.sent())
+                .write();
+    }
+
+    void brokenOff(Flight flight, String why) {
+        log.line("request", "broken off")
+                .with("id", flight.exchange().call().id())
+                .with("why", why)
+                .write();
+    }
+
+    void ended(Flight flight, String outcome, int status, long nowMillis) {
+        Exchange exchange = flight.exchange();
+        Exchange.Call call = exchange.call();
+        log.ordinary("request", "ended")
+                .with("id", call.id())
+                .with("route", call.route().name())
+                .with("outcome", outcome)
+                .with("status", status)
+                .with("attempts", flight.sent())
+                .with("millis", nowMillis - call.receivedMillis())
+                .with("promptTokens", call.head().promptTokens())
+                .with("guessedTokens", call.head().guessedOutputTokens())
+                .with("mostTokens", call.head().mostOutputTokens())
+                .with("firstEventMillis", exchange.firstEventAfterMillis())
+                .with("longestPauseMillis", exchange.longestPauseMillis())
+                .write();
+        meters.requestEnded(call.route().kind(), outcome, nowMillis - call.receivedMillis());
+        if (exchange.firstEventAfterMillis() >= 0) {
+            meters.firstEvent(exchange.firstEventAfterMillis());
+            meters.longestPause(exchange.longestPauseMillis());
+        }
+    }
+}
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -53,6 +53,7 @@
     private final EventLog log;
     private final Meters meters;
     private final EngineDesk desk;
+    private final FlightLog told;
     private final Beliefs beliefs;
     private final IdentityHashMap<Exchange, Flight> flights = new IdentityHashMap<>();
     private final Repeats repeats;
@@ -64,6 +65,7 @@
     private final StreamWatch watch;
     private volatile FleetView view = FleetView.NOTHING;
     private boolean storeAnswers;
+    private long lastTickMillis;
 
     /**
      * @param clients send the requests
@@ -83,6 +85,7 @@
         this.log = log;
         this.meters = meters;
         this.desk = desk;
+        this.told = new FlightLog(log, meters);
         this.duty = new Duty<>("router", RING, this::handle, this::tick, TICK_MILLIS);
         this.repeats = new Repeats(settings.name(), settings.retries());
         this.judge = new ServerJudge(beliefs, desk, settings.timing().stallMillis(), log, meters, this::offer);
@@ -254,14 +257,7 @@
 
     private void failed(Flight flight, Attempt attempt, AttemptEnd end, long now) {
         judge.blame(attempt, end, now);
-        log.line("route", "attempt failed")
-                .with("id", flight.exchange().call().id())
-                .with("server", attempt.server().id())
-                .with("kind", end.kind())
-                .with("detail", end.detail())
-                .with("faultAt", end.faultAt().map(Object::toString).orElse(""))
-                .with("afterMillis", now - attempt.startMillis())
-                .write();
+        told.attemptFailed(flight, attempt, end, now);
         boolean mayRepeat = end.kind().surelyNotRun() || flight.route().mayRepeat();
         if (mayRepeat && trySend(flight, attempt, end, now)) {
             return;
@@ -299,13 +295,8 @@
         boolean begun = flight.exchange().isCommitted();
         boolean taken = repeats.tryRepeat(flight.service(), begun, now);
         if (!taken && !flight.isAwaitingRepeat()) {
-            log.line("route", "no repeat left")
-                    .with("id", flight.exchange().call().id())
-                    .with("begun", begun)
-                    .with("left", repeats.left(flight.service(), now))
-                    .with("peers", beliefs.loads().peerCount())
-                    .with("outcome", begun ? "waits for one" : "not repeated")
-                    .write();
+            told.noRepeat(
+                    flight, repeats.left(flight.service(), now), beliefs.loads().peerCount());
         }
         return taken;
     }
@@ -328,13 +319,7 @@
             return;
         }
         flight.exchange().refuse(refusal, refusal.retryMillis());
-        meters.refused(refusal.name());
-        log.line("request", "refused")
-                .with("id", flight.exchange().call().id())
-                .with("as", refusal)
-                .with("why", why)
-                .with("attempts", flight.sent())
-                .write();
+        told.refused(flight, refusal, why);
         finish(flight, "refused", refusal.status(), now);
     }
 
@@ -345,10 +330,7 @@
 
     private void drop(Flight flight, String why, long now) {
         flight.exchange().breakOff(why);
-        log.line("request", "broken off")
-                .with("id", flight.exchange().call().id())
-                .with("why", why)
-                .write();
+        told.brokenOff(flight, why);
         finish(flight, "broken", 0, now);
     }
 
@@ -356,25 +338,7 @@
         dispatcher.unload(flight);
         flights.remove(flight.exchange());
         underWay.decrementAndGet();
-        Exchange.Call call = flight.exchange().call();
-        log.ordinary("request", "ended")
-                .with("id", call.id())
-                .with("route", call.route().name())
-                .with("outcome", outcome)
-                .with("status", status)
-                .with("attempts", flight.sent())
-                .with("millis", now - call.receivedMillis())
-                .with("promptTokens", call.head().promptTokens())
-                .with("guessedTokens", call.head().guessedOutputTokens())
-                .with("mostTokens", call.head().mostOutputTokens())
-                .with("firstEventMillis", flight.exchange().firstEventAfterMillis())
-                .with("longestPauseMillis", flight.exchange().longestPauseMillis())
-                .write();
-        meters.requestEnded(call.route().kind(), outcome, now - call.receivedMillis());
-        if (flight.exchange().firstEventAfterMillis() >= 0) {
-            meters.firstEvent(flight.exchange().firstEventAfterMillis());
-            meters.longestPause(flight.exchange().longestPauseMillis());
-        }
+        told.ended(flight, outcome, status, now);
     }
 
     private void registered(RouterEvent.Registered registered, long now) {
@@ -426,6 +390,8 @@
 
     private void tick() {
         long now = clock.millis();
+        beliefs.tickLate(lastTickMillis == 0 ? 0 : Math.max(0, now - lastTickMillis - TICK_MILLIS));
+        lastTickMillis = now;
         for (Flight flight : List.copyOf(flights.values())) {
             checkTime(flight, now);
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
@@ -22,6 +22,9 @@
  * <p>Invariant: a server is held to be dead only on what this process has seen itself.
  */
 final class ServerJudge {
+    /** Part of the former pace by which it must change to be logged. */
+    private static final double PACE_CHANGE = 0.3;
+
     /** Lowest status by which a backend server says that it failed. */
     private static final int SERVER_ERROR = 500;
 
@@ -94,13 +97,13 @@
             boolean stalled = now - attempt.startMillis() > stallMillis / 2;
             suspect(named.get(), stalled ? Evidence.LOST : Evidence.BUSY, "blamed with " + end.detail(), now);
             if (!stalled && named.get().layers().isPresent()) {
-                desk.askQuickly(named.get(), router, now);
+                desk.askQuickly(named.get(), router, beliefs.lagMillis(), now);
             }
         } else if (end.kind() == AttemptEnd.Kind.NOT_SENT) {
             suspect(attempt.server(), Evidence.LOST, end.detail(), now);
         } else if (isOwnFailure(attempt, end)) {
             // A crash resets the connections that are open before it refuses new ones.
-            desk.askQuickly(attempt.server(), router, now);
+            desk.askQuickly(attempt.server(), router, beliefs.lagMillis(), now);
         }
     }
 
@@ -124,7 +127,7 @@
     /** Asks an engine for its report; a plain server has none, and is found by the next request that it fails. */
     void askWhetherItLives(BackendServer server, long now) {
         if (!server.card().isEmpty()) {
-            desk.askQuickly(server, router, now);
+            desk.askQuickly(server, router, beliefs.lagMillis(), now);
         }
     }
 
@@ -134,7 +137,16 @@
             unreported(engine, report.getLeft(), now);
             return;
         }
-        beliefs.loads().setPace(engine.id(), report.get().pace(), now);
+        double before = beliefs.loads().pace(engine.id());
+        double pace = report.get().pace();
+        beliefs.loads().setPace(engine.id(), pace, now);
+        if (Math.abs(pace - before) > PACE_CHANGE * before) {
+            log.line("fleet", "pace")
+                    .with("server", engine.id())
+                    .with("before", before)
+                    .with("now", pace)
+                    .write();
+        }
         for (EngineReport.Stalled stalled : report.get().stalled()) {
             beliefs.at(stalled.address(), engine.service())
                     .ifPresent(server -> suspect(server, Evidence.LOST, "work stalls there", now));
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
@@ -0,0 +1,50 @@
+package org.cornelramp.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import org.cornelramp.platform.standin.StandInServer.Behaviour;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A gateway whose part of the repeats is used up: one repeat within two seconds. */
+public class BegunStreamTest {
+    private GatewayFixture fixture;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        fixture = new GatewayFixture(",\"retries\":{\"ratio\":0,\"reserve\":5,\"windowSeconds\":2}");
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        fixture.close();
+    }
+
+    private void breakAfter(int events) {
+        Behaviour behaviour = Behaviour.ordinary().withBreakAfter(events);
+        fixture.firstEngine.setBehaviour(behaviour);
+        fixture.secondEngine.setBehaviour(behaviour);
+    }
+
+    /**
+     * Engines cut a stream after its first events, and again after the next ones. The first time it goes on with the only
+     * repeat. The second time none is left: the client's stream stands still until one is free again and then goes on,
+     * so that the client gets the whole answer. Closed at once, it would have lost it.
+     */
+    @Test
+    public void aBegunStreamWaitsForARepeat() throws Exception {
+        breakAfter(1);
+        CompletableFuture<HttpResponse<String>> answer = fixture.client().sendLater("/chat/a", "waits", "waits");
+        GatewayFixture.await(() -> fixture.log().contains("no repeat left"), "the repeats are used up");
+        assertEquals(fixture.received("waits"), 2);
+        breakAfter(-1);
+        assertTrue(
+                answer.get().body().endsWith("id: 4\ndata: piece 4\n\n"),
+                answer.get().body());
+        assertEquals(fixture.received("waits"), 3);
+    }
+}
