--- a/gateway/src/main/java/org/cornelramp/gateway/request/Intake.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Intake.java
@@ -65,7 +65,12 @@
         request.addIdleTimeoutListener(timeout -> false);
         boolean held =
                 config.current().isEmpty() && early.hold(request, () -> handle(request, response, callback, now), now);
-        if (!held) {
+        if (held) {
+            log.ordinary("intake", "held")
+                    .with("id", CallHead.decode(request.getHeaders()).requestId())
+                    .with("why", "no configuration yet")
+                    .write();
+        } else {
             handle(request, response, callback, now);
         }
     }
