Take no engine for dead that events pass; paces and faster questions reverted

Change: questions as before, with more time while this process itself is late; an engine that did not answer but that events pass is not taken for dead.

--- a/core/src/main/java/org/cornelramp/core/path/EngineLoads.java
+++ b/core/src/main/java/org/cornelramp/core/path/EngineLoads.java
@@ -1,7 +1,6 @@
 package org.cornelramp.core.path;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
 import org.cornelramp.core.model.BackendServerId;
@@ -18,9 +17,6 @@
     /** Age up to which a pace is believed; a slow engine is avoided, so nobody would notice its recovery. */
     private static final long PACE_MILLIS = 4_000;
 
-    /** Pace from which an engine is followed until it is sound again; ordinary ones vary by a tenth. */
-    private static final double SLOW_PACE = 1.5;
-
     private final Map<BackendServerId, Load> loads = new HashMap<>();
     /** Weight of the newest request in the share of failures: about the last ten count. */
     private static final double NEWEST = 0.1;
@@ -155,15 +151,6 @@
         paces.put(id, new Pace(factor, nowMillis));
     }
 
-    /** Engines that were slow when last asked, so long ago that they should be asked again before that is forgotten. */
-    public List<BackendServerId> slowAndDue(long nowMillis) {
-        return paces.entrySet().stream()
-                .filter(entry -> entry.getValue().factor() >= SLOW_PACE)
-                .filter(entry -> nowMillis - entry.getValue().heardMillis() > PACE_MILLIS / 2)
-                .map(Map.Entry::getKey)
-                .toList();
-    }
-
     /** The paces that are not usual. */
     public Map<BackendServerId, Double> unusualPaces() {
         Map<BackendServerId, Double> unusual = new HashMap<>();
--- a/core/src/main/java/org/cornelramp/core/path/SilentEngines.java
+++ b/core/src/main/java/org/cornelramp/core/path/SilentEngines.java
@@ -19,10 +19,9 @@
 public final class SilentEngines {
     /**
      * Silence of a stream that counts, at least. A client takes a stream for late after a pause of 200 ms or more; of
-     * that, finding the dead engine may take about half, since the prompt has to be read again elsewhere, and the
-     * questions take as long as this.
+     * that, finding the dead engine may take about half, since the prompt has to be read again elsewhere.
      */
-    static final long LEAST_SILENCE_MILLIS = 60;
+    static final long LEAST_SILENCE_MILLIS = 100;
 
     /** Silence that counts however slow the stream is: ten usual pauses between events. */
     static final long MOST_SILENCE_MILLIS = 300;
@@ -30,12 +29,15 @@
     /** Silence before the first event that counts; a prompt is usually read in a tenth of it. */
     static final long FIRST_SILENCE_MILLIS = 400;
 
-    /** Deviations from its usual pause after which a stream is silent; one pause in some thousand is longer by chance. */
-    private static final double DEVIATIONS = 4;
+    /** A stream is silent after so many of its own usual pauses. */
+    private static final double USUAL_PAUSES = 4;
 
     /** Events that passed different paths at the same time reach the router so much apart. */
     private static final long SPREAD_MILLIS = 20;
 
+    /** Events of an engine that has died may come so long after. */
+    private static final long AFTER_DEATH_MILLIS = 20;
+
     private SilentEngines() {}
 
     /**
@@ -45,25 +47,32 @@
      * @param lastMillis when its last event came, or when it was sent if none has come since
      * @param begun whether an event has come since it was sent
      * @param usualPauseMillis its usual time between two events; 0 if that is not known
-     * @param deviationMillis how far its pauses usually are from that
      */
-    public record Stream(
-            List<BackendServerId> engines,
-            long lastMillis,
-            boolean begun,
-            double usualPauseMillis,
-            double deviationMillis) {
+    public record Stream(List<BackendServerId> engines, long lastMillis, boolean begun, double usualPauseMillis) {
         public Stream {
             engines = List.copyOf(engines);
         }
 
         boolean isSilent(long nowMillis) {
-            double usual = Math.min(MOST_SILENCE_MILLIS, usualPauseMillis + DEVIATIONS * deviationMillis);
+            double usual = Math.min(MOST_SILENCE_MILLIS, USUAL_PAUSES * usualPauseMillis);
             double limit = begun ? Math.max(LEAST_SILENCE_MILLIS, usual) : FIRST_SILENCE_MILLIS;
             return nowMillis - lastMillis > limit;
         }
     }
 
+    /**
+     * Whether events pass an engine, so that it lives although it has not answered a question. A gateway that has just
+     * started, or whose link loses packets, misses answers; taken for dead, an engine costs each of its streams a new
+     * start. What a dead engine had passed on arrives within {@value #AFTER_DEATH_MILLIS} ms, and it is asked only after
+     * a longer silence.
+     */
+    public static boolean isPassed(Collection<Stream> streams, BackendServerId engine, long nowMillis) {
+        return streams.stream()
+                .filter(stream ->
+                        stream.begun() && nowMillis - stream.lastMillis() <= LEAST_SILENCE_MILLIS - AFTER_DEATH_MILLIS)
+                .anyMatch(stream -> stream.engines().contains(engine));
+    }
+
     /** The engines that may be dead. */
     public static Set<BackendServerId> find(Collection<Stream> streams, long nowMillis) {
         Map<BackendServerId, Long> passed = new HashMap<>();
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -26,9 +26,6 @@
 public final class Exchange {
     private static final double SPREAD = 0.5;
 
-    /** Weight of the newest pause in the usual one: about the last five count, a quarter of a second. */
-    private static final double NEWEST_PAUSE = 0.2;
-
     private final Call call;
     private final Response response;
     private final Callback callback;
@@ -40,8 +37,7 @@
     private volatile long lastEventMillis;
     private volatile long firstEventMillis;
     private volatile long longestPauseMillis;
-    private volatile double recentPauseMillis;
-    private volatile double pauseDeviationMillis;
+    private volatile int writes;
 
     /**
      * What the client asked for. Immutable, safe for use by any thread.
@@ -114,14 +110,10 @@
         return firstEventMillis == 0 ? -1 : firstEventMillis - call.receivedMillis();
     }
 
-    /** Usual time between two pieces of late, with more weight on the newest; 0 before the second. */
-    public double recentPauseMillis() {
-        return recentPauseMillis;
-    }
-
-    /** How far the pauses of late were from the usual one. */
-    public double pauseDeviationMillis() {
-        return pauseDeviationMillis;
+    /** Usual time between two of the pieces that were passed on; 0 before the second. */
+    public double usualPauseMillis() {
+        int pauses = writes - 1;
+        return pauses < 1 ? 0 : (lastEventMillis - firstEventMillis) / (double) pauses;
     }
 
     /** Longest pause between two events so far. */
@@ -156,14 +148,11 @@
         if (lastEventMillis == 0) {
             firstEventMillis = nowMillis;
         } else {
-            long pause = nowMillis - lastEventMillis;
-            longestPauseMillis = Math.max(longestPauseMillis, pause);
-            double before = recentPauseMillis;
-            recentPauseMillis = before + NEWEST_PAUSE * (pause - before);
-            double deviation = pauseDeviationMillis;
-            pauseDeviationMillis = deviation + NEWEST_PAUSE * (Math.abs(pause - before) - deviation);
+            longestPauseMillis = Math.max(longestPauseMillis, nowMillis - lastEventMillis);
         }
         lastEventMillis = nowMillis;
+        int before = writes;
+        writes = before + 1;
         response.write(false, events, done);
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
@@ -21,24 +21,20 @@
  * use by any thread; what finds no place in its bounded queue is refused.
  */
 public final class EngineDesk {
-    private static final int THREADS = 8;
+    private static final int THREADS = 3;
     private static final int QUEUE = 256;
 
-    /** Some ten times an engine's usual time to answer, and little against the pause that a client notices. */
-    private static final long QUICK_TIMEOUT_MILLIS = 30;
+    /** Some twenty times an engine's usual time to answer, and little against the pause that a client notices. */
+    private static final long QUICK_TIMEOUT_MILLIS = 60;
 
     private static final long QUICK_PAUSE_MILLIS = 250;
 
     /** A question takes two turns of a late process: one to send it, one to read the answer. */
     private static final long LAG_FACTOR = 2;
 
-    /** A pace is believed for 4 s; asked four times in that, it follows an engine and costs little. */
-    private static final long PACE_PAUSE_MILLIS = 1_000;
-
     private final EngineControl control;
     private final ThreadPoolExecutor threads;
     private final Map<BackendServerId, Long> asked = new HashMap<>();
-    private final Map<BackendServerId, Long> paceAsked = new HashMap<>();
 
     public EngineDesk(EngineControl control) {
         this.control = control;
@@ -53,9 +49,10 @@
 
     /**
      * Asks an engine that may be dead, and takes a short silence for death: an engine answers within some
-     * milliseconds, and the streams that wait for a dead one can still go on elsewhere unnoticed. It is asked twice at
-     * once, as one in twenty questions over a link that loses packets gets no answer in time, and a living engine would
-     * be avoided for seconds; one after the other took half of the pause that a client notices. Asked at most once in a while; called by the router's duty only.
+     * milliseconds, and the streams that wait for a dead one can still go on elsewhere unnoticed. It is asked twice, as
+     * one in twenty questions over a link that loses packets gets no answer in time, and a living engine would be
+     * avoided for seconds. With 30 ms for each question, and both at once, living engines were taken for dead on days
+     * without any fault there. Asked at most once in a while; called by the router's duty only.
      *
      * @param lagMillis how late this process itself was of late; an answer that came in time would be read so much later
      */
@@ -63,45 +60,13 @@
         asked.values().removeIf(at -> now - at > QUICK_PAUSE_MILLIS);
         long timeout = QUICK_TIMEOUT_MILLIS + LAG_FACTOR * lagMillis;
         if (asked.putIfAbsent(engine.id(), now) == null) {
-            Consumer<Either<StoreFault, EngineReport>> told =
-                    new FirstAnswer(report -> router.accept(new RouterEvent.Reported(engine, report)));
-            Runnable question = () -> told.accept(control.report(engine, timeout));
-            if (submit(question)) {
-                submit(question); // without a second place the engine is asked again at the next look
-            }
-        }
-    }
-
-    /**
-     * Passes on the first answer of two questions, or the second fault. Safe for use by any thread. Invariant: one result
-     * is passed on at most; a question that could not be asked is no fault.
-     */
-    private static final class FirstAnswer implements Consumer<Either<StoreFault, EngineReport>> {
-        private final Consumer<Either<StoreFault, EngineReport>> then;
-        private int faults;
-        private boolean answered;
-
-        FirstAnswer(Consumer<Either<StoreFault, EngineReport>> then) {
-            this.then = then;
-        }
-
-        @Override
-        public synchronized void accept(Either<StoreFault, EngineReport> result) {
-            faults += result.isLeft() ? 1 : 0;
-            if (!answered && (result.isRight() || faults == 2)) {
-                answered = true;
-                then.accept(result);
-            }
+            submit(() -> router.accept(new RouterEvent.Reported(engine, reportQuickly(engine, timeout))));
         }
     }
 
-    /** Asks an engine that may be slow for its pace, at most once in a while; called by the router's duty only. */
-    void askPace(BackendServer engine, Consumer<RouterEvent> router, long now) {
-        paceAsked.values().removeIf(at -> now - at > PACE_PAUSE_MILLIS);
-        if (paceAsked.putIfAbsent(engine.id(), now) == null) {
-            submit(() -> control.report(engine)
-                    .peek(report -> router.accept(new RouterEvent.Reported(engine, Either.right(report)))));
-        }
+    private Either<StoreFault, EngineReport> reportQuickly(BackendServer engine, long timeoutMillis) {
+        Either<StoreFault, EngineReport> first = control.report(engine, timeoutMillis);
+        return first.isRight() ? first : control.report(engine, timeoutMillis);
     }
 
     /** Asks an engine for its report; false if too many calls wait. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FlightLog.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FlightLog.java
@@ -1,5 +1,6 @@
 package org.cornelramp.gateway.route;
 
+import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.request.Attempt;
@@ -40,6 +41,15 @@
                 .write();
     }
 
+    /** An engine did not answer a question, but events pass it. */
+    void answerMissed(BackendServer engine, long lagMillis) {
+        log.line("fleet", "answer missed")
+                .with("server", engine.id())
+                .with("why", "events pass it")
+                .with("lagMillis", lagMillis)
+                .write();
+    }
+
     void refused(Flight flight, Refusal refusal, String why) {
         meters.refused(refusal.name());
         log.line("request", "refused")
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -154,7 +154,7 @@
         } else if (event instanceof RouterEvent.StoreAnswers answers) {
             storeAnswers(answers.answers(), now);
         } else if (event instanceof RouterEvent.Reported reported) {
-            judge.reported(reported.engine(), reported.report(), now);
+            reported(reported, now);
         } else if (event instanceof RouterEvent.Moved moved) {
             moved(moved);
         }
@@ -368,6 +368,16 @@
         beliefs.storeAnswers(answers, now);
     }
 
+    private void reported(RouterEvent.Reported reported, long now) {
+        boolean missed = reported.report().isLeft()
+                && watch.isPassed(flights.values(), reported.engine().id(), now);
+        if (missed) {
+            told.answerMissed(reported.engine(), beliefs.lagMillis());
+        } else {
+            judge.reported(reported.engine(), reported.report(), now);
+        }
+    }
+
     private void moved(RouterEvent.Moved moved) {
         Flight flight = flights.get(moved.attempt().exchange());
         if (flight == null || flight.attempt() != moved.attempt()) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
@@ -12,7 +12,6 @@
 import org.cornelramp.core.path.Hop;
 import org.cornelramp.core.path.PathFinder;
 import org.cornelramp.core.path.SilentEngines;
-import org.cornelramp.core.path.SlowEngines;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.core.routing.ServiceSpec;
@@ -60,39 +59,6 @@
             check(flight, attempt, attempt.path().get(), config, now);
         }
         askSilent(flights, now);
-        askSlow(flights, now);
-    }
-
-    /** Asks the engines that may have become slow for their pace, so that new streams go elsewhere in proportion. */
-    private void askSlow(Collection<Flight> flights, long now) {
-        List<SlowEngines.Stream> streams = new ArrayList<>();
-        for (Flight flight : flights) {
-            Attempt attempt = flight.attempt();
-            if (attempt != null && attempt.path().isPresent() && flight.route().gapMillis() > 0) {
-                streams.add(new SlowEngines.Stream(engines(attempt.path().get()), slowness(flight, attempt, now)));
-            }
-        }
-        for (BackendServerId id : SlowEngines.find(streams)) {
-            askPace(id, now);
-        }
-        for (BackendServerId id : beliefs.loads().slowAndDue(now)) {
-            askPace(id, now);
-        }
-    }
-
-    private void askPace(BackendServerId id, long now) {
-        if (!beliefs.isSuspect(id, now)) {
-            beliefs.registry().server(id).ifPresent(engine -> desk.askPace(engine, router, now));
-        }
-    }
-
-    /** The stream's pause of late, or its wait for the first event, as a share of what its route allows. */
-    private static double slowness(Flight flight, Attempt attempt, long now) {
-        long last = flight.exchange().lastEventMillis();
-        if (last <= attempt.startMillis()) {
-            return (now - attempt.startMillis()) / (double) flight.route().targetMillis();
-        }
-        return flight.exchange().recentPauseMillis() / flight.route().gapMillis();
     }
 
     private static List<BackendServerId> engines(StagePath path) {
@@ -101,6 +67,16 @@
 
     /** Asks the engines that may be dead, so that their streams go on elsewhere before their clients notice. */
     private void askSilent(Collection<Flight> flights, long now) {
+        for (BackendServerId id : SilentEngines.find(streams(flights), now)) {
+            if (!beliefs.suspicions().isLost(id, now)) {
+                beliefs.registry()
+                        .server(id)
+                        .ifPresent(engine -> desk.askQuickly(engine, router, beliefs.lagMillis(), now));
+            }
+        }
+    }
+
+    private static List<SilentEngines.Stream> streams(Collection<Flight> flights) {
         List<SilentEngines.Stream> streams = new ArrayList<>();
         for (Flight flight : flights) {
             if (flight.attempt() != null && flight.attempt().path().isPresent() && !flight.isMoving()) {
@@ -108,13 +84,12 @@
                         stream(flight, flight.attempt(), flight.attempt().path().get()));
             }
         }
-        for (BackendServerId id : SilentEngines.find(streams, now)) {
-            if (!beliefs.suspicions().isLost(id, now)) {
-                beliefs.registry()
-                        .server(id)
-                        .ifPresent(engine -> desk.askQuickly(engine, router, beliefs.lagMillis(), now));
-            }
-        }
+        return streams;
+    }
+
+    /** Whether events pass an engine just now, so that it lives although it did not answer. */
+    boolean isPassed(Collection<Flight> flights, BackendServerId engine, long now) {
+        return SilentEngines.isPassed(streams(flights), engine, now);
     }
 
     private static SilentEngines.Stream stream(Flight flight, Attempt attempt, StagePath path) {
@@ -123,8 +98,7 @@
                 engines(path),
                 Math.max(attempt.startMillis(), lastEvent),
                 lastEvent > attempt.startMillis(),
-                flight.exchange().recentPauseMillis(),
-                flight.exchange().pauseDeviationMillis());
+                flight.exchange().usualPauseMillis());
     }
 
     private void check(Flight flight, Attempt attempt, StagePath path, Optional<RoutingConfig> config, long now) {
