--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -53,7 +53,7 @@
     private final EventLog log;
     private final Meters meters;
     private final EngineDesk desk;
-    private final FlightLog told;
+    private final FlightLog flightLog;
     private final Beliefs beliefs;
     private final IdentityHashMap<Exchange, Flight> flights = new IdentityHashMap<>();
     private final Repeats repeats;
@@ -85,7 +85,7 @@
         this.log = log;
         this.meters = meters;
         this.desk = desk;
-        this.told = new FlightLog(log, meters);
+        this.flightLog = new FlightLog(log, meters);
         this.duty = new Duty<>("router", RING, this::handle, this::tick, TICK_MILLIS);
         this.repeats = new Repeats(settings.name(), settings.retries());
         this.judge = new ServerJudge(beliefs, desk, settings.timing().stallMillis(), log, meters, this::offer);
@@ -257,7 +257,7 @@
 
     private void failed(Flight flight, Attempt attempt, AttemptEnd end, long now) {
         judge.blame(attempt, end, now);
-        told.attemptFailed(flight, attempt, end, now);
+        flightLog.attemptFailed(flight, attempt, end, now);
         boolean mayRepeat = end.kind().surelyNotRun() || flight.route().mayRepeat();
         if (mayRepeat && trySend(flight, attempt, end, now)) {
             return;
@@ -295,7 +295,7 @@
         boolean begun = flight.exchange().isCommitted();
         boolean taken = repeats.tryRepeat(flight.service(), begun, now);
         if (!taken && !flight.isAwaitingRepeat()) {
-            told.noRepeat(
+            flightLog.noRepeat(
                     flight, repeats.left(flight.service(), now), beliefs.loads().peerCount());
         }
         return taken;
@@ -319,7 +319,7 @@
             return;
         }
         flight.exchange().refuse(refusal, refusal.retryMillis());
-        told.refused(flight, refusal, why);
+        flightLog.refused(flight, refusal, why);
         finish(flight, "refused", refusal.status(), now);
     }
 
@@ -330,7 +330,7 @@
 
     private void drop(Flight flight, String why, long now) {
         flight.exchange().breakOff(why);
-        told.brokenOff(flight, why);
+        flightLog.brokenOff(flight, why);
         finish(flight, "broken", 0, now);
     }
 
@@ -338,7 +338,7 @@
         dispatcher.unload(flight);
         flights.remove(flight.exchange());
         underWay.decrementAndGet();
-        told.ended(flight, outcome, status, now);
+        flightLog.ended(flight, outcome, status, now);
     }
 
     private void registered(RouterEvent.Registered registered, long now) {
@@ -372,7 +372,7 @@
         boolean missed = reported.report().isLeft()
                 && watch.isPassed(flights.values(), reported.engine().id(), now);
         if (missed) {
-            told.answerMissed(reported.engine(), beliefs.lagMillis());
+            flightLog.answerMissed(reported.engine(), beliefs.lagMillis());
         } else {
             judge.reported(reported.engine(), reported.report(), now);
         }
