Take the start test's settings from the gateways' fixture

Cause: the settings' text of a gateway on loopback stood in StartTest a second time, beside GatewayFixture. Change: test code only; the fixture's text is shared, assertions as they were.

--- a/gateway/src/test/java/org/cornelramp/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/GatewayFixture.java
@@ -58,7 +58,13 @@
         return StandInConfig.small(version).withChatPrefix(chatPrefix).json();
     }
 
-    private static String settingsText(List<Integer> ports, String more) {
+    /**
+     * Settings of a gateway on loopback.
+     *
+     * @param ports for requests, readiness, metrics and peers, and the store's
+     * @param more more of the settings, each with a comma before it
+     */
+    static String settingsText(List<Integer> ports, String more) {
         String address = "\"127.0.0.1:%d\"";
         return ("{\"name\":\"g1\",\"dataCentre\":\"dc1\",\"requests\":" + address + ",\"readiness\":" + address
                                 + ",\"metrics\":" + address + ",\"peers\":" + address + ",\"store\":" + address
--- a/gateway/src/test/java/org/cornelramp/gateway/StartTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/StartTest.java
@@ -35,12 +35,10 @@
     public void open() throws Exception {
         store = new StandInStore();
         app = new StandInServer(store, "a1", "app", "dc1", "");
-        List<Integer> ports = FreePorts.take(4);
-        String address = "\"127.0.0.1:%d\"";
-        String json = "{\"name\":\"g1\",\"dataCentre\":\"dc1\",\"requests\":" + address + ",\"readiness\":" + address
-                + ",\"metrics\":" + address + ",\"peers\":" + address + ",\"store\":\"" + store.address() + "\"}";
+        List<Integer> ports = FreePorts.take(5);
+        ports.set(4, store.address().port());
         settings = new GatewaySettingsReader()
-                .read(json.formatted(ports.toArray()))
+                .read(GatewayFixture.settingsText(ports, ""))
                 .get();
         gateway = new Gateway(settings, SteadyClock.system(), log);
     }
