Show that a stream is cut when it cannot be moved off an engine that leaves

Evidence: "route: not moved" with status 409 or a refused connection, each followed by "attempt failed" with "it cannot move to another path".

--- a/gateway/src/test/java/org/cornelramp/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/GatewayFixture.java
@@ -3,8 +3,10 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.GatewaySettingsReader;
 import org.cornelramp.gateway.log.EventLog;
@@ -14,14 +16,18 @@
 import org.cornelramp.platform.standin.StandInServer;
 import org.cornelramp.platform.standin.StandInStore;
 
-/** A gateway before two engines and two plain services, all on loopback. */
+/** A gateway before engines and two plain services, all on loopback. */
 public final class GatewayFixture implements AutoCloseable {
     /** The key that the configuration knows. */
     public static final String KEY = StandInConfig.KEY;
 
     private static final long PATIENCE_MILLIS = 20_000;
 
+    /** Memory of a card for four of the eight layers and some requests. */
+    private static final int HALF_MODEL_MB = 45;
+
     public final StandInStore store = new StandInStore();
+    public final List<StandInServer> engines;
     public final StandInServer firstEngine;
     public final StandInServer secondEngine;
     public final StandInServer firstApp;
@@ -35,11 +41,24 @@
         this("");
     }
 
-    /** @param more more of the settings, each with a comma before it */
+    /**
+     * Two engines, each of which holds the whole model.
+     *
+     * @param more more of the settings, each with a comma before it
+     */
     public GatewayFixture(String more) throws Exception {
-        store.publishConfig(config(1, "/chat/"));
-        firstEngine = new StandInServer(store, "e1", "llm", "dc1", "big");
-        secondEngine = new StandInServer(store, "e2", "llm", "dc1", "big");
+        this(more, StandInConfig.small(1), List.of("0-8", "0-8"));
+    }
+
+    private GatewayFixture(String more, StandInConfig config, List<String> layers) throws Exception {
+        store.publishConfig(config.json());
+        List<StandInServer> started = new ArrayList<>();
+        for (int i = 1; i <= layers.size(); i++) {
+            started.add(new StandInServer(store, "e" + i, "llm", "dc1", "big"));
+        }
+        engines = List.copyOf(started);
+        firstEngine = engines.get(0);
+        secondEngine = engines.get(1);
         firstApp = new StandInServer(store, "a1", "app", "dc1", "");
         secondApp = new StandInServer(store, "a2", "app", "dc1", "");
         List<Integer> ports = FreePorts.take(5);
@@ -49,10 +68,24 @@
         log.start();
         gateway = new Gateway(settings, SteadyClock.system(), log);
         gateway.start();
-        await(() -> firstEngine.layers().equals("0-8") && secondEngine.layers().equals("0-8"), "the layers are placed");
+        await(() -> placed().equals(layers), "the layers are placed");
         await(this::chats, "a chat is served");
     }
 
+    /**
+     * Four engines, two for each half of the model, so that a stream passes two of them.
+     *
+     * @param more more of the settings, each with a comma before it
+     */
+    static GatewayFixture ofHalves(String more) throws Exception {
+        StandInConfig config = StandInConfig.small(1).withCardMb(HALF_MODEL_MB);
+        return new GatewayFixture(more, config, List.of("0-4", "0-4", "4-8", "4-8"));
+    }
+
+    private List<String> placed() {
+        return engines.stream().map(StandInServer::layers).sorted().toList();
+    }
+
     /** A configuration of that version whose streams are served below a prefix. */
     public static String config(int version, String chatPrefix) {
         return StandInConfig.small(version).withChatPrefix(chatPrefix).json();
@@ -86,6 +119,10 @@
         return new StandInClient(settings.requests(), KEY);
     }
 
+    private List<StandInServer> servers() {
+        return Stream.concat(engines.stream(), Stream.of(firstApp, secondApp)).toList();
+    }
+
     /** What the gateway has logged. */
     public String log() {
         return logged.toString(StandardCharsets.UTF_8);
@@ -93,7 +130,7 @@
 
     /** Requests of an id that servers have received. */
     public long received(String body) {
-        return List.of(firstEngine, secondEngine, firstApp, secondApp).stream()
+        return servers().stream()
                 .flatMap(server -> server.received().stream())
                 .filter(request -> request.body().equals(body))
                 .count();
@@ -114,7 +151,7 @@
     public void close() throws Exception {
         gateway.close();
         log.stop();
-        for (StandInServer server : List.of(firstEngine, secondEngine, firstApp, secondApp)) {
+        for (StandInServer server : servers()) {
             server.close();
         }
         store.close();
