Leave streams where they are when they cannot be moved, and close no begun stream that can go on

Cause: an order to move a stream off an engine that leaves as planned was refused (status 409) or found no listener, and the gateway took that for the end of the stream: it cancelled the run. Ruled out as its only reason: repeats used up (that is what turned a cut into a loss, not what cut). Logs: "broken off" tells what was seen, how long it was quiet, attempts and repeats left; "not repeated" why; failures are cut to 120 characters (the HTTP library's are a kilobyte each).

--- a/core/src/main/java/org/cornelramp/core/path/SilentEngines.java
+++ b/core/src/main/java/org/cornelramp/core/path/SilentEngines.java
@@ -32,6 +32,15 @@
     /** A stream is silent after so many of its own usual pauses. */
     private static final double USUAL_PAUSES = 4;
 
+    /** A stream flows for so many of its own usual pauses after an event: one that is late once is still under way. */
+    private static final double FLOWING_PAUSES = 2;
+
+    /** Time after an event in which a stream flows at least; the turns of a busy process come up to 50 ms late. */
+    static final long LEAST_FLOWING_MILLIS = 60;
+
+    /** Time after its first event in which a stream flows, while its usual pause is not known yet. */
+    static final long FIRST_FLOWING_MILLIS = 100;
+
     /** Events that passed different paths at the same time reach the router so much apart. */
     private static final long SPREAD_MILLIS = 20;
 
@@ -58,6 +67,16 @@
             double limit = begun ? Math.max(LEAST_SILENCE_MILLIS, usual) : FIRST_SILENCE_MILLIS;
             return nowMillis - lastMillis > limit;
         }
+
+        /**
+         * Whether its events still come. They pass each engine of its path, so all of those live, whatever a question
+         * that was not answered says; a stream that is cut then is lost for nothing.
+         */
+        public boolean isFlowing(long nowMillis) {
+            double usual = Math.min(MOST_SILENCE_MILLIS, FLOWING_PAUSES * usualPauseMillis);
+            double limit = usualPauseMillis == 0 ? FIRST_FLOWING_MILLIS : Math.max(LEAST_FLOWING_MILLIS, usual);
+            return begun && nowMillis - lastMillis <= limit;
+        }
     }
 
     /**
--- a/core/src/test/java/org/cornelramp/core/path/SilentEnginesTest.java
+++ b/core/src/test/java/org/cornelramp/core/path/SilentEnginesTest.java
@@ -84,4 +84,21 @@
         Stream due = new Stream(path("dc1", 2), NOW - 401, false, 0);
         assertEquals(asked(List.of(due)).size(), 2);
     }
+
+    /**
+     * An engine of a stream's path is held to be dead on a question that it did not answer. The stream's own events tell
+     * whether to believe it: while they come as usual nothing is cut, also where the usual is slow, and after some of its
+     * usual pauses without one the stream has stopped. A dead engine is found after 100 ms of silence or more, so the
+     * streams of the deployments of today have stopped by then.
+     */
+    @Test
+    public void aStreamFlowsWhileItsEventsComeAsUsual() {
+        List<BackendServerId> path = path("dc1", 8);
+        assertTrue(stream(path, 50).isFlowing(NOW));
+        assertFalse(stream(path, 100).isFlowing(NOW));
+        assertTrue(new Stream(path, NOW - 250, true, 150).isFlowing(NOW), "a slow stream");
+        assertFalse(new Stream(path, NOW - 310, true, 150).isFlowing(NOW), "a slow stream that has stopped");
+        assertTrue(new Stream(path, NOW - 90, true, 0).isFlowing(NOW), "after its first event");
+        assertFalse(new Stream(path, NOW - 10, false, 0).isFlowing(NOW), "before its first event");
+    }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -33,6 +33,9 @@
     /** An answer that is larger than this is not one of a plain service; streams are not buffered. */
     private static final int MAX_BUFFERED = 16 << 20;
 
+    /** Characters of a failure that are logged: its kind and what it says first. */
+    private static final int MOST_DETAIL = 120;
+
     private final HttpClient http;
     private final Exchange exchange;
     private final BackendServer server;
@@ -53,6 +56,7 @@
     private volatile AnswerHead answer;
     private volatile HttpFields fields = HttpFields.EMPTY;
     private boolean writing;
+    private boolean over;
     private Result endedWhileWriting;
     private long startMillis;
 
@@ -144,7 +148,7 @@
         }
     }
 
-    private void onContent(Response response, Content.Source source) {
+    void onContent(Response response, Content.Source source) {
         fields = response.getHeaders();
         AnswerHead decoded = AnswerHead.decode(response.getStatus(), fields);
         answer = decoded;
@@ -186,7 +190,7 @@
         ByteBuffer bytes = chunk.getByteBuffer();
         try {
             if (relaying) {
-                return splitter.take(bytes);
+                return takeEvents(bytes);
             }
             byte[] copy = new byte[bytes.remaining()];
             bytes.get(copy);
@@ -200,14 +204,24 @@
         }
     }
 
+    private ByteBuffer takeEvents(ByteBuffer bytes) {
+        ByteBuffer events = splitter.take(bytes);
+        if (splitter.hasOverflowed()) {
+            cancel("an event has no end");
+        }
+        return events;
+    }
+
     private void relay(Content.Source source, ByteBuffer events, boolean last) {
-        setWriting(true);
+        if (!beginWrite()) {
+            return;
+        }
         Callback done = Callback.from(() -> relayed(source, last), this::clientLost);
         exchange.relay(fields, events, splitter.lastId(), clock.millis(), done);
     }
 
     private void relayed(Content.Source source, boolean last) {
-        setWriting(false);
+        endWrite();
         if (!last) {
             read(source);
         }
@@ -216,27 +230,40 @@
     private void clientLost(Throwable failure) {
         clientFailure = failure;
         cancel("the client has gone");
-        setWriting(false);
+        endWrite();
     }
 
-    /** An end that came during a write is told after it: two writes at once on one connection would fail. */
-    private void setWriting(boolean now) {
+    /**
+     * Begins a write unless the attempt is over. The router may cancel an attempt between the read of some events and
+     * their write, and send the request again after the last event that was passed on. Written all the same, the events
+     * would reach the client twice, or meet the next attempt's write on the same connection, which fails both and looks
+     * like a client that has left. Left out, they come again from the next attempt.
+     */
+    private synchronized boolean beginWrite() {
+        writing = !over;
+        return writing;
+    }
+
+    private void endWrite() {
         Result result;
         synchronized (this) {
-            writing = now;
-            result = now ? null : endedWhileWriting;
+            writing = false;
+            result = endedWhileWriting;
+            over |= result != null;
         }
         if (result != null) {
             tell(end(result));
         }
     }
 
-    private void onComplete(Result result) {
+    /** An end that comes during a write is told after it: two writes at once on one connection would fail. */
+    void onComplete(Result result) {
         synchronized (this) {
             if (writing) {
                 endedWhileWriting = result;
                 return;
             }
+            over = true;
         }
         tell(end(result));
     }
@@ -244,13 +271,12 @@
     private AttemptEnd end(Result result) {
         Throwable failure = result.getFailure();
         if (clientFailure != null) {
-            return AttemptEnd.without(AttemptEnd.Kind.CLIENT_GONE, String.valueOf(clientFailure));
+            return AttemptEnd.without(AttemptEnd.Kind.CLIENT_GONE, brief(clientFailure));
         }
         AnswerHead decoded = answer;
         if (result.isFailed() || decoded == null) {
             boolean unsent = !begun || failure instanceof ConnectException;
-            return AttemptEnd.without(
-                    unsent ? AttemptEnd.Kind.NOT_SENT : AttemptEnd.Kind.BROKEN, String.valueOf(failure));
+            return AttemptEnd.without(unsent ? AttemptEnd.Kind.NOT_SENT : AttemptEnd.Kind.BROKEN, brief(failure));
         }
         if (!isOwn(decoded) && !decoded.saysNotRun()) {
             return AttemptEnd.without(AttemptEnd.Kind.BROKEN, "the answer belongs to another request");
@@ -268,6 +294,12 @@
         return answered(decoded);
     }
 
+    /** A failure for logs. The HTTP library's own texts hold the state of a whole connection, a kilobyte a line. */
+    private static String brief(Throwable failure) {
+        String text = failure instanceof CancelledAttempt ? failure.getMessage() : String.valueOf(failure);
+        return text.length() > MOST_DETAIL ? text.substring(0, MOST_DETAIL) : text;
+    }
+
     private AttemptEnd answered(AnswerHead decoded) {
         AttemptEnd.Kind kind = AttemptEnd.Kind.ANSWERED;
         if (decoded.saysNotRun()) {
--- a/gateway/src/main/java/org/cornelramp/gateway/request/ClientProbe.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/ClientProbe.java
@@ -26,6 +26,7 @@
     private final Connection connection;
     private boolean stopped;
     private boolean closed;
+    private String seen = "";
     private long nextMillis;
 
     private ClientProbe(EndPoint endPoint, Connection connection) {
@@ -48,17 +49,29 @@
         try {
             ByteBuffer ahead = BufferUtil.allocate(BYTES);
             int read = endPoint.fill(ahead);
-            closed = read < 0;
+            if (read < 0) {
+                sawClosed("end of input");
+            }
             if (read > 0 && connection instanceof Connection.UpgradeTo next) {
                 next.onUpgradeTo(ahead);
                 stopped = true;
             }
         } catch (IOException e) {
-            closed = true; // a reset says the same as a close
+            sawClosed(e.toString()); // a reset says the same as a close
         }
         return closed;
     }
 
+    private void sawClosed(String what) {
+        closed = true;
+        seen = what;
+    }
+
+    /** What showed that the client has closed its connection; empty while it has not. */
+    synchronized String seen() {
+        return seen;
+    }
+
     /** Ends the looking. */
     synchronized void stop() {
         stopped = true;
--- a/gateway/src/main/java/org/cornelramp/gateway/request/EventSplitter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/EventSplitter.java
@@ -20,6 +20,7 @@
 
     private byte[] kept = NOTHING;
     private long lastId = -1;
+    private boolean overflowed;
 
     /** Takes bytes and gives the whole events that they complete; the buffer given belongs to the caller. */
     ByteBuffer take(ByteBuffer bytes) {
@@ -40,14 +41,20 @@
         }
         kept = end == all.length ? NOTHING : Arrays.copyOfRange(all, end, all.length);
         if (kept.length > MAX_EVENT) {
-            throw new IllegalStateException("An event has no end; bytes=" + kept.length);
+            overflowed = true;
+            kept = NOTHING;
         }
         return ByteBuffer.wrap(all, 0, end);
     }
 
     /** Whether the bytes so far end with a whole event. */
     boolean isWhole() {
-        return kept.length == 0;
+        return kept.length == 0 && !overflowed;
+    }
+
+    /** Whether an event was too large to be one, so that the rest of the stream cannot be read. */
+    boolean hasOverflowed() {
+        return overflowed;
     }
 
     /** Id of the last whole event; -1 if there was none. */
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -127,6 +127,11 @@
         return !ended.get() && quiet > ClientProbe.INTERVAL_MILLIS && probe.hasClosed(nowMillis);
     }
 
+    /** What showed that the client has closed its connection; empty while it has not. */
+    public String clientSeen() {
+        return probe.seen();
+    }
+
     /** Ends the exchange; false if it has ended before. The probe must not read what comes after the answer. */
     private boolean end() {
         boolean first = ended.compareAndSet(false, true);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FlightLog.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FlightLog.java
@@ -60,10 +60,35 @@
                 .write();
     }
 
-    void brokenOff(Flight flight, String why) {
-        log.line("request", "broken off")
+    /** A failed attempt that no other follows, for another reason than a lack of repeats. */
+    void notRepeated(Flight flight, String why) {
+        log.line("route", "not repeated")
                 .with("id", flight.exchange().call().id())
                 .with("why", why)
+                .with("attempts", flight.sent())
+                .with("mayHaveRun", flight.mayHaveRun())
+                .write();
+    }
+
+    /**
+     * An answer that ends before it is whole.
+     *
+     * @param seen what showed that the client has gone; empty where it has not
+     * @param left repeats left for the service
+     */
+    void brokenOff(Flight flight, String why, String seen, long left, long nowMillis) {
+        Exchange exchange = flight.exchange();
+        long quietSince = Math.max(exchange.lastEventMillis(), exchange.call().receivedMillis());
+        log.line("request", "broken off")
+                .with("id", exchange.call().id())
+                .with("why", why)
+                .with("seen", seen)
+                .with("begun", exchange.isCommitted())
+                .with("quietMillis", nowMillis - quietSince)
+                .with("attempts", flight.sent())
+                .with("mayHaveRun", flight.mayHaveRun())
+                .with("awaitsRepeat", flight.isAwaitingRepeat())
+                .with("repeatsLeft", left)
                 .write();
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -156,7 +156,7 @@
         } else if (event instanceof RouterEvent.Reported reported) {
             reported(reported, now);
         } else if (event instanceof RouterEvent.Moved moved) {
-            moved(moved);
+            moved(moved, now);
         }
         if (judge.takeLostSeen()) {
             watch.check(flights.values(), config.current(), now); // its streams go on before their clients notice
@@ -172,7 +172,7 @@
         underWay.incrementAndGet();
         repeats.request(service, now);
         if (exchange.hasClientLeft(now)) {
-            drop(flight, "client gone", now); // while its request was held
+            drop(flight, "client gone", flight.exchange().clientSeen(), now); // while its request was held
             return;
         }
         send(flight, now);
@@ -231,7 +231,7 @@
         }
         switch (end.kind()) {
             case RELAYED -> complete(flight, end, now);
-            case CLIENT_GONE -> drop(flight, "client gone", now);
+            case CLIENT_GONE -> drop(flight, "client gone", end.detail(), now);
             case ANSWERED -> answered(flight, attempt, end, now);
             default -> failed(flight, attempt, end, now);
         }
@@ -243,8 +243,9 @@
     }
 
     private void answered(Flight flight, Attempt attempt, AttemptEnd end, long now) {
-        boolean worthRepeating = end.status() >= SERVER_ERROR && flight.route().mayRepeat();
-        if (worthRepeating && trySend(flight, attempt, end, now)) {
+        // The client of a begun stream can be given no other status, so whatever a repeat is answered with, it goes on.
+        boolean failed = end.status() >= SERVER_ERROR || flight.exchange().isCommitted();
+        if (failed && flight.route().mayRepeat() && trySend(flight, attempt, end, now)) {
             return;
         }
         if (flight.exchange().isCommitted()) {
@@ -271,6 +272,7 @@
         boolean engines = failed.path().isPresent();
         boolean attemptsLeft = engines || flight.mayHaveRun() < flight.route().maxAttempts();
         if (!attemptsLeft || flight.attemptsThatCount() >= MOST_SENT) {
+            flightLog.notRepeated(flight, "all attempts are made");
             return false;
         }
         boolean begun = flight.exchange().isCommitted();
@@ -324,13 +326,13 @@
     }
 
     private void breakOff(Flight flight, String why, long now) {
-        flight.exchange().breakOff(why);
-        drop(flight, why, now);
+        drop(flight, why, "", now);
     }
 
-    private void drop(Flight flight, String why, long now) {
+    /** @param seen what showed that the client has gone; empty where it has not */
+    private void drop(Flight flight, String why, String seen, long now) {
         flight.exchange().breakOff(why);
-        flightLog.brokenOff(flight, why);
+        flightLog.brokenOff(flight, why, seen, repeats.left(flight.service(), now), now);
         finish(flight, "broken", 0, now);
     }
 
@@ -378,7 +380,7 @@
         }
     }
 
-    private void moved(RouterEvent.Moved moved) {
+    private void moved(RouterEvent.Moved moved, long now) {
         Flight flight = flights.get(moved.attempt().exchange());
         if (flight == null || flight.attempt() != moved.attempt()) {
             return;
@@ -394,7 +396,7 @@
             moved.attempt().movedTo(moved.path());
             dispatcher.load(flight, moved.path());
         } else {
-            moved.attempt().cancel("it cannot move to another path");
+            watch.notMoved(flight, moved.attempt(), now);
         }
     }
 
@@ -426,7 +428,7 @@
                 flight.endAttempt(false);
                 attempt.cancel("the client has gone");
             }
-            drop(flight, "client gone", now);
+            drop(flight, "client gone", flight.exchange().clientSeen(), now);
             return;
         }
         if (now >= flight.exchange().call().deadlineMillis()) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
@@ -102,16 +102,47 @@
     }
 
     private void check(Flight flight, Attempt attempt, StagePath path, Optional<RoutingConfig> config, long now) {
-        if (beliefs.isLost(path.first().id(), now)) {
+        boolean stopped = hasStopped(flight, attempt, path, now);
+        if (stopped && beliefs.isLost(path.first().id(), now)) {
             attempt.cancel("its first engine is lost");
-        } else if (passes(path, id -> beliefs.isLost(id, now))) {
+        } else if (stopped) {
             moveOrCancel(flight, attempt, path, config, now);
-        } else if (passes(path, beliefs::isLeaving) && flight.mayLeave(now, LEAVE_MILLIS, MOVE_PAUSE_MILLIS)) {
+        } else if (canLeave(path) && flight.mayLeave(now, LEAVE_MILLIS, MOVE_PAUSE_MILLIS)) {
             // An engine that leaves serves on for seconds, so nothing is broken off for it.
             around(flight, path, config, now).ifPresent(way -> move(flight, attempt, path, way));
         }
     }
 
+    /**
+     * Whether an engine of the path leaves from which a stream can be moved. It cannot be moved off its first one: orders
+     * that name the same path again, 166 of the 424 moves of a day of planned leaves, changed nothing and were refused in
+     * the end, when that engine took no connection any more.
+     */
+    private boolean canLeave(StagePath path) {
+        return path.hops().stream()
+                .skip(1)
+                .anyMatch(hop -> beliefs.isLeaving(hop.server().id()));
+    }
+
+    /** Whether an engine of the path is held to be lost, and no event says otherwise. */
+    private boolean hasStopped(Flight flight, Attempt attempt, StagePath path, long now) {
+        return passes(path, id -> beliefs.isLost(id, now))
+                && !stream(flight, attempt, path).isFlowing(now);
+    }
+
+    /**
+     * Takes that an order to move a stream was refused or not answered. An engine that only leaves serves on, so the
+     * stream stays there and is moved later if it can be. Cut instead, it needs a repeat, and its client loses it when
+     * none is left: on days of planned leaves alone, gateways cut up to 21 streams so, 9 of them within 0.1 s.
+     */
+    void notMoved(Flight flight, Attempt attempt, long now) {
+        if (attempt.path()
+                .filter(path -> hasStopped(flight, attempt, path, now))
+                .isPresent()) {
+            attempt.cancel("it cannot move to another path");
+        }
+    }
+
     private static boolean passes(StagePath path, Predicate<BackendServerId> engines) {
         return path.hops().stream().anyMatch(hop -> engines.test(hop.server().id()));
     }
--- a/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
@@ -47,4 +47,19 @@
                 answer.get().body());
         assertEquals(fixture.received("waits"), 3);
     }
+
+    /**
+     * An engine cuts a stream after two events, and the engine that the gateway asks to carry it on answers with status
+     * 400. The client of a begun stream can be given no status any more, so it is asked for elsewhere again, and the
+     * client gets the whole stream. The gateway used to close the connection with "a repeat was answered with status 400".
+     */
+    @Test
+    public void aBegunStreamGoesOnAfterARepeatThatIsAnsweredWithAnError() throws Exception {
+        fixture.close();
+        fixture = new GatewayFixture();
+        breakAfter(2);
+        fixture.engines.forEach(engine -> engine.rejectResumes(1));
+        String whole = fixture.client().send("/chat/a", "rejected", "rejected").body();
+        assertTrue(whole.endsWith("id: 4\ndata: piece 4\n\n"), whole);
+    }
 }
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
@@ -0,0 +1,130 @@
+package org.cornelramp.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+
+import java.lang.reflect.Proxy;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.fleet.ServerState;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.routing.Route;
+import org.cornelramp.core.routing.RouteKind;
+import org.cornelramp.core.routing.WeightedService;
+import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.platform.CallHead;
+import org.cornelramp.platform.ForwardHead;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.util.Callback;
+import org.testng.annotations.Test;
+
+/** What one attempt passes on when its end comes between the read of some events and their write. */
+public class AttemptTest {
+    private static final String ID = "r1";
+    private static final ServiceName SERVICE = new ServiceName("llm");
+
+    private final HttpFields.Mutable answered = HttpFields.build();
+    private final List<String> written = new ArrayList<>();
+    private final List<AttemptEnd> ends = new ArrayList<>();
+
+    private Exchange exchange() {
+        HttpFields fields = HttpFields.build().add("X-Attempt-Id", ID).asImmutable();
+        List<WeightedService> split = List.of(new WeightedService(SERVICE, 1));
+        Route route =
+                new Route("chat", "host", "/chat/", RouteKind.STREAMING, 9_000, 500, 200, 1, 2, false, true, split);
+        Exchange.Call call = new Exchange.Call(
+                CallHead.decode(fields), "POST", "/chat/a", fields, new byte[0], route, Optional.empty(), 1, 0, 9_000);
+        return new Exchange(call, clientResponse(), Callback.NOOP, () -> false, null);
+    }
+
+    /** Takes what is written to the client; answers nothing else that an attempt asks for. */
+    private org.eclipse.jetty.server.Response clientResponse() {
+        return fake(org.eclipse.jetty.server.Response.class, (name, args) -> {
+            if (name.equals("write")) {
+                written.add(StandardCharsets.UTF_8.decode((ByteBuffer) args[1]).toString());
+                ((Callback) args[2]).succeeded();
+            }
+            return name.equals("getHeaders") ? answered : null;
+        });
+    }
+
+    private static Response engineResponse() {
+        HttpFields head = HttpFields.build().add("X-Attempt-Id", ID).add("X-Server-Seal", "seal");
+        return fake(Response.class, (name, args) -> switch (name) {
+            case "getStatus" -> 200;
+            case "getHeaders" -> head;
+            default -> null;
+        });
+    }
+
+    private interface Call {
+        Object answer(String name, Object[] args);
+    }
+
+    private static <T> T fake(Class<T> type, Call call) {
+        Object made = Proxy.newProxyInstance(
+                type.getClassLoader(),
+                new Class<?>[] {type},
+                (self, method, args) -> call.answer(method.getName(), args));
+        return type.cast(made);
+    }
+
+    private static BackendServer engine() {
+        BackendServerId id = new BackendServerId("e1");
+        HostPort address = new HostPort("127.0.0.1", 1);
+        return new BackendServer(
+                id, id, SERVICE, address, new DataCentre("dc1"), ServerState.READY, 6, "big", Optional.empty());
+    }
+
+    /** One chunk; what is given runs when the reader has taken its bytes. */
+    private static Content.Chunk chunk(String text, Runnable taken) {
+        ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+        return Content.Chunk.from(bytes, false, ignored -> taken.run());
+    }
+
+    /**
+     * An engine sends an event. Just when it has been read, the router cancels the attempt, because the engine is held to
+     * be lost, and is told that it is over; a repeat will go on after the last event that the client has. The event in
+     * between must stay out: passed on, the client would get it twice, or its write would meet the repeat's on the same
+     * connection and both would fail, which the gateway took for a client that has left, and closed the connection. Read
+     * from the code; no run has shown it.
+     */
+    @Test
+    public void eventsThatAreReadWhenTheAttemptEndsAreNotPassedOn() {
+        ForwardHead head = new ForwardHead(
+                engine().name(), 9_000, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
+        Exchange exchange = exchange();
+        Attempt attempt = new Attempt(null, exchange, engine(), head, () -> 1, (any, end) -> ends.add(end));
+        Response response = engineResponse();
+        Result failed = new Result(null, null, response, new IllegalStateException("cancelled"));
+        Content.Chunk event = chunk("id: 0\ndata: x\n\n", () -> attempt.onComplete(failed));
+        List<Content.Chunk> chunks = new ArrayList<>(List.of(event));
+        attempt.onContent(response, new Content.Source() {
+            @Override
+            public Content.Chunk read() {
+                return chunks.isEmpty() ? null : chunks.remove(0);
+            }
+
+            @Override
+            public void demand(Runnable callback) {
+                // nothing more comes
+            }
+
+            @Override
+            public void fail(Throwable failure) {
+                // the end is told by the test
+            }
+        });
+        assertEquals(ends.size(), 1, "the end is told");
+        assertEquals(written, List.of());
+        assertEquals(exchange.lastEvent(), Optional.empty());
+    }
+}
--- a/gateway/src/test/java/org/cornelramp/gateway/request/EventSplitterProperties.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/EventSplitterProperties.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -48,4 +49,17 @@
             throw new AssertionError("in [" + in + "] out [" + out + "] last " + splitter.lastId());
         }
     }
+
+    /** A faulty server sends bytes without the end of an event; they are not kept for ever, and the stream is not whole. */
+    @Example
+    void keepsNoEventWithoutAnEnd() {
+        EventSplitter splitter = new EventSplitter();
+        byte[] part = new byte[1 << 16];
+        for (int i = 0; i <= 1 << 4; i++) {
+            splitter.take(ByteBuffer.wrap(part));
+        }
+        if (!splitter.hasOverflowed() || splitter.isWhole()) {
+            throw new AssertionError("an event without an end is kept");
+        }
+    }
 }
