Wait for a path as long as the client does, and cut no begun stream that nobody can take over

Cause: a begun stream without a path was given up after 1.5 s, though its client waits two seconds after the last event and nobody else can carry it on; and a stream on an engine held to be lost was cut when there was no path at all, which helps nobody if the engine lives. Change: begun streams wait until a path is there or the client leaves (logged once: "no path"); a begun stream is cancelled only where another path is there. EngineDoubtTest, AttemptTest, BegunStreamTest pass.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
@@ -23,7 +23,7 @@
     private int mayHaveRun;
     private boolean moving;
     private boolean awaitingRepeat;
-    private long waitingSince;
+    private boolean awaitingPath;
     private long triedMillis = Long.MIN_VALUE / 2;
     private long leavingSinceMillis;
 
@@ -74,7 +74,7 @@
         attempt = next;
         sent++;
         moving = false;
-        waitingSince = 0;
+        awaitingPath = false;
         leavingSinceMillis = 0;
     }
 
@@ -135,13 +135,13 @@
         moving = now;
     }
 
-    /** Since when a broken stream waits for a path; 0 if it does not wait. */
-    long waitingSince() {
-        return waitingSince;
+    /** Whether a begun stream waits until a path is there for it. */
+    boolean isAwaitingPath() {
+        return awaitingPath;
     }
 
-    void waitSince(long nowMillis) {
-        waitingSince = nowMillis;
+    void setAwaitingPath(boolean now) {
+        awaitingPath = now;
     }
 
     /**
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FlightLog.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FlightLog.java
@@ -60,6 +60,20 @@
                 .write();
     }
 
+    /** A begun stream that no engines can carry on now; told once for each wait. */
+    void waitsForPath(Flight flight) {
+        if (flight.isAwaitingPath()) {
+            return;
+        }
+        flight.setAwaitingPath(true);
+        log.line("route", "no path")
+                .with("id", flight.exchange().call().id())
+                .with("lastEvent", flight.exchange().lastEvent().orElse(-1L))
+                .with("avoids", flight.avoid().size())
+                .with("outcome", "waits for one")
+                .write();
+    }
+
     /** A failed attempt that no other follows, for another reason than a lack of repeats. */
     void notRepeated(Flight flight, String why) {
         log.line("route", "not repeated")
@@ -88,6 +102,7 @@
                 .with("attempts", flight.sent())
                 .with("mayHaveRun", flight.mayHaveRun())
                 .with("awaitsRepeat", flight.isAwaitingRepeat())
+                .with("awaitsPath", flight.isAwaitingPath())
                 .with("repeatsLeft", left)
                 .write();
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -36,9 +36,6 @@
      */
     private static final int MOST_SENT = 6;
 
-    /** How long a broken stream waits for a path; its client leaves two seconds after the last event. */
-    private static final long RESUME_WAIT_MILLIS = 1_500;
-
     /** How long a request waits at a start until the servers are known, in milliseconds; they are read in a tenth of it. */
     private static final long START_WAIT_MILLIS = 1_000;
 
@@ -93,7 +90,7 @@
                 settings.name(), beliefs, repeats, server -> judge.askWhetherItLives(server, clock.millis()));
         judge.setOnLost(talk::sawFail);
         this.dispatcher = new Dispatcher(settings, clients, config, beliefs, clock, log, this::attemptEnded);
-        this.watch = new StreamWatch(beliefs, desk, log, this::offer);
+        this.watch = new StreamWatch(beliefs, desk, log, this::offer, dispatcher::hasPath);
     }
 
     /** Starts the duty's thread. */
@@ -194,16 +191,15 @@
     }
 
     /**
-     * A stream that has begun waits for a path for a while; what has not begun is refused at once, but for the moment
-     * after a start in which the servers are not known yet.
+     * A stream that has begun waits for a path until its client leaves, since nobody else can carry it on; what has not
+     * begun is refused at once, but for the moment after a start in which the servers are not known yet.
      */
     private void waitOrGiveUp(Flight flight, long now) {
         if (!beliefs.isKnown() && now - flight.exchange().call().receivedMillis() < START_WAIT_MILLIS) {
             return;
         }
-        long since = flight.waitingSince() == 0 ? now : flight.waitingSince();
-        if (flight.exchange().isCommitted() && now - since < RESUME_WAIT_MILLIS) {
-            flight.waitSince(since);
+        if (flight.exchange().isCommitted()) {
+            flightLog.waitsForPath(flight);
             return;
         }
         giveUp(flight, flight.mayHaveRun() == 0 ? Refusal.NO_SERVER : Refusal.UNKNOWN, "no server");
--- a/gateway/src/test/java/org/cornelramp/gateway/EngineDoubtTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/EngineDoubtTest.java
@@ -21,11 +21,13 @@
 
     private static final String LAST_EVENT = "id: 59\ndata: piece 59\n\n";
 
+    private static final String NO_REPEATS = ",\"retries\":{\"ratio\":0,\"reserve\":0,\"windowSeconds\":2}";
+
     private GatewayFixture fixture;
 
     @BeforeMethod
     public void start() throws Exception {
-        fixture = GatewayFixture.ofHalves(",\"retries\":{\"ratio\":0,\"reserve\":0,\"windowSeconds\":2}");
+        fixture = GatewayFixture.ofHalves(2, NO_REPEATS);
     }
 
     @AfterMethod(alwaysRun = true)
@@ -108,4 +110,23 @@
         assertTrue(fixture.log().contains("no report"), "the gateway held an engine to be dead");
         assertEquals(fixture.received("slow"), 1, "one run");
     }
+
+    /**
+     * A client reads a stream with an event each 0.35 s, and the engines, which are the only ones, answer no
+     * question. The gateway holds them to be dead and has no other path, so it waits, and the client gets the whole
+     * stream from one run. The gateway used to cut the run although nobody could take it over. What showed it: 14 streams
+     * of one gateway with "an engine of its path is lost and there is no way around it", then "broken off" with "no
+     * server" 1.5 s later.
+     */
+    @Test
+    public void aStreamIsNotCutWhileNobodyCanTakeItOver() throws Exception {
+        fixture.close();
+        fixture = GatewayFixture.ofHalves(1, NO_REPEATS);
+        behave(Behaviour.ordinary().withEvents(8).withPauseMillis(350));
+        fixture.engines.forEach(engine -> engine.setMute(true));
+        HttpResponse<String> answer = fixture.client().send("/chat/a", "alone", "alone");
+        assertTrue(answer.body().endsWith("id: 7\ndata: piece 7\n\n"), answer.body());
+        assertTrue(fixture.log().contains("no report"), "the gateway held an engine to be dead");
+        assertEquals(fixture.received("alone"), 1, "one run");
+    }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/GatewayFixture.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
@@ -73,13 +74,16 @@
     }
 
     /**
-     * Four engines, two for each half of the model, so that a stream passes two of them.
+     * Engines of which each holds half of the model, so that a stream passes two of them.
      *
+     * @param copies engines for each half
      * @param more more of the settings, each with a comma before it
      */
-    static GatewayFixture ofHalves(String more) throws Exception {
+    static GatewayFixture ofHalves(int copies, String more) throws Exception {
         StandInConfig config = StandInConfig.small(1).withCardMb(HALF_MODEL_MB);
-        return new GatewayFixture(more, config, List.of("0-4", "0-4", "4-8", "4-8"));
+        List<String> layers = new ArrayList<>(Collections.nCopies(copies, "0-4"));
+        layers.addAll(Collections.nCopies(copies, "4-8"));
+        return new GatewayFixture(more, config, layers);
     }
 
     private List<String> placed() {
