Cut stopped streams whether or not a path is there, and let slow streams flow longer

Change: the guard is reverted. Its test stays: a stream whose own events are slow flows for two of its usual pauses, up to a second, and for 300 ms after its first event, so it is not cut on an unanswered question while they come. EngineDoubtTest (4), AttemptTest, BegunStreamTest, SilentEnginesTest pass.

--- a/core/src/main/java/org/cornelramp/core/path/SilentEngines.java
+++ b/core/src/main/java/org/cornelramp/core/path/SilentEngines.java
@@ -38,8 +38,11 @@
     /** Time after an event in which a stream flows at least; the turns of a busy process come up to 50 ms late. */
     static final long LEAST_FLOWING_MILLIS = 60;
 
-    /** Time after its first event in which a stream flows, while its usual pause is not known yet. */
-    static final long FIRST_FLOWING_MILLIS = 100;
+    /** Time after an event in which a stream flows at most: half of what a client waits for the next one. */
+    static final long MOST_FLOWING_MILLIS = 1_000;
+
+    /** Time after its first event in which a stream flows, while its usual pause is not known yet: ten usual pauses. */
+    static final long FIRST_FLOWING_MILLIS = 300;
 
     /** Events that passed different paths at the same time reach the router so much apart. */
     private static final long SPREAD_MILLIS = 20;
@@ -73,7 +76,7 @@
          * that was not answered says; a stream that is cut then is lost for nothing.
          */
         public boolean isFlowing(long nowMillis) {
-            double usual = Math.min(MOST_SILENCE_MILLIS, FLOWING_PAUSES * usualPauseMillis);
+            double usual = Math.min(MOST_FLOWING_MILLIS, FLOWING_PAUSES * usualPauseMillis);
             double limit = usualPauseMillis == 0 ? FIRST_FLOWING_MILLIS : Math.max(LEAST_FLOWING_MILLIS, usual);
             return begun && nowMillis - lastMillis <= limit;
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -54,35 +54,21 @@
 
     /** Sends the request; false if no server can take it now. */
     boolean send(Flight flight, long now) {
-        Optional<EngineSpec> engine = engine(flight);
-        return engine.isPresent() ? sendToEngines(flight, engine.get(), now) : sendPlain(flight, now);
-    }
-
-    /** Whether engines could take the request now, so that {@link #send} would find a path. */
-    boolean hasPath(Flight flight, long now) {
-        return engine(flight).flatMap(spec -> path(flight, spec, now)).isPresent();
-    }
-
-    private Optional<EngineSpec> engine(Flight flight) {
-        return config.current()
+        Optional<EngineSpec> engine = config.current()
                 .flatMap(version -> version.service(flight.service()))
                 .flatMap(ServiceSpec::engine);
+        return engine.isPresent() ? sendToEngines(flight, engine.get(), now) : sendPlain(flight, now);
     }
 
-    private Optional<StagePath> path(Flight flight, EngineSpec spec, long now) {
+    private boolean sendToEngines(Flight flight, EngineSpec spec, long now) {
         int prompt = flight.exchange().call().head().promptTokens();
+        flight.expectTokens(spec.usualTokens());
         PathFinder.Demand demand =
                 new PathFinder.Demand(settings.dataCentre(), prompt, flight.tokens(), allowedFirsts(flight));
         List<BackendServer> usable = beliefs.usable(flight.service(), now).stream()
                 .filter(server -> !flight.avoid().contains(server.id()))
                 .toList();
-        return PathFinder.find(spec, usable, beliefs.loads(), demand);
-    }
-
-    private boolean sendToEngines(Flight flight, EngineSpec spec, long now) {
-        flight.expectTokens(spec.usualTokens());
-        int prompt = flight.exchange().call().head().promptTokens();
-        Optional<StagePath> path = path(flight, spec, now);
+        Optional<StagePath> path = PathFinder.find(spec, usable, beliefs.loads(), demand);
         path.ifPresent(way -> {
             load(flight, way);
             flight.setReading(prompt);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -90,7 +90,7 @@
                 settings.name(), beliefs, repeats, server -> judge.askWhetherItLives(server, clock.millis()));
         judge.setOnLost(talk::sawFail);
         this.dispatcher = new Dispatcher(settings, clients, config, beliefs, clock, log, this::attemptEnded);
-        this.watch = new StreamWatch(beliefs, desk, log, this::offer, dispatcher::hasPath);
+        this.watch = new StreamWatch(beliefs, desk, log, this::offer);
     }
 
     /** Starts the duty's thread. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.cornelramp.core.fleet.BackendServer;
@@ -42,20 +41,12 @@
     private final EngineDesk desk;
     private final EventLog log;
     private final Consumer<RouterEvent> router;
-    private final BiPredicate<Flight, Long> hasPath;
-
-    /** @param hasPath whether engines could take a request now */
-    StreamWatch(
-            Beliefs beliefs,
-            EngineDesk desk,
-            EventLog log,
-            Consumer<RouterEvent> router,
-            BiPredicate<Flight, Long> hasPath) {
+
+    StreamWatch(Beliefs beliefs, EngineDesk desk, EventLog log, Consumer<RouterEvent> router) {
         this.beliefs = beliefs;
         this.desk = desk;
         this.log = log;
         this.router = router;
-        this.hasPath = hasPath;
     }
 
     /** Looks at all streams under way. */
@@ -113,7 +104,7 @@
     private void check(Flight flight, Attempt attempt, StagePath path, Optional<RoutingConfig> config, long now) {
         boolean stopped = hasStopped(flight, attempt, path, now);
         if (stopped && beliefs.isLost(path.first().id(), now)) {
-            cancel(flight, attempt, "its first engine is lost", now);
+            attempt.cancel("its first engine is lost");
         } else if (stopped) {
             moveOrCancel(flight, attempt, path, config, now);
         } else if (canLeave(path) && flight.mayLeave(now, LEAVE_MILLIS, MOVE_PAUSE_MILLIS)) {
@@ -148,17 +139,7 @@
         if (attempt.path()
                 .filter(path -> hasStopped(flight, attempt, path, now))
                 .isPresent()) {
-            cancel(flight, attempt, "it cannot move to another path", now);
-        }
-    }
-
-    /**
-     * Cancels a run, so that the request is started anew elsewhere. A begun stream that nobody could take stays where it is:
-     * its engine may live after all, or be back in time, while a stream that is cut can only wait for a path.
-     */
-    private void cancel(Flight flight, Attempt attempt, String why, long now) {
-        if (!flight.exchange().isCommitted() || hasPath.test(flight, now)) {
-            attempt.cancel(why);
+            attempt.cancel("it cannot move to another path");
         }
     }
 
@@ -169,7 +150,7 @@
     private void moveOrCancel(Flight flight, Attempt attempt, StagePath old, Optional<RoutingConfig> config, long now) {
         Optional<StagePath> path = around(flight, old, config, now);
         if (path.isEmpty()) {
-            cancel(flight, attempt, "an engine of its path is lost and there is no way around it", now);
+            attempt.cancel("an engine of its path is lost and there is no way around it");
         } else {
             move(flight, attempt, old, path.get());
         }
