Explain a client that left by what its stream waited for

A line "broken off" with "client gone" was explained as the client's own will. It now tells that no repeat was left, that no engines could carry the stream on, or that no first event came, and after how long.

--- a/cli/src/main/java/org/cornelramp/cli/log/RequestStory.java
+++ b/cli/src/main/java/org/cornelramp/cli/log/RequestStory.java
@@ -100,7 +100,7 @@
     private static String brokenOff(LogLine broken, List<LogLine> lines) {
         String why = broken.text("why");
         if (why.contains("client")) {
-            return "the client closed its connection";
+            return "the client closed its connection" + waiting(broken);
         }
         return lines.stream()
                 .filter(line -> line.is("fleet", "suspected"))
@@ -110,6 +110,18 @@
                 .orElse("it was cut and could not go on elsewhere: " + why);
     }
 
+    /** What the client may have waited for when it left; a client that leaves by its own will has just had an event. */
+    private static String waiting(LogLine broken) {
+        String quiet = " after " + broken.text("quietMillis") + " ms ";
+        if (broken.text("awaitsRepeat").equals("true")) {
+            return quiet + "in which no repeat was left for its stream";
+        }
+        if (broken.text("awaitsPath").equals("true")) {
+            return quiet + "in which no engines could carry its stream on";
+        }
+        return broken.text("begun").equals("false") ? quiet + "without a first event" : "";
+    }
+
     /** The last known gap of layers, as {@code zona-mixco none 5}. */
     private static Optional<String> gap(List<LogLine> lines) {
         return lines.stream()
--- a/cli/src/test/java/org/cornelramp/cli/log/RequestStoryTest.java
+++ b/cli/src/test/java/org/cornelramp/cli/log/RequestStoryTest.java
@@ -37,6 +37,27 @@
         assertTrue(story.cause().orElseThrow().startsWith("server i-2 of its path was found LOST (refused)"));
     }
 
+    /** A client left because its stream stood still; the story says what the stream waited for, not only that it left. */
+    @Test
+    public void aClientThatLeftAStreamAtAStandstillIsExplainedByWhatTheStreamWaitedFor() {
+        String left = ",\"id\":\"r\",\"why\":\"client gone\",\"quietMillis\":2051";
+        assertEquals(
+                causeOf(left + ",\"begun\":\"true\",\"awaitsRepeat\":\"true\",\"awaitsPath\":\"false\""),
+                "the client closed its connection after 2051 ms in which no repeat was left for its stream");
+        assertEquals(
+                causeOf(left + ",\"begun\":\"true\",\"awaitsRepeat\":\"false\",\"awaitsPath\":\"true\""),
+                "the client closed its connection after 2051 ms in which no engines could carry its stream on");
+        assertEquals(
+                causeOf(left + ",\"begun\":\"false\""),
+                "the client closed its connection after 2051 ms without a first event");
+        assertEquals(causeOf(left + ",\"begun\":\"true\""), "the client closed its connection");
+    }
+
+    private static String causeOf(String brokenOff) {
+        List<LogLine> log = List.of(line(9_000, "g1", "request", "broken off", brokenOff));
+        return RequestStory.of("r", log).cause().orElseThrow();
+    }
+
     /** A data centre lacks layers and no other has room; the last line on layers before the refusal shows the gap. */
     @Test
     public void aRefusalForWantOfLayersNamesTheGap() {
