Ask again for a stream whose answer is lost, shown by later streams that have begun

Cause: an engine ran a request and its answer never came, on a connection that stayed open; the gateway waited in silence until the client left after two seconds ("broken off", "client gone", one attempt, no first event). Ruled out: waiting for a time alone. After a restart of all gateways streams begin after up to 1,500 ms in their order, and sending them again would fill the engine further. Change: a stream without a first event after 700 ms is sent again if two streams that were sent to the same first engine at least 200 ms later have begun (FirstEvents). Tests: FirstEventsTest (loads of an ordinary evening and after a restart), LostAnswerTest; EngineDoubtTest, BegunStreamTest.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
@@ -22,6 +22,7 @@
     private int sent;
     private int mayHaveRun;
     private boolean moving;
+    private boolean begun;
     private boolean awaitingRepeat;
     private boolean awaitingPath;
     private long triedMillis = Long.MIN_VALUE / 2;
@@ -74,6 +75,7 @@
         attempt = next;
         sent++;
         moving = false;
+        begun = false;
         awaitingPath = false;
         leavingSinceMillis = 0;
     }
@@ -99,6 +101,13 @@
         return exchange.isCommitted() ? mayHaveRun : sent;
     }
 
+    /** Notes that events of the attempt under way have come; true if that was not known. */
+    boolean markBegun() {
+        boolean first = !begun;
+        begun = true;
+        return first;
+    }
+
     /** Whether a begun stream waits until a repeat is left for it. */
     boolean isAwaitingRepeat() {
         return awaitingRepeat;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.path.FirstEvents;
 import org.cornelramp.core.routing.RouteKind;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.daemon.kernel.Duty;
@@ -55,6 +56,7 @@
     private final IdentityHashMap<Exchange, Flight> flights = new IdentityHashMap<>();
     private final Repeats repeats;
     private final ServerJudge judge;
+    private final FirstEvents firstEvents = new FirstEvents();
     private final PeerTalk talk;
     private final AtomicInteger underWay = new AtomicInteger();
     private final Duty<RouterEvent> duty;
@@ -436,12 +438,28 @@
         } else if (attempt == null) {
             resume(flight, now);
         } else if (flight.exchange().lastEventMillis() > attempt.startMillis()) {
-            dispatcher.promptRead(flight);
+            begun(flight, attempt, now);
+        } else if (isAnswerLost(flight, attempt, now)) {
+            attempt.cancel("its answer is lost: streams sent to its engine later have begun");
         } else if (flight.route().kind() == RouteKind.SAFE && isOverdue(flight, attempt, now)) {
             attempt.cancel("it takes too long");
         }
     }
 
+    private void begun(Flight flight, Attempt attempt, long now) {
+        dispatcher.promptRead(flight);
+        if (flight.markBegun()) {
+            attempt.path().ifPresent(path -> firstEvents.begun(path.first().id(), attempt.startMillis(), now));
+        }
+    }
+
+    private boolean isAnswerLost(Flight flight, Attempt attempt, long now) {
+        return flight.route().mayRepeat()
+                && attempt.path()
+                        .filter(path -> firstEvents.isAnswerLost(path.first().id(), attempt.startMillis(), now))
+                        .isPresent();
+    }
+
     /** A repeat pays only while time is left for it and another server may take it. */
     private static boolean isOverdue(Flight flight, Attempt attempt, long now) {
         double patience = PATIENCE * flight.route().targetMillis();
