--- a/core/src/main/java/org/cornelramp/core/retry/RepeatAccount.java
+++ b/core/src/main/java/org/cornelramp/core/retry/RepeatAccount.java
@@ -48,7 +48,7 @@
      * @param begun whether a part of the answer has been passed on
      */
     public boolean tryRepeat(double even, boolean begun, long nowMillis) {
-        boolean taken = window.tryRepeat(reserve.own(even), begun ? 1 : FRESH_PART, nowMillis);
+        boolean taken = window.tryRepeat(reserve.own(even), part(begun), nowMillis);
         if (!taken) {
             lacked = wanted(nowMillis) + 1;
             lackedSince = nowMillis;
@@ -56,6 +56,15 @@
         return taken;
     }
 
+    /** Whether {@link #tryRepeat} would take one now; that none is left is not told to others as a lack. */
+    public boolean hasRepeat(double even, boolean begun, long nowMillis) {
+        return window.hasRepeat(reserve.own(even), part(begun), nowMillis);
+    }
+
+    private static double part(boolean begun) {
+        return begun ? 1 : FRESH_PART;
+    }
+
     /** Repeats left now, for logs; negative if what was lent is already used. */
     public double left(double even, long nowMillis) {
         return window.left(reserve.own(even), nowMillis);
--- a/core/src/main/java/org/cornelramp/core/retry/RetryWindow.java
+++ b/core/src/main/java/org/cornelramp/core/retry/RetryWindow.java
@@ -41,12 +41,17 @@
      * @param part part of all that is allowed which this repeat may come out of, from 0 to 1
      */
     public boolean tryRepeat(double reserve, double part, long nowMillis) {
-        int slot = slot(nowMillis);
-        if (sum(repeats) + 1 > part * (ratio * sum(requests) + reserve)) {
-            return false;
+        boolean left = hasRepeat(reserve, part, nowMillis);
+        if (left) {
+            repeats[slot(nowMillis)]++;
         }
-        repeats[slot]++;
-        return true;
+        return left;
+    }
+
+    /** Whether {@link #tryRepeat} would take one now. */
+    public boolean hasRepeat(double reserve, double part, long nowMillis) {
+        slot(nowMillis);
+        return sum(repeats) + 1 <= part * (ratio * sum(requests) + reserve);
     }
 
     /** Repeats that are left now; negative if the reserve has become smaller than what was taken. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.cornelramp.gateway.route;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -119,6 +120,15 @@
         return server.isPresent();
     }
 
+    /** Whether another server than the given one could take a request to a plain service now. */
+    boolean hasAnother(Flight flight, BackendServer server, long now) {
+        Set<BackendServerId> avoid = new HashSet<>(flight.avoid());
+        avoid.add(server.id());
+        return beliefs.plain()
+                .choose(beliefs.usable(flight.service(), now), avoid, settings.dataCentre())
+                .isPresent();
+    }
+
     private void begin(Flight flight, BackendServer server, Optional<StagePath> path, long now) {
         Exchange exchange = flight.exchange();
         Exchange.Call call = exchange.call();
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Repeats.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Repeats.java
@@ -45,6 +45,11 @@
         return account(service).tryRepeat(even, begun, nowMillis);
     }
 
+    /** Whether {@link #tryRepeat} would take one now. */
+    boolean hasRepeat(ServiceName service, boolean begun, long nowMillis) {
+        return account(service).hasRepeat(even, begun, nowMillis);
+    }
+
     /** Repeats left now, rounded down. */
     long left(ServiceName service, long nowMillis) {
         return (long) Math.floor(account(service).left(even, nowMillis));
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -449,13 +449,23 @@
             resume(flight, now);
         } else if (hasBegun(flight, attempt)) {
             begun(flight, attempt, now);
-        } else if (isAnswerLost(flight, attempt, now)) {
+        } else if (isAnswerLost(flight, attempt, now) && canRepeat(flight, attempt, now)) {
             attempt.cancel("its answer is lost: streams sent to its engine later have begun");
-        } else if (flight.route().kind() == RouteKind.SAFE && isOverdue(flight, attempt, now)) {
+        } else if (isOverdue(flight, attempt, now) && canRepeat(flight, attempt, now)) {
             attempt.cancel("it takes too long");
         }
     }
 
+    /**
+     * Whether a run that is cancelled now can be made again. A server that is only late still answers; cancelled without a
+     * repeat or another server, its client is told that the outcome is unknown instead of the late answer.
+     */
+    private boolean canRepeat(Flight flight, Attempt attempt, long now) {
+        boolean begun = flight.exchange().isCommitted();
+        boolean elsewhere = attempt.path().isPresent() || dispatcher.hasAnother(flight, attempt.server(), now);
+        return elsewhere && repeats.hasRepeat(flight.service(), begun, now);
+    }
+
     private static boolean hasBegun(Flight flight, Attempt attempt) {
         return flight.exchange().lastEventMillis() > attempt.startMillis();
     }
@@ -474,9 +484,10 @@
                         .isPresent();
     }
 
-    /** A repeat pays only while time is left for it and another server may take it. */
+    /** A repeat pays only while time is left for it, so only the first run of a safe request is overdue. */
     private static boolean isOverdue(Flight flight, Attempt attempt, long now) {
         double patience = PATIENCE * flight.route().targetMillis();
-        return flight.sent() == 1 && !attempt.isAnswering() && now - attempt.startMillis() > patience;
+        boolean first = flight.route().kind() == RouteKind.SAFE && flight.sent() == 1;
+        return first && !attempt.isAnswering() && now - attempt.startMillis() > patience;
     }
 }
