Start no stream anew that may not be sent twice

Cause: a refused move may cancel a run where a repeat is left, and a stream that may not be repeated would be broken off for it. Router.canRestart asks the route as well. EngineDoubtTest.aStreamThatMayNotBeRepeatedStaysOnAnEngineThatLeaves.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -404,13 +404,20 @@
             moved.attempt().movedTo(moved.path());
             dispatcher.load(flight, moved.path());
         } else {
-            // The part of the repeats that is kept for streams whose engines die is not used for one whose engine
-            // leaves.
-            boolean canRestart = repeats.hasRepeat(flight.service(), false, now) && dispatcher.hasPath(flight, now);
-            watch.notMoved(flight, moved.attempt(), moved.result().getLeft(), canRestart, now);
+            watch.notMoved(flight, moved.attempt(), moved.result().getLeft(), canRestart(flight, now), now);
         }
     }
 
+    /**
+     * Whether a stream that runs can be started anew at once. The part of the repeats that is kept for streams whose engines
+     * die is not used for one whose engine only leaves.
+     */
+    private boolean canRestart(Flight flight, long now) {
+        return flight.route().mayRepeat()
+                && repeats.hasRepeat(flight.service(), false, now)
+                && dispatcher.hasPath(flight, now);
+    }
+
     private void tick() {
         long now = clock.millis();
         beliefs.tickLate(lastTickMillis == 0 ? 0 : Math.max(0, now - lastTickMillis - TICK_MILLIS));
--- a/gateway/src/test/java/org/cornelramp/gateway/EngineDoubtTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/EngineDoubtTest.java
@@ -85,6 +85,26 @@
         assertEquals(fixture.received("stays"), 1, "one run");
     }
 
+    /**
+     * The same for a stream that may not be sent twice, while repeats are left. Started anew it would be broken off, since
+     * nobody can carry it on; so it stays, and its client gets the whole of it.
+     */
+    @Test
+    public void aStreamThatMayNotBeRepeatedStaysOnAnEngineThatLeaves() throws Exception {
+        fixture.close();
+        fixture = GatewayFixture.ofHalves(2, "");
+        fixture.store.publishConfig(GatewayFixture.ofHalvesConfig(2)
+                .json()
+                .replace("\"streamResumption\":true", "\"streamResumption\":false"));
+        GatewayFixture.await(() -> fixture.log().contains("\"version\":2"), "the configuration is in force");
+        behave(LONG.withMoveStatus(409));
+        CompletableFuture<HttpResponse<String>> answer = begin("once");
+        onPathOf("once", 2).register("draining");
+        assertTrue(answer.get().body().endsWith(LAST_EVENT), answer.get().body());
+        assertTrue(fixture.log().contains("not moved"), "the gateway tried to move it");
+        assertEquals(fixture.received("once"), 1, "one run");
+    }
+
     /**
      * A client reads a stream whose first engine says that it will leave. A stream cannot be moved off its first engine, so
      * none is tried; the engine serves on and the client gets the whole stream. The gateway used to order the same path
--- a/gateway/src/test/java/org/cornelramp/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/GatewayFixture.java
@@ -80,10 +80,14 @@
      * @param more more of the settings, each with a comma before it
      */
     static GatewayFixture ofHalves(int copies, String more) throws Exception {
-        StandInConfig config = StandInConfig.small(1).withCardMb(HALF_MODEL_MB);
         List<String> layers = new ArrayList<>(Collections.nCopies(copies, "0-4"));
         layers.addAll(Collections.nCopies(copies, "4-8"));
-        return new GatewayFixture(more, config, layers);
+        return new GatewayFixture(more, ofHalvesConfig(1), layers);
+    }
+
+    /** A version of the configuration for engines of which each holds half of the model. */
+    static StandInConfig ofHalvesConfig(int version) {
+        return StandInConfig.small(version).withCardMb(HALF_MODEL_MB);
     }
 
     private List<String> placed() {
