Move the search for overdue runs out of the router

What is given up although nothing has failed now stands in one class, OverdueRuns, with the rule that it must be possible to make it again. A move only: no condition and no figure changed.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -5,8 +5,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
-import org.cornelramp.core.path.FirstEvents;
-import org.cornelramp.core.routing.RouteKind;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.daemon.kernel.Duty;
 import org.cornelramp.gateway.HttpClients;
@@ -40,9 +38,6 @@
     /** How long a request waits at a start until the servers are known, in milliseconds; they are read in a tenth of it. */
     private static final long START_WAIT_MILLIS = 1_000;
 
-    /** An answer of a plain service that has not come by this share of its target is tried elsewhere. */
-    private static final double PATIENCE = 1.2;
-
     /** Lowest status by which a backend server says that it failed. */
     private static final int SERVER_ERROR = 500;
 
@@ -56,7 +51,7 @@
     private final IdentityHashMap<Exchange, Flight> flights = new IdentityHashMap<>();
     private final Repeats repeats;
     private final ServerJudge judge;
-    private final FirstEvents firstEvents = new FirstEvents();
+    private final OverdueRuns overdue;
     private final PeerTalk talk;
     private final AtomicInteger underWay = new AtomicInteger();
     private final Duty<RouterEvent> duty;
@@ -92,6 +87,7 @@
                 settings.name(), beliefs, repeats, server -> judge.askWhetherItLives(server, clock.millis()));
         judge.setOnLost(talk::sawFail);
         this.dispatcher = new Dispatcher(settings, clients, config, beliefs, clock, log, this::attemptEnded);
+        this.overdue = new OverdueRuns(repeats, dispatcher);
         this.watch = new StreamWatch(beliefs, desk, log, this::offer);
     }
 
@@ -229,7 +225,7 @@
         if (!current) {
             return;
         }
-        if (hasBegun(flight, attempt)) {
+        if (OverdueRuns.hasBegun(flight, attempt)) {
             begun(flight, attempt, now); // a short stream ends between two ticks
         }
         dispatcher.unload(flight);
@@ -404,18 +400,13 @@
             moved.attempt().movedTo(moved.path());
             dispatcher.load(flight, moved.path());
         } else {
-            watch.notMoved(flight, moved.attempt(), moved.result().getLeft(), canRestart(flight, now), now);
+            watch.notMoved(flight, moved.attempt(), moved.result().getLeft(), overdue.canRestart(flight, now), now);
         }
     }
 
-    /**
-     * Whether a stream that runs can be started anew at once. The part of the repeats that is kept for streams whose engines
-     * die is not used for one whose engine only leaves.
-     */
-    private boolean canRestart(Flight flight, long now) {
-        return flight.route().mayRepeat()
-                && repeats.hasRepeat(flight.service(), false, now)
-                && dispatcher.hasPath(flight, now);
+    private void begun(Flight flight, Attempt attempt, long now) {
+        dispatcher.promptRead(flight);
+        overdue.begun(flight, attempt, now);
     }
 
     private void tick() {
@@ -457,47 +448,10 @@
             giveUp(flight, flight.mayHaveRun() == 0 ? Refusal.NOT_RUN_IN_TIME : Refusal.TIMED_OUT, "deadline");
         } else if (attempt == null) {
             resume(flight, now);
-        } else if (hasBegun(flight, attempt)) {
+        } else if (OverdueRuns.hasBegun(flight, attempt)) {
             begun(flight, attempt, now);
-        } else if (isAnswerLost(flight, attempt, now) && canRepeat(flight, attempt, now)) {
-            attempt.cancel("its answer is lost: streams sent to its engine later have begun");
-        } else if (isOverdue(flight, attempt, now) && canRepeat(flight, attempt, now)) {
-            attempt.cancel("it takes too long");
-        }
-    }
-
-    /**
-     * Whether a run that is cancelled now can be made again. A server that is only late still answers; cancelled without a
-     * repeat or another server, its client is told that the outcome is unknown instead of the late answer.
-     */
-    private boolean canRepeat(Flight flight, Attempt attempt, long now) {
-        boolean begun = flight.exchange().isCommitted();
-        boolean elsewhere = attempt.path().isPresent() || dispatcher.hasAnother(flight, attempt.server(), now);
-        return elsewhere && repeats.hasRepeat(flight.service(), begun, now);
-    }
-
-    private static boolean hasBegun(Flight flight, Attempt attempt) {
-        return flight.exchange().lastEventMillis() > attempt.startMillis();
-    }
-
-    private void begun(Flight flight, Attempt attempt, long now) {
-        dispatcher.promptRead(flight);
-        if (flight.markBegun()) {
-            attempt.path().ifPresent(path -> firstEvents.begun(path.first().id(), attempt.startMillis(), now));
+        } else {
+            overdue.reason(flight, attempt, now).ifPresent(attempt::cancel);
         }
     }
-
-    private boolean isAnswerLost(Flight flight, Attempt attempt, long now) {
-        return flight.route().mayRepeat()
-                && attempt.path()
-                        .filter(path -> firstEvents.isAnswerLost(path.first().id(), attempt.startMillis(), now))
-                        .isPresent();
-    }
-
-    /** A repeat pays only while time is left for it, so only the first run of a safe request is overdue. */
-    private static boolean isOverdue(Flight flight, Attempt attempt, long now) {
-        double patience = PATIENCE * flight.route().targetMillis();
-        boolean first = flight.route().kind() == RouteKind.SAFE && flight.sent() == 1;
-        return first && !attempt.isAnswering() && now - attempt.startMillis() > patience;
-    }
 }
