Keep the platform's names out of the gateway's tests, and one copy of the settings without repeats

Cause: AttemptTest spelt two headers of the platform and EngineDoubtTest a field of its configuration, which stand in platform/ alone; the settings of a gateway without repeats stood twice. Tests only: no assertion, figure or line of the product changed. Checked: format and lint of core, wire, platform, ports, daemon and gateway, and AttemptTest, EngineDoubtTest, OverdueAnswerTest, BegunStreamTest, LostAnswerTest and the decoders' tests pass.

--- a/gateway/src/test/java/org/cornelramp/gateway/EngineDoubtTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/EngineDoubtTest.java
@@ -21,13 +21,11 @@
 
     private static final String LAST_EVENT = "id: 59\ndata: piece 59\n\n";
 
-    private static final String NO_REPEATS = ",\"retries\":{\"ratio\":0,\"reserve\":0,\"windowSeconds\":2}";
-
     private GatewayFixture fixture;
 
     @BeforeMethod
     public void start() throws Exception {
-        fixture = GatewayFixture.ofHalves(2, NO_REPEATS);
+        fixture = GatewayFixture.ofHalves(2, GatewayFixture.NO_REPEATS);
     }
 
     @AfterMethod(alwaysRun = true)
@@ -99,9 +97,7 @@
     public void aStreamThatMayNotBeRepeatedStaysOnAnEngineThatLeaves() throws Exception {
         fixture.close();
         fixture = GatewayFixture.ofHalves(2, "");
-        fixture.store.publishConfig(GatewayFixture.ofHalvesConfig(2)
-                .json()
-                .replace("\"streamResumption\":true", "\"streamResumption\":false"));
+        fixture.store.publishConfig(GatewayFixture.ofHalvesConfig(2).jsonOfStreamsSentOnce());
         GatewayFixture.await(() -> fixture.log().contains("\"version\":2"), "the configuration is in force");
         behave(LONG.withMoveStatus(409));
         CompletableFuture<HttpResponse<String>> answer = begin("once");
@@ -181,7 +177,7 @@
     @Test
     public void aStreamIsNotCutWhileNobodyCanTakeItOver() throws Exception {
         fixture.close();
-        fixture = GatewayFixture.ofHalves(1, NO_REPEATS);
+        fixture = GatewayFixture.ofHalves(1, GatewayFixture.NO_REPEATS);
         behave(Behaviour.ordinary().withEvents(8).withPauseMillis(150));
         allReportThatAllStall();
         HttpResponse<String> answer = fixture.client().send("/chat/a", "alone", "alone");
--- a/gateway/src/test/java/org/cornelramp/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/GatewayFixture.java
@@ -22,6 +22,9 @@
     /** The key that the configuration knows. */
     public static final String KEY = StandInConfig.KEY;
 
+    /** Settings of a gateway that may send nothing a second time. */
+    static final String NO_REPEATS = ",\"retries\":{\"ratio\":0,\"reserve\":0,\"windowSeconds\":2}";
+
     private static final long PATIENCE_MILLIS = 20_000;
 
     /** Memory of a card for four of the eight layers and some requests. */
--- a/gateway/src/test/java/org/cornelramp/gateway/OverdueAnswerTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/OverdueAnswerTest.java
@@ -32,7 +32,7 @@
      */
     @Test
     public void aLateAnswerIsAwaitedWhenNoRepeatIsLeft() throws Exception {
-        fixture = new GatewayFixture(",\"retries\":{\"ratio\":0,\"reserve\":0,\"windowSeconds\":2}");
+        fixture = new GatewayFixture(GatewayFixture.NO_REPEATS);
         answerLate();
         assertEquals(fixture.client().send("/look/a", "late", "late").statusCode(), 200);
         assertEquals(fixture.received("late"), 1);
--- a/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
@@ -19,6 +19,7 @@
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.platform.CallHead;
 import org.cornelramp.platform.ForwardHead;
+import org.cornelramp.platform.standin.StandInHeads;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
@@ -36,7 +37,7 @@
     private final List<AttemptEnd> ends = new ArrayList<>();
 
     private Exchange exchange() {
-        HttpFields fields = HttpFields.build().add("X-Attempt-Id", ID).asImmutable();
+        HttpFields fields = StandInHeads.request(ID);
         List<WeightedService> split = List.of(new WeightedService(SERVICE, 1));
         Route route =
                 new Route("chat", "host", "/chat/", RouteKind.STREAMING, 9_000, 500, 200, 1, 2, false, true, split);
@@ -57,7 +58,7 @@
     }
 
     private static Response engineResponse() {
-        HttpFields head = HttpFields.build().add("X-Attempt-Id", ID).add("X-Server-Seal", "seal");
+        HttpFields head = StandInHeads.answer(ID);
         return fake(Response.class, (name, args) -> switch (name) {
             case "getStatus" -> 200;
             case "getHeaders" -> head;
