Send nothing new to engines that leave

Cause: the gateways sent new streams over engines that had said that they leave, for the time of the drain less the age of the news (2.6 s), as nobody else might hold their layers. An engine that leaves refuses each of them with 503.

Change: a server that leaves is not usable, whatever it is.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
@@ -16,25 +16,14 @@
 
 /** What the gateway believes of the backend servers. Owned by the router's duty. */
 public final class Beliefs {
-    /** Age of a registration when it is read, at most: the pause between two reads and a slow answer. */
-    private static final long NEWS_AGE_MILLIS = 1_400;
-
     private final ServerRegistry registry = new ServerRegistry();
     private final Suspicions suspicions = new Suspicions();
     private final EngineLoads loads = new EngineLoads();
     private final PlainServers plain = new PlainServers();
-    private final long leavingUsableMillis;
     private long lagMillis;
     private boolean known;
     private boolean connected;
 
-    /**
-     * @param drainMillis time after which a leaving server gets nothing new, counted from its registration
-     */
-    public Beliefs(long drainMillis) {
-        this.leavingUsableMillis = Math.max(0, drainMillis - NEWS_AGE_MILLIS);
-    }
-
     /** The registrations. */
     public ServerRegistry registry() {
         return registry;
@@ -80,16 +69,14 @@
     }
 
     /**
-     * The servers of a service that take work and are trusted now. An engine that is leaving still takes work for a
-     * moment, while its successor loads its layers; not while the store is away, since the news may be old then.
+     * The servers of a service that take work and are trusted now. One that leaves takes nothing new: an engine refuses each
+     * new request that passes it, and each refusal costs one of the repeats that all gateways share.
      */
     public List<BackendServer> usable(ServiceName service, long nowMillis) {
         List<BackendServer> usable = new ArrayList<>();
         for (BackendServer server : registry.servers()) {
-            long leaving = leavingMillis(server.id(), nowMillis);
-            boolean lends = connected && server.layers().isPresent() && leaving < leavingUsableMillis;
-            boolean takesWork = leaving < 0 || lends;
-            if (server.service().equals(service) && takesWork && !isSuspect(server.id(), nowMillis)) {
+            boolean leaves = registry.leavingSinceMillis(server.id()).isPresent();
+            if (server.service().equals(service) && !leaves && !isSuspect(server.id(), nowMillis)) {
                 usable.add(server);
             }
         }
@@ -102,11 +89,6 @@
         registry.storeAnswers(answers, nowMillis);
     }
 
-    /** How long a server is known to be leaving; negative while it is not. */
-    private long leavingMillis(BackendServerId id, long nowMillis) {
-        return registry.leavingSinceMillis(id).map(since -> nowMillis - since).orElse(-1L);
-    }
-
     /** Whether the server stops soon, or has already taken back its registration. */
     public boolean isLeaving(BackendServerId id) {
         return registry.server(id).isEmpty() || registry.leavingSinceMillis(id).isPresent();
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -59,13 +59,9 @@
         return engine.isPresent() ? sendToEngines(flight, engine.get(), now) : sendPlain(flight, now);
     }
 
-    /** Whether engines that stay could take the request now beside all that they have, itself included. */
+    /** Whether engines could take the request now beside all that they have, itself included. */
     boolean hasPath(Flight flight, long now) {
-        return engine(flight)
-                .flatMap(spec -> path(flight, spec, now))
-                .filter(way -> way.hops().stream()
-                        .noneMatch(hop -> beliefs.isLeaving(hop.server().id())))
-                .isPresent();
+        return engine(flight).flatMap(spec -> path(flight, spec, now)).isPresent();
     }
 
     private Optional<EngineSpec> engine(Flight flight) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -73,7 +73,7 @@
             EventLog log,
             Meters meters,
             EngineDesk desk) {
-        this.beliefs = new Beliefs(settings.timing().drainMillis());
+        this.beliefs = new Beliefs();
         this.config = config;
         this.clock = clock;
         this.log = log;
