Keep memory for as many requests as an engine takes at once, and no more

Cause: the planner kept memory for up to 240 requests beside each layer, more than an engine takes at once (134). On the large deployment, where cards are plenty, that made paths 13.3 engines long in the mean and tokens take 16 to 25 ms. Each engine more on a path is one more whose death stops its streams: five deaths of 130 met four streams in ten.

Change: the bound is the engine's own number of requests.

--- a/core/src/main/java/org/cornelramp/core/placement/Planner.java
+++ b/core/src/main/java/org/cornelramp/core/placement/Planner.java
@@ -26,9 +26,6 @@
  * comes to the same plan. Stateless, safe for use by any thread.
  */
 public final class Planner {
-    /** Requests that shall fit beside the weights if the cards allow it; more than this never run at once. */
-    private static final int MOST_REQUESTS = 240;
-
     /** Fewest requests that shall fit beside the weights, however few cards there are. */
     private static final int FEWEST_REQUESTS = 24;
 
@@ -307,9 +304,13 @@
             }
         }
 
-        /** Most requests, up to a bound, beside which each data centre's cards still hold enough copies. */
+        /**
+         * Most requests beside which each data centre's cards still hold enough copies, up to those that one engine takes
+         * at once. Memory for more would be kept empty, and make paths longer: every engine more on a path is one more whose
+         * death stops its streams, and one more hop for each token.
+         */
         private int requestsThatFit() {
-            for (int most = MOST_REQUESTS; most > FEWEST_REQUESTS; most -= REQUESTS_STEP) {
+            for (int most = spec.slots(); most > FEWEST_REQUESTS; most -= REQUESTS_STEP) {
                 int fit = most;
                 boolean enough = byDataCentre.values().stream()
                         .allMatch(here -> here.stream()
