--- a/core/src/main/java/org/cornelramp/core/placement/Planner.java
+++ b/core/src/main/java/org/cornelramp/core/placement/Planner.java
@@ -26,6 +26,13 @@
  * comes to the same plan. Stateless, safe for use by any thread.
  */
 public final class Planner {
+    /**
+     * Part of the requests that one engine takes at once for which memory is kept beside the weights, at most. An engine is
+     * hardly ever filled beyond it, and what is kept for more makes paths longer: every engine more on a path is one more
+     * whose death stops its streams, and one more hop for each token.
+     */
+    private static final double MOST_REQUESTS_PART = 0.9;
+
     /** Fewest requests that shall fit beside the weights, however few cards there are. */
     private static final int FEWEST_REQUESTS = 24;
 
@@ -304,13 +311,9 @@
             }
         }
 
-        /**
-         * Most requests beside which each data centre's cards still hold enough copies, up to those that one engine takes
-         * at once. Memory for more would be kept empty, and make paths longer: every engine more on a path is one more whose
-         * death stops its streams, and one more hop for each token.
-         */
+        /** Most requests, up to a bound, beside which each data centre's cards still hold enough copies. */
         private int requestsThatFit() {
-            for (int most = spec.slots(); most > FEWEST_REQUESTS; most -= REQUESTS_STEP) {
+            for (int most = (int) (MOST_REQUESTS_PART * spec.slots()); most > FEWEST_REQUESTS; most -= REQUESTS_STEP) {
                 int fit = most;
                 boolean enough = byDataCentre.values().stream()
                         .allMatch(here -> here.stream()
