Ask engines that have answered less often, and peers for repeats before none is left

Change: an engine that has answered is not asked quickly again for a second. A gateway asks for loans when a quarter of what it may send is left.

--- a/core/src/main/java/org/cornelramp/core/retry/RepeatAccount.java
+++ b/core/src/main/java/org/cornelramp/core/retry/RepeatAccount.java
@@ -18,6 +18,9 @@
     /** Part of what is allowed that a process keeps when it lends: for a server that dies the next moment. */
     private static final double KEPT_PART = 0.3;
 
+    /** Part of what is allowed below which a process asks others for more before it lacks any. */
+    private static final double LOW_PART = 0.25;
+
     private final RetryWindow window;
     private final RepeatLoans loans;
 
@@ -60,6 +63,12 @@
         return window.left(even - loans.booked(nowMillis), nowMillis) + loans.left(nowMillis);
     }
 
+    /** Repeats that are missing to a comfortable rest, of which the next failures take theirs at once. */
+    public int shortage(double even, long nowMillis) {
+        double low = LOW_PART * window.allowed(even, nowMillis);
+        return (int) Math.max(0, low - left(even, nowMillis));
+    }
+
     /** Asks each peer for so many repeats, or for none. */
     public void ask(int amount, long nowMillis) {
         loans.ask(amount, nowMillis);
@@ -72,9 +81,6 @@
 
     /** Lends what is not needed here to a process that lacks repeats; at most half, so that others find some too. */
     public void lend(String to, RepeatNews.Ask theirs, double even, long nowMillis) {
-        if (loans.asks().isPresent()) {
-            return;
-        }
         double allowed = window.allowed(even, nowMillis);
         double spare = window.left(even - loans.booked(nowMillis), nowMillis) - KEPT_PART * allowed;
         loans.lend(to, theirs, (int) (spare / 2), nowMillis);
--- a/core/src/test/java/org/cornelramp/core/retry/RepeatAccountProperties.java
+++ b/core/src/test/java/org/cornelramp/core/retry/RepeatAccountProperties.java
@@ -176,6 +176,22 @@
         }
     }
 
+    /** A process asks before it has used its last repeat, and does not ask while a good part is left. */
+    @Property(tries = 1)
+    void aProcessAsksBeforeItLacksAny() {
+        RepeatAccount account = new RepeatAccount(RATIO, WINDOW, new Random(1));
+        for (int used = 0; used < 8; used++) {
+            if (account.shortage(EVEN, 0) != 0) {
+                throw new AssertionError("asks with " + account.left(EVEN, 0) + " left");
+            }
+            account.tryRepeat(EVEN, true, 0);
+        }
+        account.tryRepeat(EVEN, true, 0);
+        if (account.shortage(EVEN, 0) == 0 || !account.hasRepeat(EVEN, true, 0)) {
+            throw new AssertionError("does not ask with " + account.left(EVEN, 0) + " left");
+        }
+    }
+
     /** Fresh requests use up what they may; a begun answer still finds a repeat. */
     @Property(tries = 1)
     void begunAnswersGoBeforeFreshRequests() {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
@@ -28,6 +28,12 @@
 
     private static final long QUICK_PAUSE_MILLIS = 250;
 
+    /**
+     * Time in which an engine that has answered is not asked quickly again. When an engine dies, all others of its streams'
+     * paths are asked too; asked four times a second, they were most of the questions of a day with deaths.
+     */
+    private static final long ANSWERED_PAUSE_MILLIS = 1_000;
+
     /** Time after which an engine that has not answered is asked a second time: ten times its usual one. */
     private static final long SECOND_MILLIS = 25;
 
@@ -36,7 +42,7 @@
 
     private final EngineControl control;
     private final ThreadPoolExecutor threads;
-    private final Map<BackendServerId, Long> asked = new HashMap<>();
+    private final Map<BackendServerId, Long> nextQuickMillis = new HashMap<>();
 
     public EngineDesk(EngineControl control) {
         this.control = control;
@@ -59,9 +65,9 @@
      * @param lagMillis how late this process itself was of late; an answer that came in time would be read so much later
      */
     void askQuickly(BackendServer engine, Consumer<RouterEvent> router, long lagMillis, long now) {
-        asked.values().removeIf(at -> now - at > QUICK_PAUSE_MILLIS);
+        nextQuickMillis.values().removeIf(next -> now >= next);
         long timeout = QUICK_TIMEOUT_MILLIS + LAG_FACTOR * lagMillis;
-        if (asked.putIfAbsent(engine.id(), now) == null) {
+        if (nextQuickMillis.putIfAbsent(engine.id(), now + QUICK_PAUSE_MILLIS) == null) {
             TwoQuestions both = new TwoQuestions(report -> router.accept(new RouterEvent.Reported(engine, report)));
             submit(() -> both.ended(control.report(engine, timeout)));
             submit(() -> {
@@ -72,6 +78,11 @@
         }
     }
 
+    /** Notes that an engine has answered: streams that stay silent wait for another one. Called by the router's duty only. */
+    void answered(BackendServerId engine, long now) {
+        nextQuickMillis.put(engine, now + ANSWERED_PAUSE_MILLIS);
+    }
+
     /** Asks an engine for its report; false if too many calls wait. */
     boolean ask(BackendServer engine, Consumer<RouterEvent> router) {
         return submit(() -> router.accept(new RouterEvent.Reported(engine, control.report(engine))));
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Repeats.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Repeats.java
@@ -80,12 +80,16 @@
         return (long) Math.floor(account(service).left(even(), nowMillis));
     }
 
-    /** Asks the peers for what the requests lack that wait for a repeat now; services that lack none ask for none. */
+    /**
+     * Asks the peers for what the requests lack that wait for a repeat now, and for some more where few are left. Loans come
+     * a tenth of a second or two after they are asked for, and a stream that has lost its engine is late by then.
+     */
     void ask(Map<ServiceName, Integer> lacking, long nowMillis) {
         int asked = Math.max(1, Math.min(peers, PeerTurns.MOST_A_ROUND));
         lacking.keySet().forEach(this::account);
         accounts.forEach((service, account) -> {
-            int each = (lacking.getOrDefault(service, 0) + asked - 1) / asked;
+            int wanted = lacking.getOrDefault(service, 0) + account.shortage(even(), nowMillis);
+            int each = (wanted + asked - 1) / asked;
             account.ask(Math.min(MOST_ASKED, each), nowMillis);
         });
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
@@ -147,6 +147,7 @@
             unreported(engine, report.getLeft(), now);
             return;
         }
+        desk.answered(engine.id(), now);
         double before = beliefs.loads().pace(engine.id());
         double pace = report.get().pace();
         beliefs.loads().setPace(engine.id(), pace, now);
