--- a/core/src/main/java/org/cornelramp/core/fleet/UnansweredQuestions.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/UnansweredQuestions.java
@@ -34,7 +34,7 @@
      * Notes that a server did not answer; true if the fault is more likely here than there. A server that is asked again
      * within the span and does not answer is believed to be dead.
      *
-     * @param late whether this process was late of late
+     * @param late whether this process ran late just now
      */
     public boolean isOwnFault(BackendServerId id, boolean late, long nowMillis) {
         silent.values().removeIf(at -> nowMillis - at > SPAN_MILLIS);
--- a/core/src/main/java/org/cornelramp/core/path/SilentEngines.java
+++ b/core/src/main/java/org/cornelramp/core/path/SilentEngines.java
@@ -108,7 +108,7 @@
     /**
      * The engines that may be dead.
      *
-     * @param late whether this process was late of late; its streams then all look silent together, so only the silence of
+     * @param late whether this process ran late just now; its streams then all look silent together, so only the silence of
      *     single streams counts
      */
     public static Set<BackendServerId> find(Collection<Stream> streams, boolean late, long nowMillis) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
@@ -51,7 +51,7 @@
         return plain;
     }
 
-    /** How late this process's own duty was of late, in milliseconds. */
+    /** How late this process's own duty ran just now, in milliseconds. */
     public long lagMillis() {
         return lagMillis;
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
@@ -62,7 +62,7 @@
      * avoided for seconds; the second question goes out while the first still waits, so that it costs a part of the time
      * only. Asked at most once in a while; called by the router's duty only.
      *
-     * @param lagMillis how late this process itself was of late; an answer that came in time would be read so much later
+     * @param lagMillis how late this process itself ran just now; an answer that came in time would be read so much later
      */
     void askQuickly(BackendServer engine, Consumer<RouterEvent> router, long lagMillis, long now) {
         nextQuickMillis.values().removeIf(next -> now >= next);
