Pass a server's failed answer on at once where no repeat is left

Cause: what has failed waits up to 400 ms for a repeat, and so did a request that had a whole, signed 500 in hand. Its client was told 502 half a second later instead of what the server had said.

Change: what is answered is sent again only if a repeat and a server are there now. A begun stream still waits.

Test: LentRepeatTest. Its fixture counted the peer's news of earlier tests; it starts anew for each.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/Resender.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Resender.java
@@ -51,16 +51,21 @@
 
     /** Sends a request again that may be repeated, or lets it wait; false if it is to be ended. */
     boolean tryAgain(Flight flight, Attempt failed, AttemptEnd end, long now) {
-        if (!hasAttemptsLeft(flight, failed)) {
-            flightLog.notRepeated(flight, "all attempts are made");
-            return false;
-        }
-        if (now >= flight.exchange().call().deadlineMillis()) {
+        return tryNow(flight, failed, end, now) || (hasTime(flight, failed, now) && await(flight, now));
+    }
+
+    /**
+     * Sends a request again that may be repeated, if a repeat and a server are there; false if not. One that has an answer,
+     * though a failed one, does not wait: the answer is passed on instead.
+     */
+    boolean tryNow(Flight flight, Attempt failed, AttemptEnd end, long now) {
+        if (!hasTime(flight, failed, now)) {
+            flightLog.notRepeated(flight, "all attempts are made, or its time is over");
             return false;
         }
         avoid(flight, failed, end);
         flight.setOwesRepeat(end.kind() != AttemptEnd.Kind.NOT_SENT);
-        return trySend(flight, now) || await(flight, now);
+        return trySend(flight, now);
     }
 
     /** Lets a begun stream wait that finds no path. */
@@ -98,10 +103,11 @@
         waiting.remove(flight);
     }
 
-    private static boolean hasAttemptsLeft(Flight flight, Attempt failed) {
+    private static boolean hasTime(Flight flight, Attempt failed, long now) {
         boolean engines = failed.path().isPresent();
         boolean left = engines || flight.mayHaveRun() < flight.route().maxAttempts();
-        return left && flight.attemptsThatCount() < MOST_SENT;
+        boolean inTime = now < flight.exchange().call().deadlineMillis();
+        return left && inTime && flight.attemptsThatCount() < MOST_SENT;
     }
 
     private void avoid(Flight flight, Attempt failed, AttemptEnd end) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -242,8 +242,11 @@
 
     private void answered(Flight flight, Attempt attempt, AttemptEnd end, long now) {
         // The client of a begun stream can be given no other status, so whatever a repeat is answered with, it goes on.
-        boolean failed = end.status() >= SERVER_ERROR || flight.exchange().isCommitted();
-        if (failed && flight.route().mayRepeat() && resender.tryAgain(flight, attempt, end, now)) {
+        boolean begun = flight.exchange().isCommitted();
+        if (flight.route().mayRepeat() && begun && resender.tryAgain(flight, attempt, end, now)) {
+            return;
+        }
+        if (flight.route().mayRepeat() && end.status() >= SERVER_ERROR && resender.tryNow(flight, attempt, end, now)) {
             return;
         }
         if (flight.exchange().isCommitted()) {
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/LentRepeatTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/LentRepeatTest.java
@@ -43,9 +43,11 @@
         socket = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         socket.setSoTimeout(20);
         running = true;
+        told.set(0);
+        asked = Optional.empty();
         peer = new Thread(this::talk, PEER);
         peer.start();
-        GatewayFixture.await(() -> told.get() > 0, "the gateway tells the peer");
+        GatewayFixture.await(() -> told.get() > 1, "the gateway has heard the peer and tells it");
     }
 
     @AfterMethod(alwaysRun = true)
@@ -129,4 +131,19 @@
         assertTrue(asked.isPresent(), "it asked its peer");
         assertEquals(fixture.received("alone"), 1, "no repeat");
     }
+
+    /**
+     * A server answers a safe request with a signed 500, and no repeat is left for another try. The client gets that answer
+     * at once. Held for a repeat that nobody lends, it would be told 502 half a second later instead of what the server said.
+     */
+    @Test
+    public void aFailedAnswerIsPassedOnWhereNoRepeatIsLeft() throws Exception {
+        lends = false;
+        fixture.firstApp.setBehaviour(Behaviour.ordinary().withStatus(500));
+        fixture.secondApp.setBehaviour(Behaviour.ordinary().withStatus(500));
+        HttpResponse<String> answer = fixture.client().send("/look/a", "failed", "failed");
+        assertEquals(answer.statusCode(), 500, fixture.log());
+        assertTrue(answer.body().startsWith("answer of a"), answer.body());
+        assertEquals(fixture.received("failed"), 1, "no repeat");
+    }
 }
