Blame no engine for a stream that the gateway cancelled before it was sent

Cause: an attempt that ends before it is sent means that its server takes no connection, and the server is held to be dead. But the gateway itself cancels attempts when another engine of their path is found dead; one that still waits for its connection then ends unsent, and its living first engine was held to be dead for two seconds, lost all streams of that gateway, and was asked by all peers.

Change: a cancelled attempt blames nobody.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
@@ -99,7 +99,8 @@
             if (!stalled && named.get().layers().isPresent()) {
                 desk.askQuickly(named.get(), router, beliefs.lagMillis(), now);
             }
-        } else if (end.kind() == AttemptEnd.Kind.NOT_SENT) {
+        } else if (end.kind() == AttemptEnd.Kind.NOT_SENT && !attempt.isCancelled()) {
+            // One that this gateway cancelled before it was sent says nothing of its first engine.
             suspect(attempt.server(), Evidence.LOST, end.detail(), now);
         } else if (isOwnFailure(attempt, end)) {
             // A crash resets the connections that are open before it refuses new ones.
