--- a/core/src/main/java/org/cornelramp/core/settings/GatewaySettings.java
+++ b/core/src/main/java/org/cornelramp/core/settings/GatewaySettings.java
@@ -30,7 +30,7 @@
      * Times that the platform agreed on, in milliseconds. Immutable, safe for use by any thread.
      *
      * @param heartbeatMillis interval of the backend servers' registrations
-     * @param drainMillis time after which a leaving backend server gets nothing new
+     * @param drainMillis time for which a leaving backend server serves on; read and checked, but nothing decides by it
      * @param graceMillis time from the stop signal until the process is killed
      * @param stallMillis time that work waits for a dead engine until it is cut off
      */
--- a/core/src/test/java/org/cornelramp/core/placement/DeathsInABusyFleetTest.java
+++ b/core/src/test/java/org/cornelramp/core/placement/DeathsInABusyFleetTest.java
@@ -5,15 +5,12 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import org.cornelramp.core.fleet.BackendServer;
-import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.EngineLoads;
 import org.cornelramp.core.path.Engines;
 import org.cornelramp.core.path.PathFinder;
@@ -44,20 +41,13 @@
         add(engines, "sur", 1, 2, 17, 6);
         add(engines, "villa", 0, 3, 9, 13);
         add(engines, "oriente", 1, 1, 11, 13);
-        Map<BackendServerId, Placement> orders = new HashMap<>();
-        Planner.plan(SPEC, engines, Set.of(), Set.of())
-                .forEach(order -> orders.put(order.server().id(), order));
-        engines.replaceAll(engine ->
-                engine.withLayers(Optional.ofNullable(orders.get(engine.id())).map(Placement::layers)));
-        return engines;
+        return PlannerTest.apply(engines, Planner.plan(SPEC, engines, Set.of(), Set.of()));
     }
 
     private static void add(List<BackendServer> engines, String dataCentre, int... counts) {
         String[] cards = {"h100", "a100s", "l4", "t4"};
         for (int card = 0; card < cards.length; card++) {
-            for (int i = 0; i < counts[card]; i++) {
-                engines.add(Engines.engine(dataCentre + cards[card] + i, dataCentre, cards[card], 0, 0));
-            }
+            PlannerTest.add(engines, dataCentre, cards[card], counts[card]);
         }
     }
 
--- a/core/src/test/java/org/cornelramp/core/placement/PlannerTest.java
+++ b/core/src/test/java/org/cornelramp/core/placement/PlannerTest.java
@@ -38,13 +38,13 @@
         return engines;
     }
 
-    private static void add(List<BackendServer> engines, String dataCentre, String card, int count) {
+    static void add(List<BackendServer> engines, String dataCentre, String card, int count) {
         for (int i = 0; i < count; i++) {
             engines.add(Engines.engine(dataCentre + "-" + card + "-" + i, dataCentre, card, 0, 0));
         }
     }
 
-    private static List<BackendServer> apply(List<BackendServer> engines, List<Placement> orders) {
+    static List<BackendServer> apply(List<BackendServer> engines, List<Placement> orders) {
         Map<BackendServerId, Placement> byId = new HashMap<>();
         orders.forEach(order -> byId.put(order.server().id(), order));
         return engines.stream()
--- a/daemon/src/test/java/org/cornelramp/daemon/agent/CutNeighbourLinkTest.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/agent/CutNeighbourLinkTest.java
@@ -14,7 +14,6 @@
  * stage is given up, no layer runs twice, and the epoch stays the same.
  */
 public class CutNeighbourLinkTest {
-    private static final long PATIENCE_NANOS = 20_000_000_000L;
     private static final long[] PROMPT = {5, 6, 7, 8};
     private static final int TOKENS = 6_000;
 
@@ -30,10 +29,13 @@
             for (int cut = 1; cut <= 3; cut++) {
                 pipeline.collect(cut * 50);
                 relay.cut();
-                awaitConnection(relay, cut + 1);
+                // The stages run ahead of what is collected: without a new connection the next cut would cut nothing.
+                int wanted = cut + 1;
+                TestEntry.await(() -> relay.accepted() >= wanted);
             }
             pipeline.collect(400);
 
+            assertTrue(relay.accepted() >= 4);
             assertEquals(pipeline.epoch(), 1);
             assertEquals(
                     pipeline.tokens().subList(0, 400),
@@ -45,16 +47,4 @@
             }
         }
     }
-
-    /**
-     * Waits until the first stage's agent has connected again. The stages run ahead of what the test has collected, so the
-     * next cut could come before there is a connection to cut.
-     */
-    private static void awaitConnection(Relay relay, int count) throws InterruptedException {
-        long until = System.nanoTime() + PATIENCE_NANOS;
-        while (relay.accepted() < count) {
-            assertTrue(System.nanoTime() < until, "connections " + relay.accepted() + " wanted " + count);
-            Thread.sleep(1);
-        }
-    }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
@@ -17,6 +17,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.settings.HostPort;
@@ -155,27 +156,34 @@
             return;
         }
         PeerNews news = own.get().withHeard(introduced()).withReading(share.own(leads.getAsBoolean(), clock.millis()));
-        byte[] whole = PeerNewsCodec.write(news);
-        byte[] brief = PeerNewsCodec.write(news.withoutLoads());
         Set<InetSocketAddress> told = new LinkedHashSet<>(
                 turns.take(all, isUrgent(news), news.reading().isPresent()));
         told.addAll(askers.take());
         boolean few = all.size() <= PeerTurns.MOST_A_ROUND;
         places.retain(all);
-        for (InetSocketAddress peer : told) {
-            boolean hearsLoads = places.hearsLoads(peer) || few;
-            send(socket, hearsLoads && whole.length <= MAX_BYTES ? whole : brief, peer);
-        }
+        Map<Boolean, List<InetSocketAddress>> byLoads =
+                told.stream().collect(Collectors.partitioningBy(peer -> places.hearsLoads(peer) || few));
+        send(socket, news, byLoads.get(true));
+        send(socket, news.withoutLoads(), byLoads.get(false));
     }
 
-    private void send(DatagramSocket socket, byte[] bytes, InetSocketAddress peer) {
-        try {
-            socket.send(new DatagramPacket(bytes, bytes.length, peer));
-        } catch (IOException e) {
-            log.ordinary("peers", "not told")
-                    .with("peer", peer)
-                    .with("fault", e)
-                    .write();
+    private void send(DatagramSocket socket, PeerNews news, List<InetSocketAddress> to) {
+        if (to.isEmpty()) {
+            return;
+        }
+        byte[] bytes = PeerNewsCodec.write(news);
+        if (bytes.length > MAX_BYTES) {
+            bytes = PeerNewsCodec.write(news.withoutLoads());
+        }
+        for (InetSocketAddress peer : to) {
+            try {
+                socket.send(new DatagramPacket(bytes, bytes.length, peer));
+            } catch (IOException e) {
+                log.ordinary("peers", "not told")
+                        .with("peer", peer)
+                        .with("fault", e)
+                        .write();
+            }
         }
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
@@ -98,6 +98,13 @@
         return usable;
     }
 
+    /** The same without some servers that a request avoids. */
+    public List<BackendServer> usable(ServiceName service, Set<BackendServerId> avoid, long nowMillis) {
+        return usable(service, nowMillis).stream()
+                .filter(server -> !avoid.contains(server.id()))
+                .toList();
+    }
+
     /** Notes whether the store answers. */
     public void storeAnswers(boolean answers, long nowMillis) {
         connected = answers;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -109,9 +109,7 @@
         int prompt = flight.exchange().call().head().promptTokens();
         PathFinder.Demand demand =
                 new PathFinder.Demand(settings.dataCentre(), prompt, flight.tokens(), allowedFirsts(flight));
-        List<BackendServer> usable = beliefs.usable(flight.service(), now).stream()
-                .filter(server -> !flight.avoid().contains(server.id()))
-                .toList();
+        List<BackendServer> usable = beliefs.usable(flight.service(), flight.avoid(), now);
         return PathFinder.find(spec, usable, beliefs.loads(), demand);
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Resender.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Resender.java
@@ -51,7 +51,7 @@
 
     /** Sends a request again that may be repeated, or lets it wait; false if it is to be ended. */
     boolean tryAgain(Flight flight, Attempt failed, AttemptEnd end, long now) {
-        return tryNow(flight, failed, end, now) || (hasTime(flight, failed, now) && await(flight, now));
+        return mayGoOn(flight, failed, end, now) && (trySend(flight, now) || await(flight, now));
     }
 
     /**
@@ -59,13 +59,18 @@
      * though a failed one, does not wait: the answer is passed on instead.
      */
     boolean tryNow(Flight flight, Attempt failed, AttemptEnd end, long now) {
+        return mayGoOn(flight, failed, end, now) && trySend(flight, now);
+    }
+
+    /** Whether another attempt may be made; notes what it is to avoid and whether it takes a repeat. */
+    private boolean mayGoOn(Flight flight, Attempt failed, AttemptEnd end, long now) {
         if (!hasTime(flight, failed, now)) {
             flightLog.notRepeated(flight, "all attempts are made, or its time is over");
             return false;
         }
         avoid(flight, failed, end);
         flight.setOwesRepeat(end.kind() != AttemptEnd.Kind.NOT_SENT);
-        return trySend(flight, now);
+        return true;
     }
 
     /** Lets a begun stream wait that finds no path. */
@@ -76,15 +81,14 @@
 
     /** Sends requests that wait, the most urgent first, and asks the peers for the repeats that are still lacking. */
     void resume(long now) {
+        Map<ServiceName, Integer> lacking = new HashMap<>();
         for (Flight flight : waiting.inOrder()) {
             if (trySend(flight, now)) {
                 waiting.remove(flight);
+            } else if (flight.owesRepeat()) {
+                lacking.merge(flight.service(), 1, Integer::sum);
             }
         }
-        Map<ServiceName, Integer> lacking = new HashMap<>();
-        waiting.inOrder().stream()
-                .filter(Flight::owesRepeat)
-                .forEach(flight -> lacking.merge(flight.service(), 1, Integer::sum));
         repeats.ask(lacking, now);
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -243,13 +243,11 @@
     private void answered(Flight flight, Attempt attempt, AttemptEnd end, long now) {
         // The client of a begun stream can be given no other status, so whatever a repeat is answered with, it goes on.
         boolean begun = flight.exchange().isCommitted();
-        if (flight.route().mayRepeat() && begun && resender.tryAgain(flight, attempt, end, now)) {
+        boolean failed = begun || end.status() >= SERVER_ERROR;
+        if (failed && flight.route().mayRepeat() && sendsAgain(flight, attempt, end, now)) {
             return;
         }
-        if (flight.route().mayRepeat() && end.status() >= SERVER_ERROR && resender.tryNow(flight, attempt, end, now)) {
-            return;
-        }
-        if (flight.exchange().isCommitted()) {
+        if (begun) {
             breakOff(flight, "a repeat was answered with status " + end.status(), now);
             return;
         }
@@ -257,6 +255,13 @@
         finish(flight, "answered", end.status(), now);
     }
 
+    /** Sends an answered request again; one that has not begun does not wait for it, as its answer can be passed on. */
+    private boolean sendsAgain(Flight flight, Attempt attempt, AttemptEnd end, long now) {
+        return flight.exchange().isCommitted()
+                ? resender.tryAgain(flight, attempt, end, now)
+                : resender.tryNow(flight, attempt, end, now);
+    }
+
     private void failed(Flight flight, Attempt attempt, AttemptEnd end, long now) {
         judge.blame(attempt, end, now);
         flightLog.attemptFailed(flight, attempt, end, now);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
@@ -156,7 +156,6 @@
      * stream stays there unless it can be started anew at once: that pauses it for the time of reading its prompt, and
      * waiting for the engine's exit for twice as long. Cut without a repeat, the stream is lost to its client: on days of
      * planned leaves alone, gateways cut up to 32 streams so, 4 of which found no repeat.
-     *
      */
     void notMoved(Flight flight, Attempt attempt, MoveFault refusal, long now) {
         if (refusal.fault().kind() == StoreFault.Kind.NO_ANSWER) {
@@ -220,9 +219,7 @@
      */
     private Optional<StagePath> around(Flight flight, StagePath old, Optional<RoutingConfig> config, long now) {
         Hop first = old.hops().get(0);
-        List<BackendServer> usable = beliefs.usable(flight.service(), now).stream()
-                .filter(server -> !flight.avoid().contains(server.id()))
-                .toList();
+        List<BackendServer> usable = beliefs.usable(flight.service(), flight.avoid(), now);
         int prompt = flight.exchange().call().head().promptTokens();
         PathFinder.Demand demand =
                 new PathFinder.Demand(first.server().dataCentre(), prompt, flight.tokens(), Set.of());
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/LentRepeatTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/LentRepeatTest.java
@@ -26,7 +26,6 @@
 
 /** A gateway without a repeat of its own, beside a peer that has some. */
 public class LentRepeatTest {
-    private static final String NO_REPEATS = ",\"retries\":{\"ratio\":0,\"reserve\":0,\"windowSeconds\":2}";
     private static final String PEER = "g2";
 
     private GatewayFixture fixture;
@@ -39,7 +38,7 @@
 
     @BeforeMethod
     public void start() throws Exception {
-        fixture = new GatewayFixture(NO_REPEATS);
+        fixture = new GatewayFixture(GatewayFixture.NO_REPEATS);
         socket = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         socket.setSoTimeout(20);
         running = true;
