Hold what was seen when the store comes back from an older copy

Cause: a restored store gives offsets out again, and no line read the era that its answers tell. The registry ordered records by offset alone, so a server that left after a restore was not seen to leave until the log had grown past its old end, and a removal was ignored; a follower whose offset had been given out again read on past the records below it; a reader's end below the own one said that nothing was new, for good; and a whole reading of the copy made servers that had left or ended ready again, and took those that had registered in the lost seconds for gone. Read off the code and shown with its compiled class before the change.

Change: every page, reading, record of a peer and term names its era. A follower that meets a later one reads all anew; only a whole reading begins an era. The registry then forgets its offsets, keeps what it saw: a life that was leaving goes on leaving, one that was replaced stays so, one that had been removed is used again when it has written since or its registration has outlived three heartbeats and the time of return; what the copy lacks has the time to register again. A term ends with its era, and the lead that a restored store gives out is taken at the next renewal.

Ruled out: ordering by era and offset alone. It mends the order but not the older copy, which is newer by its era.

Conclusion: a configuration in force was never undone; a gateway that starts during such a time still reads the older one.

--- a/core/src/main/java/org/cornelramp/core/fleet/ServerRegistry.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/ServerRegistry.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.cornelramp.core.model.BackendServerId;
 
 /**
@@ -27,9 +25,6 @@
     /** Registrations that ran out during an outage are back within two seconds; half a second for reading them. */
     public static final long RETURN_MILLIS = 2_500;
 
-    /** Most ended lives remembered; requests that still run there end within seconds. */
-    private static final int MOST_REPLACED = 256;
-
     /** By the name that a server keeps over its lives. */
     private final Map<BackendServerId, Entry> entries = new HashMap<>();
 
@@ -37,7 +32,14 @@
     private final Map<BackendServerId, Entry> lives = new HashMap<>();
 
     private final Map<BackendServerId, Long> removed = new HashMap<>();
-    private final Set<BackendServerId> replaced = new LinkedHashSet<>();
+    private final EndedLives ended = new EndedLives();
+
+    /** Registrations of a restored store that are not used before they are confirmed, by name. */
+    private final Map<BackendServerId, Unconfirmed> unconfirmed = new HashMap<>();
+
+    /** Offsets below it may be of the copy from which the store was restored. */
+    private long inheritedEnd;
+
     private boolean connected = true;
     private long connectedAt = Long.MIN_VALUE / 2;
 
@@ -46,8 +48,17 @@
         private long offset;
         private long removeAtMillis = Long.MAX_VALUE;
         private long leavingSinceMillis = Long.MAX_VALUE;
+        /** Whether the store was restored since the life began to leave. */
+        private boolean leavesForGood;
+
+        private void forgetOffset() {
+            offset = -1;
+            leavesForGood |= leavingSinceMillis != Long.MAX_VALUE;
+        }
     }
 
+    private record Unconfirmed(Registration record, long untilMillis) {}
+
     /**
      * One record of the registrations. Immutable, safe for use by any thread.
      *
@@ -61,19 +72,39 @@
     public boolean apply(Registration record, long nowMillis) {
         Entry known = entries.get(record.name());
         if (record.offset() <= removed.getOrDefault(record.name(), -1L)
-                || (known != null && record.offset() <= known.offset)) {
+                || (known != null && record.offset() <= known.offset)
+                || isUnconfirmed(record)) {
             return false;
         }
         if (record.server().isEmpty()) {
             return remove(record, nowMillis);
         }
-        if (known != null && !known.server.id().equals(record.server().get().id())) {
+        unconfirmed.remove(record.name());
+        if (record.offset() < inheritedEnd
+                && ended.isReplaced(record.server().get().id())) {
+            return false;
+        }
+        return register(record, nowMillis);
+    }
+
+    /** Whether it is a record that waits for its confirmation, read again. */
+    private boolean isUnconfirmed(Registration record) {
+        Unconfirmed waiting = unconfirmed.get(record.name());
+        return waiting != null && record.offset() <= waiting.record().offset();
+    }
+
+    private boolean register(Registration record, long nowMillis) {
+        Entry known = entries.get(record.name());
+        BackendServer server = record.server().orElseThrow();
+        if (known != null && !known.server.id().equals(server.id())) {
             endLife(known);
         }
         Entry entry = entries.computeIfAbsent(record.name(), name -> new Entry());
-        lives.put(record.server().get().id(), entry);
-        boolean changed = !record.server().get().equals(entry.server) || entry.removeAtMillis != Long.MAX_VALUE;
-        entry.server = record.server().get();
+        lives.put(server.id(), entry);
+        ended.returned(server.id());
+        BackendServer now = entry.leavesForGood ? server.withState(ServerState.DRAINING) : server;
+        boolean changed = !now.equals(entry.server) || entry.removeAtMillis != Long.MAX_VALUE;
+        entry.server = now;
         entry.offset = record.offset();
         entry.removeAtMillis = Long.MAX_VALUE;
         boolean leaves = !entry.server.state().takesWork();
@@ -83,15 +114,13 @@
 
     private void endLife(Entry old) {
         forget(old);
-        replaced.add(old.server.id());
-        if (replaced.size() > MOST_REPLACED) {
-            replaced.remove(replaced.iterator().next());
-        }
+        ended.replaced(old.server.id());
     }
 
     private void forget(Entry entry) {
         entries.remove(entry.server.name());
         lives.remove(entry.server.id());
+        ended.removed(entry.server.id());
     }
 
     /**
@@ -107,6 +136,7 @@
             newest.put(record.name(), record);
             changed |= apply(record, nowMillis);
         }
+        unconfirmed.keySet().retainAll(newest.keySet());
         for (BackendServerId name : List.copyOf(entries.keySet())) {
             if (!newest.containsKey(name) && entries.get(name).offset < end) {
                 changed |= remove(new Registration(end - 1, name, Optional.empty()), nowMillis);
@@ -115,7 +145,38 @@
         return changed;
     }
 
+    /**
+     * Takes the newest record of every server from a store that was restored from an older copy.
+     *
+     * <p>Offsets go back and are given out again, so none known before means anything. The copy lacks what was written in
+     * the seconds before: servers that have left or ended stand there as ready until they write again, and new ones do not
+     * stand there at all. So a life that was leaving goes on leaving, one that was replaced stays so, and one that had been
+     * removed is used again only when it has written since, or its registration has outlived the time in which one that
+     * nobody renews runs out. Those that are missing get the time to register again.
+     *
+     * @param end offset from which records may be missing here
+     * @param confirmMillis time in which a registration that nobody renews runs out
+     */
+    public boolean restore(Collection<Registration> records, long end, long confirmMillis, long nowMillis) {
+        removed.clear();
+        inheritedEnd = records.stream().mapToLong(Registration::offset).reduce(end - 1, Math::max) + 1;
+        connectedAt = nowMillis;
+        entries.values().forEach(Entry::forgetOffset);
+        List<Registration> known = new ArrayList<>();
+        List<Registration> waiting = new ArrayList<>();
+        for (Registration record : records) {
+            boolean wasRemoved = record.server()
+                    .filter(server -> ended.isRemoved(server.id()))
+                    .isPresent();
+            (wasRemoved ? waiting : known).add(record);
+        }
+        boolean changed = replaceAll(known, end, nowMillis);
+        waiting.forEach(record -> unconfirmed.put(record.name(), new Unconfirmed(record, nowMillis + confirmMillis)));
+        return changed;
+    }
+
     private boolean remove(Registration record, long nowMillis) {
+        unconfirmed.remove(record.name());
         removed.put(record.name(), record.offset());
         Entry entry = entries.get(record.name());
         if (entry == null) {
@@ -138,13 +199,27 @@
         connected = answers;
     }
 
-    /** Removes those whose registration did not come back in time; true if there were any. */
+    /**
+     * Removes those whose registration did not come back in time, and takes those that were confirmed; true if there were
+     * any.
+     */
     public boolean expire(long nowMillis) {
+        if (!connected) {
+            return false;
+        }
         List<Entry> due = entries.values().stream()
-                .filter(entry -> entry.removeAtMillis <= nowMillis && connected)
+                .filter(entry -> entry.removeAtMillis <= nowMillis)
                 .toList();
         due.forEach(this::forget);
-        return !due.isEmpty();
+        List<Registration> confirmed = unconfirmed.values().stream()
+                .filter(waiting -> waiting.untilMillis() <= nowMillis)
+                .map(Unconfirmed::record)
+                .toList();
+        for (Registration record : confirmed) {
+            unconfirmed.remove(record.name());
+            register(record, nowMillis);
+        }
+        return !due.isEmpty() || !confirmed.isEmpty();
     }
 
     /** The servers known now. */
@@ -161,7 +236,7 @@
 
     /** Whether the life has ended, as its server has registered in another one; what ran in it is lost. */
     public boolean isReplaced(BackendServerId id) {
-        return replaced.contains(id);
+        return ended.isReplaced(id);
     }
 
     /** Since when the server is known to be leaving; empty while it is not. */
--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -70,7 +70,7 @@
         this.router = new Router(settings, clients, config, clock, log, meters, new EngineDesk(control));
         RecordCache cache = new RecordCache();
         ReadingShare share = new ReadingShare(settings.metrics());
-        BooleanSupplier leads = () -> this.lease().term(clock.millis()) != LeaderLease.NONE;
+        BooleanSupplier leads = () -> !this.lease().term(clock.millis()).equals(LeaderLease.NONE);
         this.peers = new PeerLink(
                 settings.peers(), settings.dataCentre(), router::news, router::peerTold, share, leads, clock, log);
         this.lease = new LeaderLease(settings.name(), settings.peers(), peers::setPeers, store, clock, log, meters);
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/Follower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/Follower.java
@@ -37,6 +37,9 @@
     private long faultPause = FIRST_PAUSE;
     private long next = -1;
 
+    /** Era of the store in which the next offset holds. */
+    private long era;
+
     /**
      * What every follower works with. Immutable.
      *
@@ -110,7 +113,7 @@
      */
     private long step() {
         long now = parts.clock().millis();
-        return switch (parts.share().source(topic, next, parts.leads().getAsBoolean(), now)) {
+        return switch (parts.share().source(topic, era, next, parts.leads().getAsBoolean(), now)) {
             case STORE -> readStore();
             case READER -> readPeer();
             case NOWHERE -> {
@@ -129,32 +132,51 @@
         }
         parts.meters().storeCall(thread.getName(), "ok");
         MetadataStore.Page page = read.get();
+        if (!whole && page.era() != era) {
+            return readAnew(page.era());
+        }
         long now = parts.clock().millis();
         parts.cache().take(topic, page, whole, now);
-        parts.share().read(topic, page.next(), now);
+        parts.share().read(topic, page.era(), page.next(), now);
         storeAnswers(true);
+        taken(page, whole);
+        return pauseMillis();
+    }
+
+    /** The store was restored: records at offsets that were read before have given place to others. */
+    private long readAnew(long newEra) {
+        line("store restored").with("era", newEra).with("offset", next).write();
+        next = -1;
+        return 0;
+    }
+
+    private void taken(MetadataStore.Page page, boolean whole) {
         if (take(page, whole)) {
             next = page.next();
+            era = page.era();
         }
-        return pauseMillis();
     }
 
     private long readPeer() {
         Optional<RecordCache.Part> part =
-                parts.share().reader().flatMap(reader -> parts.peers().ask(reader, topic, next));
-        if (part.isEmpty()) {
-            return readStore(); // its news come through, but it does not answer
+                parts.share().reader().flatMap(reader -> parts.peers().ask(reader, topic, era, next));
+        if (part.isEmpty() || !follows(part.get())) {
+            return readStore(); // its news come through, but it does not answer, or was not told of the restore
         }
         parts.meters().storeCall(thread.getName(), "peer");
         MetadataStore.Page page = part.get().page();
         parts.cache().take(topic, page, part.get().whole(), parts.clock().millis());
         storeAnswers(true);
-        if (take(page, part.get().whole())) {
-            next = page.next();
-        }
+        taken(page, part.get().whole());
         return pauseMillis();
     }
 
+    /** Whether records of a peer go on from what is known here: only a whole reading leads into a later era. */
+    private boolean follows(RecordCache.Part part) {
+        long theirs = part.page().era();
+        return theirs == era || (theirs > era && part.whole());
+    }
+
     private long fault(StoreFault fault) {
         if (fault.kind() == StoreFault.Kind.GONE) {
             next = -1;
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecords.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecords.java
@@ -42,7 +42,7 @@
         List<HostPort> some = new ArrayList<>(peers.get());
         Collections.shuffle(some);
         for (HostPort peer : some.subList(0, Math.min(MOST_PEERS, some.size()))) {
-            Optional<RecordCache.Part> part = ask(new HostPort(peer.host(), port), topic, -1);
+            Optional<RecordCache.Part> part = ask(new HostPort(peer.host(), port), topic, 0, -1);
             if (part.isPresent()) {
                 return part;
             }
@@ -53,12 +53,14 @@
     /**
      * The records of a topic as one peer has read them; empty if it does not give them.
      *
+     * @param era era of the store in which the offset holds
      * @param from offset from which on records are wanted; negative for all keys
      */
-    Optional<RecordCache.Part> ask(HostPort peer, MetadataStore.Topic topic, long from) {
+    Optional<RecordCache.Part> ask(HostPort peer, MetadataStore.Topic topic, long era, long from) {
         try {
             ContentResponse answer = http.newRequest(peer.host(), peer.port())
                     .path(PeerRecordsHandler.path(topic))
+                    .param(PeerRecordsHandler.ERA, Long.toString(era))
                     .param(PeerRecordsHandler.FROM, Long.toString(from))
                     .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                     .send();
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecordsHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecordsHandler.java
@@ -16,6 +16,9 @@
     /** Names the offset from which on a peer wants the records. */
     static final String FROM = "from";
 
+    /** Names the era of the store in which that offset holds. */
+    static final String ERA = "era";
+
     private static final String PREFIX = "/records/";
 
     private final RecordCache cache;
@@ -30,11 +33,11 @@
         return PREFIX + topic.name().toLowerCase(Locale.ROOT);
     }
 
-    /** The offset that the peer asks for; everything if it names none that can be read. */
-    private static long from(Request request) {
-        String from = Request.extractQueryParameters(request).getValue(FROM);
+    /** A number that the peer names; negative if it names none that can be read, so that it is given everything. */
+    private static long number(Request request, String name) {
+        String text = Request.extractQueryParameters(request).getValue(name);
         try {
-            return from == null ? -1 : Long.parseLong(from);
+            return text == null ? -1 : Long.parseLong(text);
         } catch (NumberFormatException e) {
             return -1;
         }
@@ -44,7 +47,8 @@
     public boolean handle(Request request, Response response, Callback callback) {
         for (MetadataStore.Topic topic : MetadataStore.Topic.values()) {
             if (path(topic).equals(Request.getPathInContext(request))) {
-                Optional<RecordCache.Part> part = cache.fresh(topic, from(request), clock.millis());
+                Optional<RecordCache.Part> part =
+                        cache.fresh(topic, number(request, ERA), number(request, FROM), clock.millis());
                 response.setStatus(part.isPresent() ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
                 byte[] body = part.map(RecordsCodec::write).orElse(new byte[0]);
                 response.write(true, ByteBuffer.wrap(body), callback);
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ReadingShare.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ReadingShare.java
@@ -23,8 +23,7 @@
     static final long FRESH_MILLIS = Follower.LONG_POLL_MILLIS + 400;
 
     private final HostPort records;
-    private final Map<Topic, Long> ends = new EnumMap<>(Topic.class);
-    private final Map<Topic, Long> readMillis = new EnumMap<>(Topic.class);
+    private final Map<Topic, Read> reads = new EnumMap<>(Topic.class);
     private Optional<Reading> heard = Optional.empty();
     private long heardMillis;
 
@@ -34,13 +33,17 @@
      * @param records where it gives its records to its peers
      * @param configEnd offset behind the newest record of the operators' topic
      * @param serversEnd offset behind the newest record of the registrations
+     * @param era era of the store in which the offsets hold
      */
-    public record Reading(HostPort records, long configEnd, long serversEnd) {
+    public record Reading(HostPort records, long configEnd, long serversEnd, long era) {
         long end(Topic topic) {
             return topic == Topic.OPERATORS ? configEnd : serversEnd;
         }
     }
 
+    /** How far a topic has been read, in which era of the store, and when. */
+    private record Read(long era, long end, long millis) {}
+
     /** Where a topic is to be read now. */
     enum Source {
         /** The store itself. */
@@ -57,25 +60,28 @@
     }
 
     /** Notes that the store has answered, and how far the topic has been read. */
-    synchronized void read(Topic topic, long end, long nowMillis) {
-        ends.put(topic, end);
-        readMillis.put(topic, nowMillis);
+    synchronized void read(Topic topic, long era, long end, long nowMillis) {
+        reads.put(topic, new Read(era, end, nowMillis));
     }
 
     /** Notes that the store has not answered: what was read before is told no more. */
     synchronized void notRead(Topic topic) {
-        readMillis.remove(topic);
+        reads.remove(topic);
     }
 
     /** What to tell the peers; empty unless this gateway leads and the store has just answered. */
     public synchronized Optional<Reading> own(boolean leads, long nowMillis) {
         for (Topic topic : Topic.values()) {
-            Long at = readMillis.get(topic);
-            if (!leads || at == null || nowMillis - at > FRESH_MILLIS) {
+            Read read = reads.get(topic);
+            if (!leads || read == null || nowMillis - read.millis() > FRESH_MILLIS) {
                 return Optional.empty();
             }
         }
-        return Optional.of(new Reading(records, ends.get(Topic.OPERATORS), ends.get(Topic.SERVERS)));
+        Read config = reads.get(Topic.OPERATORS);
+        Read servers = reads.get(Topic.SERVERS);
+        return config.era() == servers.era()
+                ? Optional.of(new Reading(records, config.end(), servers.end(), servers.era()))
+                : Optional.empty(); // one of the two has yet to be read anew
     }
 
     /** Takes what a peer tells. */
@@ -84,13 +90,21 @@
         heardMillis = nowMillis;
     }
 
-    /** Where to read the topic from an offset on; negative for all of it. */
-    synchronized Source source(Topic topic, long next, boolean leads, long nowMillis) {
+    /**
+     * Where to read the topic from an offset on; negative for all of it.
+     *
+     * <p>A reading of another era says nothing about the offset: the store's offsets went back when it was restored, so a
+     * reader whose end lies below may well have something new.
+     *
+     * @param era era of the store in which the offset holds
+     */
+    synchronized Source source(Topic topic, long era, long next, boolean leads, long nowMillis) {
         boolean fresh = heard.isPresent() && nowMillis - heardMillis <= HEARD_MILLIS;
-        if (leads || !fresh) {
+        if (leads || !fresh || heard.get().era() < era) {
             return Source.STORE;
         }
-        return heard.get().end(topic) > next ? Source.READER : Source.NOWHERE;
+        boolean newer = heard.get().era() > era || heard.get().end(topic) > next;
+        return newer ? Source.READER : Source.NOWHERE;
     }
 
     /** Who has told the last reading. */
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/RecordCache.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/RecordCache.java
@@ -33,15 +33,20 @@
 
     private static final class Records {
         private final Map<String, MetadataStore.KeyedRecord> byKey = new HashMap<>();
+        private long era;
         private long next;
         private long readMillis;
         /** From here on every removal is known. */
         private long removalsFrom;
     }
 
-    /** Takes records as read; {@code whole} if no other keys exist. */
+    /** Takes records as read; {@code whole} if no other keys exist. Those of an earlier era of the store are ignored. */
     synchronized void take(MetadataStore.Topic topic, MetadataStore.Page page, boolean whole, long nowMillis) {
         Records records = topics.computeIfAbsent(topic, any -> new Records());
+        if (page.era() < records.era || (page.era() > records.era && !whole)) {
+            return;
+        }
+        records.era = page.era();
         if (whole) {
             records.byKey.clear();
             records.removalsFrom = page.next();
@@ -67,17 +72,18 @@
      * What came at an offset or later, or everything where that is not known; empty if the store has not answered
      * lately.
      *
+     * @param era era of the store in which the offset holds
      * @param from the offset; negative for everything
      */
-    synchronized Optional<Part> fresh(MetadataStore.Topic topic, long from, long nowMillis) {
+    synchronized Optional<Part> fresh(MetadataStore.Topic topic, long era, long from, long nowMillis) {
         Records records = topics.get(topic);
         if (records == null || nowMillis - records.readMillis > FRESH_MILLIS) {
             return Optional.empty();
         }
-        boolean whole = from < records.removalsFrom;
+        boolean whole = era != records.era || from < records.removalsFrom;
         List<MetadataStore.KeyedRecord> some = records.byKey.values().stream()
                 .filter(record -> whole ? record.value().isPresent() : record.offset() >= from)
                 .toList();
-        return Optional.of(new Part(new MetadataStore.Page(some, records.next), whole));
+        return Optional.of(new Part(new MetadataStore.Page(some, records.next, records.era), whole));
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/RecordsCodec.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/RecordsCodec.java
@@ -19,6 +19,7 @@
         try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
             out.packBoolean(part.whole());
             out.packLong(page.next());
+            out.packLong(page.era());
             out.packArrayHeader(page.records().size());
             for (MetadataStore.KeyedRecord record : page.records()) {
                 byte[] value = record.value().orElse(new byte[0]);
@@ -38,6 +39,7 @@
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
             boolean whole = in.unpackBoolean();
             long next = in.unpackLong();
+            long era = in.unpackLong();
             List<MetadataStore.KeyedRecord> records = new ArrayList<>();
             for (int left = in.unpackArrayHeader(); left > 0; left--) {
                 long offset = in.unpackLong();
@@ -46,7 +48,7 @@
                 records.add(new MetadataStore.KeyedRecord(
                         offset, key, value.length == 0 ? Optional.empty() : Optional.of(value)));
             }
-            return Either.right(new RecordCache.Part(new MetadataStore.Page(records, next), whole));
+            return Either.right(new RecordCache.Part(new MetadataStore.Page(records, next, era), whole));
         } catch (IOException | RuntimeException e) {
             return Either.left(e.toString());
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ServerFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ServerFollower.java
@@ -33,7 +33,7 @@
     /** Only what the router's ring took counts as read. */
     @Override
     boolean take(MetadataStore.Page page, boolean whole) {
-        return router.offer(new RouterEvent.Registered(decode(page), whole, page.next()));
+        return router.offer(new RouterEvent.Registered(decode(page), whole, page.next(), page.era()));
     }
 
     @Override
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNewsCodec.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNewsCodec.java
@@ -22,7 +22,7 @@
 
 /** The MessagePack form of news between gateways. Stateless, safe for use by any thread. */
 final class PeerNewsCodec {
-    private static final int FORMAT = 4;
+    private static final int FORMAT = 5;
 
     private PeerNewsCodec() {}
 
@@ -59,6 +59,7 @@
                 out.packString(reading.records().toString());
                 out.packLong(reading.configEnd());
                 out.packLong(reading.serversEnd());
+                out.packLong(reading.era());
             }
             return out.toByteArray();
         } catch (IOException e) {
@@ -156,7 +157,7 @@
             }
             Optional<ReadingShare.Reading> reading = in.unpackBoolean()
                     ? Optional.of(new ReadingShare.Reading(
-                            HostPort.parse(in.unpackString()), in.unpackLong(), in.unpackLong()))
+                            HostPort.parse(in.unpackString()), in.unpackLong(), in.unpackLong(), in.unpackLong()))
                     : Optional.empty();
             return Either.right(
                     new PeerNews(sender, number, leaving, loads, crossings, paces, suspects, repeats, heard, reading));
--- a/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
@@ -24,7 +24,10 @@
  */
 public final class LeaderLease {
     /** The term of a process that does not lead. */
-    public static final long NONE = -1;
+    public static final Term NONE = new Term(-1, -1);
+
+    /** Before the store has answered for the first time. */
+    private static final long NO_ERA = -1;
 
     private static final String GROUP = "placement";
     private static final char MEMBER_SEPARATOR = '~';
@@ -52,13 +55,21 @@
     private final Meters meters;
     private final Thread thread = new Thread(this::run, "lease");
     private volatile boolean running = true;
-    private volatile State state = new State(NONE, 0);
+    private volatile State state = new State(NONE, 0, NO_ERA);
     private long generation;
     private long joinDue;
     private long membersDue;
     private int peersKnown;
 
-    private record State(long term, long untilMillis) {}
+    /**
+     * A time of leading without a break. Immutable, safe for use by any thread.
+     *
+     * @param era era of the store in which it was given
+     * @param generation number of the group's membership by which it was given
+     */
+    public record Term(long era, long generation) {}
+
+    private record State(Term term, long untilMillis, long era) {}
 
     /**
      * @param name name of this process
@@ -93,10 +104,15 @@
         thread.interrupt();
     }
 
-    /** The term in which this process leads; {@link #NONE} if it does not. */
-    public long term(long nowMillis) {
+    /**
+     * The term in which this process leads; {@link #NONE} if it does not.
+     *
+     * <p>A term ends with the era of the store in which it was given: a restored store knows members and generations of
+     * before and may have given the lead to another process, and the same number out again.
+     */
+    public Term term(long nowMillis) {
         State now = state;
-        return nowMillis < now.untilMillis() ? now.term() : NONE;
+        return nowMillis < now.untilMillis() && now.era() == store.era() ? now.term() : NONE;
     }
 
     private void run() {
@@ -128,13 +144,19 @@
             return;
         }
         State old = state;
-        boolean leading = joined.get().holdsFirst();
-        generation = joined.get().generation();
-        boolean goesOn = leading && old.term() != NONE;
-        state = new State(!leading ? NONE : goesOn ? old.term() : generation, now + TTL_MILLIS);
-        if (leading != (old.term() != NONE)) {
+        long era = joined.get().era();
+        boolean restored = old.era() != NO_ERA && era != old.era();
+        // The lead that a restored store gives out may still be another process's until that one has heard of the
+        // restore.
+        boolean leading = joined.get().holdsFirst() && !restored;
+        generation = restored ? 0 : joined.get().generation();
+        boolean wasLeading = !old.term().equals(NONE);
+        Term term = wasLeading ? old.term() : new Term(era, generation);
+        state = new State(leading ? term : NONE, now + TTL_MILLIS, era);
+        if (leading != wasLeading) {
             log.line("lease", leading ? "leads" : "follows")
                     .with("term", generation)
+                    .with("era", era)
                     .write();
         }
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/place/PlacementDuty.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/PlacementDuty.java
@@ -66,7 +66,7 @@
     private final Map<BackendServerId, Long> accepted = new HashMap<>();
     private volatile boolean running = true;
     private String toldCoverage = "";
-    private long lastTerm = LeaderLease.NONE;
+    private LeaderLease.Term lastTerm = LeaderLease.NONE;
     private int enginesSeen;
     private long enginesSeenMillis;
 
@@ -115,8 +115,8 @@
     }
 
     private void step(long now) {
-        long term = lease.term(now);
-        if (term != lastTerm) {
+        LeaderLease.Term term = lease.term(now);
+        if (!term.equals(lastTerm)) {
             orders.clear();
             accepted.clear();
             lastTerm = term;
@@ -124,7 +124,7 @@
         FleetView view = fleet.get();
         Optional<RoutingConfig> version = config.current();
         // Without the store no gateway learns of new layers, this one included: moved engines would be moved again.
-        if (term == LeaderLease.NONE || version.isEmpty() || !view.known() || !view.storeAnswers()) {
+        if (term.equals(LeaderLease.NONE) || version.isEmpty() || !view.known() || !view.storeAnswers()) {
             return;
         }
         for (ServiceSpec service : version.get().services()) {
@@ -214,7 +214,8 @@
                         "layers",
                         placement.layers().from() + "-" + placement.layers().to())
                 .with("ordersBefore", before)
-                .with("term", lastTerm)
+                .with("term", lastTerm.generation())
+                .with("era", lastTerm.era())
                 .with("fault", result.fold(StoreFault::toString, any -> ""))
                 .write();
         if (result.isRight()) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
@@ -22,6 +22,10 @@
     /** How long after a late turn it counts as late: the turns of its other threads may come later still. */
     private static final long LATE_FOR_MILLIS = 1_000;
 
+    /** Heartbeats without which a registration runs out. */
+    private static final long HEARTBEATS_MISSED = 3;
+
+    private final long confirmMillis;
     private final ServerRegistry registry = new ServerRegistry();
     private final Suspicions suspicions = new Suspicions();
     private final EngineLoads loads = new EngineLoads();
@@ -30,6 +34,12 @@
     private long lateUntilMillis = Long.MIN_VALUE;
     private boolean known;
     private boolean connected;
+    private long era;
+
+    /** @param heartbeatMillis interval in which the servers renew their registrations */
+    public Beliefs(long heartbeatMillis) {
+        this.confirmMillis = HEARTBEATS_MISSED * heartbeatMillis + ServerRegistry.RETURN_MILLIS;
+    }
 
     /** The registrations. */
     public ServerRegistry registry() {
@@ -73,14 +83,38 @@
         return nowMillis < lateUntilMillis;
     }
 
+    /** Era of the store in which the registrations were read. */
+    public long era() {
+        return era;
+    }
+
     /** Whether the registrations have been read at least once. */
     public boolean isKnown() {
         return known;
     }
 
-    /** Notes that the registrations have been read. */
-    public void setKnown() {
+    /**
+     * Takes registrations as read; true if they change what is known. Those of an era before the one that is known say
+     * nothing any more, and only a whole reading begins a new one.
+     */
+    public boolean registered(RouterEvent.Registered read, long nowMillis) {
+        if (read.era() < era || (read.era() > era && !read.whole())) {
+            return false;
+        }
+        boolean restored = read.era() > era && known;
+        era = read.era();
         known = true;
+        if (restored) {
+            return registry.restore(read.records(), read.end(), confirmMillis, nowMillis);
+        }
+        if (read.whole()) {
+            return registry.replaceAll(read.records(), read.end(), nowMillis);
+        }
+        boolean changed = false;
+        for (ServerRegistry.Registration record : read.records()) {
+            changed |= registry.apply(record, nowMillis);
+        }
+        return changed;
     }
 
     /**
@@ -116,6 +150,13 @@
         return registry.server(id).isEmpty() || registry.leavingSinceMillis(id).isPresent();
     }
 
+    /** How many of the known servers leave. */
+    public long leavingCount() {
+        return registry.servers().stream()
+                .filter(server -> isLeaving(server.id()))
+                .count();
+    }
+
     /** Whether nothing is sent to the server now because it has just failed. */
     public boolean isSuspect(BackendServerId id, long nowMillis) {
         return suspicions.isSuspect(id, nowMillis);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -69,7 +69,7 @@
             EventLog log,
             Meters meters,
             EngineDesk desk) {
-        this.beliefs = new Beliefs();
+        this.beliefs = new Beliefs(settings.timing().heartbeatMillis());
         this.config = config;
         this.clock = clock;
         this.log = log;
@@ -307,19 +307,14 @@
     }
 
     private void registered(RouterEvent.Registered registered, long now) {
-        boolean changed = false;
-        if (registered.whole()) {
-            changed = beliefs.registry().replaceAll(registered.records(), registered.end(), now);
-        } else {
-            for (var record : registered.records()) {
-                changed |= beliefs.registry().apply(record, now);
-            }
-        }
-        beliefs.setKnown();
-        if (changed) {
-            log.line("fleet", "changed")
+        boolean restored = beliefs.isKnown() && registered.era() > beliefs.era();
+        boolean changed = beliefs.registered(registered, now);
+        if (restored || changed) {
+            log.line("fleet", restored ? "restored" : "changed")
                     .with("end", registered.end())
+                    .with("era", registered.era())
                     .with("servers", beliefs.registry().servers().size())
+                    .with("leaving", beliefs.leavingCount())
                     .write();
             beliefs.forgetGone();
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
@@ -22,8 +22,15 @@
     /** An attempt has ended. */
     record Ended(Attempt attempt, AttemptEnd end) implements RouterEvent {}
 
-    /** Registrations have been read; {@code whole} if they are all there are up to {@code end}. */
-    record Registered(List<ServerRegistry.Registration> records, boolean whole, long end) implements RouterEvent {
+    /**
+     * Registrations have been read.
+     *
+     * @param whole whether they are all there are up to the end
+     * @param end offset behind the newest record
+     * @param era era of the store in which the offsets hold
+     */
+    record Registered(List<ServerRegistry.Registration> records, boolean whole, long end, long era)
+            implements RouterEvent {
         public Registered {
             records = List.copyOf(records);
         }
--- a/gateway/src/test/java/org/cornelramp/gateway/follow/ReadingShareTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/follow/ReadingShareTest.java
@@ -14,11 +14,12 @@
     private static final HostPort READER = new HostPort("10.0.0.1", 7_000);
     private static final HostPort OTHER = new HostPort("10.0.0.2", 7_000);
     private static final long NOW = 50_000;
+    private static final long ERA = 2;
 
     private static ReadingShare readBoth(long configEnd, long serversEnd) {
         ReadingShare share = new ReadingShare(READER);
-        share.read(Topic.OPERATORS, configEnd, NOW);
-        share.read(Topic.SERVERS, serversEnd, NOW);
+        share.read(Topic.OPERATORS, ERA, configEnd, NOW);
+        share.read(Topic.SERVERS, ERA, serversEnd, NOW);
         return share;
     }
 
@@ -31,9 +32,9 @@
         Reading told = readBoth(4, 70).own(true, NOW + 100).orElseThrow();
         ReadingShare other = new ReadingShare(OTHER);
         other.heard(told, NOW + 150);
-        assertEquals(other.source(Topic.SERVERS, 69, false, NOW + 200), Source.READER);
-        assertEquals(other.source(Topic.SERVERS, 70, false, NOW + 200), Source.NOWHERE);
-        assertEquals(other.source(Topic.OPERATORS, -1, false, NOW + 200), Source.READER);
+        assertEquals(other.source(Topic.SERVERS, ERA, 69, false, NOW + 200), Source.READER);
+        assertEquals(other.source(Topic.SERVERS, ERA, 70, false, NOW + 200), Source.NOWHERE);
+        assertEquals(other.source(Topic.OPERATORS, ERA, -1, false, NOW + 200), Source.READER);
         assertEquals(other.reader(), Optional.of(READER));
     }
 
@@ -44,10 +45,10 @@
     @Test
     public void whoHearsOfNoReadingReadsByItself() {
         ReadingShare other = new ReadingShare(OTHER);
-        assertEquals(other.source(Topic.OPERATORS, 4, false, NOW), Source.STORE);
-        other.heard(new Reading(READER, 4, 70), NOW);
-        assertEquals(other.source(Topic.OPERATORS, 4, false, NOW + 600), Source.NOWHERE);
-        assertEquals(other.source(Topic.OPERATORS, 4, false, NOW + 601), Source.STORE);
+        assertEquals(other.source(Topic.OPERATORS, ERA, 4, false, NOW), Source.STORE);
+        other.heard(new Reading(READER, 4, 70, ERA), NOW);
+        assertEquals(other.source(Topic.OPERATORS, ERA, 4, false, NOW + 600), Source.NOWHERE);
+        assertEquals(other.source(Topic.OPERATORS, ERA, 4, false, NOW + 601), Source.STORE);
     }
 
     /** The store turns the reader away, or falls silent: it tells nothing more, so the others do not trust old news. */
@@ -63,8 +64,38 @@
     @Test
     public void whoLeadsAlwaysReadsByItself() {
         ReadingShare share = readBoth(4, 70);
-        share.heard(new Reading(OTHER, 9, 99), NOW);
-        assertEquals(share.source(Topic.SERVERS, 70, true, NOW), Source.STORE);
+        share.heard(new Reading(OTHER, 9, 99, ERA), NOW);
+        assertEquals(share.source(Topic.SERVERS, ERA, 70, true, NOW), Source.STORE);
         assertEquals(share.own(false, NOW), Optional.empty());
     }
+
+    /**
+     * Guards against a gateway that waits for good: the store was restored, and the reader's end lies below what this one
+     * had read before.
+     */
+    @Test
+    public void aReadingOfALaterEraIsNewHoweverShort() {
+        ReadingShare other = new ReadingShare(OTHER);
+        other.heard(new Reading(READER, 4, 70, ERA + 1), NOW);
+        assertEquals(other.source(Topic.SERVERS, ERA, 120, false, NOW), Source.READER);
+        assertEquals(other.source(Topic.SERVERS, ERA + 1, 70, false, NOW), Source.NOWHERE);
+    }
+
+    /** Guards against news that never come: the reader has not heard of the restore, and nobody else reads. */
+    @Test
+    public void aReaderOfAnEarlierEraIsNotFollowed() {
+        ReadingShare other = new ReadingShare(OTHER);
+        other.heard(new Reading(READER, 4, 130, ERA), NOW);
+        assertEquals(other.source(Topic.SERVERS, ERA + 1, 70, false, NOW), Source.STORE);
+    }
+
+    /** Guards against ends of two eras told as one reading, while the reader has read only one topic anew. */
+    @Test
+    public void aReaderThatIsHalfThroughTellsNothing() {
+        ReadingShare share = readBoth(4, 70);
+        share.read(Topic.SERVERS, ERA + 1, 60, NOW);
+        assertEquals(share.own(true, NOW), Optional.empty());
+        share.read(Topic.OPERATORS, ERA + 1, 3, NOW);
+        assertEquals(share.own(true, NOW), Optional.of(new Reading(READER, 3, 60, ERA + 1)));
+    }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/follow/RecordCacheTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/follow/RecordCacheTest.java
@@ -37,7 +37,7 @@
         RecordCache cache = new RecordCache();
         cache.take(Topic.SERVERS, new Page(List.of(record(3, "a"), record(5, "b")), 6), true, NOW);
         cache.take(Topic.SERVERS, new Page(List.of(record(6, "c"), removal(7, "a")), 8), false, NOW);
-        RecordCache.Part changes = cache.fresh(Topic.SERVERS, 6, NOW).orElseThrow();
+        RecordCache.Part changes = cache.fresh(Topic.SERVERS, 0, 6, NOW).orElseThrow();
         assertFalse(changes.whole());
         assertEquals(keys(changes), List.of("a", "c"));
         assertEquals(changes.page().next(), 8);
@@ -54,11 +54,11 @@
         }
         cache.take(Topic.SERVERS, new Page(removals, 306), false, NOW);
         for (long from : new long[] {-1, 5, 6, 49}) {
-            RecordCache.Part all = cache.fresh(Topic.SERVERS, from, NOW).orElseThrow();
+            RecordCache.Part all = cache.fresh(Topic.SERVERS, 0, from, NOW).orElseThrow();
             assertTrue(all.whole(), "from " + from);
             assertEquals(keys(all), List.of("a", "b"));
         }
-        assertFalse(cache.fresh(Topic.SERVERS, 50, NOW).orElseThrow().whole());
+        assertFalse(cache.fresh(Topic.SERVERS, 0, 50, NOW).orElseThrow().whole());
     }
 
     /** The store turns this gateway away as well; what it knows is too old to give. */
@@ -66,6 +66,20 @@
     public void oldRecordsAreNotGiven() {
         RecordCache cache = new RecordCache();
         cache.take(Topic.SERVERS, new Page(List.of(record(3, "a")), 4), true, NOW);
-        assertEquals(cache.fresh(Topic.SERVERS, -1, NOW + Follower.LONG_POLL_MILLIS + 1_001), Optional.empty());
+        assertEquals(cache.fresh(Topic.SERVERS, 0, -1, NOW + Follower.LONG_POLL_MILLIS + 1_001), Optional.empty());
+    }
+
+    /** Guards against changes since an offset of another era: the store was restored, and its offsets went back. */
+    @Test
+    public void aPeerOfAnotherEraIsGivenEverything() {
+        RecordCache cache = new RecordCache();
+        cache.take(Topic.SERVERS, new Page(List.of(record(3, "a"), record(9, "b")), 10, 1), true, NOW);
+        cache.take(Topic.SERVERS, new Page(List.of(record(3, "a")), 4, 2), true, NOW);
+        cache.take(Topic.SERVERS, new Page(List.of(record(10, "late")), 11, 1), false, NOW);
+        RecordCache.Part all = cache.fresh(Topic.SERVERS, 1, 4, NOW).orElseThrow();
+        assertTrue(all.whole());
+        assertEquals(keys(all), List.of("a"));
+        assertEquals(all.page().era(), 2);
+        assertFalse(cache.fresh(Topic.SERVERS, 2, 4, NOW).orElseThrow().whole());
     }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/place/PlacementDutyTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/place/PlacementDutyTest.java
@@ -83,7 +83,7 @@
                     meters);
             lease.start();
             duty.start();
-            GatewayFixture.await(() -> lease.term(clock.millis()) != LeaderLease.NONE, "it leads");
+            GatewayFixture.await(() -> !lease.term(clock.millis()).equals(LeaderLease.NONE), "it leads");
             Thread.sleep(2_000); // longer than the first plan waits for more engines
             assertEquals(engine.layers(), "0-0");
             storeAnswers.set(true);
--- a/gateway/src/test/java/org/cornelramp/gateway/route/BeliefsTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/BeliefsTest.java
@@ -35,7 +35,7 @@
     }
 
     private static Beliefs leaving(boolean engine) {
-        Beliefs beliefs = new Beliefs();
+        Beliefs beliefs = new Beliefs(1_200);
         beliefs.storeAnswers(true, 0);
         BackendServer server = server(engine);
         beliefs.registry().apply(new ServerRegistry.Registration(1, server.id(), Optional.of(server)), 10_000);
@@ -68,7 +68,7 @@
     /** A turn that came late counts for a while: answers that arrived meanwhile are read by threads that wait as well. */
     @Test
     public void aProcessIsLateForAWhileAfterALateTurn() {
-        Beliefs beliefs = new Beliefs();
+        Beliefs beliefs = new Beliefs(1_200);
         beliefs.tickLate(29, 1_000);
         assertFalse(beliefs.isLate(1_000));
         beliefs.tickLate(30, 2_000);
--- a/gateway/src/test/java/org/cornelramp/gateway/route/ServerJudgeTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/ServerJudgeTest.java
@@ -39,7 +39,7 @@
             "l4",
             Optional.of(new LayerRange(0, 8, 8)));
 
-    private final Beliefs beliefs = new Beliefs();
+    private final Beliefs beliefs = new Beliefs(1_200);
     private final EventLog log = new EventLog(new ByteArrayOutputStream(), Clock.systemUTC(), "g1");
     private final ServerJudge judge = new ServerJudge(
             beliefs, new EngineDesk(new EngineControl(new HttpClient())), 2_000, log, new Meters(), event -> {});
