Believe a refused connection at once, and ask again soon when a question came too early

It was told only after the second question, 25 ms later; where an event had passed the engine within 80 ms, as for every death that a peer tells of, it was dismissed as missed ("answer missed", "events pass it"), and the engine was not asked again for 250 ms.

Change: a refused connection is a kind of fault of its own (NOT_LISTENING). It settles the two questions, is not dismissed for events that are still on their way, and is not laid to this gateway's own lateness. A question without an answer that was dismissed may be asked again after 40 ms.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
@@ -34,6 +34,9 @@
      */
     private static final long ANSWERED_PAUSE_MILLIS = 1_000;
 
+    /** Time after which an engine that was asked too soon may be asked again: what it had passed on has arrived by then. */
+    private static final long TOO_SOON_MILLIS = 40;
+
     /** Time after which an engine that has not answered is asked a second time: ten times its usual one. */
     private static final long SECOND_MILLIS = 25;
 
@@ -71,7 +74,7 @@
             TwoQuestions both = new TwoQuestions(report -> router.accept(new RouterEvent.Reported(engine, report)));
             submit(() -> both.ended(control.report(engine, timeout)));
             submit(() -> {
-                if (!both.isAnsweredWithin(SECOND_MILLIS)) {
+                if (!both.isSettledWithin(SECOND_MILLIS)) {
                     both.ended(control.report(engine, timeout));
                 }
             });
@@ -83,6 +86,15 @@
         nextQuickMillis.put(engine, now + ANSWERED_PAUSE_MILLIS);
     }
 
+    /**
+     * Notes that a question was asked before the events of a dead engine had run out, so that its silence said nothing.
+     * It may be asked again at once; with the usual pause all its streams here would wait for that. Called by the router's
+     * duty only.
+     */
+    void askedTooSoon(BackendServer engine, long now) {
+        nextQuickMillis.put(engine.id(), now + TOO_SOON_MILLIS);
+    }
+
     /** Asks an engine for its report; false if too many calls wait. */
     boolean ask(BackendServer engine, Consumer<RouterEvent> router) {
         return submit(() -> router.accept(new RouterEvent.Reported(engine, control.report(engine))));
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -19,6 +19,7 @@
 import org.cornelramp.gateway.request.Refusal;
 import org.cornelramp.platform.CallHead;
 import org.cornelramp.platform.MoveFault;
+import org.cornelramp.platform.StoreFault;
 
 /**
  * Decides where each request goes, and again when an attempt fails.
@@ -330,9 +331,11 @@
 
     private void reported(RouterEvent.Reported reported, long now) {
         boolean missed = reported.report().isLeft()
+                && reported.report().getLeft().kind() != StoreFault.Kind.NOT_LISTENING
                 && watch.isPassed(flights.values(), reported.engine().id(), now);
         if (missed) {
             flightLog.answerMissed(reported.engine(), beliefs.lagMillis());
+            desk.askedTooSoon(reported.engine(), now);
         } else {
             judge.reported(reported.engine(), reported.report(), now);
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
@@ -166,9 +166,10 @@
     }
 
     private void unreported(BackendServer engine, StoreFault fault, long now) {
+        boolean dead = fault.kind() == StoreFault.Kind.NOT_LISTENING;
         if (beliefs.suspicions().isLost(engine.id(), now)) {
             beliefs.suspicions().trialFailed(engine.id(), now);
-        } else if (unanswered.isOwnFault(engine.id(), beliefs.isLate(now), now)) {
+        } else if (!dead && unanswered.isOwnFault(engine.id(), beliefs.isLate(now), now)) {
             desk.ask(engine, router); // with a timeout that an overloaded process keeps as well
         } else {
             suspect(engine, Evidence.LOST, "no report: " + fault, now);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
@@ -158,7 +158,8 @@
      * planned leaves alone, gateways cut up to 32 streams so, 4 of which found no repeat.
      */
     void notMoved(Flight flight, Attempt attempt, MoveFault refusal, long now) {
-        if (refusal.fault().kind() == StoreFault.Kind.NO_ANSWER) {
+        StoreFault.Kind kind = refusal.fault().kind();
+        if (kind == StoreFault.Kind.NO_ANSWER || kind == StoreFault.Kind.NOT_LISTENING) {
             flight.stay(); // it listens no more, and would be asked in vain four times a second
         }
         boolean stopped = attempt.path()
--- a/gateway/src/main/java/org/cornelramp/gateway/route/TwoQuestions.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/TwoQuestions.java
@@ -8,14 +8,14 @@
 import org.cornelramp.platform.StoreFault;
 
 /**
- * Two questions to one engine, of which the first answer counts; that there is none is told when both have failed. Safe
- * for use by any thread.
+ * Two questions to one engine, of which the first answer counts; that there is none is told when both have failed, or one
+ * has found that nothing listens there. Safe for use by any thread.
  *
  * <p>Invariant: the result is told once.
  */
 final class TwoQuestions {
     private final Consumer<Either<StoreFault, EngineReport>> told;
-    private final CountDownLatch answered = new CountDownLatch(1);
+    private final CountDownLatch settled = new CountDownLatch(1);
     private int failures;
 
     /** @param told takes the result, on the thread that brings it */
@@ -23,10 +23,10 @@
         this.told = told;
     }
 
-    /** Waits for an answer to the first question; whether one came in time. */
-    boolean isAnsweredWithin(long millis) {
+    /** Waits for the first question to settle it; whether it did in time. */
+    boolean isSettledWithin(long millis) {
         try {
-            return answered.await(millis, TimeUnit.MILLISECONDS);
+            return settled.await(millis, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return false;
@@ -41,9 +41,9 @@
     }
 
     private synchronized boolean isToTell(Either<StoreFault, EngineReport> report) {
-        boolean open = answered.getCount() > 0;
-        if (report.isRight()) {
-            answered.countDown();
+        boolean open = settled.getCount() > 0;
+        if (report.isRight() || report.getLeft().kind() == StoreFault.Kind.NOT_LISTENING) {
+            settled.countDown();
             return open;
         }
         failures++;
--- a/gateway/src/test/java/org/cornelramp/gateway/route/ServerJudgeTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/ServerJudgeTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
 import java.time.Clock;
 import java.util.Optional;
@@ -20,6 +21,7 @@
 import org.cornelramp.gateway.request.AttemptEnd;
 import org.cornelramp.platform.EngineControl;
 import org.cornelramp.platform.ForwardHead;
+import org.cornelramp.platform.StoreFault;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
 import org.testng.annotations.Test;
@@ -41,8 +43,12 @@
 
     private final Beliefs beliefs = new Beliefs(1_200);
     private final EventLog log = new EventLog(new ByteArrayOutputStream(), Clock.systemUTC(), "g1");
-    private final ServerJudge judge = new ServerJudge(
-            beliefs, new EngineDesk(new EngineControl(new HttpClient())), 2_000, log, new Meters(), event -> {});
+    private final ServerJudge judge = judge(beliefs);
+
+    private ServerJudge judge(Beliefs of) {
+        EngineDesk desk = new EngineDesk(new EngineControl(new HttpClient()));
+        return new ServerJudge(of, desk, 2_000, log, new Meters(), event -> {});
+    }
 
     private Attempt attempt() {
         ForwardHead head = new ForwardHead(
@@ -73,4 +79,17 @@
         judge.blame(attempt(), notSent("Connection refused"), NOW);
         assertTrue(beliefs.isLost(engine.id(), NOW));
     }
+
+    /**
+     * Guards against streams that stay at a crashed engine because the gateway was late, or had heard nothing of two others:
+     * its own lateness explains no refused connection.
+     */
+    @Test
+    public void aRefusedQuestionIsBelievedByALateGateway() {
+        Beliefs late = new Beliefs(1_200);
+        late.tickLate(200, NOW);
+        StoreFault refused = new StoreFault(StoreFault.Kind.NOT_LISTENING, "Connection refused");
+        judge(late).reported(engine, Either.left(refused), NOW);
+        assertTrue(late.isLost(engine.id(), NOW));
+    }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/TwoQuestionsTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/TwoQuestionsTest.java
@@ -17,6 +17,9 @@
     private static final Either<StoreFault, EngineReport> SILENCE =
             Either.left(new StoreFault(StoreFault.Kind.NO_ANSWER, "no answer in 60 ms"));
 
+    private static final Either<StoreFault, EngineReport> REFUSED =
+            Either.left(new StoreFault(StoreFault.Kind.NOT_LISTENING, "Connection refused"));
+
     private final List<Either<StoreFault, EngineReport>> told = new ArrayList<>();
 
     private static Either<StoreFault, EngineReport> report() {
@@ -44,18 +47,30 @@
     public void silenceIsToldWhenBothHaveFailed() {
         told.clear();
         TwoQuestions both = new TwoQuestions(told::add);
-        assertFalse(both.isAnsweredWithin(1));
+        assertFalse(both.isSettledWithin(1));
         both.ended(SILENCE);
         both.ended(SILENCE);
         assertEquals(told, List.of(SILENCE));
     }
 
+    /** Guards against streams that wait for the second question although the first was refused: nothing listens there. */
+    @Test
+    public void aRefusedConnectionIsToldAtOnce() {
+        told.clear();
+        TwoQuestions both = new TwoQuestions(told::add);
+        both.ended(REFUSED);
+        assertEquals(told, List.of(REFUSED));
+        assertTrue(both.isSettledWithin(1));
+        both.ended(SILENCE);
+        assertEquals(told, List.of(REFUSED));
+    }
+
     /** The second question is not asked when the first is answered. */
     @Test
     public void anAnswerEndsTheWaitForTheSecondQuestion() {
         told.clear();
         TwoQuestions both = new TwoQuestions(told::add);
         both.ended(report());
-        assertTrue(both.isAnsweredWithin(60_000));
+        assertTrue(both.isSettledWithin(60_000));
     }
 }
