Let the renewal of the lease alone ask whether the store is back

Ways weighed: shorter pauses for all (noticed sooner, 28 x 2 calls more for each 150 ms of an outage); the followers take turns (a third of the calls, noticed no sooner); the renewal asks for all (it counts as a tenth of a call, so asking five times a second costs less than the pauses did). The last is taken: after two faults in a row the followers wait for its answer, and try themselves every two seconds, as the store may refuse renewals alone.

--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import org.cornelramp.gateway.follow.ReadingShare;
 import org.cornelramp.gateway.follow.RecordCache;
 import org.cornelramp.gateway.follow.ServerFollower;
+import org.cornelramp.gateway.follow.StoreAccess;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.peer.PeerLink;
@@ -69,14 +70,16 @@
         EngineControl control = new EngineControl(clients.pooled());
         this.router = new Router(settings, clients, config, clock, log, meters, new EngineDesk(control));
         RecordCache cache = new RecordCache();
+        StoreAccess access = new StoreAccess();
         ReadingShare share = new ReadingShare(settings.metrics());
         BooleanSupplier leads = () -> !this.lease().term(clock.millis()).equals(LeaderLease.NONE);
         this.peers = new PeerLink(
                 settings.peers(), settings.dataCentre(), router::news, router::peerTold, share, leads, clock, log);
-        this.lease = new LeaderLease(settings.name(), settings.peers(), peers::setPeers, store, clock, log, meters);
+        this.lease =
+                new LeaderLease(settings.name(), settings.peers(), peers::setPeers, store, access, clock, log, meters);
         PeerRecords peerRecords =
                 new PeerRecords(clients.pooled(), settings.metrics().port(), peers::peers);
-        Follower.Parts parts = new Follower.Parts(store, share, leads, cache, peerRecords, clock, log, meters);
+        Follower.Parts parts = new Follower.Parts(store, access, share, leads, cache, peerRecords, clock, log, meters);
         this.configFollower = new ConfigFollower(parts, config);
         this.serverFollower = new ServerFollower(parts, router);
         this.placement = new PlacementDuty(lease, control, config, router::view, clock, log, meters);
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/Follower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/Follower.java
@@ -21,6 +21,12 @@
     /** Longest pause after a fault: what the store knows must be here within two seconds of its return. */
     private static final long LONGEST_PAUSE = 700;
 
+    /**
+     * Pause between two tries while the store is away, in milliseconds: it may refuse renewals and serve readings, and a
+     * change must be in force within two seconds more.
+     */
+    private static final long AWAY_PAUSE = 2_000;
+
     /**
      * How long the store holds a call back until something changes. A connection may go silent for good; it is
      * noticed after this time and the call's own timeout, within the two seconds in which a change must be in force.
@@ -35,6 +41,8 @@
     private final Thread thread;
     private volatile boolean running = true;
     private long faultPause = FIRST_PAUSE;
+    private long triedMillis;
+    private long faultMillis = Long.MIN_VALUE;
     private long next = -1;
 
     /** Era of the store in which the next offset holds. */
@@ -44,6 +52,7 @@
      * What every follower works with. Immutable.
      *
      * @param store the platform's store
+     * @param access whether it answers this process
      * @param share who reads it for whom
      * @param leads whether this process leads, and so reads for all
      * @param cache keeps the records for peers
@@ -51,6 +60,7 @@
      */
     public record Parts(
             MetadataStore store,
+            StoreAccess access,
             ReadingShare share,
             BooleanSupplier leads,
             RecordCache cache,
@@ -114,7 +124,7 @@
     private long step() {
         long now = parts.clock().millis();
         return switch (parts.share().source(topic, era, next, parts.leads().getAsBoolean(), now)) {
-            case STORE -> readStore();
+            case STORE -> parts.access().isAway() && now - triedMillis < AWAY_PAUSE ? away() : readStore();
             case READER -> readPeer();
             case NOWHERE -> {
                 storeAnswers(true);
@@ -124,6 +134,7 @@
     }
 
     private long readStore() {
+        triedMillis = parts.clock().millis();
         boolean whole = next < 0;
         Either<StoreFault, MetadataStore.Page> read =
                 whole ? parts.store().newest(topic) : parts.store().read(topic, next, LONG_POLL_MILLIS);
@@ -131,6 +142,7 @@
             return fault(read.getLeft());
         }
         parts.meters().storeCall(thread.getName(), "ok");
+        parts.access().answered(parts.clock().millis());
         MetadataStore.Page page = read.get();
         if (!whole && page.era() != era) {
             return readAnew(page.era());
@@ -183,9 +195,16 @@
             return 0;
         }
         parts.meters().storeCall(thread.getName(), fault.kind().name());
+        parts.access().failed();
+        line("not read").with("fault", fault).write();
+        return away();
+    }
+
+    /** Goes by what peers know, as the store may turn away this process alone. */
+    private long away() {
+        faultMillis = parts.clock().millis();
         parts.share().notRead(topic);
         storeAnswers(false);
-        line("not read").with("fault", fault).write();
         parts.peers().read(topic).ifPresent(part -> take(part.page(), part.whole()));
         return -1;
     }
@@ -200,12 +219,23 @@
                 pause = -1;
             }
             if (pause < 0) {
-                pause = faultPause;
-                faultPause = Math.min(LONGEST_PAUSE, faultPause * 2);
+                pauseAfterFault();
             } else {
                 faultPause = FIRST_PAUSE;
+                pause(pause);
             }
-            LockSupport.parkNanos(this, pause * 1_000_000L);
         }
     }
+
+    /** Waits longer after each fault, and no longer than until the store has answered another thread. */
+    private void pauseAfterFault() {
+        for (long left = faultPause; left > 0 && !parts.access().hasReturnedSince(faultMillis); left -= LOOK_MILLIS) {
+            pause(LOOK_MILLIS);
+        }
+        faultPause = Math.min(LONGEST_PAUSE, faultPause * 2);
+    }
+
+    private void pause(long millis) {
+        LockSupport.parkNanos(this, millis * 1_000_000L);
+    }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.follow.StoreAccess;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.platform.MetadataStore;
@@ -38,6 +39,9 @@
 
     private static final long JOIN_MILLIS = 600;
 
+    /** While the store is away, the renewal is the only call that finds out when it is back, and callers may wait for that. */
+    private static final long AWAY_JOIN_MILLIS = 200;
+
     /**
      * Interval in which the members are read, each read being paid for. A new gateway reads them at its start, tells
      * them its news, and they introduce it to the others; this only mends what datagrams have lost.
@@ -50,6 +54,7 @@
     private final String member;
     private final Consumer<List<HostPort>> onPeers;
     private final MetadataStore store;
+    private final StoreAccess access;
     private final SteadyClock clock;
     private final EventLog log;
     private final Meters meters;
@@ -75,18 +80,21 @@
      * @param name name of this process
      * @param address where it takes its peers' news
      * @param onPeers is told the addresses of all members
+     * @param access is told whether the store answers
      */
     public LeaderLease(
             String name,
             HostPort address,
             Consumer<List<HostPort>> onPeers,
             MetadataStore store,
+            StoreAccess access,
             SteadyClock clock,
             EventLog log,
             Meters meters) {
         this.member = name + MEMBER_SEPARATOR + address;
         this.onPeers = onPeers;
         this.store = store;
+        this.access = access;
         this.clock = clock;
         this.log = log;
         this.meters = meters;
@@ -128,10 +136,10 @@
 
     private void step(long now) {
         if (now >= joinDue) {
-            joinDue = now + JOIN_MILLIS;
             join(now);
+            joinDue = now + (access.isAway() ? AWAY_JOIN_MILLIS : JOIN_MILLIS);
         }
-        if (now >= membersDue) {
+        if (now >= membersDue && !access.isAway()) {
             readMembers(now);
         }
     }
@@ -140,9 +148,11 @@
         Either<StoreFault, MetadataStore.Membership> joined = store.join(GROUP, member, GROUP, TTL_MILLIS, generation);
         meters.storeCall("join", joined.fold(fault -> fault.kind().name(), any -> "ok"));
         if (joined.isLeft()) {
+            access.failed();
             log.line("lease", "not joined").with("fault", joined.getLeft()).write();
             return;
         }
+        access.answered(clock.millis());
         State old = state;
         long era = joined.get().era();
         boolean restored = old.era() != NO_ERA && era != old.era();
--- a/gateway/src/test/java/org/cornelramp/gateway/place/PlacementDutyTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/place/PlacementDutyTest.java
@@ -17,6 +17,7 @@
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.GatewayFixture;
 import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.follow.StoreAccess;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.route.ConfigHolder;
@@ -70,6 +71,7 @@
                     new HostPort("127.0.0.1", 1),
                     peers -> {},
                     new MetadataStore(http, store.address()),
+                    new StoreAccess(),
                     clock,
                     log,
                     meters);
