Ask a peer that is ahead for the configuration that it has in force

Cause: a gateway that starts while the store shows an older copy served that one though its peers knew better: an accepted change slipped back for its callers. One that starts while the store is away had no configuration at all, although peers that still knew it sent it their news. News told no version, and peers were asked for records only where the store's list of members named them.

Change: news tell the version in force. Who has none asks the peer at once, who has an older one after half a second, in which a version usually comes from the store; the peer gives the bytes as published. Peers that were heard are asked as well as those listed.

--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import org.cornelramp.gateway.follow.Follower;
 import org.cornelramp.gateway.follow.PeerRecords;
 import org.cornelramp.gateway.follow.PeerRecordsHandler;
+import org.cornelramp.gateway.follow.PeerVersions;
 import org.cornelramp.gateway.follow.ReadingShare;
 import org.cornelramp.gateway.follow.RecordCache;
 import org.cornelramp.gateway.follow.ServerFollower;
@@ -73,14 +74,24 @@
         StoreAccess access = new StoreAccess();
         ReadingShare share = new ReadingShare(settings.metrics());
         BooleanSupplier leads = () -> !this.lease().term(clock.millis()).equals(LeaderLease.NONE);
+        PeerVersions versions = new PeerVersions(
+                () -> config.current().map(RoutingConfig::version).orElse(PeerVersions.NONE));
         this.peers = new PeerLink(
-                settings.peers(), settings.dataCentre(), router::news, router::peerTold, share, leads, clock, log);
+                settings.peers(),
+                settings.dataCentre(),
+                router::news,
+                router::peerTold,
+                share,
+                versions,
+                leads,
+                clock,
+                log);
         this.lease =
                 new LeaderLease(settings.name(), settings.peers(), peers::setPeers, store, access, clock, log, meters);
         PeerRecords peerRecords =
                 new PeerRecords(clients.pooled(), settings.metrics().port(), peers::peers);
         Follower.Parts parts = new Follower.Parts(store, access, share, leads, cache, peerRecords, clock, log, meters);
-        this.configFollower = new ConfigFollower(parts, config);
+        this.configFollower = new ConfigFollower(parts, config, versions);
         this.serverFollower = new ServerFollower(parts, router);
         this.placement = new PlacementDuty(lease, control, config, router::view, clock, log, meters);
         meters.gauge("requests.underway", router::underWay);
@@ -97,7 +108,7 @@
                 clients.threads(),
                 config,
                 router,
-                new InternalHandler(meters, new PeerRecordsHandler(cache, clock)),
+                new InternalHandler(meters, new PeerRecordsHandler(cache, config, clock)),
                 clock,
                 log,
                 meters);
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ConfigFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ConfigFollower.java
@@ -18,10 +18,13 @@
     private static final long FIRST_MILLIS = 50;
 
     private final ConfigHolder holder;
+    private final PeerVersions versions;
 
-    public ConfigFollower(Parts parts, ConfigHolder holder) {
+    /** @param versions tells which peer has a newer version than the store has shown */
+    public ConfigFollower(Parts parts, ConfigHolder holder, PeerVersions versions) {
         super("config", MetadataStore.Topic.OPERATORS, parts);
         this.holder = holder;
+        this.versions = versions;
     }
 
     @Override
@@ -35,25 +38,34 @@
         // the servers' follower tells it for both
     }
 
+    @Override
+    void beforeStep(long nowMillis) {
+        versions.toAsk(nowMillis).flatMap(host -> peers().config(host)).ifPresent(source -> take(source, "peer", -1));
+    }
+
     @Override
     long pauseMillis() {
         return holder.current().isEmpty() ? FIRST_MILLIS : 0;
     }
 
     private void take(MetadataStore.KeyedRecord record) {
-        if (!record.key().equals(KEY) || record.value().isEmpty()) {
-            return;
+        if (record.key().equals(KEY)) {
+            record.value().ifPresent(source -> take(source, "store", record.offset()));
         }
-        Either<StoreFault, RoutingConfig> config =
-                ConfigDecoder.decode(record.value().get());
+    }
+
+    /** @param offset where the store has it; negative if it came from a peer */
+    private void take(byte[] source, String from, long offset) {
+        Either<StoreFault, RoutingConfig> config = ConfigDecoder.decode(source);
         if (config.isLeft()) {
-            unreadable(record.offset(), config.getLeft().toString());
+            unreadable(offset, config.getLeft().toString());
             return;
         }
-        boolean newer = holder.offer(config.get());
+        boolean newer = holder.offer(config.get(), source);
         line(newer ? "in force" : "older than the one in force")
                 .with("version", config.get().version())
-                .with("offset", record.offset())
+                .with("from", from)
+                .with("offset", offset)
                 .with("routes", config.get().routeCount())
                 .write();
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/Follower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/Follower.java
@@ -98,6 +98,14 @@
     /** Called after each step: whether the store is known to answer, by this process or by the one that reads for it. */
     abstract void storeAnswers(boolean answers);
 
+    /** Called before each step. */
+    abstract void beforeStep(long nowMillis);
+
+    /** Reads records from peers. */
+    final PeerRecords peers() {
+        return parts.peers();
+    }
+
     /** Least pause between two steps that read, in milliseconds. */
     abstract long pauseMillis();
 
@@ -123,6 +131,7 @@
      */
     private long step() {
         long now = parts.clock().millis();
+        beforeStep(now);
         return switch (parts.share().source(topic, era, next, parts.leads().getAsBoolean(), now)) {
             case STORE -> parts.access().isAway() && now - triedMillis < AWAY_PAUSE ? away() : readStore();
             case READER -> readPeer();
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecords.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecords.java
@@ -12,6 +12,7 @@
 import org.cornelramp.platform.MetadataStore;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
 
 /**
  * Reads the store's records from a peer while the store turns this process away.
@@ -50,6 +51,11 @@
         return Optional.empty();
     }
 
+    /** The configuration that a peer has in force, as it was published; empty if the peer does not give it. */
+    Optional<byte[]> config(String host) {
+        return get(http.newRequest(host, port).path(PeerRecordsHandler.CONFIG));
+    }
+
     /**
      * The records of a topic as one peer has read them; empty if it does not give them.
      *
@@ -57,16 +63,18 @@
      * @param from offset from which on records are wanted; negative for all keys
      */
     Optional<RecordCache.Part> ask(HostPort peer, MetadataStore.Topic topic, long era, long from) {
+        Request request = http.newRequest(peer.host(), peer.port())
+                .path(PeerRecordsHandler.path(topic))
+                .param(PeerRecordsHandler.ERA, Long.toString(era))
+                .param(PeerRecordsHandler.FROM, Long.toString(from));
+        return get(request).flatMap(body -> RecordsCodec.read(body).toJavaOptional());
+    }
+
+    private static Optional<byte[]> get(Request request) {
         try {
-            ContentResponse answer = http.newRequest(peer.host(), peer.port())
-                    .path(PeerRecordsHandler.path(topic))
-                    .param(PeerRecordsHandler.ERA, Long.toString(era))
-                    .param(PeerRecordsHandler.FROM, Long.toString(from))
-                    .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                    .send();
-            return answer.getStatus() == OK
-                    ? RecordsCodec.read(answer.getContent()).toJavaOptional()
-                    : Optional.empty();
+            ContentResponse answer =
+                    request.timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).send();
+            return answer.getStatus() == OK ? Optional.of(answer.getContent()) : Optional.empty();
         } catch (TimeoutException | ExecutionException e) {
             return Optional.empty(); // the next peer, or the store's next call, will do
         } catch (InterruptedException e) {
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecordsHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecordsHandler.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.route.ConfigHolder;
 import org.cornelramp.platform.MetadataStore;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Handler;
@@ -19,13 +20,18 @@
     /** Names the era of the store in which that offset holds. */
     static final String ERA = "era";
 
+    /** Path of the configuration in force. */
+    static final String CONFIG = "/config";
+
     private static final String PREFIX = "/records/";
 
     private final RecordCache cache;
+    private final ConfigHolder config;
     private final SteadyClock clock;
 
-    public PeerRecordsHandler(RecordCache cache, SteadyClock clock) {
+    public PeerRecordsHandler(RecordCache cache, ConfigHolder config, SteadyClock clock) {
         this.cache = cache;
+        this.config = config;
         this.clock = clock;
     }
 
@@ -45,16 +51,24 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
+        String path = Request.getPathInContext(request);
+        if (path.equals(CONFIG)) {
+            answer(config.published().map(ConfigHolder.Published::source), response, callback);
+            return true;
+        }
         for (MetadataStore.Topic topic : MetadataStore.Topic.values()) {
-            if (path(topic).equals(Request.getPathInContext(request))) {
-                Optional<RecordCache.Part> part =
-                        cache.fresh(topic, number(request, ERA), number(request, FROM), clock.millis());
-                response.setStatus(part.isPresent() ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
-                byte[] body = part.map(RecordsCodec::write).orElse(new byte[0]);
-                response.write(true, ByteBuffer.wrap(body), callback);
+            if (path(topic).equals(path)) {
+                long era = number(request, ERA);
+                long from = number(request, FROM);
+                answer(cache.fresh(topic, era, from, clock.millis()).map(RecordsCodec::write), response, callback);
                 return true;
             }
         }
         return false;
     }
+
+    private static void answer(Optional<byte[]> body, Response response, Callback callback) {
+        response.setStatus(body.isPresent() ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
+        response.write(true, ByteBuffer.wrap(body.orElse(new byte[0])), callback);
+    }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ServerFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ServerFollower.java
@@ -41,6 +41,11 @@
         router.offer(new RouterEvent.StoreAnswers(answers));
     }
 
+    @Override
+    void beforeStep(long nowMillis) {
+        // registrations come with the readings of peers alone
+    }
+
     @Override
     long pauseMillis() {
         return PAUSE_MILLIS;
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
@@ -22,6 +22,7 @@
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.follow.PeerVersions;
 import org.cornelramp.gateway.follow.ReadingShare;
 import org.cornelramp.gateway.log.EventLog;
 
@@ -40,6 +41,7 @@
     private final Supplier<PeerNews> own;
     private final Consumer<PeerNews> onNews;
     private final ReadingShare share;
+    private final PeerVersions versions;
     private final BooleanSupplier leads;
     private final SteadyClock clock;
     private final EventLog log;
@@ -54,6 +56,7 @@
     private boolean toldLeaving;
     private Optional<ReadingShare.Reading> toldReading = Optional.empty();
     private volatile List<HostPort> peers = List.of();
+    private volatile List<HostPort> reachable = List.of();
     private volatile boolean running = true;
 
     /**
@@ -62,6 +65,7 @@
      * @param own makes its own news
      * @param onNews takes a peer's news
      * @param share takes and gives how far the store has been read
+     * @param versions takes and gives which configuration is in force
      * @param leads whether this gateway leads
      */
     public PeerLink(
@@ -70,10 +74,12 @@
             Supplier<PeerNews> own,
             Consumer<PeerNews> onNews,
             ReadingShare share,
+            PeerVersions versions,
             BooleanSupplier leads,
             SteadyClock clock,
             EventLog log) {
         this.share = share;
+        this.versions = versions;
         this.leads = leads;
         this.address = address;
         this.places = new PeerPlaces<>(dataCentre);
@@ -104,9 +110,9 @@
         peers = addresses.stream().filter(peer -> !peer.equals(address)).toList();
     }
 
-    /** The peers that are told. */
+    /** The peers that are told: those that the store lists, and those that were heard or introduced lately. */
     public List<HostPort> peers() {
-        return peers;
+        return reachable;
     }
 
     private void run() {
@@ -152,10 +158,14 @@
     private void tell(DatagramSocket socket) {
         Set<InetSocketAddress> all =
                 book.toTell(peers.stream().map(PeerLink::socketAddress).toList(), clock.millis());
+        reachable = all.stream().map(PeerLink::hostPort).toList();
         if (all.isEmpty()) {
             return;
         }
-        PeerNews news = own.get().withHeard(introduced()).withReading(share.own(leads.getAsBoolean(), clock.millis()));
+        PeerNews news = own.get()
+                .withHeard(introduced())
+                .withReading(share.own(leads.getAsBoolean(), clock.millis()))
+                .withConfigVersion(versions.own());
         Set<InetSocketAddress> told = new LinkedHashSet<>(
                 turns.take(all, isUrgent(news), news.reading().isPresent()));
         told.addAll(askers.take());
@@ -194,7 +204,7 @@
     private List<HostPort> introduced() {
         return introductions.take(book.toIntroduce(clock.millis()), false, false).stream()
                 .limit(PeerTurns.MOST_A_ROUND)
-                .map(peer -> new HostPort(peer.getHostString(), peer.getPort()))
+                .map(PeerLink::hostPort)
                 .toList();
     }
 
@@ -208,6 +218,10 @@
         return urgent;
     }
 
+    private static HostPort hostPort(InetSocketAddress peer) {
+        return new HostPort(peer.getHostString(), peer.getPort());
+    }
+
     private static InetSocketAddress socketAddress(HostPort peer) {
         return new InetSocketAddress(peer.host(), peer.port());
     }
@@ -222,6 +236,7 @@
         if (from instanceof InetSocketAddress sender) {
             book.heard(sender, clock.millis());
             places.heard(sender, news.sender().dataCentre());
+            versions.heard(sender.getHostString(), news.configVersion(), clock.millis());
             if (!news.repeats().asks().isEmpty()) {
                 askers.add(sender);
             }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNews.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNews.java
@@ -9,6 +9,7 @@
 import org.cornelramp.core.path.EngineLoads;
 import org.cornelramp.core.retry.RepeatNews;
 import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.gateway.follow.PeerVersions;
 import org.cornelramp.gateway.follow.ReadingShare;
 
 /**
@@ -24,6 +25,7 @@
  * @param repeats what it lacks and lends of the repeats that all gateways share
  * @param heard addresses of some peers that it has heard lately
  * @param reading how far it has read the store for all; empty if it does not
+ * @param configVersion version of the configuration that it has in force; negative for none
  */
 public record PeerNews(
         Sender sender,
@@ -35,7 +37,8 @@
         Set<BackendServerId> suspects,
         RepeatNews repeats,
         List<HostPort> heard,
-        Optional<ReadingShare.Reading> reading) {
+        Optional<ReadingShare.Reading> reading,
+        long configVersion) {
 
     public PeerNews {
         loads = loads.map(Map::copyOf);
@@ -78,22 +81,41 @@
                 suspects,
                 repeats,
                 List.of(),
-                Optional.empty());
+                Optional.empty(),
+                PeerVersions.NONE);
     }
 
     /** The same news with addresses of peers. */
     PeerNews withHeard(List<HostPort> addresses) {
-        return new PeerNews(sender, number, leaving, loads, crossings, paces, suspects, repeats, addresses, reading);
+        return new PeerNews(
+                sender, number, leaving, loads, crossings, paces, suspects, repeats, addresses, reading, configVersion);
     }
 
     /** The same news with what this gateway has read for all. */
     PeerNews withReading(Optional<ReadingShare.Reading> read) {
-        return new PeerNews(sender, number, leaving, loads, crossings, paces, suspects, repeats, heard, read);
+        return new PeerNews(
+                sender, number, leaving, loads, crossings, paces, suspects, repeats, heard, read, configVersion);
+    }
+
+    /** The same news with the version that this gateway has in force. */
+    PeerNews withConfigVersion(long version) {
+        return new PeerNews(
+                sender, number, leaving, loads, crossings, paces, suspects, repeats, heard, reading, version);
     }
 
     /** The same news without the loads, which are most of its bytes. */
     PeerNews withoutLoads() {
         return new PeerNews(
-                sender, number, leaving, Optional.empty(), crossings, paces, suspects, repeats, heard, reading);
+                sender,
+                number,
+                leaving,
+                Optional.empty(),
+                crossings,
+                paces,
+                suspects,
+                repeats,
+                heard,
+                reading,
+                configVersion);
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNewsCodec.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerNewsCodec.java
@@ -22,7 +22,7 @@
 
 /** The MessagePack form of news between gateways. Stateless, safe for use by any thread. */
 final class PeerNewsCodec {
-    private static final int FORMAT = 5;
+    private static final int FORMAT = 6;
 
     private PeerNewsCodec() {}
 
@@ -61,6 +61,7 @@
                 out.packLong(reading.serversEnd());
                 out.packLong(reading.era());
             }
+            out.packLong(news.configVersion());
             return out.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("Memory takes every byte", e);
@@ -159,8 +160,9 @@
                     ? Optional.of(new ReadingShare.Reading(
                             HostPort.parse(in.unpackString()), in.unpackLong(), in.unpackLong(), in.unpackLong()))
                     : Optional.empty();
-            return Either.right(
-                    new PeerNews(sender, number, leaving, loads, crossings, paces, suspects, repeats, heard, reading));
+            long version = in.unpackLong();
+            return Either.right(new PeerNews(
+                    sender, number, leaving, loads, crossings, paces, suspects, repeats, heard, reading, version));
         } catch (IOException | RuntimeException e) {
             return Either.left(e.toString());
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ConfigHolder.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ConfigHolder.java
@@ -13,17 +13,30 @@
  * older one back, or a key that was taken away would open again.
  */
 public final class ConfigHolder {
-    private final AtomicReference<RoutingConfig> current = new AtomicReference<>();
+    private final AtomicReference<Published> current = new AtomicReference<>();
     private final List<Runnable> waiting = new ArrayList<>();
 
+    /**
+     * A version and the bytes in which it was published, for peers. Immutable; the bytes are not to be changed.
+     *
+     * @param config the version
+     * @param source what the operators wrote
+     */
+    public record Published(RoutingConfig config, byte[] source) {
+        long version() {
+            return config.version();
+        }
+    }
+
     /** Takes a version if it is newer; true if it was. */
-    public boolean offer(RoutingConfig config) {
-        RoutingConfig before =
-                current.getAndUpdate(old -> old == null || config.version() > old.version() ? config : old);
+    public boolean offer(RoutingConfig config, byte[] source) {
+        Published offered = new Published(config, source);
+        Published before =
+                current.getAndUpdate(old -> old == null || offered.version() > old.version() ? offered : old);
         if (before == null) {
             takeWaiting().forEach(Runnable::run);
         }
-        return before == null || config.version() > before.version();
+        return before == null || offered.version() > before.version();
     }
 
     private synchronized List<Runnable> takeWaiting() {
@@ -45,6 +58,11 @@
 
     /** The configuration in force; empty before the first. */
     public Optional<RoutingConfig> current() {
+        return published().map(Published::config);
+    }
+
+    /** The configuration in force with its source; empty before the first. */
+    public Optional<Published> published() {
         return Optional.ofNullable(current.get());
     }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/RestoredStoreTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/RestoredStoreTest.java
@@ -3,6 +3,14 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.io.ByteArrayOutputStream;
+import java.time.Clock;
+import java.util.List;
+import org.cornelramp.core.settings.GatewaySettings;
+import org.cornelramp.core.settings.GatewaySettingsReader;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.platform.standin.FreePorts;
+import org.cornelramp.platform.standin.StandInClient;
 import org.cornelramp.platform.standin.StandInStore;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -85,9 +93,42 @@
         GatewayFixture.await(() -> chats("/say/"), "version 3 is in force");
     }
 
+    /** Guards against an accepted change that callers of a starting gateway lose, as the copy still has the version before. */
+    @Test
+    public void aGatewayThatStartsTakesTheNewerVersionOfItsPeer() throws Exception {
+        StandInStore.Copy copy = fixture.store.copy();
+        fixture.store.publishConfig(GatewayFixture.config(2, "/talk/"));
+        GatewayFixture.await(() -> chats("/talk/"), "version 2 is in force");
+        fixture.store.restore(copy);
+        // Gateways of a deployment ask each other on the same port, each at an address of its own.
+        GatewaySettings first = fixture.settings;
+        List<Integer> free = FreePorts.take(2);
+        List<Integer> ports = List.of(
+                free.get(0),
+                free.get(1),
+                first.metrics().port(),
+                first.peers().port(),
+                first.store().port());
+        String text = GatewayFixture.settingsText(ports, "")
+                .replace("\"g1\"", "\"g2\"")
+                .replace(first.metrics().toString(), "127.0.0.2:" + ports.get(2))
+                .replace(first.peers().toString(), "127.0.0.2:" + ports.get(3));
+        GatewaySettings settings = new GatewaySettingsReader().read(text).get();
+        EventLog log = new EventLog(new ByteArrayOutputStream(), Clock.systemUTC(), "g2");
+        try (Gateway started = new Gateway(settings, SteadyClock.system(), log)) {
+            started.start();
+            StandInClient client = new StandInClient(settings.requests(), GatewayFixture.KEY);
+            GatewayFixture.await(() -> chats(client, "/talk/"), "version 2 is in force at the one that started");
+        }
+    }
+
     private boolean chats(String prefix) {
+        return chats(fixture.client(), prefix);
+    }
+
+    private static boolean chats(StandInClient client, String prefix) {
         try {
-            return fixture.client().send(prefix + "x", "chat-" + prefix, "x").statusCode() == 200;
+            return client.send(prefix + "x", "chat-" + prefix, "x").statusCode() == 200;
         } catch (Exception e) {
             return false;
         }
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/PeerLinkTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/PeerLinkTest.java
@@ -15,6 +15,7 @@
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.GatewayFixture;
 import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.follow.PeerVersions;
 import org.cornelramp.gateway.follow.ReadingShare;
 import org.cornelramp.gateway.log.EventLog;
 import org.testng.annotations.Test;
@@ -46,6 +47,7 @@
                         RepeatNews.NONE),
                 heard::add,
                 new ReadingShare(address),
+                new PeerVersions(() -> PeerVersions.NONE),
                 () -> false,
                 SteadyClock.system(),
                 log);
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/PeerNewsCodecTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/PeerNewsCodecTest.java
@@ -34,7 +34,8 @@
                     Map.of(SERVICE, new RepeatNews.Ask(1L << 60, 3)),
                     Map.of(SERVICE, List.of(new RepeatNews.Loan("g2", -5, 2)))),
             List.of(ADDRESS),
-            Optional.of(new ReadingShare.Reading(ADDRESS, 12, 345, 2)));
+            Optional.of(new ReadingShare.Reading(ADDRESS, 12, 345, 2)),
+            17);
 
     @Test
     public void readsWhatWasWritten() {
--- a/gateway/src/test/java/org/cornelramp/gateway/place/PlacementDutyTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/place/PlacementDutyTest.java
@@ -59,8 +59,8 @@
         EventLog log = new EventLog(logged, Clock.systemUTC(), "g1");
         log.start();
         ConfigHolder config = new ConfigHolder();
-        config.offer(ConfigDecoder.decode(GatewayFixture.config(1, "/chat/").getBytes(StandardCharsets.UTF_8))
-                .get());
+        byte[] source = GatewayFixture.config(1, "/chat/").getBytes(StandardCharsets.UTF_8);
+        config.offer(ConfigDecoder.decode(source).get(), source);
         AtomicBoolean storeAnswers = new AtomicBoolean();
         Meters meters = new Meters();
         SteadyClock clock = SteadyClock.system();
