Ask all peers for repeats at once

An ask went out with the turns of the news, eight of 27 peers each 120 ms, and those of the first turn may have nothing to lend.

Change: a new ask makes the news urgent, once, so all peers hear it in the next round. What makes news urgent is a class of its own.

Test: NewsUrgencyTest.

--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerLink.java
@@ -11,14 +11,12 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
-import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.SteadyClock;
@@ -52,9 +50,7 @@
     private final PeerTurns introductions = new PeerTurns();
     private final Askers<InetSocketAddress> askers = new Askers<>();
     private final PeerPlaces<InetSocketAddress> places;
-    private Set<BackendServerId> toldSuspects = Set.of();
-    private boolean toldLeaving;
-    private Optional<ReadingShare.Reading> toldReading = Optional.empty();
+    private final NewsUrgency urgency = new NewsUrgency();
     private volatile List<HostPort> peers = List.of();
     private volatile List<HostPort> reachable = List.of();
     private volatile boolean running = true;
@@ -167,7 +163,7 @@
                 .withReading(share.own(leads.getAsBoolean(), clock.millis()))
                 .withConfigVersion(versions.own());
         Set<InetSocketAddress> told = new LinkedHashSet<>(
-                turns.take(all, isUrgent(news), news.reading().isPresent()));
+                turns.take(all, urgency.isUrgent(news), news.reading().isPresent()));
         told.addAll(askers.take());
         boolean few = all.size() <= PeerTurns.MOST_A_ROUND;
         places.retain(all);
@@ -208,16 +204,6 @@
                 .toList();
     }
 
-    /** Whether the news tell for the first time of a failure, of this gateway's stop, or of something new read. */
-    private boolean isUrgent(PeerNews news) {
-        boolean readMore = news.reading().isPresent() && !news.reading().equals(toldReading);
-        boolean urgent = !toldSuspects.containsAll(news.suspects()) || (news.leaving() && !toldLeaving) || readMore;
-        toldReading = news.reading();
-        toldSuspects = news.suspects();
-        toldLeaving = news.leaving();
-        return urgent;
-    }
-
     private static HostPort hostPort(InetSocketAddress peer) {
         return new HostPort(peer.getHostString(), peer.getPort());
     }
