Renew the lease faster only until the store has answered for the first time

Change: a process that knows something renews as in ordinary times, 600 ms; one that has just started, and whose callers wait, 200 ms.

--- a/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
@@ -39,8 +39,8 @@
 
     private static final long JOIN_MILLIS = 600;
 
-    /** While the store is away, the renewal is the only call that finds out when it is back, and callers may wait for that. */
-    private static final long AWAY_JOIN_MILLIS = 200;
+    /** Interval until the store has answered for the first time: callers wait for what it knows. */
+    private static final long FIRST_JOIN_MILLIS = 200;
 
     /**
      * Interval in which the members are read, each read being paid for. A new gateway reads them at its start, tells
@@ -137,7 +137,7 @@
     private void step(long now) {
         if (now >= joinDue) {
             join(now);
-            joinDue = now + (access.isAway() ? AWAY_JOIN_MILLIS : JOIN_MILLIS);
+            joinDue = now + (access.hasEverAnswered() ? JOIN_MILLIS : FIRST_JOIN_MILLIS);
         }
         if (now >= membersDue && !access.isAway()) {
             readMembers(now);
--- a/gateway/src/test/java/org/cornelramp/gateway/follow/StoreAccessTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/follow/StoreAccessTest.java
@@ -26,7 +26,9 @@
         access.failed();
         access.failed();
         assertTrue(access.isAway());
+        assertFalse(access.hasEverAnswered());
         access.answered(5_000);
+        assertTrue(access.hasEverAnswered());
         assertFalse(access.isAway());
         assertTrue(access.hasReturnedSince(4_800));
         assertFalse(access.hasReturnedSince(5_001));
