Keep the renewal of paces, and take back the search for slow engines and the moves off them

The pattern of the test, sixty streams at one gateway, was not the deployment's.

Change: both are taken out. What is known of a slow engine is still asked for again before it is forgotten. Conclusion: slow engines are to be found by one process for all, not by each from its own streams; not built.

--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -31,16 +31,12 @@
     private final Callback callback;
     private final BooleanSupplier leaving;
     private final ClientProbe probe;
-    /** Weight of the newest pause: about the last four count. */
-    private static final double NEWEST_PAUSE = 0.25;
-
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile boolean committed;
     private volatile long lastEvent;
     private volatile long lastEventMillis;
     private volatile long firstEventMillis;
     private volatile long longestPauseMillis;
-    private volatile double latePauseMillis;
     private volatile int writes;
 
     /**
@@ -120,11 +116,6 @@
         return pauses < 1 ? 0 : (lastEventMillis - firstEventMillis) / (double) pauses;
     }
 
-    /** Usual time between the last few of the pieces that were passed on; 0 before the second. */
-    public double latePauseMillis() {
-        return latePauseMillis;
-    }
-
     /** Longest pause between two events so far. */
     public long longestPauseMillis() {
         return longestPauseMillis;
@@ -162,9 +153,7 @@
         if (lastEventMillis == 0) {
             firstEventMillis = nowMillis;
         } else {
-            long pause = nowMillis - lastEventMillis;
-            longestPauseMillis = Math.max(longestPauseMillis, pause);
-            latePauseMillis = writes == 1 ? pause : latePauseMillis + NEWEST_PAUSE * (pause - latePauseMillis);
+            longestPauseMillis = Math.max(longestPauseMillis, nowMillis - lastEventMillis);
         }
         lastEventMillis = nowMillis;
         int before = writes;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/EngineDesk.java
@@ -34,9 +34,6 @@
      */
     private static final long ANSWERED_PAUSE_MILLIS = 1_000;
 
-    /** Time in which an engine is not asked again how slow it is. */
-    private static final long PACE_PAUSE_MILLIS = 2_500;
-
     /** Time after which an engine that was asked too soon may be asked again: what it had passed on has arrived by then. */
     private static final long TOO_SOON_MILLIS = 40;
 
@@ -49,7 +46,6 @@
     private final EngineControl control;
     private final ThreadPoolExecutor threads;
     private final Map<BackendServerId, Long> nextQuickMillis = new HashMap<>();
-    private final Map<BackendServerId, Long> nextPaceMillis = new HashMap<>();
 
     public EngineDesk(EngineControl control) {
         this.control = control;
@@ -99,17 +95,6 @@
         nextQuickMillis.put(engine.id(), now + TOO_SOON_MILLIS);
     }
 
-    /**
-     * Asks an engine that may have turned slow, once in a while: an engine that is not slow is passed by slow streams for as
-     * long as the one that is. Called by the router's duty only.
-     */
-    void askPace(BackendServer engine, Consumer<RouterEvent> router, long now) {
-        nextPaceMillis.values().removeIf(next -> now >= next);
-        if (nextPaceMillis.putIfAbsent(engine.id(), now + PACE_PAUSE_MILLIS) == null) {
-            ask(engine, router);
-        }
-    }
-
     /** Asks an engine for its report; false if too many calls wait. */
     boolean ask(BackendServer engine, Consumer<RouterEvent> router) {
         return submit(() -> router.accept(new RouterEvent.Reported(engine, control.report(engine))));
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
@@ -12,7 +12,6 @@
 import org.cornelramp.core.path.Hop;
 import org.cornelramp.core.path.PathFinder;
 import org.cornelramp.core.path.SilentEngines;
-import org.cornelramp.core.path.SlowEngines;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.core.routing.ServiceSpec;
@@ -40,15 +39,6 @@
      */
     private static final long LEAVE_MILLIS = 1_400;
 
-    /** Streams leave an engine that turns slow within this time, for the same reason; each of its events is late until then. */
-    private static final long LEAVE_SLOW_MILLIS = 500;
-
-    /** Times longer than usual from which on an engine counts as slow: a move pauses a stream for some of its events. */
-    private static final double SLOW_FACTOR = 2.5;
-
-    /** Time between two looks for slow engines: some pauses between events. */
-    private static final long SLOW_LOOK_MILLIS = 200;
-
     /** Most tries to move a stream off a dead engine: each finds one more engine out that takes no part. */
     private static final int MOST_MOVES = 4;
 
@@ -58,8 +48,6 @@
     private final OverdueRuns overdue;
     private final EventLog log;
     private final Consumer<RouterEvent> router;
-    private final SlowEngines slow = new SlowEngines();
-    private long nextSlowMillis;
 
     /**
      * @param overdue tells which streams can be started anew at once
@@ -89,35 +77,6 @@
             check(flight, attempt, attempt.path().get(), config, now);
         }
         askSilent(flights, now);
-        if (now >= nextSlowMillis && !beliefs.isLate(now)) {
-            nextSlowMillis = now + SLOW_LOOK_MILLIS;
-            askSlow(flights, now);
-        }
-    }
-
-    /** Asks the engines that may have turned slow, and that nobody has told of. */
-    private void askSlow(Collection<Flight> flights, long now) {
-        List<SlowEngines.Stream> streams = flights.stream()
-                .filter(flight ->
-                        flight.attempt() != null && flight.attempt().path().isPresent())
-                .filter(flight -> flight.exchange().latePauseMillis() > 0 && !flight.isMoving())
-                .map(StreamWatch::paced)
-                .toList();
-        for (BackendServerId id : slow.find(streams)) {
-            beliefs.registry()
-                    .server(id)
-                    .filter(engine -> !isSlow(id))
-                    .ifPresent(engine -> desk.askPace(engine, router, now));
-        }
-    }
-
-    private static SlowEngines.Stream paced(Flight flight) {
-        StagePath path = flight.attempt().path().orElseThrow();
-        return new SlowEngines.Stream(engines(path), flight.exchange().latePauseMillis() / path.tokenMillis());
-    }
-
-    private boolean isSlow(BackendServerId id) {
-        return beliefs.loads().paces().factor(id) >= SLOW_FACTOR;
     }
 
     private static List<BackendServerId> engines(StagePath path) {
@@ -172,18 +131,9 @@
         } else if (canLeave(path) && flight.mayLeave(now, LEAVE_MILLIS, MOVE_PAUSE_MILLIS)) {
             // An engine that leaves serves on for seconds, so nothing is broken off for it.
             around(flight, path, config, now).ifPresent(way -> move(flight, attempt, path, way));
-        } else if (isSlowed(path) && flight.mayLeave(now, LEAVE_SLOW_MILLIS, MOVE_PAUSE_MILLIS)) {
-            around(flight, path, config, now)
-                    .filter(way -> !isSlowed(way))
-                    .ifPresent(way -> move(flight, attempt, path, way));
         }
     }
 
-    /** Whether a slow engine holds up the stream, from which it can be moved. */
-    private boolean isSlowed(StagePath path) {
-        return path.hops().stream().skip(1).anyMatch(hop -> isSlow(hop.server().id()));
-    }
-
     /**
      * Whether an engine of the path leaves from which a stream can be moved. It cannot be moved off its first one: orders
      * that name the same path again, 166 of the 424 moves of a day of planned leaves, changed nothing and were refused in
@@ -218,8 +168,7 @@
         if (stopped && goesAround(flight, refusal, now)) {
             return; // the next look at it finds another way
         }
-        boolean leaves = attempt.path().filter(this::canLeave).isPresent();
-        if (stopped || (leaves && overdue.canRestart(flight, now))) {
+        if (stopped || overdue.canRestart(flight, now)) {
             attempt.cancel("it cannot move to another path");
         }
     }
