Pause after a failed step of a follower, and ask the peer that told of a version last

Read in the diff: a follower whose step threw paused only while no outage had ended, and then tried again without any pause; a process that is behind asked the first peer that told of a version for ever, also a dead one. Test: PeerVersionsTest.

--- a/gateway/src/main/java/org/cornelramp/gateway/follow/Follower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/Follower.java
@@ -225,6 +225,7 @@
                 pause = step();
             } catch (RuntimeException e) {
                 line("follower failed").with("fault", e).write();
+                faultMillis = parts.clock().millis();
                 pause = -1;
             }
             if (pause < 0) {
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/PeerVersions.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/PeerVersions.java
@@ -36,9 +36,11 @@
     public synchronized void heard(String peer, long theirs, long nowMillis) {
         if (theirs > version) {
             version = theirs;
-            host = peer;
             askMillis = nowMillis + (own() == NONE ? 0 : AHEAD_MILLIS);
         }
+        if (theirs == version) {
+            host = peer; // the last that was heard is the most likely to answer
+        }
     }
 
     /** Host of a peer to ask now for its newer version; it is named again only after a while. */
--- a/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
@@ -156,8 +156,7 @@
         State old = state;
         long era = joined.get().era();
         boolean restored = old.era() != NO_ERA && era != old.era();
-        // The lead that a restored store gives out may still be another process's until that one has heard of the
-        // restore.
+        // Until the process that led before has heard of the restore, it may still think that it leads.
         boolean leading = joined.get().holdsFirst() && !restored;
         generation = restored ? 0 : joined.get().generation();
         boolean wasLeading = !old.term().equals(NONE);
--- a/gateway/src/test/java/org/cornelramp/gateway/follow/PeerVersionsTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/follow/PeerVersionsTest.java
@@ -23,6 +23,16 @@
         assertEquals(started.toAsk(NOW + PeerVersions.AHEAD_MILLIS), Optional.of("10.0.0.2"));
     }
 
+    /** Guards against a process that asks a peer which has died again and again, while others have the version too. */
+    @Test
+    public void theLastPeerThatToldOfTheVersionIsAsked() {
+        PeerVersions started = new PeerVersions(() -> PeerVersions.NONE);
+        started.heard("10.0.0.2", 7, NOW);
+        started.heard("10.0.0.3", 7, NOW);
+        started.heard("10.0.0.4", 6, NOW);
+        assertEquals(started.toAsk(NOW), Optional.of("10.0.0.3"));
+    }
+
     /** Guards against a version that slips back, and against a fetch from peers at each ordinary change. */
     @Test
     public void whoHasAnOlderOneWaitsForTheStoreFirst() {
