--- a/core/src/main/java/org/cornelramp/core/path/EngineLoads.java
+++ b/core/src/main/java/org/cornelramp/core/path/EngineLoads.java
@@ -14,6 +14,9 @@
 public final class EngineLoads {
     private static final Load NONE = new Load(0, 0, 0, 0);
 
+    /** Age up to which a pace is believed; a slow engine is avoided, so nobody would notice its recovery. */
+    private static final long PACE_MILLIS = 4_000;
+
     private final Map<BackendServerId, Load> loads = new HashMap<>();
 
     /** Own loads and those of all peers: asked for each engine for each request, while news come a few times a second. */
@@ -24,7 +27,7 @@
 
     private final Map<BackendServerId, Double> failures = new HashMap<>();
     private final Map<String, News> peers = new HashMap<>();
-    private final EnginePaces paces = new EnginePaces();
+    private final Map<BackendServerId, Pace> paces = new HashMap<>();
     private int ownCrossings;
 
     /**
@@ -51,6 +54,8 @@
 
     private record News(Map<BackendServerId, Load> loads, int crossings, long heardMillis) {}
 
+    private record Pace(double factor, long heardMillis) {}
+
     /** Notes what a peer has under way; it counts until the next news, or until the peer falls silent. */
     public void peer(String name, Map<BackendServerId, Load> underWay, int crossings, long nowMillis) {
         forget(peers.put(name, new News(Map.copyOf(underWay), crossings, nowMillis)));
@@ -159,14 +164,36 @@
         return failures.getOrDefault(first, 0.0);
     }
 
-    /** How slow each engine was last seen to be. */
-    public EnginePaces paces() {
-        return paces;
+    /** How many times longer than usual the engine takes, as last told; 1 if it has not told lately. */
+    public double pace(BackendServerId id) {
+        Pace pace = paces.get(id);
+        return pace == null ? 1 : pace.factor();
+    }
+
+    /** Notes how many times longer than usual an engine takes. */
+    public void setPace(BackendServerId id, double factor, long nowMillis) {
+        paces.put(id, new Pace(factor, nowMillis));
+    }
+
+    /** The paces that are not usual. */
+    public Map<BackendServerId, Double> unusualPaces() {
+        Map<BackendServerId, Double> unusual = new HashMap<>();
+        paces.forEach((id, pace) -> {
+            if (pace.factor() > 1) {
+                unusual.put(id, pace.factor());
+            }
+        });
+        return unusual;
+    }
+
+    /** Forgets paces that were told too long ago. */
+    public void forgetPaces(long nowMillis) {
+        paces.values().removeIf(pace -> nowMillis - pace.heardMillis() > PACE_MILLIS);
     }
 
     /** Forgets the pace and the failures of engines that nobody knows any more. */
     public void retain(Predicate<BackendServerId> known) {
-        paces.retain(known);
+        paces.keySet().removeIf(id -> !known.test(id));
         failures.keySet().removeIf(id -> !known.test(id));
     }
 }
--- a/core/src/main/java/org/cornelramp/core/path/PathFinder.java
+++ b/core/src/main/java/org/cornelramp/core/path/PathFinder.java
@@ -227,7 +227,7 @@
             this.to = layers.to();
             this.hasSlot = load.asFirst() < server.slots();
             this.freeTokenLayers = MEMORY_SHARE * freeMb / spec.tokenLayerMb() - load.tokenLayers();
-            this.layerMillis = layerMillis(load, card, spec) * loads.paces().factor(server.id());
+            this.layerMillis = layerMillis(load, card, spec) * loads.pace(server.id());
             this.failureMillis = FAILURE_MILLIS * loads.failureShare(server.id());
         }
 
--- a/core/src/test/java/org/cornelramp/core/fleet/ServerLivesProperties.java
+++ b/core/src/test/java/org/cornelramp/core/fleet/ServerLivesProperties.java
@@ -85,13 +85,13 @@
         registry.storeAnswers(true, 0);
         registry.apply(new ServerRegistry.Registration(1, NAME, Optional.of(old)), 10_000);
         suspicions.suspect(old.id(), Evidence.LOST, 10_000);
-        loads.paces().measured(old.id(), 8, 10_000);
+        loads.setPace(old.id(), 8, 10_000);
         loads.ended(old.id(), true);
         registry.apply(new ServerRegistry.Registration(2, NAME, Optional.of(next)), 10_100);
-        loads.paces().measured(old.id(), 8, 10_200);
+        loads.setPace(old.id(), 8, 10_200);
         check(registry.isReplaced(old.id()) && !registry.isReplaced(next.id()), "which life has ended");
         check(!suspicions.isSuspect(next.id(), 10_200), "suspicion");
-        check(loads.paces().factor(next.id()) == 1 && loads.failureShare(next.id()) == 0, "pace and failures");
+        check(loads.pace(next.id()) == 1 && loads.failureShare(next.id()) == 0, "pace and failures");
         check(registry.leavingSinceMillis(next.id()).isEmpty(), "leaving");
     }
 
--- a/core/src/test/java/org/cornelramp/core/path/PathFinderTest.java
+++ b/core/src/test/java/org/cornelramp/core/path/PathFinderTest.java
@@ -177,12 +177,12 @@
         List<BackendServer> engines = copy("dc1");
         engines.add(Engines.engine("twin", "dc1", "h100", 27, 54));
         EngineLoads loads = new EngineLoads();
-        loads.paces().measured(new BackendServerId("dc1-b"), 5, 0);
+        loads.setPace(new BackendServerId("dc1-b"), 5, 0);
         StagePath path =
                 PathFinder.find(SPEC, engines, loads, Engines.demand("dc1")).orElseThrow();
         assertTrue(path.hop(new BackendServerId("twin")).isPresent(), path.text());
-        loads.paces().forgetOld(60_000);
-        assertEquals(loads.paces().factor(new BackendServerId("dc1-b")), 1.0);
+        loads.forgetPaces(60_000);
+        assertEquals(loads.pace(new BackendServerId("dc1-b")), 1.0);
     }
 
     @Test
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PeerTalk.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PeerTalk.java
@@ -16,6 +16,9 @@
 
 /** What this gateway tells its peers, and what it believes of what they tell. Owned by the router's duty. */
 final class PeerTalk {
+    /** A pace that a peer tells counts as so old, so that two gateways do not keep it alive for each other. */
+    private static final long PACE_AGE_MILLIS = 2_500;
+
     /**
      * How long a failure that this process has seen is told to its peers, since datagrams may be lost. Less than a
      * suspicion lasts, or a server that has just come back would be suspected again.
@@ -64,7 +67,7 @@
     /** Makes the news of this moment, and forgets what is too old. */
     void prepare(long nowMillis) {
         EngineLoads loads = beliefs.loads();
-        loads.paces().forgetOld(nowMillis);
+        loads.forgetPaces(nowMillis);
         long silence = PeerTurns.silenceMillis(loads.peerCount());
         loads.forgetSilent(silence, nowMillis);
         repeats.setPeers(loads.peerCount(), nowMillis);
@@ -76,7 +79,7 @@
                 leaving,
                 loads.own(),
                 loads.ownCrossings(),
-                loads.paces().toTell(),
+                loads.unusualPaces(),
                 seenFail.keySet(),
                 repeats.news(nowMillis));
     }
@@ -94,7 +97,11 @@
                         told -> loads.peer(theirs.name(), told, theirs.crossings(), nowMillis),
                         () -> loads.heard(theirs.name(), theirs.crossings(), nowMillis));
         repeats.told(theirs.name(), theirs.repeats(), nowMillis);
-        theirs.paces().forEach((id, pace) -> loads.paces().told(id, pace, nowMillis));
+        theirs.paces().forEach((id, pace) -> {
+            if (loads.pace(id) == 1) {
+                loads.setPace(id, pace, nowMillis - PACE_AGE_MILLIS);
+            }
+        });
         // A gateway whose own link or processor is overloaded gets no answers and takes everyone for dead, so what it
         // tells is a reason to ask, and no proof: once 52 of 80 layers of a data centre were given up on its word.
         for (BackendServerId id : theirs.suspects()) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -374,8 +374,12 @@
             checkTime(flight, now);
         }
         resumeWaiting(now);
-        beliefs.suspicions().dueForTrial(now).forEach(this::ask);
-        beliefs.loads().paces().dueForRenewal(now).forEach(this::ask);
+        for (BackendServerId id : beliefs.suspicions().dueForTrial(now)) {
+            beliefs.registry()
+                    .server(id)
+                    .filter(server -> !server.card().isEmpty())
+                    .ifPresent(server -> desk.ask(server, this::offer));
+        }
         watch.check(flights.values(), config.current(), now);
         if (beliefs.registry().expire(now)) {
             beliefs.forgetGone();
@@ -384,13 +388,6 @@
         view = beliefs.view(now);
     }
 
-    private void ask(BackendServerId id) {
-        beliefs.registry()
-                .server(id)
-                .filter(server -> !server.card().isEmpty())
-                .ifPresent(server -> desk.ask(server, this::offer));
-    }
-
     /** Looks again for a server for a request that came before the servers were known. */
     private void resend(Flight flight, long now) {
         if (!resender.isWaiting(flight)) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
@@ -149,9 +149,9 @@
             return;
         }
         desk.answered(engine.id(), now);
-        double before = beliefs.loads().paces().factor(engine.id());
+        double before = beliefs.loads().pace(engine.id());
         double pace = report.get().pace();
-        beliefs.loads().paces().measured(engine.id(), pace, now);
+        beliefs.loads().setPace(engine.id(), pace, now);
         if (Math.abs(pace - before) > PACE_CHANGE * before) {
             log.line("fleet", "pace")
                     .with("server", engine.id())
