--- a/bench/src/main/java/org/cornelramp/bench/start/StartCommand.java
+++ b/bench/src/main/java/org/cornelramp/bench/start/StartCommand.java
@@ -20,6 +20,7 @@
 import org.cornelramp.platform.standin.StandInClient;
 import org.cornelramp.platform.standin.StandInConfig;
 import org.cornelramp.platform.standin.StandInServer;
+import org.cornelramp.platform.standin.StandInSettings;
 import org.cornelramp.platform.standin.StandInStore;
 
 /**
@@ -90,11 +91,7 @@
 
     private static Taken start(Path home, List<String> command, HostPort store) throws Exception {
         List<Integer> ports = FreePorts.take(4);
-        String address = "\"127.0.0.1:%d\"";
-        String json = ("{\"name\":\"start\",\"dataCentre\":\"dc1\",\"requests\":" + address + ",\"readiness\":"
-                        + address + ",\"metrics\":" + address + ",\"peers\":" + address + ",\"store\":\"" + store
-                        + "\"}")
-                .formatted(ports.toArray());
+        String json = StandInSettings.gateway("start", ports, store);
         Path settings = Files.writeString(Files.createTempFile("start", ".json"), json);
         List<String> words = new ArrayList<>(command);
         words.addAll(List.of("--settings", settings.toString()));
--- a/gateway/src/main/java/org/cornelramp/gateway/archive/ArchiveRun.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/archive/ArchiveRun.java
@@ -16,6 +16,7 @@
 import org.cornelramp.platform.standin.StandInClient;
 import org.cornelramp.platform.standin.StandInConfig;
 import org.cornelramp.platform.standin.StandInServer;
+import org.cornelramp.platform.standin.StandInSettings;
 import org.cornelramp.platform.standin.StandInStore;
 
 /**
@@ -47,7 +48,8 @@
 
     private static void run(StandInStore store, List<StandInServer> servers) throws Exception {
         List<Integer> ports = FreePorts.take(4);
-        Path file = Files.writeString(Files.createTempFile("archive", ".json"), settings("archive", ports, store));
+        Path file = Files.writeString(
+                Files.createTempFile("archive", ".json"), StandInSettings.gateway("archive", ports, store.address()));
         Thread gateway = new Thread(() -> Main.main(new String[] {"--settings", file.toString()}), "main");
         gateway.setDaemon(true);
         gateway.start();
@@ -60,7 +62,7 @@
 
     /** What a restarted gateway of a fleet does besides: news of peers, their records, and a store that is away. */
     private static int serveBesideAPeer(StandInStore store, StandInClient client) throws Exception {
-        String json = settings("peer", FreePorts.take(4), store);
+        String json = StandInSettings.gateway("peer", FreePorts.take(4), store.address());
         GatewaySettings settings = new GatewaySettingsReader().read(json).get();
         EventLog log = new EventLog(System.out, Clock.systemUTC(), settings.name());
         log.start();
@@ -76,13 +78,6 @@
         return served;
     }
 
-    private static String settings(String name, List<Integer> ports, StandInStore store) {
-        String address = "\"127.0.0.1:%d\"";
-        return ("{\"name\":\"%s\",\"dataCentre\":\"dc1\",\"requests\":" + address + ",\"readiness\":" + address
-                        + ",\"metrics\":" + address + ",\"peers\":" + address + ",\"store\":\"%s\"}")
-                .formatted(name, ports.get(0), ports.get(1), ports.get(2), ports.get(3), store.address());
-    }
-
     private static int serve(StandInClient client, String ids) throws InterruptedException {
         int served = 0;
         for (int i = 0; served < REQUESTS && i < TRIES; i++) {
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/NewsUrgency.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/NewsUrgency.java
@@ -1,7 +1,6 @@
 package org.cornelramp.gateway.peer;
 
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -39,6 +38,6 @@
     }
 
     private static Set<Long> asks(Collection<RepeatNews.Ask> asks) {
-        return asks.stream().map(RepeatNews.Ask::id).collect(Collectors.toCollection(HashSet::new));
+        return asks.stream().map(RepeatNews.Ask::id).collect(Collectors.toSet());
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Beliefs.java
@@ -83,30 +83,40 @@
         return nowMillis < lateUntilMillis;
     }
 
-    /** Era of the store in which the registrations were read. */
-    public long era() {
-        return era;
-    }
-
     /** Whether the registrations have been read at least once. */
     public boolean isKnown() {
         return known;
     }
 
+    /** What registrations that were read have done to what is believed. */
+    public enum Taken {
+        /** They say what was known already, or are of an era of the store that has ended. */
+        NOTHING_NEW,
+        /** They change what is known. */
+        CHANGED,
+        /** They are the first of a restored store, whether they change anything or not. */
+        RESTORED
+    }
+
     /**
-     * Takes registrations as read; true if they change what is known. Those of an era before the one that is known say
-     * nothing any more, and only a whole reading begins a new one.
+     * Takes registrations as read. Those of an era before the one that is known say nothing any more, and only a whole
+     * reading begins a new one.
      */
-    public boolean registered(RouterEvent.Registered read, long nowMillis) {
+    public Taken registered(RouterEvent.Registered read, long nowMillis) {
         if (read.era() < era || (read.era() > era && !read.whole())) {
-            return false;
+            return Taken.NOTHING_NEW;
         }
         boolean restored = read.era() > era && known;
         era = read.era();
         known = true;
         if (restored) {
-            return registry.restore(read.records(), read.end(), confirmMillis, nowMillis);
+            registry.restore(read.records(), read.end(), confirmMillis, nowMillis);
+            return Taken.RESTORED;
         }
+        return take(read, nowMillis) ? Taken.CHANGED : Taken.NOTHING_NEW;
+    }
+
+    private boolean take(RouterEvent.Registered read, long nowMillis) {
         if (read.whole()) {
             return registry.replaceAll(read.records(), read.end(), nowMillis);
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -308,10 +308,9 @@
     }
 
     private void registered(RouterEvent.Registered registered, long now) {
-        boolean restored = beliefs.isKnown() && registered.era() > beliefs.era();
-        boolean changed = beliefs.registered(registered, now);
-        if (restored || changed) {
-            log.line("fleet", restored ? "restored" : "changed")
+        Beliefs.Taken taken = beliefs.registered(registered, now);
+        if (taken != Beliefs.Taken.NOTHING_NEW) {
+            log.line("fleet", taken == Beliefs.Taken.RESTORED ? "restored" : "changed")
                     .with("end", registered.end())
                     .with("era", registered.era())
                     .with("servers", beliefs.registry().servers().size())
--- a/gateway/src/test/java/org/cornelramp/gateway/RestoredStoreTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/RestoredStoreTest.java
@@ -36,6 +36,15 @@
         assertEquals(fixture.client().send("/book/" + id, id, id).statusCode(), 200);
     }
 
+    /** Serves requests, none of which may reach the first server. */
+    private void bookWithoutTheFirst() throws Exception {
+        long before = fixture.firstApp.received().size();
+        for (int i = 0; i < REQUESTS; i++) {
+            book("after-" + i);
+        }
+        assertEquals(fixture.firstApp.received().size(), before);
+    }
+
     private void awaitRestored() throws Exception {
         GatewayFixture.await(() -> fixture.log().contains("\"event\":\"restored\""), "the copy is read");
     }
@@ -59,11 +68,7 @@
         fixture.store.restore(copy);
         awaitRestored();
         leave();
-        long before = fixture.firstApp.received().size();
-        for (int i = 0; i < REQUESTS; i++) {
-            book("after-" + i);
-        }
-        assertEquals(fixture.firstApp.received().size(), before);
+        bookWithoutTheFirst();
     }
 
     /** Guards against work for a server that had left: the copy was made before it said so, and lists it as ready. */
@@ -73,11 +78,7 @@
         leave();
         fixture.store.restore(copy);
         awaitRestored();
-        long before = fixture.firstApp.received().size();
-        for (int i = 0; i < REQUESTS; i++) {
-            book("after-" + i);
-        }
-        assertEquals(fixture.firstApp.received().size(), before);
+        bookWithoutTheFirst();
     }
 
     /** Guards against a configuration that slips back, and against one that is never read, as its offset is not new. */
