Give a connect up only when the other side has not taken it

Cause: the timer of a connect asks whether the selector has finished it. In a process short of processor time the timer's turn comes before the selector's, so connections that living engines had taken long before were given up, and with one of them every request that waited for a connection to that engine, some for a few milliseconds only. Ruled out: full accept queues and lost packets (no connect was given up any more with the look at the socket alone). Change: when the timer goes off, the socket is looked at without waiting; a connect that was answered is finished by the selector's next turn. A gauge counts such connects.

--- a/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
@@ -1,5 +1,7 @@
 package org.cornelramp.gateway;
 
+import java.util.concurrent.atomic.LongAdder;
+import org.cornelramp.platform.ConnectWatch;
 import org.eclipse.jetty.client.AbstractConnectionPool;
 import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
@@ -22,6 +24,7 @@
     private static final int MOST_CONNECTIONS = 512;
 
     private final QueuedThreadPool threads = new PlainThreads();
+    private final LongAdder lateConnects = new LongAdder();
     private final HttpClient pooled;
     private final HttpClient single;
 
@@ -47,7 +50,8 @@
     }
 
     private HttpClient client(int usages) {
-        ClientConnector connector = new ResetAwareConnector();
+        ConnectWatch connects = new ConnectWatch();
+        ClientConnector connector = new ResetAwareConnector(connects, lateConnects::increment);
         connector.setExecutor(threads);
         connector.setSelectors(1);
         HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
@@ -58,6 +62,7 @@
             return pool;
         });
         HttpClient client = new HttpClient(transport);
+        client.addBean(connects);
         client.setExecutor(threads);
         client.setConnectTimeout(CONNECT_MILLIS);
         client.setIdleTimeout(IDLE_MILLIS);
@@ -94,6 +99,11 @@
         return single;
     }
 
+    /** Connects that this process noticed only after their timeout, although the other side had taken them in time. */
+    public long lateConnects() {
+        return lateConnects.sum();
+    }
+
     /** The threads, for the server as well. */
     QueuedThreadPool threads() {
         return threads;
--- a/gateway/src/main/java/org/cornelramp/gateway/ResetAwareConnector.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/ResetAwareConnector.java
@@ -1,25 +1,46 @@
 package org.cornelramp.gateway;
 
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import org.cornelramp.platform.ConnectWatch;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SelectorManager;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * Connects to backend servers such that a reset connection fails the answer.
+ * Connects to backend servers such that a reset connection fails the answer, and that a connect runs into its timeout only
+ * when the other side has not taken it.
  *
  * <p>The usual end point takes a reset for an ordinary end. An answer without a length ends with its connection, so
  * one that was cut by a crash would look whole, and the client would get half an answer as a success.
+ *
+ * <p>The usual timer of a connect asks whether the selector has finished it. In a process short of processor time the
+ * selector's turn comes after the timer's, and connections that living servers had long taken would be given up. As
+ * thread-safe as its parent.
  */
 final class ResetAwareConnector extends ClientConnector {
+    private final ConnectWatch connects;
+    private final Runnable onLateConnect;
+
+    /**
+     * @param connects is told of each connect
+     * @param onLateConnect called when a timer finds a connect taken that the selector has not noticed yet
+     */
+    ResetAwareConnector(ConnectWatch connects, Runnable onLateConnect) {
+        this.connects = connects;
+        this.onLateConnect = onLateConnect;
+    }
 
     /**
      * None: all connections are plain. The usual one loads some 600 classes for TLS, which takes a quarter of the
@@ -30,11 +51,47 @@
         return null;
     }
 
+    @Override
+    protected void configure(SelectableChannel selectable) throws IOException {
+        super.configure(selectable);
+        connects.begun((SocketChannel) selectable);
+    }
+
+    @Override
+    protected void connectFailed(
+            SelectableChannel selectable, SocketAddress address, Throwable failure, Map<String, Object> context) {
+        connects.ended((SocketChannel) selectable);
+        super.connectFailed(selectable, address, failure, context);
+    }
+
+    @Override
+    protected SelectorManager newSelectorManager() {
+        return new PatientSelectorManager(getExecutor(), getScheduler(), getSelectors());
+    }
+
     @Override
     protected EndPoint newEndPoint(SelectableChannel selectable, ManagedSelector selector, SelectionKey key) {
+        connects.ended((SocketChannel) selectable);
         return new ResetAwareEndPoint((SocketChannel) selectable, selector, key, getScheduler());
     }
 
+    /** Keeps a connect that the other side has taken. As thread-safe as its parent. */
+    private final class PatientSelectorManager extends ClientSelectorManager {
+        PatientSelectorManager(Executor executor, Scheduler scheduler, int selectors) {
+            super(executor, scheduler, selectors);
+        }
+
+        @Override
+        protected boolean isConnectionPending(SelectableChannel selectable) {
+            boolean pending = super.isConnectionPending(selectable);
+            if (pending && ConnectWatch.isAnswered((SocketChannel) selectable)) {
+                onLateConnect.run();
+                return false; // the selector finishes it in its next turn
+            }
+            return pending;
+        }
+    }
+
     /** Passes a failed read on. As thread-safe as its parent. */
     private static final class ResetAwareEndPoint extends SocketChannelEndPoint {
         ResetAwareEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
