Ask an engine that has not taken a connect before it is held to be dead

Callers: all streams of a gateway left an engine, and new ones avoided it for two seconds, for one connect without an answer. Cause: every attempt that was not sent counted as proof of death. A refused connection is one; a connect without an answer may have met a full accept queue or a lost packet as well. A plain server cannot be asked and is held to be dead as before. ServerJudgeTest: the new case fails on the old judgement; those for refused connections and cancelled attempts are unchanged.

--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.net.ConnectException;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
@@ -275,8 +276,7 @@
         }
         AnswerHead decoded = answer;
         if (result.isFailed() || decoded == null) {
-            boolean unsent = !begun || failure instanceof ConnectException;
-            return AttemptEnd.without(unsent ? AttemptEnd.Kind.NOT_SENT : AttemptEnd.Kind.BROKEN, brief(failure));
+            return AttemptEnd.without(unanswered(failure), brief(failure));
         }
         if (!isOwn(decoded) && !decoded.saysNotRun()) {
             return AttemptEnd.without(AttemptEnd.Kind.BROKEN, "the answer belongs to another request");
@@ -294,6 +294,15 @@
         return answered(decoded);
     }
 
+    /** The kind of an end without an answer. */
+    private AttemptEnd.Kind unanswered(Throwable failure) {
+        if (begun && !(failure instanceof ConnectException)) {
+            return AttemptEnd.Kind.BROKEN;
+        }
+        boolean timedOut = failure instanceof SocketTimeoutException;
+        return timedOut ? AttemptEnd.Kind.NO_CONNECTION : AttemptEnd.Kind.NOT_SENT;
+    }
+
     /** A failure for logs. The HTTP library's own texts hold the state of a whole connection, a kilobyte a line. */
     private static String brief(Throwable failure) {
         String text = failure instanceof CancelledAttempt ? failure.getMessage() : String.valueOf(failure);
--- a/gateway/src/main/java/org/cornelramp/gateway/request/AttemptEnd.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/AttemptEnd.java
@@ -20,28 +20,37 @@
     /** Kinds of ends. Immutable, safe for use by any thread. */
     public enum Kind {
         /** The whole stream was passed on. */
-        RELAYED(false),
+        RELAYED(false, true),
         /** A whole, signed answer is there to be passed on. */
-        ANSWERED(false),
+        ANSWERED(false, true),
         /** The backend server says that it did not run the request. */
-        NOT_RUN(true),
+        NOT_RUN(true, true),
         /** No byte of the request was sent. */
-        NOT_SENT(true),
+        NOT_SENT(true, false),
+        /** The backend server has taken no connection in time, and no byte of the request was sent. */
+        NO_CONNECTION(true, false),
         /** The answer did not come whole, or was none. */
-        BROKEN(false),
+        BROKEN(false, true),
         /** The client has gone. */
-        CLIENT_GONE(false);
+        CLIENT_GONE(false, true);
 
         private final boolean surelyNotRun;
+        private final boolean mayHaveArrived;
 
-        Kind(boolean surelyNotRun) {
+        Kind(boolean surelyNotRun, boolean mayHaveArrived) {
             this.surelyNotRun = surelyNotRun;
+            this.mayHaveArrived = mayHaveArrived;
         }
 
         /** Whether the request certainly did not run in this attempt. */
         public boolean surelyNotRun() {
             return surelyNotRun;
         }
+
+        /** Whether the request may have reached the backend server, so that another attempt counts as a repeat. */
+        public boolean mayHaveArrived() {
+            return mayHaveArrived;
+        }
     }
 
     /** An end without an answer. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Resender.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Resender.java
@@ -69,7 +69,7 @@
             return false;
         }
         avoid(flight, failed, end);
-        flight.setOwesRepeat(end.kind() != AttemptEnd.Kind.NOT_SENT);
+        flight.setOwesRepeat(end.kind().mayHaveArrived());
         return true;
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
@@ -99,15 +99,30 @@
             if (!stalled && named.get().layers().isPresent()) {
                 desk.askQuickly(named.get(), router, beliefs.lagMillis(), now);
             }
-        } else if (end.kind() == AttemptEnd.Kind.NOT_SENT && !attempt.isCancelled()) {
+        } else if (!end.kind().mayHaveArrived() && !attempt.isCancelled()) {
             // One that this gateway cancelled before it was sent says nothing of its first engine.
-            suspect(attempt.server(), Evidence.LOST, end.detail(), now);
+            notReached(attempt.server(), end, now);
         } else if (isOwnFailure(attempt, end)) {
             // A crash resets the connections that are open before it refuses new ones.
             desk.askQuickly(attempt.server(), router, beliefs.lagMillis(), now);
         }
     }
 
+    /**
+     * Takes that no connection could be had. A refused one shows that nothing listens. A connect without an answer may have
+     * met a full accept queue or a lost packet as well, so an engine is asked over another connection; a plain server
+     * cannot be asked.
+     */
+    private void notReached(BackendServer server, AttemptEnd end, long now) {
+        boolean canAsk = !server.card().isEmpty();
+        if (end.kind() == AttemptEnd.Kind.NO_CONNECTION && canAsk) {
+            suspect(server, Evidence.BUSY, end.detail(), now);
+            desk.askQuickly(server, router, beliefs.lagMillis(), now);
+        } else {
+            suspect(server, Evidence.LOST, end.detail(), now);
+        }
+    }
+
     private void suspect(BackendServer server, Evidence evidence, String why, long now) {
         if (!beliefs.suspicions().suspect(server.id(), evidence, now)) {
             return;
--- a/gateway/src/test/java/org/cornelramp/gateway/route/ServerJudgeTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/ServerJudgeTest.java
@@ -57,7 +57,11 @@
     }
 
     private static AttemptEnd notSent(String why) {
-        return new AttemptEnd(AttemptEnd.Kind.NOT_SENT, 0, HttpFields.EMPTY, new byte[0], Optional.empty(), why);
+        return end(AttemptEnd.Kind.NOT_SENT, why);
+    }
+
+    private static AttemptEnd end(AttemptEnd.Kind kind, String why) {
+        return new AttemptEnd(kind, 0, HttpFields.EMPTY, new byte[0], Optional.empty(), why);
     }
 
     /**
@@ -80,6 +84,16 @@
         assertTrue(beliefs.isLost(engine.id(), NOW));
     }
 
+    /** Guards against living engines that lose all streams of a gateway because one of their connects was not answered. */
+    @Test
+    public void anEngineThatDoesNotTakeAConnectInTimeIsAskedFirst() {
+        Beliefs own = new Beliefs(1_200);
+        AttemptEnd timedOut = end(AttemptEnd.Kind.NO_CONNECTION, "Connect Timeout");
+        judge(own).blame(attempt(), timedOut, NOW);
+        assertTrue(own.isSuspect(engine.id(), NOW), "new requests go elsewhere meanwhile");
+        assertFalse(own.isLost(engine.id(), NOW));
+    }
+
     /**
      * Guards against streams that stay at a crashed engine because the gateway was late, or had heard nothing of two others:
      * its own lateness explains no refused connection.
