Let the selector have its turn before a connect's timer goes off

Change: a due timer waits until the selector has looked at all its channels once more. A connect that was taken is finished in that turn and cancels its timer; one that was not is given up a turn later. The gauge counts the first. Both clients share one thread for timers.

--- a/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
@@ -1,6 +1,5 @@
 package org.cornelramp.gateway;
 
-import java.util.concurrent.atomic.LongAdder;
 import org.cornelramp.platform.ConnectWatch;
 import org.eclipse.jetty.client.AbstractConnectionPool;
 import org.eclipse.jetty.client.DuplexConnectionPool;
@@ -9,6 +8,7 @@
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 
 /** The HTTP clients of one gateway, on shared threads. Started once; the clients are safe for use by any thread. */
 public final class HttpClients {
@@ -24,7 +24,9 @@
     private static final int MOST_CONNECTIONS = 512;
 
     private final QueuedThreadPool threads = new PlainThreads();
-    private final LongAdder lateConnects = new LongAdder();
+    private final ScheduledExecutorScheduler timers = new ScheduledExecutorScheduler("timers", true);
+    private final TurnAwareScheduler pooledConnects = new TurnAwareScheduler(timers);
+    private final TurnAwareScheduler singleConnects = new TurnAwareScheduler(timers);
     private final HttpClient pooled;
     private final HttpClient single;
 
@@ -45,13 +47,13 @@
 
     HttpClients() {
         threads.setName("http");
-        pooled = client(-1);
-        single = client(1);
+        pooled = client(-1, pooledConnects);
+        single = client(1, singleConnects);
     }
 
-    private HttpClient client(int usages) {
+    private HttpClient client(int usages, TurnAwareScheduler connectTimers) {
         ConnectWatch connects = new ConnectWatch();
-        ClientConnector connector = new ResetAwareConnector(connects, lateConnects::increment);
+        ClientConnector connector = new ResetAwareConnector(connects, connectTimers);
         connector.setExecutor(threads);
         connector.setSelectors(1);
         HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
@@ -64,6 +66,7 @@
         HttpClient client = new HttpClient(transport);
         client.addBean(connects);
         client.setExecutor(threads);
+        client.setScheduler(timers);
         client.setConnectTimeout(CONNECT_MILLIS);
         client.setIdleTimeout(IDLE_MILLIS);
         client.setMaxConnectionsPerDestination(MOST_CONNECTIONS);
@@ -75,6 +78,7 @@
 
     void start() throws Exception {
         threads.start();
+        timers.start();
         for (HttpClient client : new HttpClient[] {pooled, single}) {
             client.start();
             // An answer is passed on as it came: neither decoded, nor followed, nor answered.
@@ -86,6 +90,7 @@
     void stop() throws Exception {
         pooled.stop();
         single.stop();
+        timers.stop();
         threads.stop();
     }
 
@@ -101,7 +106,7 @@
 
     /** Connects that this process noticed only after their timeout, although the other side had taken them in time. */
     public long lateConnects() {
-        return lateConnects.sum();
+        return pooledConnects.late() + singleConnects.late();
     }
 
     /** The threads, for the server as well. */
--- a/gateway/src/main/java/org/cornelramp/gateway/ResetAwareConnector.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/ResetAwareConnector.java
@@ -31,15 +31,15 @@
  */
 final class ResetAwareConnector extends ClientConnector {
     private final ConnectWatch connects;
-    private final Runnable onLateConnect;
+    private final TurnAwareScheduler connectTimers;
 
     /**
      * @param connects is told of each connect
-     * @param onLateConnect called when a timer finds a connect taken that the selector has not noticed yet
+     * @param connectTimers limits the time of each connect
      */
-    ResetAwareConnector(ConnectWatch connects, Runnable onLateConnect) {
+    ResetAwareConnector(ConnectWatch connects, TurnAwareScheduler connectTimers) {
         this.connects = connects;
-        this.onLateConnect = onLateConnect;
+        this.connectTimers = connectTimers;
     }
 
     /**
@@ -66,7 +66,7 @@
 
     @Override
     protected SelectorManager newSelectorManager() {
-        return new PatientSelectorManager(getExecutor(), getScheduler(), getSelectors());
+        return new TurnAwareSelectorManager(getExecutor(), connectTimers, getSelectors());
     }
 
     @Override
@@ -75,20 +75,17 @@
         return new ResetAwareEndPoint((SocketChannel) selectable, selector, key, getScheduler());
     }
 
-    /** Keeps a connect that the other side has taken. As thread-safe as its parent. */
-    private final class PatientSelectorManager extends ClientSelectorManager {
-        PatientSelectorManager(Executor executor, Scheduler scheduler, int selectors) {
+    /** Limits the time of its connects by timers that wait for its selector. As thread-safe as its parent. */
+    private final class TurnAwareSelectorManager extends ClientSelectorManager {
+        TurnAwareSelectorManager(Executor executor, Scheduler scheduler, int selectors) {
             super(executor, scheduler, selectors);
         }
 
         @Override
-        protected boolean isConnectionPending(SelectableChannel selectable) {
-            boolean pending = super.isConnectionPending(selectable);
-            if (pending && ConnectWatch.isAnswered((SocketChannel) selectable)) {
-                onLateConnect.run();
-                return false; // the selector finishes it in its next turn
-            }
-            return pending;
+        protected ManagedSelector newSelector(int id) {
+            ManagedSelector selector = super.newSelector(id);
+            connectTimers.attach(selector);
+            return selector;
         }
     }
 
