Show that an engine that takes no connection is silent after the question's own timeout

Cause: a question that waits for a connection looks at the connects under way; nothing showed that a connect without an answer still counts as silence after 60 ms and not after the connect's 500. LateAnswerTest has the case: a server whose accept queue is full. It passes on the code as it is.

--- a/gateway/src/test/java/org/cornelramp/gateway/LateAnswerTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/LateAnswerTest.java
@@ -5,6 +5,11 @@
 import static org.testng.Assert.assertTrue;
 
 import io.vavr.control.Either;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerState;
@@ -26,6 +31,9 @@
 
     private static final long QUICK_MILLIS = 60;
 
+    /** More connections than a queue of one takes. */
+    private static final int BACKLOG_FILLED = 8;
+
     private final HttpClients clients = new HttpClients();
 
     @BeforeMethod
@@ -38,9 +46,9 @@
         clients.stop();
     }
 
-    private static BackendServer engine(SmallServer server) {
+    private static BackendServer engine(int port) {
         BackendServerId id = new BackendServerId("e1");
-        HostPort address = new HostPort("127.0.0.1", server.port());
+        HostPort address = new HostPort("127.0.0.1", port);
         return new BackendServer(
                 id,
                 id,
@@ -53,9 +61,12 @@
                 Optional.empty());
     }
 
+    private Either<StoreFault, EngineReport> ask(int port) {
+        return new EngineControl(clients.pooled()).report(engine(port), QUICK_MILLIS);
+    }
+
     private boolean isSilent(SmallServer server) {
-        Either<StoreFault, EngineReport> report =
-                new EngineControl(clients.pooled()).report(engine(server), QUICK_MILLIS);
+        Either<StoreFault, EngineReport> report = ask(server.port());
         return report.isLeft() && report.getLeft().kind() == StoreFault.Kind.NO_ANSWER;
     }
 
@@ -87,6 +98,25 @@
         }
     }
 
+    /** Guards against dead engines that are found only when the connect's own, longer timeout is over. */
+    @Test
+    public void anEngineThatTakesNoConnectionIsSilentAfterTheQuestionsTimeout() throws Exception {
+        List<SocketChannel> waiting = new ArrayList<>();
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            for (int i = 0; i < BACKLOG_FILLED; i++) {
+                SocketChannel channel = SocketChannel.open();
+                channel.configureBlocking(false);
+                channel.connect(full.getLocalSocketAddress());
+                waiting.add(channel);
+            }
+            assertEquals(ask(full.getLocalPort()).getLeft().detail(), "no answer in " + QUICK_MILLIS + " ms");
+        } finally {
+            for (SocketChannel channel : waiting) {
+                channel.close();
+            }
+        }
+    }
+
     /** The same while this process stands still: its own lateness is no sign of life. */
     @Test
     public void anEngineThatSaysNothingIsSilentForALateProcessToo() throws Exception {
