Give up no run whose answer lies unread

Callers: a request that may run twice ran twice, and a stream was started anew, while the answer was there. A gateway that stands still sees all three when it wakes, before it has read anything. Change: before a run is given up, its connection is looked at; with bytes unread it goes on. Only runs that are to be given up pay for the look.

--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -115,6 +115,11 @@
                 meters);
     }
 
+    /** The clients that talk to backend servers and the store. */
+    HttpClients clients() {
+        return clients;
+    }
+
     private LeaderLease lease() {
         return lease;
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -13,6 +13,7 @@
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.platform.AnswerHead;
 import org.cornelramp.platform.ForwardHead;
+import org.cornelramp.platform.SocketReadiness;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -108,6 +109,12 @@
         return answering;
     }
 
+    /** Whether a part of the answer has arrived that this process has not read yet. */
+    public boolean hasUnread() {
+        Request out = request;
+        return out != null && SocketReadiness.hasUnread(out);
+    }
+
     /** Sends the request. */
     public void start(long nowMillis) {
         startMillis = nowMillis;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/OverdueRuns.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/OverdueRuns.java
@@ -39,13 +39,16 @@
 
     /** Why an attempt without an event is to be given up now; empty if it goes on. */
     Optional<String> reason(Flight flight, Attempt attempt, long now) {
-        if (isAnswerLost(flight, attempt, now) && canRepeat(flight, attempt, now)) {
+        return overdue(flight, attempt, now)
+                .filter(why -> canRepeat(flight, attempt, now))
+                .filter(why -> !attempt.hasUnread()); // its answer is there, and this process is late
+    }
+
+    private Optional<String> overdue(Flight flight, Attempt attempt, long now) {
+        if (isAnswerLost(flight, attempt, now)) {
             return Optional.of("its answer is lost: streams sent to its engine later have begun");
         }
-        if (isLate(flight, attempt, now) && canRepeat(flight, attempt, now)) {
-            return Optional.of("it takes too long");
-        }
-        return Optional.empty();
+        return isLate(flight, attempt, now) ? Optional.of("it takes too long") : Optional.empty();
     }
 
     /**
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
@@ -145,10 +145,11 @@
                 .anyMatch(hop -> beliefs.isLeaving(hop.server().id()));
     }
 
-    /** Whether an engine of the path is held to be lost, and no event says otherwise. */
+    /** Whether an engine of the path is held to be lost, and no event says otherwise, read or not. */
     private boolean hasStopped(Flight flight, Attempt attempt, StagePath path, long now) {
         return passes(path, id -> beliefs.isLost(id, now))
-                && !stream(flight, attempt, path).isFlowing(now);
+                && !stream(flight, attempt, path).isFlowing(now)
+                && !attempt.hasUnread();
     }
 
     /**
--- a/gateway/src/test/java/org/cornelramp/gateway/OverdueAnswerTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/OverdueAnswerTest.java
@@ -38,6 +38,18 @@
         assertEquals(fixture.received("late"), 1);
     }
 
+    /** Guards against requests that run twice because the gateway had not got round to reading their answers. */
+    @Test
+    public void anAnswerThatIsThereUnreadIsNotOverdue() throws Exception {
+        fixture = new GatewayFixture();
+        for (int i = 0; i < 10; i++) {
+            fixture.client().send("/look/a", "warm", "warm"); // connections to both servers are there and kept
+        }
+        HeldUpSelector.holdUp(fixture.gateway.clients().pooled(), LATE_MILLIS);
+        assertEquals(fixture.client().send("/look/a", "unread", "unread").statusCode(), 200);
+        assertEquals(fixture.received("unread"), 1);
+    }
+
     /** The same, with repeats left and only one server: nobody else can be asked either. */
     @Test
     public void aLateAnswerIsAwaitedWhenNoOtherServerIsThere() throws Exception {
