Forget no peer for a time in which this process ran late

Callers: requests were refused for want of a repeat at once, as nobody was there to lend one, though all peers lived. Cause: the same fault with peers: their silence was measured by this process's clock, and their news lay unread while it stood still. Peers that are gone lend nothing, and what they have under way is forgotten. Evidence: read from the code; PeerTalkTest.aProcessThatStoodStillKeepsItsPeers fails on the code before. Change: a peer may be silent for longer by as much as this process ran late just now. A peer that is silent for a process that runs on time is gone as before.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/PeerTalk.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PeerTalk.java
@@ -68,7 +68,8 @@
     void prepare(long nowMillis) {
         EngineLoads loads = beliefs.loads();
         loads.forgetPaces(nowMillis);
-        long silence = PeerTurns.silenceMillis(loads.peerCount());
+        // News may lie unread for as long as this process ran late.
+        long silence = PeerTurns.silenceMillis(loads.peerCount()) + beliefs.lagMillis();
         loads.forgetSilent(silence, nowMillis);
         repeats.setPeers(loads.peerCount(), nowMillis);
         staying.values().removeIf(at -> nowMillis - at > silence);
