End a doubt that silence raised at the first sign of life

Callers: a living engine whose answer was lost got nothing for two seconds, and twice as long the next time, while its streams ran. Cause: a suspicion ended by its time alone, whatever the engine did meanwhile. A report on a trial did not end it either. Change: silence is evidence of its own. An event that passes the engine later, or its report, ends it; the count of failures in a row stays. That work stalls at an engine, or that nothing listens there, is not refuted so: the engine may answer this gateway while another has no link to it. A process that runs late concludes nothing from events, which may be older than the doubt. SuspicionsTest has both cases.

--- a/core/src/main/java/org/cornelramp/core/path/SilentEngines.java
+++ b/core/src/main/java/org/cornelramp/core/path/SilentEngines.java
@@ -58,7 +58,7 @@
     private static final long SPREAD_MILLIS = 20;
 
     /** Events of an engine that has died may come so long after. */
-    private static final long AFTER_DEATH_MILLIS = 20;
+    public static final long AFTER_DEATH_MILLIS = 20;
 
     private SilentEngines() {}
 
--- a/core/src/test/java/org/cornelramp/core/fleet/SuspicionsTest.java
+++ b/core/src/test/java/org/cornelramp/core/fleet/SuspicionsTest.java
@@ -43,6 +43,28 @@
         assertTrue(suspicions.isLost(ID, 1_000));
     }
 
+    /** Guards against living engines that get nothing for seconds because a question to them was lost. */
+    @Test
+    public void aSignOfLifeEndsADoubtThatSilenceRaised() {
+        Suspicions suspicions = new Suspicions();
+        suspicions.suspect(ID, Evidence.SILENT, 100);
+        assertTrue(suspicions.isLost(ID, 150));
+        assertFalse(suspicions.seenAlive(ID, 100, 200), "given before it fell silent");
+        assertTrue(suspicions.seenAlive(ID, 101, 200));
+        assertFalse(suspicions.isSuspect(ID, 200));
+        assertTrue(suspicions.suspect(ID, Evidence.SILENT, 300));
+        assertTrue(suspicions.isLost(ID, 300 + 3_999), "it fails for the second time in a row");
+    }
+
+    /** Guards against streams that return to an engine that answers, but to which another engine has no link. */
+    @Test
+    public void aSignOfLifeDoesNotRefuteThatWorkStalls() {
+        Suspicions suspicions = new Suspicions();
+        suspicions.suspect(ID, Evidence.LOST, 100);
+        assertFalse(suspicions.seenAlive(ID, 150, 200));
+        assertTrue(suspicions.isLost(ID, 200));
+    }
+
     /** A dead server keeps its registration for seconds; each trial that fails doubles the time until the next. */
     @Test
     public void aFailedTrialDoublesTheTime() {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ServerJudge.java
@@ -127,7 +127,7 @@
         if (!beliefs.suspicions().suspect(server.id(), evidence, now)) {
             return;
         }
-        if (evidence == Evidence.LOST) {
+        if (evidence.isLost()) {
             onLost.accept(server.id(), now);
             lostSeen = true;
         }
@@ -157,6 +157,17 @@
         desk.askQuickly(engine, router, beliefs.lagMillis(), now);
     }
 
+    /** Takes that events have passed an engine, the last of them at a moment. */
+    void passed(BackendServerId engine, long eventMillis, long now) {
+        seenAlive(engine, eventMillis, "events pass it", now);
+    }
+
+    private void seenAlive(BackendServerId id, long seenMillis, String why, long now) {
+        if (beliefs.suspicions().seenAlive(id, seenMillis, now)) {
+            log.line("fleet", "trusted").with("server", id).with("why", why).write();
+        }
+    }
+
     /** Takes an engine's report, or that there was none. */
     void reported(BackendServer engine, Either<StoreFault, EngineReport> report, long now) {
         if (report.isLeft()) {
@@ -164,6 +175,7 @@
             return;
         }
         desk.answered(engine.id(), now);
+        seenAlive(engine.id(), now, "it answers", now);
         double before = beliefs.loads().pace(engine.id());
         double pace = report.get().pace();
         beliefs.loads().setPace(engine.id(), pace, now);
@@ -187,7 +199,7 @@
         } else if (!dead && unanswered.isOwnFault(engine.id(), beliefs.isLate(now), now)) {
             desk.ask(engine, router); // with a timeout that an overloaded process keeps as well
         } else {
-            suspect(engine, Evidence.LOST, "no report: " + fault, now);
+            suspect(engine, dead ? Evidence.LOST : Evidence.SILENT, "no report: " + fault, now);
         }
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamWatch.java
@@ -76,7 +76,18 @@
             }
             check(flight, attempt, attempt.path().get(), config, now);
         }
-        askSilent(flights, now);
+        List<SilentEngines.Stream> streams = streams(flights);
+        trustPassed(streams, now);
+        askSilent(streams, now);
+    }
+
+    /** Ends doubts about engines that events have passed since. What a late process reads now may have been sent before. */
+    private void trustPassed(List<SilentEngines.Stream> streams, long now) {
+        if (beliefs.isLate(now) || !beliefs.suspicions().hasSilent(now)) {
+            return;
+        }
+        streams.stream().filter(SilentEngines.Stream::begun).forEach(stream -> stream.engines()
+                .forEach(id -> judge.passed(id, stream.lastMillis() - SilentEngines.AFTER_DEATH_MILLIS, now)));
     }
 
     private static List<BackendServerId> engines(StagePath path) {
@@ -84,8 +95,8 @@
     }
 
     /** Asks the engines that may be dead, so that their streams go on elsewhere before their clients notice. */
-    private void askSilent(Collection<Flight> flights, long now) {
-        for (BackendServerId id : SilentEngines.find(streams(flights), beliefs.isLate(now), now)) {
+    private void askSilent(List<SilentEngines.Stream> streams, long now) {
+        for (BackendServerId id : SilentEngines.find(streams, beliefs.isLate(now), now)) {
             if (!beliefs.suspicions().isLost(id, now)) {
                 beliefs.registry()
                         .server(id)
