Send a begun stream again to engines that have refused it

Callers: a stream that had begun stood still until its client left or its deadline passed, though all engines had room again. Cause: servers that fail a request are avoided for as long as the request lives. Once each engine that holds the first layers, or any one layer, had refused it once, no path was left for good; waiting for one could not help. Evidence: BegunStreamTest.aBegunStreamGoesOnAfterAllEnginesHaveRefusedIt, written for one of the seven ways in which a begun stream is closed: before, the client's connection was closed at its deadline after "no path"; after, it gets the whole stream. Change: a request for which no server is there for a quarter of a second, the time for which a full engine is avoided by all, avoids none any more. The case with engines that come back, and a client that sends its next request ahead, passed before too.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
@@ -27,6 +27,7 @@
     private boolean staying;
     private boolean owesRepeat;
     private boolean awaitingPath;
+    private long awaitingPathSinceMillis;
     private long triedMillis = Long.MIN_VALUE / 2;
     private long lookedMillis = Long.MIN_VALUE / 2;
     private long leavingSinceMillis;
@@ -171,8 +172,17 @@
         return awaitingPath;
     }
 
-    void setAwaitingPath(boolean now) {
-        awaitingPath = now;
+    /** Notes that no server is there for its next attempt; true if one was there when it was last looked for. */
+    boolean awaitPath(long nowMillis) {
+        boolean first = !awaitingPath;
+        awaitingPathSinceMillis = first ? nowMillis : awaitingPathSinceMillis;
+        awaitingPath = true;
+        return first;
+    }
+
+    /** How long no server has been there for its next attempt. */
+    long awaitedPathMillis(long nowMillis) {
+        return awaitingPath ? nowMillis - awaitingPathSinceMillis : 0;
     }
 
     /** Notes that the first engine of the attempt under way takes no orders, so that it cannot be moved. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Resender.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Resender.java
@@ -36,6 +36,9 @@
      */
     private static final long LOOK_PAUSE_MILLIS = 60;
 
+    /** Time for which servers that have failed a request are avoided while nobody else is there. */
+    private static final long AVOID_MILLIS = 250;
+
     private final Repeats repeats;
     private final Dispatcher dispatcher;
     private final Beliefs beliefs;
@@ -76,7 +79,7 @@
     /** Lets a begun stream wait that finds no path. */
     void awaitPath(Flight flight, long now) {
         waiting.add(flight, how(flight, now));
-        tellNoPath(flight);
+        noPath(flight, now);
     }
 
     /** Sends requests that wait, the most urgent first, and asks the peers for the repeats that are still lacking. */
@@ -134,7 +137,7 @@
         }
         Optional<Dispatcher.Choice> choice = dispatcher.choose(flight, now);
         if (choice.isEmpty()) {
-            tellNoPath(flight);
+            noPath(flight, now);
             return false;
         }
         if (flight.owesRepeat()) {
@@ -167,10 +170,13 @@
                 flight.exchange().isCommitted(), flight.exchange().call().deadlineMillis(), now + FRESH_WAIT_MILLIS);
     }
 
-    private void tellNoPath(Flight flight) {
-        if (!flight.isAwaitingPath()) {
-            flight.setAwaitingPath(true);
+    /** Takes that no server is there. Those that have failed the request may be the only ones, and have room again. */
+    private void noPath(Flight flight, long now) {
+        if (flight.awaitPath(now)) {
             flightLog.noPath(flight); // once for each wait, though a path is looked for at each tick
         }
+        if (flight.awaitedPathMillis(now) >= AVOID_MILLIS) {
+            flight.avoid().clear();
+        }
     }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
@@ -1,10 +1,15 @@
 package org.cornelramp.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.platform.standin.StandInServer;
 import org.cornelramp.platform.standin.StandInServer.Behaviour;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -12,6 +17,8 @@
 
 /** A gateway whose part of the repeats is used up: one repeat within two seconds. */
 public class BegunStreamTest {
+    private static final String LAST_EVENT = "id: 4\ndata: piece 4\n\n";
+
     private GatewayFixture fixture;
 
     @BeforeMethod
@@ -48,6 +55,64 @@
         assertEquals(fixture.received("waits"), 3);
     }
 
+    private void startWithRepeats() throws Exception {
+        fixture.close();
+        fixture = new GatewayFixture(",\"retries\":{\"ratio\":0,\"reserve\":500,\"windowSeconds\":2}");
+    }
+
+    private static void assertWhole(String body) {
+        assertTrue(body.endsWith(LAST_EVENT), body);
+    }
+
+    /** Guards against begun streams closed, or left without engines for good, because each engine refused them once. */
+    @Test
+    public void aBegunStreamGoesOnAfterAllEnginesHaveRefusedIt() throws Exception {
+        startWithRepeats();
+        breakAfter(2);
+        CompletableFuture<HttpResponse<String>> answer = fixture.client().sendLater("/chat/a", "refused", "refused");
+        GatewayFixture.await(() -> fixture.received("refused") == 1, "it runs");
+        fixture.engines.forEach(engine -> engine.setBehaviour(Behaviour.refusing()));
+        GatewayFixture.await(() -> fixture.log().contains("\"no path\""), "all engines have refused it");
+        breakAfter(-1);
+        assertWhole(answer.get().body());
+    }
+
+    /** Guards against begun streams closed while no engine is there to carry them on. */
+    @Test
+    public void aBegunStreamWaitsForEnginesToComeBack() throws Exception {
+        startWithRepeats();
+        Behaviour slow = Behaviour.ordinary().withPauseMillis(700);
+        fixture.engines.forEach(engine -> engine.setBehaviour(slow.withBreakAfter(1)));
+        CompletableFuture<HttpResponse<String>> answer = fixture.client().sendLater("/chat/a", "alone", "alone");
+        GatewayFixture.await(() -> fixture.received("alone") == 1, "it runs");
+        fixture.engines.forEach(engine -> engine.register("draining"));
+        GatewayFixture.await(() -> fixture.log().contains("\"no path\""), "no engine is there");
+        breakAfter(-1);
+        fixture.engines.forEach(StandInServer::restart);
+        assertWhole(answer.get().body());
+    }
+
+    /** Guards against begun streams closed because bytes of the client's next request are taken for its leaving. */
+    @Test
+    public void aBegunStreamGoesOnWhenItsClientSendsAhead() throws Exception {
+        startWithRepeats();
+        fixture.engines.forEach(
+                engine -> engine.setBehaviour(Behaviour.ordinary().withPauseMillis(500)));
+        HostPort gateway = fixture.settings.requests();
+        try (Socket client = new Socket(gateway.host(), gateway.port())) {
+            client.getOutputStream().write(text("/chat/a", "begun"));
+            GatewayFixture.await(() -> fixture.received("begun") == 1, "it runs");
+            client.getOutputStream().write(text("/look/a", "ahead"));
+            GatewayFixture.await(() -> fixture.received("ahead") == 1, "the stream is over and the next request runs");
+            assertEquals(fixture.received("begun"), 1, "one run");
+            assertFalse(fixture.log().contains("client gone"), fixture.log());
+        }
+    }
+
+    private byte[] text(String path, String id) {
+        return fixture.client().text(path, id).getBytes(StandardCharsets.UTF_8);
+    }
+
     /**
      * An engine cuts a stream after two events, and the engine that the gateway asks to carry it on answers with status
      * 400. The client of a begun stream can be given no status any more, so it is asked for elsewhere again, and the
