Count a run that brought events no more against a begun stream

Callers: a stream was closed after six runs although each had brought it further. Cause: the bound on attempts, meant for requests that nobody can serve or that crash whoever runs them, counted every run. Evidence: BegunStreamTest.aBegunStreamThatGetsOnIsCarriedOn (ten events, each run cut after one): closed after the sixth before. Change: once a stream has begun, only runs without an event count, since the last one that brought some. Where three engines that ran it are gone, all its runs count, as it may be what crashes them. One that never gets on ends after six as before (aBegunStreamThatNeverGetsOnEnds). AttemptTest.bytesWithoutAnEventEndTheAttemptAndNotTheExchange shows that an event without an end closes no begun stream; it passed before as well.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Flight.java
@@ -21,6 +21,7 @@
     private int reading;
     private int sent;
     private int mayHaveRun;
+    private int runsWithoutEvents;
     private boolean moving;
     private int moves;
     private boolean begun;
@@ -88,6 +89,8 @@
     }
 
     void endAttempt(boolean surelyNotRun) {
+        boolean events = exchange.lastEventMillis() > attempt.startMillis();
+        runsWithoutEvents = events ? 0 : runsWithoutEvents + (surelyNotRun ? 0 : 1);
         attempt = null;
         moving = false;
         mayHaveRun += surelyNotRun ? 0 : 1;
@@ -103,9 +106,16 @@
         return mayHaveRun;
     }
 
-    /** Attempts that count towards the most that are made. */
-    int attemptsThatCount() {
-        return exchange.isCommitted() ? mayHaveRun : sent;
+    /**
+     * Attempts that count towards the most that are made.
+     *
+     * @param crashing whether it seems to crash the engines that run it; then events that it brought speak for no more runs
+     */
+    int attemptsThatCount(boolean crashing) {
+        if (!exchange.isCommitted()) {
+            return sent;
+        }
+        return crashing ? mayHaveRun : runsWithoutEvents;
     }
 
     /** Notes that events of the attempt under way have come; true if that was not known. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Resender.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Resender.java
@@ -19,10 +19,14 @@
 final class Resender {
     /**
      * Most attempts at one request: more would not find a server either. Those that did not run count until the answer has
-     * begun; then only the others do, as engines that are just being filled refuse a stream several times in a moment.
+     * begun; then only runs without an event do, as engines that are just being filled refuse a stream several times in a
+     * moment, and a stream that gets on is worth another run.
      */
     private static final int MOST_SENT = 6;
 
+    /** Engines gone after which a request is taken to crash those that run it, so that all its runs count. */
+    private static final int CRASHES = 3;
+
     /**
      * Longest time that a request waits which has not begun, in milliseconds. Peers lend within two rounds of news, and an
      * engine that was full is tried again after a quarter of a second. A client that is refused by then still has the time
@@ -110,11 +114,20 @@
         waiting.remove(flight);
     }
 
-    private static boolean hasTime(Flight flight, Attempt failed, long now) {
+    private boolean hasTime(Flight flight, Attempt failed, long now) {
         boolean engines = failed.path().isPresent();
         boolean left = engines || flight.mayHaveRun() < flight.route().maxAttempts();
         boolean inTime = now < flight.exchange().call().deadlineMillis();
-        return left && inTime && flight.attemptsThatCount() < MOST_SENT;
+        return left && inTime && flight.attemptsThatCount(seemsToCrash(flight, now)) < MOST_SENT;
+    }
+
+    /** Whether so many engines that ran a request are gone that it may be the cause. */
+    private boolean seemsToCrash(Flight flight, long now) {
+        long gone = flight.firsts().stream()
+                .filter(id ->
+                        beliefs.isLost(id, now) || beliefs.registry().server(id).isEmpty())
+                .count();
+        return gone >= CRASHES;
     }
 
     private void avoid(Flight flight, Attempt failed, AttemptEnd end) {
--- a/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
@@ -2,12 +2,14 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.platform.standin.StandInServer;
 import org.cornelramp.platform.standin.StandInServer.Behaviour;
@@ -77,6 +79,28 @@
         assertWhole(answer.get().body());
     }
 
+    /** Guards against begun streams closed after six runs although each brought events. */
+    @Test
+    public void aBegunStreamThatGetsOnIsCarriedOn() throws Exception {
+        startWithRepeats();
+        Behaviour cutting = Behaviour.ordinary().withEvents(10).withBreakAfter(1);
+        fixture.engines.forEach(engine -> engine.setBehaviour(cutting));
+        String body = fixture.client().send("/chat/a", "cut", "cut").body();
+        assertTrue(body.endsWith("id: 9\ndata: piece 9\n\n"), body);
+    }
+
+    /** Guards against requests that crash engine after engine, each after some events. */
+    @Test
+    public void aBegunStreamThatNeverGetsOnEnds() throws Exception {
+        startWithRepeats();
+        breakAfter(2);
+        CompletableFuture<HttpResponse<String>> answer = fixture.client().sendLater("/chat/a", "stuck", "stuck");
+        GatewayFixture.await(() -> fixture.received("stuck") == 1, "it runs");
+        breakAfter(0);
+        assertThrows(ExecutionException.class, answer::get);
+        GatewayFixture.await(() -> fixture.log().contains("all attempts are made"), "the reason is logged");
+    }
+
     /** Guards against begun streams closed while no engine is there to carry them on. */
     @Test
     public void aBegunStreamWaitsForEnginesToComeBack() throws Exception {
--- a/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
@@ -1,6 +1,9 @@
 package org.cornelramp.gateway.request;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
@@ -25,6 +28,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** What one attempt passes on when its end comes between the read of some events and their write. */
@@ -36,6 +40,12 @@
     private final List<String> written = new ArrayList<>();
     private final List<AttemptEnd> ends = new ArrayList<>();
 
+    @BeforeMethod
+    public void forget() {
+        written.clear();
+        ends.clear();
+    }
+
     private Exchange exchange() {
         HttpFields fields = StandInHeads.request(ID);
         List<WeightedService> split = List.of(new WeightedService(SERVICE, 1));
@@ -91,6 +101,23 @@
         return Content.Chunk.from(bytes, false, ignored -> taken.run());
     }
 
+    /** Guards against begun streams that fall silent for good because an engine's bytes never make an event. */
+    @Test
+    public void bytesWithoutAnEventEndTheAttemptAndNotTheExchange() {
+        Exchange exchange = exchange();
+        Attempt attempt = attempt(exchange);
+        Response response = engineResponse();
+        attempt.onContent(
+                response, source(chunk("id: 0\ndata: x\n\n", () -> {}), chunk("x".repeat(2 << 20), () -> {})));
+        assertTrue(attempt.isCancelled());
+        attempt.onComplete(new Result(null, null, response, new IllegalStateException("cancelled")));
+        assertEquals(ends.size(), 1);
+        assertNotEquals(ends.get(0).kind(), AttemptEnd.Kind.CLIENT_GONE);
+        assertEquals(written, List.of("id: 0\ndata: x\n\n"));
+        assertEquals(exchange.lastEvent(), Optional.of(0L), "another attempt goes on after it");
+        assertFalse(exchange.isEnded());
+    }
+
     /**
      * An engine sends an event. Just when it has been read, the router cancels the attempt, because the engine is held to
      * be lost, and is told that it is over; a repeat will go on after the last event that the client has. The event in
@@ -100,15 +127,27 @@
      */
     @Test
     public void eventsThatAreReadWhenTheAttemptEndsAreNotPassedOn() {
-        ForwardHead head = new ForwardHead(
-                engine().name(), 9_000, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
         Exchange exchange = exchange();
-        Attempt attempt = new Attempt(null, exchange, engine(), head, () -> 1, (any, end) -> ends.add(end));
+        Attempt attempt = attempt(exchange);
         Response response = engineResponse();
         Result failed = new Result(null, null, response, new IllegalStateException("cancelled"));
         Content.Chunk event = chunk("id: 0\ndata: x\n\n", () -> attempt.onComplete(failed));
-        List<Content.Chunk> chunks = new ArrayList<>(List.of(event));
-        attempt.onContent(response, new Content.Source() {
+        attempt.onContent(response, source(event));
+        assertEquals(ends.size(), 1, "the end is told");
+        assertEquals(written, List.of());
+        assertEquals(exchange.lastEvent(), Optional.empty());
+    }
+
+    private Attempt attempt(Exchange exchange) {
+        ForwardHead head = new ForwardHead(
+                engine().name(), 9_000, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
+        return new Attempt(null, exchange, engine(), head, () -> 1, (any, end) -> ends.add(end));
+    }
+
+    /** Gives these chunks, and no more. */
+    private static Content.Source source(Content.Chunk... given) {
+        List<Content.Chunk> chunks = new ArrayList<>(List.of(given));
+        return new Content.Source() {
             @Override
             public Content.Chunk read() {
                 return chunks.isEmpty() ? null : chunks.remove(0);
@@ -123,9 +162,6 @@
             public void fail(Throwable failure) {
                 // the end is told by the test
             }
-        });
-        assertEquals(ends.size(), 1, "the end is told");
-        assertEquals(written, List.of());
-        assertEquals(exchange.lastEvent(), Optional.empty());
+        };
     }
 }
