Wait for a peer's records as for the store's

Callers: none hurt; the platform pays for calls that a reading peer would have saved. Cause: the same fault once more: the call to the peer that reads for all ended on a timer of the calling process, which then read the store by itself. Change: it goes through PendingCall too, which is the one place where a call's silence is judged. No test of its own: LateAnswerTest covers the class.

--- a/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecords.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecords.java
@@ -5,11 +5,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.platform.MetadataStore;
+import org.cornelramp.platform.PendingCall;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -70,10 +70,9 @@
         return get(request).flatMap(body -> RecordsCodec.read(body).toJavaOptional());
     }
 
-    private static Optional<byte[]> get(Request request) {
+    private Optional<byte[]> get(Request request) {
         try {
-            ContentResponse answer =
-                    request.timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).send();
+            ContentResponse answer = new PendingCall(http, request).await(TIMEOUT_MILLIS);
             return answer.getStatus() == OK ? Optional.of(answer.getContent()) : Optional.empty();
         } catch (TimeoutException | ExecutionException e) {
             return Optional.empty(); // the next peer, or the store's next call, will do
