Show that connects that fail leave nothing behind

Cause: a server counts as silent while connects to it are under way without an answer; a failed one that stayed on the list would make it silent for good and grow the memory. Nothing showed that they leave it.

--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -100,6 +100,7 @@
         meters.gauge(
                 "config.version",
                 () -> config.current().map(RoutingConfig::version).orElse(-1L));
+        meters.gauge("connects.underway", clients::connectsUnderWay);
         meters.gauge("connects.late", clients::lateConnects);
         meters.gauge("log.dropped", log::dropped);
         meters.gauge("log.skipped", log::skipped);
--- a/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
@@ -104,6 +104,15 @@
         return single;
     }
 
+    /** Connects under way. */
+    public int connectsUnderWay() {
+        return underWay(pooled) + underWay(single);
+    }
+
+    private static int underWay(HttpClient client) {
+        return client.getBean(ConnectWatch.class).underWay();
+    }
+
     /** Connects that this process noticed only after their timeout, although the other side had taken them in time. */
     public long lateConnects() {
         return pooledConnects.late() + singleConnects.late();
--- a/gateway/src/test/java/org/cornelramp/gateway/LateAnswerTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/LateAnswerTest.java
@@ -5,11 +5,6 @@
 import static org.testng.Assert.assertTrue;
 
 import io.vavr.control.Either;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.nio.channels.SocketChannel;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerState;
@@ -31,9 +26,6 @@
 
     private static final long QUICK_MILLIS = 60;
 
-    /** More connections than a queue of one takes. */
-    private static final int BACKLOG_FILLED = 8;
-
     private final HttpClients clients = new HttpClients();
 
     @BeforeMethod
@@ -101,19 +93,8 @@
     /** Guards against dead engines that are found only when the connect's own, longer timeout is over. */
     @Test
     public void anEngineThatTakesNoConnectionIsSilentAfterTheQuestionsTimeout() throws Exception {
-        List<SocketChannel> waiting = new ArrayList<>();
-        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            for (int i = 0; i < BACKLOG_FILLED; i++) {
-                SocketChannel channel = SocketChannel.open();
-                channel.configureBlocking(false);
-                channel.connect(full.getLocalSocketAddress());
-                waiting.add(channel);
-            }
-            assertEquals(ask(full.getLocalPort()).getLeft().detail(), "no answer in " + QUICK_MILLIS + " ms");
-        } finally {
-            for (SocketChannel channel : waiting) {
-                channel.close();
-            }
+        try (FullServer full = new FullServer()) {
+            assertEquals(ask(full.port()).getLeft().detail(), "no answer in " + QUICK_MILLIS + " ms");
         }
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/LateConnectTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/LateConnectTest.java
@@ -1,7 +1,10 @@
 package org.cornelramp.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
+import java.net.ConnectException;
+import java.net.SocketTimeoutException;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.ContentResponse;
@@ -38,5 +41,33 @@
         assertEquals(answer.get().getStatus(), 200);
         assertEquals(server.requests(), 1);
         assertEquals(clients.lateConnects(), 1);
+        assertEquals(clients.connectsUnderWay(), 0);
+    }
+
+    /** Guards against memory that grows with each failed connect, and servers that count as silent for old ones. */
+    @Test
+    public void aConnectThatIsRefusedIsOver() throws Exception {
+        int port = server.port();
+        server.close();
+        Throwable failure = new CompletableResponseListener(clients.pooled().newRequest("127.0.0.1", port))
+                .send()
+                .handle((answer, fault) -> fault)
+                .get();
+        assertTrue(failure instanceof ConnectException, String.valueOf(failure));
+        assertEquals(clients.connectsUnderWay(), 0);
+    }
+
+    /** The same for a connect that runs into its timeout. */
+    @Test
+    public void aConnectThatIsNotTakenIsOver() throws Exception {
+        try (FullServer full = new FullServer()) {
+            Throwable failure = new CompletableResponseListener(clients.pooled().newRequest("127.0.0.1", full.port()))
+                    .send()
+                    .handle((answer, fault) -> fault)
+                    .get();
+            assertTrue(failure instanceof SocketTimeoutException, String.valueOf(failure));
+            assertEquals(clients.connectsUnderWay(), 0);
+            assertEquals(clients.lateConnects(), 0);
+        }
     }
 }
