Show that a begun stream outlives the revocation of its key

BegunStreamTest.aBegunStreamOutlivesTheRevocationOfItsKey: the stream is cut twice after it, and its client gets the whole of it; the key's next request gets 401. It passes on the code as it is, which rules this way out.

--- a/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
@@ -116,6 +116,21 @@
         assertWhole(answer.get().body());
     }
 
+    /** Guards against begun streams closed because their caller's key is taken away while they run and are carried on. */
+    @Test
+    public void aBegunStreamOutlivesTheRevocationOfItsKey() throws Exception {
+        startWithRepeats();
+        Behaviour cutting = Behaviour.ordinary().withPauseMillis(400).withBreakAfter(2);
+        fixture.engines.forEach(engine -> engine.setBehaviour(cutting));
+        CompletableFuture<HttpResponse<String>> answer = fixture.client().sendLater("/chat/a", "revoked", "revoked");
+        GatewayFixture.await(() -> fixture.received("revoked") == 1, "it runs");
+        String withAnotherKey = GatewayFixture.config(2, "/chat/").replace(GatewayFixture.KEY, "another-key");
+        fixture.store.publishConfig(withAnotherKey);
+        GatewayFixture.await(() -> fixture.log().contains("\"version\":2"), "the key is taken away");
+        assertWhole(answer.get().body());
+        assertEquals(fixture.client().send("/chat/a", "later", "later").statusCode(), 401);
+    }
+
     /** Guards against begun streams closed because bytes of the client's next request are taken for its leaving. */
     @Test
     public void aBegunStreamGoesOnWhenItsClientSendsAhead() throws Exception {
