Let the first run of a begun stream last until the test has seen it

It waited until an engine had received the request exactly once, looking every 10 ms, while the engine cut the run after 6 ms and the gateway repeated it: the count went past one between two looks. A fault of the test, not of the product; two other cases had the same wait. Change: the first run lasts 1.2 s (two events 0.4 s apart and the cut), and the wait takes one run or more. What is asserted is as before.

--- a/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
@@ -57,6 +57,15 @@
         assertEquals(fixture.received("waits"), 3);
     }
 
+    /** Sends a stream whose first run lasts long enough to be seen before an engine cuts it after two events. */
+    private CompletableFuture<HttpResponse<String>> begin(String id) throws Exception {
+        Behaviour slow = Behaviour.ordinary().withPauseMillis(400).withBreakAfter(2);
+        fixture.engines.forEach(engine -> engine.setBehaviour(slow));
+        CompletableFuture<HttpResponse<String>> answer = fixture.client().sendLater("/chat/a", id, id);
+        GatewayFixture.await(() -> fixture.received(id) >= 1, "it runs");
+        return answer;
+    }
+
     private void startWithRepeats() throws Exception {
         fixture.close();
         fixture = new GatewayFixture(",\"retries\":{\"ratio\":0,\"reserve\":500,\"windowSeconds\":2}");
@@ -70,9 +79,7 @@
     @Test
     public void aBegunStreamGoesOnAfterAllEnginesHaveRefusedIt() throws Exception {
         startWithRepeats();
-        breakAfter(2);
-        CompletableFuture<HttpResponse<String>> answer = fixture.client().sendLater("/chat/a", "refused", "refused");
-        GatewayFixture.await(() -> fixture.received("refused") == 1, "it runs");
+        CompletableFuture<HttpResponse<String>> answer = begin("refused");
         fixture.engines.forEach(engine -> engine.setBehaviour(Behaviour.refusing()));
         GatewayFixture.await(() -> fixture.log().contains("\"no path\""), "all engines have refused it");
         breakAfter(-1);
@@ -93,9 +100,7 @@
     @Test
     public void aBegunStreamThatNeverGetsOnEnds() throws Exception {
         startWithRepeats();
-        breakAfter(2);
-        CompletableFuture<HttpResponse<String>> answer = fixture.client().sendLater("/chat/a", "stuck", "stuck");
-        GatewayFixture.await(() -> fixture.received("stuck") == 1, "it runs");
+        CompletableFuture<HttpResponse<String>> answer = begin("stuck");
         breakAfter(0);
         assertThrows(ExecutionException.class, answer::get);
         GatewayFixture.await(() -> fixture.log().contains("all attempts are made"), "the reason is logged");
@@ -105,10 +110,7 @@
     @Test
     public void aBegunStreamWaitsForEnginesToComeBack() throws Exception {
         startWithRepeats();
-        Behaviour slow = Behaviour.ordinary().withPauseMillis(700);
-        fixture.engines.forEach(engine -> engine.setBehaviour(slow.withBreakAfter(1)));
-        CompletableFuture<HttpResponse<String>> answer = fixture.client().sendLater("/chat/a", "alone", "alone");
-        GatewayFixture.await(() -> fixture.received("alone") == 1, "it runs");
+        CompletableFuture<HttpResponse<String>> answer = begin("alone");
         fixture.engines.forEach(engine -> engine.register("draining"));
         GatewayFixture.await(() -> fixture.log().contains("\"no path\""), "no engine is there");
         breakAfter(-1);
@@ -120,10 +122,7 @@
     @Test
     public void aBegunStreamOutlivesTheRevocationOfItsKey() throws Exception {
         startWithRepeats();
-        Behaviour cutting = Behaviour.ordinary().withPauseMillis(400).withBreakAfter(2);
-        fixture.engines.forEach(engine -> engine.setBehaviour(cutting));
-        CompletableFuture<HttpResponse<String>> answer = fixture.client().sendLater("/chat/a", "revoked", "revoked");
-        GatewayFixture.await(() -> fixture.received("revoked") == 1, "it runs");
+        CompletableFuture<HttpResponse<String>> answer = begin("revoked");
         String withAnotherKey = GatewayFixture.config(2, "/chat/").replace(GatewayFixture.KEY, "another-key");
         fixture.store.publishConfig(withAnotherKey);
         GatewayFixture.await(() -> fixture.log().contains("\"version\":2"), "the key is taken away");
