--- a/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
@@ -17,7 +17,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** A gateway whose part of the repeats is used up: one repeat within two seconds. */
+/** Streams that have begun and lose their engines, while one repeat is left within two seconds or many are. */
 public class BegunStreamTest {
     private static final String LAST_EVENT = "id: 4\ndata: piece 4\n\n";
 
@@ -96,7 +96,7 @@
         assertTrue(body.endsWith("id: 9\ndata: piece 9\n\n"), body);
     }
 
-    /** Guards against requests that crash engine after engine, each after some events. */
+    /** Guards against streams that are run for ever although no run brings an event. */
     @Test
     public void aBegunStreamThatNeverGetsOnEnds() throws Exception {
         startWithRepeats();
