Let tests share an engine, a server and a restore that they wrote anew

Change, tests only: SmallServer uses the JDK's HTTP server (70 lines to 47); TestEngines gives the engine to LateAnswerTest, AttemptTest and PlacementDutyTest; two cases of RestoredStoreTest restore through one function. No assertion is changed or gone. BeliefsTest and ServerJudgeTest keep servers of their own, as state, card and layers matter there.

--- a/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/BegunStreamTest.java
@@ -51,9 +51,7 @@
         GatewayFixture.await(() -> fixture.log().contains("no repeat left"), "the repeats are used up");
         assertEquals(fixture.received("waits"), 2);
         breakAfter(-1);
-        assertTrue(
-                answer.get().body().endsWith("id: 4\ndata: piece 4\n\n"),
-                answer.get().body());
+        assertWhole(answer.get().body());
         assertEquals(fixture.received("waits"), 3);
     }
 
@@ -163,6 +161,6 @@
         breakAfter(2);
         fixture.engines.forEach(engine -> engine.rejectResumes(1));
         String whole = fixture.client().send("/chat/a", "rejected", "rejected").body();
-        assertTrue(whole.endsWith("id: 4\ndata: piece 4\n\n"), whole);
+        assertWhole(whole);
     }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/LateAnswerTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/LateAnswerTest.java
@@ -5,12 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.vavr.control.Either;
-import java.util.Optional;
 import org.cornelramp.core.fleet.BackendServer;
-import org.cornelramp.core.fleet.ServerState;
-import org.cornelramp.core.model.BackendServerId;
-import org.cornelramp.core.model.DataCentre;
-import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.platform.EngineControl;
 import org.cornelramp.platform.EngineReport;
@@ -38,23 +33,9 @@
         clients.stop();
     }
 
-    private static BackendServer engine(int port) {
-        BackendServerId id = new BackendServerId("e1");
-        HostPort address = new HostPort("127.0.0.1", port);
-        return new BackendServer(
-                id,
-                id,
-                new ServiceName("llm"),
-                address,
-                new DataCentre("dc1"),
-                ServerState.READY,
-                6,
-                "big",
-                Optional.empty());
-    }
-
     private Either<StoreFault, EngineReport> ask(int port) {
-        return new EngineControl(clients.pooled()).report(engine(port), QUICK_MILLIS);
+        BackendServer engine = TestEngines.empty("e1", new HostPort("127.0.0.1", port));
+        return new EngineControl(clients.pooled()).report(engine, QUICK_MILLIS);
     }
 
     private boolean isSilent(SmallServer server) {
--- a/gateway/src/test/java/org/cornelramp/gateway/RestoredStoreTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/RestoredStoreTest.java
@@ -54,6 +54,14 @@
         GatewayFixture.await(() -> fixture.log().contains("\"leaving\":1"), "the leave is read");
     }
 
+    /** Puts version 2 in force, with which streams are served below another path, and restores the store from before it. */
+    private void restoreFromBeforeVersion2() throws Exception {
+        StandInStore.Copy copy = fixture.store.copy();
+        fixture.store.publishConfig(GatewayFixture.config(2, "/talk/"));
+        GatewayFixture.await(() -> chats("/talk/"), "version 2 is in force");
+        fixture.store.restore(copy);
+    }
+
     /**
      * Guards against work for a server that leaves: its offsets were given out again, so its leave came at an offset that
      * the gateway had already read.
@@ -84,10 +92,7 @@
     /** Guards against a configuration that slips back, and against one that is never read, as its offset is not new. */
     @Test
     public void aVersionInForceStaysAndTheNextOneIsRead() throws Exception {
-        StandInStore.Copy copy = fixture.store.copy();
-        fixture.store.publishConfig(GatewayFixture.config(2, "/talk/"));
-        GatewayFixture.await(() -> chats("/talk/"), "version 2 is in force");
-        fixture.store.restore(copy);
+        restoreFromBeforeVersion2();
         GatewayFixture.await(() -> fixture.log().contains("older than the one in force"), "the older copy is read");
         assertTrue(chats("/talk/"));
         fixture.store.publishConfig(GatewayFixture.config(3, "/say/"));
@@ -97,10 +102,7 @@
     /** Guards against an accepted change that callers of a starting gateway lose, as the copy still has the version before. */
     @Test
     public void aGatewayThatStartsTakesTheNewerVersionOfItsPeer() throws Exception {
-        StandInStore.Copy copy = fixture.store.copy();
-        fixture.store.publishConfig(GatewayFixture.config(2, "/talk/"));
-        GatewayFixture.await(() -> chats("/talk/"), "version 2 is in force");
-        fixture.store.restore(copy);
+        restoreFromBeforeVersion2();
         // Gateways of a deployment ask each other on the same port, each at an address of its own.
         GatewaySettings first = fixture.settings;
         List<Integer> free = FreePorts.take(2);
--- a/gateway/src/test/java/org/cornelramp/gateway/SmallServer.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/SmallServer.java
@@ -1,32 +1,29 @@
 package org.cornelramp.gateway;
 
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A server on loopback that gives each request the same answer, or none. Safe for use by any thread. */
 final class SmallServer implements AutoCloseable {
-    private static final String ANSWER =
-            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
+    private static final byte[] ANSWER = "{}".getBytes(StandardCharsets.UTF_8);
 
-    private final ServerSocket socket = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    private final HttpServer http = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10);
     private final AtomicInteger requests = new AtomicInteger();
     private final boolean answers;
 
-    private interface Work {
-        void run() throws IOException;
-    }
-
     SmallServer(boolean answers) throws IOException {
         this.answers = answers;
-        daemon(this::accept);
+        http.createContext("/", this::take);
+        http.start();
     }
 
     int port() {
-        return socket.getLocalPort();
+        return http.getAddress().getPort();
     }
 
     /** Requests so far. */
@@ -34,37 +31,17 @@
         return requests.get();
     }
 
-    private void accept() throws IOException {
-        while (true) {
-            Socket connection = socket.accept();
-            daemon(() -> converse(connection));
+    private void take(HttpExchange exchange) throws IOException {
+        requests.incrementAndGet();
+        if (answers) {
+            exchange.sendResponseHeaders(200, ANSWER.length);
+            exchange.getResponseBody().write(ANSWER);
+            exchange.close();
         }
     }
 
-    private void converse(Socket connection) throws IOException {
-        byte[] buffer = new byte[4_096];
-        while (connection.getInputStream().read(buffer) > 0) {
-            requests.incrementAndGet();
-            if (answers) {
-                connection.getOutputStream().write(ANSWER.getBytes(StandardCharsets.UTF_8));
-            }
-        }
-    }
-
-    private static void daemon(Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (IOException e) {
-                return; // the test is over
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     @Override
-    public void close() throws IOException {
-        socket.close();
+    public void close() {
+        http.stop(0);
     }
 }
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/TestEngines.java
@@ -0,0 +1,29 @@
+package org.cornelramp.gateway;
+
+import java.util.Optional;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.fleet.ServerState;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.settings.HostPort;
+
+/** Engines for tests that need no more of them than an id and an address. Stateless. */
+public final class TestEngines {
+    private TestEngines() {}
+
+    /** A ready engine without layers. */
+    public static BackendServer empty(String id, HostPort address) {
+        BackendServerId server = new BackendServerId(id);
+        return new BackendServer(
+                server,
+                server,
+                new ServiceName("llm"),
+                address,
+                new DataCentre("dc1"),
+                ServerState.READY,
+                8,
+                "big",
+                Optional.empty());
+    }
+}
--- a/gateway/src/test/java/org/cornelramp/gateway/place/PlacementDutyTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/place/PlacementDutyTest.java
@@ -6,17 +6,13 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cornelramp.core.fleet.BackendServer;
-import org.cornelramp.core.fleet.ServerState;
-import org.cornelramp.core.model.BackendServerId;
-import org.cornelramp.core.model.DataCentre;
-import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.GatewayFixture;
 import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.TestEngines;
 import org.cornelramp.gateway.follow.StoreAccess;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
@@ -35,16 +31,7 @@
     private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
 
     private static BackendServer empty(StandInServer engine) {
-        return new BackendServer(
-                new BackendServerId(engine.id()),
-                new BackendServerId(engine.id()),
-                new ServiceName("llm"),
-                engine.address(),
-                new DataCentre("dc1"),
-                ServerState.READY,
-                8,
-                "big",
-                Optional.empty());
+        return TestEngines.empty(engine.id(), engine.address());
     }
 
     /**
--- a/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
@@ -12,14 +12,12 @@
 import java.util.List;
 import java.util.Optional;
 import org.cornelramp.core.fleet.BackendServer;
-import org.cornelramp.core.fleet.ServerState;
-import org.cornelramp.core.model.BackendServerId;
-import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.routing.RouteKind;
 import org.cornelramp.core.routing.WeightedService;
 import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.gateway.TestEngines;
 import org.cornelramp.platform.CallHead;
 import org.cornelramp.platform.ForwardHead;
 import org.cornelramp.platform.standin.StandInHeads;
@@ -89,10 +87,7 @@
     }
 
     private static BackendServer engine() {
-        BackendServerId id = new BackendServerId("e1");
-        HostPort address = new HostPort("127.0.0.1", 1);
-        return new BackendServer(
-                id, id, SERVICE, address, new DataCentre("dc1"), ServerState.READY, 6, "big", Optional.empty());
+        return TestEngines.empty("e1", new HostPort("127.0.0.1", 1));
     }
 
     /** One chunk; what is given runs when the reader has taken its bytes. */
