Separate the routing decisions from the router's thread

Cause: how a begun stream ends depends on the order in which ends of attempts, results of moves, ticks and client events reach the router. With the thread, the clock and the blocking engine calls created inside Router, no test could force such an order.

Change: RequestRouter holds the decisions and gets its events, the time, the HTTP client, the engine calls and the random numbers from outside; Router keeps the thread and the ring buffer. AsyncEngineControl gets its calls (EngineCalls) and its executor. No change of behaviour is intended.

Checked: FailureDetectorTest, PeerUpdateHandlerTest, StreamResumptionTest and LeavingAndSuspectedEngineTest pass.

--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -75,7 +75,8 @@
         ConfigHolder config = new ConfigHolder();
         MetadataStore store = new MetadataStore(clients.pooled(), settings.store());
         EngineControl control = new EngineControl(clients.pooled());
-        this.router = new Router(settings, clients, config, clock, log, meters, new AsyncEngineControl(control));
+        this.router =
+                new Router(settings, clients, config, clock, log, meters, AsyncEngineControl.withOwnThreads(control));
         RecordCache cache = new RecordCache();
         StoreAvailability storeAvailability = new StoreAvailability();
         ReadCoordinator readCoordinator = new ReadCoordinator(settings.metrics());
--- a/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -11,7 +12,7 @@
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.gateway.request.Attempt;
-import org.cornelramp.platform.EngineControl;
+import org.cornelramp.platform.EngineCalls;
 
 /**
  * Calls engines on its own threads, so that an engine that does not answer never blocks the router's thread. Calls that
@@ -50,19 +51,29 @@
     /** A call is delayed twice by a late process: when it is sent and when the answer is read. */
     private static final long LAG_FACTOR = 2;
 
-    private final EngineControl control;
-    private final ThreadPoolExecutor threads;
+    private final EngineCalls calls;
+    private final Executor threads;
     private final Map<BackendServerId, Long> nextProbeMillis = new HashMap<>();
 
-    public AsyncEngineControl(EngineControl control) {
-        this.control = control;
-        this.threads = new ThreadPoolExecutor(
+    /**
+     * @param calls blocking calls to engines
+     * @param threads run the calls; may reject them
+     */
+    AsyncEngineControl(EngineCalls calls, Executor threads) {
+        this.calls = calls;
+        this.threads = threads;
+    }
+
+    /** Makes the calls on threads of its own. */
+    public static AsyncEngineControl withOwnThreads(EngineCalls calls) {
+        ThreadPoolExecutor threads = new ThreadPoolExecutor(
                 THREADS, THREADS, 5, TimeUnit.SECONDS, new ArrayBlockingQueue<>(QUEUE_CAPACITY), task -> {
                     Thread thread = new Thread(task, "engines");
                     thread.setDaemon(true);
                     return thread;
                 });
         threads.allowCoreThreadTimeOut(true);
+        return new AsyncEngineControl(calls, threads);
     }
 
     /**
@@ -80,10 +91,10 @@
         if (nextProbeMillis.putIfAbsent(engine.id(), now + PROBE_PAUSE_MILLIS) == null) {
             ProbePair probe =
                     new ProbePair(report -> router.accept(new RouterEvent.EngineReportResult(engine, report)));
-            submit(() -> probe.handleCallEnd(control.report(engine, timeout)));
+            submit(() -> probe.handleCallEnd(calls.report(engine, timeout)));
             submit(() -> {
                 if (!probe.awaitResult(SECOND_CALL_MILLIS)) {
-                    probe.handleCallEnd(control.report(engine, timeout));
+                    probe.handleCallEnd(calls.report(engine, timeout));
                 }
             });
         }
@@ -108,14 +119,14 @@
 
     /** Reads the report of an engine; false if too many calls are queued. */
     boolean requestReport(BackendServer engine, Consumer<RouterEvent> router) {
-        return submit(() -> router.accept(new RouterEvent.EngineReportResult(engine, control.report(engine))));
+        return submit(() -> router.accept(new RouterEvent.EngineReportResult(engine, calls.report(engine))));
     }
 
     /** Orders an engine to move a running request; false if too many calls are queued. */
     boolean move(Attempt attempt, StagePath path, Consumer<RouterEvent> router) {
         String id = attempt.exchange().request().id();
         return submit(() ->
-                router.accept(new RouterEvent.MoveResult(attempt, path, control.repath(attempt.server(), id, path))));
+                router.accept(new RouterEvent.MoveResult(attempt, path, calls.repath(attempt.server(), id, path))));
     }
 
     private boolean submit(Runnable call) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -5,15 +5,16 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.PathFinder;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.core.retry.RequestServerLimit;
 import org.cornelramp.core.routing.EngineSpec;
+import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.routing.ServiceSpec;
 import org.cornelramp.core.settings.GatewaySettings;
-import org.cornelramp.gateway.HttpClients;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.request.Attempt;
@@ -28,17 +29,20 @@
  */
 final class Dispatcher {
     private final GatewaySettings settings;
-    private final HttpClients clients;
+    private final Function<Route, HttpClient> clients;
     private final ConfigHolder config;
     private final FleetState fleet;
     private final SteadyClock clock;
     private final EventLog log;
     private final BiConsumer<Attempt, AttemptEnd> onEnd;
 
-    /** @param onEnd called once for each attempt when it has ended, on any thread */
+    /**
+     * @param clients the HTTP client that sends the requests of a route
+     * @param onEnd called once for each attempt when it has ended, on any thread
+     */
     Dispatcher(
             GatewaySettings settings,
-            HttpClients clients,
+            Function<Route, HttpClient> clients,
             ConfigHolder config,
             FleetState fleet,
             SteadyClock clock,
@@ -169,9 +173,7 @@
                 path,
                 path.map(stagePath -> call.priority()),
                 exchange.lastEventId());
-        // A request that may not be retried must not use a pooled connection, which its server may just be closing.
-        HttpClient http = request.route().mayRetry() ? clients.pooled() : clients.unpooled();
-        Attempt attempt = new Attempt(http, exchange, server, head, clock, onEnd);
+        Attempt attempt = new Attempt(clients.apply(request.route()), exchange, server, head, clock, onEnd);
         request.startAttempt(attempt);
         log.routine("route", "sent")
                 .with("id", call.id())
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
@@ -34,20 +34,20 @@
     private final PeerUpdate.Sender sender;
     private final FleetState fleet;
     private final SharedRetries sharedRetries;
-    private final Consumer<BackendServer> probe;
+    private final BiConsumer<BackendServer, Long> probe;
     private final Map<BackendServerId, Long> failuresSeen = new HashMap<>();
     private final Map<String, Long> stayingPeers = new ConcurrentHashMap<>();
     private volatile boolean leaving;
     private long number;
     private volatile PeerUpdate currentUpdate;
 
-    /** @param probe probes a server that a peer has seen fail */
+    /** @param probe probes a server that a peer has seen fail, at the given time */
     PeerUpdateHandler(
             String name,
             DataCentre dataCentre,
             FleetState fleet,
             SharedRetries sharedRetries,
-            Consumer<BackendServer> probe) {
+            BiConsumer<BackendServer, Long> probe) {
         this.sender = new PeerUpdate.Sender(name, PeerUpdateService.newIncarnation(), dataCentre);
         this.fleet = fleet;
         this.sharedRetries = sharedRetries;
@@ -122,7 +122,7 @@
         // centre.
         for (BackendServerId id : update.suspects()) {
             if (!fleet.isSuspect(id, nowMillis)) {
-                fleet.registry().server(id).ifPresent(probe);
+                fleet.registry().server(id).ifPresent(server -> probe.accept(server, nowMillis));
             }
         }
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -1,11 +1,6 @@
 package org.cornelramp.gateway.route;
 
-import java.util.IdentityHashMap;
-import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.atomic.AtomicInteger;
-import org.cornelramp.core.model.BackendServerId;
-import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.daemon.kernel.EventLoop;
 import org.cornelramp.gateway.HttpClients;
@@ -15,51 +10,16 @@
 import org.cornelramp.gateway.peer.PeerUpdate;
 import org.cornelramp.gateway.request.Attempt;
 import org.cornelramp.gateway.request.AttemptEnd;
-import org.cornelramp.gateway.request.Exchange;
-import org.cornelramp.gateway.request.Refusal;
-import org.cornelramp.platform.MoveFault;
-import org.cornelramp.platform.PlatformFault;
-import org.cornelramp.platform.RequestHead;
 
 /**
- * Chooses a backend server for each request, and another one when an attempt fails.
- *
- * <p>All state is confined to one thread; other threads only {@link #offer} events. Invariant: a request that may not
- * be retried is sent again only after an attempt that certainly did not run.
+ * The thread that routes requests, and the bounded ring buffer through which other threads reach it. Safe for use by
+ * any thread.
  */
 public final class Router {
     private static final int RING_CAPACITY = 8_192;
-    private static final long TICK_MILLIS = 20;
 
-    /**
-     * Longest wait of a request after the start until the servers are known, in milliseconds; reading them takes a
-     * tenth of it.
-     */
-    private static final long STARTUP_WAIT_MILLIS = 1_000;
-
-    /** Lowest HTTP status that means a failure of the backend server. */
-    private static final int SERVER_ERROR = 500;
-
-    private final ConfigHolder config;
-    private final SteadyClock clock;
-    private final EventLog log;
-    private final Meters meters;
-    private final AsyncEngineControl engineControl;
-    private final RoutingLog routingLog;
-    private final FleetState fleet;
-    private final IdentityHashMap<Exchange, ActiveRequest> activeRequests = new IdentityHashMap<>();
-    private final SharedRetries sharedRetries;
-    private final FailureDetector failureDetector;
-    private final OverdueAttempts overdueAttempts;
-    private final PeerUpdateHandler peerUpdateHandler;
-    private final AtomicInteger activeRequestCount = new AtomicInteger();
     private final EventLoop<RouterEvent> eventLoop;
-    private final Dispatcher dispatcher;
-    private final RetryDispatcher retryDispatcher;
-    private final StreamMonitor streamMonitor;
-    private volatile FleetView view = FleetView.EMPTY;
-    private boolean storeAvailable;
-    private long lastTickMillis;
+    private final RequestRouter requestRouter;
 
     /**
      * @param clients send the requests
@@ -73,29 +33,24 @@
             EventLog log,
             Meters meters,
             AsyncEngineControl engineControl) {
-        this.fleet = new FleetState(settings.timing().heartbeatMillis());
-        this.config = config;
-        this.clock = clock;
-        this.log = log;
-        this.meters = meters;
-        this.engineControl = engineControl;
-        this.routingLog = new RoutingLog(log, meters);
-        this.eventLoop = new EventLoop<>("router", RING_CAPACITY, this::handle, this::tick, TICK_MILLIS);
-        this.sharedRetries = new SharedRetries(settings.name(), settings.retries(), new SplittableRandom());
-        this.failureDetector =
-                new FailureDetector(fleet, engineControl, settings.timing().stallMillis(), log, meters, this::offer);
-        this.peerUpdateHandler = new PeerUpdateHandler(
-                settings.name(),
-                settings.dataCentre(),
-                fleet,
-                sharedRetries,
-                server -> failureDetector.handlePeerSuspicion(server, clock.millis()));
-        failureDetector.setOnLost(peerUpdateHandler::recordFailure);
-        this.dispatcher = new Dispatcher(settings, clients, config, fleet, clock, log, this::offerAttemptEnd);
-        this.retryDispatcher = new RetryDispatcher(sharedRetries, dispatcher, fleet, routingLog);
-        this.overdueAttempts = new OverdueAttempts(sharedRetries, dispatcher);
-        this.streamMonitor =
-                new StreamMonitor(fleet, engineControl, failureDetector, overdueAttempts, log, this::offer);
+        // A request that may not be retried must not use a pooled connection, which its server may just be closing.
+        this.requestRouter = new RequestRouter(
+                settings,
+                route -> route.mayRetry() ? clients.pooled() : clients.unpooled(),
+                config,
+                clock,
+                log,
+                meters,
+                engineControl,
+                new SplittableRandom(),
+                this::offer,
+                this::offerAttemptEnd);
+        this.eventLoop = new EventLoop<>(
+                "router",
+                RING_CAPACITY,
+                event -> requestRouter.handle(event, clock.millis()),
+                () -> requestRouter.tick(clock.millis()),
+                RequestRouter.TICK_MILLIS);
     }
 
     /** Starts the router's thread. */
@@ -113,331 +68,40 @@
         return eventLoop.offer(event);
     }
 
+    private void offerAttemptEnd(Attempt attempt, AttemptEnd end) {
+        RouterEvent event = new RouterEvent.AttemptEnded(attempt, end);
+        while (!offer(event)) {
+            Thread.onSpinWait(); // if the event were lost, the load of the attempt would be counted forever
+        }
+    }
+
     /** Number of requests in progress. */
     public int activeRequestCount() {
-        return activeRequestCount.get();
+        return requestRouter.activeRequestCount();
     }
 
     /** The state of the backend servers as of the last tick. */
     public FleetView view() {
-        return view;
+        return requestRouter.view();
     }
 
     /** The update that this process sends to its peers. */
     public PeerUpdate currentUpdate() {
-        return peerUpdateHandler.currentUpdate();
+        return requestRouter.peerUpdates().currentUpdate();
     }
 
     /** Marks this process as stopping in the updates to its peers. */
     public void announceStop() {
-        peerUpdateHandler.announceStop();
+        requestRouter.peerUpdates().announceStop();
     }
 
     /** Whether there is a peer that is not stopping. */
     public boolean hasStayingPeer() {
-        return peerUpdateHandler.hasStayingPeer();
+        return requestRouter.peerUpdates().hasStayingPeer();
     }
 
     /** Queues a peer's update for the router's thread; dropped if the ring buffer is full. */
     public void receivePeerUpdate(PeerUpdate update) {
         offer(new RouterEvent.PeerUpdateReceived(update));
     }
-
-    private void handle(RouterEvent event) {
-        long now = clock.millis();
-        if (event instanceof RouterEvent.RequestReceived arrived) {
-            handleRequest(arrived.exchange(), now);
-        } else if (event instanceof RouterEvent.AttemptEnded ended) {
-            handleAttemptEnd(ended.attempt(), ended.end(), now);
-        } else if (event instanceof RouterEvent.RegistrationsRead registered) {
-            handleRegistrations(registered, now);
-        } else if (event instanceof RouterEvent.PeerUpdateReceived received) {
-            peerUpdateHandler.handleUpdate(received.update(), now);
-        } else if (event instanceof RouterEvent.StoreStatus answers) {
-            storeAvailable(answers.available(), now);
-        } else if (event instanceof RouterEvent.EngineReportResult reported) {
-            handleReport(reported, now);
-        } else if (event instanceof RouterEvent.MoveResult moved) {
-            handleMoveResult(moved, now);
-        }
-        if (failureDetector.pollNewlyLost()) {
-            streamMonitor.check(
-                    activeRequests.values(),
-                    config.current(),
-                    now); // so that its streams continue before their clients notice
-        }
-    }
-
-    private void handleRequest(Exchange exchange, long now) {
-        Exchange.ClientRequest call = exchange.request();
-        double draw = (call.id().hashCode() & 0x7fffffff) / (double) (1L << 31);
-        ServiceName service = call.route().service(draw);
-        ActiveRequest request = new ActiveRequest(exchange, service, expectedTokens(call.head()));
-        activeRequests.put(exchange, request);
-        activeRequestCount.incrementAndGet();
-        sharedRetries.countRequest(service, now);
-        if (exchange.hasClientDisconnected(now)) {
-            abort(request, "client gone", request.exchange().clientCloseReason(), now); // while the request was held
-            return;
-        }
-        send(request, now);
-    }
-
-    private static int expectedTokens(RequestHead head) {
-        int guess = head.estimatedOutputTokens() > 0 ? head.estimatedOutputTokens() : head.maxOutputTokens();
-        int output = head.maxOutputTokens() > 0 ? Math.min(guess, head.maxOutputTokens()) : guess;
-        return head.promptTokens() + output;
-    }
-
-    /** Sends a request, or ends it if no server can take it. */
-    private void send(ActiveRequest request, long now) {
-        if (now >= request.exchange().request().deadlineMillis()) {
-            giveUp(request, Refusal.NOT_RUN_IN_TIME, "deadline");
-        } else if (!dispatcher.send(request, now)) {
-            waitOrGiveUp(request, now);
-        }
-    }
-
-    /**
-     * Handles a request that no server can take. A started stream waits for a path until its client leaves, since only
-     * this gateway can continue it. A request that has not started is refused at once, except shortly after the start
-     * of the process, while the servers are not known yet.
-     */
-    private void waitOrGiveUp(ActiveRequest request, long now) {
-        if (!fleet.isInitialised() && now - request.exchange().request().receivedMillis() < STARTUP_WAIT_MILLIS) {
-            return;
-        }
-        if (request.exchange().isCommitted()) {
-            retryDispatcher.queueForPath(request, now);
-            return;
-        }
-        giveUp(request, request.possibleRunCount() == 0 ? Refusal.NO_SERVER : Refusal.UNKNOWN, "no server");
-    }
-
-    private void offerAttemptEnd(Attempt attempt, AttemptEnd end) {
-        RouterEvent event = new RouterEvent.AttemptEnded(attempt, end);
-        while (!offer(event)) {
-            Thread.onSpinWait(); // if the event were lost, the load of the attempt would be counted forever
-        }
-    }
-
-    private void handleAttemptEnd(Attempt attempt, AttemptEnd end, long now) {
-        ActiveRequest request = activeRequests.get(attempt.exchange());
-        meters.countAttempt(end.kind().name());
-        boolean current = request != null && request.attempt() == attempt;
-        failureDetector.recordOutcome(attempt, end, now);
-        if (!current) {
-            return;
-        }
-        if (OverdueAttempts.hasEvents(request, attempt)) {
-            handleFirstEvent(request, attempt, now); // a short stream may end between two ticks
-        }
-        dispatcher.removeLoad(request);
-        request.endAttempt(end.kind().surelyNotRun());
-        if (attempt.path().isPresent() && !end.kind().surelyNotRun()) {
-            request.usedFirstEngines().add(attempt.server().id());
-        }
-        switch (end.kind()) {
-            case RELAYED -> complete(request, end, now);
-            case CLIENT_GONE -> abort(request, "client gone", end.detail(), now);
-            case ANSWERED -> handleAnswer(request, attempt, end, now);
-            default -> handleFailure(request, attempt, end, now);
-        }
-    }
-
-    private void complete(ActiveRequest request, AttemptEnd end, long now) {
-        request.exchange().complete(end.fields());
-        finish(request, "complete", end.status(), now);
-    }
-
-    private void handleAnswer(ActiveRequest request, Attempt attempt, AttemptEnd end, long now) {
-        // A started stream has sent its status to the client already, so any status that a retry is answered with is a
-        // failure.
-        boolean started = request.exchange().isCommitted();
-        boolean failed = started || end.status() >= SERVER_ERROR;
-        if (failed && request.route().mayRetry() && retryAnswered(request, attempt, end, now)) {
-            return;
-        }
-        if (started) {
-            breakOff(request, "a retry was answered with status " + end.status(), now);
-            return;
-        }
-        request.exchange().forwardResponse(end.status(), end.fields(), end.body());
-        finish(request, "answered", end.status(), now);
-    }
-
-    /**
-     * Retries an answered request. A request that has not started is not queued for the retry, as its answer can be
-     * passed on.
-     */
-    private boolean retryAnswered(ActiveRequest request, Attempt attempt, AttemptEnd end, long now) {
-        return request.exchange().isCommitted()
-                ? retryDispatcher.retryOrQueue(request, attempt, end, now)
-                : retryDispatcher.retryNow(request, attempt, end, now);
-    }
-
-    private void handleFailure(ActiveRequest request, Attempt attempt, AttemptEnd end, long now) {
-        failureDetector.handleFailedAttempt(attempt, end, now);
-        routingLog.attemptFailed(request, attempt, end, now);
-        boolean mayRetry = end.kind().surelyNotRun() || request.route().mayRetry();
-        if (mayRetry && retryDispatcher.retryOrQueue(request, attempt, end, now)) {
-            return;
-        }
-        giveUp(request, refusalFor(request), end.detail());
-    }
-
-    private static Refusal refusalFor(ActiveRequest request) {
-        return request.possibleRunCount() == 0 ? Refusal.OVERLOADED : Refusal.UNKNOWN;
-    }
-
-    private void giveUp(ActiveRequest request, Refusal refusal, String why) {
-        long now = clock.millis();
-        if (request.exchange().isCommitted()) {
-            breakOff(request, why, now);
-            return;
-        }
-        request.exchange().refuse(refusal, refusal.retryMillis());
-        routingLog.refused(request, refusal, why);
-        finish(request, "refused", refusal.status(), now);
-    }
-
-    private void breakOff(ActiveRequest request, String why, long now) {
-        abort(request, why, "", now);
-    }
-
-    /** @param seen how it was detected that the client has gone; empty if it has not */
-    private void abort(ActiveRequest request, String why, String seen, long now) {
-        request.exchange().abort(why);
-        routingLog.brokenOff(request, why, seen, sharedRetries.remaining(request.service(), now), now);
-        finish(request, "broken", 0, now);
-    }
-
-    private void finish(ActiveRequest request, String outcome, int status, long now) {
-        dispatcher.removeLoad(request);
-        retryDispatcher.remove(request);
-        activeRequests.remove(request.exchange());
-        activeRequestCount.decrementAndGet();
-        routingLog.ended(request, outcome, status, now);
-    }
-
-    private void handleRegistrations(RouterEvent.RegistrationsRead registered, long now) {
-        FleetState.RegistrationEffect effect = fleet.applyRegistrations(registered, now);
-        if (effect != FleetState.RegistrationEffect.UNCHANGED) {
-            log.line("fleet", effect == FleetState.RegistrationEffect.RESTORED ? "restored" : "changed")
-                    .with("end", registered.end())
-                    .with("era", registered.era())
-                    .with("servers", fleet.registry().servers().size())
-                    .with("leaving", fleet.leavingCount())
-                    .write();
-            fleet.removeUnregistered();
-        }
-    }
-
-    private void storeAvailable(boolean answers, long now) {
-        if (answers != storeAvailable) {
-            storeAvailable = answers;
-            log.line("store", answers ? "regained" : "lost").write();
-        }
-        fleet.setStoreAvailable(answers, now);
-    }
-
-    private void handleReport(RouterEvent.EngineReportResult reported, long now) {
-        boolean missed = reported.report().isLeft()
-                && reported.report().getLeft().kind() != PlatformFault.Kind.NOT_LISTENING
-                && streamMonitor.isForwarding(
-                        activeRequests.values(), reported.engine().id(), now);
-        if (missed) {
-            routingLog.probeUnanswered(reported.engine(), fleet.lagMillis());
-            engineControl.recordInconclusiveProbe(reported.engine(), now);
-        } else {
-            failureDetector.handleReport(reported.engine(), reported.report(), now);
-        }
-    }
-
-    private void handleMoveResult(RouterEvent.MoveResult moved, long now) {
-        ActiveRequest request = activeRequests.get(moved.attempt().exchange());
-        if (request == null || request.attempt() != moved.attempt()) {
-            return;
-        }
-        request.setMoving(false);
-        meters.countMove(moved.result().isRight());
-        log.line("route", moved.result().isRight() ? "moved" : "not moved")
-                .with("id", request.exchange().request().id())
-                .with("path", moved.path().text())
-                .with("detail", moved.result().fold(MoveFault::toString, any -> ""))
-                .write();
-        if (moved.result().isRight()) {
-            moved.attempt().setPath(moved.path());
-            dispatcher.addLoad(request, moved.path());
-        } else {
-            streamMonitor.handleMoveFailure(
-                    request, moved.attempt(), moved.result().getLeft(), now);
-        }
-    }
-
-    private void handleFirstEvent(ActiveRequest request, Attempt attempt, long now) {
-        dispatcher.recordPromptRead(request);
-        overdueAttempts.recordFirstEvent(request, attempt, now);
-    }
-
-    private void tick() {
-        long now = clock.millis();
-        fleet.recordTickDelay(lastTickMillis == 0 ? 0 : Math.max(0, now - lastTickMillis - TICK_MILLIS), now);
-        lastTickMillis = now;
-        for (ActiveRequest request : List.copyOf(activeRequests.values())) {
-            checkRequest(request, now);
-        }
-        retryWaiting(now);
-        for (BackendServerId id : fleet.suspectedServers().dueForProbe(now)) {
-            fleet.registry()
-                    .server(id)
-                    .filter(server -> !server.card().isEmpty())
-                    .ifPresent(server -> engineControl.requestReport(server, this::offer));
-        }
-        streamMonitor.check(activeRequests.values(), config.current(), now);
-        if (fleet.registry().expire(now)) {
-            fleet.removeUnregistered();
-        }
-        peerUpdateHandler.refreshUpdate(now);
-        view = fleet.view(now);
-    }
-
-    /** Sends a request that has no attempt and is not queued for a retry: it arrived before the servers were known. */
-    private void sendUnsent(ActiveRequest request, long now) {
-        if (!retryDispatcher.isWaiting(request)) {
-            send(request, now);
-        }
-    }
-
-    private void retryWaiting(long now) {
-        for (ActiveRequest request : retryDispatcher.removeExpired(now)) {
-            giveUp(request, refusalFor(request), "no retry and no server became available in time");
-        }
-        retryDispatcher.retryWaiting(now);
-    }
-
-    private void checkRequest(ActiveRequest request, long now) {
-        Attempt attempt = request.attempt();
-        if (request.exchange().hasClientDisconnected(now)) {
-            if (attempt != null) {
-                request.endAttempt(false);
-                attempt.cancel("the client has gone");
-            }
-            abort(request, "client gone", request.exchange().clientCloseReason(), now);
-            return;
-        }
-        if (now >= request.exchange().request().deadlineMillis()) {
-            if (attempt != null) {
-                request.endAttempt(false);
-                attempt.cancel("the deadline has passed");
-            }
-            giveUp(request, request.possibleRunCount() == 0 ? Refusal.NOT_RUN_IN_TIME : Refusal.TIMED_OUT, "deadline");
-        } else if (attempt == null) {
-            sendUnsent(request, now);
-        } else if (OverdueAttempts.hasEvents(request, attempt)) {
-            handleFirstEvent(request, attempt, now);
-        } else {
-            overdueAttempts.cancelReason(request, attempt, now).ifPresent(attempt::cancel);
-        }
-    }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/FailureDetectorTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/FailureDetectorTest.java
@@ -46,7 +46,7 @@
     private final FailureDetector failureDetector = failureDetector(fleet);
 
     private FailureDetector failureDetector(FleetState of) {
-        AsyncEngineControl engineControl = new AsyncEngineControl(new EngineControl(new HttpClient()));
+        AsyncEngineControl engineControl = AsyncEngineControl.withOwnThreads(new EngineControl(new HttpClient()));
         return new FailureDetector(of, engineControl, 2_000, log, new Meters(), event -> {});
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PeerUpdateHandlerTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PeerUpdateHandlerTest.java
@@ -31,7 +31,7 @@
     public void start() {
         fleet = new FleetState(1_200);
         sharedRetries = new SharedRetries("g1", new GatewaySettings.Retries(0.2, 100, 10_000), new SplittableRandom(1));
-        peerUpdateHandler = new PeerUpdateHandler("g1", HERE, fleet, sharedRetries, server -> {});
+        peerUpdateHandler = new PeerUpdateHandler("g1", HERE, fleet, sharedRetries, (server, at) -> {});
     }
 
     private void receiveUpdate(long now) {
