Test the router's decisions with every event in a forced order

RouterSimulation runs RequestRouter without threads, sockets or a real clock: FakeHttpClient decides when an engine answers and when an aborted attempt ends, FakeClient when a write to the client ends and whether the client has left, and the test when queued events and calls to engines run.

--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
@@ -0,0 +1,173 @@
+package org.cornelramp.gateway.request;
+
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.cornelramp.core.routing.Route;
+import org.cornelramp.platform.RequestHead;
+import org.cornelramp.platform.standin.HeaderFixtures;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.ConnectionMetaData;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * A client with one request and without a socket: records what it receives, and lets a test decide when its writes end
+ * and whether it has left. Used by one thread.
+ */
+public final class FakeClient {
+    private final Exchange exchange;
+    private final HttpFields.Mutable answered = HttpFields.build();
+    private final StringBuilder received = new StringBuilder();
+    private Callback pendingWrite;
+    private boolean slow;
+    private boolean gone;
+    private boolean complete;
+    private Throwable failure;
+    private int status;
+
+    /** @param nowMillis when the request was received */
+    public FakeClient(Route route, String id, long nowMillis) {
+        HttpFields fields = HeaderFixtures.request(id);
+        Exchange.ClientRequest call = new Exchange.ClientRequest(
+                RequestHead.decode(fields),
+                "POST",
+                route.pathPrefix() + "a",
+                fields,
+                new byte[0],
+                route,
+                Optional.empty(),
+                route.priority(),
+                nowMillis,
+                nowMillis + route.timeoutMillis());
+        this.exchange = new Exchange(call, response(), Callback.from(this::finish, this::close), () -> false, probe());
+    }
+
+    /** The exchange of the request. */
+    public Exchange exchange() {
+        return exchange;
+    }
+
+    /** The body received so far. */
+    public String received() {
+        return received.toString();
+    }
+
+    /** The status received; 0 before the head. */
+    public int status() {
+        return status;
+    }
+
+    /** Whether the whole response was received. */
+    public boolean isComplete() {
+        return complete;
+    }
+
+    /** Whether the gateway has closed the connection before the end of the response. */
+    public boolean isClosed() {
+        return failure != null;
+    }
+
+    /** Whether the client has left. */
+    public boolean isGone() {
+        return gone;
+    }
+
+    /** Closes the connection from the client's side. */
+    public void leave() {
+        gone = true;
+        endWrite();
+    }
+
+    /** Lets writes wait from now on, until {@link #accept}. */
+    public void stall() {
+        slow = true;
+    }
+
+    /** Accepts the pending write and all further ones. */
+    public void accept() {
+        slow = false;
+        endWrite();
+    }
+
+    private void endWrite() {
+        Callback write = pendingWrite;
+        pendingWrite = null;
+        if (write != null) {
+            end(write);
+        }
+    }
+
+    private void end(Callback write) {
+        if (gone) {
+            write.failed(new IOException("Broken pipe"));
+        } else {
+            write.succeeded();
+        }
+    }
+
+    private void write(boolean last, ByteBuffer bytes, Callback callback) {
+        if (pendingWrite != null) {
+            callback.failed(new IllegalStateException("A write is pending already."));
+            return;
+        }
+        if (!gone) {
+            received.append(StandardCharsets.UTF_8.decode(bytes));
+            complete |= last;
+        }
+        if (slow && !gone) {
+            pendingWrite = callback;
+        } else {
+            end(callback);
+        }
+    }
+
+    private void finish() {
+        // the last write has ended
+    }
+
+    private void close(Throwable cause) {
+        failure = cause;
+    }
+
+    private Response response() {
+        return fake(Response.class, (name, args) -> switch (name) {
+            case "write" -> {
+                write((Boolean) args[0], (ByteBuffer) args[1], (Callback) args[2]);
+                yield null;
+            }
+            case "setStatus" -> {
+                status = (Integer) args[0];
+                yield null;
+            }
+            case "getHeaders" -> answered;
+            default -> null;
+        });
+    }
+
+    private ClientDisconnectProbe probe() {
+        EndPoint endPoint = fake(EndPoint.class, (name, args) -> name.equals("fill") ? (gone ? -1 : 0) : null);
+        Connection connection = fake(Connection.class, (name, args) -> name.equals("getEndPoint") ? endPoint : null);
+        ConnectionMetaData metaData =
+                fake(ConnectionMetaData.class, (name, args) -> name.equals("getConnection") ? connection : null);
+        return ClientDisconnectProbe.of(
+                fake(Request.class, (name, args) -> name.equals("getConnectionMetaData") ? metaData : null));
+    }
+
+    private interface Call {
+        Object answer(String name, Object[] args);
+    }
+
+    private static <T> T fake(Class<T> type, Call call) {
+        Object made = Proxy.newProxyInstance(
+                type.getClassLoader(),
+                new Class<?>[] {type},
+                (self, method, args) -> call.answer(method.getName(), args));
+        return type.cast(made);
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
@@ -0,0 +1,179 @@
+package org.cornelramp.gateway.route;
+
+import java.lang.reflect.Proxy;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.cornelramp.platform.standin.HeaderFixtures;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.io.Content;
+
+/**
+ * An HTTP client without sockets: a test decides when the server of each request answers, with what, and when an
+ * aborted request ends. Used by one thread.
+ */
+final class FakeHttpClient extends HttpClient {
+    private final List<Call> calls = new ArrayList<>();
+
+    /** The requests sent so far, in order. */
+    List<Call> calls() {
+        return calls;
+    }
+
+    @Override
+    public Request newRequest(String host, int port) {
+        return new Call(host, port).request;
+    }
+
+    /** One request and its response. */
+    final class Call {
+        private final String host;
+        private final int port;
+        private final HttpFields.Mutable headers = HttpFields.build();
+        private final Deque<Content.Chunk> unread = new ArrayDeque<>();
+        private final Request request;
+        private Request.BeginListener onBegin;
+        private Response.ContentSourceListener onContent;
+        private Response.CompleteListener onComplete;
+        private Response response;
+        private Runnable demand;
+        private Throwable aborted;
+        private boolean ended;
+
+        private Call(String host, int port) {
+            this.host = host;
+            this.port = port;
+            this.request = (Request) Proxy.newProxyInstance(
+                    Request.class.getClassLoader(),
+                    new Class<?>[] {Request.class},
+                    (self, method, args) -> answer(self, method.getName(), args));
+        }
+
+        @SuppressWarnings({"unchecked", "FutureReturnValueIgnored"}) // the future is the return value of abort
+        private Object answer(Object self, String name, Object[] args) {
+            switch (name) {
+                case "headers" -> ((Consumer<HttpFields.Mutable>) args[0]).accept(headers);
+                case "onRequestBegin" -> onBegin = (Request.BeginListener) args[0];
+                case "onResponseContentSource" -> onContent = (Response.ContentSourceListener) args[0];
+                case "send" -> {
+                    onComplete = (Response.CompleteListener) args[0];
+                    calls.add(this);
+                    onBegin.onBegin(request);
+                    return null;
+                }
+                case "abort" -> {
+                    aborted = ended ? null : (Throwable) args[0];
+                    return CompletableFuture.completedFuture(aborted != null);
+                }
+                case "getConnection" -> {
+                    return null;
+                }
+                default -> {
+                    // the other methods only describe the request
+                }
+            }
+            return self;
+        }
+
+        /** Port of the server. */
+        int port() {
+            return port;
+        }
+
+        String host() {
+            return host;
+        }
+
+        /** Value of a request header; null if it is absent. */
+        String header(String name) {
+            return headers.get(name);
+        }
+
+        /** Whether the response has ended. */
+        boolean isEnded() {
+            return ended;
+        }
+
+        /** Whether the gateway has aborted the request; it ends with {@link #fail}. */
+        boolean isAborted() {
+            return aborted != null;
+        }
+
+        /** Delivers events of a successful stream. */
+        void events(String id, String text) {
+            head(200, HeaderFixtures.answer(id));
+            deliver(Content.Chunk.from(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), false));
+        }
+
+        /** Ends a response normally. */
+        void complete(int status, HttpFields fields) {
+            head(status, fields);
+            deliver(Content.Chunk.EOF);
+            end(null);
+        }
+
+        /** Ends the request with a failure; that of an aborted request is the reason of the abort. */
+        void fail(Throwable failure) {
+            end(aborted == null ? failure : aborted);
+        }
+
+        private void head(int status, HttpFields fields) {
+            if (response == null) {
+                response = (Response) Proxy.newProxyInstance(
+                        Response.class.getClassLoader(),
+                        new Class<?>[] {Response.class},
+                        (self, method, args) -> switch (method.getName()) {
+                            case "getStatus" -> status;
+                            case "getHeaders" -> fields;
+                            default -> null;
+                        });
+                onContent.onContentSource(response, source());
+            }
+        }
+
+        private void deliver(Content.Chunk chunk) {
+            unread.add(chunk);
+            Runnable waiting = demand;
+            demand = null;
+            if (waiting != null) {
+                waiting.run();
+            }
+        }
+
+        private void end(Throwable failure) {
+            if (!ended) {
+                ended = true;
+                onComplete.onComplete(
+                        failure == null ? new Result(request, response) : new Result(request, null, response, failure));
+            }
+        }
+
+        private Content.Source source() {
+            return new Content.Source() {
+                @Override
+                public Content.Chunk read() {
+                    return unread.poll();
+                }
+
+                @Override
+                public void demand(Runnable callback) {
+                    demand = callback;
+                }
+
+                @Override
+                public void fail(Throwable failure) {
+                    // the test ends the request
+                }
+            };
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -0,0 +1,253 @@
+package org.cornelramp.gateway.route;
+
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.RejectedExecutionException;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.fleet.ServerRegistry;
+import org.cornelramp.core.fleet.ServerState;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.LayerRange;
+import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.path.StagePath;
+import org.cornelramp.core.settings.GatewaySettings;
+import org.cornelramp.core.settings.GatewaySettingsReader;
+import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
+import org.cornelramp.gateway.request.FakeClient;
+import org.cornelramp.platform.ConfigDecoder;
+import org.cornelramp.platform.EngineCalls;
+import org.cornelramp.platform.EngineReport;
+import org.cornelramp.platform.MoveFault;
+import org.cornelramp.platform.PlatformFault;
+import org.cornelramp.platform.standin.StandInConfig;
+
+/**
+ * The decisions of a router without threads, sockets or a real clock. A test decides in which order events reach the
+ * router and how engines answer. Used by one thread.
+ */
+final class RouterSimulation {
+    /** Layers of the model, half of which each engine of a pair holds. */
+    private static final int LAYERS = 8;
+
+    private static final PlatformFault NO_ANSWER = new PlatformFault(PlatformFault.Kind.NO_ANSWER, "no answer");
+
+    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final Deque<RouterEvent> queue = new ArrayDeque<>();
+    private final Deque<Runnable> engineCalls = new ArrayDeque<>();
+    private final List<RepathOrder> repathOrders = new ArrayList<>();
+    private final FakeHttpClient http = new FakeHttpClient();
+    private final ConfigHolder config = new ConfigHolder();
+    private final RequestRouter router;
+    private RepathAnswer repathAnswer = order -> Either.right(new byte[0]);
+    private boolean enginesAnswer = true;
+    private boolean engineCallsRejected;
+    private long now = 1_000;
+    private long offset;
+
+    /** An order to move a running request. Immutable. */
+    record RepathOrder(BackendServer first, String requestId, StagePath path) {}
+
+    /** How engines answer orders to move requests. */
+    interface RepathAnswer {
+        Either<MoveFault, byte[]> answer(RepathOrder order);
+    }
+
+    /**
+     * @param more further settings, each preceded by a comma
+     * @param seed of the random numbers
+     */
+    RouterSimulation(StandInConfig version, String more, long seed) {
+        String text =
+                """
+                {"name":"g1","dataCentre":"dc1","requests":"127.0.0.1:1","readiness":"127.0.0.1:2",
+                 "metrics":"127.0.0.1:3","peers":"127.0.0.1:4","store":"127.0.0.1:5"%s}"""
+                        .formatted(more);
+        GatewaySettings settings = new GatewaySettingsReader().read(text).get();
+        AsyncEngineControl engineControl = new AsyncEngineControl(new Calls(), this::submit);
+        router = new RequestRouter(
+                settings,
+                route -> http,
+                config,
+                () -> now,
+                new EventLog(logged, Clock.systemUTC(), "g1"),
+                new Meters(),
+                engineControl,
+                new SplittableRandom(seed),
+                queue::add,
+                (attempt, end) -> queue.add(new RouterEvent.AttemptEnded(attempt, end)));
+        publish(version);
+    }
+
+    private final class Calls implements EngineCalls {
+        @Override
+        public Either<PlatformFault, EngineReport> report(BackendServer engine) {
+            return report(engine, 0);
+        }
+
+        @Override
+        public Either<PlatformFault, EngineReport> report(BackendServer engine, long timeoutMillis) {
+            return enginesAnswer
+                    ? Either.right(new EngineReport(Optional.empty(), false, 0, 1, 0, 0, 0, engine.layers(), List.of()))
+                    : Either.left(NO_ANSWER);
+        }
+
+        @Override
+        public Either<MoveFault, byte[]> repath(BackendServer first, String requestId, StagePath path) {
+            RepathOrder order = new RepathOrder(first, requestId, path);
+            repathOrders.add(order);
+            return repathAnswer.answer(order);
+        }
+    }
+
+    private void submit(Runnable call) {
+        if (engineCallsRejected) {
+            throw new RejectedExecutionException("the queue is full");
+        }
+        engineCalls.add(call);
+    }
+
+    long now() {
+        return now;
+    }
+
+    /** The requests that the router has sent, in order. */
+    List<FakeHttpClient.Call> calls() {
+        return http.calls();
+    }
+
+    /** The orders to move requests that engines have received, in order. */
+    List<RepathOrder> repathOrders() {
+        return repathOrders;
+    }
+
+    /** Sets how engines answer orders to move requests from now on. */
+    void setRepathAnswer(RepathAnswer answer) {
+        repathAnswer = answer;
+    }
+
+    /** Sets whether engines answer requests for their reports. */
+    void setEnginesAnswer(boolean answer) {
+        enginesAnswer = answer;
+    }
+
+    /** Sets whether calls to engines are rejected because too many are queued. */
+    void setEngineCallsRejected(boolean rejected) {
+        engineCallsRejected = rejected;
+    }
+
+    /** Puts a version of the configuration in force. */
+    void publish(StandInConfig version) {
+        byte[] source = version.json().getBytes(StandardCharsets.UTF_8);
+        config.offer(ConfigDecoder.decode(source).get(), source);
+    }
+
+    /** Creates an engine of a half of the model, or of the whole. */
+    static BackendServer engine(String id, int port, int from, int to) {
+        BackendServerId server = new BackendServerId(id);
+        return new BackendServer(
+                server,
+                server,
+                new ServiceName(StandInConfig.ENGINES),
+                new HostPort("127.0.0.1", port),
+                new DataCentre("dc1"),
+                ServerState.READY,
+                8,
+                StandInConfig.CARD,
+                Optional.of(new LayerRange(from, to, LAYERS)));
+    }
+
+    /** Registers a server, also in another state than before. */
+    void register(BackendServer server) {
+        offset++;
+        handle(new RouterEvent.RegistrationsRead(
+                List.of(new ServerRegistry.Registration(offset, server.name(), Optional.of(server))),
+                false,
+                offset,
+                0));
+    }
+
+    /** Removes the registration of a server. */
+    void unregister(BackendServer server) {
+        offset++;
+        handle(new RouterEvent.RegistrationsRead(
+                List.of(new ServerRegistry.Registration(offset, server.name(), Optional.empty())), false, offset, 0));
+    }
+
+    /** Sends a client's request. */
+    FakeClient request(String path, String id) {
+        FakeClient client =
+                new FakeClient(config.current().get().route("127.0.0.1", path).get(), id, now);
+        handle(new RouterEvent.RequestReceived(client.exchange()));
+        return client;
+    }
+
+    /** Hands an event to the router at once, before the queued ones. */
+    void handle(RouterEvent event) {
+        router.handle(event, now);
+    }
+
+    /** Number of events that wait for the router. */
+    int queued() {
+        return queue.size();
+    }
+
+    /** Removes the next event from the router's queue without handling it. */
+    RouterEvent takeEvent() {
+        return queue.poll();
+    }
+
+    /** Hands the next queued event to the router; false if there is none. */
+    boolean handleNext() {
+        RouterEvent event = queue.poll();
+        if (event != null) {
+            router.handle(event, now);
+        }
+        return event != null;
+    }
+
+    /** Runs the next queued call to an engine; false if there is none. */
+    boolean runEngineCall() {
+        Runnable call = engineCalls.poll();
+        if (call != null) {
+            call.run();
+        }
+        return call != null;
+    }
+
+    /** Runs all queued engine calls and events, including those that follow from them. */
+    void settle() {
+        while (runEngineCall() || handleNext()) {
+            // until nothing is queued
+        }
+    }
+
+    /** Lets time pass up to the next tick of the router, without running what is queued. */
+    void tick() {
+        now += RequestRouter.TICK_MILLIS;
+        router.tick(now);
+    }
+
+    /** Lets time pass with ticks; runs what is queued after each. */
+    void run(long millis) {
+        for (long end = now + millis; now < end; ) {
+            tick();
+            settle();
+        }
+    }
+
+    /** Number of requests in progress. */
+    int activeRequests() {
+        return router.activeRequestCount();
+    }
+}
