Bound the time for which a move order may have no result

Callers saw silence until their deadline: a stream that was ordered to another path was not checked until the result of the order came. The result was lost when the router's queue was full or the call threw an exception (a cancelled call does), so that a dead engine was never noticed through the stream.

Ruled out, by tests that passed before: load left behind by a move accepted before or after the queued end of its attempt; a cancel of the next attempt by a refusal for the one before; a late success of the only order.

Change: an exception in an engine call counts as no answer; an order without a result for two seconds counts as unanswered; results are matched with the order they belong to.

Conclusion: a stream is never hidden from the checks for longer than the limit.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
@@ -1,6 +1,8 @@
 package org.cornelramp.gateway.route;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
@@ -22,8 +24,10 @@
     private int attemptCount;
     private int possibleRunCount;
     private int runsWithoutEvents;
+    private final List<StagePath> moveOrders = new ArrayList<>();
     private boolean moving;
-    private int moveCount;
+    private long moveStartMillis;
+    private int lastMove;
     private boolean firstEventSeen;
     private boolean notMovable;
     private boolean needsRetry;
@@ -79,8 +83,9 @@
     void startAttempt(Attempt next) {
         attempt = next;
         attemptCount++;
-        moveCount = 0;
+        moveOrders.clear();
         moving = false;
+        lastMove = -1;
         firstEventSeen = false;
         notMovable = false;
         awaitingPath = false;
@@ -158,17 +163,42 @@
         return moving;
     }
 
-    void setMoving(boolean now) {
-        moving = now;
+    /** Whether the pending order has had no result for longer than the given time. */
+    boolean isMoveOverdue(long limitMillis, long nowMillis) {
+        return moving && nowMillis - moveStartMillis > limitMillis;
     }
 
-    /** Number of move orders sent for the current attempt. */
-    int moveCount() {
-        return moveCount;
+    /** Records that the current attempt was ordered to another path. */
+    void startMove(StagePath path, long nowMillis) {
+        moveOrders.add(path);
+        moveStartMillis = nowMillis;
+        moving = true;
+    }
+
+    /** Records that the pending order has ended, or that no result of it is expected any more. */
+    void endMove() {
+        moving = false;
+    }
+
+    /** Whether a move to the path is the latest one that was ordered; an earlier one may end after it. */
+    boolean isLatestMove(StagePath path) {
+        return moveOrders.lastIndexOf(path) == moveOrders.size() - 1;
     }
 
-    void countMove() {
-        moveCount++;
+    /**
+     * Records that the engine has moved the request; false if it has also accepted a move that was ordered later, so
+     * that this one is no longer in force.
+     */
+    boolean acceptMove(StagePath path) {
+        int move = moveOrders.lastIndexOf(path);
+        boolean newer = move >= lastMove;
+        lastMove = newer ? move : lastMove;
+        return newer;
+    }
+
+    /** Number of move orders sent for the current attempt. */
+    int moveCount() {
+        return moveOrders.size();
     }
 
     /** Whether the next search for a server is due; if so, records it as made now. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
@@ -1,22 +1,32 @@
 package org.cornelramp.gateway.route;
 
+import io.vavr.control.Either;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.gateway.request.Attempt;
 import org.cornelramp.platform.EngineCalls;
+import org.cornelramp.platform.EngineReport;
+import org.cornelramp.platform.MoveFault;
+import org.cornelramp.platform.PlatformFault;
 
 /**
  * Calls engines on its own threads, so that an engine that does not answer never blocks the router's thread. Calls that
  * do not fit into the bounded queue are refused. Safe for use by any thread, except where a method says otherwise.
+ *
+ * <p>Invariant: each accepted call reports a result, also if it throws an exception. The router may still lose the
+ * result when its own queue is full.
  */
 public final class AsyncEngineControl {
     /** Enough to probe all engines of a failed rack at the same time, with two calls for each engine. */
@@ -91,10 +101,10 @@
         if (nextProbeMillis.putIfAbsent(engine.id(), now + PROBE_PAUSE_MILLIS) == null) {
             ProbePair probe =
                     new ProbePair(report -> router.accept(new RouterEvent.EngineReportResult(engine, report)));
-            submit(() -> probe.handleCallEnd(calls.report(engine, timeout)));
+            submit(() -> probe.handleCallEnd(report(engine, timeout)));
             submit(() -> {
                 if (!probe.awaitResult(SECOND_CALL_MILLIS)) {
-                    probe.handleCallEnd(calls.report(engine, timeout));
+                    probe.handleCallEnd(report(engine, timeout));
                 }
             });
         }
@@ -119,14 +129,34 @@
 
     /** Reads the report of an engine; false if too many calls are queued. */
     boolean requestReport(BackendServer engine, Consumer<RouterEvent> router) {
-        return submit(() -> router.accept(new RouterEvent.EngineReportResult(engine, calls.report(engine))));
+        return submit(() -> {
+            Either<PlatformFault, EngineReport> report = faultIfThrown(() -> calls.report(engine), fault -> fault);
+            router.accept(new RouterEvent.EngineReportResult(engine, report));
+        });
     }
 
     /** Orders an engine to move a running request; false if too many calls are queued. */
     boolean move(Attempt attempt, StagePath path, Consumer<RouterEvent> router) {
         String id = attempt.exchange().request().id();
-        return submit(() ->
-                router.accept(new RouterEvent.MoveResult(attempt, path, calls.repath(attempt.server(), id, path))));
+        return submit(() -> {
+            Either<MoveFault, byte[]> result = faultIfThrown(
+                    () -> calls.repath(attempt.server(), id, path), fault -> new MoveFault(fault, Optional.empty()));
+            router.accept(new RouterEvent.MoveResult(attempt, path, result));
+        });
+    }
+
+    private Either<PlatformFault, EngineReport> report(BackendServer engine, long timeoutMillis) {
+        return faultIfThrown(() -> calls.report(engine, timeoutMillis), fault -> fault);
+    }
+
+    /** Makes a call; an exception counts as no answer, since the engine may have received the call. */
+    private static <F, T> Either<F, T> faultIfThrown(
+            Supplier<Either<F, T>> call, Function<PlatformFault, F> faultMapper) {
+        try {
+            return call.get();
+        } catch (RuntimeException e) {
+            return Either.left(faultMapper.apply(new PlatformFault(PlatformFault.Kind.NO_ANSWER, e.toString())));
+        }
     }
 
     private boolean submit(Runnable call) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -324,7 +324,10 @@
         if (request == null || request.attempt() != moved.attempt()) {
             return;
         }
-        request.setMoving(false);
+        boolean pending = request.isMoving() && request.isLatestMove(moved.path());
+        if (pending) {
+            request.endMove();
+        }
         meters.countMove(moved.result().isRight());
         log.line("route", moved.result().isRight() ? "moved" : "not moved")
                 .with("id", request.exchange().request().id())
@@ -332,14 +335,20 @@
                 .with("detail", moved.result().fold(MoveFault::toString, any -> ""))
                 .write();
         if (moved.result().isRight()) {
-            moved.attempt().setPath(moved.path());
-            dispatcher.addLoad(request, moved.path());
-        } else {
+            applyMove(request, moved);
+        } else if (pending) {
             streamMonitor.handleMoveFailure(
                     request, moved.attempt(), moved.result().getLeft(), now);
         }
     }
 
+    private void applyMove(ActiveRequest request, RouterEvent.MoveResult moved) {
+        if (request.acceptMove(moved.path())) {
+            moved.attempt().setPath(moved.path());
+            dispatcher.addLoad(request, moved.path());
+        }
+    }
+
     private void handleFirstEvent(ActiveRequest request, Attempt attempt, long now) {
         dispatcher.recordPromptRead(request);
         overdueAttempts.recordFirstEvent(request, attempt, now);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamMonitor.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamMonitor.java
@@ -45,6 +45,17 @@
     /** Most orders to move one stream off a dead engine; each refusal excludes one more engine. */
     private static final int MAX_MOVES = 4;
 
+    /**
+     * Time after which an order without a result counts as not answered. An order times out at the engine call after
+     * 400 ms, and may wait for a thread behind some others; a result that the router's full queue refused never comes.
+     */
+    private static final long MOVE_LIMIT_MILLIS = 2_000;
+
+    private static final MoveFault NO_RESULT = new MoveFault(
+            new PlatformFault(
+                    PlatformFault.Kind.NO_ANSWER, "The order had no result within " + MOVE_LIMIT_MILLIS + " ms."),
+            Optional.empty());
+
     private final FleetState fleet;
     private final AsyncEngineControl engineControl;
     private final FailureDetector failureDetector;
@@ -74,7 +85,13 @@
     void check(Collection<ActiveRequest> activeRequests, Optional<RoutingConfig> config, long now) {
         for (ActiveRequest request : activeRequests) {
             Attempt attempt = request.attempt();
-            if (attempt == null || attempt.path().isEmpty() || request.isMoving()) {
+            if (attempt == null || attempt.path().isEmpty()) {
+                continue;
+            }
+            if (request.isMoveOverdue(MOVE_LIMIT_MILLIS, now)) {
+                abandonMove(request, attempt, now);
+            }
+            if (request.isMoving()) {
                 continue;
             }
             check(request, attempt, attempt.path().get(), config, now);
@@ -152,7 +169,7 @@
         } else if (canMoveOffLeavingEngine(path) && request.tryStartMove(now, MOVE_SPREAD_MILLIS, MOVE_PAUSE_MILLIS)) {
             // An engine that is shutting down continues to serve for seconds, so no stream is cancelled for it.
             findAlternativePath(request, path, config, now)
-                    .ifPresent(stagePath -> move(request, attempt, path, stagePath));
+                    .ifPresent(stagePath -> move(request, attempt, path, stagePath, now));
         }
     }
 
@@ -225,13 +242,24 @@
         if (path.isEmpty()) {
             attempt.cancel("an engine of its path is lost and there is no path without it");
         } else {
-            move(request, attempt, old, path.get());
+            move(request, attempt, old, path.get(), now);
         }
     }
 
-    private void move(ActiveRequest request, Attempt attempt, StagePath old, StagePath path) {
-        request.setMoving(engineControl.move(attempt, path, router));
-        request.countMove();
+    private void abandonMove(ActiveRequest request, Attempt attempt, long now) {
+        request.endMove();
+        log.line("route", "not moved")
+                .with("id", request.exchange().request().id())
+                .with("detail", NO_RESULT)
+                .write();
+        handleMoveFailure(request, attempt, NO_RESULT, now);
+    }
+
+    private void move(ActiveRequest request, Attempt attempt, StagePath old, StagePath path, long now) {
+        request.startMove(path, now);
+        if (!engineControl.move(attempt, path, router)) {
+            request.endMove(); // the next check orders it again
+        }
         log.line("route", "moves")
                 .with("id", request.exchange().request().id())
                 .with("from", old.text())
--- a/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
@@ -25,6 +25,7 @@
     private final HttpFields.Mutable answered = HttpFields.build();
     private final StringBuilder received = new StringBuilder();
     private Callback pendingWrite;
+    private Runnable beforeRead = () -> {};
     private boolean slow;
     private boolean gone;
     private boolean complete;
@@ -84,6 +85,11 @@
         endWrite();
     }
 
+    /** Sets what happens before each read that looks for the close of the connection. */
+    public void setBeforeRead(Runnable action) {
+        beforeRead = action;
+    }
+
     /** Lets writes wait from now on, until {@link #accept}. */
     public void stall() {
         slow = true;
@@ -150,8 +156,13 @@
         });
     }
 
+    private int read() {
+        beforeRead.run();
+        return gone ? -1 : 0;
+    }
+
     private ClientDisconnectProbe probe() {
-        EndPoint endPoint = fake(EndPoint.class, (name, args) -> name.equals("fill") ? (gone ? -1 : 0) : null);
+        EndPoint endPoint = fake(EndPoint.class, (name, args) -> name.equals("fill") ? read() : null);
         Connection connection = fake(Connection.class, (name, args) -> name.equals("getEndPoint") ? endPoint : null);
         ConnectionMetaData metaData =
                 fake(ConnectionMetaData.class, (name, args) -> name.equals("getConnection") ? connection : null);
--- a/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
@@ -23,12 +23,30 @@
  */
 final class FakeHttpClient extends HttpClient {
     private final List<Call> calls = new ArrayList<>();
+    private RuntimeException sendFailure;
+    private RuntimeException abortFailure;
 
     /** The requests sent so far, in order. */
     List<Call> calls() {
         return calls;
     }
 
+    /** Sets an exception that the sending of a request throws from now on; null for none. */
+    void setSendFailure(RuntimeException failure) {
+        sendFailure = failure;
+    }
+
+    /** Sets an exception that the abort of a request throws from now on; null for none. */
+    void setAbortFailure(RuntimeException failure) {
+        abortFailure = failure;
+    }
+
+    private static void throwIfSet(RuntimeException failure) {
+        if (failure != null) {
+            throw failure;
+        }
+    }
+
     @Override
     public Request newRequest(String host, int port) {
         return new Call(host, port).request;
@@ -65,12 +83,14 @@
                 case "onRequestBegin" -> onBegin = (Request.BeginListener) args[0];
                 case "onResponseContentSource" -> onContent = (Response.ContentSourceListener) args[0];
                 case "send" -> {
+                    throwIfSet(sendFailure);
                     onComplete = (Response.CompleteListener) args[0];
                     calls.add(this);
                     onBegin.onBegin(request);
                     return null;
                 }
                 case "abort" -> {
+                    throwIfSet(abortFailure);
                     aborted = ended ? null : (Throwable) args[0];
                     return CompletableFuture.completedFuture(aborted != null);
                 }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -19,11 +19,13 @@
 import org.cornelramp.core.model.LayerRange;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.StagePath;
+import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.GatewaySettingsReader;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
+import org.cornelramp.gateway.peer.PeerUpdate;
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.ConfigDecoder;
 import org.cornelramp.platform.EngineCalls;
@@ -43,6 +45,7 @@
     private static final PlatformFault NO_ANSWER = new PlatformFault(PlatformFault.Kind.NO_ANSWER, "no answer");
 
     private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final EventLog log = new EventLog(logged, Clock.systemUTC(), "g1");
     private final Deque<RouterEvent> queue = new ArrayDeque<>();
     private final Deque<Runnable> engineCalls = new ArrayDeque<>();
     private final List<RepathOrder> repathOrders = new ArrayList<>();
@@ -52,6 +55,7 @@
     private RepathAnswer repathAnswer = order -> Either.right(new byte[0]);
     private boolean enginesAnswer = true;
     private boolean engineCallsRejected;
+    private RuntimeException reportFailure;
     private long now = 1_000;
     private long offset;
 
@@ -80,7 +84,7 @@
                 route -> http,
                 config,
                 () -> now,
-                new EventLog(logged, Clock.systemUTC(), "g1"),
+                log,
                 new Meters(),
                 engineControl,
                 new SplittableRandom(seed),
@@ -97,6 +101,9 @@
 
         @Override
         public Either<PlatformFault, EngineReport> report(BackendServer engine, long timeoutMillis) {
+            if (reportFailure != null) {
+                throw reportFailure;
+            }
             return enginesAnswer
                     ? Either.right(new EngineReport(Optional.empty(), false, 0, 1, 0, 0, 0, engine.layers(), List.of()))
                     : Either.left(NO_ANSWER);
@@ -126,6 +133,26 @@
         return http.calls();
     }
 
+    /** The HTTP client that sends the requests. */
+    FakeHttpClient http() {
+        return http;
+    }
+
+    /** The update to the peers as of the last tick. */
+    PeerUpdate peerUpdate() {
+        return router.peerUpdates().currentUpdate();
+    }
+
+    /** Number of logged lines that contain a text; called once, at the end of a test. */
+    long linesWith(String text) {
+        log.start();
+        log.stop();
+        return logged.toString(StandardCharsets.UTF_8)
+                .lines()
+                .filter(line -> line.contains(text))
+                .count();
+    }
+
     /** The orders to move requests that engines have received, in order. */
     List<RepathOrder> repathOrders() {
         return repathOrders;
@@ -141,6 +168,11 @@
         enginesAnswer = answer;
     }
 
+    /** Sets an exception that requests for engines' reports throw from now on; null for none. */
+    void setReportFailure(RuntimeException failure) {
+        reportFailure = failure;
+    }
+
     /** Sets whether calls to engines are rejected because too many are queued. */
     void setEngineCallsRejected(boolean rejected) {
         engineCallsRejected = rejected;
@@ -167,6 +199,21 @@
                 Optional.of(new LayerRange(from, to, LAYERS)));
     }
 
+    /** Creates a server of the plain service. */
+    static BackendServer plainServer(String id, int port) {
+        BackendServerId server = new BackendServerId(id);
+        return new BackendServer(
+                server,
+                server,
+                new ServiceName(StandInConfig.PLAIN),
+                new HostPort("127.0.0.1", port),
+                new DataCentre("dc1"),
+                ServerState.READY,
+                8,
+                "",
+                Optional.empty());
+    }
+
     /** Registers a server, also in another state than before. */
     void register(BackendServer server) {
         offset++;
@@ -184,10 +231,14 @@
                 List.of(new ServerRegistry.Registration(offset, server.name(), Optional.empty())), false, offset, 0));
     }
 
+    /** The route of a path. */
+    Route route(String path) {
+        return config.current().get().route("127.0.0.1", path).get();
+    }
+
     /** Sends a client's request. */
     FakeClient request(String path, String id) {
-        FakeClient client =
-                new FakeClient(config.current().get().route("127.0.0.1", path).get(), id, now);
+        FakeClient client = new FakeClient(route(path), id, now);
         handle(new RouterEvent.RequestReceived(client.exchange()));
         return client;
     }
