Keep an exception in one request from ending the router's tick

Callers of other requests saw silence: an exception in the check of one request ended the tick, at every tick again, and with it all retries, deadlines, probes and peer updates that came after it. The event loop logged it each time.

Shown with RouterFaultTest: requests whose attempt can't be cancelled, and probes of clients that throw.

A probe of the client that throws was not enough to stop the others: it reads at most every 150 ms, so other ticks go through.

Change: each request and each later step of a tick runs behind FaultBarrier. A request's exceptions are logged once with its id, a step's once a second. A request whose check fails past its deadline is ended step by step.

Not changed: an Error still ends the router's thread.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
@@ -31,6 +31,7 @@
     private boolean firstEventSeen;
     private boolean notMovable;
     private boolean needsRetry;
+    private boolean faultLogged;
     private boolean awaitingPath;
     private long awaitingPathSinceMillis;
     private long lastMoveMillis = Long.MIN_VALUE / 2;
@@ -140,6 +141,13 @@
         needsRetry = now;
     }
 
+    /** Records that an exception in the handling of this request is logged; true on the first call. */
+    boolean markFaultLogged() {
+        boolean first = !faultLogged;
+        faultLogged = true;
+        return first;
+    }
+
     /** The path on whose engines this request's load is counted; null for none. */
     StagePath loadedPath() {
         return loadedPath;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -49,6 +49,7 @@
     private final AsyncEngineControl engineControl;
     private final Consumer<RouterEvent> events;
     private final RoutingLog routingLog;
+    private final FaultBarrier faults;
     private final FleetState fleet;
     private final IdentityHashMap<Exchange, ActiveRequest> activeRequests = new IdentityHashMap<>();
     private final SharedRetries sharedRetries;
@@ -89,6 +90,7 @@
         this.engineControl = engineControl;
         this.events = events;
         this.routingLog = new RoutingLog(log, meters);
+        this.faults = new FaultBarrier(routingLog);
         this.sharedRetries = new SharedRetries(settings.name(), settings.retries(), random);
         this.failureDetector =
                 new FailureDetector(fleet, engineControl, settings.timing().stallMillis(), log, meters, events);
@@ -96,9 +98,10 @@
                 settings.name(), settings.dataCentre(), fleet, sharedRetries, failureDetector::handlePeerSuspicion);
         failureDetector.setOnLost(peerUpdateHandler::recordFailure);
         this.dispatcher = new Dispatcher(settings, clients, config, fleet, clock, log, attemptEnds);
-        this.retryDispatcher = new RetryDispatcher(sharedRetries, dispatcher, fleet, routingLog);
+        this.retryDispatcher = new RetryDispatcher(sharedRetries, dispatcher, fleet, routingLog, faults);
         this.overdueAttempts = new OverdueAttempts(sharedRetries, dispatcher);
-        this.streamMonitor = new StreamMonitor(fleet, engineControl, failureDetector, overdueAttempts, log, events);
+        this.streamMonitor =
+                new StreamMonitor(fleet, engineControl, failureDetector, overdueAttempts, faults, log, events);
     }
 
     /** Number of requests in progress; may be called by any thread. */
@@ -278,10 +281,11 @@
     }
 
     private void finish(ActiveRequest request, String outcome, int status, long now) {
-        dispatcher.removeLoad(request);
+        if (activeRequests.remove(request.exchange()) != null) {
+            activeRequestCount.decrementAndGet();
+        }
         retryDispatcher.remove(request);
-        activeRequests.remove(request.exchange());
-        activeRequestCount.decrementAndGet();
+        dispatcher.removeLoad(request);
         routingLog.ended(request, outcome, status, now);
     }
 
@@ -359,21 +363,57 @@
         fleet.recordTickDelay(lastTickMillis == 0 ? 0 : Math.max(0, now - lastTickMillis - TICK_MILLIS), now);
         lastTickMillis = now;
         for (ActiveRequest request : List.copyOf(activeRequests.values())) {
-            checkRequest(request, now);
+            checkSafely(request, now);
         }
-        retryWaiting(now);
+        faults.run("retries", now, () -> retryWaiting(now));
+        faults.run("probes", now, () -> probeSuspects(now));
+        faults.run("streams", now, () -> streamMonitor.check(activeRequests.values(), config.current(), now));
+        faults.run("registrations", now, () -> expireRegistrations(now));
+        faults.run("peers", now, () -> peerUpdateHandler.refreshUpdate(now));
+        faults.run("view", now, () -> view = fleet.view(now));
+    }
+
+    private void probeSuspects(long now) {
         for (BackendServerId id : fleet.suspectedServers().dueForProbe(now)) {
             fleet.registry()
                     .server(id)
                     .filter(server -> !server.card().isEmpty())
                     .ifPresent(server -> engineControl.requestReport(server, events));
         }
-        streamMonitor.check(activeRequests.values(), config.current(), now);
+    }
+
+    private void expireRegistrations(long now) {
         if (fleet.registry().expire(now)) {
             fleet.removeUnregistered();
         }
-        peerUpdateHandler.refreshUpdate(now);
-        view = fleet.view(now);
+    }
+
+    /** Checks a request. Its deadline ends it also if its check always throws an exception. */
+    private void checkSafely(ActiveRequest request, long now) {
+        boolean checked = faults.run(request, () -> checkRequest(request, now));
+        if (!checked && now >= request.exchange().request().deadlineMillis()) {
+            endAfterFault(request, "deadline", now);
+        }
+    }
+
+    /** Ends a request whose handling has thrown an exception; each step may throw another one. */
+    private void endAfterFault(ActiveRequest request, String why, long now) {
+        Attempt attempt = request.attempt();
+        if (attempt != null) {
+            request.endAttempt(false);
+            faults.run(request, () -> attempt.cancel(why));
+        }
+        boolean late = now >= request.exchange().request().deadlineMillis();
+        Refusal notRun = late ? Refusal.NOT_RUN_IN_TIME : Refusal.OVERLOADED;
+        Refusal unknown = late ? Refusal.TIMED_OUT : Refusal.UNKNOWN;
+        Refusal refusal = request.possibleRunCount() == 0 ? notRun : unknown;
+        boolean ended = faults.run(request, () -> giveUp(request, refusal, why, now));
+        if (!ended) {
+            faults.run(request, () -> abort(request, why, "", now));
+        }
+        if (activeRequests.containsKey(request.exchange())) {
+            faults.run(request, () -> finish(request, "broken", 0, now));
+        }
     }
 
     /** Sends a request that has no attempt and is not queued for a retry: it arrived before the servers were known. */
@@ -385,7 +425,9 @@
 
     private void retryWaiting(long now) {
         for (ActiveRequest request : retryDispatcher.removeExpired(now)) {
-            giveUp(request, refusalFor(request), "no retry and no server became available in time", now);
+            faults.run(
+                    request,
+                    () -> giveUp(request, refusalFor(request), "no retry and no server became available in time", now));
         }
         retryDispatcher.retryWaiting(now);
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
@@ -52,13 +52,20 @@
     private final Dispatcher dispatcher;
     private final FleetState fleet;
     private final RoutingLog routingLog;
+    private final FaultBarrier faults;
     private final RetryQueue<ActiveRequest> retryQueue = new RetryQueue<>();
 
-    RetryDispatcher(SharedRetries sharedRetries, Dispatcher dispatcher, FleetState fleet, RoutingLog routingLog) {
+    RetryDispatcher(
+            SharedRetries sharedRetries,
+            Dispatcher dispatcher,
+            FleetState fleet,
+            RoutingLog routingLog,
+            FaultBarrier faults) {
         this.sharedRetries = sharedRetries;
         this.dispatcher = dispatcher;
         this.fleet = fleet;
         this.routingLog = routingLog;
+        this.faults = faults;
     }
 
     /** Retries a retryable request now or queues it; false if the request is to be ended. */
@@ -98,15 +105,19 @@
     void retryWaiting(long now) {
         Map<ServiceName, Integer> lacking = new HashMap<>();
         for (ActiveRequest request : retryQueue.inOrder()) {
-            if (trySend(request, now)) {
-                retryQueue.remove(request);
-            } else if (request.needsRetry()) {
-                lacking.merge(request.service(), 1, Integer::sum);
-            }
+            faults.run(request, () -> retryWaiting(request, lacking, now));
         }
         sharedRetries.requestLoans(lacking, now);
     }
 
+    private void retryWaiting(ActiveRequest request, Map<ServiceName, Integer> lacking, long now) {
+        if (trySend(request, now)) {
+            retryQueue.remove(request);
+        } else if (request.needsRetry()) {
+            lacking.merge(request.service(), 1, Integer::sum);
+        }
+    }
+
     /** Removes and returns the requests that have not started and have waited for the longest permitted time. */
     List<ActiveRequest> removeExpired(long now) {
         return retryQueue.removeOverdue(now);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RoutingLog.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RoutingLog.java
@@ -53,6 +53,22 @@
                 .write();
     }
 
+    /**
+     * An exception ended a part of the router's work.
+     *
+     * @param id id of the request that was handled; empty if it was none
+     * @param step what was done
+     */
+    void faulted(String id, String step, RuntimeException failure) {
+        StackTraceElement[] trace = failure.getStackTrace();
+        log.line("route", "exception")
+                .with("id", id)
+                .with("step", step)
+                .with("why", failure)
+                .with("at", trace.length == 0 ? "" : trace[0])
+                .write();
+    }
+
     void refused(ActiveRequest request, Refusal refusal, String why) {
         meters.countRefusal(refusal.name());
         log.line("request", "refused")
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamMonitor.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamMonitor.java
@@ -60,23 +60,27 @@
     private final AsyncEngineControl engineControl;
     private final FailureDetector failureDetector;
     private final OverdueAttempts overdueAttempts;
+    private final FaultBarrier faults;
     private final EventLog log;
     private final Consumer<RouterEvent> router;
 
     /**
      * @param overdueAttempts decides which streams can be restarted at once
+     * @param faults keeps an exception in one stream from the others
      */
     StreamMonitor(
             FleetState fleet,
             AsyncEngineControl engineControl,
             FailureDetector failureDetector,
             OverdueAttempts overdueAttempts,
+            FaultBarrier faults,
             EventLog log,
             Consumer<RouterEvent> router) {
         this.fleet = fleet;
         this.engineControl = engineControl;
         this.failureDetector = failureDetector;
         this.overdueAttempts = overdueAttempts;
+        this.faults = faults;
         this.log = log;
         this.router = router;
     }
@@ -89,12 +93,12 @@
                 continue;
             }
             if (request.isMoveOverdue(MOVE_LIMIT_MILLIS, now)) {
-                abandonMove(request, attempt, now);
+                faults.run(request, () -> abandonMove(request, attempt, now));
             }
-            if (request.isMoving()) {
-                continue;
+            if (!request.isMoving()) {
+                StagePath path = attempt.path().get();
+                faults.run(request, () -> check(request, attempt, path, config, now));
             }
-            check(request, attempt, attempt.path().get(), config, now);
         }
         List<SilentEngineDetector.StreamActivity> streams = streams(activeRequests);
         trustForwardingEngines(streams, now);
