End or continue each request whose attempt's end cannot be handled

Callers saw a begun stream stay silent until its deadline, and a request that is not idempotent was sent a second time: an exception after the attempt had been ended left the request without an attempt and outside the retry queue, and the next tick sent it as one that had never been sent, without a retry. An exception before that left an attempt that had ended already; an attempt whose start threw an exception never ended.

Change: an exception is followed by a place in the queue for a begun stream, and by an end for any other request. The tick sends only requests that were never sent. A failed start is reported as an attempt that may have run. The same guard answers a request whose acceptance throws; that has no test.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
@@ -216,6 +216,11 @@
         return due;
     }
 
+    /** Counts a search as made now, so that the next one is due only after a pause. */
+    void delaySearch(long nowMillis) {
+        lastSearchMillis = nowMillis;
+    }
+
     /** Whether the last search found no server for the next attempt. */
     boolean isAwaitingPath() {
         return awaitingPath;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.cornelramp.core.fleet.BackendServer;
@@ -22,6 +23,7 @@
 import org.cornelramp.gateway.request.Exchange;
 import org.cornelramp.platform.ForwardedHead;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpFields;
 
 /**
  * Sends a request to the best backend server, and counts the load that this adds to engines and servers. Confined to
@@ -88,11 +90,25 @@
                 .map(stagePath -> new Target(stagePath.first(), Optional.of(stagePath)));
     }
 
-    /** Sends the request to a server that {@link #chooseTarget} has just returned. */
+    /**
+     * Sends the request to a server that {@link #chooseTarget} has just returned. If it cannot be sent, the attempt
+     * ends like any other.
+     */
     void send(ActiveRequest request, Target target, long now) {
+        FirstEnd ends = new FirstEnd(onEnd);
+        Attempt attempt = createAttempt(request, target, ends, now);
+        request.startAttempt(attempt);
         target.path().ifPresentOrElse(stagePath -> addLoadWithPrompt(request, stagePath), () -> fleet.plainServers()
                 .requestSent(target.server().id()));
-        startAttempt(request, target.server(), target.path(), now);
+        logSent(request, target);
+        try {
+            attempt.start(now);
+        } catch (RuntimeException e) {
+            if (request.exchange().isCommitted()) {
+                request.delaySearch(now); // otherwise all its attempts would fail within one millisecond
+            }
+            endUnstarted(attempt, ends, e);
+        }
     }
 
     private void addLoadWithPrompt(ActiveRequest request, StagePath stagePath) {
@@ -163,21 +179,25 @@
                 .isPresent();
     }
 
-    private void startAttempt(ActiveRequest request, BackendServer server, Optional<StagePath> path, long now) {
+    private Attempt createAttempt(ActiveRequest request, Target target, FirstEnd ends, long now) {
         Exchange exchange = request.exchange();
         Exchange.ClientRequest call = exchange.request();
         ForwardedHead head = new ForwardedHead(
-                server.name(),
+                target.server().name(),
                 call.deadlineMillis() - now,
                 call.organisation(),
-                path,
-                path.map(stagePath -> call.priority()),
+                target.path(),
+                target.path().map(stagePath -> call.priority()),
                 exchange.lastEventId());
-        Attempt attempt = new Attempt(clients.apply(request.route()), exchange, server, head, clock, onEnd);
-        request.startAttempt(attempt);
+        return new Attempt(clients.apply(request.route()), exchange, target.server(), head, clock, ends);
+    }
+
+    private void logSent(ActiveRequest request, Target target) {
+        Optional<StagePath> path = target.path();
+        Exchange exchange = request.exchange();
         log.routine("route", "sent")
-                .with("id", call.id())
-                .with("server", server.id())
+                .with("id", exchange.request().id())
+                .with("server", target.server().id())
                 .with("attempt", request.attemptCount())
                 .with("path", path.map(StagePath::text).orElse(""))
                 .with(
@@ -190,6 +210,40 @@
                         "configVersion",
                         config.current().map(version -> version.version()).orElse(-1L))
                 .write();
-        attempt.start(now);
+    }
+
+    /**
+     * Ends an attempt whose start has thrown an exception. How much was sent is not known, so the request may have run.
+     * The cancellation keeps its server from being suspected.
+     */
+    private static void endUnstarted(Attempt attempt, FirstEnd ends, RuntimeException failure) {
+        String detail = "the request could not be sent: " + failure;
+        AttemptEnd end =
+                new AttemptEnd(AttemptEnd.Kind.BROKEN, 0, HttpFields.EMPTY, new byte[0], Optional.empty(), detail);
+        try {
+            attempt.cancel(detail);
+        } finally {
+            ends.accept(attempt, end);
+        }
+    }
+
+    /**
+     * Passes on the first end of an attempt only, as the HTTP library may report the end of a request that it could not
+     * send. Safe for use by any thread.
+     */
+    private static final class FirstEnd implements BiConsumer<Attempt, AttemptEnd> {
+        private final BiConsumer<Attempt, AttemptEnd> onEnd;
+        private final AtomicBoolean ended = new AtomicBoolean();
+
+        FirstEnd(BiConsumer<Attempt, AttemptEnd> onEnd) {
+            this.onEnd = onEnd;
+        }
+
+        @Override
+        public void accept(Attempt attempt, AttemptEnd end) {
+            if (ended.compareAndSet(false, true)) {
+                onEnd.accept(attempt, end);
+            }
+        }
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -145,6 +145,18 @@
     }
 
     private void handleRequest(Exchange exchange, long now) {
+        if (faults.run("request", now, () -> acceptRequest(exchange, now))) {
+            return;
+        }
+        ActiveRequest request = activeRequests.get(exchange);
+        if (request == null) {
+            exchange.refuse(Refusal.OVERLOADED, Refusal.OVERLOADED.retryMillis());
+        } else if (isUnattended(request)) {
+            endAfterFault(request, "the request could not be handled", now);
+        }
+    }
+
+    private void acceptRequest(Exchange exchange, long now) {
         Exchange.ClientRequest call = exchange.request();
         double draw = (call.id().hashCode() & 0x7fffffff) / (double) (1L << 31);
         ServiceName service = call.route().service(draw);
@@ -194,12 +206,19 @@
         ActiveRequest request = activeRequests.get(attempt.exchange());
         meters.countAttempt(end.kind().name());
         boolean current = request != null && request.attempt() == attempt;
-        failureDetector.recordOutcome(attempt, end, now);
-        if (!current) {
-            return;
+        faults.run("outcome", now, () -> failureDetector.recordOutcome(attempt, end, now));
+        if (current) {
+            boolean handled = faults.run(request, () -> settleAttempt(request, attempt, end, now));
+            if (!handled) {
+                continueAfterFault(request, attempt, end, now);
+            }
         }
+    }
+
+    private void settleAttempt(ActiveRequest request, Attempt attempt, AttemptEnd end, long now) {
         if (OverdueAttempts.hasEvents(request, attempt)) {
-            handleFirstEvent(request, attempt, now); // a short stream may end between two ticks
+            // A short stream may end between two ticks.
+            faults.run(request, () -> handleFirstEvent(request, attempt, now));
         }
         dispatcher.removeLoad(request);
         request.endAttempt(end.kind().surelyNotRun());
@@ -214,6 +233,35 @@
         }
     }
 
+    /**
+     * Gives a request whose attempt has ended another attempt or an end, after an exception in the handling of that
+     * end. It is not known how far the handling came, so a request that has not started is not sent again.
+     */
+    private void continueAfterFault(ActiveRequest request, Attempt attempt, AttemptEnd end, long now) {
+        if (request.attempt() == attempt) {
+            request.endAttempt(end.kind().surelyNotRun());
+        }
+        if (isUnattended(request)) {
+            requeueOrEnd(request, end.kind().mayHaveArrived(), now);
+        }
+    }
+
+    /** Whether a request in progress has neither an attempt nor a place in the retry queue. */
+    private boolean isUnattended(ActiveRequest request) {
+        return activeRequests.containsKey(request.exchange())
+                && request.attempt() == null
+                && !retryDispatcher.isWaiting(request);
+    }
+
+    private void requeueOrEnd(ActiveRequest request, boolean needsRetry, long now) {
+        boolean resumable = request.exchange().isCommitted()
+                && !request.exchange().isEnded()
+                && request.route().mayRetry();
+        if (!resumable || !retryDispatcher.requeueStream(request, needsRetry, now)) {
+            endAfterFault(request, "the end of an attempt could not be handled", now);
+        }
+    }
+
     private void complete(ActiveRequest request, AttemptEnd end, long now) {
         request.exchange().complete(end.fields());
         finish(request, "complete", end.status(), now);
@@ -416,10 +464,18 @@
         }
     }
 
-    /** Sends a request that has no attempt and is not queued for a retry: it arrived before the servers were known. */
+    /**
+     * Sends a request that has no attempt and is not queued for a retry: it arrived before the servers were known. Only
+     * a request that was never sent; any other might run twice, and would need a retry.
+     */
     private void sendUnsent(ActiveRequest request, long now) {
-        if (!retryDispatcher.isWaiting(request)) {
+        if (!isUnattended(request)) {
+            return;
+        }
+        if (request.attemptCount() == 0) {
             send(request, now);
+        } else {
+            requeueOrEnd(request, true, now);
         }
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
@@ -92,6 +92,16 @@
         return true;
     }
 
+    /**
+     * Queues a started stream again that was left without an attempt; false if it is to be ended, because too many of
+     * its runs have brought no event.
+     */
+    boolean requeueStream(ActiveRequest request, boolean needsRetry, long now) {
+        request.setNeedsRetry(needsRetry);
+        boolean inTime = now < request.exchange().request().deadlineMillis();
+        return inTime && request.countedAttempts(seemsToCrash(request, now)) < MAX_ATTEMPTS && enqueue(request, now);
+    }
+
     /** Queues a started stream for which there is no path. */
     void queueForPath(ActiveRequest request, long now) {
         retryQueue.add(request, queueEntry(request, now));
