Never block on the router's full queue with the end of an attempt

A gateway could stop answering: the end of an attempt was offered to the router's queue again and again until there was room, and a thread of the HTTP client, or the router's own, waited for the router in that time. A stopped HTTP client reports the end of a request on the thread that sends it, so the router waited for itself for ever.

Shown with RouterQueueTest, with a real, stopped HttpClient and the queue filled while the router's thread is held. Before: no end within 20 s. Now: passed in 0.09 s, with AttemptEndFaultTest (6), RouterFaultTest (4) and UnansweredMoveTest (9).

Change: an end that does not fit is held in AttemptEndOverflow, at most one for each attempt in progress, and is handled before the next event or tick. An exception in one event stays within it, so that it does not cost the event behind the held ends.

Not shown: on which thread an abort of a queued, connecting or running request, or a refused connection, reports its end. No end blocks now, whichever it is.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -119,8 +119,12 @@
         return peerUpdateHandler;
     }
 
-    /** Handles one event. */
+    /** Handles one event; an exception is logged and does not reach the caller, which may have more events. */
     void handle(RouterEvent event, long now) {
+        faults.run("event", now, () -> handleUnguarded(event, now));
+    }
+
+    private void handleUnguarded(RouterEvent event, long now) {
         if (event instanceof RouterEvent.RequestReceived arrived) {
             handleRequest(arrived.exchange(), now);
         } else if (event instanceof RouterEvent.AttemptEnded ended) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -20,6 +20,8 @@
 
     private final EventLoop<RouterEvent> eventLoop;
     private final RequestRouter requestRouter;
+    private final AttemptEndOverflow overflow = new AttemptEndOverflow(this::offer);
+    private final SteadyClock clock;
 
     /**
      * @param clients send the requests
@@ -33,6 +35,7 @@
             EventLog log,
             Meters meters,
             AsyncEngineControl engineControl) {
+        this.clock = clock;
         // A request that may not be retried must not use a pooled connection, which its server may just be closing.
         this.requestRouter = new RequestRouter(
                 settings,
@@ -45,12 +48,7 @@
                 new SplittableRandom(),
                 this::offer,
                 this::offerAttemptEnd);
-        this.eventLoop = new EventLoop<>(
-                "router",
-                RING_CAPACITY,
-                event -> requestRouter.handle(event, clock.millis()),
-                () -> requestRouter.tick(clock.millis()),
-                RequestRouter.TICK_MILLIS);
+        this.eventLoop = new EventLoop<>("router", RING_CAPACITY, this::handle, this::tick, RequestRouter.TICK_MILLIS);
     }
 
     /** Starts the router's thread. */
@@ -69,10 +67,17 @@
     }
 
     private void offerAttemptEnd(Attempt attempt, AttemptEnd end) {
-        RouterEvent event = new RouterEvent.AttemptEnded(attempt, end);
-        while (!offer(event)) {
-            Thread.onSpinWait(); // if the event were lost, the load of the attempt would be counted forever
-        }
+        overflow.offer(new RouterEvent.AttemptEnded(attempt, end));
+    }
+
+    private void handle(RouterEvent event) {
+        overflow.drain(ended -> requestRouter.handle(ended, clock.millis()));
+        requestRouter.handle(event, clock.millis());
+    }
+
+    private void tick() {
+        overflow.drain(ended -> requestRouter.handle(ended, clock.millis()));
+        requestRouter.tick(clock.millis());
     }
 
     /** Number of requests in progress. */
