Move the upkeep of the fleet's state out of RequestRouter

Registrations, the store's status and probes of suspected engines are now in FleetUpdater; nothing else changed.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
-import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.settings.GatewaySettings;
@@ -47,10 +46,10 @@
     private final EventLog log;
     private final Meters meters;
     private final AsyncEngineControl engineControl;
-    private final Consumer<RouterEvent> events;
     private final RoutingLog routingLog;
     private final FaultBarrier faults;
     private final FleetState fleet;
+    private final FleetUpdater fleetUpdater;
     private final IdentityHashMap<Exchange, ActiveRequest> activeRequests = new IdentityHashMap<>();
     private final SharedRetries sharedRetries;
     private final FailureDetector failureDetector;
@@ -61,7 +60,6 @@
     private final RetryDispatcher retryDispatcher;
     private final StreamMonitor streamMonitor;
     private volatile FleetView view = FleetView.EMPTY;
-    private boolean storeAvailable;
     private long lastTickMillis;
 
     /**
@@ -84,11 +82,11 @@
             Consumer<RouterEvent> events,
             BiConsumer<Attempt, AttemptEnd> attemptEnds) {
         this.fleet = new FleetState(settings.timing().heartbeatMillis());
+        this.fleetUpdater = new FleetUpdater(fleet, engineControl, log, events);
         this.config = config;
         this.log = log;
         this.meters = meters;
         this.engineControl = engineControl;
-        this.events = events;
         this.routingLog = new RoutingLog(log, meters);
         this.faults = new FaultBarrier(routingLog);
         this.sharedRetries = new SharedRetries(settings.name(), settings.retries(), random);
@@ -130,11 +128,11 @@
         } else if (event instanceof RouterEvent.AttemptEnded ended) {
             handleAttemptEnd(ended.attempt(), ended.end(), now);
         } else if (event instanceof RouterEvent.RegistrationsRead registered) {
-            handleRegistrations(registered, now);
+            fleetUpdater.handleRegistrations(registered, now);
         } else if (event instanceof RouterEvent.PeerUpdateReceived received) {
             peerUpdateHandler.handleUpdate(received.update(), now);
         } else if (event instanceof RouterEvent.StoreStatus answers) {
-            storeAvailable(answers.available(), now);
+            fleetUpdater.storeAvailable(answers.available(), now);
         } else if (event instanceof RouterEvent.EngineReportResult reported) {
             handleReport(reported, now);
         } else if (event instanceof RouterEvent.MoveResult moved) {
@@ -341,27 +339,6 @@
         routingLog.ended(request, outcome, status, now);
     }
 
-    private void handleRegistrations(RouterEvent.RegistrationsRead registered, long now) {
-        FleetState.RegistrationEffect effect = fleet.applyRegistrations(registered, now);
-        if (effect != FleetState.RegistrationEffect.UNCHANGED) {
-            log.line("fleet", effect == FleetState.RegistrationEffect.RESTORED ? "restored" : "changed")
-                    .with("end", registered.end())
-                    .with("era", registered.era())
-                    .with("servers", fleet.registry().servers().size())
-                    .with("leaving", fleet.leavingCount())
-                    .write();
-            fleet.removeUnregistered();
-        }
-    }
-
-    private void storeAvailable(boolean answers, long now) {
-        if (answers != storeAvailable) {
-            storeAvailable = answers;
-            log.line("store", answers ? "regained" : "lost").write();
-        }
-        fleet.setStoreAvailable(answers, now);
-    }
-
     private void handleReport(RouterEvent.EngineReportResult reported, long now) {
         boolean missed = reported.report().isLeft()
                 && reported.report().getLeft().kind() != PlatformFault.Kind.NOT_LISTENING
@@ -418,28 +395,13 @@
             checkSafely(request, now);
         }
         faults.run("retries", now, () -> retryWaiting(now));
-        faults.run("probes", now, () -> probeSuspects(now));
+        faults.run("probes", now, () -> fleetUpdater.probeSuspects(now));
         faults.run("streams", now, () -> streamMonitor.check(activeRequests.values(), config.current(), now));
-        faults.run("registrations", now, () -> expireRegistrations(now));
+        faults.run("registrations", now, () -> fleetUpdater.expireRegistrations(now));
         faults.run("peers", now, () -> peerUpdateHandler.refreshUpdate(now));
         faults.run("view", now, () -> view = fleet.view(now));
     }
 
-    private void probeSuspects(long now) {
-        for (BackendServerId id : fleet.suspectedServers().dueForProbe(now)) {
-            fleet.registry()
-                    .server(id)
-                    .filter(server -> !server.card().isEmpty())
-                    .ifPresent(server -> engineControl.requestReport(server, events));
-        }
-    }
-
-    private void expireRegistrations(long now) {
-        if (fleet.registry().expire(now)) {
-            fleet.removeUnregistered();
-        }
-    }
-
     /** Checks a request. Its deadline ends it also if its check always throws an exception. */
     private void checkSafely(ActiveRequest request, long now) {
         boolean checked = faults.run(request, () -> checkRequest(request, now));
