--- a/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
@@ -110,8 +110,14 @@
 
         /** Delivers events of a successful stream. */
         void events(String id, String text) {
+            events(id, text, () -> {});
+        }
+
+        /** Delivers events of a successful stream, and runs an action between their read and their write. */
+        void events(String id, String text, Runnable beforeWrite) {
             head(200, HeaderFixtures.answer(id));
-            deliver(Content.Chunk.from(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), false));
+            ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+            deliver(Content.Chunk.from(bytes, false, ignored -> beforeWrite.run()));
         }
 
         /** Ends a response normally. */
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Function;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerRegistry;
 import org.cornelramp.core.fleet.ServerState;
@@ -19,6 +20,7 @@
 import org.cornelramp.core.model.LayerRange;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.StagePath;
+import org.cornelramp.core.retry.RetryLoanUpdate;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.GatewaySettingsReader;
 import org.cornelramp.core.settings.HostPort;
@@ -50,6 +52,7 @@
     private final ConfigHolder config = new ConfigHolder();
     private final RequestRouter router;
     private RepathAnswer repathAnswer = order -> Either.right(new byte[0]);
+    private Function<BackendServer, Optional<PlatformFault>> reportFaults = engine -> Optional.empty();
     private boolean enginesAnswer = true;
     private boolean engineCallsRejected;
     private long now = 1_000;
@@ -97,9 +100,10 @@
 
         @Override
         public Either<PlatformFault, EngineReport> report(BackendServer engine, long timeoutMillis) {
-            return enginesAnswer
-                    ? Either.right(new EngineReport(Optional.empty(), false, 0, 1, 0, 0, 0, engine.layers(), List.of()))
-                    : Either.left(NO_ANSWER);
+            Optional<PlatformFault> fault = enginesAnswer ? reportFaults.apply(engine) : Optional.of(NO_ANSWER);
+            return fault.<Either<PlatformFault, EngineReport>>map(Either::left)
+                    .orElseGet(() -> Either.right(
+                            new EngineReport(Optional.empty(), false, 0, 1, 0, 0, 0, engine.layers(), List.of())));
         }
 
         @Override
@@ -141,6 +145,11 @@
         enginesAnswer = answer;
     }
 
+    /** Sets which engines do not answer requests for their reports, and how. */
+    void setReportFaults(Function<BackendServer, Optional<PlatformFault>> faults) {
+        reportFaults = faults;
+    }
+
     /** Sets whether calls to engines are rejected because too many are queued. */
     void setEngineCallsRejected(boolean rejected) {
         engineCallsRejected = rejected;
@@ -167,6 +176,21 @@
                 Optional.of(new LayerRange(from, to, LAYERS)));
     }
 
+    /** Creates a server of the plain service. */
+    static BackendServer plainServer(String id, int port) {
+        BackendServerId server = new BackendServerId(id);
+        return new BackendServer(
+                server,
+                server,
+                new ServiceName(StandInConfig.PLAIN),
+                new HostPort("127.0.0.1", port),
+                new DataCentre("dc1"),
+                ServerState.READY,
+                8,
+                "",
+                Optional.empty());
+    }
+
     /** Registers a server, also in another state than before. */
     void register(BackendServer server) {
         offset++;
@@ -220,7 +244,9 @@
     boolean runEngineCall() {
         Runnable call = engineCalls.poll();
         if (call != null) {
+            Thread.currentThread().interrupt(); // the second call of a probe does not wait for the first
             call.run();
+            var unused = Thread.interrupted();
         }
         return call != null;
     }
@@ -232,6 +258,16 @@
         }
     }
 
+    /** Lets time pass without a tick of the router. */
+    void pass(long millis) {
+        now += millis;
+    }
+
+    /** What this gateway tells its peers now about retries. */
+    RetryLoanUpdate loanUpdate() {
+        return router.peerUpdates().currentUpdate().retryLoans();
+    }
+
     /** Lets time pass up to the next tick of the router, without running what is queued. */
     void tick() {
         now += RequestRouter.TICK_MILLIS;
