--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Function;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerRegistry;
 import org.cornelramp.core.fleet.ServerState;
@@ -19,6 +20,7 @@
 import org.cornelramp.core.model.LayerRange;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.StagePath;
+import org.cornelramp.core.retry.RetryLoanUpdate;
 import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.GatewaySettingsReader;
@@ -53,6 +55,7 @@
     private final ConfigHolder config = new ConfigHolder();
     private final RequestRouter router;
     private RepathAnswer repathAnswer = order -> Either.right(new byte[0]);
+    private Function<BackendServer, Optional<PlatformFault>> reportFaults = engine -> Optional.empty();
     private boolean enginesAnswer = true;
     private boolean engineCallsRejected;
     private RuntimeException reportFailure;
@@ -104,9 +107,10 @@
             if (reportFailure != null) {
                 throw reportFailure;
             }
-            return enginesAnswer
-                    ? Either.right(new EngineReport(Optional.empty(), false, 0, 1, 0, 0, 0, engine.layers(), List.of()))
-                    : Either.left(NO_ANSWER);
+            Optional<PlatformFault> fault = enginesAnswer ? reportFaults.apply(engine) : Optional.of(NO_ANSWER);
+            return fault.<Either<PlatformFault, EngineReport>>map(Either::left)
+                    .orElseGet(() -> Either.right(
+                            new EngineReport(Optional.empty(), false, 0, 1, 0, 0, 0, engine.layers(), List.of())));
         }
 
         @Override
@@ -173,6 +177,11 @@
         reportFailure = failure;
     }
 
+    /** Sets which engines do not answer requests for their reports, and how. */
+    void setReportFaults(Function<BackendServer, Optional<PlatformFault>> faults) {
+        reportFaults = faults;
+    }
+
     /** Sets whether calls to engines are rejected because too many are queued. */
     void setEngineCallsRejected(boolean rejected) {
         engineCallsRejected = rejected;
@@ -271,7 +280,9 @@
     boolean runEngineCall() {
         Runnable call = engineCalls.poll();
         if (call != null) {
+            Thread.currentThread().interrupt(); // the second call of a probe does not wait for the first
             call.run();
+            var unused = Thread.interrupted();
         }
         return call != null;
     }
@@ -283,6 +294,16 @@
         }
     }
 
+    /** Lets time pass without a tick of the router. */
+    void pass(long millis) {
+        now += millis;
+    }
+
+    /** What this gateway tells its peers now about retries. */
+    RetryLoanUpdate loanUpdate() {
+        return router.peerUpdates().currentUpdate().retryLoans();
+    }
+
     /** Lets time pass up to the next tick of the router, without running what is queued. */
     void tick() {
         now += RequestRouter.TICK_MILLIS;
