Continue silent streams over engines that are no longer registered

What callers saw: a started stream stays silent until its client leaves after two seconds, and the gateway logs nothing.

Cause: only registered engines are probed, and the record that an engine is lost is dropped with its registration. An engine in the middle of a path that ends and is removed therefore never counts as lost. Its streams are moved as off a leaving engine, but only to a path without more crossings; where there is none, nothing ever acts on them.

Change: an engine that is lost or not registered counts as gone for silent streams. Recent events, read or unread, still keep a stream on its path, so an engine that is only missing from the list loses none.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
@@ -186,6 +186,11 @@
         return suspectedServers.isLost(id, nowMillis) || registry.isReplaced(id);
     }
 
+    /** Whether a server is lost or no longer registered, so that a silent stream over it will not go on. */
+    public boolean isGone(BackendServerId id, long nowMillis) {
+        return isLost(id, nowMillis) || registry.server(id).isEmpty();
+    }
+
     /** The server of a service at an address; another service may have registered the same address. */
     public Optional<BackendServer> serverAt(HostPort address, ServiceName service) {
         return registry.servers().stream()
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
@@ -153,8 +153,7 @@
     /** Whether so many engines that ran a request are lost that the request may be the cause. */
     private boolean seemsToCrash(ActiveRequest request, long now) {
         long gone = request.usedFirstEngines().stream()
-                .filter(id ->
-                        fleet.isLost(id, now) || fleet.registry().server(id).isEmpty())
+                .filter(id -> fleet.isGone(id, now))
                 .count();
         return gone >= CRASH_THRESHOLD;
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamMonitor.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamMonitor.java
@@ -163,7 +163,7 @@
     private void check(
             ActiveRequest request, Attempt attempt, StagePath path, Optional<RoutingConfig> config, long now) {
         boolean stalled = hasStalled(request, attempt, path, now);
-        if (stalled && fleet.isLost(path.first().id(), now)) {
+        if (stalled && fleet.isGone(path.first().id(), now)) {
             attempt.cancel("its first engine is lost");
         } else if (stalled && overdueAttempts.canRestart(request, now)) {
             // A move order waits for the stalled engines, and is refused if their work has just ended.
@@ -188,9 +188,12 @@
                 .anyMatch(hop -> fleet.isLeaving(hop.server().id()));
     }
 
-    /** Whether an engine of the path is considered lost and no recent event contradicts it, read or still unread. */
+    /**
+     * Whether an engine of the path is lost or no longer registered and no recent event contradicts it, read or still
+     * unread. An engine that is no longer registered cannot be probed, so it never becomes lost.
+     */
     private boolean hasStalled(ActiveRequest request, Attempt attempt, StagePath path, long now) {
-        return containsEngine(path, id -> fleet.isLost(id, now))
+        return containsEngine(path, id -> fleet.isGone(id, now))
                 && !stream(request, attempt, path).isActive(now)
                 && !attempt.hasUnreadBytes();
     }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -195,13 +195,18 @@
 
     /** Creates an engine of a half of the model, or of the whole. */
     static BackendServer engine(String id, int port, int from, int to) {
+        return engine(id, port, "dc1", from, to);
+    }
+
+    /** Creates an engine in a data centre; the gateway runs in dc1. */
+    static BackendServer engine(String id, int port, String dataCentre, int from, int to) {
         BackendServerId server = new BackendServerId(id);
         return new BackendServer(
                 server,
                 server,
                 new ServiceName(StandInConfig.ENGINES),
                 new HostPort("127.0.0.1", port),
-                new DataCentre("dc1"),
+                new DataCentre(dataCentre),
                 ServerState.READY,
                 8,
                 StandInConfig.CARD,
