Count exceptions in the router's work, and assert in the histories that there are none

Since an exception in one request or step no longer ends the tick, the property over histories could not see it any more, and an operator only a log line. cornelramp_gateway_exceptions_total{step} counts all of them; RouterHistory requires zero after each step.

--- a/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
@@ -110,6 +110,11 @@
         count("refusals", "cause", cause);
     }
 
+    /** Counts an exception in a step of the router's work, which ends only that step. */
+    public void countException(String step) {
+        count("exceptions", "step", step);
+    }
+
     /** Counts a backend server that has become suspected of having failed. */
     public void countSuspicion(String evidence) {
         count("suspicions", "evidence", evidence);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FaultBarrier.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FaultBarrier.java
@@ -14,6 +14,7 @@
 
     private final RoutingLog routingLog;
     private final Map<String, Long> lastLoggedMillis = new HashMap<>();
+    private long count;
 
     FaultBarrier(RoutingLog routingLog) {
         this.routingLog = routingLog;
@@ -25,6 +26,7 @@
             work.run();
             return true;
         } catch (RuntimeException e) {
+            countException("request");
             if (request.markFaultLogged()) {
                 routingLog.faulted(request.exchange().request().id(), "request", e);
             }
@@ -42,6 +44,7 @@
             work.run();
             return true;
         } catch (RuntimeException e) {
+            countException(step);
             if (isLogDue(step, nowMillis)) {
                 routingLog.faulted("", step, e);
             }
@@ -49,6 +52,16 @@
         }
     }
 
+    /** Number of exceptions so far. */
+    long count() {
+        return count;
+    }
+
+    private void countException(String step) {
+        count++;
+        routingLog.countException(step);
+    }
+
     private boolean isLogDue(String step, long nowMillis) {
         Long last = lastLoggedMillis.get(step);
         boolean due = last == null || nowMillis - last >= STEP_LOG_PAUSE_MILLIS;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -107,6 +107,11 @@
         return activeRequestCount.get();
     }
 
+    /** Number of exceptions in the router's work, each of which has ended only one step or request. */
+    long exceptionCount() {
+        return faults.count();
+    }
+
     /** The state of the backend servers as of the last tick; may be called by any thread. */
     FleetView view() {
         return view;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RoutingLog.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RoutingLog.java
@@ -69,6 +69,11 @@
                 .write();
     }
 
+    /** Counts an exception, whether or not it is logged. */
+    void countException(String step) {
+        meters.countException(step);
+    }
+
     void refused(ActiveRequest request, Refusal refusal, String why) {
         meters.countRefusal(refusal.name());
         log.line("request", "refused")
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterHistory.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterHistory.java
@@ -32,6 +32,7 @@
  *   <li>a started stream ends only complete, because its client has left, at its deadline, or after six runs without an
  *       event (after six runs if three engines that ran it may be lost);
  *   <li>a request that is not idempotent runs at most once, and a refusal says truly that it has not run;
+ *   <li>no step of the router's work throws an exception;
  *   <li>a request ends by the first tick after its deadline, and the router keeps exactly those that have not ended.
  * </ul>
  *
@@ -372,6 +373,7 @@
 
     private void check() {
         receive();
+        require(router.exceptions() == 0, router.exceptions() + " exceptions in the router's work");
         clients.forEach(this::check);
         long open = clients.values().stream()
                 .filter(client -> !client.exchange().isEnded())
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -323,6 +323,11 @@
         }
     }
 
+    /** Number of exceptions in the router's work; a router in production logs them and goes on. */
+    long exceptions() {
+        return router.exceptionCount();
+    }
+
     /** Number of requests in progress. */
     int activeRequests() {
         return router.activeRequestCount();
