Probe an engine soon whose streams fall silent after its answer

What callers saw: when an engine died just after it had answered a probe, its streams at that gateway paused for a second and more; at the gateways that had not probed it they went on after 0.2 to 0.4 s.

Cause: an engine that has answered is not probed again for a second, whether its streams fell silent before or after the answer.

Change: the pause of a second holds for streams that were silent before the answer, as it was meant; for those that fall silent later it is the usual 250 ms.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
@@ -29,6 +29,9 @@
  * result when its own queue is full.
  */
 public final class AsyncEngineControl {
+    /** Stands for the time of the last event where no event has passed an engine. */
+    static final long NO_EVENT = Long.MIN_VALUE;
+
     /** Enough to probe all engines of a failed rack at the same time, with two calls for each engine. */
     private static final int THREADS = 8;
 
@@ -40,9 +43,9 @@
     private static final long PROBE_PAUSE_MILLIS = 250;
 
     /**
-     * Time for which an engine that has answered is not probed again. When an engine dies, all other engines on the
-     * paths of its streams are probed too; probed four times a second, they took most of the probes in a run with
-     * engine failures.
+     * Time for which an engine that has answered is not probed again for streams that were silent already then. When an
+     * engine dies, all other engines on the paths of its streams are probed too; probed four times a second, they took
+     * most of the probes in a run with engine failures.
      */
     private static final long ANSWERED_PAUSE_MILLIS = 1_000;
 
@@ -63,7 +66,28 @@
 
     private final EngineCalls calls;
     private final Executor threads;
-    private final Map<BackendServerId, Long> nextProbeMillis = new HashMap<>();
+    private final Map<BackendServerId, ProbePause> pauses = new HashMap<>();
+
+    /**
+     * When an engine may be probed again. Immutable.
+     *
+     * @param untilMillis end of the pause
+     * @param answeredMillis when the engine answered; its answer says nothing about streams that fall silent later
+     * @param untilIfSilentSinceMillis end of the pause for streams that fell silent after the answer
+     */
+    private record ProbePause(long untilMillis, long answeredMillis, long untilIfSilentSinceMillis) {
+        static ProbePause until(long millis) {
+            return new ProbePause(millis, Long.MAX_VALUE, millis);
+        }
+
+        static ProbePause answered(long nowMillis) {
+            return new ProbePause(nowMillis + ANSWERED_PAUSE_MILLIS, nowMillis, nowMillis + PROBE_PAUSE_MILLIS);
+        }
+
+        boolean allows(long silentSinceMillis, long nowMillis) {
+            return nowMillis >= (silentSinceMillis > answeredMillis ? untilIfSilentSinceMillis : untilMillis);
+        }
+    }
 
     /**
      * @param calls blocking calls to engines
@@ -94,11 +118,15 @@
      * timeout. Repeated probes of one engine within a short time are skipped. Called by the router's thread only.
      *
      * @param lagMillis recent scheduling delay of this process, by which an answer may be read later
+     * @param silentSinceMillis when the last event passed the engine; {@link #NO_EVENT} if none has, or if the probe has
+     *     another reason than silence
      */
-    void probe(BackendServer engine, Consumer<RouterEvent> router, long lagMillis, long now) {
-        nextProbeMillis.values().removeIf(next -> now >= next);
+    void probe(BackendServer engine, Consumer<RouterEvent> router, long lagMillis, long silentSinceMillis, long now) {
+        pauses.values().removeIf(pause -> now >= pause.untilMillis());
         long timeout = PROBE_TIMEOUT_MILLIS + LAG_FACTOR * lagMillis;
-        if (nextProbeMillis.putIfAbsent(engine.id(), now + PROBE_PAUSE_MILLIS) == null) {
+        ProbePause pause = pauses.get(engine.id());
+        if (pause == null || pause.allows(silentSinceMillis, now)) {
+            pauses.put(engine.id(), ProbePause.until(now + PROBE_PAUSE_MILLIS));
             ProbePair probe =
                     new ProbePair(report -> router.accept(new RouterEvent.EngineReportResult(engine, report)));
             submit(() -> probe.handleCallEnd(report(engine, timeout)));
@@ -115,7 +143,7 @@
      * thread only.
      */
     void recordAnswer(BackendServerId engine, long now) {
-        nextProbeMillis.put(engine, now + ANSWERED_PAUSE_MILLIS);
+        pauses.put(engine, ProbePause.answered(now));
     }
 
     /**
@@ -124,7 +152,7 @@
      * Called by the router's thread only.
      */
     void recordInconclusiveProbe(BackendServer engine, long now) {
-        nextProbeMillis.put(engine.id(), now + INCONCLUSIVE_PAUSE_MILLIS);
+        pauses.put(engine.id(), ProbePause.until(now + INCONCLUSIVE_PAUSE_MILLIS));
     }
 
     /** Reads the report of an engine; false if too many calls are queued. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
@@ -104,14 +104,14 @@
                     "named by a failed attempt: " + end.detail(),
                     now);
             if (!stalled && named.get().layers().isPresent()) {
-                engineControl.probe(named.get(), router, fleet.lagMillis(), now);
+                engineControl.probe(named.get(), router, fleet.lagMillis(), AsyncEngineControl.NO_EVENT, now);
             }
         } else if (!end.kind().mayHaveArrived() && !attempt.isCancelled()) {
             // An attempt that this gateway cancelled before sending it is no evidence against its first engine.
             handleNoConnection(attempt.server(), end, now);
         } else if (isOwnFailure(attempt, end)) {
             // A crash resets the open connections before new ones are refused.
-            engineControl.probe(attempt.server(), router, fleet.lagMillis(), now);
+            engineControl.probe(attempt.server(), router, fleet.lagMillis(), AsyncEngineControl.NO_EVENT, now);
         }
     }
 
@@ -124,7 +124,7 @@
         boolean canAsk = !server.card().isEmpty();
         if (end.kind() == AttemptEnd.Kind.NO_CONNECTION && canAsk) {
             suspect(server, Evidence.BUSY, end.detail(), now);
-            engineControl.probe(server, router, fleet.lagMillis(), now);
+            engineControl.probe(server, router, fleet.lagMillis(), AsyncEngineControl.NO_EVENT, now);
         } else {
             suspect(server, Evidence.LOST, end.detail(), now);
         }
@@ -154,7 +154,7 @@
     void handlePeerSuspicion(BackendServer server, long now) {
         if (!server.card().isEmpty()) {
             unanswered.reportedByPeer(server.id(), now);
-            engineControl.probe(server, router, fleet.lagMillis(), now);
+            engineControl.probe(server, router, fleet.lagMillis(), AsyncEngineControl.NO_EVENT, now);
         }
     }
 
@@ -164,7 +164,7 @@
      */
     void handleRefusedMove(BackendServer engine, long now) {
         suspect(engine, Evidence.BUSY, "a stream could not be moved to it", now);
-        engineControl.probe(engine, router, fleet.lagMillis(), now);
+        engineControl.probe(engine, router, fleet.lagMillis(), AsyncEngineControl.NO_EVENT, now);
     }
 
     /** Records that an engine has forwarded events, the last of them at {@code eventMillis}. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamMonitor.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamMonitor.java
@@ -128,11 +128,21 @@
             if (!fleet.suspectedServers().isLost(id, now)) {
                 fleet.registry()
                         .server(id)
-                        .ifPresent(engine -> engineControl.probe(engine, router, fleet.lagMillis(), now));
+                        .ifPresent(engine -> engineControl.probe(
+                                engine, router, fleet.lagMillis(), lastEventMillis(streams, id), now));
             }
         }
     }
 
+    /** When the last event passed an engine. */
+    private static long lastEventMillis(List<SilentEngineDetector.StreamActivity> streams, BackendServerId engine) {
+        return streams.stream()
+                .filter(stream -> stream.begun() && stream.engines().contains(engine))
+                .mapToLong(SilentEngineDetector.StreamActivity::lastEventMillis)
+                .max()
+                .orElse(AsyncEngineControl.NO_EVENT);
+    }
+
     private static List<SilentEngineDetector.StreamActivity> streams(Collection<ActiveRequest> activeRequests) {
         List<SilentEngineDetector.StreamActivity> streams = new ArrayList<>();
         for (ActiveRequest request : activeRequests) {
