--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -73,8 +73,8 @@
         this.clients = new HttpClients();
         this.meters = new Meters();
         ConfigHolder config = new ConfigHolder();
-        MetadataStore store = new MetadataStore(clients.pooled(), settings.store());
-        EngineControl control = new EngineControl(clients.pooled());
+        MetadataStore store = new MetadataStore(clients.pooled(), settings.store(), clock::millis);
+        EngineControl control = new EngineControl(clients.pooled(), clock::millis);
         this.router = new Router(settings, clients, config, clock, log, meters, new AsyncEngineControl(control));
         RecordCache cache = new RecordCache();
         StoreAvailability storeAvailability = new StoreAvailability();
@@ -95,7 +95,7 @@
         this.lease = new LeaderLease(
                 settings.name(), settings.peers(), peers::setPeers, store, storeAvailability, clock, log, meters);
         PeerRecordsClient peerRecords =
-                new PeerRecordsClient(clients.pooled(), settings.metrics().port(), peers::peers);
+                new PeerRecordsClient(clients.pooled(), settings.metrics().port(), peers::peers, clock::millis);
         TopicFollower.Dependencies parts = new TopicFollower.Dependencies(
                 store, storeAvailability, readCoordinator, isLeader, cache, peerRecords, clock, log, meters);
         this.configFollower = new ConfigFollower(parts, config, versions);
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecordsClient.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecordsClient.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeoutException;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.platform.MetadataStore;
@@ -30,12 +31,17 @@
     private final HttpClient http;
     private final int port;
     private final Supplier<List<HostPort>> peers;
+    private final LongSupplier clock;
 
-    /** @param port port on which every gateway serves its peers */
-    public PeerRecordsClient(HttpClient http, int port, Supplier<List<HostPort>> peers) {
+    /**
+     * @param port port on which every gateway serves its peers
+     * @param clock monotonic clock in milliseconds
+     */
+    public PeerRecordsClient(HttpClient http, int port, Supplier<List<HostPort>> peers, LongSupplier clock) {
         this.http = http;
         this.port = port;
         this.peers = peers;
+        this.clock = clock;
     }
 
     /** The newest records of a topic from a random peer; empty if none of the peers asked has read them recently. */
@@ -72,7 +78,7 @@
 
     private Optional<byte[]> get(Request request) {
         try {
-            ContentResponse answer = new PendingCall(http, request).await(TIMEOUT_MILLIS);
+            ContentResponse answer = new PendingCall(http, request, clock).await(TIMEOUT_MILLIS);
             return answer.getStatus() == OK ? Optional.of(answer.getContent()) : Optional.empty();
         } catch (TimeoutException | ExecutionException e) {
             return Optional.empty(); // the caller asks the next peer or reads from the store
--- a/gateway/src/test/java/org/cornelramp/gateway/LateEngineReportTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/LateEngineReportTest.java
@@ -35,7 +35,7 @@
 
     private Either<PlatformFault, EngineReport> requestReport(int port) {
         BackendServer engine = TestEngines.empty("e1", new HostPort("127.0.0.1", port));
-        return new EngineControl(clients.pooled()).report(engine, TIMEOUT_MILLIS);
+        return new EngineControl(clients.pooled(), SteadyClock.system()::millis).report(engine, TIMEOUT_MILLIS);
     }
 
     private boolean isSilent(FixedResponseServer server) {
--- a/gateway/src/test/java/org/cornelramp/gateway/place/LayerPlacerTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/place/LayerPlacerTest.java
@@ -58,14 +58,14 @@
                     "g1",
                     new HostPort("127.0.0.1", 1),
                     peers -> {},
-                    new MetadataStore(http, store.address()),
+                    new MetadataStore(http, store.address(), clock::millis),
                     new StoreAvailability(),
                     clock,
                     log,
                     meters);
             LayerPlacer placer = new LayerPlacer(
                     lease,
-                    new EngineControl(http),
+                    new EngineControl(http, clock::millis),
                     config,
                     () -> new FleetView(List.of(empty(engine)), Set.of(), storeAnswers.get(), true),
                     clock,
--- a/gateway/src/test/java/org/cornelramp/gateway/route/FailureDetectorTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/FailureDetectorTest.java
@@ -46,7 +46,8 @@
     private final FailureDetector failureDetector = failureDetector(fleet);
 
     private FailureDetector failureDetector(FleetState of) {
-        AsyncEngineControl engineControl = new AsyncEngineControl(new EngineControl(new HttpClient()));
+        AsyncEngineControl engineControl =
+                new AsyncEngineControl(new EngineControl(new HttpClient(), SteadyClock.system()::millis));
         return new FailureDetector(of, engineControl, 2_000, log, new Meters(), event -> {});
     }
 
