--- a/gateway/src/test/java/org/cornelramp/gateway/PendingCallTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/PendingCallTest.java
@@ -61,4 +61,22 @@
             clock.end();
         }
     }
+
+    /** Guards against servers that count as silent although the request to them has not been written yet. */
+    @Test
+    public void timeoutCountsFromTheWriteOfTheRequest() throws Exception {
+        CountDownLatch handedOver = new CountDownLatch(1);
+        ForcedClock clock = clockThatJumpsAfter(handedOver);
+        Request request = request();
+        PendingCall call = new PendingCall(clients.pooled(), request, clock);
+        request.onRequestBegin(any -> {
+            handedOver.countDown();
+            clock.awaitCheck();
+        });
+        try {
+            assertEquals(call.await(TIMEOUT_MILLIS).getStatus(), 200);
+        } finally {
+            clock.end();
+        }
+    }
 }
