Force the order of events in the test of late engine reports

Developers: delayedReadOfAResponseCounts failed on busy machines and as the first class of a cold JVM. And the test's premise does not hold: client and server are one JVM, so a request is not sure to be answered within 60 ms of real time, and silent is then right. Change: the connection is opened with a time that stands still. For the request under test the deadline of 60 ms passes once the server has written its response (once the connect has begun, in the second test), and the selector goes on only after the call has been checked at that time. Same assertions, same bound. The three tests that expect silence keep real time. Ruled out: class loading alone (it is the larger part of the milliseconds on an idle machine only).

--- a/gateway/src/test/java/org/cornelramp/gateway/FixedResponseServer.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/FixedResponseServer.java
@@ -14,6 +14,7 @@
 
     private final HttpServer http = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10);
     private final AtomicInteger requests = new AtomicInteger();
+    private final AtomicInteger responses = new AtomicInteger();
     private final boolean responds;
 
     FixedResponseServer(boolean responds) throws IOException {
@@ -31,12 +32,18 @@
         return requests.get();
     }
 
+    /** Number of responses that have been written completely. */
+    int responses() {
+        return responses.get();
+    }
+
     private void handle(HttpExchange exchange) throws IOException {
         requests.incrementAndGet();
         if (responds) {
             exchange.sendResponseHeaders(200, RESPONSE.length);
             exchange.getResponseBody().write(RESPONSE);
             exchange.close();
+            responses.incrementAndGet();
         }
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/LateEngineReportTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/LateEngineReportTest.java
@@ -5,6 +5,8 @@
 import static org.testng.Assert.assertTrue;
 
 import io.vavr.control.Either;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.platform.EngineControl;
@@ -21,6 +23,8 @@
 
     private static final long TIMEOUT_MILLIS = 60;
 
+    private static final LongSupplier REAL_TIME = SteadyClock.system()::millis;
+
     private final HttpClients clients = new HttpClients();
 
     @BeforeMethod
@@ -33,16 +37,35 @@
         clients.stop();
     }
 
-    private Either<PlatformFault, EngineReport> requestReport(int port) {
+    /** A time that stands still, so that no timeout expires. */
+    private static long unchangingTime() {
+        return 0;
+    }
+
+    private Either<PlatformFault, EngineReport> requestReport(int port, LongSupplier clock) {
         BackendServer engine = TestEngines.empty("e1", new HostPort("127.0.0.1", port));
-        return new EngineControl(clients.pooled(), SteadyClock.system()::millis).report(engine, TIMEOUT_MILLIS);
+        return new EngineControl(clients.pooled(), clock).report(engine, TIMEOUT_MILLIS);
     }
 
-    private boolean isSilent(FixedResponseServer server) {
-        Either<PlatformFault, EngineReport> report = requestReport(server.port());
+    private boolean isSilent(FixedResponseServer server, LongSupplier clock) {
+        Either<PlatformFault, EngineReport> report = requestReport(server.port(), clock);
         return report.isLeft() && report.getLeft().kind() == PlatformFault.Kind.NO_ANSWER;
     }
 
+    /**
+     * Whether an engine counts as silent if the deadline passes after an event and while the selector is stalled. The
+     * selector goes on once the call has been checked after the deadline.
+     */
+    private boolean isSilentForAStalledProcess(FixedResponseServer server, BooleanSupplier event) throws Exception {
+        ForcedClock clock = new ForcedClock(event, TIMEOUT_MILLIS + 1);
+        SelectorStall.stall(clients.pooled(), clock::awaitCheck);
+        try {
+            return isSilent(server, clock);
+        } finally {
+            clock.end();
+        }
+    }
+
     /**
      * Guards against engines that are declared dead although their response lies unread in the socket when the timer
      * expires.
@@ -50,9 +73,8 @@
     @Test
     public void delayedReadOfAResponseCounts() throws Exception {
         try (FixedResponseServer server = new FixedResponseServer(true)) {
-            assertFalse(isSilent(server), "a pooled connection exists");
-            SelectorStall.stall(clients.pooled(), STALL_MILLIS);
-            assertFalse(isSilent(server));
+            assertFalse(isSilent(server, LateEngineReportTest::unchangingTime), "a pooled connection exists");
+            assertFalse(isSilentForAStalledProcess(server, () -> server.responses() == 2));
             assertEquals(server.requests(), 2);
         }
     }
@@ -64,8 +86,7 @@
     @Test
     public void engineThatAcceptedTheConnectionGetsTimeToRespond() throws Exception {
         try (FixedResponseServer server = new FixedResponseServer(true)) {
-            SelectorStall.stall(clients.pooled(), STALL_MILLIS);
-            assertFalse(isSilent(server));
+            assertFalse(isSilentForAStalledProcess(server, () -> clients.connectsUnderWay() == 1));
         }
     }
 
@@ -73,7 +94,7 @@
     @Test
     public void engineThatNeverRespondsIsSilent() throws Exception {
         try (FixedResponseServer server = new FixedResponseServer(false)) {
-            assertTrue(isSilent(server));
+            assertTrue(isSilent(server, REAL_TIME));
         }
     }
 
@@ -81,7 +102,8 @@
     @Test
     public void engineWithoutAcceptedConnectionIsSilentAfterTheRequestTimeout() throws Exception {
         try (FullBacklogServer full = new FullBacklogServer()) {
-            assertEquals(requestReport(full.port()).getLeft().detail(), "no answer in " + TIMEOUT_MILLIS + " ms");
+            assertEquals(
+                    requestReport(full.port(), REAL_TIME).getLeft().detail(), "no answer in " + TIMEOUT_MILLIS + " ms");
         }
     }
 
@@ -90,7 +112,7 @@
     public void engineThatNeverRespondsIsSilentForAStalledProcessToo() throws Exception {
         try (FixedResponseServer server = new FixedResponseServer(false)) {
             SelectorStall.stall(clients.pooled(), STALL_MILLIS);
-            assertTrue(isSilent(server));
+            assertTrue(isSilent(server, REAL_TIME));
         }
     }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/SelectorStall.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/SelectorStall.java
@@ -11,6 +11,11 @@
 
     /** Stalls the selector for some time; returns as soon as it is stalled. */
     static void stall(HttpClient client, long millis) throws InterruptedException {
+        stall(client, () -> sleep(millis));
+    }
+
+    /** Stalls the selector while a task runs on its thread; returns as soon as it is stalled. */
+    static void stall(HttpClient client, Runnable task) throws InterruptedException {
         CountDownLatch stalled = new CountDownLatch(1);
         HttpClientTransportOverHTTP transport = (HttpClientTransportOverHTTP) client.getTransport();
         ManagedSelector selector = transport
@@ -21,7 +26,7 @@
                 .next();
         selector.submit(any -> {
             stalled.countDown();
-            sleep(millis);
+            task.run();
         });
         stalled.await();
     }
