Wait for the accepted connection in the test of late connects

Developers: engineThatAcceptedTheConnectionGetsTimeToRespond let the deadline pass once the connect had begun, which is less than its name says: between ConnectTracker.started and the kernel's accept the engine is silent indeed, and the test could fail. Change: FixedResponseServer counts accepted connections, and the test waits for the first. For that it is a plain ServerSocket with a thread for accepts and one for each connection; it keeps connections open as before. A response is one write now. Assertion and bound unchanged. The flake itself was read from the code and not seen.

--- a/gateway/src/test/java/org/cornelramp/gateway/FixedResponseServer.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/FixedResponseServer.java
@@ -1,30 +1,45 @@
 package org.cornelramp.gateway;
 
-import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpServer;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** An HTTP server on loopback that sends each request the same response, or none. Safe for use by any thread. */
+/**
+ * An HTTP server on loopback that sends each request the same response, or none, and keeps connections open. Requests
+ * have no body. Each response is one write. Safe for use by any thread.
+ */
 final class FixedResponseServer implements AutoCloseable {
-    private static final byte[] RESPONSE = "{}".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] RESPONSE =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".getBytes(StandardCharsets.US_ASCII);
 
-    private final HttpServer http = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10);
+    private static final int BACKLOG = 10;
+
+    private final ServerSocket listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    private final List<Socket> connections = new ArrayList<>();
+    private final AtomicInteger accepted = new AtomicInteger();
     private final AtomicInteger requests = new AtomicInteger();
     private final AtomicInteger responses = new AtomicInteger();
     private final boolean responds;
 
     FixedResponseServer(boolean responds) throws IOException {
         this.responds = responds;
-        http.createContext("/", this::handle);
-        http.start();
+        startThread(this::acceptConnections);
     }
 
     int port() {
-        return http.getAddress().getPort();
+        return listener.getLocalPort();
+    }
+
+    /** Number of connections accepted; each of them is established at the client too. */
+    int accepted() {
+        return accepted.get();
     }
 
     /** Number of requests received. */
@@ -37,18 +52,59 @@
         return responses.get();
     }
 
-    private void handle(HttpExchange exchange) throws IOException {
+    private static void startThread(Runnable task) {
+        Thread thread = new Thread(task, "fixed-response-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void acceptConnections() {
+        try {
+            while (true) {
+                Socket connection = listener.accept();
+                keep(connection);
+                accepted.incrementAndGet();
+                startThread(() -> serve(connection));
+            }
+        } catch (IOException e) {
+            // the listener was closed, which ends this thread
+        }
+    }
+
+    private synchronized void keep(Socket connection) throws IOException {
+        connections.add(connection);
+        if (listener.isClosed()) {
+            connection.close();
+        }
+    }
+
+    private void serve(Socket connection) {
+        try (connection) {
+            BufferedReader reader =
+                    new BufferedReader(new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
+            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+                if (line.isEmpty()) {
+                    respond(connection);
+                }
+            }
+        } catch (IOException e) {
+            // closed by the client or by close(), which ends this thread
+        }
+    }
+
+    private void respond(Socket connection) throws IOException {
         requests.incrementAndGet();
         if (responds) {
-            exchange.sendResponseHeaders(200, RESPONSE.length);
-            exchange.getResponseBody().write(RESPONSE);
-            exchange.close();
+            connection.getOutputStream().write(RESPONSE);
             responses.incrementAndGet();
         }
     }
 
     @Override
-    public void close() {
-        http.stop(0);
+    public synchronized void close() throws IOException {
+        listener.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
     }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/LateEngineReportTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/LateEngineReportTest.java
@@ -86,7 +86,7 @@
     @Test
     public void engineThatAcceptedTheConnectionGetsTimeToRespond() throws Exception {
         try (FixedResponseServer server = new FixedResponseServer(true)) {
-            assertFalse(isSilentForAStalledProcess(server, () -> clients.connectsUnderWay() == 1));
+            assertFalse(isSilentForAStalledProcess(server, () -> server.accepted() == 1));
         }
     }
 
