Let the forced clock jump only after the write is recorded

Developers: LateEngineReportTest.delayedReadOfAResponseCounts can pass without testing anything. Cause: the event (the response is written) may have happened when the client records the time of the request's write. That read jumped, so the write counted as made at the later time, the deadline moved behind it, and the check found a call that was not due. Change: ForcedClock jumps at the read after the one that finds the event. Assertions and bounds unchanged.

--- a/gateway/src/test/java/org/cornelramp/gateway/ForcedClock.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/ForcedClock.java
@@ -7,15 +7,17 @@
 /**
  * The clock of one call, which forces the order of a check of its timeout and of another event.
  *
- * <p>It stands still until an event has happened, then jumps past the deadline. What waits for {@link #awaitCheck} goes
- * on once the call has been checked at the later time without being given up. Whichever thread reads it, time passes
- * only for reads of the thread that created it, which makes the call. Safe for use by any thread.
+ * <p>It stands still until an event has happened, then jumps past the deadline: at the read after the first that finds
+ * the event, since that one may be the record of the request's write, which must precede the jump. What waits for
+ * {@link #awaitCheck} goes on once the call has been checked at the later time without being given up. Whichever thread
+ * reads it, time passes only for reads of the thread that created it, which makes the call. Safe for use by any thread.
  */
 final class ForcedClock implements LongSupplier {
     private final Thread caller = Thread.currentThread();
     private final CountDownLatch checked = new CountDownLatch(1);
     private final BooleanSupplier event;
     private final long laterMillis;
+    private boolean hasHappened; // only used by the caller's thread
     private volatile long now;
 
     /**
@@ -32,8 +34,10 @@
         if (Thread.currentThread() == caller) {
             if (now == laterMillis) {
                 checked.countDown(); // the read after the jump was followed by a check, and the call goes on
-            } else if (event.getAsBoolean()) {
+            } else if (hasHappened) {
                 now = laterMillis;
+            } else {
+                hasHappened = event.getAsBoolean();
             }
         }
         return now;
