--- a/gateway/src/test/java/org/cornelramp/gateway/ForcedClock.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/ForcedClock.java
@@ -43,6 +43,11 @@
         return now;
     }
 
+    /** Whether the time has passed the deadline. */
+    boolean hasJumped() {
+        return now == laterMillis;
+    }
+
     /** Waits until the call has been checked at the later time, or has ended. */
     void awaitCheck() {
         try {
