Give each test of late connects its own clients

Developers: LateConnectTest depends on the order of its methods. One HttpClients was shared by all of them, so the late connect of one test is in the count that another expects to be 0. Change: the clients are made before each method, here and in LateEngineReportTest and PendingCallTest, which shared them in the same way (without a count that adds up). Assertions unchanged.

--- a/gateway/src/test/java/org/cornelramp/gateway/LateConnectTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/LateConnectTest.java
@@ -17,12 +17,13 @@
     /** Longer than the connect timeout. */
     private static final long STALL_MILLIS = 1_200;
 
-    private final HttpClients clients = new HttpClients();
+    private HttpClients clients;
     private FixedResponseServer server;
 
     @BeforeMethod
     public void start() throws Exception {
         server = new FixedResponseServer(true);
+        clients = new HttpClients();
         clients.start();
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/LateEngineReportTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/LateEngineReportTest.java
@@ -25,10 +25,11 @@
 
     private static final LongSupplier REAL_TIME = SteadyClock.system()::millis;
 
-    private final HttpClients clients = new HttpClients();
+    private HttpClients clients;
 
     @BeforeMethod
     public void start() throws Exception {
+        clients = new HttpClients();
         clients.start();
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/PendingCallTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/PendingCallTest.java
@@ -17,12 +17,13 @@
 public class PendingCallTest {
     private static final long TIMEOUT_MILLIS = 60;
 
-    private final HttpClients clients = new HttpClients();
+    private HttpClients clients;
     private FixedResponseServer server;
 
     @BeforeMethod
     public void start() throws Exception {
         server = new FixedResponseServer(true);
+        clients = new HttpClients();
         clients.start();
     }
 
