End an attempt whose read or write throws

Callers would see silence until their deadline: nothing acts on the stream again.

Cause: Attempt.relay marks the attempt as writing before it writes. If the write threw, the mark stayed, and the attempt's end was deferred for good. An exception while reading, within the callback of a write, left the rest of the response unread.

Change: an exception of a write ends the attempt like a failed write, and nothing is written after one; an exception of a read cancels the attempt, which another one resumes. The end of a failed write says "write failed: " and the cause, so that the log's field `seen` tells it from a close that the probe detected.

Evidence: writeThatThrowsEndsTheAttemptAndIsNotFollowedByAnother, exceptionDuringAReadEndsTheAttemptButNotTheExchange and failedWriteIsNamedWithItsCause failed before. In the first run with the change the second still failed, as it expected BROKEN and the stand-in never begins the request (NOT_SENT); it now asks that the client does not count as gone, and that the resume point is kept. All seven tests of the class passed then, one run. headersOfAResumedRunDoNotReplaceThoseOfTheFirst and responseToAnotherRequestNeitherContinuesNorEndsAStartedStream passed on the code as it was.

--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -173,7 +173,19 @@
         return responseHead.requestId().equals(exchange.request().id());
     }
 
+    /**
+     * Reads until the source has no more or a write is under way. An exception ends the attempt: the HTTP library only
+     * logs one that is thrown within the callback of a write, and nothing would read the rest of the response.
+     */
     private void read(Content.Source source) {
+        try {
+            readChunks(source);
+        } catch (RuntimeException e) {
+            cancel("reading the response failed: " + e);
+        }
+    }
+
+    private void readChunks(Content.Source source) {
         while (true) {
             Content.Chunk chunk = source.read();
             if (chunk == null) {
@@ -227,8 +239,12 @@
         if (!beginWrite()) {
             return;
         }
-        Callback callback = Callback.from(() -> onRelayed(source, last), this::onClientLost);
-        exchange.relay(fields, events, splitter.lastId(), clock.millis(), callback);
+        Callback callback = Callback.from(() -> onRelayed(source, last), this::onWriteFailed);
+        try {
+            exchange.relay(fields, events, splitter.lastId(), clock.millis(), callback);
+        } catch (RuntimeException e) {
+            onWriteFailed(e); // the exchange may have ended meanwhile, and its response takes no more writes
+        }
     }
 
     private void onRelayed(Content.Source source, boolean last) {
@@ -238,9 +254,9 @@
         }
     }
 
-    private void onClientLost(Throwable failure) {
+    private void onWriteFailed(Throwable failure) {
         clientFailure = failure;
-        cancel("the client has disconnected");
+        cancel("a write to the client failed");
         endWrite();
     }
 
@@ -249,10 +265,11 @@
      * before they are written, and send the request again from the last event that was forwarded. If the events were
      * still written, the client would get them twice, or the write would overlap with the next attempt's write on the
      * same connection; both writes would then fail, which looks like a client that has disconnected. Events that are
-     * dropped here are sent again by the next attempt.
+     * dropped here are sent again by the next attempt. Nothing is written after a failed write either, as a part of it
+     * may have been sent.
      */
     private synchronized boolean beginWrite() {
-        writing = !ended;
+        writing = !ended && clientFailure == null;
         return writing;
     }
 
@@ -283,7 +300,7 @@
     private AttemptEnd end(Result result) {
         Throwable failure = result.getFailure();
         if (clientFailure != null) {
-            return AttemptEnd.without(AttemptEnd.Kind.CLIENT_GONE, summarise(clientFailure));
+            return AttemptEnd.without(AttemptEnd.Kind.CLIENT_GONE, "write failed: " + summarise(clientFailure));
         }
         ResponseHead responseHead = receivedHead;
         if (result.isFailed() || responseHead == null) {
--- a/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -24,6 +25,7 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.Trailers;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
 import org.testng.annotations.BeforeMethod;
@@ -47,6 +49,10 @@
     }
 
     private Exchange exchange() {
+        return exchange(clientResponse());
+    }
+
+    private Exchange exchange(org.eclipse.jetty.server.Response client) {
         HttpFields fields = HeaderFixtures.request(ID);
         List<WeightedService> split = List.of(new WeightedService(SERVICE, 1));
         Route route =
@@ -62,7 +68,7 @@
                 1,
                 0,
                 9_000);
-        return new Exchange(call, clientResponse(), Callback.NOOP, () -> false, null);
+        return new Exchange(call, client, Callback.NOOP, () -> false, null);
     }
 
     /** Records what is written to the client; supports no other calls than those of an attempt. */
@@ -77,7 +83,10 @@
     }
 
     private static Response engineResponse() {
-        HttpFields head = HeaderFixtures.answer(ID);
+        return engineResponse(HeaderFixtures.answer(ID));
+    }
+
+    private static Response engineResponse(HttpFields head) {
         return fake(Response.class, (name, args) -> switch (name) {
             case "getStatus" -> 200;
             case "getHeaders" -> head;
@@ -143,6 +152,120 @@
         assertEquals(exchange.lastEventId(), Optional.empty());
     }
 
+    /** A client's response whose writes throw after they have begun. */
+    private org.eclipse.jetty.server.Response throwingResponse() {
+        return fake(org.eclipse.jetty.server.Response.class, (name, args) -> {
+            if (name.equals("write")) {
+                written.add(StandardCharsets.UTF_8.decode((ByteBuffer) args[1]).toString());
+                throw new IllegalStateException("no write now");
+            }
+            return name.equals("getHeaders") ? answered : null;
+        });
+    }
+
+    /**
+     * Guards against a stream that nothing acts on again: a write that throws left the attempt marked as writing, so
+     * that its end was deferred for good. The write may have gone out in part, so no further one may follow.
+     */
+    @Test
+    public void writeThatThrowsEndsTheAttemptAndIsNotFollowedByAnother() {
+        Attempt attempt = attempt(exchange(throwingResponse()));
+        Response response = engineResponse();
+        Content.Source source = source(chunk("id: 0\ndata: x\n\n", () -> {}), chunk("id: 1\ndata: y\n\n", () -> {}));
+        attempt.onContent(response, source);
+        attempt.onContent(response, source);
+        assertTrue(attempt.isCancelled());
+        attempt.onComplete(new Result(null, null, response, new IllegalStateException("cancelled")));
+        assertEquals(ends.size(), 1);
+        assertEquals(ends.get(0).kind(), AttemptEnd.Kind.CLIENT_GONE, "a resumed run could not be written");
+        assertTrue(ends.get(0).detail().contains("no write now"), ends.get(0).detail());
+        assertEquals(written, List.of("id: 0\ndata: x\n\n"));
+    }
+
+    /** Guards against logs that do not tell a failed write from a close that the probe detected. */
+    @Test
+    public void failedWriteIsNamedWithItsCause() {
+        org.eclipse.jetty.server.Response client = fake(org.eclipse.jetty.server.Response.class, (name, args) -> {
+            if (name.equals("write")) {
+                ((Callback) args[2]).failed(new IOException("Broken pipe"));
+            }
+            return name.equals("getHeaders") ? answered : null;
+        });
+        Attempt attempt = attempt(exchange(client));
+        Response response = engineResponse();
+        attempt.onContent(response, source(chunk("id: 0\ndata: x\n\n", () -> {})));
+        attempt.onComplete(new Result(null, null, response, new IllegalStateException("cancelled")));
+        assertEquals(ends.get(0).kind(), AttemptEnd.Kind.CLIENT_GONE);
+        assertEquals(ends.get(0).detail(), "write failed: java.io.IOException: Broken pipe");
+    }
+
+    /**
+     * Guards against a stream that nothing acts on again because reading its response raises an exception on a thread
+     * of the HTTP library, for instance within the callback of a write, where the library swallows it. Nothing was
+     * written, so another attempt may resume the stream.
+     */
+    @Test
+    public void exceptionDuringAReadEndsTheAttemptButNotTheExchange() {
+        Exchange exchange = exchange();
+        Attempt attempt = attempt(exchange);
+        Response response = engineResponse();
+        Content.Chunk faulty = chunk("id: 1\ndata: y\n\n", () -> {
+            throw new IllegalStateException("no read now");
+        });
+        attempt.onContent(response, source(chunk("id: 0\ndata: x\n\n", () -> {}), faulty));
+        assertTrue(attempt.isCancelled());
+        attempt.onComplete(new Result(null, null, response, new IllegalStateException("cancelled")));
+        assertEquals(ends.size(), 1);
+        assertNotEquals(ends.get(0).kind(), AttemptEnd.Kind.CLIENT_GONE);
+        assertEquals(exchange.lastEventId(), Optional.of(0L), "another attempt resumes after it");
+        assertFalse(exchange.isEnded());
+    }
+
+    private static HttpFields resumedHead() {
+        return HttpFields.build(HeaderFixtures.answer(ID))
+                .put("X-Server-Seal", "another")
+                .put("Content-Type", "text/plain")
+                .put("Trailer", "X-After")
+                .asImmutable();
+    }
+
+    /** Guards against a started stream that is closed, or changed, by the headers of the response that resumes it. */
+    @Test
+    public void headersOfAResumedRunDoNotReplaceThoseOfTheFirst() {
+        Exchange exchange = exchange();
+        Attempt first = attempt(exchange);
+        first.onContent(engineResponse(), source(chunk("id: 0\ndata: x\n\n", () -> {})));
+        first.onComplete(new Result(null, null, engineResponse(), new IllegalStateException("reset")));
+        HttpFields sent = answered.asImmutable();
+
+        Attempt second = attempt(exchange);
+        Response resumed = engineResponse(resumedHead());
+        Content.Chunk trailers =
+                new Trailers(HttpFields.build().add("X-After", "1").asImmutable());
+        second.onContent(resumed, source(chunk("id: 1\ndata: y\n\n", () -> {}), trailers));
+        second.onComplete(new Result(null, resumed));
+        assertEquals(ends.get(1).kind(), AttemptEnd.Kind.RELAYED);
+        assertEquals(written, List.of("id: 0\ndata: x\n\n", "id: 1\ndata: y\n\n"));
+        assertEquals(answered.asImmutable(), sent);
+    }
+
+    /** Guards against events of another request's response in a started stream, and against the loss of that stream. */
+    @Test
+    public void responseToAnotherRequestNeitherContinuesNorEndsAStartedStream() {
+        Exchange exchange = exchange();
+        Attempt first = attempt(exchange);
+        first.onContent(engineResponse(), source(chunk("id: 0\ndata: x\n\n", () -> {})));
+        first.onComplete(new Result(null, null, engineResponse(), new IllegalStateException("reset")));
+
+        Attempt second = attempt(exchange);
+        Response foreign = engineResponse(HeaderFixtures.answer("another"));
+        second.onContent(foreign, source(chunk("id: 1\ndata: z\n\n", () -> {})));
+        second.onComplete(new Result(null, foreign));
+        assertEquals(ends.get(1).kind(), AttemptEnd.Kind.BROKEN, "it is retried");
+        assertEquals(written, List.of("id: 0\ndata: x\n\n"));
+        assertFalse(exchange.isEnded());
+    }
+
     private Attempt attempt(Exchange exchange) {
         ForwardedHead head = new ForwardedHead(
                 engine().name(), 9_000, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
