State when a half-closed client counts as gone

The choice stays: without a write, a half close cannot be told from a close, and an engine must not work on for a client that has left. Ruled out: to wait for a failed write, as a stream that is quiet makes none.

--- a/gateway/src/main/java/org/cornelramp/gateway/request/ClientDisconnectProbe.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/ClientDisconnectProbe.java
@@ -36,7 +36,7 @@
     private String closeReason = "";
     private long nextReadMillis;
 
-    private ClientDisconnectProbe(EndPoint endPoint, Connection connection) {
+    ClientDisconnectProbe(EndPoint endPoint, Connection connection) {
         this.endPoint = endPoint;
         this.connection = connection;
         this.capacity = connection instanceof AbstractConnection sized ? sized.getInputBufferSize() : 0;
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/ExchangeTest.java
@@ -0,0 +1,117 @@
+package org.cornelramp.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.lang.reflect.Proxy;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Optional;
+import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.routing.Route;
+import org.cornelramp.core.routing.RouteKind;
+import org.cornelramp.core.routing.WeightedService;
+import org.cornelramp.platform.RequestHead;
+import org.cornelramp.platform.standin.HeaderFixtures;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.ByteArrayEndPoint;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.testng.annotations.Test;
+
+/** When a client counts as gone, and how an exchange ends whose response cannot be written. */
+public class ExchangeTest {
+    private static final String ID = "r1";
+    private static final long RECEIVED_MILLIS = 1_000;
+    private static final long INTERVAL_MILLIS = ClientDisconnectProbe.INTERVAL_MILLIS;
+
+    private static Exchange exchange(Response response, Callback callback, ClientDisconnectProbe probe) {
+        HttpFields fields = HeaderFixtures.request(ID);
+        List<WeightedService> split = List.of(new WeightedService(new ServiceName("llm"), 1));
+        Route route =
+                new Route("chat", "host", "/chat/", RouteKind.STREAMING, 9_000, 500, 200, 1, 2, false, true, split);
+        Exchange.ClientRequest call = new Exchange.ClientRequest(
+                RequestHead.decode(fields),
+                "POST",
+                "/chat/a",
+                fields,
+                new byte[0],
+                route,
+                Optional.empty(),
+                1,
+                RECEIVED_MILLIS,
+                RECEIVED_MILLIS + 9_000);
+        return new Exchange(call, response, callback, () -> false, probe);
+    }
+
+    /** A client's response with these headers; each write takes this action. */
+    private static Response response(HttpFields.Mutable headers, Runnable onWrite) {
+        Object made = Proxy.newProxyInstance(
+                Response.class.getClassLoader(), new Class<?>[] {Response.class}, (self, method, args) -> {
+                    if (method.getName().equals("write")) {
+                        onWrite.run();
+                    }
+                    return method.getName().equals("getHeaders") ? headers : null;
+                });
+        return (Response) made;
+    }
+
+    /** A probe that reads from this end point. */
+    private static ClientDisconnectProbe probe(ByteArrayEndPoint endPoint) {
+        return new ClientDisconnectProbe(endPoint, new AbstractConnection(endPoint, Runnable::run) {
+            @Override
+            public void onFillable() {
+                throw new AssertionError("only the probe reads");
+            }
+        });
+    }
+
+    /** An end point of a client that has closed its sending half, and possibly the other one too. */
+    private static ByteArrayEndPoint endOfInput() {
+        ByteArrayEndPoint endPoint = new ByteArrayEndPoint();
+        endPoint.addInputEOF();
+        return endPoint;
+    }
+
+    private static void relay(Exchange exchange, long id, long nowMillis) {
+        ByteBuffer event = ByteBuffer.wrap(new byte[] {1});
+        exchange.relay(HeaderFixtures.answer(ID), event, id, nowMillis, Callback.NOOP);
+    }
+
+    /**
+     * Guards against a half-closed client that loses its stream while events flow, and against engines that work for a
+     * client that has closed: the two look the same until a write fails, so the longer pause decides.
+     */
+    @Test
+    public void endOfInputCountsAsACloseOnlyInAPauseLongerThanTheProbesInterval() {
+        Exchange exchange = exchange(response(HttpFields.build(), () -> {}), Callback.NOOP, probe(endOfInput()));
+        long now = RECEIVED_MILLIS;
+        for (int id = 0; id < 5; id++) {
+            assertFalse(exchange.hasClientDisconnected(now + INTERVAL_MILLIS), "events flow");
+            now += INTERVAL_MILLIS;
+            relay(exchange, id, now);
+        }
+        assertFalse(exchange.hasClientDisconnected(now + INTERVAL_MILLIS));
+        assertEquals(exchange.clientCloseReason(), "");
+        assertTrue(exchange.hasClientDisconnected(now + INTERVAL_MILLIS + 1));
+        assertEquals(exchange.clientCloseReason(), "end of input");
+    }
+
+    /** Guards against a half-closed client that counts as gone before the pause in which a leaving one is noticed. */
+    @Test
+    public void endOfInputBeforeTheFirstEventCountsAsACloseAfterTheProbesInterval() {
+        Exchange exchange = exchange(response(HttpFields.build(), () -> {}), Callback.NOOP, probe(endOfInput()));
+        assertFalse(exchange.hasClientDisconnected(RECEIVED_MILLIS + INTERVAL_MILLIS));
+        assertTrue(exchange.hasClientDisconnected(RECEIVED_MILLIS + INTERVAL_MILLIS + 1));
+    }
+
+    /** Guards against a silent client that counts as gone although it has closed nothing. */
+    @Test
+    public void openInputIsNoClose() {
+        Exchange exchange =
+                exchange(response(HttpFields.build(), () -> {}), Callback.NOOP, probe(new ByteArrayEndPoint()));
+        assertFalse(exchange.hasClientDisconnected(RECEIVED_MILLIS + 10 * INTERVAL_MILLIS));
+    }
+}
