Fail a response whose last write throws

Callers would wait for the end of their response until they give up, or their connection expires.

Cause: complete, forwardResponse and refuse mark the exchange as ended before they set headers and write. If one of these calls threw, the server's callback was never called, and every later call found the exchange ended.

Change: an exception of these calls fails the response and is logged; the call returns false. It no longer reaches the router's event loop, which had left the request in its table, where the next tick would have sent it again.

Evidence: lastWriteThatThrowsFailsTheResponse (three cases), headersThatCannotBeSetFailTheResponse (three) and lastChunkThatThrowsFailsTheStartedStream failed before, 7 errors in 10 tests of ExchangeTest. That the next tick would have sent the request again is read from the code; no test shows it. The router does not look at the result, so its line still says "complete".

--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -24,6 +24,7 @@
  * client gets one response; the first call that ends the exchange determines it, and later calls have no effect.
  */
 public final class Exchange {
+    private static final System.Logger LOG = System.getLogger(Exchange.class.getName());
     private static final double RETRY_JITTER = 0.5;
 
     private final ClientRequest request;
@@ -169,59 +170,68 @@
         response.write(false, events, done);
     }
 
-    /** Ends a stream whose events were all forwarded. */
+    /** Ends a stream whose events were all forwarded; false if it had already ended or its end cannot be written. */
     public boolean complete(HttpFields fields) {
-        if (!end()) {
-            return false;
-        }
-        if (!committed) {
-            beginResponse(200);
-            ResponseHead.copyEndToEnd(fields, response.getHeaders());
-        }
-        response.write(true, ByteBuffer.allocate(0), callback);
-        return true;
+        return end()
+                && writeLast(callback, () -> {
+                    if (!committed) {
+                        beginResponse(200);
+                        ResponseHead.copyEndToEnd(fields, response.getHeaders());
+                    }
+                    response.write(true, ByteBuffer.allocate(0), callback);
+                });
     }
 
-    /** Forwards a complete response of a backend server. */
+    /** Forwards a complete response of a backend server; false if that is too late or it cannot be written. */
     public boolean forwardResponse(int status, HttpFields fields, byte[] body) {
-        if (committed || !end()) {
-            return false;
-        }
-        beginResponse(status);
-        ResponseHead.copyEndToEnd(fields, response.getHeaders());
-        response.write(true, ByteBuffer.wrap(body), callback);
-        return true;
+        return !committed
+                && end()
+                && writeLast(callback, () -> {
+                    beginResponse(status);
+                    ResponseHead.copyEndToEnd(fields, response.getHeaders());
+                    response.write(true, ByteBuffer.wrap(body), callback);
+                });
     }
 
     /**
-     * Sends the gateway's own response.
+     * Sends the gateway's own response; false if that is too late or it cannot be written.
      *
      * @param retryMillis minimum time after which the client may retry, in milliseconds, or 0 for none; up to half of
      *     it is added at random, so that clients that were refused together do not retry together
      */
     public boolean refuse(Refusal refusal, long retryMillis) {
-        if (committed || !end()) {
+        return !committed && end() && refuse(response, callback, refusal, retryMillis, closing.getAsBoolean());
+    }
+
+    /** Writes the gateway's own response; false if it cannot be written. */
+    static boolean refuse(Response response, Callback callback, Refusal refusal, long retryMillis, boolean close) {
+        return writeLast(callback, () -> {
+            response.setStatus(refusal.status());
+            HttpFields.Mutable fields = response.getHeaders();
+            if (close) {
+                fields.put(HttpHeader.CONNECTION, "close");
+            }
+            if (retryMillis > 0) {
+                double seconds = retryMillis
+                        / 1_000.0
+                        * (1 + RETRY_JITTER * ThreadLocalRandom.current().nextDouble());
+                fields.put(HttpHeader.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", seconds));
+            }
+            fields.put(HttpHeader.CONTENT_TYPE, "text/plain");
+            response.write(true, ByteBuffer.wrap(refusal.text().getBytes(StandardCharsets.UTF_8)), callback);
+        });
+    }
+
+    /** Makes the calls that end a response; if one throws, fails the response, as no later call would end it. */
+    private static boolean writeLast(Callback callback, Runnable calls) {
+        try {
+            calls.run();
+            return true;
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "request: the end of a response could not be written", e);
+            callback.failed(e);
             return false;
         }
-        refuse(response, callback, refusal, retryMillis, closing.getAsBoolean());
-        return true;
-    }
-
-    /** Writes the gateway's own response. */
-    static void refuse(Response response, Callback callback, Refusal refusal, long retryMillis, boolean close) {
-        response.setStatus(refusal.status());
-        HttpFields.Mutable fields = response.getHeaders();
-        if (close) {
-            fields.put(HttpHeader.CONNECTION, "close");
-        }
-        if (retryMillis > 0) {
-            double seconds = retryMillis
-                    / 1_000.0
-                    * (1 + RETRY_JITTER * ThreadLocalRandom.current().nextDouble());
-            fields.put(HttpHeader.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", seconds));
-        }
-        fields.put(HttpHeader.CONTENT_TYPE, "text/plain");
-        response.write(true, ByteBuffer.wrap(refusal.text().getBytes(StandardCharsets.UTF_8)), callback);
     }
 
     /** Aborts the response in a way that the client cannot mistake for its end. */
--- a/gateway/src/test/java/org/cornelramp/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/ExchangeTest.java
@@ -6,8 +6,11 @@
 
 import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Predicate;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.routing.RouteKind;
@@ -19,6 +22,7 @@
 import org.eclipse.jetty.io.ByteArrayEndPoint;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** When a client counts as gone, and how an exchange ends whose response cannot be written. */
@@ -114,4 +118,61 @@
                 exchange(response(HttpFields.build(), () -> {}), Callback.NOOP, probe(new ByteArrayEndPoint()));
         assertFalse(exchange.hasClientDisconnected(RECEIVED_MILLIS + 10 * INTERVAL_MILLIS));
     }
+
+    /** A callback that records its calls. */
+    private static Callback recording(List<String> calls) {
+        return Callback.from(() -> calls.add("succeeded"), failure -> calls.add("failed: " + failure.getMessage()));
+    }
+
+    private static Runnable throwing(String message) {
+        return () -> {
+            throw new IllegalStateException(message);
+        };
+    }
+
+    @DataProvider
+    public static Object[][] lastWrites() {
+        Predicate<Exchange> refusal = exchange -> exchange.refuse(Refusal.TIMED_OUT, 0);
+        Predicate<Exchange> complete = exchange -> exchange.complete(HeaderFixtures.answer(ID));
+        Predicate<Exchange> answer = exchange -> exchange.forwardResponse(200, HeaderFixtures.answer(ID), new byte[1]);
+        return new Object[][] {{refusal}, {complete}, {answer}};
+    }
+
+    /** Guards against a client that waits for good because the write that ends its response has thrown. */
+    @Test(dataProvider = "lastWrites")
+    public void lastWriteThatThrowsFailsTheResponse(Predicate<Exchange> lastWrite) {
+        List<String> calls = new ArrayList<>();
+        Response response = response(HttpFields.build(), throwing("no write now"));
+        Exchange exchange = exchange(response, recording(calls), probe(new ByteArrayEndPoint()));
+        assertFalse(lastWrite.test(exchange));
+        assertEquals(calls, List.of("failed: no write now"));
+        assertTrue(exchange.isEnded());
+    }
+
+    /** Guards against a client that waits for good because its response takes no more headers. */
+    @Test(dataProvider = "lastWrites")
+    public void headersThatCannotBeSetFailTheResponse(Predicate<Exchange> lastWrite) {
+        List<String> calls = new ArrayList<>();
+        Exchange exchange = exchange(response(null, () -> {}), recording(calls), probe(new ByteArrayEndPoint()));
+        assertFalse(lastWrite.test(exchange));
+        assertEquals(calls.size(), 1, calls.toString());
+        assertTrue(calls.get(0).startsWith("failed: "), calls.toString());
+    }
+
+    /** Guards against a stream without an end because the write of its last chunk has thrown. */
+    @Test
+    public void lastChunkThatThrowsFailsTheStartedStream() {
+        List<String> calls = new ArrayList<>();
+        AtomicBoolean faulty = new AtomicBoolean();
+        Response response = response(HttpFields.build(), () -> {
+            if (faulty.get()) {
+                throw new IllegalStateException("no write now");
+            }
+        });
+        Exchange exchange = exchange(response, recording(calls), probe(new ByteArrayEndPoint()));
+        relay(exchange, 0, RECEIVED_MILLIS + 1);
+        faulty.set(true);
+        assertFalse(exchange.complete(HeaderFixtures.answer(ID)));
+        assertEquals(calls, List.of("failed: no write now"));
+    }
 }
