--- a/gateway/src/test/java/org/cornelramp/gateway/route/FailureDetectorTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/FailureDetectorTest.java
@@ -46,8 +46,8 @@
     private final FailureDetector failureDetector = failureDetector(fleet);
 
     private FailureDetector failureDetector(FleetState of) {
-        AsyncEngineControl engineControl = AsyncEngineControl.withOwnThreads(
-                new EngineControl(new HttpClient(), SteadyClock.system()::millis));
+        AsyncEngineControl engineControl =
+                AsyncEngineControl.withOwnThreads(new EngineControl(new HttpClient(), SteadyClock.system()::millis));
         return new FailureDetector(of, engineControl, 2_000, log, new Meters(), event -> {});
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterHistory.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterHistory.java
@@ -32,8 +32,8 @@
  *   <li>a started stream ends only complete, because its client has left, at its deadline, or after six runs without an
  *       event (after six runs if three engines that ran it may be lost);
  *   <li>a request that is not idempotent runs at most once, and a refusal says truly that it has not run;
- *   <li>no step of the router's work throws an exception;
- *   <li>a request ends by the first tick after its deadline, and the router keeps exactly those that have not ended.
+ *   <li>a request ends by the first tick after its deadline, and the router keeps exactly those that have not ended
+ *       and throws no exception.
  * </ul>
  *
  * <p>At the end the servers that have failed are replaced, or gone if enough others have never failed, and peers lend
@@ -49,14 +49,13 @@
     /** Time in which a started stream completes when all servers work: the longest exclusion of one that refuses. */
     private static final long RECOVERY_MILLIS = 3_000;
 
-    private static final PlatformFault CONFLICT = new PlatformFault(PlatformFault.Kind.CONFLICT, "status 409");
     private static final PeerUpdate.Sender PEER = new PeerUpdate.Sender("g2", 1, new DataCentre("dc1"));
 
     private final RouterSimulation router;
     private final List<SimulatedServer> servers = new ArrayList<>();
     private final Map<String, FakeClient> clients = new LinkedHashMap<>();
     private final List<SimulatedRun> runs = new ArrayList<>();
-    private final List<Either<MoveFault, byte[]>> moveAnswers = new ArrayList<>();
+    private final List<Either<MoveFault, byte[]>> moveAnswers;
     private Either<MoveFault, byte[]> moveAnswer = Either.right(new byte[0]);
     private StandInConfig config = StandInConfig.small(1);
     private long peerNumber;
@@ -77,7 +76,7 @@
         servers.add(new SimulatedServer(router, RouterSimulation.plainServer("p2", 32)));
         servers.subList(0, 2 * pairs).forEach(server -> server.register(ServerState.READY));
         servers.get(5).register(ServerState.READY);
-        addMoveAnswers();
+        moveAnswers = MoveAnswers.of(servers.subList(0, 5));
         router.setRepathAnswer(this::answerMove);
         router.setReportFaults(engine -> serverAt(engine.address().port()).fault());
     }
@@ -86,17 +85,6 @@
         servers.add(new SimulatedServer(router, RouterSimulation.engine(id, 11 + servers.size(), from, to)));
     }
 
-    private void addMoveAnswers() {
-        moveAnswers.add(Either.right(new byte[0]));
-        moveAnswers.add(Either.left(new MoveFault(CONFLICT, Optional.empty())));
-        moveAnswers.add(Either.left(
-                new MoveFault(new PlatformFault(PlatformFault.Kind.NO_ANSWER, "no answer"), Optional.empty())));
-        servers.stream()
-                .limit(5)
-                .map(server -> Optional.of(server.current().address()))
-                .forEach(address -> moveAnswers.add(Either.left(new MoveFault(CONFLICT, address))));
-    }
-
     private Either<MoveFault, byte[]> answerMove(RouterSimulation.RepathOrder order) {
         Optional<PlatformFault> fault = serverAt(order.first().address().port()).fault();
         if (fault.isPresent()) {
@@ -109,7 +97,7 @@
                 path.stream().filter(server -> !server.isWell()).findFirst();
         if (failed.isPresent()) {
             return Either.left(new MoveFault(
-                    CONFLICT, failed.map(server -> server.current().address())));
+                    MoveAnswers.CONFLICT, failed.map(server -> server.current().address())));
         }
         if (moveAnswer.isRight()) {
             runs.stream()
