--- a/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
@@ -1,6 +1,8 @@
 package org.cornelramp.gateway.route;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
@@ -22,11 +24,14 @@
     private int attemptCount;
     private int possibleRunCount;
     private int runsWithoutEvents;
+    private final List<StagePath> moveOrders = new ArrayList<>();
     private boolean moving;
-    private int moveCount;
+    private long moveStartMillis;
+    private int lastMove;
     private boolean firstEventSeen;
     private boolean notMovable;
     private boolean needsRetry;
+    private boolean faultLogged;
     private boolean awaitingPath;
     private long awaitingPathSinceMillis;
     private long lastMoveMillis = Long.MIN_VALUE / 2;
@@ -79,8 +84,9 @@
     void startAttempt(Attempt next) {
         attempt = next;
         attemptCount++;
-        moveCount = 0;
+        moveOrders.clear();
         moving = false;
+        lastMove = -1;
         firstEventSeen = false;
         notMovable = false;
         awaitingPath = false;
@@ -135,6 +141,13 @@
         needsRetry = now;
     }
 
+    /** Records that an exception in the handling of this request is logged; true on the first call. */
+    boolean markFaultLogged() {
+        boolean first = !faultLogged;
+        faultLogged = true;
+        return first;
+    }
+
     /** The path on whose engines this request's load is counted; null for none. */
     StagePath loadedPath() {
         return loadedPath;
@@ -158,17 +171,42 @@
         return moving;
     }
 
-    void setMoving(boolean now) {
-        moving = now;
+    /** Whether the pending order has had no result for longer than the given time. */
+    boolean isMoveOverdue(long limitMillis, long nowMillis) {
+        return moving && nowMillis - moveStartMillis > limitMillis;
     }
 
-    /** Number of move orders sent for the current attempt. */
-    int moveCount() {
-        return moveCount;
+    /** Records that the current attempt was ordered to another path. */
+    void startMove(StagePath path, long nowMillis) {
+        moveOrders.add(path);
+        moveStartMillis = nowMillis;
+        moving = true;
+    }
+
+    /** Records that the pending order has ended, or that no result of it is expected any more. */
+    void endMove() {
+        moving = false;
+    }
+
+    /** Whether a move to the path is the latest one that was ordered; an earlier one may end after it. */
+    boolean isLatestMove(StagePath path) {
+        return moveOrders.lastIndexOf(path) == moveOrders.size() - 1;
     }
 
-    void countMove() {
-        moveCount++;
+    /**
+     * Records that the engine has moved the request; false if it has also accepted a move that was ordered later, so
+     * that this one is no longer in force.
+     */
+    boolean acceptMove(StagePath path) {
+        int move = moveOrders.lastIndexOf(path);
+        boolean newer = move >= lastMove;
+        lastMove = newer ? move : lastMove;
+        return newer;
+    }
+
+    /** Number of move orders sent for the current attempt. */
+    int moveCount() {
+        return moveOrders.size();
     }
 
     /** Whether the next search for a server is due; if so, records it as made now. */
@@ -178,6 +216,11 @@
         return due;
     }
 
+    /** Counts a search as made now, so that the next one is due only after a pause. */
+    void delaySearch(long nowMillis) {
+        lastSearchMillis = nowMillis;
+    }
+
     /** Whether the last search found no server for the next attempt. */
     boolean isAwaitingPath() {
         return awaitingPath;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
@@ -1,24 +1,37 @@
 package org.cornelramp.gateway.route;
 
+import io.vavr.control.Either;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.gateway.request.Attempt;
 import org.cornelramp.platform.EngineCalls;
+import org.cornelramp.platform.EngineReport;
+import org.cornelramp.platform.MoveFault;
+import org.cornelramp.platform.PlatformFault;
 
 /**
  * Calls engines on its own threads, so that an engine that does not answer never blocks the router's thread. Calls that
  * do not fit into the bounded queue are refused. Safe for use by any thread, except where a method says otherwise.
+ *
+ * <p>Invariant: each accepted call reports a result, also if it throws an exception. The router may still lose the
+ * result when its own queue is full.
  */
 public final class AsyncEngineControl {
+    /** Stands for the time of the last event where no event has passed an engine. */
+    static final long NO_EVENT = Long.MIN_VALUE;
+
     /** Enough to probe all engines of a failed rack at the same time, with two calls for each engine. */
     private static final int THREADS = 8;
 
@@ -30,9 +43,9 @@
     private static final long PROBE_PAUSE_MILLIS = 250;
 
     /**
-     * Time for which an engine that has answered is not probed again. When an engine dies, all other engines on the
-     * paths of its streams are probed too; probed four times a second, they took most of the probes in a run with
-     * engine failures.
+     * Time for which an engine that has answered is not probed again for streams that were silent already then. When an
+     * engine dies, all other engines on the paths of its streams are probed too; probed four times a second, they took
+     * most of the probes in a run with engine failures.
      */
     private static final long ANSWERED_PAUSE_MILLIS = 1_000;
 
@@ -53,7 +66,28 @@
 
     private final EngineCalls calls;
     private final Executor threads;
-    private final Map<BackendServerId, Long> nextProbeMillis = new HashMap<>();
+    private final Map<BackendServerId, ProbePause> pauses = new HashMap<>();
+
+    /**
+     * When an engine may be probed again. Immutable.
+     *
+     * @param untilMillis end of the pause
+     * @param answeredMillis when the engine answered; its answer says nothing about streams that fall silent later
+     * @param untilIfSilentSinceMillis end of the pause for streams that fell silent after the answer
+     */
+    private record ProbePause(long untilMillis, long answeredMillis, long untilIfSilentSinceMillis) {
+        static ProbePause until(long millis) {
+            return new ProbePause(millis, Long.MAX_VALUE, millis);
+        }
+
+        static ProbePause answered(long nowMillis) {
+            return new ProbePause(nowMillis + ANSWERED_PAUSE_MILLIS, nowMillis, nowMillis + PROBE_PAUSE_MILLIS);
+        }
+
+        boolean allows(long silentSinceMillis, long nowMillis) {
+            return nowMillis >= (silentSinceMillis > answeredMillis ? untilIfSilentSinceMillis : untilMillis);
+        }
+    }
 
     /**
      * @param calls blocking calls to engines
@@ -84,17 +118,21 @@
      * timeout. Repeated probes of one engine within a short time are skipped. Called by the router's thread only.
      *
      * @param lagMillis recent scheduling delay of this process, by which an answer may be read later
+     * @param silentSinceMillis when the last event passed the engine; {@link #NO_EVENT} if none has, or if the probe has
+     *     another reason than silence
      */
-    void probe(BackendServer engine, Consumer<RouterEvent> router, long lagMillis, long now) {
-        nextProbeMillis.values().removeIf(next -> now >= next);
+    void probe(BackendServer engine, Consumer<RouterEvent> router, long lagMillis, long silentSinceMillis, long now) {
+        pauses.values().removeIf(pause -> now >= pause.untilMillis());
         long timeout = PROBE_TIMEOUT_MILLIS + LAG_FACTOR * lagMillis;
-        if (nextProbeMillis.putIfAbsent(engine.id(), now + PROBE_PAUSE_MILLIS) == null) {
+        ProbePause pause = pauses.get(engine.id());
+        if (pause == null || pause.allows(silentSinceMillis, now)) {
+            pauses.put(engine.id(), ProbePause.until(now + PROBE_PAUSE_MILLIS));
             ProbePair probe =
                     new ProbePair(report -> router.accept(new RouterEvent.EngineReportResult(engine, report)));
-            submit(() -> probe.handleCallEnd(calls.report(engine, timeout)));
+            submit(() -> probe.handleCallEnd(report(engine, timeout)));
             submit(() -> {
                 if (!probe.awaitResult(SECOND_CALL_MILLIS)) {
-                    probe.handleCallEnd(calls.report(engine, timeout));
+                    probe.handleCallEnd(report(engine, timeout));
                 }
             });
         }
@@ -105,7 +143,7 @@
      * thread only.
      */
     void recordAnswer(BackendServerId engine, long now) {
-        nextProbeMillis.put(engine, now + ANSWERED_PAUSE_MILLIS);
+        pauses.put(engine, ProbePause.answered(now));
     }
 
     /**
@@ -114,19 +152,39 @@
      * Called by the router's thread only.
      */
     void recordInconclusiveProbe(BackendServer engine, long now) {
-        nextProbeMillis.put(engine.id(), now + INCONCLUSIVE_PAUSE_MILLIS);
+        pauses.put(engine.id(), ProbePause.until(now + INCONCLUSIVE_PAUSE_MILLIS));
     }
 
     /** Reads the report of an engine; false if too many calls are queued. */
     boolean requestReport(BackendServer engine, Consumer<RouterEvent> router) {
-        return submit(() -> router.accept(new RouterEvent.EngineReportResult(engine, calls.report(engine))));
+        return submit(() -> {
+            Either<PlatformFault, EngineReport> report = faultIfThrown(() -> calls.report(engine), fault -> fault);
+            router.accept(new RouterEvent.EngineReportResult(engine, report));
+        });
     }
 
     /** Orders an engine to move a running request; false if too many calls are queued. */
     boolean move(Attempt attempt, StagePath path, Consumer<RouterEvent> router) {
         String id = attempt.exchange().request().id();
-        return submit(() ->
-                router.accept(new RouterEvent.MoveResult(attempt, path, calls.repath(attempt.server(), id, path))));
+        return submit(() -> {
+            Either<MoveFault, byte[]> result = faultIfThrown(
+                    () -> calls.repath(attempt.server(), id, path), fault -> new MoveFault(fault, Optional.empty()));
+            router.accept(new RouterEvent.MoveResult(attempt, path, result));
+        });
+    }
+
+    private Either<PlatformFault, EngineReport> report(BackendServer engine, long timeoutMillis) {
+        return faultIfThrown(() -> calls.report(engine, timeoutMillis), fault -> fault);
+    }
+
+    /** Makes a call; an exception counts as no answer, since the engine may have received the call. */
+    private static <F, T> Either<F, T> faultIfThrown(
+            Supplier<Either<F, T>> call, Function<PlatformFault, F> faultMapper) {
+        try {
+            return call.get();
+        } catch (RuntimeException e) {
+            return Either.left(faultMapper.apply(new PlatformFault(PlatformFault.Kind.NO_ANSWER, e.toString())));
+        }
     }
 
     private boolean submit(Runnable call) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
-import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.settings.GatewaySettings;
@@ -47,9 +46,10 @@
     private final EventLog log;
     private final Meters meters;
     private final AsyncEngineControl engineControl;
-    private final Consumer<RouterEvent> events;
     private final RoutingLog routingLog;
+    private final FaultBarrier faults;
     private final FleetState fleet;
+    private final FleetUpdater fleetUpdater;
     private final IdentityHashMap<Exchange, ActiveRequest> activeRequests = new IdentityHashMap<>();
     private final SharedRetries sharedRetries;
     private final FailureDetector failureDetector;
@@ -60,7 +60,6 @@
     private final RetryDispatcher retryDispatcher;
     private final StreamMonitor streamMonitor;
     private volatile FleetView view = FleetView.EMPTY;
-    private boolean storeAvailable;
     private long lastTickMillis;
 
     /**
@@ -83,12 +82,13 @@
             Consumer<RouterEvent> events,
             BiConsumer<Attempt, AttemptEnd> attemptEnds) {
         this.fleet = new FleetState(settings.timing().heartbeatMillis());
+        this.fleetUpdater = new FleetUpdater(fleet, engineControl, log, events);
         this.config = config;
         this.log = log;
         this.meters = meters;
         this.engineControl = engineControl;
-        this.events = events;
         this.routingLog = new RoutingLog(log, meters);
+        this.faults = new FaultBarrier(routingLog);
         this.sharedRetries = new SharedRetries(settings.name(), settings.retries(), random);
         this.failureDetector =
                 new FailureDetector(fleet, engineControl, settings.timing().stallMillis(), log, meters, events);
@@ -96,9 +96,10 @@
                 settings.name(), settings.dataCentre(), fleet, sharedRetries, failureDetector::handlePeerSuspicion);
         failureDetector.setOnLost(peerUpdateHandler::recordFailure);
         this.dispatcher = new Dispatcher(settings, clients, config, fleet, clock, log, attemptEnds);
-        this.retryDispatcher = new RetryDispatcher(sharedRetries, dispatcher, fleet, routingLog);
+        this.retryDispatcher = new RetryDispatcher(sharedRetries, dispatcher, fleet, routingLog, faults);
         this.overdueAttempts = new OverdueAttempts(sharedRetries, dispatcher);
-        this.streamMonitor = new StreamMonitor(fleet, engineControl, failureDetector, overdueAttempts, log, events);
+        this.streamMonitor =
+                new StreamMonitor(fleet, engineControl, failureDetector, overdueAttempts, faults, log, events);
     }
 
     /** Number of requests in progress; may be called by any thread. */
@@ -106,6 +107,11 @@
         return activeRequestCount.get();
     }
 
+    /** Number of exceptions in the router's work, each of which has ended only one step or request. */
+    long exceptionCount() {
+        return faults.count();
+    }
+
     /** The state of the backend servers as of the last tick; may be called by any thread. */
     FleetView view() {
         return view;
@@ -116,18 +122,22 @@
         return peerUpdateHandler;
     }
 
-    /** Handles one event. */
+    /** Handles one event; an exception is logged and does not reach the caller, which may have more events. */
     void handle(RouterEvent event, long now) {
+        faults.run("event", now, () -> handleUnguarded(event, now));
+    }
+
+    private void handleUnguarded(RouterEvent event, long now) {
         if (event instanceof RouterEvent.RequestReceived arrived) {
             handleRequest(arrived.exchange(), now);
         } else if (event instanceof RouterEvent.AttemptEnded ended) {
             handleAttemptEnd(ended.attempt(), ended.end(), now);
         } else if (event instanceof RouterEvent.RegistrationsRead registered) {
-            handleRegistrations(registered, now);
+            fleetUpdater.handleRegistrations(registered, now);
         } else if (event instanceof RouterEvent.PeerUpdateReceived received) {
             peerUpdateHandler.handleUpdate(received.update(), now);
         } else if (event instanceof RouterEvent.StoreStatus answers) {
-            storeAvailable(answers.available(), now);
+            fleetUpdater.storeAvailable(answers.available(), now);
         } else if (event instanceof RouterEvent.EngineReportResult reported) {
             handleReport(reported, now);
         } else if (event instanceof RouterEvent.MoveResult moved) {
@@ -142,6 +152,18 @@
     }
 
     private void handleRequest(Exchange exchange, long now) {
+        if (faults.run("request", now, () -> acceptRequest(exchange, now))) {
+            return;
+        }
+        ActiveRequest request = activeRequests.get(exchange);
+        if (request == null) {
+            exchange.refuse(Refusal.OVERLOADED, Refusal.OVERLOADED.retryMillis());
+        } else if (isUnattended(request)) {
+            endAfterFault(request, "the request could not be handled", now);
+        }
+    }
+
+    private void acceptRequest(Exchange exchange, long now) {
         Exchange.ClientRequest call = exchange.request();
         double draw = (call.id().hashCode() & 0x7fffffff) / (double) (1L << 31);
         ServiceName service = call.route().service(draw);
@@ -191,12 +213,19 @@
         ActiveRequest request = activeRequests.get(attempt.exchange());
         meters.countAttempt(end.kind().name());
         boolean current = request != null && request.attempt() == attempt;
-        failureDetector.recordOutcome(attempt, end, now);
-        if (!current) {
-            return;
+        faults.run("outcome", now, () -> failureDetector.recordOutcome(attempt, end, now));
+        if (current) {
+            boolean handled = faults.run(request, () -> settleAttempt(request, attempt, end, now));
+            if (!handled) {
+                continueAfterFault(request, attempt, end, now);
+            }
         }
+    }
+
+    private void settleAttempt(ActiveRequest request, Attempt attempt, AttemptEnd end, long now) {
         if (OverdueAttempts.hasEvents(request, attempt)) {
-            handleFirstEvent(request, attempt, now); // a short stream may end between two ticks
+            // A short stream may end between two ticks.
+            faults.run(request, () -> handleFirstEvent(request, attempt, now));
         }
         dispatcher.removeLoad(request);
         request.endAttempt(end.kind().surelyNotRun());
@@ -211,6 +240,35 @@
         }
     }
 
+    /**
+     * Gives a request whose attempt has ended another attempt or an end, after an exception in the handling of that
+     * end. It is not known how far the handling came, so a request that has not started is not sent again.
+     */
+    private void continueAfterFault(ActiveRequest request, Attempt attempt, AttemptEnd end, long now) {
+        if (request.attempt() == attempt) {
+            request.endAttempt(end.kind().surelyNotRun());
+        }
+        if (isUnattended(request)) {
+            requeueOrEnd(request, end.kind().mayHaveArrived(), now);
+        }
+    }
+
+    /** Whether a request in progress has neither an attempt nor a place in the retry queue. */
+    private boolean isUnattended(ActiveRequest request) {
+        return activeRequests.containsKey(request.exchange())
+                && request.attempt() == null
+                && !retryDispatcher.isWaiting(request);
+    }
+
+    private void requeueOrEnd(ActiveRequest request, boolean needsRetry, long now) {
+        boolean resumable = request.exchange().isCommitted()
+                && !request.exchange().isEnded()
+                && request.route().mayRetry();
+        if (!resumable || !retryDispatcher.requeueStream(request, needsRetry, now)) {
+            endAfterFault(request, "the end of an attempt could not be handled", now);
+        }
+    }
+
     private void complete(ActiveRequest request, AttemptEnd end, long now) {
         request.exchange().complete(end.fields());
         finish(request, "complete", end.status(), now);
@@ -278,34 +336,14 @@
     }
 
     private void finish(ActiveRequest request, String outcome, int status, long now) {
-        dispatcher.removeLoad(request);
+        if (activeRequests.remove(request.exchange()) != null) {
+            activeRequestCount.decrementAndGet();
+        }
         retryDispatcher.remove(request);
-        activeRequests.remove(request.exchange());
-        activeRequestCount.decrementAndGet();
+        dispatcher.removeLoad(request);
         routingLog.ended(request, outcome, status, now);
     }
 
-    private void handleRegistrations(RouterEvent.RegistrationsRead registered, long now) {
-        FleetState.RegistrationEffect effect = fleet.applyRegistrations(registered, now);
-        if (effect != FleetState.RegistrationEffect.UNCHANGED) {
-            log.line("fleet", effect == FleetState.RegistrationEffect.RESTORED ? "restored" : "changed")
-                    .with("end", registered.end())
-                    .with("era", registered.era())
-                    .with("servers", fleet.registry().servers().size())
-                    .with("leaving", fleet.leavingCount())
-                    .write();
-            fleet.removeUnregistered();
-        }
-    }
-
-    private void storeAvailable(boolean answers, long now) {
-        if (answers != storeAvailable) {
-            storeAvailable = answers;
-            log.line("store", answers ? "regained" : "lost").write();
-        }
-        fleet.setStoreAvailable(answers, now);
-    }
-
     private void handleReport(RouterEvent.EngineReportResult reported, long now) {
         boolean missed = reported.report().isLeft()
                 && reported.report().getLeft().kind() != PlatformFault.Kind.NOT_LISTENING
@@ -324,7 +362,10 @@
         if (request == null || request.attempt() != moved.attempt()) {
             return;
         }
-        request.setMoving(false);
+        boolean pending = request.isMoving() && request.isLatestMove(moved.path());
+        if (pending) {
+            request.endMove();
+        }
         meters.countMove(moved.result().isRight());
         log.line("route", moved.result().isRight() ? "moved" : "not moved")
                 .with("id", request.exchange().request().id())
@@ -332,14 +373,20 @@
                 .with("detail", moved.result().fold(MoveFault::toString, any -> ""))
                 .write();
         if (moved.result().isRight()) {
-            moved.attempt().setPath(moved.path());
-            dispatcher.addLoad(request, moved.path());
-        } else {
+            applyMove(request, moved);
+        } else if (pending) {
             streamMonitor.handleMoveFailure(
                     request, moved.attempt(), moved.result().getLeft(), now);
         }
     }
 
+    private void applyMove(ActiveRequest request, RouterEvent.MoveResult moved) {
+        if (request.acceptMove(moved.path())) {
+            moved.attempt().setPath(moved.path());
+            dispatcher.addLoad(request, moved.path());
+        }
+    }
+
     private void handleFirstEvent(ActiveRequest request, Attempt attempt, long now) {
         dispatcher.recordPromptRead(request);
         overdueAttempts.recordFirstEvent(request, attempt, now);
@@ -350,33 +397,64 @@
         fleet.recordTickDelay(lastTickMillis == 0 ? 0 : Math.max(0, now - lastTickMillis - TICK_MILLIS), now);
         lastTickMillis = now;
         for (ActiveRequest request : List.copyOf(activeRequests.values())) {
-            checkRequest(request, now);
+            checkSafely(request, now);
         }
-        retryWaiting(now);
-        for (BackendServerId id : fleet.suspectedServers().dueForProbe(now)) {
-            fleet.registry()
-                    .server(id)
-                    .filter(server -> !server.card().isEmpty())
-                    .ifPresent(server -> engineControl.requestReport(server, events));
+        faults.run("retries", now, () -> retryWaiting(now));
+        faults.run("probes", now, () -> fleetUpdater.probeSuspects(now));
+        faults.run("streams", now, () -> streamMonitor.check(activeRequests.values(), config.current(), now));
+        faults.run("registrations", now, () -> fleetUpdater.expireRegistrations(now));
+        faults.run("peers", now, () -> peerUpdateHandler.refreshUpdate(now));
+        faults.run("view", now, () -> view = fleet.view(now));
+    }
+
+    /** Checks a request. Its deadline ends it also if its check always throws an exception. */
+    private void checkSafely(ActiveRequest request, long now) {
+        boolean checked = faults.run(request, () -> checkRequest(request, now));
+        if (!checked && now >= request.exchange().request().deadlineMillis()) {
+            endAfterFault(request, "deadline", now);
+        }
+    }
+
+    /** Ends a request whose handling has thrown an exception; each step may throw another one. */
+    private void endAfterFault(ActiveRequest request, String why, long now) {
+        Attempt attempt = request.attempt();
+        if (attempt != null) {
+            request.endAttempt(false);
+            faults.run(request, () -> attempt.cancel(why));
+        }
+        boolean late = now >= request.exchange().request().deadlineMillis();
+        Refusal notRun = late ? Refusal.NOT_RUN_IN_TIME : Refusal.OVERLOADED;
+        Refusal unknown = late ? Refusal.TIMED_OUT : Refusal.UNKNOWN;
+        Refusal refusal = request.possibleRunCount() == 0 ? notRun : unknown;
+        boolean ended = faults.run(request, () -> giveUp(request, refusal, why, now));
+        if (!ended) {
+            faults.run(request, () -> abort(request, why, "", now));
         }
-        streamMonitor.check(activeRequests.values(), config.current(), now);
-        if (fleet.registry().expire(now)) {
-            fleet.removeUnregistered();
+        if (activeRequests.containsKey(request.exchange())) {
+            faults.run(request, () -> finish(request, "broken", 0, now));
         }
-        peerUpdateHandler.refreshUpdate(now);
-        view = fleet.view(now);
     }
 
-    /** Sends a request that has no attempt and is not queued for a retry: it arrived before the servers were known. */
+    /**
+     * Sends a request that has no attempt and is not queued for a retry: it arrived before the servers were known. Only
+     * a request that was never sent; any other might run twice, and would need a retry.
+     */
     private void sendUnsent(ActiveRequest request, long now) {
-        if (!retryDispatcher.isWaiting(request)) {
+        if (!isUnattended(request)) {
+            return;
+        }
+        if (request.attemptCount() == 0) {
             send(request, now);
+        } else {
+            requeueOrEnd(request, true, now);
         }
     }
 
     private void retryWaiting(long now) {
         for (ActiveRequest request : retryDispatcher.removeExpired(now)) {
-            giveUp(request, refusalFor(request), "no retry and no server became available in time", now);
+            faults.run(
+                    request,
+                    () -> giveUp(request, refusalFor(request), "no retry and no server became available in time", now));
         }
         retryDispatcher.retryWaiting(now);
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
@@ -52,13 +52,20 @@
     private final Dispatcher dispatcher;
     private final FleetState fleet;
     private final RoutingLog routingLog;
+    private final FaultBarrier faults;
     private final RetryQueue<ActiveRequest> retryQueue = new RetryQueue<>();
 
-    RetryDispatcher(SharedRetries sharedRetries, Dispatcher dispatcher, FleetState fleet, RoutingLog routingLog) {
+    RetryDispatcher(
+            SharedRetries sharedRetries,
+            Dispatcher dispatcher,
+            FleetState fleet,
+            RoutingLog routingLog,
+            FaultBarrier faults) {
         this.sharedRetries = sharedRetries;
         this.dispatcher = dispatcher;
         this.fleet = fleet;
         this.routingLog = routingLog;
+        this.faults = faults;
     }
 
     /** Retries a retryable request now or queues it; false if the request is to be ended. */
@@ -85,6 +92,16 @@
         return true;
     }
 
+    /**
+     * Queues a started stream again that was left without an attempt; false if it is to be ended, because too many of
+     * its runs have brought no event.
+     */
+    boolean requeueStream(ActiveRequest request, boolean needsRetry, long now) {
+        request.setNeedsRetry(needsRetry);
+        boolean inTime = now < request.exchange().request().deadlineMillis();
+        return inTime && request.countedAttempts(seemsToCrash(request, now)) < MAX_ATTEMPTS && enqueue(request, now);
+    }
+
     /** Queues a started stream for which there is no path. */
     void queueForPath(ActiveRequest request, long now) {
         retryQueue.add(request, queueEntry(request, now));
@@ -98,15 +115,19 @@
     void retryWaiting(long now) {
         Map<ServiceName, Integer> lacking = new HashMap<>();
         for (ActiveRequest request : retryQueue.inOrder()) {
-            if (trySend(request, now)) {
-                retryQueue.remove(request);
-            } else if (request.needsRetry()) {
-                lacking.merge(request.service(), 1, Integer::sum);
-            }
+            faults.run(request, () -> retryWaiting(request, lacking, now));
         }
         sharedRetries.requestLoans(lacking, now);
     }
 
+    private void retryWaiting(ActiveRequest request, Map<ServiceName, Integer> lacking, long now) {
+        if (trySend(request, now)) {
+            retryQueue.remove(request);
+        } else if (request.needsRetry()) {
+            lacking.merge(request.service(), 1, Integer::sum);
+        }
+    }
+
     /** Removes and returns the requests that have not started and have waited for the longest permitted time. */
     List<ActiveRequest> removeExpired(long now) {
         return retryQueue.removeOverdue(now);
@@ -132,8 +153,7 @@
     /** Whether so many engines that ran a request are lost that the request may be the cause. */
     private boolean seemsToCrash(ActiveRequest request, long now) {
         long gone = request.usedFirstEngines().stream()
-                .filter(id ->
-                        fleet.isLost(id, now) || fleet.registry().server(id).isEmpty())
+                .filter(id -> fleet.isGone(id, now))
                 .count();
         return gone >= CRASH_THRESHOLD;
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamMonitor.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamMonitor.java
@@ -45,27 +45,42 @@
     /** Most orders to move one stream off a dead engine; each refusal excludes one more engine. */
     private static final int MAX_MOVES = 4;
 
+    /**
+     * Time after which an order without a result counts as not answered. An order times out at the engine call after
+     * 400 ms, and may wait for a thread behind some others; a result that the router's full queue refused never comes.
+     */
+    private static final long MOVE_LIMIT_MILLIS = 2_000;
+
+    private static final MoveFault NO_RESULT = new MoveFault(
+            new PlatformFault(
+                    PlatformFault.Kind.NO_ANSWER, "The order had no result within " + MOVE_LIMIT_MILLIS + " ms."),
+            Optional.empty());
+
     private final FleetState fleet;
     private final AsyncEngineControl engineControl;
     private final FailureDetector failureDetector;
     private final OverdueAttempts overdueAttempts;
+    private final FaultBarrier faults;
     private final EventLog log;
     private final Consumer<RouterEvent> router;
 
     /**
      * @param overdueAttempts decides which streams can be restarted at once
+     * @param faults keeps an exception in one stream from the others
      */
     StreamMonitor(
             FleetState fleet,
             AsyncEngineControl engineControl,
             FailureDetector failureDetector,
             OverdueAttempts overdueAttempts,
+            FaultBarrier faults,
             EventLog log,
             Consumer<RouterEvent> router) {
         this.fleet = fleet;
         this.engineControl = engineControl;
         this.failureDetector = failureDetector;
         this.overdueAttempts = overdueAttempts;
+        this.faults = faults;
         this.log = log;
         this.router = router;
     }
@@ -74,10 +89,16 @@
     void check(Collection<ActiveRequest> activeRequests, Optional<RoutingConfig> config, long now) {
         for (ActiveRequest request : activeRequests) {
             Attempt attempt = request.attempt();
-            if (attempt == null || attempt.path().isEmpty() || request.isMoving()) {
+            if (attempt == null || attempt.path().isEmpty()) {
                 continue;
             }
-            check(request, attempt, attempt.path().get(), config, now);
+            if (request.isMoveOverdue(MOVE_LIMIT_MILLIS, now)) {
+                faults.run(request, () -> abandonMove(request, attempt, now));
+            }
+            if (!request.isMoving()) {
+                StagePath path = attempt.path().get();
+                faults.run(request, () -> check(request, attempt, path, config, now));
+            }
         }
         List<SilentEngineDetector.StreamActivity> streams = streams(activeRequests);
         trustForwardingEngines(streams, now);
@@ -107,11 +128,21 @@
             if (!fleet.suspectedServers().isLost(id, now)) {
                 fleet.registry()
                         .server(id)
-                        .ifPresent(engine -> engineControl.probe(engine, router, fleet.lagMillis(), now));
+                        .ifPresent(engine -> engineControl.probe(
+                                engine, router, fleet.lagMillis(), lastEventMillis(streams, id), now));
             }
         }
     }
 
+    /** When the last event passed an engine. */
+    private static long lastEventMillis(List<SilentEngineDetector.StreamActivity> streams, BackendServerId engine) {
+        return streams.stream()
+                .filter(stream -> stream.begun() && stream.engines().contains(engine))
+                .mapToLong(SilentEngineDetector.StreamActivity::lastEventMillis)
+                .max()
+                .orElse(AsyncEngineControl.NO_EVENT);
+    }
+
     private static List<SilentEngineDetector.StreamActivity> streams(Collection<ActiveRequest> activeRequests) {
         List<SilentEngineDetector.StreamActivity> streams = new ArrayList<>();
         for (ActiveRequest request : activeRequests) {
@@ -142,7 +173,7 @@
     private void check(
             ActiveRequest request, Attempt attempt, StagePath path, Optional<RoutingConfig> config, long now) {
         boolean stalled = hasStalled(request, attempt, path, now);
-        if (stalled && fleet.isLost(path.first().id(), now)) {
+        if (stalled && fleet.isGone(path.first().id(), now)) {
             attempt.cancel("its first engine is lost");
         } else if (stalled && overdueAttempts.canRestart(request, now)) {
             // A move order waits for the stalled engines, and is refused if their work has just ended.
@@ -152,7 +183,7 @@
         } else if (canMoveOffLeavingEngine(path) && request.tryStartMove(now, MOVE_SPREAD_MILLIS, MOVE_PAUSE_MILLIS)) {
             // An engine that is shutting down continues to serve for seconds, so no stream is cancelled for it.
             findAlternativePath(request, path, config, now)
-                    .ifPresent(stagePath -> move(request, attempt, path, stagePath));
+                    .ifPresent(stagePath -> move(request, attempt, path, stagePath, now));
         }
     }
 
@@ -167,9 +198,12 @@
                 .anyMatch(hop -> fleet.isLeaving(hop.server().id()));
     }
 
-    /** Whether an engine of the path is considered lost and no recent event contradicts it, read or still unread. */
+    /**
+     * Whether an engine of the path is lost or no longer registered and no recent event contradicts it, read or still
+     * unread. An engine that is no longer registered cannot be probed, so it never becomes lost.
+     */
     private boolean hasStalled(ActiveRequest request, Attempt attempt, StagePath path, long now) {
-        return containsEngine(path, id -> fleet.isLost(id, now))
+        return containsEngine(path, id -> fleet.isGone(id, now))
                 && !stream(request, attempt, path).isActive(now)
                 && !attempt.hasUnreadBytes();
     }
@@ -225,13 +259,24 @@
         if (path.isEmpty()) {
             attempt.cancel("an engine of its path is lost and there is no path without it");
         } else {
-            move(request, attempt, old, path.get());
+            move(request, attempt, old, path.get(), now);
         }
     }
 
-    private void move(ActiveRequest request, Attempt attempt, StagePath old, StagePath path) {
-        request.setMoving(engineControl.move(attempt, path, router));
-        request.countMove();
+    private void abandonMove(ActiveRequest request, Attempt attempt, long now) {
+        request.endMove();
+        log.line("route", "not moved")
+                .with("id", request.exchange().request().id())
+                .with("detail", NO_RESULT)
+                .write();
+        handleMoveFailure(request, attempt, NO_RESULT, now);
+    }
+
+    private void move(ActiveRequest request, Attempt attempt, StagePath old, StagePath path, long now) {
+        request.startMove(path, now);
+        if (!engineControl.move(attempt, path, router)) {
+            request.endMove(); // the next check orders it again
+        }
         log.line("route", "moves")
                 .with("id", request.exchange().request().id())
                 .with("from", old.text())
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Function;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerRegistry;
 import org.cornelramp.core.fleet.ServerState;
@@ -19,11 +20,14 @@
 import org.cornelramp.core.model.LayerRange;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.StagePath;
+import org.cornelramp.core.retry.RetryLoanUpdate;
+import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.GatewaySettingsReader;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
+import org.cornelramp.gateway.peer.PeerUpdate;
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.ConfigDecoder;
 import org.cornelramp.platform.EngineCalls;
@@ -43,6 +47,7 @@
     private static final PlatformFault NO_ANSWER = new PlatformFault(PlatformFault.Kind.NO_ANSWER, "no answer");
 
     private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final EventLog log = new EventLog(logged, Clock.systemUTC(), "g1");
     private final Deque<RouterEvent> queue = new ArrayDeque<>();
     private final Deque<Runnable> engineCalls = new ArrayDeque<>();
     private final List<RepathOrder> repathOrders = new ArrayList<>();
@@ -50,8 +55,10 @@
     private final ConfigHolder config = new ConfigHolder();
     private final RequestRouter router;
     private RepathAnswer repathAnswer = order -> Either.right(new byte[0]);
+    private Function<BackendServer, Optional<PlatformFault>> reportFaults = engine -> Optional.empty();
     private boolean enginesAnswer = true;
     private boolean engineCallsRejected;
+    private RuntimeException reportFailure;
     private long now = 1_000;
     private long offset;
 
@@ -80,7 +87,7 @@
                 route -> http,
                 config,
                 () -> now,
-                new EventLog(logged, Clock.systemUTC(), "g1"),
+                log,
                 new Meters(),
                 engineControl,
                 new SplittableRandom(seed),
@@ -97,9 +104,13 @@
 
         @Override
         public Either<PlatformFault, EngineReport> report(BackendServer engine, long timeoutMillis) {
-            return enginesAnswer
-                    ? Either.right(new EngineReport(Optional.empty(), false, 0, 1, 0, 0, 0, engine.layers(), List.of()))
-                    : Either.left(NO_ANSWER);
+            if (reportFailure != null) {
+                throw reportFailure;
+            }
+            Optional<PlatformFault> fault = enginesAnswer ? reportFaults.apply(engine) : Optional.of(NO_ANSWER);
+            return fault.<Either<PlatformFault, EngineReport>>map(Either::left)
+                    .orElseGet(() -> Either.right(
+                            new EngineReport(Optional.empty(), false, 0, 1, 0, 0, 0, engine.layers(), List.of())));
         }
 
         @Override
@@ -126,6 +137,26 @@
         return http.calls();
     }
 
+    /** The HTTP client that sends the requests. */
+    FakeHttpClient http() {
+        return http;
+    }
+
+    /** The update to the peers as of the last tick. */
+    PeerUpdate peerUpdate() {
+        return router.peerUpdates().currentUpdate();
+    }
+
+    /** Number of logged lines that contain a text; called once, at the end of a test. */
+    long linesWith(String text) {
+        log.start();
+        log.stop();
+        return logged.toString(StandardCharsets.UTF_8)
+                .lines()
+                .filter(line -> line.contains(text))
+                .count();
+    }
+
     /** The orders to move requests that engines have received, in order. */
     List<RepathOrder> repathOrders() {
         return repathOrders;
@@ -141,6 +172,16 @@
         enginesAnswer = answer;
     }
 
+    /** Sets an exception that requests for engines' reports throw from now on; null for none. */
+    void setReportFailure(RuntimeException failure) {
+        reportFailure = failure;
+    }
+
+    /** Sets which engines do not answer requests for their reports, and how. */
+    void setReportFaults(Function<BackendServer, Optional<PlatformFault>> faults) {
+        reportFaults = faults;
+    }
+
     /** Sets whether calls to engines are rejected because too many are queued. */
     void setEngineCallsRejected(boolean rejected) {
         engineCallsRejected = rejected;
@@ -154,19 +195,39 @@
 
     /** Creates an engine of a half of the model, or of the whole. */
     static BackendServer engine(String id, int port, int from, int to) {
+        return engine(id, port, "dc1", from, to);
+    }
+
+    /** Creates an engine in a data centre; the gateway runs in dc1. */
+    static BackendServer engine(String id, int port, String dataCentre, int from, int to) {
         BackendServerId server = new BackendServerId(id);
         return new BackendServer(
                 server,
                 server,
                 new ServiceName(StandInConfig.ENGINES),
                 new HostPort("127.0.0.1", port),
-                new DataCentre("dc1"),
+                new DataCentre(dataCentre),
                 ServerState.READY,
                 8,
                 StandInConfig.CARD,
                 Optional.of(new LayerRange(from, to, LAYERS)));
     }
 
+    /** Creates a server of the plain service. */
+    static BackendServer plainServer(String id, int port) {
+        BackendServerId server = new BackendServerId(id);
+        return new BackendServer(
+                server,
+                server,
+                new ServiceName(StandInConfig.PLAIN),
+                new HostPort("127.0.0.1", port),
+                new DataCentre("dc1"),
+                ServerState.READY,
+                8,
+                "",
+                Optional.empty());
+    }
+
     /** Registers a server, also in another state than before. */
     void register(BackendServer server) {
         offset++;
@@ -184,10 +245,14 @@
                 List.of(new ServerRegistry.Registration(offset, server.name(), Optional.empty())), false, offset, 0));
     }
 
+    /** The route of a path. */
+    Route route(String path) {
+        return config.current().get().route("127.0.0.1", path).get();
+    }
+
     /** Sends a client's request. */
     FakeClient request(String path, String id) {
-        FakeClient client =
-                new FakeClient(config.current().get().route("127.0.0.1", path).get(), id, now);
+        FakeClient client = new FakeClient(route(path), id, now);
         handle(new RouterEvent.RequestReceived(client.exchange()));
         return client;
     }
@@ -220,7 +285,9 @@
     boolean runEngineCall() {
         Runnable call = engineCalls.poll();
         if (call != null) {
+            Thread.currentThread().interrupt(); // the second call of a probe does not wait for the first
             call.run();
+            var unused = Thread.interrupted();
         }
         return call != null;
     }
@@ -232,6 +299,16 @@
         }
     }
 
+    /** Lets time pass without a tick of the router. */
+    void pass(long millis) {
+        now += millis;
+    }
+
+    /** What this gateway tells its peers now about retries. */
+    RetryLoanUpdate loanUpdate() {
+        return router.peerUpdates().currentUpdate().retryLoans();
+    }
+
     /** Lets time pass up to the next tick of the router, without running what is queued. */
     void tick() {
         now += RequestRouter.TICK_MILLIS;
@@ -246,6 +323,11 @@
         }
     }
 
+    /** Number of exceptions in the router's work; a router in production logs them and goes on. */
+    long exceptions() {
+        return router.exceptionCount();
+    }
+
     /** Number of requests in progress. */
     int activeRequests() {
         return router.activeRequestCount();
