Do not fail a stalled write before the request's deadline

A client that reads slowly would lose its response when its window stayed full for the idle time of its connection, 60 s, although its deadline was later.

Cause: when the idle time of a connection expires, the server fails a pending write; the listener that keeps a waiting request from being idle is not asked. The gateway then took the failed write for a client that had gone.

Change: after the request has been read, the idle time of its connection is the ordinary one and the time to the deadline; it is the ordinary one again when the response is complete. A request that is read slowly is not affected.

Not shown by a test: that ClientRequestHandler begins the extension. A client whose host is gone without a reset, in the middle of a write, now keeps its engine until the deadline instead of 60 s.

--- a/gateway/src/main/java/org/cornelramp/gateway/request/ClientRequestHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/ClientRequestHandler.java
@@ -61,7 +61,7 @@
 
     void handle(Request request, Response response, Callback callback) {
         long now = clock.millis();
-        // A request that waits for its response is not idle; stalled reads and writes still time out.
+        // A request that waits for its response is not idle; a stalled read of the request still times out.
         request.addIdleTimeoutListener(timeout -> false);
         boolean delayed = config.current().isEmpty()
                 && earlyRequests.tryDelay(request, () -> handle(request, response, callback, now), now);
@@ -145,6 +145,7 @@
                         .orElse(route.priority()),
                 resolved.now(),
                 resolved.now() + timeoutMillis);
+        IdleTimeoutExtension.begin(request, timeoutMillis);
         Exchange exchange = new Exchange(call, response, callback, closing, ClientDisconnectProbe.of(request));
         if (!router.offer(new RouterEvent.RequestReceived(exchange))) {
             exchange.refuse(Refusal.OVERLOADED, Refusal.OVERLOADED.retryMillis());
