Refuse connects once the test server is closed

Developers: LateConnectTest.connectThatIsRefusedIsNotInProgress failed in 3 of 6 cold JVMs beside 20 busy loops (EOF in place of a refusal). Cause: the new FixedResponseServer. The kernel keeps a listening socket open while a thread is in its accept call; close() did not wait for that thread, and a connect right after it was accepted. Change: close() waits for the end of the accepting thread and then closes the connections. The test is unchanged. Evidence (scratch program, 60 servers closed and then connected to, beside 20 loops): 39 connects taken before, 0 now. The classes LateEngineReportTest, PendingCallTest, LateConnectTest, OverdueResponseTest and ProbePairTest pass in 2 of 2 cold JVMs beside 20 loops. Format, Error Prone and Checkstyle passed.

--- a/gateway/src/test/java/org/cornelramp/gateway/FixedResponseServer.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/FixedResponseServer.java
@@ -27,10 +27,11 @@
     private final AtomicInteger requests = new AtomicInteger();
     private final AtomicInteger responses = new AtomicInteger();
     private final boolean responds;
+    private final Thread acceptor;
 
     FixedResponseServer(boolean responds) throws IOException {
         this.responds = responds;
-        startThread(this::acceptConnections);
+        this.acceptor = startThread(this::acceptConnections);
     }
 
     int port() {
@@ -52,10 +53,11 @@
         return responses.get();
     }
 
-    private static void startThread(Runnable task) {
+    private static Thread startThread(Runnable task) {
         Thread thread = new Thread(task, "fixed-response-server");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     private void acceptConnections() {
@@ -71,11 +73,8 @@
         }
     }
 
-    private synchronized void keep(Socket connection) throws IOException {
+    private synchronized void keep(Socket connection) {
         connections.add(connection);
-        if (listener.isClosed()) {
-            connection.close();
-        }
     }
 
     private void serve(Socket connection) {
@@ -100,9 +99,15 @@
         }
     }
 
+    /** Ends all connections; the port refuses connects when this returns. */
     @Override
-    public synchronized void close() throws IOException {
+    public void close() throws IOException, InterruptedException {
         listener.close();
+        acceptor.join(); // the kernel keeps the port open until the thread has left its accept call
+        closeConnections();
+    }
+
+    private synchronized void closeConnections() throws IOException {
         for (Socket connection : connections) {
             connection.close();
         }
