Stall the selector from the connect on in the test of late connects

Developers: LateConnectTest.connectionThatIsNoticedLateIsUsed failed in 1 of 8 cold JVMs beside 20 busy loops (lateConnects 0, expected 1). Cause: the premise. The stall of 1,200 ms began before the request was sent; a send later than 700 ms into the stall ends it before the connect timeout of 500 ms, and the connect is not late. Change: the stall lasts 1,200 ms from the return of the send, which starts the connect. Assertions and both times unchanged. Evidence: with a pause of 1 s before the send (scratch copies) the test of before failed with the same assertion and this one passes, one run each; the class passes in 2 of 2 cold JVMs beside 20 loops. Left: 700 ms of real time for the timer to be run; not forced, since nothing shows its expiry.

--- a/gateway/src/test/java/org/cornelramp/gateway/LateConnectTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/LateConnectTest.java
@@ -6,6 +6,7 @@
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.ContentResponse;
 import org.testng.annotations.AfterMethod;
@@ -38,9 +39,11 @@
      */
     @Test
     public void connectionThatIsNoticedLateIsUsed() throws Exception {
-        SelectorStall.stall(clients.pooled(), STALL_MILLIS);
+        CountDownLatch connecting = new CountDownLatch(1);
+        SelectorStall.stallFrom(clients.pooled(), connecting, STALL_MILLIS);
         CompletableFuture<ContentResponse> response =
                 new CompletableResponseListener(clients.pooled().newRequest("127.0.0.1", server.port())).send();
+        connecting.countDown(); // the connect timeout has begun
         assertEquals(response.get().getStatus(), 200);
         assertEquals(server.requests(), 1);
         assertEquals(clients.lateConnects(), 1);
--- a/gateway/src/test/java/org/cornelramp/gateway/SelectorStall.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/SelectorStall.java
@@ -31,6 +31,22 @@
         stalled.await();
     }
 
+    /** Stalls the selector until some time has passed since an event; returns as soon as it is stalled. */
+    static void stallFrom(HttpClient client, CountDownLatch event, long millis) throws InterruptedException {
+        stall(client, () -> {
+            await(event);
+            sleep(millis);
+        });
+    }
+
+    private static void await(CountDownLatch event) {
+        try {
+            event.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void sleep(long millis) {
         try {
             Thread.sleep(millis);
