Probe engines that are no longer registered instead of taking them for dead

An engine may leave the list and serve on for seconds.

Change: a silent engine that is not registered is probed at the address in the stream's path, and a suspicion is kept until it ends.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
@@ -186,7 +186,7 @@
         return suspectedServers.isLost(id, nowMillis) || registry.isReplaced(id);
     }
 
-    /** Whether a server is lost or no longer registered, so that a silent stream over it will not go on. */
+    /** Whether a server is lost or no longer registered. */
     public boolean isGone(BackendServerId id, long nowMillis) {
         return isLost(id, nowMillis) || registry.server(id).isEmpty();
     }
@@ -211,9 +211,12 @@
         return new FleetView(servers, suspects, storeAvailable, initialised);
     }
 
-    /** Removes the state of servers that are no longer registered. */
-    public void removeUnregistered() {
-        suspectedServers.retain(id -> registry.server(id).isPresent());
+    /**
+     * Removes the state of servers that are no longer registered. A present suspicion stays until it ends, since streams
+     * may still run over the server.
+     */
+    public void removeUnregistered(long nowMillis) {
+        suspectedServers.retain(id -> registry.server(id).isPresent() || isSuspect(id, nowMillis));
         loads.retain(id -> registry.server(id).isPresent());
         plainServers.retain(id -> registry.server(id).isPresent());
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetUpdater.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetUpdater.java
@@ -30,7 +30,7 @@
                     .with("servers", fleet.registry().servers().size())
                     .with("leaving", fleet.leavingCount())
                     .write();
-            fleet.removeUnregistered();
+            fleet.removeUnregistered(now);
         }
     }
 
@@ -56,7 +56,7 @@
     /** Removes the registrations that have expired. */
     void expireRegistrations(long now) {
         if (fleet.registry().expire(now)) {
-            fleet.removeUnregistered();
+            fleet.removeUnregistered(now);
         }
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamMonitor.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamMonitor.java
@@ -102,7 +102,7 @@
         }
         List<SilentEngineDetector.StreamActivity> streams = streams(activeRequests);
         trustForwardingEngines(streams, now);
-        probeSilentEngines(streams, now);
+        probeSilentEngines(activeRequests, streams, now);
     }
 
     /**
@@ -122,18 +122,31 @@
         return path.hops().stream().map(hop -> hop.server().id()).toList();
     }
 
-    /** Probes the engines that may be dead, so that their streams continue elsewhere before the clients notice. */
-    private void probeSilentEngines(List<SilentEngineDetector.StreamActivity> streams, long now) {
+    /**
+     * Probes the engines that may be dead, so that their streams continue elsewhere before the clients notice. An engine
+     * whose registration is removed may be dead or may serve for seconds, so it is probed as well.
+     */
+    private void probeSilentEngines(
+            Collection<ActiveRequest> activeRequests, List<SilentEngineDetector.StreamActivity> streams, long now) {
         for (BackendServerId id : SilentEngineDetector.findSuspects(streams, fleet.isLate(now), now)) {
             if (!fleet.suspectedServers().isLost(id, now)) {
                 fleet.registry()
                         .server(id)
+                        .or(() -> engineOnPath(activeRequests, id))
                         .ifPresent(engine -> engineControl.probe(
                                 engine, router, fleet.lagMillis(), lastEventMillis(streams, id), now));
             }
         }
     }
 
+    private static Optional<BackendServer> engineOnPath(Collection<ActiveRequest> activeRequests, BackendServerId id) {
+        return activeRequests.stream()
+                .flatMap(request -> Optional.ofNullable(request.attempt()).flatMap(Attempt::path).stream())
+                .flatMap(path -> path.hop(id).stream())
+                .map(Hop::server)
+                .findFirst();
+    }
+
     /** When the last event passed an engine. */
     private static long lastEventMillis(List<SilentEngineDetector.StreamActivity> streams, BackendServerId engine) {
         return streams.stream()
@@ -173,7 +186,7 @@
     private void check(
             ActiveRequest request, Attempt attempt, StagePath path, Optional<RoutingConfig> config, long now) {
         boolean stalled = hasStalled(request, attempt, path, now);
-        if (stalled && fleet.isGone(path.first().id(), now)) {
+        if (stalled && fleet.isLost(path.first().id(), now)) {
             attempt.cancel("its first engine is lost");
         } else if (stalled && overdueAttempts.canRestart(request, now)) {
             // A move order waits for the stalled engines, and is refused if their work has just ended.
@@ -198,12 +211,9 @@
                 .anyMatch(hop -> fleet.isLeaving(hop.server().id()));
     }
 
-    /**
-     * Whether an engine of the path is lost or no longer registered and no recent event contradicts it, read or still
-     * unread. An engine that is no longer registered cannot be probed, so it never becomes lost.
-     */
+    /** Whether an engine of the path is considered lost and no recent event contradicts it, read or still unread. */
     private boolean hasStalled(ActiveRequest request, Attempt attempt, StagePath path, long now) {
-        return containsEngine(path, id -> fleet.isGone(id, now))
+        return containsEngine(path, id -> fleet.isLost(id, now))
                 && !stream(request, attempt, path).isActive(now)
                 && !attempt.hasUnreadBytes();
     }
