Let either the first event or a refusal begin a response, never both

What a caller could see: status 200, the first event of a stream, the text of a refusal, and the end of a complete response.

Cause: "committed" and "ended" were two flags. A deadline that expired while the first event was on its way to the client found the exchange not committed and wrote the refusal; the event was written all the same.

Change: one atomic state. A refusal that comes too late breaks the stream off. RouterQueueTest also requires that the deadline has not ended the request.

--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -6,7 +6,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.cornelramp.core.model.OrganisationId;
 import org.cornelramp.core.routing.Route;
@@ -32,7 +32,7 @@
     private final Callback callback;
     private final BooleanSupplier closing;
     private final ClientDisconnectProbe probe;
-    private final AtomicBoolean ended = new AtomicBoolean();
+    private final AtomicReference<State> state = new AtomicReference<>(State.OPEN);
     private volatile boolean committed;
     private volatile long lastEventId;
     private volatile long lastEventMillis;
@@ -40,6 +40,14 @@
     private volatile long longestPauseMillis;
     private volatile int writes;
 
+    private enum State {
+        /** Nothing of the response has been sent. */
+        OPEN,
+        /** Events are sent. */
+        STREAMING,
+        ENDED
+    }
+
     /**
      * The client's request. Immutable, safe for use by any thread.
      *
@@ -98,7 +106,7 @@
 
     /** Whether the exchange has ended. */
     public boolean isEnded() {
-        return ended.get();
+        return state.get() == State.ENDED;
     }
 
     /** Id of the last event that was sent to the client; empty if there is none. */
@@ -130,7 +138,7 @@
     /** Whether the client has closed its connection; probed only if no event was sent within the probe's interval. */
     public boolean hasClientDisconnected(long nowMillis) {
         long idleMillis = nowMillis - Math.max(lastEventMillis, request.receivedMillis());
-        return !ended.get() && idleMillis > ClientDisconnectProbe.INTERVAL_MILLIS && probe.hasClosed(nowMillis);
+        return !isEnded() && idleMillis > ClientDisconnectProbe.INTERVAL_MILLIS && probe.hasClosed(nowMillis);
     }
 
     /** How the close of the client's connection was detected; empty while it is open. */
@@ -143,13 +151,33 @@
      * response.
      */
     private boolean end() {
-        boolean first = ended.compareAndSet(false, true);
+        return endFrom(state.getAndSet(State.ENDED));
+    }
+
+    /** Ends an exchange of whose response nothing has been sent; false if an event is being sent, or it has ended. */
+    private boolean endUnsent() {
+        return state.compareAndSet(State.OPEN, State.ENDED) && endFrom(State.OPEN);
+    }
+
+    private boolean endFrom(State before) {
         probe.stop();
-        return first;
+        return before != State.ENDED;
     }
 
-    /** Forwards whole events; sends the headers of the first response before them. */
+    /** Whether events may be sent; the first of them decides that the response is a stream. */
+    private boolean beginEvents() {
+        return state.compareAndSet(State.OPEN, State.STREAMING) || state.get() == State.STREAMING;
+    }
+
+    /**
+     * Forwards whole events; sends the headers of the first response before them. Fails if the exchange has ended: the
+     * router may refuse a request while its first event is on the way, and the client would get both in one response.
+     */
     void relay(HttpFields fields, ByteBuffer events, long lastId, long nowMillis, Callback done) {
+        if (!beginEvents()) {
+            done.failed(new IOException("the exchange has ended"));
+            return;
+        }
         if (!committed) {
             committed = true;
             beginResponse(200);
@@ -184,8 +212,7 @@
 
     /** Forwards a complete response of a backend server; false if that is too late or it cannot be written. */
     public boolean forwardResponse(int status, HttpFields fields, byte[] body) {
-        return !committed
-                && end()
+        return endUnsent()
                 && writeLast(callback, () -> {
                     beginResponse(status);
                     ResponseHead.copyEndToEnd(fields, response.getHeaders());
@@ -200,7 +227,7 @@
      *     it is added at random, so that clients that were refused together do not retry together
      */
     public boolean refuse(Refusal refusal, long retryMillis) {
-        return !committed && end() && refuse(response, callback, refusal, retryMillis, closing.getAsBoolean());
+        return endUnsent() && refuse(response, callback, refusal, retryMillis, closing.getAsBoolean());
     }
 
     /** Writes the gateway's own response; false if it cannot be written. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -315,11 +315,12 @@
     }
 
     private void giveUp(ActiveRequest request, Refusal refusal, String why, long now) {
-        if (request.exchange().isCommitted()) {
-            breakOff(request, why, now);
+        boolean refused =
+                !request.exchange().isCommitted() && request.exchange().refuse(refusal, refusal.retryMillis());
+        if (!refused) {
+            breakOff(request, why, now); // its first event may have been sent a moment ago
             return;
         }
-        request.exchange().refuse(refusal, refusal.retryMillis());
         routingLog.refused(request, refusal, why);
         finish(request, "refused", refusal.status(), now);
     }
--- a/gateway/src/test/java/org/cornelramp/gateway/RouterQueueTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/RouterQueueTest.java
@@ -1,6 +1,7 @@
 package org.cornelramp.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.io.OutputStream;
@@ -99,5 +100,6 @@
         GatewayFixture.await(() -> router.activeRequestCount() == 0, "the request has ended");
         router.stop();
         assertTrue(client.status() >= 500);
+        assertNotEquals(client.status(), 504, "its deadline has not ended it");
     }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/ExchangeTest.java
@@ -175,4 +175,49 @@
         assertFalse(exchange.complete(HeaderFixtures.answer(ID)));
         assertEquals(calls, List.of("failed: no write now"));
     }
+
+    /**
+     * Guards against a response that looks complete and holds a refusal behind the first event of a stream: the event
+     * is on its way to the client when the router refuses the request.
+     */
+    @Test
+    public void eventAfterARefusalIsNotSent() {
+        List<String> written = new ArrayList<>();
+        List<Throwable> failures = new ArrayList<>();
+        Exchange exchange = exchange(
+                response(HttpFields.build(), () -> written.add("write")),
+                Callback.NOOP,
+                probe(new ByteArrayEndPoint()));
+        assertTrue(exchange.refuse(Refusal.TIMED_OUT, 0));
+        exchange.relay(
+                HeaderFixtures.answer(ID),
+                ByteBuffer.wrap(new byte[1]),
+                0,
+                RECEIVED_MILLIS,
+                Callback.from(() -> {}, failures::add));
+        assertEquals(written, List.of("write"), "the refusal only");
+        assertEquals(failures.size(), 1);
+        assertFalse(exchange.isCommitted());
+    }
+
+    /** Guards against the same in the other order: the refusal comes after the headers of the stream are decided. */
+    @Test
+    public void refusalAfterTheFirstEventIsNotSent() {
+        List<String> written = new ArrayList<>();
+        AtomicBoolean refused = new AtomicBoolean();
+        Exchange[] made = new Exchange[1];
+        HttpFields.Mutable headers = HttpFields.build();
+        made[0] = exchange(
+                response(headers, () -> {
+                    written.add("write");
+                    refused.set(made[0].refuse(Refusal.TIMED_OUT, 0)); // comes while the event is written
+                }),
+                Callback.NOOP,
+                probe(new ByteArrayEndPoint()));
+        made[0].relay(HeaderFixtures.answer(ID), ByteBuffer.wrap(new byte[1]), 0, RECEIVED_MILLIS, Callback.NOOP);
+        assertFalse(refused.get());
+        assertEquals(written, List.of("write"), "the event only");
+        assertTrue(made[0].isCommitted());
+        assertTrue(made[0].abort("deadline"));
+    }
 }
