Let the tests of faults run on the simulation's own clock and one set of answers

Three test classes had a loop of their own that let time pass and swallowed the exceptions of a tick; since the router catches these itself, the catch blocks were dead and the loops copies of RouterSimulation.run. An exception that escapes now fails the test. The settings without retries stood in four places (GatewayFixture has them), a refused order in three (MoveAnswers). RouterSimulation had three switches for engines that do not answer, of which one function serves for all, and two ways to the same update for peers.

No assertion changes.

--- a/gateway/src/test/java/org/cornelramp/gateway/route/AttemptEndFaultTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/AttemptEndFaultTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import org.cornelramp.gateway.GatewayFixture;
 import org.cornelramp.gateway.request.AttemptEnd;
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.standin.HeaderFixtures;
@@ -31,43 +32,15 @@
         RouterEvent.AttemptEnded ended = (RouterEvent.AttemptEnded) router.takeEvent();
         AttemptEnd end = ended.end();
         AttemptEnd invalid = new AttemptEnd(end.kind(), end.status(), end.fields(), end.body(), null, end.detail());
-        handle(new RouterEvent.AttemptEnded(ended.attempt(), invalid));
-    }
-
-    /** Hands an event to the router as the event loop does, which survives exceptions. */
-    private void handle(RouterEvent event) {
-        try {
-            router.handle(event);
-        } catch (IllegalStateException | NullPointerException e) {
-            // the event loop logs it
-        }
-    }
-
-    private void run(long millis) {
-        for (long end = router.now() + millis; router.now() < end; ) {
-            try {
-                router.tick();
-            } catch (IllegalStateException | NullPointerException e) {
-                // the event loop logs it
-            }
-            for (RouterEvent event = router.takeEvent(); event != null; event = router.takeEvent()) {
-                handle(event);
-            }
-        }
-    }
-
-    private FakeClient request(String path, String id) {
-        FakeClient client = new FakeClient(router.route(path), id, router.now());
-        handle(new RouterEvent.RequestReceived(client.exchange()));
-        return client;
+        router.handle(new RouterEvent.AttemptEnded(ended.attempt(), invalid));
     }
 
     /** Guards against a non-idempotent request that runs twice after an exception in the handling of its end. */
     @Test
     public void nonIdempotentRequestIsNotSentAgain() {
-        FakeClient client = request("/book/", "r1");
+        FakeClient client = router.request("/book/", "r1");
         failWithException(router.calls().get(0));
-        run(1_000);
+        router.run(1_000);
         assertEquals(router.calls().size(), 1);
         assertEquals(client.status(), 502, "it may have run");
         assertEquals(router.activeRequests(), 0);
@@ -76,28 +49,27 @@
     /** Guards against started streams that are not resumed after an exception in the handling of an attempt's end. */
     @Test
     public void startedStreamIsResumed() {
-        FakeClient client = request("/chat/", "r1");
+        FakeClient client = router.request("/chat/", "r1");
         FakeHttpClient.Call call = router.calls().get(0);
         call.events("r1", "id: 0\ndata: x\n\n");
         failWithException(call);
-        run(1_000);
+        router.run(1_000);
         assertEquals(router.calls().size(), 2);
         router.calls().get(1).complete(200, HeaderFixtures.answer("r1"));
-        run(100);
+        router.run(100);
         assertTrue(client.isComplete());
     }
 
     /** Guards against retries beyond the budget after an exception in the handling of an attempt's end. */
     @Test
     public void startedStreamConsumesARetry() {
-        router = new RouterSimulation(
-                StandInConfig.small(1), ",\"retries\":{\"ratio\":0,\"reserve\":0,\"windowSeconds\":2}", 1);
+        router = new RouterSimulation(StandInConfig.small(1), GatewayFixture.NO_RETRIES, 1);
         router.register(RouterSimulation.engine("a1", 11, 0, 8));
-        FakeClient client = request("/chat/", "r1");
+        FakeClient client = router.request("/chat/", "r1");
         FakeHttpClient.Call call = router.calls().get(0);
         call.events("r1", "id: 0\ndata: x\n\n");
         failWithException(call);
-        run(1_000);
+        router.run(1_000);
         assertEquals(router.calls().size(), 1);
         assertFalse(client.isClosed());
     }
@@ -105,14 +77,14 @@
     /** Guards against started streams that wait for good because the sending of a retry throws an exception. */
     @Test
     public void startedStreamIsResumedAfterARetryThatCannotBeSent() {
-        FakeClient client = request("/chat/", "r1");
+        FakeClient client = router.request("/chat/", "r1");
         FakeHttpClient.Call call = router.calls().get(0);
         call.events("r1", "id: 0\ndata: x\n\n");
         router.http().setSendFailure(new IllegalStateException("cannot send"));
         call.fail(new IllegalStateException("reset"));
-        run(100);
+        router.run(100);
         router.http().setSendFailure(null);
-        run(1_000);
+        router.run(1_000);
         assertEquals(router.calls().size(), 2);
         assertFalse(client.isClosed());
     }
@@ -121,8 +93,8 @@
     @Test
     public void requestThatCannotBeSentIsAnswered() {
         router.http().setSendFailure(new IllegalStateException("cannot send"));
-        FakeClient client = request("/book/", "r1");
-        run(100);
+        FakeClient client = router.request("/book/", "r1");
+        router.run(100);
         assertEquals(client.status(), 502, "it may have been sent");
         assertEquals(router.activeRequests(), 0);
     }
@@ -131,8 +103,8 @@
     @Test
     public void requestThatCannotBeSentLeavesNoLoad() {
         router.http().setSendFailure(new IllegalStateException("cannot send"));
-        request("/chat/", "r1");
-        run(9_100);
+        router.request("/chat/", "r1");
+        router.run(9_100);
         assertEquals(router.activeRequests(), 0);
         assertEquals(router.peerUpdate().loads().orElseThrow().size(), 0);
     }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/MoveAnswers.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/MoveAnswers.java
@@ -12,7 +12,8 @@
     /** An engine refuses the order. */
     static final PlatformFault CONFLICT = new PlatformFault(PlatformFault.Kind.CONFLICT, "status 409");
 
-    private static final PlatformFault NO_ANSWER = new PlatformFault(PlatformFault.Kind.NO_ANSWER, "no answer");
+    /** An engine does not answer. */
+    static final PlatformFault NO_ANSWER = new PlatformFault(PlatformFault.Kind.NO_ANSWER, "no answer");
 
     private MoveAnswers() {}
 
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterFaultTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterFaultTest.java
@@ -25,18 +25,6 @@
         router.register(RouterSimulation.plainServer("p2", 32));
     }
 
-    /** Lets time pass as the event loop does, which survives exceptions. */
-    private void run(long millis) {
-        for (long end = router.now() + millis; router.now() < end; ) {
-            try {
-                router.tick();
-            } catch (IllegalStateException e) {
-                assertEquals(e.getMessage(), REASON);
-            }
-            router.settle();
-        }
-    }
-
     private static void fail() {
         throw new IllegalStateException(REASON);
     }
@@ -47,16 +35,16 @@
         for (int i = 0; i < 8; i++) {
             router.request("/look/", "late" + i);
         }
-        run(340);
+        router.run(340);
         router.http().setAbortFailure(new IllegalStateException(REASON)); // each attempt to cancel a late answer
         FakeClient client = router.request("/chat/a", "sound");
         FakeHttpClient.Call call = router.calls().get(8);
         call.events("sound", "id: 0\ndata: x\n\n");
         router.unregister(engine);
         call.fail(new IllegalStateException("reset"));
-        run(200);
+        router.run(200);
         router.register(RouterSimulation.engine("a2", 12, 0, 8));
-        run(500);
+        router.run(500);
         assertEquals(router.calls().size(), 10, "the stream is resumed");
         assertEquals(client.isClosed(), false);
     }
@@ -66,7 +54,7 @@
     public void failingRequestEndsAtItsDeadline() {
         FakeClient client = router.request("/chat/a", "failing");
         client.setBeforeRead(RouterFaultTest::fail);
-        run(9_100);
+        router.run(9_100);
         assertEquals(client.status(), 504);
         assertEquals(router.activeRequests(), 0);
         assertEquals(router.linesWith(REASON), 1);
@@ -77,26 +65,26 @@
     public void failingCancelDoesNotKeepTheRequest() {
         FakeClient client = router.request("/chat/a", "failing");
         router.http().setAbortFailure(new IllegalStateException(REASON));
-        run(9_100);
+        router.run(9_100);
         assertEquals(client.status(), 504);
         assertEquals(router.activeRequests(), 0);
         assertEquals(router.linesWith(REASON), 1);
     }
 
-    /** Guards against a ticks that end early because a stream cannot be taken off its engine. */
+    /** Guards against ticks that end early because a stream cannot be taken off its engine. */
     @Test
     public void exceptionInAStreamCheckDoesNotStopTheTick() {
         FakeClient client = router.request("/chat/a", "r1");
         FakeHttpClient.Call call = router.calls().get(0);
         call.events("r1", "id: 0\ndata: x\n\n");
         router.http().setAbortFailure(new IllegalStateException(REASON));
-        router.setEnginesAnswer(false);
+        router.silenceEngines();
         long before = router.peerUpdate().sequenceNumber();
-        run(2_000);
+        router.run(2_000);
         assertTrue(router.peerUpdate().sequenceNumber() - before >= 100, "each tick updates the peers");
         call.events("r1", "id: 1\ndata: y\n\n");
         call.complete(200, HeaderFixtures.answer("r1"));
-        run(100);
+        router.run(100);
         assertTrue(client.isComplete());
     }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterHistory.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterHistory.java
@@ -265,7 +265,8 @@
     /** Lets a peer lend the retries that the gateway asks for. */
     void lendRetries() {
         Map<ServiceName, List<RetryLoanUpdate.Loan>> loans = new HashMap<>();
-        router.loanUpdate()
+        router.peerUpdate()
+                .retryLoans()
                 .loanRequests()
                 .forEach((service, request) ->
                         loans.put(service, List.of(new RetryLoanUpdate.Loan("g1", request.id(), request.amount()))));
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -20,7 +20,6 @@
 import org.cornelramp.core.model.LayerRange;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.StagePath;
-import org.cornelramp.core.retry.RetryLoanUpdate;
 import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.GatewaySettingsReader;
@@ -44,8 +43,6 @@
     /** Layers of the model, half of which each engine of a pair holds. */
     private static final int LAYERS = 8;
 
-    private static final PlatformFault NO_ANSWER = new PlatformFault(PlatformFault.Kind.NO_ANSWER, "no answer");
-
     private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
     private final EventLog log = new EventLog(logged, Clock.systemUTC(), "g1");
     private final Deque<RouterEvent> queue = new ArrayDeque<>();
@@ -56,9 +53,7 @@
     private final RequestRouter router;
     private RepathAnswer repathAnswer = order -> Either.right(new byte[0]);
     private Function<BackendServer, Optional<PlatformFault>> reportFaults = engine -> Optional.empty();
-    private boolean enginesAnswer = true;
     private boolean engineCallsRejected;
-    private RuntimeException reportFailure;
     private long now = 1_000;
     private long offset;
 
@@ -104,11 +99,9 @@
 
         @Override
         public Either<PlatformFault, EngineReport> report(BackendServer engine, long timeoutMillis) {
-            if (reportFailure != null) {
-                throw reportFailure;
-            }
-            Optional<PlatformFault> fault = enginesAnswer ? reportFaults.apply(engine) : Optional.of(NO_ANSWER);
-            return fault.<Either<PlatformFault, EngineReport>>map(Either::left)
+            return reportFaults
+                    .apply(engine)
+                    .<Either<PlatformFault, EngineReport>>map(Either::left)
                     .orElseGet(() -> Either.right(
                             new EngineReport(Optional.empty(), false, 0, 1, 0, 0, 0, engine.layers(), List.of())));
         }
@@ -167,17 +160,12 @@
         repathAnswer = answer;
     }
 
-    /** Sets whether engines answer requests for their reports. */
-    void setEnginesAnswer(boolean answer) {
-        enginesAnswer = answer;
-    }
-
-    /** Sets an exception that requests for engines' reports throw from now on; null for none. */
-    void setReportFailure(RuntimeException failure) {
-        reportFailure = failure;
+    /** Lets no engine answer requests for its report from now on. */
+    void silenceEngines() {
+        setReportFaults(engine -> Optional.of(MoveAnswers.NO_ANSWER));
     }
 
-    /** Sets which engines do not answer requests for their reports, and how. */
+    /** Sets which engines do not answer requests for their reports, and how; the function may throw as a call may. */
     void setReportFaults(Function<BackendServer, Optional<PlatformFault>> faults) {
         reportFaults = faults;
     }
@@ -304,11 +292,6 @@
         now += millis;
     }
 
-    /** What this gateway tells its peers now about retries. */
-    RetryLoanUpdate loanUpdate() {
-        return router.peerUpdates().currentUpdate().retryLoans();
-    }
-
     /** Lets time pass up to the next tick of the router, without running what is queued. */
     void tick() {
         now += RequestRouter.TICK_MILLIS;
--- a/gateway/src/test/java/org/cornelramp/gateway/route/UnansweredMoveTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/UnansweredMoveTest.java
@@ -12,8 +12,8 @@
 import org.cornelramp.core.fleet.ServerState;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.EngineLoads;
+import org.cornelramp.gateway.GatewayFixture;
 import org.cornelramp.platform.MoveFault;
-import org.cornelramp.platform.PlatformFault;
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.cornelramp.platform.standin.StandInConfig;
 import org.testng.annotations.BeforeMethod;
@@ -21,10 +21,7 @@
 
 /** Orders to move a stream whose result is lost, late, or crosses another event. */
 public class UnansweredMoveTest {
-    private static final String NO_RETRIES = ",\"retries\":{\"ratio\":0,\"reserve\":0,\"windowSeconds\":2}";
-
-    private static final MoveFault REFUSED =
-            new MoveFault(new PlatformFault(PlatformFault.Kind.CONFLICT, "status 409"), Optional.empty());
+    private static final MoveFault REFUSED = new MoveFault(MoveAnswers.CONFLICT, Optional.empty());
 
     /** Longer than the time for which a move may stay without a result. */
     private static final long LONG_MILLIS = 5_000;
@@ -55,7 +52,7 @@
     private RouterEvent.MoveResult awaitOrder() {
         for (int i = 0; i < 200; i++) {
             router.tick();
-            while (runCall()) {
+            while (router.runEngineCall()) {
                 // until no call is queued
             }
             for (RouterEvent event = router.takeEvent(); event != null; event = router.takeEvent()) {
@@ -68,24 +65,6 @@
         throw new AssertionError("no order to move the stream");
     }
 
-    /** Runs a call as a thread pool does, which survives exceptions. */
-    private boolean runCall() {
-        try {
-            return router.runEngineCall();
-        } catch (CancellationException e) {
-            return true;
-        }
-    }
-
-    private void run(long millis) {
-        for (long end = router.now() + millis; router.now() < end; ) {
-            router.tick();
-            while (runCall() || router.handleNext()) {
-                // until nothing is queued
-            }
-        }
-    }
-
     private Optional<EngineLoads.Load> load(BackendServer engine) {
         Map<BackendServerId, EngineLoads.Load> loads =
                 router.peerUpdate().loads().orElseThrow();
@@ -96,8 +75,8 @@
     @Test
     public void lostResultDoesNotHideTheStream() {
         awaitOrder();
-        router.setEnginesAnswer(false);
-        run(LONG_MILLIS);
+        router.silenceEngines();
+        router.run(LONG_MILLIS);
         assertTrue(call.isAborted(), "the stream is taken off its dead engine");
     }
 
@@ -107,10 +86,10 @@
         router.setRepathAnswer(order -> {
             throw new CancellationException("the connection was closed");
         });
-        run(2_000);
+        router.run(2_000);
         assertTrue(router.repathOrders().size() > 0, "an order was sent");
-        router.setEnginesAnswer(false);
-        run(LONG_MILLIS);
+        router.silenceEngines();
+        router.run(LONG_MILLIS);
         assertTrue(call.isAborted(), "the stream is taken off its dead engine");
         assertTrue(router.linesWith("the connection was closed") > 0, "the reason is logged");
     }
@@ -118,24 +97,26 @@
     /** Guards against engines that are taken for alive because the call for their report throws an exception. */
     @Test
     public void exceptionInAProbeCountsAsNoAnswer() {
-        router.setReportFailure(new CancellationException("the connection was closed"));
-        run(LONG_MILLIS);
+        router.setReportFaults(engine -> {
+            throw new CancellationException("the connection was closed");
+        });
+        router.run(LONG_MILLIS);
         assertTrue(call.isAborted(), "the stream is taken off its dead engine");
     }
 
     /** Guards against a stream that runs on another path than the gateway assumes after a late result. */
     @Test
     public void lateSuccessIsApplied() {
-        startStream(NO_RETRIES);
+        startStream(GatewayFixture.NO_RETRIES);
         RouterEvent.MoveResult moved = awaitOrder();
-        run(LONG_MILLIS);
+        router.run(LONG_MILLIS);
         assertFalse(call.isAborted(), "an engine that is shutting down still serves");
         router.handle(moved);
         router.tick();
         assertEquals(load(leaving), Optional.empty());
         assertEquals(load(successor).orElseThrow().requests(), 1);
         call.complete(200, HeaderFixtures.answer("r1"));
-        run(100);
+        router.run(100);
         assertEquals(load(successor), Optional.empty());
     }
 
@@ -164,7 +145,7 @@
         router.register(successor.withState(ServerState.DRAINING));
         awaitOrder();
         router.handle(new RouterEvent.MoveResult(moved.attempt(), moved.path(), Either.left(REFUSED)));
-        run(400);
+        router.run(400);
         assertEquals(router.repathOrders().size(), 2);
     }
 
@@ -173,7 +154,7 @@
     public void moveAcceptedAfterTheEndOfItsAttemptAddsNoLoad() {
         RouterEvent.MoveResult moved = awaitOrder();
         call.complete(200, HeaderFixtures.answer("r1"));
-        run(100);
+        router.run(100);
         router.handle(moved);
         router.tick();
         assertEquals(router.peerUpdate().loads(), Optional.of(Map.of()));
@@ -186,7 +167,7 @@
         RouterEvent.MoveResult moved = awaitOrder();
         call.complete(200, HeaderFixtures.answer("r1"));
         router.handle(moved);
-        run(100);
+        router.run(100);
         assertEquals(router.peerUpdate().loads(), Optional.of(Map.of()));
         assertEquals(router.activeRequests(), 0);
     }
@@ -196,10 +177,10 @@
     public void refusalForAReplacedAttemptDoesNotConcernTheNextOne() {
         RouterEvent.MoveResult moved = awaitOrder();
         call.fail(new IllegalStateException("reset"));
-        run(200);
+        router.run(200);
         assertEquals(router.calls().size(), 2, "the stream is resumed");
         router.handle(new RouterEvent.MoveResult(moved.attempt(), moved.path(), Either.left(REFUSED)));
-        run(100);
+        router.run(100);
         assertFalse(router.calls().get(1).isAborted());
     }
 }
