Make one set of fakes for the requests, responses and probes of tests

AttemptTest, ExchangeTest and FakeClient each built the same route and request, three classes the same proxy of an interface, two the same probe. Fakes and RequestFixtures serve all. FakeHttpClient loses a host that nobody read.

--- a/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
@@ -6,21 +6,16 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
-import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.cornelramp.core.fleet.BackendServer;
-import org.cornelramp.core.model.ServiceName;
-import org.cornelramp.core.routing.Route;
-import org.cornelramp.core.routing.RouteKind;
-import org.cornelramp.core.routing.WeightedService;
 import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.gateway.Fakes;
 import org.cornelramp.gateway.TestEngines;
 import org.cornelramp.platform.ForwardedHead;
-import org.cornelramp.platform.RequestHead;
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -36,7 +31,6 @@
  */
 public class AttemptTest {
     private static final String ID = "r1";
-    private static final ServiceName SERVICE = new ServiceName("llm");
 
     private final HttpFields.Mutable answered = HttpFields.build();
     private final List<String> written = new ArrayList<>();
@@ -53,27 +47,12 @@
     }
 
     private Exchange exchange(org.eclipse.jetty.server.Response client) {
-        HttpFields fields = HeaderFixtures.request(ID);
-        List<WeightedService> split = List.of(new WeightedService(SERVICE, 1));
-        Route route =
-                new Route("chat", "host", "/chat/", RouteKind.STREAMING, 9_000, 500, 200, 1, 2, false, true, split);
-        Exchange.ClientRequest call = new Exchange.ClientRequest(
-                RequestHead.decode(fields),
-                "POST",
-                "/chat/a",
-                fields,
-                new byte[0],
-                route,
-                Optional.empty(),
-                1,
-                0,
-                9_000);
-        return new Exchange(call, client, Callback.NOOP, () -> false, null);
+        return new Exchange(RequestFixtures.stream(ID, 0), client, Callback.NOOP, () -> false, null);
     }
 
     /** Records what is written to the client; supports no other calls than those of an attempt. */
     private org.eclipse.jetty.server.Response clientResponse() {
-        return fake(org.eclipse.jetty.server.Response.class, (name, args) -> {
+        return Fakes.of(org.eclipse.jetty.server.Response.class, (name, args) -> {
             if (name.equals("write")) {
                 written.add(StandardCharsets.UTF_8.decode((ByteBuffer) args[1]).toString());
                 ((Callback) args[2]).succeeded();
@@ -87,25 +66,13 @@
     }
 
     private static Response engineResponse(HttpFields head) {
-        return fake(Response.class, (name, args) -> switch (name) {
+        return Fakes.of(Response.class, (name, args) -> switch (name) {
             case "getStatus" -> 200;
             case "getHeaders" -> head;
             default -> null;
         });
     }
 
-    private interface Call {
-        Object answer(String name, Object[] args);
-    }
-
-    private static <T> T fake(Class<T> type, Call call) {
-        Object made = Proxy.newProxyInstance(
-                type.getClassLoader(),
-                new Class<?>[] {type},
-                (self, method, args) -> call.answer(method.getName(), args));
-        return type.cast(made);
-    }
-
     private static BackendServer engine() {
         return TestEngines.empty("e1", new HostPort("127.0.0.1", 1));
     }
@@ -154,7 +121,7 @@
 
     /** A client's response whose writes throw after they have begun. */
     private org.eclipse.jetty.server.Response throwingResponse() {
-        return fake(org.eclipse.jetty.server.Response.class, (name, args) -> {
+        return Fakes.of(org.eclipse.jetty.server.Response.class, (name, args) -> {
             if (name.equals("write")) {
                 written.add(StandardCharsets.UTF_8.decode((ByteBuffer) args[1]).toString());
                 throw new IllegalStateException("no write now");
@@ -185,7 +152,7 @@
     /** Guards against logs that do not tell a failed write from a close that the probe detected. */
     @Test
     public void failedWriteIsNamedWithItsCause() {
-        org.eclipse.jetty.server.Response client = fake(org.eclipse.jetty.server.Response.class, (name, args) -> {
+        org.eclipse.jetty.server.Response client = Fakes.of(org.eclipse.jetty.server.Response.class, (name, args) -> {
             if (name.equals("write")) {
                 ((Callback) args[2]).failed(new IOException("Broken pipe"));
             }
--- a/gateway/src/test/java/org/cornelramp/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/ExchangeTest.java
@@ -4,21 +4,14 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Predicate;
-import org.cornelramp.core.model.ServiceName;
-import org.cornelramp.core.routing.Route;
-import org.cornelramp.core.routing.RouteKind;
-import org.cornelramp.core.routing.WeightedService;
-import org.cornelramp.platform.RequestHead;
+import org.cornelramp.gateway.Fakes;
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.ByteArrayEndPoint;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -32,43 +25,16 @@
     private static final long INTERVAL_MILLIS = ClientDisconnectProbe.INTERVAL_MILLIS;
 
     private static Exchange exchange(Response response, Callback callback, ClientDisconnectProbe probe) {
-        HttpFields fields = HeaderFixtures.request(ID);
-        List<WeightedService> split = List.of(new WeightedService(new ServiceName("llm"), 1));
-        Route route =
-                new Route("chat", "host", "/chat/", RouteKind.STREAMING, 9_000, 500, 200, 1, 2, false, true, split);
-        Exchange.ClientRequest call = new Exchange.ClientRequest(
-                RequestHead.decode(fields),
-                "POST",
-                "/chat/a",
-                fields,
-                new byte[0],
-                route,
-                Optional.empty(),
-                1,
-                RECEIVED_MILLIS,
-                RECEIVED_MILLIS + 9_000);
-        return new Exchange(call, response, callback, () -> false, probe);
+        return new Exchange(RequestFixtures.stream(ID, RECEIVED_MILLIS), response, callback, () -> false, probe);
     }
 
     /** A client's response with these headers; each write takes this action. */
     private static Response response(HttpFields.Mutable headers, Runnable onWrite) {
-        Object made = Proxy.newProxyInstance(
-                Response.class.getClassLoader(), new Class<?>[] {Response.class}, (self, method, args) -> {
-                    if (method.getName().equals("write")) {
-                        onWrite.run();
-                    }
-                    return method.getName().equals("getHeaders") ? headers : null;
-                });
-        return (Response) made;
-    }
-
-    /** A probe that reads from this end point. */
-    private static ClientDisconnectProbe probe(ByteArrayEndPoint endPoint) {
-        return new ClientDisconnectProbe(endPoint, new AbstractConnection(endPoint, Runnable::run) {
-            @Override
-            public void onFillable() {
-                throw new AssertionError("only the probe reads");
+        return Fakes.of(Response.class, (name, args) -> {
+            if (name.equals("write")) {
+                onWrite.run();
             }
+            return name.equals("getHeaders") ? headers : null;
         });
     }
 
@@ -90,7 +56,8 @@
      */
     @Test
     public void endOfInputCountsAsACloseOnlyInAPauseLongerThanTheProbesInterval() {
-        Exchange exchange = exchange(response(HttpFields.build(), () -> {}), Callback.NOOP, probe(endOfInput()));
+        Exchange exchange =
+                exchange(response(HttpFields.build(), () -> {}), Callback.NOOP, RequestFixtures.probe(endOfInput()));
         long now = RECEIVED_MILLIS;
         for (int id = 0; id < 5; id++) {
             assertFalse(exchange.hasClientDisconnected(now + INTERVAL_MILLIS), "events flow");
@@ -106,7 +73,8 @@
     /** Guards against a half-closed client that counts as gone before the pause in which a leaving one is noticed. */
     @Test
     public void endOfInputBeforeTheFirstEventCountsAsACloseAfterTheProbesInterval() {
-        Exchange exchange = exchange(response(HttpFields.build(), () -> {}), Callback.NOOP, probe(endOfInput()));
+        Exchange exchange =
+                exchange(response(HttpFields.build(), () -> {}), Callback.NOOP, RequestFixtures.probe(endOfInput()));
         assertFalse(exchange.hasClientDisconnected(RECEIVED_MILLIS + INTERVAL_MILLIS));
         assertTrue(exchange.hasClientDisconnected(RECEIVED_MILLIS + INTERVAL_MILLIS + 1));
     }
@@ -114,8 +82,8 @@
     /** Guards against a silent client that counts as gone although it has closed nothing. */
     @Test
     public void openInputIsNoClose() {
-        Exchange exchange =
-                exchange(response(HttpFields.build(), () -> {}), Callback.NOOP, probe(new ByteArrayEndPoint()));
+        Exchange exchange = exchange(
+                response(HttpFields.build(), () -> {}), Callback.NOOP, RequestFixtures.probe(new ByteArrayEndPoint()));
         assertFalse(exchange.hasClientDisconnected(RECEIVED_MILLIS + 10 * INTERVAL_MILLIS));
     }
 
@@ -143,7 +111,7 @@
     public void lastWriteThatThrowsFailsTheResponse(Predicate<Exchange> lastWrite) {
         List<String> calls = new ArrayList<>();
         Response response = response(HttpFields.build(), throwing("no write now"));
-        Exchange exchange = exchange(response, recording(calls), probe(new ByteArrayEndPoint()));
+        Exchange exchange = exchange(response, recording(calls), RequestFixtures.probe(new ByteArrayEndPoint()));
         assertFalse(lastWrite.test(exchange));
         assertEquals(calls, List.of("failed: no write now"));
         assertTrue(exchange.isEnded());
@@ -153,7 +121,8 @@
     @Test(dataProvider = "lastWrites")
     public void headersThatCannotBeSetFailTheResponse(Predicate<Exchange> lastWrite) {
         List<String> calls = new ArrayList<>();
-        Exchange exchange = exchange(response(null, () -> {}), recording(calls), probe(new ByteArrayEndPoint()));
+        Exchange exchange =
+                exchange(response(null, () -> {}), recording(calls), RequestFixtures.probe(new ByteArrayEndPoint()));
         assertFalse(lastWrite.test(exchange));
         assertEquals(calls.size(), 1, calls.toString());
         assertTrue(calls.get(0).startsWith("failed: "), calls.toString());
@@ -169,7 +138,7 @@
                 throw new IllegalStateException("no write now");
             }
         });
-        Exchange exchange = exchange(response, recording(calls), probe(new ByteArrayEndPoint()));
+        Exchange exchange = exchange(response, recording(calls), RequestFixtures.probe(new ByteArrayEndPoint()));
         relay(exchange, 0, RECEIVED_MILLIS + 1);
         faulty.set(true);
         assertFalse(exchange.complete(HeaderFixtures.answer(ID)));
@@ -187,7 +156,7 @@
         Exchange exchange = exchange(
                 response(HttpFields.build(), () -> written.add("write")),
                 Callback.NOOP,
-                probe(new ByteArrayEndPoint()));
+                RequestFixtures.probe(new ByteArrayEndPoint()));
         assertTrue(exchange.refuse(Refusal.TIMED_OUT, 0));
         exchange.relay(
                 HeaderFixtures.answer(ID),
@@ -213,7 +182,7 @@
                     refused.set(made[0].refuse(Refusal.TIMED_OUT, 0)); // comes while the event is written
                 }),
                 Callback.NOOP,
-                probe(new ByteArrayEndPoint()));
+                RequestFixtures.probe(new ByteArrayEndPoint()));
         made[0].relay(HeaderFixtures.answer(ID), ByteBuffer.wrap(new byte[1]), 0, RECEIVED_MILLIS, Callback.NOOP);
         assertFalse(refused.get());
         assertEquals(written, List.of("write"), "the event only");
--- a/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
@@ -1,15 +1,11 @@
 package org.cornelramp.gateway.request;
 
 import java.io.IOException;
-import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.Optional;
 import org.cornelramp.core.routing.Route;
-import org.cornelramp.platform.RequestHead;
-import org.cornelramp.platform.standin.HeaderFixtures;
+import org.cornelramp.gateway.Fakes;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -32,19 +28,12 @@
 
     /** @param nowMillis when the request was received */
     public FakeClient(Route route, String id, long nowMillis) {
-        HttpFields fields = HeaderFixtures.request(id);
-        Exchange.ClientRequest call = new Exchange.ClientRequest(
-                RequestHead.decode(fields),
-                "POST",
-                route.pathPrefix() + "a",
-                fields,
-                new byte[0],
-                route,
-                Optional.empty(),
-                route.priority(),
-                nowMillis,
-                nowMillis + route.timeoutMillis());
-        this.exchange = new Exchange(call, response(), Callback.from(this::finish, this::close), () -> false, probe());
+        this.exchange = new Exchange(
+                RequestFixtures.on(route, id, nowMillis),
+                response(),
+                Callback.from(this::finish, this::close),
+                () -> false,
+                probe());
     }
 
     /** The exchange of the request. */
@@ -140,7 +129,7 @@
     }
 
     private Response response() {
-        return fake(Response.class, (name, args) -> switch (name) {
+        return Fakes.of(Response.class, (name, args) -> switch (name) {
             case "write" -> {
                 write((Boolean) args[0], (ByteBuffer) args[1], (Callback) args[2]);
                 yield null;
@@ -160,24 +149,6 @@
     }
 
     private ClientDisconnectProbe probe() {
-        EndPoint endPoint = fake(EndPoint.class, (name, args) -> name.equals("fill") ? read() : null);
-        return new ClientDisconnectProbe(endPoint, new AbstractConnection(endPoint, Runnable::run) {
-            @Override
-            public void onFillable() {
-                throw new AssertionError("only the probe reads");
-            }
-        });
-    }
-
-    private interface Call {
-        Object answer(String name, Object[] args);
-    }
-
-    private static <T> T fake(Class<T> type, Call call) {
-        Object made = Proxy.newProxyInstance(
-                type.getClassLoader(),
-                new Class<?>[] {type},
-                (self, method, args) -> call.answer(method.getName(), args));
-        return type.cast(made);
+        return RequestFixtures.probe(Fakes.of(EndPoint.class, (name, args) -> name.equals("fill") ? read() : null));
     }
 }
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/RequestFixtures.java
@@ -0,0 +1,63 @@
+package org.cornelramp.gateway.request;
+
+import java.util.List;
+import java.util.Optional;
+import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.routing.Route;
+import org.cornelramp.core.routing.RouteKind;
+import org.cornelramp.core.routing.WeightedService;
+import org.cornelramp.platform.RequestHead;
+import org.cornelramp.platform.standin.HeaderFixtures;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.EndPoint;
+
+/** Clients' requests, and probes of their connections, without sockets. Stateless. */
+final class RequestFixtures {
+    private static final Route STREAMS = new Route(
+            "chat",
+            "host",
+            "/chat/",
+            RouteKind.STREAMING,
+            9_000,
+            500,
+            200,
+            1,
+            2,
+            false,
+            true,
+            List.of(new WeightedService(new ServiceName("llm"), 1)));
+
+    private RequestFixtures() {}
+
+    /** A request for a stream that may be resumed. */
+    static Exchange.ClientRequest stream(String id, long receivedMillis) {
+        return on(STREAMS, id, receivedMillis);
+    }
+
+    /** A request on a route. */
+    static Exchange.ClientRequest on(Route route, String id, long receivedMillis) {
+        HttpFields fields = HeaderFixtures.request(id);
+        return new Exchange.ClientRequest(
+                RequestHead.decode(fields),
+                "POST",
+                route.pathPrefix() + "a",
+                fields,
+                new byte[0],
+                route,
+                Optional.empty(),
+                route.priority(),
+                receivedMillis,
+                receivedMillis + route.timeoutMillis());
+    }
+
+    /** A probe that reads from this end point. */
+    static ClientDisconnectProbe probe(EndPoint endPoint) {
+        return new ClientDisconnectProbe(endPoint, new AbstractConnection(endPoint, Runnable::run) {
+            @Override
+            public void onFillable() {
+                throw new AssertionError("only the probe reads");
+            }
+        });
+    }
+}
--- a/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
@@ -1,6 +1,5 @@
 package org.cornelramp.gateway.route;
 
-import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -9,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.cornelramp.gateway.Fakes;
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -49,12 +49,11 @@
 
     @Override
     public Request newRequest(String host, int port) {
-        return new Call(host, port).request;
+        return new Call(port).request;
     }
 
     /** One request and its response. */
     final class Call {
-        private final String host;
         private final int port;
         private final HttpFields.Mutable headers = HttpFields.build();
         private final Deque<Content.Chunk> unread = new ArrayDeque<>();
@@ -67,17 +66,13 @@
         private Throwable aborted;
         private boolean ended;
 
-        private Call(String host, int port) {
-            this.host = host;
+        private Call(int port) {
             this.port = port;
-            this.request = (Request) Proxy.newProxyInstance(
-                    Request.class.getClassLoader(),
-                    new Class<?>[] {Request.class},
-                    (self, method, args) -> answer(self, method.getName(), args));
+            this.request = Fakes.of(Request.class, this::answer);
         }
 
         @SuppressWarnings({"unchecked", "FutureReturnValueIgnored"}) // the future is the return value of abort
-        private Object answer(Object self, String name, Object[] args) {
+        private Object answer(String name, Object[] args) {
             switch (name) {
                 case "headers" -> ((Consumer<HttpFields.Mutable>) args[0]).accept(headers);
                 case "onRequestBegin" -> onBegin = (Request.BeginListener) args[0];
@@ -101,7 +96,7 @@
                     // the other methods only describe the request
                 }
             }
-            return self;
+            return request;
         }
 
         /** Port of the server. */
@@ -109,10 +104,6 @@
             return port;
         }
 
-        String host() {
-            return host;
-        }
-
         /** Value of a request header; null if it is absent. */
         String header(String name) {
             return headers.get(name);
@@ -154,14 +145,11 @@
 
         private void head(int status, HttpFields fields) {
             if (response == null) {
-                response = (Response) Proxy.newProxyInstance(
-                        Response.class.getClassLoader(),
-                        new Class<?>[] {Response.class},
-                        (self, method, args) -> switch (method.getName()) {
-                            case "getStatus" -> status;
-                            case "getHeaders" -> fields;
-                            default -> null;
-                        });
+                response = Fakes.of(Response.class, (name, args) -> switch (name) {
+                    case "getStatus" -> status;
+                    case "getHeaders" -> fields;
+                    default -> null;
+                });
                 onContent.onContentSource(response, source());
             }
         }
