Create the servers of gateway tests in one place, and name no header of the platform in them

Three test classes built the same ready server by hand (TestServers now), and AttemptTest named a header of the platform, which only platform/ may: its resumed head now differs from the first in every field but the request id, which is at least as strict.

--- a/gateway/src/test/java/org/cornelramp/gateway/RouterQueueTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/RouterQueueTest.java
@@ -12,13 +12,8 @@
 import java.util.concurrent.CountDownLatch;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerRegistry;
-import org.cornelramp.core.fleet.ServerState;
-import org.cornelramp.core.model.BackendServerId;
-import org.cornelramp.core.model.DataCentre;
-import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.GatewaySettingsReader;
-import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.request.FakeClient;
@@ -47,18 +42,8 @@
     }
 
     private static ServerRegistry.Registration registration() {
-        BackendServerId id = new BackendServerId("p1");
-        BackendServer server = new BackendServer(
-                id,
-                id,
-                new ServiceName(StandInConfig.PLAIN),
-                new HostPort("127.0.0.1", 1),
-                new DataCentre("dc1"),
-                ServerState.READY,
-                8,
-                "",
-                Optional.empty());
-        return new ServerRegistry.Registration(1, id, Optional.of(server));
+        BackendServer server = TestServers.plain("p1", 1);
+        return new ServerRegistry.Registration(1, server.id(), Optional.of(server));
     }
 
     private static void awaitUninterruptibly(CountDownLatch latch) {
--- a/gateway/src/test/java/org/cornelramp/gateway/TestEngines.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/TestEngines.java
@@ -2,10 +2,6 @@
 
 import java.util.Optional;
 import org.cornelramp.core.fleet.BackendServer;
-import org.cornelramp.core.fleet.ServerState;
-import org.cornelramp.core.model.BackendServerId;
-import org.cornelramp.core.model.DataCentre;
-import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.settings.HostPort;
 
 /** Creates engines for tests that need only their id and address. Stateless. */
@@ -14,16 +10,6 @@
 
     /** A ready engine without layers. */
     public static BackendServer empty(String id, HostPort address) {
-        BackendServerId server = new BackendServerId(id);
-        return new BackendServer(
-                server,
-                server,
-                new ServiceName("llm"),
-                address,
-                new DataCentre("dc1"),
-                ServerState.READY,
-                8,
-                "big",
-                Optional.empty());
+        return TestServers.engine(id, address, "dc1", Optional.empty());
     }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
@@ -19,6 +19,7 @@
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.Trailers;
 import org.eclipse.jetty.io.Content;
@@ -188,12 +189,13 @@
         assertFalse(exchange.isEnded());
     }
 
+    /** Headers of an answer to the same request that differ in all else. */
     private static HttpFields resumedHead() {
-        return HttpFields.build(HeaderFixtures.answer(ID))
-                .put("X-Server-Seal", "another")
-                .put("Content-Type", "text/plain")
-                .put("Trailer", "X-After")
-                .asImmutable();
+        HttpFields.Mutable head = HttpFields.build();
+        for (HttpField field : HeaderFixtures.answer(ID)) {
+            head.add(field.getName(), field.getValue().equals(ID) ? ID : "another " + field.getValue());
+        }
+        return head.put("Content-Type", "text/plain").put("Trailer", "X-After").asImmutable();
     }
 
     /** Guards against a started stream that is closed, or changed, by the headers of the response that resumes it. */
--- a/gateway/src/test/java/org/cornelramp/gateway/route/AttemptEndFaultTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/AttemptEndFaultTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import org.cornelramp.gateway.GatewayFixture;
+import org.cornelramp.gateway.TestServers;
 import org.cornelramp.gateway.request.AttemptEnd;
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.standin.HeaderFixtures;
@@ -21,8 +22,8 @@
         router = new RouterSimulation(StandInConfig.small(1), "", 1);
         router.register(RouterSimulation.engine("a1", 11, 0, 8));
         router.register(RouterSimulation.engine("a2", 12, 0, 8));
-        router.register(RouterSimulation.plainServer("p1", 31));
-        router.register(RouterSimulation.plainServer("p2", 32));
+        router.register(TestServers.plain("p1", 31));
+        router.register(TestServers.plain("p2", 32));
     }
 
     /** Ends a request so that the router's handling of the end throws an exception. */
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterFaultTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterFaultTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.gateway.TestServers;
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.cornelramp.platform.standin.StandInConfig;
@@ -21,8 +22,8 @@
     public void start() {
         router = new RouterSimulation(StandInConfig.small(1), "", 1);
         router.register(engine);
-        router.register(RouterSimulation.plainServer("p1", 31));
-        router.register(RouterSimulation.plainServer("p2", 32));
+        router.register(TestServers.plain("p1", 31));
+        router.register(TestServers.plain("p2", 32));
     }
 
     private static void fail() {
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterHistory.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterHistory.java
@@ -16,6 +16,7 @@
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.retry.RetryLoanUpdate;
+import org.cornelramp.gateway.TestServers;
 import org.cornelramp.gateway.peer.PeerUpdate;
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.MoveFault;
@@ -72,8 +73,8 @@
         addEngine("a2", 0, 4);
         addEngine("b2", 4, 8);
         addEngine("c1", 0, 8);
-        servers.add(new SimulatedServer(router, RouterSimulation.plainServer("p1", 31)));
-        servers.add(new SimulatedServer(router, RouterSimulation.plainServer("p2", 32)));
+        servers.add(new SimulatedServer(router, TestServers.plain("p1", 31)));
+        servers.add(new SimulatedServer(router, TestServers.plain("p2", 32)));
         servers.subList(0, 2 * pairs).forEach(server -> server.register(ServerState.READY));
         servers.get(5).register(ServerState.READY);
         moveAnswers = MoveAnswers.of(servers.subList(0, 5));
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -14,16 +14,13 @@
 import java.util.function.Function;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerRegistry;
-import org.cornelramp.core.fleet.ServerState;
-import org.cornelramp.core.model.BackendServerId;
-import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.LayerRange;
-import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.GatewaySettingsReader;
 import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.gateway.TestServers;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.peer.PeerUpdate;
@@ -188,32 +185,8 @@
 
     /** Creates an engine in a data centre; the gateway runs in dc1. */
     static BackendServer engine(String id, int port, String dataCentre, int from, int to) {
-        BackendServerId server = new BackendServerId(id);
-        return new BackendServer(
-                server,
-                server,
-                new ServiceName(StandInConfig.ENGINES),
-                new HostPort("127.0.0.1", port),
-                new DataCentre(dataCentre),
-                ServerState.READY,
-                8,
-                StandInConfig.CARD,
-                Optional.of(new LayerRange(from, to, LAYERS)));
-    }
-
-    /** Creates a server of the plain service. */
-    static BackendServer plainServer(String id, int port) {
-        BackendServerId server = new BackendServerId(id);
-        return new BackendServer(
-                server,
-                server,
-                new ServiceName(StandInConfig.PLAIN),
-                new HostPort("127.0.0.1", port),
-                new DataCentre("dc1"),
-                ServerState.READY,
-                8,
-                "",
-                Optional.empty());
+        return TestServers.engine(
+                id, new HostPort("127.0.0.1", port), dataCentre, Optional.of(new LayerRange(from, to, LAYERS)));
     }
 
     /** Registers a server, also in another state than before. */
