Log the limits that backend servers name in their answers, without acting on them

No line said that a server had named a limit, so a gateway that ignores limits and several that each keep the whole limit looked alike. The head of an answer is now handed to the router when it arrives, by a field of the attempt that no full queue can lose, and each change is logged and counted: fleet 'limit named', 'limit changed', 'limit ended', with server, value, value before, request and the age of the request. An answer ends a limit only if it is a signed success. No decision depends on it yet.

--- a/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
@@ -120,6 +120,11 @@
         count("suspicions", "evidence", evidence);
     }
 
+    /** Counts a change of a limit that a backend server names. */
+    public void countLimitChange(String change) {
+        count("server.limits", "change", change);
+    }
+
     /** Counts an order to move a running request to another path. */
     public void countMove(boolean done) {
         count("moves", "result", done ? "done" : "refused");
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -48,6 +48,7 @@
     private final EventSplitter splitter = new EventSplitter();
     private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
     private final AtomicReference<AttemptEnd> reportedEnd = new AtomicReference<>();
+    private final AtomicReference<ResponseHead> untakenHead = new AtomicReference<>();
     private volatile StagePath path;
     private volatile Request request;
     private volatile boolean requestBegun;
@@ -110,6 +111,11 @@
         return answering;
     }
 
+    /** The head of the response once it has arrived; empty at later calls. */
+    public Optional<ResponseHead> takeResponseHead() {
+        return Optional.ofNullable(untakenHead.getAndSet(null));
+    }
+
     /** Whether bytes of the response wait unread in the socket. */
     public boolean hasUnreadBytes() {
         Request out = request;
@@ -161,6 +167,7 @@
         fields = response.getHeaders();
         ResponseHead responseHead = ResponseHead.decode(response.getStatus(), fields);
         receivedHead = responseHead;
+        untakenHead.set(responseHead);
         answering = true;
         relaying = exchange.request().route().kind() == RouteKind.STREAMING
                 && responseHead.isSuccess()
@@ -169,7 +176,7 @@
     }
 
     /** Whether the response carries this request's id. Otherwise it belongs to an earlier request of the connection. */
-    private boolean matchesRequest(ResponseHead responseHead) {
+    public boolean matchesRequest(ResponseHead responseHead) {
         return responseHead.requestId().equals(exchange.request().id());
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -59,6 +59,7 @@
     private final Dispatcher dispatcher;
     private final RetryDispatcher retryDispatcher;
     private final StreamMonitor streamMonitor;
+    private final ServerNoticeHandler serverNotices;
     private volatile FleetView view = FleetView.EMPTY;
     private long lastTickMillis;
 
@@ -98,6 +99,7 @@
         this.dispatcher = new Dispatcher(settings, clients, config, fleet, clock, log, attemptEnds);
         this.retryDispatcher = new RetryDispatcher(sharedRetries, dispatcher, fleet, routingLog, faults);
         this.overdueAttempts = new OverdueAttempts(sharedRetries, dispatcher);
+        this.serverNotices = new ServerNoticeHandler(fleet, log, meters);
         this.streamMonitor =
                 new StreamMonitor(fleet, engineControl, failureDetector, overdueAttempts, faults, log, events);
     }
@@ -213,6 +215,7 @@
         ActiveRequest request = activeRequests.get(attempt.exchange());
         meters.countAttempt(end.kind().name());
         boolean current = request != null && request.attempt() == attempt;
+        faults.run("notice", now, () -> serverNotices.handleResponseHead(attempt, now));
         faults.run("outcome", now, () -> failureDetector.recordOutcome(attempt, end, now));
         if (current) {
             boolean handled = faults.run(request, () -> settleAttempt(request, attempt, end, now));
@@ -462,6 +465,9 @@
 
     private void checkRequest(ActiveRequest request, long now) {
         Attempt attempt = request.attempt();
+        if (attempt != null) {
+            serverNotices.handleResponseHead(attempt, now);
+        }
         if (request.exchange().hasClientDisconnected(now)) {
             if (attempt != null) {
                 request.endAttempt(false);
