--- a/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
@@ -124,9 +124,18 @@
             events(id, text, () -> {});
         }
 
+        /** Delivers events of a successful stream whose response has the given headers. */
+        void events(HttpFields fields, String text) {
+            events(fields, text, () -> {});
+        }
+
         /** Delivers events of a successful stream, and runs an action between their read and their write. */
         void events(String id, String text, Runnable beforeWrite) {
-            head(200, HeaderFixtures.answer(id));
+            events(HeaderFixtures.answer(id), text, beforeWrite);
+        }
+
+        private void events(HttpFields fields, String text, Runnable beforeWrite) {
+            head(200, fields);
             ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
             deliver(Content.Chunk.from(bytes, false, ignored -> beforeWrite.run()));
         }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -67,11 +67,20 @@
      * @param seed of the random numbers
      */
     RouterSimulation(StandInConfig version, String more, long seed) {
+        this("g1", version, more, seed);
+    }
+
+    /**
+     * @param name name of the gateway
+     * @param more further settings, each preceded by a comma
+     * @param seed of the random numbers
+     */
+    RouterSimulation(String name, StandInConfig version, String more, long seed) {
         String text =
                 """
-                {"name":"g1","dataCentre":"dc1","requests":"127.0.0.1:1","readiness":"127.0.0.1:2",
+                {"name":"%s","dataCentre":"dc1","requests":"127.0.0.1:1","readiness":"127.0.0.1:2",
                  "metrics":"127.0.0.1:3","peers":"127.0.0.1:4","store":"127.0.0.1:5"%s}"""
-                        .formatted(more);
+                        .formatted(name, more);
         GatewaySettings settings = new GatewaySettingsReader().read(text).get();
         AsyncEngineControl engineControl = new AsyncEngineControl(new Calls(), this::submit);
         router = new RequestRouter(
