Keep the limits that backend servers name, in all gateways together

What callers saw: nothing yet; engines in need got three times the requests that they had named (13 and 14 in 4 s at a limit of 1 a second, allowed 11), the way to their falling over.

Change: the router takes the limit from the head of an answer within a tick. Each gateway counts what it sends to a limited server and tells its peers in the updates that they exchange anyway; two token buckets hold it back, one charged with what all have sent, one of its own for what the others have not heard. Peers that are not heard are charged an even part in advance, and keep it for ten seconds; at most four gateways and one for each two requests a second use one limit, chosen by a hash, so that bursts stay below five. There is one gate, FleetState.closedServers, asked for first attempts, retries, plain servers and streams that start anew. A limited engine still takes part in paths that begin elsewhere. A request that no server can take is refused at once, with a Retry-After at which one opens. A limit ends with a signed success that does not name it any more and was sent after it was named, or with the incarnation.

Format 7 of the updates between gateways; updates of format 6 are read.

--- a/core/src/main/java/org/cornelramp/core/path/PathFinder.java
+++ b/core/src/main/java/org/cornelramp/core/path/PathFinder.java
@@ -82,18 +82,36 @@
      * @param promptTokens tokens of the prompt
      * @param expectedTokens expected tokens of prompt and answer
      * @param allowedFirstEngines the engines that may be the first of the path; empty for any
+     * @param excludedFirstEngines the engines that must not be the first of the path
      */
     public record Demand(
             DataCentre clientDataCentre,
             int promptTokens,
             int expectedTokens,
-            Set<BackendServerId> allowedFirstEngines) {
+            Set<BackendServerId> allowedFirstEngines,
+            Set<BackendServerId> excludedFirstEngines) {
         public Demand {
             allowedFirstEngines = Set.copyOf(allowedFirstEngines);
+            excludedFirstEngines = Set.copyOf(excludedFirstEngines);
+        }
+
+        /** A demand that excludes no first engine. */
+        public Demand(
+                DataCentre clientDataCentre,
+                int promptTokens,
+                int expectedTokens,
+                Set<BackendServerId> allowedFirstEngines) {
+            this(clientDataCentre, promptTokens, expectedTokens, allowedFirstEngines, Set.of());
+        }
+
+        /** A copy that excludes these first engines. */
+        public Demand withExcludedFirstEngines(Set<BackendServerId> excluded) {
+            return new Demand(clientDataCentre, promptTokens, expectedTokens, allowedFirstEngines, excluded);
         }
 
         boolean mayStartAt(BackendServer server) {
-            return allowedFirstEngines.isEmpty() || allowedFirstEngines.contains(server.id());
+            boolean allowed = allowedFirstEngines.isEmpty() || allowedFirstEngines.contains(server.id());
+            return allowed && !excludedFirstEngines.contains(server.id());
         }
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdate.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdate.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.cornelramp.core.limit.RateLimitUpdate;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.path.EngineLoads;
@@ -26,6 +27,7 @@
  * @param recentPeers addresses of some peers that have recently sent it an update
  * @param reading how far it has read the store for all gateways; empty if it does not read for them
  * @param configVersion version of the configuration that it has in force; negative for none
+ * @param rateLimits what it knows of limits that servers have named, and what it has sent to these servers
  */
 public record PeerUpdate(
         Sender sender,
@@ -38,13 +40,15 @@
         RetryLoanUpdate retryLoans,
         List<HostPort> recentPeers,
         Optional<ReadCoordinator.ReadPosition> reading,
-        long configVersion) {
+        long configVersion,
+        Map<BackendServerId, RateLimitUpdate> rateLimits) {
 
     public PeerUpdate {
         loads = loads.map(Map::copyOf);
         slowdowns = Map.copyOf(slowdowns);
         suspects = Set.copyOf(suspects);
         recentPeers = List.copyOf(recentPeers);
+        rateLimits = Map.copyOf(rateLimits);
     }
 
     /**
@@ -61,7 +65,7 @@
         return sender.name();
     }
 
-    /** An update without peers, reading and configuration version. */
+    /** An update without peers, reading, configuration version and limits. */
     public static PeerUpdate of(
             Sender sender,
             long number,
@@ -82,7 +86,8 @@
                 retryLoans,
                 List.of(),
                 Optional.empty(),
-                PeerConfigVersions.NONE);
+                PeerConfigVersions.NONE,
+                Map.of());
     }
 
     /** The same update with addresses of peers. */
@@ -98,7 +103,8 @@
                 retryLoans,
                 addresses,
                 reading,
-                configVersion);
+                configVersion,
+                rateLimits);
     }
 
     /** The same update with how far this gateway has read the store for all. */
@@ -114,7 +120,8 @@
                 retryLoans,
                 recentPeers,
                 progress,
-                configVersion);
+                configVersion,
+                rateLimits);
     }
 
     /** The same update with the configuration version that this gateway has in force. */
@@ -130,7 +137,25 @@
                 retryLoans,
                 recentPeers,
                 reading,
-                version);
+                version,
+                rateLimits);
+    }
+
+    /** The same update with what this gateway knows of servers' limits. */
+    public PeerUpdate withRateLimits(Map<BackendServerId, RateLimitUpdate> limits) {
+        return new PeerUpdate(
+                sender,
+                sequenceNumber,
+                leaving,
+                loads,
+                crossings,
+                slowdowns,
+                suspects,
+                retryLoans,
+                recentPeers,
+                reading,
+                configVersion,
+                limits);
     }
 
     /** The same update without the loads, which make up most of its bytes. */
@@ -146,6 +171,7 @@
                 retryLoans,
                 recentPeers,
                 reading,
-                configVersion);
+                configVersion,
+                rateLimits);
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateCodec.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateCodec.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.cornelramp.core.limit.RateLimitUpdate;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.ServiceName;
@@ -22,7 +23,13 @@
 
 /** Encodes the updates between gateways as MessagePack and decodes them. Stateless, safe for use by any thread. */
 final class PeerUpdateCodec {
-    private static final int FORMAT = 6;
+    private static final int FORMAT = 7;
+
+    /** Updates of this format, which a process of the previous build sends, end before the limits. */
+    private static final int FORMAT_WITHOUT_LIMITS = 6;
+
+    /** Stands for an answer that names no limit. */
+    private static final double NO_LIMIT = -1;
 
     private PeerUpdateCodec() {}
 
@@ -62,6 +69,7 @@
                 out.packLong(reading.era());
             }
             out.packLong(update.configVersion());
+            writeRateLimits(update.rateLimits(), out);
             return out.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("Writing to memory failed", e);
@@ -89,6 +97,38 @@
         return loads;
     }
 
+    private static void writeRateLimits(Map<BackendServerId, RateLimitUpdate> limits, MessageBufferPacker out)
+            throws IOException {
+        out.packMapHeader(limits.size());
+        for (Map.Entry<BackendServerId, RateLimitUpdate> limit : limits.entrySet()) {
+            out.packString(limit.getKey().value());
+            out.packLong(limit.getValue().sent());
+            Optional<RateLimitUpdate.Observation> observed = limit.getValue().observed();
+            out.packBoolean(observed.isPresent());
+            if (observed.isPresent()) {
+                out.packLong(observed.get().ageMillis());
+                out.packDouble(observed.get().requestsPerSecond().orElse(NO_LIMIT));
+            }
+        }
+    }
+
+    private static Map<BackendServerId, RateLimitUpdate> readRateLimits(MessageUnpacker in) throws IOException {
+        Map<BackendServerId, RateLimitUpdate> limits = new HashMap<>();
+        for (int left = in.unpackMapHeader(); left > 0; left--) {
+            BackendServerId id = new BackendServerId(in.unpackString());
+            long sent = in.unpackLong();
+            limits.put(id, new RateLimitUpdate(in.unpackBoolean() ? readObservation(in) : Optional.empty(), sent));
+        }
+        return limits;
+    }
+
+    private static Optional<RateLimitUpdate.Observation> readObservation(MessageUnpacker in) throws IOException {
+        long ageMillis = in.unpackLong();
+        double rate = in.unpackDouble();
+        return Optional.of(
+                new RateLimitUpdate.Observation(rate == NO_LIMIT ? Optional.empty() : Optional.of(rate), ageMillis));
+    }
+
     private static void writeRetryLoans(RetryLoanUpdate retryLoans, MessageBufferPacker out) throws IOException {
         out.packMapHeader(retryLoans.loanRequests().size());
         for (Map.Entry<ServiceName, RetryLoanUpdate.LoanRequest> ask :
@@ -136,7 +176,7 @@
     static Either<String, PeerUpdate> read(byte[] bytes, int length) {
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
             int format = in.unpackInt();
-            if (format != FORMAT) {
+            if (format != FORMAT && format != FORMAT_WITHOUT_LIMITS) {
                 return Either.left("unknown format " + format);
             }
             PeerUpdate.Sender sender =
@@ -164,6 +204,7 @@
                             HostPort.parse(in.unpackString()), in.unpackLong(), in.unpackLong(), in.unpackLong()))
                     : Optional.empty();
             long version = in.unpackLong();
+            Map<BackendServerId, RateLimitUpdate> rateLimits = format == FORMAT ? readRateLimits(in) : Map.of();
             return Either.right(new PeerUpdate(
                     sender,
                     number,
@@ -175,7 +216,8 @@
                     retryLoans,
                     recentPeers,
                     reading,
-                    version));
+                    version,
+                    rateLimits));
         } catch (IOException | RuntimeException e) {
             return Either.left(e.toString());
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -30,6 +30,9 @@
  * the router's thread.
  */
 final class Dispatcher {
+    /** Most servers that one log line names as the reason why a request is held back. */
+    private static final int MAX_LOGGED_SERVERS = 4;
+
     private final GatewaySettings settings;
     private final Function<Route, HttpClient> clients;
     private final ConfigHolder config;
@@ -77,17 +80,25 @@
     /** The best server for a request now; empty if none can take it. */
     Optional<Target> chooseTarget(ActiveRequest request, long now) {
         Optional<EngineSpec> engine = engineSpec(request);
+        Set<BackendServerId> closed = fleet.closedServers(request.service(), now);
+        Optional<Target> target;
         if (engine.isEmpty()) {
-            return fleet.plainServers()
-                    .choose(
-                            fleet.usableServers(request.service(), now),
-                            request.avoidedServers(),
-                            settings.dataCentre())
-                    .map(server -> new Target(server, Optional.empty()));
+            target = choosePlainServer(request, closed, now).map(server -> new Target(server, Optional.empty()));
+        } else {
+            request.setDefaultTokens(engine.get().meanRequestTokens());
+            target = findPath(request, engine.get(), closed, now)
+                    .map(stagePath -> new Target(stagePath.first(), Optional.of(stagePath)));
+        }
+        if (!closed.isEmpty()) {
+            logHeldBack(request, closed, target, now);
         }
-        request.setDefaultTokens(engine.get().meanRequestTokens());
-        return findPath(request, engine.get(), now)
-                .map(stagePath -> new Target(stagePath.first(), Optional.of(stagePath)));
+        return target;
+    }
+
+    private Optional<BackendServer> choosePlainServer(ActiveRequest request, Set<BackendServerId> excluded, long now) {
+        Set<BackendServerId> avoided = new HashSet<>(request.avoidedServers());
+        avoided.addAll(excluded);
+        return fleet.plainServers().choose(fleet.usableServers(request.service(), now), avoided, settings.dataCentre());
     }
 
     /**
@@ -96,6 +107,7 @@
      */
     void send(ActiveRequest request, Target target, long now) {
         FirstEnd ends = new FirstEnd(onEnd);
+        fleet.rateLimits().recordSent(target.server().id());
         Attempt attempt = createAttempt(request, target, ends, now);
         request.startAttempt(attempt);
         target.path().ifPresentOrElse(stagePath -> addLoadWithPrompt(request, stagePath), () -> fleet.plainServers()
@@ -122,7 +134,10 @@
      * Whether engines have room for the request now, in addition to their present load, which includes this request.
      */
     boolean hasPath(ActiveRequest request, long now) {
-        return engineSpec(request).flatMap(spec -> findPath(request, spec, now)).isPresent();
+        Set<BackendServerId> closed = fleet.closedServers(request.service(), now);
+        return engineSpec(request)
+                .flatMap(spec -> findPath(request, spec, closed, now))
+                .isPresent();
     }
 
     private Optional<EngineSpec> engineSpec(ActiveRequest request) {
@@ -131,10 +146,12 @@
                 .flatMap(ServiceSpec::engine);
     }
 
-    private Optional<StagePath> findPath(ActiveRequest request, EngineSpec spec, long now) {
+    private Optional<StagePath> findPath(
+            ActiveRequest request, EngineSpec spec, Set<BackendServerId> closed, long now) {
         int prompt = request.exchange().request().head().promptTokens();
         PathFinder.Demand demand = new PathFinder.Demand(
-                settings.dataCentre(), prompt, request.expectedTokens(), allowedFirstEngines(request));
+                        settings.dataCentre(), prompt, request.expectedTokens(), allowedFirstEngines(request))
+                .withExcludedFirstEngines(closed);
         List<BackendServer> usable = fleet.usableServers(request.service(), request.avoidedServers(), now);
         return PathFinder.find(spec, usable, fleet.loads(), demand);
     }
@@ -172,11 +189,9 @@
 
     /** Whether a server other than the given one can take a request to a plain service now. */
     boolean hasAlternativeServer(ActiveRequest request, BackendServer server, long now) {
-        Set<BackendServerId> avoid = new HashSet<>(request.avoidedServers());
-        avoid.add(server.id());
-        return fleet.plainServers()
-                .choose(fleet.usableServers(request.service(), now), avoid, settings.dataCentre())
-                .isPresent();
+        Set<BackendServerId> excluded = new HashSet<>(fleet.closedServers(request.service(), now));
+        excluded.add(server.id());
+        return choosePlainServer(request, excluded, now).isPresent();
     }
 
     private Attempt createAttempt(ActiveRequest request, Target target, FirstEnd ends, long now) {
@@ -192,6 +207,30 @@
         return new Attempt(clients.apply(request.route()), exchange, target.server(), head, clock, ends);
     }
 
+    private void logHeldBack(ActiveRequest request, Set<BackendServerId> closed, Optional<Target> target, long now) {
+        log.routine("route", "held back")
+                .with("id", request.exchange().request().id())
+                .with(
+                        "by",
+                        closed.stream()
+                                .limit(MAX_LOGGED_SERVERS)
+                                .map(this::describeLimit)
+                                .toList())
+                .with("closed", closed.size())
+                .with(
+                        "opensInMillis",
+                        fleet.millisUntilOpen(request.service(), now).orElse(-1))
+                .with(
+                        "instead",
+                        target.map(selected -> selected.server().id().value()).orElse(""))
+                .write();
+    }
+
+    private String describeLimit(BackendServerId id) {
+        double limit = fleet.rateLimits().limit(id).orElse(0.0);
+        return id.value() + "=" + limit + "/" + fleet.rateLimits().sharerCount(id);
+    }
+
     private void logSent(ActiveRequest request, Target target) {
         Optional<StagePath> path = target.path();
         Exchange exchange = request.exchange();
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
@@ -4,11 +4,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.PlainServerSelector;
 import org.cornelramp.core.fleet.ServerRegistry;
 import org.cornelramp.core.fleet.SuspectedServers;
+import org.cornelramp.core.limit.ServerRateLimits;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.EngineLoads;
@@ -30,14 +33,19 @@
     private final SuspectedServers suspectedServers = new SuspectedServers();
     private final EngineLoads loads = new EngineLoads();
     private final PlainServerSelector plainServers = new PlainServerSelector();
+    private final ServerRateLimits rateLimits;
     private long lagMillis;
     private long lateUntilMillis = Long.MIN_VALUE;
     private boolean initialised;
     private boolean storeAvailable;
     private long era;
 
-    /** @param heartbeatMillis interval at which the servers renew their registrations */
-    public FleetState(long heartbeatMillis) {
+    /**
+     * @param gateway name of this gateway
+     * @param heartbeatMillis interval at which the servers renew their registrations
+     */
+    public FleetState(String gateway, long heartbeatMillis) {
+        this.rateLimits = new ServerRateLimits(gateway);
         this.confirmMillis = MISSED_HEARTBEATS * heartbeatMillis + ServerRegistry.REGISTRATION_GRACE_MILLIS;
     }
 
@@ -61,6 +69,11 @@
         return plainServers;
     }
 
+    /** Limits that servers name on the requests that they take. */
+    public ServerRateLimits rateLimits() {
+        return rateLimits;
+    }
+
     /** Recent scheduling delay of the router's thread, in milliseconds. */
     public long lagMillis() {
         return lagMillis;
@@ -150,6 +163,27 @@
                 .toList();
     }
 
+    /**
+     * The servers of a service to which this gateway may send no further request now, by what they have said about the
+     * requests that they take. An engine may still take part in a path that begins at another engine.
+     */
+    public Set<BackendServerId> closedServers(ServiceName service, long nowMillis) {
+        return rateLimits.closedServers(nowMillis).stream()
+                .filter(id -> registry.server(id)
+                        .filter(server -> server.service().equals(service))
+                        .isPresent())
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    /** Time until a working server of the service takes requests again, in milliseconds; empty if none is to be expected. */
+    public OptionalLong millisUntilOpen(ServiceName service, long nowMillis) {
+        return closedServers(service, nowMillis).stream()
+                .filter(id -> !isLeaving(id) && !isSuspect(id, nowMillis))
+                .flatMap(id -> rateLimits.millisUntilStart(id, nowMillis).stream())
+                .mapToLong(Long::longValue)
+                .min();
+    }
+
     /** Records whether the store answers. */
     public void setStoreAvailable(boolean answers, long nowMillis) {
         storeAvailable = answers;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
@@ -89,14 +89,15 @@
         stayingPeers.values().removeIf(at -> nowMillis - at > silence);
         failuresSeen.values().removeIf(at -> nowMillis - at > FAILURE_REPORT_MILLIS);
         currentUpdate = PeerUpdate.of(
-                sender,
-                ++number,
-                leaving,
-                loads.ownLoads(),
-                loads.ownCrossings(),
-                loads.slowdownFactors(),
-                failuresSeen.keySet(),
-                sharedRetries.loanUpdate(nowMillis));
+                        sender,
+                        ++number,
+                        leaving,
+                        loads.ownLoads(),
+                        loads.ownCrossings(),
+                        loads.slowdownFactors(),
+                        failuresSeen.keySet(),
+                        sharedRetries.loanUpdate(nowMillis))
+                .withRateLimits(fleet.rateLimits().update(nowMillis));
     }
 
     /** Applies a peer's update. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -49,6 +49,7 @@
     private final RoutingLog routingLog;
     private final FaultBarrier faults;
     private final FleetState fleet;
+    private final RetryDelay retryDelay;
     private final FleetUpdater fleetUpdater;
     private final IdentityHashMap<Exchange, ActiveRequest> activeRequests = new IdentityHashMap<>();
     private final SharedRetries sharedRetries;
@@ -82,7 +83,8 @@
             RandomGenerator random,
             Consumer<RouterEvent> events,
             BiConsumer<Attempt, AttemptEnd> attemptEnds) {
-        this.fleet = new FleetState(settings.timing().heartbeatMillis());
+        this.fleet = new FleetState(settings.name(), settings.timing().heartbeatMillis());
+        this.retryDelay = new RetryDelay(fleet);
         this.fleetUpdater = new FleetUpdater(fleet, engineControl, log, events);
         this.config = config;
         this.log = log;
@@ -138,6 +140,7 @@
             fleetUpdater.handleRegistrations(registered, now);
         } else if (event instanceof RouterEvent.PeerUpdateReceived received) {
             peerUpdateHandler.handleUpdate(received.update(), now);
+            serverNotices.handlePeerUpdate(received.update(), now);
         } else if (event instanceof RouterEvent.StoreStatus answers) {
             fleetUpdater.storeAvailable(answers.available(), now);
         } else if (event instanceof RouterEvent.EngineReportResult reported) {
@@ -286,7 +289,7 @@
             return;
         }
         if (started) {
-            breakOff(request, "a retry was answered with status " + end.status(), now);
+            abort(request, "a retry was answered with status " + end.status(), "", now);
             return;
         }
         request.exchange().forwardResponse(end.status(), end.fields(), end.body());
@@ -318,20 +321,16 @@
     }
 
     private void giveUp(ActiveRequest request, Refusal refusal, String why, long now) {
-        boolean refused =
-                !request.exchange().isCommitted() && request.exchange().refuse(refusal, refusal.retryMillis());
+        boolean refused = !request.exchange().isCommitted()
+                && request.exchange().refuse(refusal, retryDelay.millis(request, refusal, now));
         if (!refused) {
-            breakOff(request, why, now); // its first event may have been sent a moment ago
+            abort(request, why, "", now); // its first event may have been sent a moment ago
             return;
         }
         routingLog.refused(request, refusal, why);
         finish(request, "refused", refusal.status(), now);
     }
 
-    private void breakOff(ActiveRequest request, String why, long now) {
-        abort(request, why, "", now);
-    }
-
     /** @param seen how it was detected that the client has gone; empty if it has not */
     private void abort(ActiveRequest request, String why, String seen, long now) {
         request.exchange().abort(why);
@@ -407,6 +406,7 @@
         faults.run("probes", now, () -> fleetUpdater.probeSuspects(now));
         faults.run("streams", now, () -> streamMonitor.check(activeRequests.values(), config.current(), now));
         faults.run("registrations", now, () -> fleetUpdater.expireRegistrations(now));
+        faults.run("limits", now, () -> serverNotices.expire(now));
         faults.run("peers", now, () -> peerUpdateHandler.refreshUpdate(now));
         faults.run("view", now, () -> view = fleet.view(now));
     }
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDelay.java
@@ -0,0 +1,24 @@
+package org.cornelramp.gateway.route;
+
+import org.cornelramp.gateway.request.Refusal;
+
+/** Decides when a refused client should return. Confined to the router's thread. */
+final class RetryDelay {
+    /** Longest time after which a client is asked to return: another gateway may be able to serve it earlier. */
+    private static final long MAX_MILLIS = 5_000;
+
+    private final FleetState fleet;
+
+    RetryDelay(FleetState fleet) {
+        this.fleet = fleet;
+    }
+
+    /** Time in milliseconds, not before a server that takes no requests now takes them again; 0 if none helps. */
+    long millis(ActiveRequest request, Refusal refusal, long now) {
+        if (refusal.retryMillis() == 0) {
+            return 0;
+        }
+        long openMillis = fleet.millisUntilOpen(request.service(), now).orElse(0);
+        return Math.max(refusal.retryMillis(), Math.min(openMillis, MAX_MILLIS));
+    }
+}
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
@@ -208,7 +208,9 @@
     private boolean isWaitUseful(ActiveRequest request, long now) {
         boolean peersMayLend = sharedRetries.peers() > 0;
         boolean serverMayReturn = fleet.hasSuspect(request.service(), now);
-        return request.exchange().isCommitted() || peersMayLend || serverMayReturn;
+        boolean serverOpens =
+                fleet.millisUntilOpen(request.service(), now).orElse(Long.MAX_VALUE) < MAX_UNSTARTED_WAIT_MILLIS;
+        return request.exchange().isCommitted() || peersMayLend || serverMayReturn || serverOpens;
     }
 
     private static RetryQueue.WaitState queueEntry(ActiveRequest request, long now) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ServerNoticeHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ServerNoticeHandler.java
@@ -1,21 +1,22 @@
 package org.cornelramp.gateway.route;
 
-import java.util.HashMap;
-import java.util.Map;
+import java.util.Optional;
+import org.cornelramp.core.limit.ServerRateLimits;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
+import org.cornelramp.gateway.peer.PeerUpdate;
 import org.cornelramp.gateway.request.Attempt;
 import org.cornelramp.platform.ResponseHead;
 
 /**
- * Handles what backend servers say in their answers about the requests that they take. Confined to the router's thread.
+ * Handles what backend servers say in their answers, to this gateway or to a peer, about the requests that they take.
+ * Confined to the router's thread.
  */
 final class ServerNoticeHandler {
     private final FleetState fleet;
     private final EventLog log;
     private final Meters meters;
-    private final Map<BackendServerId, Double> limits = new HashMap<>();
 
     ServerNoticeHandler(FleetState fleet, EventLog log, Meters meters) {
         this.fleet = fleet;
@@ -29,33 +30,46 @@
     }
 
     private void handleLimit(Attempt attempt, ResponseHead head, long now) {
-        limits.keySet().removeIf(id -> fleet.registry().server(id).isEmpty());
+        BackendServerId server = attempt.server().id();
         head.notice().unreadable().ifPresent(value -> log.routine("fleet", "limit unreadable")
-                .with("server", attempt.server().id())
+                .with("server", server)
                 .with("value", value)
                 .write());
-        if (head.notice().requestsPerSecond().isPresent()) {
-            logChange(attempt, head.notice().requestsPerSecond().get(), now);
+        Optional<Double> limit = head.notice().requestsPerSecond();
+        if (limit.isPresent()) {
+            fleet.rateLimits().recordLimit(server, limit.get(), now).ifPresent(this::logChange);
         } else if (head.notice().isUnlimited() && head.isSuccess() && attempt.matchesRequest(head)) {
-            logChange(attempt, 0, now);
+            fleet.rateLimits().recordNoLimit(server, attempt.startMillis(), now).ifPresent(this::logChange);
         }
     }
 
-    /** @param limit requests per second; 0 for no limit */
-    private void logChange(Attempt attempt, double limit, long now) {
-        BackendServerId server = attempt.server().id();
-        Double before = limit == 0 ? limits.remove(server) : limits.put(server, limit);
-        if (limit == (before == null ? 0 : before)) {
-            return;
-        }
-        String change = limit == 0 ? "ended" : before == null ? "named" : "changed";
-        meters.countLimitChange(change);
-        log.line("fleet", "limit " + change)
-                .with("server", server)
-                .with("perSecond", String.valueOf(limit))
-                .with("before", String.valueOf(before))
-                .with("id", attempt.exchange().request().id())
-                .with("sentMillisAgo", now - attempt.startMillis())
+    /** Applies what a peer tells about limits. */
+    void handlePeerUpdate(PeerUpdate update, long now) {
+        fleet.rateLimits().recordPeer(update.name(), now);
+        fleet.rateLimits()
+                .applyPeerUpdate(
+                        update.name(), update.sender().incarnation(), update.rateLimits(), this::isRegistered, now)
+                .forEach(this::logChange);
+    }
+
+    /** Ends the limits that no gateway names any more. */
+    void expire(long now) {
+        fleet.rateLimits().expire(this::isRegistered, now).forEach(this::logChange);
+    }
+
+    private boolean isRegistered(BackendServerId id) {
+        return fleet.registry().server(id).isPresent();
+    }
+
+    private void logChange(ServerRateLimits.Change change) {
+        String what = change.after().isEmpty() ? "ended" : change.before().isEmpty() ? "named" : "changed";
+        meters.countLimitChange(what);
+        log.line("fleet", "limit " + what)
+                .with("server", change.server())
+                .with("perSecond", change.after().map(Object::toString).orElse(""))
+                .with("before", change.before().map(Object::toString).orElse(""))
+                .with("toldBy", change.source().orElse("nobody any more"))
+                .with("gateways", fleet.rateLimits().sharerCount(change.server()))
                 .write();
     }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/PeerUpdateCodecTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/PeerUpdateCodecTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.cornelramp.core.limit.RateLimitUpdate;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.ServiceName;
@@ -35,7 +36,14 @@
                     Map.of(SERVICE, List.of(new RetryLoanUpdate.Loan("g2", -5, 2)))),
             List.of(ADDRESS),
             Optional.of(new ReadCoordinator.ReadPosition(ADDRESS, 12, 345, 2)),
-            17);
+            17,
+            Map.of(
+                    ID,
+                    new RateLimitUpdate(Optional.of(new RateLimitUpdate.Observation(Optional.of(0.5), 120)), 3),
+                    new BackendServerId("i-2"),
+                    new RateLimitUpdate(Optional.of(new RateLimitUpdate.Observation(Optional.empty(), 7)), 0),
+                    new BackendServerId("i-3"),
+                    new RateLimitUpdate(Optional.empty(), 8)));
 
     @Test
     public void readsWhatWasWritten() {
--- a/gateway/src/test/java/org/cornelramp/gateway/route/FailureDetectorTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/FailureDetectorTest.java
@@ -41,7 +41,7 @@
             "l4",
             Optional.of(new LayerRange(0, 8, 8)));
 
-    private final FleetState fleet = new FleetState(1_200);
+    private final FleetState fleet = new FleetState("g1", 1_200);
     private final EventLog log = new EventLog(new ByteArrayOutputStream(), Clock.systemUTC(), "g1");
     private final FailureDetector failureDetector = failureDetector(fleet);
 
@@ -89,7 +89,7 @@
     /** Guards against living engines that lose all streams of a gateway because one connect to them timed out. */
     @Test
     public void connectTimeoutSuspectsEngineButDoesNotLoseIt() {
-        FleetState own = new FleetState(1_200);
+        FleetState own = new FleetState("g1", 1_200);
         AttemptEnd timedOut = end(AttemptEnd.Kind.NO_CONNECTION, "Connect Timeout");
         failureDetector(own).handleFailedAttempt(attempt(), timedOut, NOW);
         assertTrue(own.isSuspect(engine.id(), NOW), "new requests go to other engines meanwhile");
@@ -102,7 +102,7 @@
      */
     @Test
     public void lateGatewayTrustsRefusedConnection() {
-        FleetState late = new FleetState(1_200);
+        FleetState late = new FleetState("g1", 1_200);
         late.recordTickDelay(200, NOW);
         PlatformFault refused = new PlatformFault(PlatformFault.Kind.NOT_LISTENING, "Connection refused");
         failureDetector(late).handleReport(engine, Either.left(refused), NOW);
--- a/gateway/src/test/java/org/cornelramp/gateway/route/FleetStateTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/FleetStateTest.java
@@ -35,7 +35,7 @@
     }
 
     private static FleetState leaving(boolean engine) {
-        FleetState fleet = new FleetState(1_200);
+        FleetState fleet = new FleetState("g1", 1_200);
         fleet.setStoreAvailable(true, 0);
         BackendServer server = server(engine);
         fleet.registry().apply(new ServerRegistry.Registration(1, server.id(), Optional.of(server)), 10_000);
@@ -71,7 +71,7 @@
      */
     @Test
     public void processIsLateForOneSecondAfterLateTick() {
-        FleetState fleet = new FleetState(1_200);
+        FleetState fleet = new FleetState("g1", 1_200);
         fleet.recordTickDelay(29, 1_000);
         assertFalse(fleet.isLate(1_000));
         fleet.recordTickDelay(30, 2_000);
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PeerUpdateHandlerTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PeerUpdateHandlerTest.java
@@ -29,7 +29,7 @@
 
     @BeforeMethod
     public void start() {
-        fleet = new FleetState(1_200);
+        fleet = new FleetState("g1", 1_200);
         sharedRetries = new SharedRetries("g1", new GatewaySettings.Retries(0.2, 100, 10_000), new SplittableRandom(1));
         peerUpdateHandler = new PeerUpdateHandler("g1", HERE, fleet, sharedRetries, (server, at) -> {});
     }
