Log the rest that backend servers ask for, without acting on it

A refusal that names no engine in At-Server changed no belief and left no line but 'attempt failed', so a gateway that ignores rest and one that ends it too early looked alike. A 503's Retry-After is now decoded in seconds, logged as fleet 'rest asked' with server, time and request, and counted. Values that cannot be read, dates among them, say nothing and are logged as a sampled line. No decision depends on it yet.

--- a/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
@@ -125,6 +125,11 @@
         count("server.limits", "change", change);
     }
 
+    /** Counts a rest that a backend server has asked for or that has ended. */
+    public void countServerRest(String change) {
+        count("server.rests", "change", change);
+    }
+
     /** Counts an order to move a running request to another path. */
     public void countMove(boolean done) {
         count("moves", "result", done ? "done" : "refused");
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ServerNoticeHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ServerNoticeHandler.java
@@ -26,15 +26,15 @@
 
     /** Handles the head of an attempt's response, if it has arrived since the last call. */
     void handleResponseHead(Attempt attempt, long now) {
-        attempt.takeResponseHead().ifPresent(head -> handleLimit(attempt, head, now));
+        attempt.takeResponseHead().ifPresent(head -> {
+            handleLimit(attempt, head, now);
+            handleRest(attempt, head);
+        });
     }
 
     private void handleLimit(Attempt attempt, ResponseHead head, long now) {
         BackendServerId server = attempt.server().id();
-        head.notice().unreadable().ifPresent(value -> log.routine("fleet", "limit unreadable")
-                .with("server", server)
-                .with("value", value)
-                .write());
+        head.notice().unreadableLimit().ifPresent(value -> logUnreadable("limit", server, value));
         Optional<Double> limit = head.notice().requestsPerSecond();
         if (limit.isPresent()) {
             fleet.rateLimits().recordLimit(server, limit.get(), now).ifPresent(this::logChange);
@@ -43,6 +43,28 @@
         }
     }
 
+    private void handleRest(Attempt attempt, ResponseHead head) {
+        BackendServerId server = attempt.server().id();
+        head.notice().unreadableRest().ifPresent(value -> logUnreadable("rest", server, value));
+        head.notice().restMillis().ifPresent(millis -> logRest(attempt, millis));
+    }
+
+    private void logUnreadable(String what, BackendServerId server, String value) {
+        log.routine("fleet", what + " unreadable")
+                .with("server", server)
+                .with("value", value)
+                .write();
+    }
+
+    private void logRest(Attempt attempt, long millis) {
+        meters.countServerRest("asked");
+        log.line("fleet", "rest asked")
+                .with("server", attempt.server().id())
+                .with("millis", millis)
+                .with("id", attempt.exchange().request().id())
+                .write();
+    }
+
     /** Applies what a peer tells about limits. */
     void handlePeerUpdate(PeerUpdate update, long now) {
         fleet.rateLimits().recordPeer(update.name(), now);
