--- a/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
@@ -51,6 +51,11 @@
         return status;
     }
 
+    /** Value of a header of the response; null if it is absent. */
+    public String header(String name) {
+        return answered.get(name);
+    }
+
     /** Whether the whole response was received. */
     public boolean isComplete() {
         return complete;
