Give backend servers the rest that they ask for

What callers saw: each request that met the engine was turned away once and sent again out of the retries that all gateways share, 290 times in 9 s; the engine, in need, spent its time on refusals: 29 and 9 requests in a rest of 3 s, allowed 2.

Cause: nothing read Retry-After on a backend server's answer, the same class as the limit that no gateway read. A 503 that names no engine in At-Server also changed no belief, so the cheapest engine was chosen for the next request at once. Ruled out: a too short exclusion (there was none), retries that come back, requests under way.

Change: RestingServers keeps until when each server wants nothing from this gateway, by the id of its incarnation; it ends by time only, ten minutes at most. FleetState.closedServers, the gate that limits already use, holds it back for first attempts, retries, plain servers and streams that start anew. A refusal that names another engine lets both rest. What no other server can take is refused at once with a Retry-After at the end of the rest; a started stream waits. Rest is asked of one gateway, so peers do not hear of it.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -214,7 +214,7 @@
                         "by",
                         closed.stream()
                                 .limit(MAX_LOGGED_SERVERS)
-                                .map(this::describeLimit)
+                                .map(server -> describeClosed(server, now))
                                 .toList())
                 .with("closed", closed.size())
                 .with(
@@ -226,7 +226,11 @@
                 .write();
     }
 
-    private String describeLimit(BackendServerId id) {
+    private String describeClosed(BackendServerId id, long now) {
+        long restMillis = fleet.restingServers().millisUntilEnd(id, now);
+        if (restMillis > 0) {
+            return id.value() + "=rest " + restMillis;
+        }
         double limit = fleet.rateLimits().limit(id).orElse(0.0);
         return id.value() + "=" + limit + "/" + fleet.rateLimits().sharerCount(id);
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
@@ -7,8 +7,10 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.PlainServerSelector;
+import org.cornelramp.core.fleet.RestingServers;
 import org.cornelramp.core.fleet.ServerRegistry;
 import org.cornelramp.core.fleet.SuspectedServers;
 import org.cornelramp.core.limit.ServerRateLimits;
@@ -34,6 +36,7 @@
     private final EngineLoads loads = new EngineLoads();
     private final PlainServerSelector plainServers = new PlainServerSelector();
     private final ServerRateLimits rateLimits;
+    private final RestingServers restingServers = new RestingServers();
     private long lagMillis;
     private long lateUntilMillis = Long.MIN_VALUE;
     private boolean initialised;
@@ -74,6 +77,11 @@
         return rateLimits;
     }
 
+    /** Servers that have asked this gateway for rest. */
+    public RestingServers restingServers() {
+        return restingServers;
+    }
+
     /** Recent scheduling delay of the router's thread, in milliseconds. */
     public long lagMillis() {
         return lagMillis;
@@ -168,7 +176,7 @@
      * requests that they take. An engine may still take part in a path that begins at another engine.
      */
     public Set<BackendServerId> closedServers(ServiceName service, long nowMillis) {
-        return rateLimits.closedServers(nowMillis).stream()
+        return Stream.concat(rateLimits.closedServers(nowMillis).stream(), restingServers.resting(nowMillis).stream())
                 .filter(id -> registry.server(id)
                         .filter(server -> server.service().equals(service))
                         .isPresent())
@@ -179,7 +187,8 @@
     public OptionalLong millisUntilOpen(ServiceName service, long nowMillis) {
         return closedServers(service, nowMillis).stream()
                 .filter(id -> !isLeaving(id) && !isSuspect(id, nowMillis))
-                .flatMap(id -> rateLimits.millisUntilStart(id, nowMillis).stream())
+                .flatMap(id -> rateLimits.millisUntilStart(id, nowMillis).stream()
+                        .map(millis -> Math.max(millis, restingServers.millisUntilEnd(id, nowMillis))))
                 .mapToLong(Long::longValue)
                 .min();
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ServerNoticeHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ServerNoticeHandler.java
@@ -1,6 +1,7 @@
 package org.cornelramp.gateway.route;
 
 import java.util.Optional;
+import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.limit.ServerRateLimits;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.gateway.log.EventLog;
@@ -28,7 +29,7 @@
     void handleResponseHead(Attempt attempt, long now) {
         attempt.takeResponseHead().ifPresent(head -> {
             handleLimit(attempt, head, now);
-            handleRest(attempt, head);
+            handleRest(attempt, head, now);
         });
     }
 
@@ -43,10 +44,27 @@
         }
     }
 
-    private void handleRest(Attempt attempt, ResponseHead head) {
-        BackendServerId server = attempt.server().id();
-        head.notice().unreadableRest().ifPresent(value -> logUnreadable("rest", server, value));
-        head.notice().restMillis().ifPresent(millis -> logRest(attempt, millis));
+    /** Lets the server that answered rest, and the engine that it names as the cause: both have turned the request away. */
+    private void handleRest(Attempt attempt, ResponseHead head, long now) {
+        BackendServer server = attempt.server();
+        head.notice().unreadableRest().ifPresent(value -> logUnreadable("rest", server.id(), value));
+        head.notice().restMillis().ifPresent(millis -> {
+            recordRest(attempt, server, millis, now);
+            head.faultyEngine()
+                    .flatMap(address -> fleet.serverAt(address, server.service()))
+                    .ifPresent(named -> recordRest(attempt, named, millis, now));
+        });
+    }
+
+    private void recordRest(Attempt attempt, BackendServer server, long millis, long now) {
+        if (fleet.restingServers().recordRest(server.id(), millis, now)) {
+            meters.countServerRest("asked");
+            log.line("fleet", "rest asked")
+                    .with("server", server.id())
+                    .with("millis", millis)
+                    .with("id", attempt.exchange().request().id())
+                    .write();
+        }
     }
 
     private void logUnreadable(String what, BackendServerId server, String value) {
@@ -56,15 +74,6 @@
                 .write();
     }
 
-    private void logRest(Attempt attempt, long millis) {
-        meters.countServerRest("asked");
-        log.line("fleet", "rest asked")
-                .with("server", attempt.server().id())
-                .with("millis", millis)
-                .with("id", attempt.exchange().request().id())
-                .write();
-    }
-
     /** Applies what a peer tells about limits. */
     void handlePeerUpdate(PeerUpdate update, long now) {
         fleet.rateLimits().recordPeer(update.name(), now);
@@ -74,8 +83,12 @@
                 .forEach(this::logChange);
     }
 
-    /** Ends the limits that no gateway names any more. */
+    /** Ends the limits that no gateway names any more, and the rests that are over. */
     void expire(long now) {
+        fleet.restingServers().removeRested(now).forEach(server -> {
+            meters.countServerRest("ended");
+            log.line("fleet", "rest ended").with("server", server).write();
+        });
         fleet.rateLimits().expire(this::isRegistered, now).forEach(this::logChange);
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
@@ -109,6 +109,11 @@
             return headers.get(name);
         }
 
+        /** Whether the head of the response has been delivered. */
+        boolean isAnswered() {
+            return response != null;
+        }
+
         /** Whether the response has ended. */
         boolean isEnded() {
             return ended;
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RequestedRestTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RequestedRestTest.java
@@ -89,7 +89,7 @@
     }
 
     /** Guards against servers that are turned to all through the rest that they have asked for. */
-    @Test(groups = "known-red")
+    @Test
     public void serverGetsTheRestThatItAsksFor() {
         router.register(other);
         askForRest();
@@ -102,7 +102,7 @@
     }
 
     /** Guards against rest that a sign of life, a reload of the registrations or another registration ends. */
-    @Test(groups = "known-red")
+    @Test
     public void onlyTimeOrAnotherIncarnationEndsARest() {
         router.register(other);
         askForRest();
@@ -136,7 +136,7 @@
     }
 
     /** Guards against callers who wait for a server that they know will not take them, or who return too early. */
-    @Test(groups = "known-red")
+    @Test
     public void requestThatNobodyCanTakeIsRefusedUntilTheRestEnds() {
         askForRest();
         run(500, false);
@@ -148,7 +148,7 @@
     }
 
     /** Guards against started streams that are ended, or sent to a server in its rest, instead of waiting for it. */
-    @Test(groups = "known-red")
+    @Test
     public void startedStreamWaitsForTheEndOfTheRest() {
         FakeClient client = router.request("/chat/a", "r1");
         FakeHttpClient.Call call = router.calls().get(0);
@@ -164,8 +164,23 @@
         assertTrue(arrived(RESTING_PORT) > 1, "the stream is sent again");
     }
 
+    /** Guards against requests that begin at an engine which has turned one away in the middle of its path. */
+    @Test
+    public void namedEngineRestsToo() {
+        router.register(other);
+        router.request("/chat/a", "first");
+        HttpFields fields = HeaderFixtures.resting("3", HeaderFixtures.refusal("first"));
+        router.calls().get(0).complete(503, HeaderFixtures.naming("127.0.0.1:" + OTHER_PORT, fields));
+        router.settle();
+        assertEquals(router.calls().size(), 1, "neither engine gets the request");
+        router.run(3_400);
+        handled = 1;
+        run(200, true);
+        assertTrue(arrived(RESTING_PORT) + arrived(OTHER_PORT) > 0, "both are used again");
+    }
+
     /** Guards against plain servers that get no rest because the others are busy. */
-    @Test(groups = "known-red")
+    @Test
     public void plainServerRests() {
         router.register(TestServers.plain("p1", RESTING_PORT));
         router.register(TestServers.plain("p2", 32));
