Send nothing new to backend servers that announce that they leave

What callers would see: requests that meet a server in its last moments, refused or cut.

A server counted as leaving only once its registration said so, which a gateway without the store never learns.

Change: the head of an answer marks the incarnation as leaving at once. The registry keeps that whatever is read of the incarnation later (another registration, a removal, a restored or absent store), by the flag that restored stores already use; the next incarnation is used. Streams move off it as off any server that leaves.

--- a/core/src/main/java/org/cornelramp/core/fleet/ServerRegistry.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/ServerRegistry.java
@@ -38,6 +38,8 @@
     private final Map<BackendServerId, Long> removedOffsets = new HashMap<>();
     private final EndedIncarnations endedIncarnations = new EndedIncarnations();
 
+    private final AnnouncedShutdowns announcedShutdowns = new AnnouncedShutdowns();
+
     /** Registrations read from a restored store that are not used until they are confirmed, by name. */
     private final Map<BackendServerId, Unconfirmed> unconfirmed = new HashMap<>();
 
@@ -52,7 +54,7 @@
         private long offset;
         private long removeAtMillis = Long.MAX_VALUE;
         private long leavingSinceMillis = Long.MAX_VALUE;
-        /** Whether the store was restored after the incarnation began to leave. */
+        /** Whether the incarnation stays leaving whatever is read of it. */
         private boolean staysLeaving;
 
         private void resetOffset() {
@@ -104,6 +106,7 @@
             endIncarnation(known);
         }
         Entry entry = byName.computeIfAbsent(record.name(), name -> new Entry());
+        entry.staysLeaving |= announcedShutdowns.contains(server.id());
         byId.put(server.id(), entry);
         endedIncarnations.markRegistered(server.id());
         BackendServer effective = entry.staysLeaving ? server.withState(ServerState.DRAINING) : server;
@@ -116,6 +119,25 @@
         return changed;
     }
 
+    /**
+     * Records that a server itself has said that it is shutting down. Its incarnation stays leaving, whatever its
+     * registrations say.
+     *
+     * @return whether it was not known to be leaving
+     */
+    public boolean markLeaving(BackendServerId id, long nowMillis) {
+        announcedShutdowns.add(id, other -> byId.containsKey(other), nowMillis);
+        Entry entry = byId.get(id);
+        if (entry == null) {
+            return false;
+        }
+        boolean wasLeaving = entry.leavingSinceMillis != Long.MAX_VALUE;
+        entry.staysLeaving = true;
+        entry.leavingSinceMillis = Math.min(entry.leavingSinceMillis, nowMillis);
+        entry.server = entry.server.withState(ServerState.DRAINING);
+        return !wasLeaving;
+    }
+
     private void endIncarnation(Entry entry) {
         removeEntry(entry);
         endedIncarnations.markReplaced(entry.server.id());
--- a/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
@@ -130,6 +130,11 @@
         count("server.rests", "change", change);
     }
 
+    /** Counts a backend server that has said that it is shutting down before its registration did. */
+    public void countAnnouncedShutdown() {
+        enqueue(target -> target.counter(PREFIX + "server.shutdowns.announced").increment());
+    }
+
     /** Counts an order to move a running request to another path. */
     public void countMove(boolean done) {
         count("moves", "result", done ? "done" : "refused");
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ServerNoticeHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ServerNoticeHandler.java
@@ -30,6 +30,9 @@
         attempt.takeResponseHead().ifPresent(head -> {
             handleLimit(attempt, head, now);
             handleRest(attempt, head, now);
+            if (head.notice().leaving()) {
+                handleLeaving(attempt, now);
+            }
         });
     }
 
@@ -67,6 +70,17 @@
         }
     }
 
+    private void handleLeaving(Attempt attempt, long now) {
+        BackendServerId server = attempt.server().id();
+        if (fleet.registry().markLeaving(server, now)) {
+            meters.countAnnouncedShutdown();
+            log.line("fleet", "leaving announced")
+                    .with("server", server)
+                    .with("id", attempt.exchange().request().id())
+                    .write();
+        }
+    }
+
     private void logUnreadable(String what, BackendServerId server, String value) {
         log.routine("fleet", what + " unreadable")
                 .with("server", server)
--- a/gateway/src/test/java/org/cornelramp/gateway/route/AnnouncedLeavingTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/AnnouncedLeavingTest.java
@@ -65,7 +65,7 @@
     }
 
     /** Guards against requests to a server that has said that it leaves, because its registration does not say so. */
-    @Test(groups = "known-red")
+    @Test
     public void announcedServerGetsNoRequests() {
         announce();
         router.run(DRAIN_MILLIS);
@@ -73,7 +73,7 @@
     }
 
     /** Guards against servers that are used again because they register or the registrations are read again. */
-    @Test(groups = "known-red")
+    @Test
     public void registrationsOfTheSameIncarnationDoNotEndIt() {
         announce();
         router.register(leaving.withState(ServerState.READY));
@@ -89,7 +89,7 @@
     }
 
     /** Guards against servers that are used again because the store is away. */
-    @Test(groups = "known-red")
+    @Test
     public void outageOfTheStoreDoesNotEndIt() {
         router.handle(new RouterEvent.StoreStatus(false));
         announce();
@@ -118,7 +118,7 @@
     }
 
     /** Guards against plain servers whose announcement is not read. */
-    @Test(groups = "known-red")
+    @Test
     public void announcedPlainServerGetsNoRequests() {
         router.register(TestServers.plain("p1", 31));
         router.register(TestServers.plain("p2", 32));
