--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewayFault.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewayFault.java
@@ -247,8 +247,56 @@
         void inject(ScheduledFault fault) {
             fault.backend().relay().injectAfterNextData(StandInBackend.strayAnswer());
         }
+    },
+    BACKEND_LIMITS_RATE(Target.BACKEND) {
+        @Override
+        boolean isNotice() {
+            return true;
+        }
+
+        @Override
+        void inject(ScheduledFault fault) throws InterruptedException {
+            fault.backend().server().setRequestsPerSecond(0.5 + fault.nextInt(8));
+            Thread.sleep(LIMIT_MILLIS);
+            fault.backend().server().setRequestsPerSecond(0);
+        }
+    },
+    BACKEND_ASKS_FOR_REST(Target.BACKEND) {
+        @Override
+        boolean isNotice() {
+            return true;
+        }
+
+        @Override
+        void inject(ScheduledFault fault) throws InterruptedException {
+            fault.backend().server().setRestSeconds(1 + fault.nextInt(3));
+            fault.sleepForDuration();
+            fault.backend().server().setRestSeconds(0);
+        }
+    },
+    BACKEND_ANNOUNCES_LEAVING(Target.BACKEND) {
+        @Override
+        boolean isNotice() {
+            return true;
+        }
+
+        @Override
+        void inject(ScheduledFault fault) throws InterruptedException {
+            synchronized (fault.backend()) {
+                StandInBackend server = fault.backend().server();
+                server.announceLeaving();
+                Thread.sleep(2 * GatewayEnvironment.DRAIN_MILLIS + fault.nextInt(REGISTRATION_TIMEOUT_MILLIS));
+                server.unregister();
+                server.crash();
+                fault.backend().relay().cut();
+                server.startIncarnation();
+            }
+        }
     };
 
+    /** Long enough for the time after which a limit must be kept, and a window in which it is counted. */
+    private static final long LIMIT_MILLIS = 9_000;
+
     private static final int CONFIG_STORM_VERSIONS = 8;
     private static final long CONFIG_STORM_INTERVAL_MILLIS = 150;
 
@@ -271,6 +319,11 @@
         return false;
     }
 
+    /** Whether a server only says something in its answers about the requests that it takes. */
+    boolean isNotice() {
+        return false;
+    }
+
     /** Injects the fault, waits for its duration and ends it. */
     abstract void inject(ScheduledFault fault) throws InterruptedException;
 
--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewayFaultInjector.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewayFaultInjector.java
@@ -6,8 +6,10 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.cornelramp.bench.fleet.FleetException;
 import org.cornelramp.bench.gateway.FaultHistory.FaultPeriod;
+import org.cornelramp.bench.gateway.FaultHistory.Target;
 import org.cornelramp.bench.soak.Violations;
 import org.cornelramp.platform.standin.StandInFleet;
 
@@ -32,15 +34,20 @@
         return thread;
     });
 
-    GatewayFaultInjector(GatewayEnvironment environment, Violations violations, long seed, long millis) {
+    /** @param notices whether servers limit their rate, ask for rest and announce that they leave, instead of failing */
+    GatewayFaultInjector(
+            GatewayEnvironment environment, Violations violations, long seed, long millis, boolean notices) {
         this.environment = environment;
         this.violations = violations;
-        this.planned = draw(environment, seed, millis);
+        this.planned = draw(environment, seed, millis, notices);
     }
 
-    private static List<GatewayFault.ScheduledFault> draw(GatewayEnvironment environment, long seed, long millis) {
+    private static List<GatewayFault.ScheduledFault> draw(
+            GatewayEnvironment environment, long seed, long millis, boolean notices) {
         SplittableRandom random = new SplittableRandom(seed);
-        GatewayFault[] kinds = GatewayFault.values();
+        GatewayFault[] kinds = Stream.of(GatewayFault.values())
+                .filter(fault -> notices ? fault.isNotice() || fault.target() != Target.BACKEND : !fault.isNotice())
+                .toArray(GatewayFault[]::new);
         List<GatewayFault.ScheduledFault> faults = new ArrayList<>();
         int targetIndex = random.nextInt(TARGET_INDEX_BOUND);
         long startMillis = EARLIEST_START_MILLIS + random.nextInt(MEAN_GAP_MILLIS);
--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewaySoakCommand.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewaySoakCommand.java
@@ -19,12 +19,13 @@
 import org.cornelramp.platform.standin.StandInFleet;
 
 /**
- * {@code soak --seed N --seconds S [--gateways G]}: runs gateways as separate processes under random faults and checks
+ * {@code soak --seed N --seconds S [--gateways G] [--notices]}: runs gateways as separate processes under random faults and checks
  * the guarantees of the product. After a violation it prints the schedule, the folder of the logs and every violation,
  * and exits with status 1. The last line holds the figures of the run. Stateless.
  */
 public final class GatewaySoakCommand implements BenchCommand {
     private static final String GATEWAYS_OPTION = "gateways";
+    private static final String NOTICES_OPTION = "notices";
     private static final String DEFAULT_GATEWAYS = "6";
     private static final Duration RECOVERY_LIMIT = Duration.ofSeconds(40);
     private static final long FINAL_ANSWERS_MILLIS = 12_000;
@@ -44,21 +45,27 @@
     @Override
     public Options options() {
         return new Options()
-                .addOption(Option.builder().longOpt(GATEWAYS_OPTION).hasArg().get());
+                .addOption(Option.builder().longOpt(GATEWAYS_OPTION).hasArg().get())
+                .addOption(Option.builder().longOpt(NOTICES_OPTION).get());
     }
 
     @Override
     public int run(BenchContext context, CommandLine line) throws Exception {
         int gateways = Integer.parseInt(line.getOptionValue(GATEWAYS_OPTION, DEFAULT_GATEWAYS));
-        return run(context.home(), context.seed(), context.seconds(), gateways)
+        boolean notices = line.hasOption(NOTICES_OPTION);
+        return run(context.home(), context.seed(), context.seconds(), gateways, notices)
                         .all()
                         .isEmpty()
                 ? 0
                 : 1;
     }
 
-    /** Runs once and returns the violations of the guarantees. */
-    public static Violations run(Path home, long seed, int seconds, int gateways) throws Exception {
+    /**
+     * Runs once and returns the violations of the guarantees.
+     *
+     * @param notices whether servers limit their rate, ask for rest and announce that they leave, instead of failing
+     */
+    public static Violations run(Path home, long seed, int seconds, int gateways, boolean notices) throws Exception {
         HTTP_LOGGER.setLevel(Level.OFF);
         Violations violations = new Violations();
         Path folder = home.resolve("out").resolve("soak-" + seed);
@@ -67,12 +74,15 @@
         GatewayFaultInjector faults;
         try (GatewayEnvironment environment = new GatewayEnvironment(home, folder, gateways)) {
             environment.start();
-            faults = new GatewayFaultInjector(environment, violations, seed, seconds * 1_000L);
+            faults = new GatewayFaultInjector(environment, violations, seed, seconds * 1_000L, notices);
             runLoad(environment, faults, calls, violations, seed, seconds * 1_000L);
             awaitRecovery(environment, violations);
             new GatewayChecks(
                             calls.all(), environment.fleet().observedRequests(), environment.faultHistory(), violations)
                     .run();
+            new NoticeChecks(
+                            calls.all(), environment.fleet().observedRequests(), environment.faultHistory(), violations)
+                    .run();
         }
         report(seed, folder, faults, calls.all(), violations);
         return violations;
--- a/system-tests/src/test/java/org/cornelramp/systemtests/GatewaySoakTest.java
+++ b/system-tests/src/test/java/org/cornelramp/systemtests/GatewaySoakTest.java
@@ -13,7 +13,9 @@
     @Test
     public void aShortRunHasNoViolations() throws Exception {
         assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 1, 12, 4).all(), List.of());
+                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 1, 12, 4, false)
+                        .all(),
+                List.of());
     }
 
     /**
@@ -24,6 +26,17 @@
     @Test
     public void aStreamCutDuringShutdownIsNotReadAsComplete() throws Exception {
         assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 6, 25, 6).all(), List.of());
+                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 6, 25, 6, false)
+                        .all(),
+                List.of());
+    }
+
+    /** Servers that limit their rate, ask for rest and announce that they leave get no more than they have said. */
+    @Test
+    public void serversAreHeardThatSayWhatTheyTake() throws Exception {
+        assertEquals(
+                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 43, 20, 4, true)
+                        .all(),
+                List.of());
     }
 }
