Do not delay refused callers for one server's rest while another takes requests

Callers would be told to return up to 5 s later because one server rests, although others are open and their refusal had another reason (no memory, no retry). The Retry-After is raised only if no working server at which a request can begin takes requests of this gateway. Also says what the constants of SharedRateLimit stand for.

--- a/core/src/main/java/org/cornelramp/core/limit/SharedRateLimit.java
+++ b/core/src/main/java/org/cornelramp/core/limit/SharedRateLimit.java
@@ -19,17 +19,19 @@
  * limit allows in 1.5 seconds.
  */
 final class SharedRateLimit {
-    /** Gateways that share a limit in addition to one for each two requests per second. */
+    /** Most gateways that share a low limit: each may send a request that the others do not know of yet. */
     private static final int MIN_SHARERS = 4;
 
+    /** Further gateways for each request per second. */
     private static final double SHARERS_PER_RATE = 0.5;
 
-    /** Requests that may be sent at once if none has been sent for some time, and the seconds of the rate beyond. */
+    /** Requests that may be sent at once after a time without any, in addition to {@link #BURST_SECONDS}. */
     private static final double BURST = 1.5;
 
-    /** Requests that all other sharers together may send at once. */
+    /** Requests that all other sharers together may send unheard, in addition to {@link #BURST_SECONDS}. */
     private static final double BURST_OF_OTHERS = 3;
 
+    /** Part of both bursts that grows with the limit, as the time in which it allows as many requests. */
     private static final double BURST_SECONDS = 0.25;
 
     /** Age of a sharer's count from which on it is charged in advance. */
@@ -160,8 +162,7 @@
         }
         SharerCount count = counts.computeIfAbsent(peer, name -> new SharerCount());
         double added = incarnation == count.incarnation ? Math.max(0, total - count.sent) : total;
-        double charge = added - count.prepaid;
-        shared.take(Math.min(charge, maxDebt()));
+        shared.take(Math.min(added - count.prepaid, maxDebt())); // gives back what was charged in advance and not sent
         count.incarnation = incarnation;
         count.sent = total;
         count.heardMillis = nowMillis;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
@@ -183,6 +183,13 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
+    /** Whether a working server of the service, at which a request can begin, takes requests of this gateway now. */
+    public boolean hasOpenServer(ServiceName service, long nowMillis) {
+        Set<BackendServerId> closed = closedServers(service, nowMillis);
+        return usableServers(service, closed, nowMillis).stream()
+                .anyMatch(server -> server.card().isEmpty() || server.holds(0));
+    }
+
     /** Time until a working server of the service takes requests again, in milliseconds; empty if none is to be expected. */
     public OptionalLong millisUntilOpen(ServiceName service, long nowMillis) {
         return closedServers(service, nowMillis).stream()
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDelay.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDelay.java
@@ -13,10 +13,10 @@
         this.fleet = fleet;
     }
 
-    /** Time in milliseconds, not before a server that takes no requests now takes them again; 0 if none helps. */
+    /** Time in milliseconds, not before a server takes requests if none does now; 0 if no later request would help. */
     long millis(ActiveRequest request, Refusal refusal, long now) {
-        if (refusal.retryMillis() == 0) {
-            return 0;
+        if (refusal.retryMillis() == 0 || fleet.hasOpenServer(request.service(), now)) {
+            return refusal.retryMillis();
         }
         long openMillis = fleet.millisUntilOpen(request.service(), now).orElse(0);
         return Math.max(refusal.retryMillis(), Math.min(openMillis, MAX_MILLIS));
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RequestedRestTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RequestedRestTest.java
@@ -147,6 +147,18 @@
         assertEquals(arrived(RESTING_PORT), 1);
     }
 
+    /** Guards against callers who are told to wait for a rest although another server takes requests. */
+    @Test
+    public void restDoesNotDelayCallersWhileAnotherServerIsOpen() {
+        askForRest();
+        router.register(other);
+        router.publish(StandInConfig.small(2).withCardMb(80)); // no engine has memory for a request
+        FakeClient client = router.request("/chat/a", "refused");
+        assertEquals(client.status(), 503);
+        double seconds = Double.parseDouble(client.header("Retry-After"));
+        assertTrue(seconds >= 1 && seconds <= 1.5, seconds + " s");
+    }
+
     /** Guards against started streams that are ended, or sent to a server in its rest, instead of waiting for it. */
     @Test
     public void startedStreamWaitsForTheEndOfTheRest() {
