--- a/gateway/src/test/java/org/cornelramp/gateway/peer/PeerUpdateCodecTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/PeerUpdateCodecTest.java
@@ -53,6 +53,16 @@
         assertEquals(PeerUpdateCodec.read(withoutLoads, withoutLoads.length).get(), UPDATE.withoutLoads());
     }
 
+    /** Guards against gateways of two builds that do not hear each other while one replaces the other. */
+    @Test
+    public void updateOfThePreviousBuildIsRead() {
+        PeerUpdate update = UPDATE.withRateLimits(Map.of());
+        byte[] bytes = PeerUpdateCodec.write(update);
+        bytes[0] = 6;
+        int withoutLimits = bytes.length - 1; // the empty map of limits takes the last byte
+        assertEquals(PeerUpdateCodec.read(bytes, withoutLimits).get(), update);
+    }
+
     @Test
     public void truncatedUpdateIsReportedWithoutAnException() {
         byte[] bytes = PeerUpdateCodec.write(UPDATE);
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/UpdateUrgencyTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/UpdateUrgencyTest.java
@@ -3,7 +3,9 @@
 import static org.testng.Assert.assertEquals;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.cornelramp.core.limit.RateLimitUpdate;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.ServiceName;
@@ -34,6 +36,22 @@
         assertEquals(urgency.isUrgent(update(Set.of(), Map.of(SERVICE, new RetryLoanUpdate.LoanRequest(2, 5)))), true);
     }
 
+    /** Guards against peers that learn a server's limit only when their turn comes. */
+    @Test
+    public void changedLimitIsUrgentOnce() {
+        UpdateUrgency urgency = new UpdateUrgency();
+        PeerUpdate quiet = update(Set.of(), Map.of());
+        assertEquals(urgency.isUrgent(quiet.withRateLimits(limit(2, 20))), true);
+        assertEquals(urgency.isUrgent(quiet.withRateLimits(limit(2, 140))), false);
+        assertEquals(urgency.isUrgent(quiet.withRateLimits(limit(1, 20))), true);
+    }
+
+    private static Map<BackendServerId, RateLimitUpdate> limit(double requestsPerSecond, long ageMillis) {
+        RateLimitUpdate.Observation observed =
+                new RateLimitUpdate.Observation(Optional.of(requestsPerSecond), ageMillis);
+        return Map.of(new BackendServerId("i-1"), new RateLimitUpdate(Optional.of(observed), 3));
+    }
+
     /** Guards against peers that send requests to a dead server until their turn comes. */
     @Test
     public void newSuspectIsUrgentOnce() {
