Build a server's next incarnation, and the failing end of an attempt, in one place of the tests

Found in review of the whole change: four tests and fakes built the next incarnation of a server field by field; the test of faults and the router's simulation each made an end whose handling throws; three tests wrote the same setting for retries; a record held a single number. They now call TestServers.incarnation, RouterSimulation.failNextEnd, GatewayFixture.MANY_RETRIES; arrivals are plain times.

LimitedFleet's window for retries is now the default; its engines fail nothing. The product's sources are untouched.

--- a/gateway/src/test/java/org/cornelramp/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/GatewayFixture.java
@@ -22,6 +22,9 @@
     /** The key that the configuration contains. */
     public static final String KEY = StandInConfig.KEY;
 
+    /** Settings of a gateway with more retries than a test uses. */
+    public static final String MANY_RETRIES = ",\"retries\":{\"ratio\":1,\"reserve\":400}";
+
     /** Settings of a gateway without retries. */
     public static final String NO_RETRIES = ",\"retries\":{\"ratio\":0,\"reserve\":0,\"windowSeconds\":2}";
 
--- a/gateway/src/test/java/org/cornelramp/gateway/TestServers.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/TestServers.java
@@ -10,7 +10,7 @@
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.platform.standin.StandInConfig;
 
-/** Creates backend servers that are ready, in their first incarnation. Stateless. */
+/** Creates backend servers that are ready. Stateless. */
 public final class TestServers {
     private static final int SLOTS = 8;
 
@@ -26,6 +26,20 @@
         return server(id, StandInConfig.PLAIN, new HostPort("127.0.0.1", port), "dc1", "", Optional.empty());
     }
 
+    /** A later incarnation of a server, with the id. */
+    public static BackendServer incarnation(BackendServer server, String id) {
+        return new BackendServer(
+                new BackendServerId(id),
+                server.name(),
+                server.service(),
+                server.address(),
+                server.dataCentre(),
+                ServerState.READY,
+                server.slots(),
+                server.card(),
+                server.layers());
+    }
+
     private static BackendServer server(
             String id, String service, HostPort address, String dataCentre, String card, Optional<LayerRange> layers) {
         BackendServerId server = new BackendServerId(id);
--- a/gateway/src/test/java/org/cornelramp/gateway/route/AnnouncedLeavingTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/AnnouncedLeavingTest.java
@@ -8,7 +8,6 @@
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerRegistry;
 import org.cornelramp.core.fleet.ServerState;
-import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.gateway.TestServers;
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.standin.HeaderFixtures;
@@ -104,16 +103,7 @@
     @Test
     public void nextIncarnationIsUsed() {
         announce();
-        router.register(new BackendServer(
-                new BackendServerId("a1-2"),
-                leaving.name(),
-                leaving.service(),
-                leaving.address(),
-                leaving.dataCentre(),
-                ServerState.READY,
-                leaving.slots(),
-                leaving.card(),
-                leaving.layers()));
+        router.register(TestServers.incarnation(leaving, "a1-2"));
         assertTrue(requestsIn(1_000) > 0);
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/route/AttemptEndFaultTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/AttemptEndFaultTest.java
@@ -6,7 +6,6 @@
 
 import org.cornelramp.gateway.GatewayFixture;
 import org.cornelramp.gateway.TestServers;
-import org.cornelramp.gateway.request.AttemptEnd;
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.cornelramp.platform.standin.StandInConfig;
@@ -27,13 +26,10 @@
     }
 
     /** Ends a request so that the router's handling of the end throws an exception. */
-    @SuppressWarnings("NullOptional") // the null makes the handling throw
     private void failWithException(FakeHttpClient.Call call) {
+        router.failNextEnd();
         call.fail(new IllegalStateException("reset"));
-        RouterEvent.AttemptEnded ended = (RouterEvent.AttemptEnded) router.takeEvent();
-        AttemptEnd end = ended.end();
-        AttemptEnd invalid = new AttemptEnd(end.kind(), end.status(), end.fields(), end.body(), null, end.detail());
-        router.handle(new RouterEvent.AttemptEnded(ended.attempt(), invalid));
+        router.handleNext();
     }
 
     /** Guards against a non-idempotent request that runs twice after an exception in the handling of its end. */
--- a/gateway/src/test/java/org/cornelramp/gateway/route/LimitedFleet.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/LimitedFleet.java
@@ -7,8 +7,8 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.cornelramp.core.fleet.BackendServer;
-import org.cornelramp.core.fleet.ServerState;
-import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.gateway.GatewayFixture;
+import org.cornelramp.gateway.TestServers;
 import org.cornelramp.gateway.peer.PeerRotation;
 import org.cornelramp.gateway.peer.PeerUpdate;
 import org.cornelramp.gateway.request.FakeClient;
@@ -37,7 +37,10 @@
 
     private final Map<String, Gateway> gateways = new LinkedHashMap<>();
     private final SplittableRandom random;
-    private final List<Arrival> arrivals = new ArrayList<>();
+
+    /** When requests have reached the limited engine from gateways that had been told its limit. */
+    private final List<Long> arrivals = new ArrayList<>();
+
     private final boolean hasOther;
     private BackendServer limited = LIMITED;
     private Optional<String> limit = Optional.empty();
@@ -47,9 +50,6 @@
     private long refused;
     private long restarts;
 
-    /** A request that has reached the limited engine from a gateway that had been told its limit. */
-    private record Arrival(long millis) {}
-
     private static final class Gateway {
         private final RouterSimulation router;
         private int nextPeer;
@@ -75,7 +75,10 @@
 
     private void start(String name) {
         RouterSimulation router = new RouterSimulation(
-                name, StandInConfig.small(1), retries(), random.split().nextLong());
+                name,
+                StandInConfig.small(1),
+                GatewayFixture.MANY_RETRIES,
+                random.split().nextLong());
         router.pass(now - router.now());
         router.register(limited);
         if (hasOther) {
@@ -84,10 +87,6 @@
         gateways.put(name, new Gateway(router, now + random.nextInt(PeerRotation.ROUND_MILLIS)));
     }
 
-    private static String retries() {
-        return ",\"retries\":{\"ratio\":1,\"reserve\":400,\"windowSeconds\":2}";
-    }
-
     /** Replaces a gateway by a new process of the same name, which knows nothing. */
     void restartGateway(int index) {
         String name = List.copyOf(gateways.keySet()).get(index % gateways.size());
@@ -116,17 +115,7 @@
     /** Lets the limited engine start again as another incarnation. */
     void restartEngine() {
         restarts++;
-        BackendServerId id = new BackendServerId("a1-" + restarts);
-        limited = new BackendServer(
-                id,
-                LIMITED.name(),
-                LIMITED.service(),
-                LIMITED.address(),
-                LIMITED.dataCentre(),
-                ServerState.READY,
-                LIMITED.slots(),
-                LIMITED.card(),
-                LIMITED.layers());
+        limited = TestServers.incarnation(LIMITED, "a1-" + restarts);
         gateways.values().forEach(gateway -> gateway.router.register(limited));
     }
 
@@ -163,7 +152,7 @@
             String id = HeaderFixtures.requestId(call::header);
             boolean isLimited = call.port() == LIMITED_PORT;
             if (isLimited && now - gateway.toldMillis >= REACTION_MILLIS) {
-                arrivals.add(new Arrival(now));
+                arrivals.add(now);
             }
             HttpFields fields = HeaderFixtures.answer(id);
             answer(call, isLimited ? limited(fields) : fields);
@@ -215,16 +204,14 @@
 
     /** Number of arrivals from gateways that knew the limit, from a time on. */
     long arrivalsSince(long millis) {
-        return arrivals.stream().filter(arrival -> arrival.millis() >= millis).count();
+        return arrivals.stream().filter(at -> at >= millis).count();
     }
 
     /** Most arrivals in a window that begins within a span of time and ends by its end. */
     long mostArrivals(long from, long to) {
         return arrivals.stream()
-                .mapToLong(Arrival::millis)
                 .filter(start -> start >= from)
-                .map(start -> arrivals.stream()
-                        .mapToLong(Arrival::millis)
+                .mapToLong(start -> arrivals.stream()
                         .filter(at -> at >= start && at <= Math.min(start + WINDOW_MILLIS, to))
                         .count())
                 .max()
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RequestedRestProperties.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RequestedRestProperties.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.Provide;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerState;
+import org.cornelramp.gateway.GatewayFixture;
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.cornelramp.platform.standin.StandInConfig;
 
@@ -56,7 +57,7 @@
     /** Plays the steps on a router in front of three engines. */
     private static final class History {
         private final RouterSimulation router =
-                new RouterSimulation(StandInConfig.small(1), ",\"retries\":{\"ratio\":1,\"reserve\":400}", 1);
+                new RouterSimulation(StandInConfig.small(1), GatewayFixture.MANY_RETRIES, 1);
         private final List<BackendServer> engines = List.of(
                 RouterSimulation.engine("a1", FIRST_PORT, 0, 8),
                 RouterSimulation.engine("a2", FIRST_PORT + 1, 0, 8),
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RequestedRestTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RequestedRestTest.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerState;
-import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.gateway.GatewayFixture;
 import org.cornelramp.gateway.TestServers;
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.standin.HeaderFixtures;
@@ -40,7 +40,7 @@
 
     @BeforeMethod
     public void start() {
-        router = new RouterSimulation(StandInConfig.small(1), ",\"retries\":{\"ratio\":1,\"reserve\":400}", 1);
+        router = new RouterSimulation(StandInConfig.small(1), GatewayFixture.MANY_RETRIES, 1);
         router.register(resting);
         arrivals.clear();
         handled = 0;
@@ -54,12 +54,10 @@
         while (handled < router.calls().size()) {
             FakeHttpClient.Call call = router.calls().get(handled++);
             arrivals.merge(call.port(), 1, Integer::sum);
-            HttpFields fields = HeaderFixtures.answer(HeaderFixtures.requestId(call::header));
+            String id = HeaderFixtures.requestId(call::header);
+            HttpFields fields = HeaderFixtures.answer(id);
             if (call.port() == RESTING_PORT) {
-                call.complete(
-                        503,
-                        HeaderFixtures.resting(
-                                retryAfter, HeaderFixtures.refusal(HeaderFixtures.requestId(call::header))));
+                call.complete(503, HeaderFixtures.resting(retryAfter, HeaderFixtures.refusal(id)));
             } else if (!HeaderFixtures.enginePorts(call::header).isEmpty()) {
                 call.events(fields, "id: 0\ndata: x\n\n");
                 call.complete(200, fields);
@@ -121,16 +119,7 @@
     @Test
     public void anotherIncarnationDoesNotRest() {
         askForRest();
-        router.register(new BackendServer(
-                new BackendServerId("a1-2"),
-                resting.name(),
-                resting.service(),
-                resting.address(),
-                resting.dataCentre(),
-                ServerState.READY,
-                resting.slots(),
-                resting.card(),
-                resting.layers()));
+        router.register(TestServers.incarnation(resting, "a1-2"));
         run(100, true);
         assertTrue(arrived(RESTING_PORT) > 1);
     }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/SimulatedServer.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/SimulatedServer.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerState;
-import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.gateway.TestServers;
 import org.cornelramp.platform.PlatformFault;
 
 /** A backend server of a {@link RouterHistory} with its incarnations. Used by one thread. */
@@ -99,17 +99,7 @@
     void replace() {
         incarnation++;
         deaths++;
-        BackendServerId id = new BackendServerId(first.name().value() + "-" + incarnation);
-        current = new BackendServer(
-                id,
-                first.name(),
-                first.service(),
-                first.address(),
-                first.dataCentre(),
-                ServerState.READY,
-                first.slots(),
-                first.card(),
-                first.layers());
+        current = TestServers.incarnation(first, first.name().value() + "-" + incarnation);
         condition = Condition.WELL;
         doubted = false;
         register(ServerState.READY);
