Test the eviction of connections whatever number of them the pool has opened

Cause: a premise of the test. It took for granted that three calls made at once open exactly three connections, and held the first call of connections 0 to 2 until all three had one. Jetty's pool may open a spare connection for calls made at once. If the calls use connections 0, 1 and 3, the server waits for a call on connection 2 that never comes, and two calls time out. A spare connection that stays idle could also take the call that is to time out.

Ruled out: a call that reuses a connection that is closing (each of the three was received on a connection of its own), and the eviction itself (the failure comes before it).

Change: the server holds the first three calls, whatever their connections, then is silent on all connections until the first timeout, and after it on those that were open then.

--- a/ports/src/test/java/org/cornelramp/ports/http/SilentConnectionsTest.java
+++ b/ports/src/test/java/org/cornelramp/ports/http/SilentConnectionsTest.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cornelramp.ports.PlatformException;
 import org.cornelramp.ports.ServiceClient;
 import org.cornelramp.ports.ServiceReply;
@@ -12,15 +13,20 @@
 
 /**
  * Guards against one timeout for each pooled connection when a middlebox between agent and service loses its state of
- * all open connections while new ones work. Three connections are pooled; after the first timeout on one of them, every
- * later call must use a new connection.
+ * all open connections while new ones work. At least three connections are pooled; after the first timeout on one of
+ * them, every later call must use a new connection.
  */
 public class SilentConnectionsTest {
+    private static final int POOLED = 3;
 
     @Test
     public void oneTimeoutEvictsAllOpenConnections() throws Exception {
-        CountDownLatch allConnected = new CountDownLatch(3);
-        try (RawServer server = new RawServer((connection, request) -> answer(allConnected, connection, request));
+        CountDownLatch allReceived = new CountDownLatch(POOLED);
+        AtomicInteger firstWorking = new AtomicInteger();
+        try (RawServer server = new RawServer((connection, request) -> {
+                    allReceived.countDown();
+                    return connection < firstWorking.get() ? null : answerAfter(allReceived);
+                });
                 PlatformFixture fixture = new PlatformFixture(HttpTimeouts.DEFAULTS)) {
             ServiceClient service = fixture.platform().service(server.url());
             CompletableFuture<ServiceReply> first = service.call(PlatformFixture.booking(5_000));
@@ -29,7 +35,9 @@
             first.join();
             second.join();
 
+            firstWorking.set(Integer.MAX_VALUE);
             PlatformException failure = PlatformFixture.failureOf(service.call(PlatformFixture.booking(300)));
+            firstWorking.set(server.connections());
 
             assertEquals(failure.kind(), PlatformException.Kind.ANSWER_LOST);
             for (int i = 0; i < 3; i++) {
@@ -39,17 +47,12 @@
         }
     }
 
-    private static String answer(CountDownLatch allConnected, int connection, int request) {
-        if (connection < 3 && request > 0) {
-            return null;
-        }
-        if (connection < 3) {
-            allConnected.countDown();
-            try {
-                allConnected.await(5, TimeUnit.SECONDS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+    /** Holds the first calls until all are received, each on its own connection; the pool may open spare ones. */
+    private static String answerAfter(CountDownLatch allReceived) {
+        try {
+            allReceived.await(5, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
         return RawServer.answer(200, "", "{}");
     }
