Answer whole streams in one place of the gateway's tests, and say three comments plainly

Found in review of the whole change: three tests delivered an event and the end of a successful stream line by line, with the same text; they now call FakeHttpClient.Call.stream. LimitedFleet assigned the time at which a gateway was told also when it had not changed; it is an if now. Three comments of tests are said more plainly.

The product's sources are untouched.

--- a/gateway/src/test/java/org/cornelramp/gateway/route/AnnouncedLeavingTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/AnnouncedLeavingTest.java
@@ -46,15 +46,14 @@
         assertTrue(client.isComplete(), "the stream that the server has begun is not cut");
     }
 
-    /** Sends a request in each 100 ms, and returns how many of them reach the leaving server. */
+    /** Sends ten requests a second, and returns how many of them reach the leaving server. */
     private long requestsIn(long millis) {
         int before = router.calls().size();
         for (int i = 0; i < millis / 100; i++) {
             router.run(100);
             requests++;
             router.request("/chat/a", "r" + requests);
-            lastCall().events("r" + requests, "id: 0\ndata: x\n\n");
-            lastCall().complete(200, HeaderFixtures.answer("r" + requests));
+            lastCall().stream(HeaderFixtures.answer("r" + requests));
             router.settle();
         }
         return router.calls().stream()
--- a/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
@@ -145,6 +145,12 @@
             deliver(Content.Chunk.from(bytes, false, ignored -> beforeWrite.run()));
         }
 
+        /** Delivers a whole successful stream of one event. */
+        void stream(HttpFields fields) {
+            events(fields, "id: 0\ndata: x\n\n");
+            complete(200, fields);
+        }
+
         /** Ends a response normally. */
         void complete(int status, HttpFields fields) {
             head(status, fields);
--- a/gateway/src/test/java/org/cornelramp/gateway/route/LimitedFleet.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/LimitedFleet.java
@@ -155,9 +155,11 @@
                 arrivals.add(now);
             }
             HttpFields fields = HeaderFixtures.answer(id);
-            answer(call, isLimited ? limited(fields) : fields);
-            gateway.toldMillis =
-                    isLimited && limit.isPresent() ? Math.min(now, gateway.toldMillis) : gateway.toldMillis;
+            call.stream(isLimited ? limited(fields) : fields);
+            answered++;
+            if (isLimited && limit.isPresent()) {
+                gateway.toldMillis = Math.min(now, gateway.toldMillis);
+            }
             gateway.router.settle();
         }
     }
@@ -166,12 +168,6 @@
         return limit.map(value -> HeaderFixtures.limiting(value, fields)).orElse(fields);
     }
 
-    private void answer(FakeHttpClient.Call call, HttpFields fields) {
-        call.events(fields, "id: 0\ndata: x\n\n");
-        call.complete(200, fields);
-        answered++;
-    }
-
     private void sendUpdates(Gateway sender) {
         if (now < sender.nextUpdateMillis) {
             return;
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RequestedRestProperties.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RequestedRestProperties.java
@@ -21,7 +21,7 @@
     private static final int FIRST_PORT = 11;
     private static final long REACTION_MILLIS = 500;
 
-    /** What happens next; a server is chosen by the value of the step. */
+    /** Kind of a step, whose value selects the server or the call that it affects. */
     private enum Action {
         REQUEST,
         ASK_FOR_REST,
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RequestedRestTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RequestedRestTest.java
@@ -55,12 +55,10 @@
             FakeHttpClient.Call call = router.calls().get(handled++);
             arrivals.merge(call.port(), 1, Integer::sum);
             String id = HeaderFixtures.requestId(call::header);
-            HttpFields fields = HeaderFixtures.answer(id);
             if (call.port() == RESTING_PORT) {
                 call.complete(503, HeaderFixtures.resting(retryAfter, HeaderFixtures.refusal(id)));
             } else if (!HeaderFixtures.enginePorts(call::header).isEmpty()) {
-                call.events(fields, "id: 0\ndata: x\n\n");
-                call.complete(200, fields);
+                call.stream(HeaderFixtures.answer(id));
             }
             router.settle();
         }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/ServerRateLimitTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/ServerRateLimitTest.java
@@ -12,7 +12,7 @@
     /** Least share of a limit that is used while there is demand. */
     private static final double MIN_USED_SHARE = 0.7;
 
-    /** Requests of a limit over which its use is measured, so that bursts at the ends do not count. */
+    /** Requests that a limit allows at least while its use is measured: many times its burst. */
     private static final double REQUESTS_COUNTED = 40;
 
     /** Time for which gateways count a silent peer. */
