Log and measure how old a gateway's knowledge of the store is

The logs could not tell the five hypotheses of the incident apart: neither from whom a topic was read, nor how long before a new version the gateway had last known all versions, nor how long a failed read and the decoding took. Now: config, servers: provider at each change of the provider; knowledgeAgeMillis, bytes and decodeMillis at config: in force; tookMillis at not read; a gauge for each topic and a histogram. No change of logic.

--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ConfigFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ConfigFollower.java
@@ -57,17 +57,25 @@
 
     /** @param offset offset of the record in the store; negative if the configuration came from a peer */
     private void apply(byte[] source, String from, long offset) {
+        long startMillis = nowMillis();
         Either<PlatformFault, RoutingConfig> config = ConfigDecoder.decode(source);
         if (config.isLeft()) {
             recordUnreadable(offset, config.getLeft().toString());
             return;
         }
         boolean newer = holder.offer(config.get(), source);
+        long knowledgeAgeMillis = knowledgeAgeMillis();
+        if (newer) {
+            meters().recordConfigChange(from, knowledgeAgeMillis);
+        }
         line(newer ? "in force" : "older than the one in force")
                 .with("version", config.get().version())
                 .with("from", from)
                 .with("offset", offset)
                 .with("routes", config.get().routeCount())
+                .with("bytes", source.length)
+                .with("decodeMillis", nowMillis() - startMillis)
+                .with("knowledgeAgeMillis", knowledgeAgeMillis)
                 .write();
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ReadCoordinator.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ReadCoordinator.java
@@ -58,6 +58,14 @@
         UP_TO_DATE
     }
 
+    /** From whom a topic is read. */
+    enum Provider {
+        /** The store itself. */
+        STORE,
+        /** The gateway that reads for all. */
+        READER
+    }
+
     /** @param records address at which this gateway serves its records to its peers */
     public ReadCoordinator(HostPort records) {
         this.records = records;
@@ -117,6 +125,11 @@
         return newer ? Source.READER : Source.UP_TO_DATE;
     }
 
+    /** When the last position was received; 0 before the first. */
+    synchronized long receivedMillis() {
+        return receivedMillis;
+    }
+
     /** The address of the gateway that announced the last position. */
     synchronized Optional<HostPort> readerAddress() {
         return receivedPosition.map(ReadPosition::recordsAddress);
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/TopicFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/TopicFollower.java
@@ -48,6 +48,12 @@
     /** Era of the store for which the next offset is valid. */
     private long era;
 
+    /** Where the topic was read last; empty until the first read. */
+    private Optional<ReadCoordinator.Provider> provider = Optional.empty();
+
+    /** Time up to which all records are known to be applied here, according to the provider. */
+    private volatile long completeMillis;
+
     /**
      * Collaborators that all followers share. Immutable.
      *
@@ -73,7 +79,14 @@
         this.topic = topic;
         this.parts = parts;
         this.thread = new Thread(this::run, name);
+        this.completeMillis = parts.clock().millis();
         thread.setDaemon(true);
+        parts.meters().gauge(name + ".knowledge.age.millis", this::knowledgeAgeMillis);
+    }
+
+    /** Time since all records were last known to be applied here, in milliseconds; from any thread. */
+    final long knowledgeAgeMillis() {
+        return parts.clock().millis() - completeMillis;
     }
 
     /** Starts the thread. */
@@ -106,6 +119,14 @@
         return parts.peers();
     }
 
+    final Meters meters() {
+        return parts.meters();
+    }
+
+    final long nowMillis() {
+        return parts.clock().millis();
+    }
+
     /** Least pause between two steps that read, in milliseconds. */
     abstract long pauseMillis();
 
@@ -132,14 +153,17 @@
     private long step() {
         long now = parts.clock().millis();
         beforeStep(now);
-        return switch (parts.readCoordinator()
-                .source(topic, era, nextOffset, parts.isLeader().getAsBoolean(), now)) {
+        ReadCoordinator.Source source = parts.readCoordinator()
+                .source(topic, era, nextOffset, parts.isLeader().getAsBoolean(), now);
+        return switch (source) {
             case STORE ->
                 parts.storeAvailability().isUnavailable() && now - lastAttemptMillis < UNAVAILABLE_PAUSE_MILLIS
                         ? fallBackToPeers()
                         : readStore();
             case READER -> readPeer();
             case UP_TO_DATE -> {
+                recordComplete(
+                        ReadCoordinator.Provider.READER, parts.readCoordinator().receivedMillis());
                 onStoreStatus(true);
                 yield CHECK_INTERVAL_MILLIS;
             }
@@ -165,9 +189,25 @@
         parts.readCoordinator().recordRead(topic, page.era(), page.next(), now);
         onStoreStatus(true);
         applyAndAdvance(page, complete);
+        recordComplete(ReadCoordinator.Provider.STORE, now);
         return pauseMillis();
     }
 
+    /** Records how recent the applied records are, and logs a change of the provider. */
+    private void recordComplete(ReadCoordinator.Provider from, long millis) {
+        if (!provider.equals(Optional.of(from))) {
+            line("provider")
+                    .with("now", from)
+                    .with("reader", parts.readCoordinator().readerAddress())
+                    .with("offset", nextOffset)
+                    .with("era", era)
+                    .with("knowledgeAgeMillis", knowledgeAgeMillis())
+                    .write();
+            provider = Optional.of(from);
+        }
+        completeMillis = millis;
+    }
+
     /**
      * Starts over after the store was restored: records at offsets that were read before have been replaced by others.
      */
@@ -197,6 +237,7 @@
                 .update(topic, page, recordSet.get().complete(), parts.clock().millis());
         onStoreStatus(true);
         applyAndAdvance(page, recordSet.get().complete());
+        recordComplete(ReadCoordinator.Provider.READER, parts.readCoordinator().receivedMillis());
         return pauseMillis();
     }
 
@@ -216,7 +257,11 @@
         }
         parts.meters().countStoreCall(thread.getName(), fault.kind().name());
         parts.storeAvailability().recordFailure();
-        line("not read").with("fault", fault).write();
+        line("not read")
+                .with("fault", fault)
+                .with("tookMillis", parts.clock().millis() - lastAttemptMillis)
+                .with("knowledgeAgeMillis", knowledgeAgeMillis())
+                .write();
         return fallBackToPeers();
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
@@ -150,6 +150,16 @@
         count("records.unreadable", "topic", follower);
     }
 
+    /**
+     * Records a version of the configuration that has come into force.
+     *
+     * @param from who provided it
+     * @param knowledgeAgeMillis time since this gateway last knew all versions: the most that the version may be late
+     */
+    public void recordConfigChange(String from, long knowledgeAgeMillis) {
+        time("config.change.knowledge.age", from, knowledgeAgeMillis);
+    }
+
     /** Counts a call of the store. */
     public void countStoreCall(String call, String result) {
         enqueue(target -> target.counter(PREFIX + "store.calls", "call", call, "result", result)
