Let a gateway's followers and lease run on simulated time and stores

Interfaces for the store's records, its members and the peers' records; threads and pauses are dependencies.

--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -94,24 +94,32 @@
                 clock,
                 log);
         this.lease = new LeaderLease(
-                settings.name(), settings.peers(), peers::setPeers, store, storeAvailability, clock, log, meters);
+                settings.name(),
+                settings.peers(),
+                peers::setPeers,
+                store,
+                storeAvailability,
+                Thread::new,
+                clock,
+                log,
+                meters);
         PeerRecordsClient peerRecords =
                 new PeerRecordsClient(clients.pooled(), settings.metrics().port(), peers::peers, clock::millis);
         TopicFollower.Dependencies parts = new TopicFollower.Dependencies(
-                store, storeAvailability, readCoordinator, isLeader, cache, peerRecords, clock, log, meters);
+                store,
+                storeAvailability,
+                readCoordinator,
+                isLeader,
+                cache,
+                peerRecords,
+                Thread::new,
+                clock,
+                log,
+                meters);
         this.configFollower = new ConfigFollower(parts, config, versions);
         this.serverFollower = new ServerFollower(parts, router);
         this.layerPlacer = new LayerPlacer(lease, control, config, router::view, clock, log, meters);
-        meters.gauge("requests.underway", router::activeRequestCount);
-        meters.gauge("servers", () -> router.view().servers().size());
-        meters.gauge("servers.suspected", () -> router.view().suspects().size());
-        meters.gauge(
-                "config.version",
-                () -> config.current().map(RoutingConfig::version).orElse(-1L));
-        meters.gauge("connects.underway", clients::connectsUnderWay);
-        meters.gauge("connects.late", clients::lateConnects);
-        meters.gauge("log.dropped", log::dropped);
-        meters.gauge("log.skipped", log::skipped);
+        registerGauges(config);
         this.server = new GatewayHttpServer(
                 settings,
                 listener,
@@ -124,6 +132,19 @@
                 meters);
     }
 
+    private void registerGauges(ConfigHolder config) {
+        meters.gauge("requests.underway", router::activeRequestCount);
+        meters.gauge("servers", () -> router.view().servers().size());
+        meters.gauge("servers.suspected", () -> router.view().suspects().size());
+        meters.gauge(
+                "config.version",
+                () -> config.current().map(RoutingConfig::version).orElse(-1L));
+        meters.gauge("connects.underway", clients::connectsUnderWay);
+        meters.gauge("connects.late", clients::lateConnects);
+        meters.gauge("log.dropped", log::dropped);
+        meters.gauge("log.skipped", log::skipped);
+    }
+
     /** The HTTP clients for backend servers and the store. */
     HttpClients clients() {
         return clients;
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecordsClient.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecordsClient.java
@@ -16,14 +16,14 @@
 import org.eclipse.jetty.client.Request;
 
 /**
- * Reads the store's records and the configuration from peers.
+ * Reads the store's records and the configuration from peers over HTTP.
  *
  * <p>The store may refuse some machines for many seconds and serve the others. If engines are replaced meanwhile, a
  * gateway without new records sends its requests to engines that are gone. Records from a peer are slightly older; they
  * carry their offsets, so they never override newer records that came from the store itself. Safe for use by any
  * thread; calls block.
  */
-public final class PeerRecordsClient {
+public final class PeerRecordsClient implements PeerRecords {
     private static final long TIMEOUT_MILLIS = 250;
     private static final int MAX_PEERS = 2;
     private static final int OK = 200;
@@ -44,8 +44,8 @@
         this.clock = clock;
     }
 
-    /** The newest records of a topic from a random peer; empty if none of the peers asked has read them recently. */
-    Optional<RecordCache.RecordSet> fetchFromAnyPeer(MetadataStore.Topic topic) {
+    @Override
+    public Optional<RecordCache.RecordSet> fetchFromAnyPeer(MetadataStore.Topic topic) {
         List<HostPort> shuffled = new ArrayList<>(peers.get());
         Collections.shuffle(shuffled);
         for (HostPort peer : shuffled.subList(0, Math.min(MAX_PEERS, shuffled.size()))) {
@@ -57,18 +57,13 @@
         return Optional.empty();
     }
 
-    /** The configuration that a peer has in force, as it was published; empty if the peer does not return it. */
-    Optional<byte[]> fetchConfig(String host) {
+    @Override
+    public Optional<byte[]> fetchConfig(String host) {
         return get(http.newRequest(host, port).path(PeerRecordsHandler.CONFIG));
     }
 
-    /**
-     * The records of a topic as one peer has read them; empty if it does not return them.
-     *
-     * @param era era of the store for which the offset is valid
-     * @param from offset from which on records are needed; negative for all keys
-     */
-    Optional<RecordCache.RecordSet> fetch(HostPort peer, MetadataStore.Topic topic, long era, long from) {
+    @Override
+    public Optional<RecordCache.RecordSet> fetch(HostPort peer, MetadataStore.Topic topic, long era, long from) {
         Request request = http.newRequest(peer.host(), peer.port())
                 .path(PeerRecordsHandler.path(topic))
                 .param(PeerRecordsHandler.ERA, Long.toString(era))
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/TopicFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/TopicFollower.java
@@ -2,13 +2,14 @@
 
 import io.vavr.control.Either;
 import java.util.Optional;
-import java.util.concurrent.locks.LockSupport;
+import java.util.concurrent.ThreadFactory;
 import java.util.function.BooleanSupplier;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.platform.MetadataStore;
 import org.cornelramp.platform.PlatformFault;
+import org.cornelramp.platform.RecordStore;
 
 /**
  * A thread that continuously reads one topic of the platform's store: from the gateway that reads for all, or else from
@@ -63,14 +64,16 @@
      * @param isLeader whether this process is the leader, and so reads for all
      * @param cache keeps the records for peers
      * @param peers reads records from peers
+     * @param threads creates the thread of each follower
      */
     public record Dependencies(
-            MetadataStore store,
+            RecordStore store,
             StoreAvailability storeAvailability,
             ReadCoordinator readCoordinator,
             BooleanSupplier isLeader,
             RecordCache cache,
-            PeerRecordsClient peers,
+            PeerRecords peers,
+            ThreadFactory threads,
             SteadyClock clock,
             EventLog log,
             Meters meters) {}
@@ -78,7 +81,8 @@
     TopicFollower(String name, MetadataStore.Topic topic, Dependencies parts) {
         this.topic = topic;
         this.parts = parts;
-        this.thread = new Thread(this::run, name);
+        this.thread = parts.threads().newThread(this::run);
+        thread.setName(name);
         this.completeMillis = parts.clock().millis();
         thread.setDaemon(true);
         parts.meters().gauge(name + ".knowledge.age.millis", this::knowledgeAgeMillis);
@@ -115,7 +119,7 @@
     abstract void beforeStep(long nowMillis);
 
     /** Reads records from peers. */
-    final PeerRecordsClient peers() {
+    final PeerRecords peers() {
         return parts.peers();
     }
 
@@ -304,6 +308,6 @@
     }
 
     private void pause(long millis) {
-        LockSupport.parkNanos(this, millis * 1_000_000L);
+        parts.clock().pause(millis);
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerRotation.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerRotation.java
@@ -42,7 +42,7 @@
      * @param urgent whether all peers must get the update at once, such as that of a server that has just failed
      * @param readsForAll whether this gateway reads the store for all
      */
-    <T> List<T> select(Collection<T> peers, boolean urgent, boolean readsForAll) {
+    public <T> List<T> select(Collection<T> peers, boolean urgent, boolean readsForAll) {
         List<T> all = List.copyOf(peers);
         int maxPeers = readsForAll ? MAX_PEERS_PER_ROUND_OF_READER : MAX_PEERS_PER_ROUND;
         if (urgent || all.size() <= maxPeers) {
--- a/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
@@ -5,13 +5,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.locks.LockSupport;
+import java.util.concurrent.ThreadFactory;
 import java.util.function.Consumer;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.follow.StoreAvailability;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
+import org.cornelramp.platform.MemberStore;
 import org.cornelramp.platform.MetadataStore;
 import org.cornelramp.platform.PlatformFault;
 
@@ -58,12 +59,12 @@
 
     private final String member;
     private final Consumer<List<HostPort>> onPeers;
-    private final MetadataStore store;
+    private final MemberStore store;
     private final StoreAvailability storeAvailability;
     private final SteadyClock clock;
     private final EventLog log;
     private final Meters meters;
-    private final Thread thread = new Thread(this::run, "lease");
+    private final Thread thread;
     private volatile boolean running = true;
     private volatile State state = new State(NONE, 0, NO_ERA);
     private long generation;
@@ -86,13 +87,15 @@
      * @param address address on which it receives its peers' updates
      * @param onPeers receives the addresses of all members
      * @param storeAvailability records whether the store answers
+     * @param threads creates the thread that calls the store
      */
     public LeaderLease(
             String name,
             HostPort address,
             Consumer<List<HostPort>> onPeers,
-            MetadataStore store,
+            MemberStore store,
             StoreAvailability storeAvailability,
+            ThreadFactory threads,
             SteadyClock clock,
             EventLog log,
             Meters meters) {
@@ -103,6 +106,8 @@
         this.clock = clock;
         this.log = log;
         this.meters = meters;
+        this.thread = threads.newThread(this::run);
+        thread.setName("lease");
         thread.setDaemon(true);
     }
 
@@ -135,7 +140,7 @@
             } catch (RuntimeException e) {
                 log.line("lease", "step failed").with("fault", e).write();
             }
-            LockSupport.parkNanos(this, STEP_MILLIS * 1_000_000L);
+            clock.pause(STEP_MILLIS);
         }
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/place/LayerPlacerTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/place/LayerPlacerTest.java
@@ -60,6 +60,7 @@
                     peers -> {},
                     new MetadataStore(http, store.address(), clock::millis),
                     new StoreAvailability(),
+                    Thread::new,
                     clock,
                     log,
                     meters);
