--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/follow/LateConfigurationTest.java
@@ -0,0 +1,112 @@
+package org.cornelramp.gateway.follow;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.stream.Stream;
+import org.cornelramp.gateway.follow.SimulatedFleet.Fault;
+import org.cornelramp.platform.MetadataStore.Topic;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** How long after the store has accepted a change it is in force at the gateways that are in touch with the store. */
+public class LateConfigurationTest {
+    /** The bound of the users' smaller deployments: {@code configApplyMs}, and {@code drainMs} for registrations. */
+    private static final long BOUND_MILLIS = 2_000;
+
+    private static final long HISTORY_MILLIS = 40_000;
+
+    /** Guards against gateways that rely on a reader for the whole bound after it has lost its way to the store. */
+    @Test(groups = "known-red")
+    public void readerIsCutFromTheStoreRightAfterAnAnswer() {
+        SimulatedFleet fleet = new SimulatedFleet(4, 1);
+        for (int i = 0; i < 80; i++) {
+            fleet.runFor(5_000 + 37L * i % 1_000);
+            fleet.store().append(Topic.OPERATORS);
+            fleet.store().append(Topic.SERVERS);
+            fleet.runFor(6 + i % 7);
+            fleet.inject(Fault.CUT_FROM_STORE, fleet.reader(), 3_500);
+            fleet.store().append(Topic.OPERATORS);
+            fleet.store().append(Topic.SERVERS);
+        }
+        fleet.runFor(5_000);
+        fleet.stop();
+        assertInTime(fleet, "a reader that is cut off");
+    }
+
+    /**
+     * Guards against reads that wait for an answer on a connection which has stopped long ago, one such connection
+     * after the other.
+     */
+    @Test
+    public void connectionsHaveStoppedBeforeTheReaderIsCut() {
+        SimulatedFleet fleet = new SimulatedFleet(4, 2);
+        for (int i = 0; i < 40; i++) {
+            fleet.runFor(6_000 + 113L * i % 1_000);
+            fleet.inject(Fault.CONNECTIONS_STOPPED, 0, 0);
+            fleet.runFor(3_000 + 211L * i % 1_500);
+            fleet.inject(Fault.CUT_FROM_STORE, fleet.reader(), 3_500);
+            fleet.store().append(Topic.OPERATORS);
+            fleet.store().append(Topic.SERVERS);
+        }
+        fleet.runFor(5_000);
+        fleet.stop();
+        assertInTime(fleet, "stopped connections");
+    }
+
+    @DataProvider
+    Object[][] seeds() {
+        Object[][] seeds = new Object[60][1];
+        for (int i = 0; i < seeds.length; i++) {
+            seeds[i][0] = 4_600L + i;
+        }
+        return seeds;
+    }
+
+    /** Guards against a change that is late at a gateway in touch, whatever happens to the other machines. */
+    @Test(dataProvider = "seeds", groups = "known-red")
+    public void changesAreInForceInTimeInRandomHistories(long seed) {
+        SimulatedFleet fleet = new SimulatedFleet(4, seed);
+        playHistory(fleet, Fault.values());
+        assertInTime(fleet, "seed " + seed);
+    }
+
+    @DataProvider
+    Object[][] faults() {
+        return Stream.of(Fault.values()).map(fault -> new Object[] {fault}).toArray(Object[][]::new);
+    }
+
+    /** Guards against a change that is late at a gateway in touch while one kind of fault comes again and again. */
+    @Test(dataProvider = "faults", groups = "known-red")
+    public void changesAreInForceInTimeUnderOneKindOfFault(Fault fault) {
+        for (long seed = 0; seed < 12; seed++) {
+            SimulatedFleet fleet = new SimulatedFleet(4, seed);
+            playHistory(fleet, fault);
+            assertInTime(fleet, fault + ", seed " + seed);
+        }
+    }
+
+    private static void playHistory(SimulatedFleet fleet, Fault... faults) {
+        for (long atMillis = 0; atMillis < HISTORY_MILLIS; ) {
+            long pause = 20L + fleet.random().nextInt(600);
+            fleet.runFor(pause);
+            atMillis += pause;
+            fleet.store().append(fleet.random().nextInt(3) == 0 ? Topic.SERVERS : Topic.OPERATORS);
+            if (fleet.random().nextInt(6) == 0) {
+                injectRandomFault(fleet, faults);
+            }
+        }
+        fleet.runFor(8_000);
+        fleet.stop();
+    }
+
+    private static void injectRandomFault(SimulatedFleet fleet, Fault... faults) {
+        Fault fault = faults[fleet.random().nextInt(faults.length)];
+        int number = fleet.random().nextInt(3) == 0 ? fleet.random().nextInt(4) : fleet.reader();
+        fleet.inject(fault, number, 200L + fleet.random().nextInt(4_000));
+    }
+
+    private static void assertInTime(SimulatedFleet fleet, String what) {
+        assertTrue(
+                fleet.worstMillis() <= BOUND_MILLIS, what + ": " + fleet.worstMillis() + " ms late: " + fleet.worst());
+    }
+}
