Close idle connections to the store early, and give a read of it 1.4 s in all

What callers saw: versions up to 3.4 s late at gateways in touch, after open connections had stopped without a reset. Cause: idle connections to the store stayed in the pool for 25 s, and a read on one that had stopped took 1.9 s, or 3.9 s if half an answer had come; gateways that rely on a reader use the store rarely, so theirs are the oldest, and read when that reader is lost. Ruled out: shorter timeouts alone (a slow store would never be read); a second call in parallel (each is billed). Change: calls to the store have an HTTP client of their own, which closes a connection after 1.5 s; the time left for an answer is 0.4 s at first, up to 0.9 s for a slow store, taken from the long poll, and the same again for the rest of an answer that has begun.

--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -74,16 +74,16 @@
         this.settings = settings;
         this.clock = clock;
         this.log = log;
-        this.clients = new HttpClients();
+        ReadTiming readTiming = readTiming(settings.timing());
+        this.clients = new HttpClients(readTiming.connectionIdleMillis());
         this.meters = new Meters();
         ConfigHolder config = new ConfigHolder();
-        MetadataStore store = new MetadataStore(clients.pooled(), settings.store(), clock::millis);
+        MetadataStore store = new MetadataStore(clients.store(), settings.store(), clock::millis);
         EngineControl control = new EngineControl(clients.pooled(), clock::millis);
         this.router =
                 new Router(settings, clients, config, clock, log, meters, AsyncEngineControl.withOwnThreads(control));
         RecordCache cache = new RecordCache();
         StoreAvailability storeAvailability = new StoreAvailability();
-        ReadTiming readTiming = readTiming(settings.timing());
         ReadCoordinator readCoordinator = new ReadCoordinator(settings.metrics(), readTiming, storeAvailability);
         BooleanSupplier isLeader = () -> !this.lease().term(clock.millis()).equals(LeaderLease.NONE);
         PeerConfigVersions versions = new PeerConfigVersions(
--- a/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
@@ -21,7 +21,7 @@
      */
     private static final long CONNECT_TIMEOUT_MILLIS = 500;
 
-    /** Shorter than the time after which backend servers close idle connections. */
+    /** Idle timeout of connections other than those to the store; shorter than that of backend servers. */
     private static final long IDLE_TIMEOUT_MILLIS = 25_000;
 
     private static final int MAX_CONNECTIONS = 512;
@@ -30,8 +30,10 @@
     private final ScheduledExecutorScheduler timers = new ScheduledExecutorScheduler("timers", true);
     private final SelectorAwareScheduler pooledConnects = new SelectorAwareScheduler(timers);
     private final SelectorAwareScheduler singleConnects = new SelectorAwareScheduler(timers);
+    private final SelectorAwareScheduler storeConnects = new SelectorAwareScheduler(timers);
     private final HttpClient pooled;
     private final HttpClient unpooled;
+    private final HttpClient store;
 
     /** Creates threads without using the security manager, whose initialisation takes a tenth of a start. */
     private static final class PlainThreadPool extends QueuedThreadPool {
@@ -48,13 +50,15 @@
         }
     }
 
-    HttpClients() {
+    /** @param storeIdleMillis idle time after which a connection to the store is closed */
+    HttpClients(long storeIdleMillis) {
         threads.setName("http");
-        pooled = client(-1, pooledConnects);
-        unpooled = client(1, singleConnects);
+        pooled = client(-1, IDLE_TIMEOUT_MILLIS, pooledConnects);
+        unpooled = client(1, IDLE_TIMEOUT_MILLIS, singleConnects);
+        store = client(-1, storeIdleMillis, storeConnects);
     }
 
-    private HttpClient client(int maxUsage, SelectorAwareScheduler connectTimers) {
+    private HttpClient client(int maxUsage, long idleMillis, SelectorAwareScheduler connectTimers) {
         ConnectTracker connectWatch = new ConnectTracker();
         ClientConnector connector = new ResetAwareConnector(connectWatch, connectTimers);
         connector.setExecutor(threads);
@@ -71,7 +75,7 @@
         client.setExecutor(threads);
         client.setScheduler(timers);
         client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
-        client.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
+        client.setIdleTimeout(idleMillis);
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
@@ -82,7 +86,7 @@
     void start() throws Exception {
         threads.start();
         timers.start();
-        for (HttpClient client : new HttpClient[] {pooled, unpooled}) {
+        for (HttpClient client : new HttpClient[] {pooled, unpooled, store}) {
             client.start();
             // Responses are forwarded unchanged: no content decoding, redirects or authentication.
             client.getContentDecoderFactories().clear();
@@ -93,6 +97,7 @@
     void stop() throws Exception {
         pooled.stop();
         unpooled.stop();
+        store.stop();
         timers.stop();
         threads.stop();
     }
@@ -107,9 +112,14 @@
         return unpooled;
     }
 
+    /** The client for calls to the store, which closes connections that have been idle for a short time. */
+    public HttpClient store() {
+        return store;
+    }
+
     /** Number of connects in progress. */
     public int connectsUnderWay() {
-        return underWay(pooled) + underWay(unpooled);
+        return underWay(pooled) + underWay(unpooled) + underWay(store);
     }
 
     private static int underWay(HttpClient client) {
@@ -121,7 +131,7 @@
      * in time.
      */
     public long lateConnects() {
-        return pooledConnects.cancelledLate() + singleConnects.cancelledLate();
+        return pooledConnects.cancelledLate() + singleConnects.cancelledLate() + storeConnects.cancelledLate();
     }
 
     /** The thread pool, which the server shares. */
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ReadCoordinator.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ReadCoordinator.java
@@ -107,8 +107,7 @@
         }
         long readAge = nowMillis - Math.min(config.millis(), servers.millis());
         long valid = Math.min(
-                timing.readValidMillis() - readAge,
-                timing.pathValidMillis() - storeAvailability.pathAgeMillis(nowMillis));
+                timing.readMillis() - readAge, timing.pathValidMillis() - storeAvailability.pathAgeMillis(nowMillis));
         return valid > 0
                 ? Optional.of(new ReadPosition(records, config.end(), servers.end(), servers.era(), nowMillis, valid))
                 : Optional.empty();
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/TopicFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/TopicFollower.java
@@ -35,6 +35,7 @@
     private final Dependencies parts;
     private final Thread thread;
     private volatile boolean running = true;
+    private final AnswerTimeout answerTimeout;
     private long faultPauseMillis = FIRST_PAUSE_MILLIS;
     private long lastAttemptMillis;
     private long nextOffset = -1;
@@ -76,6 +77,8 @@
     TopicFollower(String name, MetadataStore.Topic topic, Dependencies parts) {
         this.topic = topic;
         this.parts = parts;
+        this.answerTimeout =
+                new AnswerTimeout(parts.timing().answerMillis(), parts.timing().maxAnswerMillis());
         this.thread = parts.threads().newThread(this::run);
         thread.setName(name);
         this.completeMillis = parts.clock().millis();
@@ -172,15 +175,18 @@
     private long readStore() {
         lastAttemptMillis = parts.clock().millis();
         boolean complete = nextOffset < 0;
+        long answerMillis = answerTimeout.millis();
+        long waitMillis = parts.timing().readMillis() - answerMillis;
         Either<PlatformFault, MetadataStore.Page> read = complete
                 ? parts.store().newest(topic)
-                : parts.store().read(topic, nextOffset, parts.timing().longPollMillis());
+                : parts.store().read(topic, nextOffset, waitMillis, answerMillis);
         if (read.isLeft()) {
             return handleFault(read.getLeft());
         }
+        answerTimeout.recordAnswer(parts.clock().millis() - lastAttemptMillis - waitMillis);
         parts.meters().countStoreCall(thread.getName(), "ok");
         MetadataStore.Page page = read.get();
-        long knownMillis = knownMillis(page, complete);
+        long knownMillis = knownMillis(page, complete ? 0 : waitMillis);
         parts.storeAvailability().recordAnswer(knownMillis, parts.clock().millis());
         if (!complete && page.era() != era) {
             return restartAfterRestore(page.era());
@@ -195,11 +201,9 @@
     }
 
     /** Time from which on the store is known to have handled the last read: if it had no record, it waited for one. */
-    private long knownMillis(MetadataStore.Page page, boolean complete) {
-        long waitedMillis = parts.clock().millis() - lastAttemptMillis;
-        long longPollMillis = parts.timing().longPollMillis();
-        boolean waited = !complete && page.records().isEmpty() && waitedMillis >= longPollMillis;
-        return lastAttemptMillis + (waited ? longPollMillis : 0);
+    private long knownMillis(MetadataStore.Page page, long waitMillis) {
+        boolean waited = page.records().isEmpty() && parts.clock().millis() - lastAttemptMillis >= waitMillis;
+        return lastAttemptMillis + (waited ? waitMillis : 0);
     }
 
     /** Records how recent the applied records are, and logs a change of the provider. */
@@ -265,6 +269,9 @@
             return 0;
         }
         parts.meters().countStoreCall(thread.getName(), fault.kind().name());
+        if (fault.kind() == PlatformFault.Kind.NO_ANSWER) {
+            answerTimeout.recordTimeout();
+        }
         parts.storeAvailability().recordFailure();
         line("not read")
                 .with("fault", fault)
