Abandon half an answer of a peer after 0.25 s more

Cause, the same elsewhere: a fetch of records or of the configuration from a peer times out after 0.25 s, but an answer that had begun got 2 s more, in the follower's thread, while the store had the records at once. A reader that is lost in mid-answer made a gateway in touch more than 2 s late by itself. Change: 0.25 s more, then the store is read.

--- a/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecordsClient.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/PeerRecordsClient.java
@@ -25,6 +25,10 @@
  */
 public final class PeerRecordsClient implements PeerRecords {
     private static final long TIMEOUT_MILLIS = 250;
+
+    /** Extra time for the rest of an answer that has begun; the store is read if a peer takes longer. */
+    private static final long GRACE_MILLIS = 250;
+
     private static final int MAX_PEERS = 2;
     private static final int OK = 200;
 
@@ -73,7 +77,7 @@
 
     private Optional<byte[]> get(Request request) {
         try {
-            ContentResponse answer = new PendingCall(http, request, clock).await(TIMEOUT_MILLIS);
+            ContentResponse answer = new PendingCall(http, request, clock).await(TIMEOUT_MILLIS, GRACE_MILLIS);
             return answer.getStatus() == OK ? Optional.of(answer.getContent()) : Optional.empty();
         } catch (TimeoutException | ExecutionException e) {
             return Optional.empty(); // the caller asks the next peer or reads from the store
