--- a/bench/src/main/java/org/cornelramp/bench/gateway/ConfigMonitor.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/ConfigMonitor.java
@@ -14,8 +14,8 @@
  * for {@link #stop}.
  */
 final class ConfigMonitor implements Runnable {
-    /** Bound on the users' deployments, plus a second for a busy machine. */
-    private static final long MAX_APPLY_MILLIS = 3_000;
+    /** Bound on the users' deployments. */
+    private static final long MAX_APPLY_MILLIS = 2_000;
 
     /** Time without a fault after which the bound applies again, as on the users' deployments. */
     private static final long STABLE_MILLIS = 3_000;
