Adapt the time for an answer only by reads that the store has held back

A read that finds records at once took less than the time that the store was asked to wait, so it counted as a fast answer of a slow store. Found while reading the change through.

--- a/gateway/src/main/java/org/cornelramp/gateway/follow/TopicFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/TopicFollower.java
@@ -183,9 +183,14 @@
         if (read.isLeft()) {
             return handleFault(read.getLeft());
         }
-        answerTimeout.recordAnswer(parts.clock().millis() - lastAttemptMillis - waitMillis);
         parts.meters().countStoreCall(thread.getName(), "ok");
-        MetadataStore.Page page = read.get();
+        return handlePage(read.get(), complete, waitMillis);
+    }
+
+    private long handlePage(MetadataStore.Page page, boolean complete, long waitMillis) {
+        if (!complete && page.records().isEmpty()) {
+            answerTimeout.recordAnswer(parts.clock().millis() - lastAttemptMillis - waitMillis);
+        }
         long knownMillis = knownMillis(page, complete ? 0 : waitMillis);
         parts.storeAvailability().recordAnswer(knownMillis, parts.clock().millis());
         if (!complete && page.era() != era) {
