--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ConfigFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ConfigFollower.java
@@ -41,7 +41,7 @@
     void beforeStep(long nowMillis) {
         versions.peerToAsk(nowMillis)
                 .flatMap(host -> peers().fetchConfig(host))
-                .ifPresent(source -> apply(source, "peer", -1));
+                .ifPresent(source -> apply(source, ReadCoordinator.Provider.PEER, -1));
     }
 
     @Override
@@ -51,12 +51,12 @@
 
     private void apply(MetadataStore.KeyedRecord record) {
         if (record.key().equals(KEY)) {
-            record.value().ifPresent(source -> apply(source, "store", record.offset()));
+            record.value().ifPresent(source -> apply(source, applying(), record.offset()));
         }
     }
 
-    /** @param offset offset of the record in the store; negative if the configuration came from a peer */
-    private void apply(byte[] source, String from, long offset) {
+    /** @param offset offset of the record in the store; negative if the configuration was fetched on its own */
+    private void apply(byte[] source, ReadCoordinator.Provider from, long offset) {
         long startMillis = nowMillis();
         Either<PlatformFault, RoutingConfig> config = ConfigDecoder.decode(source);
         if (config.isLeft()) {
@@ -66,11 +66,11 @@
         boolean newer = holder.offer(config.get(), source);
         long knowledgeAgeMillis = knowledgeAgeMillis();
         if (newer) {
-            meters().recordConfigChange(from, knowledgeAgeMillis);
+            meters().recordConfigChange(from.label(), knowledgeAgeMillis);
         }
         line(newer ? "in force" : "older than the one in force")
                 .with("version", config.get().version())
-                .with("from", from)
+                .with("from", from.label())
                 .with("offset", offset)
                 .with("routes", config.get().routeCount())
                 .with("bytes", source.length)
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/ReadCoordinator.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/ReadCoordinator.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import org.cornelramp.core.settings.HostPort;
@@ -72,7 +73,14 @@
         /** The store itself. */
         STORE,
         /** The gateway that reads for all. */
-        READER
+        READER,
+        /** Any other gateway, while the store does not answer this one. */
+        PEER;
+
+        /** Its name in log lines and metrics. */
+        String label() {
+            return name().toLowerCase(Locale.ROOT);
+        }
     }
 
     /**
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/TopicFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/TopicFollower.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadFactory;
 import java.util.function.BooleanSupplier;
+import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
@@ -46,6 +47,9 @@
     /** Where the topic was read last; empty until the first read. */
     private Optional<ReadCoordinator.Provider> provider = Optional.empty();
 
+    /** Who provided the records that are being applied. */
+    private ReadCoordinator.Provider applying = ReadCoordinator.Provider.STORE;
+
     /** Time up to which all records are known to be applied here, according to the provider. */
     private volatile long completeMillis;
 
@@ -121,6 +125,11 @@
         return parts.peers();
     }
 
+    /** Who provided the records that are being applied. */
+    final ReadCoordinator.Provider applying() {
+        return applying;
+    }
+
     final Meters meters() {
         return parts.meters();
     }
@@ -200,7 +209,7 @@
         parts.cache().update(topic, page, complete, now);
         parts.readCoordinator().recordRead(topic, page.era(), page.next(), now);
         onStoreStatus(true);
-        applyAndAdvance(page, complete);
+        applyAndAdvance(page, complete, ReadCoordinator.Provider.STORE);
         recordComplete(ReadCoordinator.Provider.STORE, knownMillis);
         return pauseMillis();
     }
@@ -215,8 +224,13 @@
     private void recordComplete(ReadCoordinator.Provider from, long millis) {
         if (!provider.equals(Optional.of(from))) {
             line("provider")
-                    .with("now", from)
-                    .with("reader", parts.readCoordinator().readerAddress())
+                    .with("now", from.label())
+                    .with(
+                            "reader",
+                            parts.readCoordinator()
+                                    .readerAddress()
+                                    .map(HostPort::toString)
+                                    .orElse(""))
                     .with("offset", nextOffset)
                     .with("era", era)
                     .with("knowledgeAgeMillis", knowledgeAgeMillis())
@@ -235,7 +249,8 @@
         return 0;
     }
 
-    private void applyAndAdvance(MetadataStore.Page page, boolean complete) {
+    private void applyAndAdvance(MetadataStore.Page page, boolean complete, ReadCoordinator.Provider from) {
+        applying = from;
         if (apply(page, complete)) {
             nextOffset = page.next();
             era = page.era();
@@ -254,7 +269,7 @@
         parts.cache()
                 .update(topic, page, recordSet.get().complete(), parts.clock().millis());
         onStoreStatus(true);
-        applyAndAdvance(page, recordSet.get().complete());
+        applyAndAdvance(page, recordSet.get().complete(), ReadCoordinator.Provider.READER);
         recordComplete(ReadCoordinator.Provider.READER, parts.readCoordinator().positionKnownMillis());
         return pauseMillis();
     }
@@ -293,6 +308,7 @@
     private long fallBackToPeers() {
         parts.readCoordinator().recordFailure(topic);
         onStoreStatus(false);
+        applying = ReadCoordinator.Provider.PEER;
         parts.peers().fetchFromAnyPeer(topic).ifPresent(recordSet -> apply(recordSet.page(), recordSet.complete()));
         return -1;
     }
