--- a/gateway/src/test/java/org/cornelramp/gateway/follow/LateConfigurationTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/follow/LateConfigurationTest.java
@@ -10,7 +10,7 @@
 
 /** How long after the store has accepted a change it is in force at the gateways that are in touch with the store. */
 public class LateConfigurationTest {
-    /** The bound of the users' smaller deployments: {@code configApplyMs}, and {@code drainMs} for registrations. */
+    /** The bound of the users' smaller deployments, for versions of the configuration as for registrations. */
     static final long BOUND_MILLIS = 2_000;
 
     private static final long HISTORY_MILLIS = 40_000;
@@ -34,7 +34,7 @@
     }
 
     @DataProvider
-    Object[][] fleetSizes() {
+    Object[][] fleetsAndFaults() {
         return new Object[][] {
             {1, Fault.CUT_FROM_STORE},
             {4, Fault.CUT_FROM_STORE},
@@ -49,7 +49,7 @@
      * Guards against a design without a margin: a reader that loses the store, at whatever moment, may take half of the
      * bound, so that a slow machine or a second fault does not exceed it.
      */
-    @Test(dataProvider = "fleetSizes")
+    @Test(dataProvider = "fleetsAndFaults")
     public void readerThatIsCutFromTheStoreTakesHalfOfTheBound(int gateways, Fault fault) {
         SimulatedFleet fleet = new SimulatedFleet(gateways, 3);
         for (int i = 0; i < Math.max(1, Math.min(20, 200 / gateways)); i++) {
