Handle engines' answers in a class of its own

The code is moved, not changed: reports of engines and results of move orders, with the requests in progress as a dependency.

Tests that force these events passed before and after: RefusedMoveTest, UnansweredMoveTest, ProbePauseTest, LeavingAndSuspectedEngineTest, RouterHistoryProperties (23 tests).

--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -17,8 +17,6 @@
 import org.cornelramp.gateway.request.AttemptEnd;
 import org.cornelramp.gateway.request.Exchange;
 import org.cornelramp.gateway.request.Refusal;
-import org.cornelramp.platform.MoveFault;
-import org.cornelramp.platform.PlatformFault;
 import org.cornelramp.platform.RequestHead;
 import org.eclipse.jetty.client.HttpClient;
 
@@ -43,9 +41,7 @@
     private static final int SERVER_ERROR = 500;
 
     private final ConfigHolder config;
-    private final EventLog log;
     private final Meters meters;
-    private final AsyncEngineControl engineControl;
     private final RoutingLog routingLog;
     private final FaultBarrier faults;
     private final FleetState fleet;
@@ -61,6 +57,7 @@
     private final RetryDispatcher retryDispatcher;
     private final StreamMonitor streamMonitor;
     private final ServerNoticeHandler serverNotices;
+    private final EngineResultHandler engineResults;
     private volatile FleetView view = FleetView.EMPTY;
     private long lastTickMillis;
 
@@ -87,9 +84,7 @@
         this.retryDelay = new RetryDelay(fleet);
         this.fleetUpdater = new FleetUpdater(fleet, engineControl, log, events);
         this.config = config;
-        this.log = log;
         this.meters = meters;
-        this.engineControl = engineControl;
         this.routingLog = new RoutingLog(log, meters);
         this.faults = new FaultBarrier(routingLog);
         this.sharedRetries = new SharedRetries(settings.name(), settings.retries(), random);
@@ -104,6 +99,16 @@
         this.serverNotices = new ServerNoticeHandler(fleet, log, meters);
         this.streamMonitor =
                 new StreamMonitor(fleet, engineControl, failureDetector, overdueAttempts, faults, log, events);
+        this.engineResults = new EngineResultHandler(
+                activeRequests,
+                fleet,
+                engineControl,
+                failureDetector,
+                streamMonitor,
+                dispatcher,
+                routingLog,
+                log,
+                meters);
     }
 
     /** Number of requests in progress; may be called by any thread. */
@@ -144,9 +149,9 @@
         } else if (event instanceof RouterEvent.StoreStatus answers) {
             fleetUpdater.storeAvailable(answers.available(), now);
         } else if (event instanceof RouterEvent.EngineReportResult reported) {
-            handleReport(reported, now);
+            engineResults.handleReport(reported, now);
         } else if (event instanceof RouterEvent.MoveResult moved) {
-            handleMoveResult(moved, now);
+            engineResults.handleMoveResult(moved, now);
         }
         if (failureDetector.pollNewlyLost()) {
             streamMonitor.check(
@@ -347,49 +352,6 @@
         routingLog.ended(request, outcome, status, now);
     }
 
-    private void handleReport(RouterEvent.EngineReportResult reported, long now) {
-        boolean missed = reported.report().isLeft()
-                && reported.report().getLeft().kind() != PlatformFault.Kind.NOT_LISTENING
-                && streamMonitor.isForwarding(
-                        activeRequests.values(), reported.engine().id(), now);
-        if (missed) {
-            routingLog.probeUnanswered(reported.engine(), fleet.lagMillis());
-            engineControl.recordInconclusiveProbe(reported.engine(), now);
-        } else {
-            failureDetector.handleReport(reported.engine(), reported.report(), now);
-        }
-    }
-
-    private void handleMoveResult(RouterEvent.MoveResult moved, long now) {
-        ActiveRequest request = activeRequests.get(moved.attempt().exchange());
-        if (request == null || request.attempt() != moved.attempt()) {
-            return;
-        }
-        boolean pending = request.isMoving() && request.isLatestMove(moved.path());
-        if (pending) {
-            request.endMove();
-        }
-        meters.countMove(moved.result().isRight());
-        log.line("route", moved.result().isRight() ? "moved" : "not moved")
-                .with("id", request.exchange().request().id())
-                .with("path", moved.path().text())
-                .with("detail", moved.result().fold(MoveFault::toString, any -> ""))
-                .write();
-        if (moved.result().isRight()) {
-            applyMove(request, moved);
-        } else if (pending) {
-            streamMonitor.handleMoveFailure(
-                    request, moved.attempt(), moved.result().getLeft(), now);
-        }
-    }
-
-    private void applyMove(ActiveRequest request, RouterEvent.MoveResult moved) {
-        if (request.acceptMove(moved.path())) {
-            moved.attempt().setPath(moved.path());
-            dispatcher.addLoad(request, moved.path());
-        }
-    }
-
     private void handleFirstEvent(ActiveRequest request, Attempt attempt, long now) {
         dispatcher.recordPromptRead(request);
         overdueAttempts.recordFirstEvent(request, attempt, now);
