Log and count crashes of backend servers under requests of a gateway

A crash is now a line with the server, what showed it, its age and the fingerprints of the requests that were beginning there: method, host, path and query, organisation and body, as the client sent them. A connection that breaks is no evidence by itself: a lost answer, a cut link and a planned shutdown break connections too. It counts once nothing listens at the address (an engine's probe, which is made anyway; a plain server, which has no report, is connected to once), another server answers there, or the registration is gone without having been leaving. A later answer of the same incarnation takes it back.

No decision uses it yet.

--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/poison/CrashEvidence.java
@@ -0,0 +1,124 @@
+package org.cornelramp.core.poison;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.cornelramp.core.model.BackendServerId;
+
+/**
+ * Concludes from broken connections, and from what is seen of their servers afterwards, which backend servers have
+ * crashed and which requests they may have crashed under.
+ *
+ * <p>Invariant: a connection that breaks is no crash. It becomes one if the incarnation of the server is seen to have
+ * ended, and is forgotten if the incarnation gives a sign of life, or if nothing is seen within
+ * {@value #UNDECIDED_MILLIS} ms. Owned by one thread; all state is bounded by the constants below.
+ */
+public final class CrashEvidence {
+    /** Time after a break in which the end of its server explains it; an unrenewed registration expires within it. */
+    public static final long UNDECIDED_MILLIS = 6_000;
+
+    private static final int MAX_SERVERS = 256;
+    private static final int MAX_RUNS_PER_SERVER = 512;
+    private static final int MAX_BROKEN_IN_PROGRESS = 4_096;
+
+    private final Map<BackendServerId, List<BrokenRun>> undecided = new LinkedHashMap<>();
+    private final Map<BackendServerId, Long> endedMillis = new LinkedHashMap<>();
+
+    /** Requests that had made progress in an earlier run when its server crashed. */
+    private final Map<String, Long> brokenInProgress = new LinkedHashMap<>();
+
+    /**
+     * A run of a request whose connection broke.
+     *
+     * @param starting whether the run had hardly made any progress
+     */
+    private record BrokenRun(String fingerprint, boolean starting, long brokenMillis) {}
+
+    /**
+     * A crash of a backend server. Immutable, safe for use by any thread.
+     *
+     * @param report the crash with the requests that may have caused it
+     * @param runs number of requests of this process that it has ended
+     */
+    public record Crash(CrashReport report, int runs) {}
+
+    /**
+     * Records that the connection to a server broke while it ran a request.
+     *
+     * @param starting whether the run had hardly made any progress. One that had is no suspect, unless an earlier run of
+     *     the request ended like this as well
+     * @return the crash, if the server is known to have ended
+     */
+    public Optional<Crash> recordBreak(BackendServerId server, String fingerprint, boolean starting, long nowMillis) {
+        List<BrokenRun> runs = undecided.computeIfAbsent(server, any -> new ArrayList<>());
+        if (runs.size() < MAX_RUNS_PER_SERVER) {
+            runs.add(new BrokenRun(fingerprint, starting, nowMillis));
+        }
+        removeOldest(undecided, MAX_SERVERS);
+        return endedMillis.containsKey(server) ? takeCrash(server) : Optional.empty();
+    }
+
+    /** Records that an incarnation of a server has ended without leaving; returns the crash if requests ended with it. */
+    public Optional<Crash> recordEnd(BackendServerId server, long nowMillis) {
+        endedMillis.putIfAbsent(server, nowMillis);
+        removeOldest(endedMillis, MAX_SERVERS);
+        return takeCrash(server);
+    }
+
+    /** Records a sign of life of an incarnation; returns whether it was thought to have ended. */
+    public boolean recordSignOfLife(BackendServerId server) {
+        undecided.remove(server);
+        return endedMillis.remove(server) != null;
+    }
+
+    /** Servers of which it is not known yet whether they have crashed. */
+    public Set<BackendServerId> undecidedServers() {
+        return Set.copyOf(undecided.keySet());
+    }
+
+    /** Number of servers that may have crashed under a request within the given time. */
+    public long undecidedCrashes(String fingerprint, long maxAgeMillis, long nowMillis) {
+        return undecided.values().stream()
+                .filter(runs -> runs.stream()
+                        .anyMatch(run ->
+                                run.fingerprint().equals(fingerprint) && nowMillis - run.brokenMillis() < maxAgeMillis))
+                .count();
+    }
+
+    /** Forgets the breaks that no end of a server has explained in time. */
+    public void expire(long nowMillis) {
+        undecided.values().forEach(runs -> runs.removeIf(run -> nowMillis - run.brokenMillis() > UNDECIDED_MILLIS));
+        undecided.values().removeIf(List::isEmpty);
+    }
+
+    private Optional<Crash> takeCrash(BackendServerId server) {
+        List<BrokenRun> runs = undecided.remove(server);
+        if (runs == null) {
+            return Optional.empty();
+        }
+        Set<String> suspects = new TreeSet<>();
+        long at = Long.MAX_VALUE;
+        for (BrokenRun run : runs) {
+            at = Math.min(at, run.brokenMillis());
+            if (run.starting() || brokenInProgress.containsKey(run.fingerprint())) {
+                suspects.add(run.fingerprint());
+            } else {
+                brokenInProgress.put(run.fingerprint(), run.brokenMillis());
+            }
+        }
+        removeOldest(brokenInProgress, MAX_BROKEN_IN_PROGRESS);
+        CrashReport report = new CrashReport(server.value(), Instant.ofEpochMilli(at), suspects);
+        return Optional.of(new Crash(report, runs.size()));
+    }
+
+    private static <K, V> void removeOldest(Map<K, V> map, int maxSize) {
+        while (map.size() > maxSize) {
+            map.remove(map.keySet().iterator().next());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/cornelramp/core/poison/CrashEvidenceTest.java
@@ -0,0 +1,73 @@
+package org.cornelramp.core.poison;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Set;
+import org.cornelramp.core.model.BackendServerId;
+import org.testng.annotations.Test;
+
+/** Broken connections, and what becomes of their servers. */
+public class CrashEvidenceTest {
+    private static final BackendServerId SERVER = new BackendServerId("s1");
+    private static final BackendServerId OTHER = new BackendServerId("s2");
+
+    private final CrashEvidence evidence = new CrashEvidence();
+
+    /** Guards against lost answers and cut connections that count as crashes. */
+    @Test
+    public void breakAloneIsNoCrash() {
+        CrashEvidence lost = new CrashEvidence();
+        assertTrue(lost.recordBreak(SERVER, "f", true, 100).isEmpty());
+        assertEquals(lost.undecidedCrashes("f", 500, 200), 1);
+        assertFalse(lost.recordSignOfLife(SERVER), "it was not thought to have ended");
+        assertEquals(lost.undecidedServers(), Set.of());
+        assertTrue(lost.recordEnd(SERVER, 300).isEmpty(), "the connection broke before the sign of life");
+    }
+
+    /** Guards against requests that are missing in a crash because their connections broke before or after it was seen. */
+    @Test
+    public void breaksBeforeAndAfterTheEndBelongToTheCrash() {
+        CrashEvidence crashed = new CrashEvidence();
+        crashed.recordBreak(SERVER, "f", true, 100);
+        crashed.recordBreak(OTHER, "h", true, 100);
+        CrashEvidence.Crash crash = crashed.recordEnd(SERVER, 110).orElseThrow();
+        assertEquals(crash.report().suspects(), Set.of("f"));
+        assertEquals(crash.report().at().toEpochMilli(), 100);
+        CrashEvidence.Crash more = crashed.recordBreak(SERVER, "g", true, 120).orElseThrow();
+        assertEquals(more.report().crashId(), crash.report().crashId());
+        assertEquals(more.report().suspects(), Set.of("g"));
+        assertEquals(crashed.undecidedServers(), Set.of(OTHER));
+    }
+
+    /** Guards against streams that are blamed for the first crash that they meet in the middle of their run. */
+    @Test
+    public void runThatHadMadeProgressIsNoSuspectAtFirst() {
+        CrashEvidence crashed = new CrashEvidence();
+        crashed.recordBreak(SERVER, "f", false, 100);
+        assertEquals(crashed.recordEnd(SERVER, 110).orElseThrow().report().suspects(), Set.of());
+        crashed.recordBreak(OTHER, "f", false, 2_000);
+        assertEquals(crashed.recordEnd(OTHER, 2_010).orElseThrow().report().suspects(), Set.of("f"));
+    }
+
+    /** Guards against a server that is seen to live again, and whose later breaks would count as crashes at once. */
+    @Test
+    public void signOfLifeTakesAnEndBack() {
+        CrashEvidence taken = new CrashEvidence();
+        taken.recordBreak(SERVER, "f", true, 100);
+        assertTrue(taken.recordEnd(SERVER, 110).isPresent());
+        assertTrue(taken.recordSignOfLife(SERVER));
+        assertTrue(taken.recordBreak(SERVER, "f", true, 200).isEmpty());
+    }
+
+    /** Guards against a break that waits for the end of its server for ever. */
+    @Test
+    public void breakIsForgotten() {
+        evidence.recordBreak(SERVER, "f", true, 100);
+        evidence.expire(100 + CrashEvidence.UNDECIDED_MILLIS);
+        assertEquals(evidence.undecidedServers(), Set.of(SERVER));
+        evidence.expire(101 + CrashEvidence.UNDECIDED_MILLIS);
+        assertEquals(evidence.undecidedServers(), Set.of());
+    }
+}
--- a/core/src/test/java/org/cornelramp/core/poison/PoisonDetectorTest.java
+++ b/core/src/test/java/org/cornelramp/core/poison/PoisonDetectorTest.java
@@ -7,6 +7,7 @@
 
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.cornelramp.core.model.OrganisationId;
 import org.cornelramp.core.model.ServiceName;
@@ -84,6 +85,21 @@
         assertEquals(one, Fingerprint.of(new OrganisationId("ab"), new ServiceName("c"), new byte[] {1}));
     }
 
+    /** Guards against requests of one caller that count as one because only their paths or methods differ. */
+    @Test
+    public void theFingerprintOfAnHttpRequestSeparatesItsParts() {
+        Optional<OrganisationId> caller = Optional.of(new OrganisationId("ab"));
+        byte[] body = {1};
+        String one = Fingerprint.ofHttp(caller, "GET", "Host", "/a?b", body);
+        assertEquals(one.length(), 32);
+        assertEquals(one, Fingerprint.ofHttp(caller, "GET", "host", "/a?b", new byte[] {1}));
+        assertNotEquals(one, Fingerprint.ofHttp(Optional.empty(), "GET", "host", "/a?b", body));
+        assertNotEquals(one, Fingerprint.ofHttp(caller, "PUT", "host", "/a?b", body));
+        assertNotEquals(one, Fingerprint.ofHttp(caller, "GET", "other", "/a?b", body));
+        assertNotEquals(one, Fingerprint.ofHttp(caller, "GET", "host", "/a?c", body));
+        assertNotEquals(one, Fingerprint.ofHttp(caller, "GET", "host", "/a?b", new byte[] {2}));
+    }
+
     @SafeVarargs
     private static PoisonDetector detectorAfter(Set<String>... crashes) {
         PoisonDetector detector = PoisonDetector.standard();
--- a/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
@@ -120,6 +120,11 @@
         count("suspicions", "evidence", evidence);
     }
 
+    /** Counts a crash of a backend server under requests of this gateway. */
+    public void countCrash(String evidence) {
+        count("server.crashes", "evidence", evidence);
+    }
+
     /** Counts a change of a limit that a backend server names. */
     public void countLimitChange(String change) {
         count("server.limits", "change", change);
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -1,6 +1,7 @@
 package org.cornelramp.gateway.request;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
@@ -57,6 +58,8 @@
     private volatile boolean cancelled;
     private volatile boolean contentEnded;
     private volatile Throwable clientFailure;
+    private volatile ConnectionFault connectionFault = ConnectionFault.NONE;
+    private volatile long firstEventMillis;
     private volatile ResponseHead receivedHead;
     private volatile HttpFields fields = HttpFields.EMPTY;
     private boolean writing;
@@ -64,6 +67,16 @@
     private Result deferredResult;
     private long startMillis;
 
+    /** What became of the connection to the backend server. Immutable, safe for use by any thread. */
+    public enum ConnectionFault {
+        /** It was not refused, and the server has not closed it before the end of its response. */
+        NONE,
+        /** Nothing listens at the address. */
+        REFUSED,
+        /** The server's side closed or reset it before the end of the response. */
+        BROKEN
+    }
+
     /** @param onEnd called once, by any thread, when the attempt has ended */
     public Attempt(
             HttpClient http,
@@ -116,6 +129,16 @@
         return Optional.ofNullable(untakenHead.getAndSet(null));
     }
 
+    /** What became of the connection; final once the attempt has ended. */
+    public ConnectionFault connectionFault() {
+        return connectionFault;
+    }
+
+    /** When the first events of this attempt were forwarded, on the steady clock; 0 before. */
+    public long firstEventMillis() {
+        return firstEventMillis;
+    }
+
     /** Whether bytes of the response wait unread in the socket. */
     public boolean hasUnreadBytes() {
         Request out = request;
@@ -247,8 +270,10 @@
             return;
         }
         Callback callback = Callback.from(() -> onRelayed(source, last), this::onWriteFailed);
+        long now = clock.millis();
+        firstEventMillis = firstEventMillis == 0 ? now : firstEventMillis;
         try {
-            exchange.relay(fields, events, splitter.lastId(), clock.millis(), callback);
+            exchange.relay(fields, events, splitter.lastId(), now, callback);
         } catch (RuntimeException e) {
             onWriteFailed(e); // the exchange may have ended meanwhile, and its response takes no more writes
         }
@@ -311,6 +336,7 @@
         }
         ResponseHead responseHead = receivedHead;
         if (result.isFailed() || responseHead == null) {
+            connectionFault = connectionFault(failure);
             return AttemptEnd.without(kindWithoutResponse(failure), summarise(failure));
         }
         if (!matchesRequest(responseHead) && !responseHead.notRun()) {
@@ -318,6 +344,7 @@
         }
         if (relaying) {
             boolean whole = contentEnded && splitter.isWhole();
+            connectionFault = whole ? ConnectionFault.NONE : ConnectionFault.BROKEN;
             return new AttemptEnd(
                     whole ? AttemptEnd.Kind.RELAYED : AttemptEnd.Kind.BROKEN,
                     responseHead.status(),
@@ -329,6 +356,16 @@
         return bufferedEnd(responseHead);
     }
 
+    private ConnectionFault connectionFault(Throwable failure) {
+        if (cancelled || !(failure instanceof IOException) || failure instanceof SocketTimeoutException) {
+            return ConnectionFault.NONE;
+        }
+        if (failure instanceof ConnectException) {
+            return ConnectionFault.REFUSED;
+        }
+        return requestBegun ? ConnectionFault.BROKEN : ConnectionFault.NONE;
+    }
+
     /** The kind of an end without a response. */
     private AttemptEnd.Kind kindWithoutResponse(Throwable failure) {
         if (requestBegun && !(failure instanceof ConnectException)) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
@@ -155,6 +155,30 @@
         pauses.put(engine.id(), ProbePause.until(now + INCONCLUSIVE_PAUSE_MILLIS));
     }
 
+    /**
+     * Tries to connect to a plain server, which has no report, after a connection to it has broken. Repeated checks of
+     * one server within a short time are skipped. Called by the router's thread only.
+     *
+     * @param lagMillis recent scheduling delay of this process, by which the result may be read later
+     */
+    void checkConnection(BackendServer server, Consumer<RouterEvent> router, long lagMillis, long now) {
+        pauses.values().removeIf(pause -> now >= pause.untilMillis());
+        if (pauses.containsKey(server.id())) {
+            return;
+        }
+        pauses.put(server.id(), ProbePause.until(now + PROBE_PAUSE_MILLIS));
+        long timeout = PROBE_TIMEOUT_MILLIS + LAG_FACTOR * lagMillis;
+        submit(() -> router.accept(new RouterEvent.ConnectionChecked(server, connect(server, timeout))));
+    }
+
+    private Optional<PlatformFault> connect(BackendServer server, long timeoutMillis) {
+        try {
+            return calls.connect(server, timeoutMillis);
+        } catch (RuntimeException e) {
+            return Optional.of(new PlatformFault(PlatformFault.Kind.NO_ANSWER, e.toString()));
+        }
+    }
+
     /** Reads the report of an engine; false if too many calls are queued. */
     boolean requestReport(BackendServer engine, Consumer<RouterEvent> router) {
         return submit(() -> {
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
@@ -0,0 +1,200 @@
+package org.cornelramp.gateway.route;
+
+import io.vavr.control.Either;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.poison.CrashEvidence;
+import org.cornelramp.core.poison.CrashEvidence.Crash;
+import org.cornelramp.core.poison.Fingerprint;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
+import org.cornelramp.gateway.request.Attempt;
+import org.cornelramp.gateway.request.AttemptEnd;
+import org.cornelramp.gateway.request.Exchange;
+import org.cornelramp.platform.EngineReport;
+import org.cornelramp.platform.PlatformFault;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+
+/**
+ * Observes which backend servers crash under which requests. Confined to the router's thread.
+ *
+ * <p>No process beside a server tells a gateway that it has crashed. A connection that breaks may have other causes: a
+ * lost answer, a cut link, a server that leaves. So a break counts only if nothing listens at the server's address any
+ * more, another server answers there, or the server's registration is gone although it was not leaving.
+ */
+final class CrashObserver {
+    /**
+     * Time from its first event on for which a run counts as starting. A request that crashes servers does so when it
+     * begins to run; the connection may break some time after that.
+     */
+    private static final long STARTING_MILLIS = 500;
+
+    /** Most requests that one log line names. */
+    private static final int MAX_LOGGED_REQUESTS = 8;
+
+    private final FleetState fleet;
+    private final AsyncEngineControl engineControl;
+    private final EventLog log;
+    private final Meters meters;
+    private final Consumer<RouterEvent> router;
+    private final CrashEvidence evidence = new CrashEvidence();
+    private BiConsumer<Crash, Long> onCrash = (crash, nowMillis) -> {};
+    private BiConsumer<BackendServerId, Long> onSignOfLife = (server, nowMillis) -> {};
+
+    /** What shows that a server has ended. Immutable, safe for use by any thread. */
+    private enum Sign {
+        /** Nothing listens at its address. */
+        NOT_LISTENING,
+        /** Another server answers at its address, or has registered there. */
+        ANOTHER_SERVER,
+        /** Its registration is gone, although it was not leaving. */
+        UNREGISTERED
+    }
+
+    /** @param router receives the results of connection checks as events */
+    CrashObserver(
+            FleetState fleet,
+            AsyncEngineControl engineControl,
+            EventLog log,
+            Meters meters,
+            Consumer<RouterEvent> router) {
+        this.fleet = fleet;
+        this.engineControl = engineControl;
+        this.log = log;
+        this.meters = meters;
+        this.router = router;
+    }
+
+    /** Sets the listener that is called with each crash, and again with each further request that it has ended. */
+    void setOnCrash(BiConsumer<Crash, Long> listener) {
+        onCrash = listener;
+    }
+
+    /** Sets the listener that is called with each server that gives a sign of life after it was thought to have crashed. */
+    void setOnSignOfLife(BiConsumer<BackendServerId, Long> listener) {
+        onSignOfLife = listener;
+    }
+
+    /** Identifies a client's request that is sent again. */
+    static String fingerprint(Exchange.ClientRequest call) {
+        String host = call.fields().get(HttpHeader.HOST);
+        return Fingerprint.ofHttp(
+                call.organisation(), call.method(), host == null ? "" : host, call.pathQuery(), call.body());
+    }
+
+    /** Observes the end of an attempt. */
+    void attemptEnded(Attempt attempt, AttemptEnd end, long now) {
+        BackendServer server = attempt.server();
+        switch (attempt.connectionFault()) {
+            case REFUSED -> recordEnd(server.id(), Sign.NOT_LISTENING, now);
+            case BROKEN -> recordBreak(attempt, now);
+            case NONE -> {
+                boolean plain = attempt.path().isEmpty();
+                if (plain && end.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
+                    recordEnd(server.id(), Sign.ANOTHER_SERVER, now);
+                } else if (end.kind() == AttemptEnd.Kind.RELAYED || end.kind() == AttemptEnd.Kind.ANSWERED) {
+                    recordSignOfLife(server.id(), now);
+                }
+            }
+        }
+    }
+
+    private void recordBreak(Attempt attempt, long now) {
+        BackendServer server = attempt.server();
+        if (fleet.isLeaving(server.id())) {
+            return; // a planned shutdown
+        }
+        long firstEvent = attempt.firstEventMillis();
+        boolean starting = firstEvent == 0 || now - firstEvent < STARTING_MILLIS;
+        String fingerprint = fingerprint(attempt.exchange().request());
+        if (server.card().isEmpty()) {
+            engineControl.checkConnection(server, router, fleet.lagMillis(), now);
+        }
+        evidence.recordBreak(server.id(), fingerprint, starting, now)
+                .ifPresent(crash -> handleCrash(crash, "after the end", now));
+    }
+
+    /** Observes an engine's report, or the failure to read it. */
+    void reportRead(BackendServer engine, Either<PlatformFault, EngineReport> report, long now) {
+        if (report.isRight()) {
+            recordSignOfLife(engine.id(), now);
+        } else {
+            recordFault(engine, report.getLeft(), now);
+        }
+    }
+
+    /** Observes the result of a connection check. */
+    void connectionChecked(BackendServer server, Optional<PlatformFault> fault, long now) {
+        if (fault.isPresent()) {
+            recordFault(server, fault.get(), now);
+        } else {
+            recordSignOfLife(server.id(), now);
+        }
+    }
+
+    private void recordFault(BackendServer server, PlatformFault fault, long now) {
+        if (fault.kind() == PlatformFault.Kind.NOT_LISTENING) {
+            recordEnd(server.id(), Sign.NOT_LISTENING, now);
+        } else if (fault.kind() == PlatformFault.Kind.CONFLICT) {
+            recordEnd(server.id(), Sign.ANOTHER_SERVER, now);
+        }
+    }
+
+    /** Looks for the servers of broken connections in the registrations. */
+    void check(long now) {
+        evidence.expire(now);
+        for (BackendServerId id : evidence.undecidedServers()) {
+            if (fleet.registry().isReplaced(id)) {
+                recordEnd(id, Sign.ANOTHER_SERVER, now);
+            } else if (fleet.registry().server(id).isEmpty()) {
+                recordEnd(id, Sign.UNREGISTERED, now);
+            }
+        }
+    }
+
+    private void recordEnd(BackendServerId server, Sign sign, long now) {
+        if (!isPlannedEnd(server)) {
+            evidence.recordEnd(server, now).ifPresent(crash -> handleCrash(crash, sign.name(), now));
+        }
+    }
+
+    /** Whether the server has said that it is shutting down; its connections then break without a crash. */
+    private boolean isPlannedEnd(BackendServerId server) {
+        return fleet.registry().leavingSinceMillis(server).isPresent();
+    }
+
+    private void recordSignOfLife(BackendServerId server, long now) {
+        if (evidence.recordSignOfLife(server)) {
+            log.line("fleet", "crash refuted").with("server", server).write();
+            onSignOfLife.accept(server, now);
+        }
+    }
+
+    private void handleCrash(Crash crash, String sign, long now) {
+        meters.countCrash(sign);
+        Instant at = crash.report().at();
+        log.line("fleet", "crashed")
+                .with("server", crash.report().crashId())
+                .with("evidence", sign)
+                .with("ageMillis", now - at.toEpochMilli())
+                .with("requests", crash.runs())
+                .with("suspects", crash.report().suspects().size())
+                .with(
+                        "fingerprints",
+                        crash.report().suspects().stream()
+                                .limit(MAX_LOGGED_REQUESTS)
+                                .toList())
+                .write();
+        onCrash.accept(crash, now);
+    }
+
+    /** Number of servers that may have crashed under a request within the given time, which is not known yet. */
+    long undecidedCrashes(String fingerprint, long maxAgeMillis, long now) {
+        return evidence.undecidedCrashes(fingerprint, maxAgeMillis, now);
+    }
+}
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -58,6 +58,7 @@
     private final StreamMonitor streamMonitor;
     private final ServerNoticeHandler serverNotices;
     private final EngineResultHandler engineResults;
+    private final CrashObserver crashObserver;
     private volatile FleetView view = FleetView.EMPTY;
     private long lastTickMillis;
 
@@ -97,6 +98,7 @@
         this.retryDispatcher = new RetryDispatcher(sharedRetries, dispatcher, fleet, routingLog, faults);
         this.overdueAttempts = new OverdueAttempts(sharedRetries, dispatcher);
         this.serverNotices = new ServerNoticeHandler(fleet, log, meters);
+        this.crashObserver = new CrashObserver(fleet, engineControl, log, meters, events);
         this.streamMonitor =
                 new StreamMonitor(fleet, engineControl, failureDetector, overdueAttempts, faults, log, events);
         this.engineResults = new EngineResultHandler(
@@ -149,7 +151,10 @@
         } else if (event instanceof RouterEvent.StoreStatus answers) {
             fleetUpdater.storeAvailable(answers.available(), now);
         } else if (event instanceof RouterEvent.EngineReportResult reported) {
+            crashObserver.reportRead(reported.engine(), reported.report(), now);
             engineResults.handleReport(reported, now);
+        } else if (event instanceof RouterEvent.ConnectionChecked checked) {
+            crashObserver.connectionChecked(checked.server(), checked.fault(), now);
         } else if (event instanceof RouterEvent.MoveResult moved) {
             engineResults.handleMoveResult(moved, now);
         }
@@ -224,6 +229,7 @@
         meters.countAttempt(end.kind().name());
         boolean current = request != null && request.attempt() == attempt;
         faults.run("notice", now, () -> serverNotices.handleResponseHead(attempt, now));
+        faults.run("crash", now, () -> crashObserver.attemptEnded(attempt, end, now));
         faults.run("outcome", now, () -> failureDetector.recordOutcome(attempt, end, now));
         if (current) {
             boolean handled = faults.run(request, () -> settleAttempt(request, attempt, end, now));
@@ -368,6 +374,7 @@
         faults.run("probes", now, () -> fleetUpdater.probeSuspects(now));
         faults.run("streams", now, () -> streamMonitor.check(activeRequests.values(), config.current(), now));
         faults.run("registrations", now, () -> fleetUpdater.expireRegistrations(now));
+        faults.run("crash", now, () -> crashObserver.check(now));
         faults.run("limits", now, () -> serverNotices.expire(now));
         faults.run("peers", now, () -> peerUpdateHandler.refreshUpdate(now));
         faults.run("view", now, () -> view = fleet.view(now));
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.List;
+import java.util.Optional;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerRegistry;
 import org.cornelramp.core.path.StagePath;
@@ -46,6 +47,13 @@
     record EngineReportResult(BackendServer engine, Either<PlatformFault, EngineReport> report)
             implements RouterEvent {}
 
+    /**
+     * It was tried to connect to a server.
+     *
+     * @param fault why no connection could be opened; empty if a process listens at the server's address
+     */
+    record ConnectionChecked(BackendServer server, Optional<PlatformFault> fault) implements RouterEvent {}
+
     /** An order to an engine to move a running request to another path has ended. */
     record MoveResult(Attempt attempt, StagePath path, Either<MoveFault, byte[]> result) implements RouterEvent {}
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
@@ -28,12 +28,21 @@
 
     /** @param nowMillis when the request was received */
     public FakeClient(Route route, String id, long nowMillis) {
-        this.exchange = new Exchange(
-                RequestFixtures.on(route, id, nowMillis),
-                response(),
-                Callback.from(this::finish, this::close),
-                () -> false,
-                probe());
+        this(RequestFixtures.on(route, id, nowMillis));
+    }
+
+    /**
+     * A client of a request with this path and body.
+     *
+     * @param nowMillis when the request was received
+     */
+    public FakeClient(Route route, String id, String path, byte[] body, long nowMillis) {
+        this(RequestFixtures.on(route, id, path, body, nowMillis));
+    }
+
+    private FakeClient(Exchange.ClientRequest request) {
+        this.exchange =
+                new Exchange(request, response(), Callback.from(this::finish, this::close), () -> false, probe());
     }
 
     /** The exchange of the request. */
--- a/gateway/src/test/java/org/cornelramp/gateway/request/RequestFixtures.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/RequestFixtures.java
@@ -37,13 +37,18 @@
 
     /** A request on a route. */
     static Exchange.ClientRequest on(Route route, String id, long receivedMillis) {
+        return on(route, id, route.pathPrefix() + "a", new byte[0], receivedMillis);
+    }
+
+    /** A request on a route with this path and body. */
+    static Exchange.ClientRequest on(Route route, String id, String path, byte[] body, long receivedMillis) {
         HttpFields fields = HeaderFixtures.request(id);
         return new Exchange.ClientRequest(
                 RequestHead.decode(fields),
                 "POST",
-                route.pathPrefix() + "a",
+                path,
                 fields,
-                new byte[0],
+                body,
                 route,
                 Optional.empty(),
                 route.priority(),
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -122,6 +122,11 @@
     }
 
     private final class Calls implements EngineCalls {
+        @Override
+        public Optional<PlatformFault> connect(BackendServer server, long timeoutMillis) {
+            return reportFaults.apply(server).filter(fault -> fault.kind() != PlatformFault.Kind.CONFLICT);
+        }
+
         @Override
         public Either<PlatformFault, EngineReport> report(BackendServer engine) {
             return report(engine, 0);
@@ -251,6 +256,13 @@
         return client;
     }
 
+    /** Sends a client's request with this path and body. */
+    FakeClient request(String path, String id, byte[] body) {
+        FakeClient client = new FakeClient(route(path), id, path, body, now);
+        handle(new RouterEvent.RequestReceived(client.exchange()));
+        return client;
+    }
+
     /** Hands an event to the router at once, before the queued ones. */
     void handle(RouterEvent event) {
         router.handle(event, now);
