--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
@@ -0,0 +1,170 @@
+package org.cornelramp.gateway.route;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.cornelramp.gateway.route.PoisonFleet.Kind;
+import org.cornelramp.gateway.route.PoisonFleet.Poison;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Requests that crash each server that runs them, which their callers send again to any gateway. */
+public class RepeatedPoisonRequestTest {
+    /** Sends to servers that the users allow, by gateways in touch, once the third server has crashed 3 s ago. */
+    private static final int ALLOWED_SENDS = 3;
+
+    private static final int ENGINES = 8;
+    private static final int PLAIN_SERVERS = 3;
+    private static final long PAUSE_MILLIS = 300;
+    private static final long RUN_MILLIS = 30_000;
+
+    @DataProvider
+    Object[][] kindsAndFleets() {
+        return Stream.of(Kind.values())
+                .flatMap(kind -> IntStream.of(1, 4, 9, 28).mapToObj(gateways -> new Object[] {kind, gateways}))
+                .toArray(Object[][]::new);
+    }
+
+    /** Guards against a request that takes down one server after the other, each time as if it were new. */
+    @Test(dataProvider = "kindsAndFleets", groups = "known-red")
+    public void requestThatComesAgainCrashesThreeServersAtMost(Kind kind, int gateways) {
+        PoisonFleet fleet = new PoisonFleet(gateways, ENGINES, PLAIN_SERVERS, 4901);
+        Poison poison = fleet.addPoison(kind, 0);
+        fleet.run(1_000, 20.0 / gateways);
+        fleet.repeat(poison, PAUSE_MILLIS);
+        fleet.run(RUN_MILLIS, 20.0 / gateways);
+        assertTrue(poison.crashes() <= PoisonFleet.CRASHES, poison.toString());
+        assertRule(fleet);
+        assertEquals(fleet.innocentsSetAside(), 0);
+    }
+
+    /** Guards against streams that crash their engine only after an event, so that each run makes progress. */
+    @Test(groups = "known-red")
+    public void streamThatCrashesItsEngineAfterAnEventCrashesThreeAtMost() {
+        PoisonFleet fleet = new PoisonFleet(4, ENGINES, PLAIN_SERVERS, 4902);
+        Poison poison = fleet.addPoison(Kind.STREAM, 1);
+        fleet.run(1_000, 5);
+        fleet.repeat(poison, PAUSE_MILLIS);
+        fleet.run(RUN_MILLIS, 5);
+        assertTrue(poison.crashes() <= PoisonFleet.CRASHES, poison.toString());
+        assertRule(fleet);
+        assertEquals(fleet.innocentsSetAside(), 0);
+    }
+
+    /** Guards against a fleet that a few requests of one caller take down for all others. */
+    @Test(groups = "known-red")
+    public void otherRequestsAreServedWhileFourPoisonRequestsComeAgain() {
+        PoisonFleet fleet = new PoisonFleet(4, ENGINES, PLAIN_SERVERS, 4903);
+        fleet.addPoison(Kind.STREAM, 0);
+        fleet.addPoison(Kind.STREAM, 1);
+        fleet.addPoison(Kind.IDEMPOTENT, 0);
+        fleet.addPoison(Kind.NON_IDEMPOTENT, 0);
+        fleet.run(1_000, 12);
+        fleet.poisons().forEach(poison -> fleet.repeat(poison, PAUSE_MILLIS));
+        fleet.run(RUN_MILLIS, 12);
+        assertRule(fleet);
+        assertEquals(fleet.innocentsSetAside(), 0);
+        double served = fleet.servedSince(fleet.now() - RUN_MILLIS / 2);
+        assertTrue(served > 0.99, "share served after the crashes: " + served);
+    }
+
+    /** Guards against copies of one request that reach all gateways before any of them has heard of a crash. */
+    @Test(groups = "known-red")
+    public void copiesAtOnceAreNotSentAgainLater() {
+        PoisonFleet fleet = new PoisonFleet(4, ENGINES, PLAIN_SERVERS, 4904);
+        Poison poison = fleet.addPoison(Kind.STREAM, 0);
+        fleet.run(1_000, 5);
+        for (int copies = 0; copies < 40; copies++) {
+            IntStream.range(0, 4).forEach(gateway -> fleet.send(poison, gateway));
+            fleet.run(700, 5);
+        }
+        assertRule(fleet);
+        assertEquals(fleet.innocentsSetAside(), 0);
+    }
+
+    /** Guards against a gateway that has just started and lets through what its peers refuse. */
+    @Test(groups = "known-red")
+    public void gatewayThatHasStartedRefusesWhatItsPeersRefuse() {
+        PoisonFleet fleet = new PoisonFleet(4, ENGINES, PLAIN_SERVERS, 4905);
+        Poison poison = fleet.addPoison(Kind.STREAM, 0);
+        fleet.repeat(poison, PAUSE_MILLIS);
+        fleet.run(10_000, 5);
+        int crashes = poison.crashes();
+        for (int i = 0; i < 5; i++) {
+            int added = fleet.addGateway();
+            fleet.run(1_000, 5);
+            assertTrue(PoisonFleet.isSetAside(fleet.send(poison, added)), "gateway " + added);
+        }
+        assertEquals(poison.crashes(), crashes);
+    }
+
+    @DataProvider
+    Object[][] histories() {
+        return IntStream.range(0, 60).mapToObj(i -> new Object[] {4_910L + i}).toArray(Object[][]::new);
+    }
+
+    /** Guards against any series of crashes, restarts, cuts and lost or late updates that lets a request through again. */
+    @Test(dataProvider = "histories", groups = "known-red")
+    public void poisonRequestsAreHeldBackInRandomHistories(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        PoisonFleet fleet = new PoisonFleet(1 + random.nextInt(6), ENGINES, PLAIN_SERVERS, seed);
+        for (int i = 1 + random.nextInt(4); i > 0; i--) {
+            Kind kind = List.of(Kind.values()).get(random.nextInt(Kind.values().length));
+            Poison poison = fleet.addPoison(kind, kind == Kind.STREAM ? random.nextInt(2) : 0);
+            fleet.schedule(random.nextInt(8_000), () -> fleet.repeat(poison, 100L + random.nextInt(1_500)));
+        }
+        disturb(fleet, random, 40);
+        assertRule(fleet);
+        assertTrue(fleet.hasNoExceptions());
+    }
+
+    /** Guards against requests that are refused although they have only been at servers that crashed for other reasons. */
+    @Test(dataProvider = "histories")
+    public void crashesWithoutAPoisonRequestSetNoRequestAside(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        PoisonFleet fleet = new PoisonFleet(1 + random.nextInt(6), ENGINES, PLAIN_SERVERS, seed);
+        disturb(fleet, random, 60);
+        assertEquals(fleet.innocentsSetAside(), 0);
+        assertTrue(fleet.hasNoExceptions());
+    }
+
+    /** Lets servers and gateways fail at random for a while. */
+    private static void disturb(PoisonFleet fleet, SplittableRandom random, int steps) {
+        for (int step = 0; step < steps; step++) {
+            switch (random.nextInt(8)) {
+                case 0 -> fleet.crashServer(random.nextInt(ENGINES + PLAIN_SERVERS));
+                case 1 -> crashRack(fleet, random);
+                case 2 -> crashInTurn(fleet, random);
+                case 3 -> fleet.restartGateway(random.nextInt(8));
+                case 4 -> fleet.cutGateway(random.nextInt(8), random.nextInt(5_000));
+                case 5 -> fleet.setUpdateLoss(random.nextInt(4) * 0.15);
+                case 6 -> fleet.setUpdateDelay(random.nextInt(3) * 300L);
+                default -> {
+                    // only time passes
+                }
+            }
+            fleet.run(200L + random.nextInt(1_500), 2 + random.nextInt(10));
+        }
+    }
+
+    private static void crashRack(PoisonFleet fleet, SplittableRandom random) {
+        int first = random.nextInt(ENGINES);
+        IntStream.range(first, first + 3).forEach(fleet::crashServer);
+    }
+
+    private static void crashInTurn(PoisonFleet fleet, SplittableRandom random) {
+        int first = random.nextInt(ENGINES);
+        long pauseMillis = 20L + random.nextInt(400);
+        IntStream.range(0, 4).forEach(i -> fleet.schedule(pauseMillis * i, () -> fleet.crashServer(first + i)));
+    }
+
+    private static void assertRule(PoisonFleet fleet) {
+        for (Poison poison : fleet.poisons()) {
+            assertTrue(poison.lateArrivals() <= ALLOWED_SENDS, poison.toString());
+        }
+    }
+}
