Count different crashes on the log, not records, in PoisonRequestTest

Cause, traced: each entry waits for up to a second at random and appends the report unless it finds it on the log. If both draw nearly the same delay both append, which is allowed ("a report that is on the log twice counts once"), and the condition of exactly two records is passed over for good. With the delay set to 1 ms in a scratch copy 3 of 3 runs fail with 4 records, and the second entry refuses the request all the same.

The condition is now two different crashes on the log, as strict for what the test guards against: none may be missing and none may be added. In the same scratch copy it passes.

--- a/daemon/src/test/java/org/cornelramp/daemon/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/cornelramp/daemon/entry/EntryFixture.java
@@ -23,6 +23,7 @@
 import org.cornelramp.core.model.OrganisationId;
 import org.cornelramp.core.model.Outcome;
 import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.poison.CrashReport;
 import org.cornelramp.core.settings.BoundSettings;
 import org.cornelramp.core.settings.DaemonSettings;
 import org.cornelramp.core.settings.HostPort;
@@ -138,9 +139,14 @@
                 .count();
     }
 
-    /** Returns the number of crash reports on the log that this entry uses. */
-    int crashReports() {
-        return log.size(LogStream.SET_ASIDE);
+    /** Returns the number of crashes reported on the log that this entry uses; two entries may report the same one. */
+    long crashReports() {
+        int size = log.size(LogStream.SET_ASIDE);
+        return log.read(LogStream.SET_ASIDE, 0, size, 0).join().records().stream()
+                .map(record -> CrashReport.parse(record.value().path("report").asText())
+                        .crashId())
+                .distinct()
+                .count();
     }
 
     private boolean isCandidate(FakeAgent agent) {
