Let the poison detector take thresholds, clearances and signs of life

A gateway has no agent beside its servers: it infers crashes from broken connections, and a request that it retries while a rack fails is at two crashes within a second. So how many crashes blame a request is a parameter: two for the daemon, as before, three where crashes are inferred.

What a gateway needs besides: a clearance that its peers or an operator may give, with the time it counts from; a crash that is taken back when its server answers after all; and whether a report is news, so that repeated updates cost no analysis. Completions become clearances; memory is bounded by number, not by what reports are held.

The daemon decides as before: PoisonDetectorTest and PoisonDetectorProperties pass unchanged but for the constructor.

--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/poison/BlameThresholds.java
@@ -0,0 +1,26 @@
+package org.cornelramp.core.poison;
+
+/**
+ * Numbers of crashes from which on requests are blamed for them. Immutable, safe for use by any thread.
+ *
+ * @param crashes crashes at which a request must have been in progress
+ * @param sharedCrashes crashes at which requests must have been in progress that cannot be told apart, because all of
+ *     them were at exactly the same ones; protecting the fleet then outweighs the innocent one among them
+ */
+public record BlameThresholds(int crashes, int sharedCrashes) {
+    /** For processes that see each crash of a backend server and all requests in progress there. */
+    public static final BlameThresholds OBSERVED = new BlameThresholds(2, 4);
+
+    /**
+     * For processes that infer crashes from broken connections. A request that is retried while several servers fail
+     * for another reason is at two crashes within a second.
+     */
+    public static final BlameThresholds INFERRED = new BlameThresholds(3, 5);
+
+    public BlameThresholds {
+        if (crashes < 2 || sharedCrashes < crashes) {
+            throw new IllegalArgumentException(
+                    "A request must be at two crashes or more to be blamed, and at no fewer if others are at the same");
+        }
+    }
+}
--- a/core/src/main/java/org/cornelramp/core/poison/CrashAnalysis.java
+++ b/core/src/main/java/org/cornelramp/core/poison/CrashAnalysis.java
@@ -13,29 +13,28 @@
  * Determines which requests caused a set of crashes. The result depends only on the set, not on the order or number of
  * the reports.
  *
- * <p>A request that was in progress at two crashes is a culprit, but a crash that one request explains is no evidence
+ * <p>A request that was in progress at enough crashes is a culprit, but a crash that one request explains is no evidence
  * against the others in progress there. So the strongest explanation is applied first: the request with the highest
  * score, to which each of its crashes contributes less the more requests could have caused it. Requests that were in
- * progress at exactly the same crashes cannot be distinguished. They count as culprits only after
- * {@value #MIN_SHARED_CRASHES} crashes, when protecting the fleet outweighs the innocent one among them. Until then
- * none of them runs beside another one.
+ * progress at exactly the same crashes cannot be distinguished. They count as culprits only after more crashes, see
+ * {@link BlameThresholds}. Until then none of them runs beside another one.
  */
 final class CrashAnalysis {
-    static final int MIN_CRASHES = 2;
-    static final int MIN_SHARED_CRASHES = 4;
-
     private static final double SCORE_TOLERANCE = 1e-9;
 
+    private final BlameThresholds thresholds;
     private final Map<String, Set<Integer>> unexplainedCrashesOf = new HashMap<>();
     private final List<Set<String>> suspectsOfCrash = new ArrayList<>();
     private final Set<String> culprits = new TreeSet<>();
     private final Set<String> indistinguishable = new TreeSet<>();
 
-    private CrashAnalysis() {}
+    private CrashAnalysis(BlameThresholds thresholds) {
+        this.thresholds = thresholds;
+    }
 
     /** Analyses crashes, each given by the requests that were in progress. */
-    static CrashAnalysis analyse(Collection<Set<String>> crashes) {
-        CrashAnalysis analysis = new CrashAnalysis();
+    static CrashAnalysis analyse(Collection<Set<String>> crashes, BlameThresholds thresholds) {
+        CrashAnalysis analysis = new CrashAnalysis(thresholds);
         for (Set<String> suspects : crashes) {
             int index = analysis.suspectsOfCrash.size();
             analysis.suspectsOfCrash.add(suspects);
@@ -55,11 +54,11 @@
         return culprits;
     }
 
-    /** Returns the requests that may have caused a crash that is not explained by a culprit. */
+    /** Returns the requests that the next crash may make culprits, counting no crash that a culprit explains. */
     Set<String> suspects() {
         Set<String> all = new TreeSet<>(indistinguishable);
         unexplainedCrashesOf.forEach((s, crashes) -> {
-            if (!crashes.isEmpty()) {
+            if (crashes.size() >= thresholds.crashes() - 1) {
                 all.add(s);
             }
         });
@@ -67,6 +66,11 @@
         return all;
     }
 
+    /** Number of crashes that a request may have caused and no culprit explains. */
+    int unexplainedCrashes(String request) {
+        return unexplainedCrashesOf.getOrDefault(request, Set.of()).size();
+    }
+
     private boolean explainStrongest() {
         Map<String, Double> scores = scores();
         if (scores.isEmpty()) {
@@ -84,7 +88,7 @@
             Set<Integer> crashes = unexplainedCrashesOf.get(s);
             boolean distinct = strongest.stream()
                     .noneMatch(o -> !o.equals(s) && unexplainedCrashesOf.get(o).equals(crashes));
-            (distinct || crashes.size() >= MIN_SHARED_CRASHES ? culprits : indistinguishable).add(s);
+            (distinct || crashes.size() >= thresholds.sharedCrashes() ? culprits : indistinguishable).add(s);
             explained.addAll(crashes);
         }
         unexplainedCrashesOf.values().forEach(c -> c.removeAll(explained));
@@ -96,7 +100,7 @@
         Map<Integer, Integer> candidateCounts = new HashMap<>();
         Map<String, Double> scores = new HashMap<>();
         unexplainedCrashesOf.forEach((s, crashes) -> {
-            if (crashes.size() >= MIN_CRASHES) {
+            if (crashes.size() >= thresholds.crashes()) {
                 crashes.forEach(c -> candidateCounts.merge(c, 1, Integer::sum));
                 scores.put(s, 0.0);
             }
--- a/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,40 +18,68 @@
  * <p>Crash reports arrive from heartbeats and from the log, late, in any order and more than once; two processes with
  * the same reports refuse the same requests. A report expires after the retention time, and with it the refusals that
  * it caused. A refusal learnt from a peer keeps its expiry time, so that processes do not prolong it by passing it on.
- * Owned by one thread; holds at most the given number of reports and drops the oldest.
+ * A clearance ends the suspicion for all crashes before it. Owned by one thread; holds at most the given number of
+ * reports, as many refusals of peers and {@value #MAX_CLEARANCES} clearances, and drops the oldest.
  */
 public final class PoisonDetector {
     /** Most poison requests that one heartbeat carries. */
     public static final int MAX_MARKS = 48;
 
+    private static final int MAX_CLEARANCES = 1_024;
+
     private static final Comparator<CrashReport> BY_TIME =
             Comparator.comparing(CrashReport::at).thenComparing(CrashReport::crashId);
 
     private final Duration retention;
     private final int maxReports;
+    private final BlameThresholds thresholds;
     private final Map<String, CrashReport> reports = new HashMap<>();
-    private final Map<String, Instant> completionTimes = new HashMap<>();
+
+    /** When a request was cleared of the crashes before, by its completion or by an operator. */
+    private final Map<String, Instant> clearances = new LinkedHashMap<>();
+
+    /** When a server that was reported as crashed has given a sign of life, by the id of the crash. */
+    private final Map<String, Instant> signsOfLife = new LinkedHashMap<>();
+
     private final Map<String, Instant> peerMarks = new HashMap<>();
-    private CrashAnalysis analysis = CrashAnalysis.analyse(List.of());
+    private CrashAnalysis analysis;
     private Instant nextExpiry = Instant.MAX;
 
     /**
      * @param retention retention time of a crash report, from the time of the crash
      * @param maxReports most crash reports held
+     * @param thresholds from how many crashes on a request is blamed
      */
-    public PoisonDetector(Duration retention, int maxReports) {
+    public PoisonDetector(Duration retention, int maxReports, BlameThresholds thresholds) {
         this.retention = retention;
         this.maxReports = maxReports;
+        this.thresholds = thresholds;
+        this.analysis = CrashAnalysis.analyse(List.of(), thresholds);
     }
 
     /** Returns an instance with a retention time of ten minutes and at most 256 reports. */
-    public static PoisonDetector standard() {
-        return new PoisonDetector(Duration.ofMinutes(10), 256);
+    public static PoisonDetector standard(BlameThresholds thresholds) {
+        return new PoisonDetector(Duration.ofMinutes(10), 256, thresholds);
+    }
+
+    /** Whether nothing is known of any crash or poison request, so that no request needs to be identified. */
+    public boolean isEmpty() {
+        return reports.isEmpty() && peerMarks.isEmpty();
+    }
+
+    /** Whether a report of the crash with these suspects is held, or is known to be wrong. */
+    public boolean isKnown(CrashReport report) {
+        CrashReport known = reports.get(report.crashId());
+        return isRefuted(report) || (known != null && known.suspects().containsAll(report.suspects()));
+    }
+
+    private boolean isRefuted(CrashReport report) {
+        return signsOfLife.getOrDefault(report.crashId(), Instant.MIN).isAfter(report.at());
     }
 
     /** Adds a crash report; a repeated one changes nothing. Returns whether the report added any information. */
     public boolean recordCrash(CrashReport report, Instant now) {
-        if (!report.at().plus(retention).isAfter(now)) {
+        if (!report.at().plus(retention).isAfter(now) || isRefuted(report)) {
             return false;
         }
         CrashReport before = reports.get(report.crashId());
@@ -66,25 +95,86 @@
         return reports.containsKey(after.crashId());
     }
 
+    /**
+     * Records that a server which was reported as crashed has given a sign of life, so that its crash was none. Returns
+     * whether a report is dropped for it.
+     */
+    public boolean recordSignOfLife(String crashId, Instant at, Instant now) {
+        signsOfLife.merge(crashId, at, PoisonDetector::later);
+        removeOldest(signsOfLife, maxReports);
+        CrashReport known = reports.get(crashId);
+        boolean refuted = known != null && isRefuted(known);
+        if (refuted) {
+            reports.remove(crashId);
+            analyse(now);
+        }
+        return refuted;
+    }
+
     /**
      * Records that a request ran to completion, and therefore did not cause the crashes so far. Without this, a request
      * that many callers send identically would be a suspect of most crashes, whatever their cause.
+     *
+     * @return whether the request was in progress at a crash
      */
-    public void recordCompletion(String fingerprint, Instant now) {
+    public boolean recordCompletion(String fingerprint, Instant now) {
         boolean known = reports.values().stream().anyMatch(r -> r.suspects().contains(fingerprint));
         if (known) {
-            completionTimes.put(fingerprint, now);
-            analyse(now);
+            clear(fingerprint, now, now);
+        }
+        return known;
+    }
+
+    /** Clears a request of all crashes before a time, and ends its refusal; returns whether that changes anything. */
+    public boolean clear(String fingerprint, Instant at, Instant now) {
+        Instant before = clearances.getOrDefault(fingerprint, Instant.MIN);
+        if (!at.isAfter(before)) {
+            return false;
+        }
+        clearances.remove(fingerprint);
+        clearances.put(fingerprint, at);
+        removeOldest(clearances, MAX_CLEARANCES);
+        analyse(now);
+        return true;
+    }
+
+    private boolean isCleared(String fingerprint, Instant crash) {
+        return clearances.getOrDefault(fingerprint, Instant.MIN).isAfter(crash);
+    }
+
+    private static Instant later(Instant one, Instant other) {
+        return one.isAfter(other) ? one : other;
+    }
+
+    private static void removeOldest(Map<String, Instant> map, int maxSize) {
+        while (map.size() > maxSize) {
+            map.remove(map.keySet().iterator().next());
         }
     }
 
     /** Adds the {@link #marks} of a peer; marks that cannot be parsed are ignored. */
     public void addMarks(Collection<String> marks, Instant now) {
         for (String mark : marks) {
-            PoisonMark.parse(mark).filter(m -> m.until().isAfter(now)).ifPresent(m -> addMark(m, now));
+            PoisonMark.parse(mark).ifPresent(m -> addMark(m, now));
         }
     }
 
+    /** Adds a refusal of a peer; returns whether the request was not refused before. */
+    public boolean addMark(PoisonMark mark, Instant now) {
+        // A peer whose clock is ahead must not extend a refusal beyond the retention time.
+        Instant latest = now.plus(retention);
+        Instant until = mark.until().isBefore(latest) ? mark.until() : latest;
+        boolean refused = isPoison(mark.fingerprint(), now);
+        if (!until.isAfter(now) || isCleared(mark.fingerprint(), until.minus(retention))) {
+            return false;
+        }
+        peerMarks.values().removeIf(t -> !t.isAfter(now));
+        if (peerMarks.size() < maxReports) {
+            peerMarks.merge(mark.fingerprint(), until, PoisonDetector::later);
+        }
+        return !refused && isPoison(mark.fingerprint(), now);
+    }
+
     /** Whether a request is refused as poison; its caller gets the final answer at once. */
     public boolean isPoison(String fingerprint, Instant now) {
         removeExpired(now);
@@ -92,7 +182,13 @@
                 || peerMarks.getOrDefault(fingerprint, Instant.MIN).isAfter(now);
     }
 
-    /** Whether a request was in progress at a crash whose cause is not known yet. */
+    /** Number of crashes that a request may have caused and no other poison request explains. */
+    public int unexplainedCrashes(String fingerprint, Instant now) {
+        removeExpired(now);
+        return analysis.unexplainedCrashes(fingerprint);
+    }
+
+    /** Whether the next crash at which a request is in progress may show that it is a poison request. */
     public boolean isSuspect(String fingerprint, Instant now) {
         removeExpired(now);
         return analysis.suspects().contains(fingerprint);
@@ -108,15 +204,19 @@
 
     /** Returns the poison requests in the form that heartbeats carry, those with the latest expiry first. */
     public List<String> marks(Instant now) {
+        return poisonRequests(now).stream().map(PoisonMark::toString).toList();
+    }
+
+    /** Returns the poison requests, those with the latest expiry first, at most {@value #MAX_MARKS}. */
+    public List<PoisonMark> poisonRequests(Instant now) {
         removeExpired(now);
         Map<String, Instant> all = new HashMap<>(peerMarks);
-        analysis.culprits().forEach(f -> all.merge(f, expiry(f), (a, b) -> a.isAfter(b) ? a : b));
+        analysis.culprits().forEach(f -> all.merge(f, expiry(f), PoisonDetector::later));
         return all.entrySet().stream()
                 .filter(e -> e.getValue().isAfter(now))
                 .map(e -> new PoisonMark(e.getKey(), e.getValue()))
                 .sorted(Comparator.comparing(PoisonMark::until).reversed().thenComparing(PoisonMark::fingerprint))
                 .limit(MAX_MARKS)
-                .map(PoisonMark::toString)
                 .toList();
     }
 
@@ -129,16 +229,6 @@
                 .toList();
     }
 
-    private void addMark(PoisonMark mark, Instant now) {
-        // A peer whose clock is ahead must not extend a refusal beyond the retention time.
-        Instant latest = now.plus(retention);
-        Instant until = mark.until().isBefore(latest) ? mark.until() : latest;
-        peerMarks.values().removeIf(t -> !t.isAfter(now));
-        if (peerMarks.size() < maxReports) {
-            peerMarks.merge(mark.fingerprint(), until, (a, b) -> a.isAfter(b) ? a : b);
-        }
-    }
-
     private Instant expiry(String fingerprint) {
         return reports.values().stream()
                 .filter(r -> r.suspects().contains(fingerprint))
@@ -155,17 +245,19 @@
 
     private void analyse(Instant now) {
         reports.values().removeIf(r -> !r.at().plus(retention).isAfter(now));
-        peerMarks.values().removeIf(t -> !t.isAfter(now));
-        Set<String> known = new TreeSet<>();
+        peerMarks
+                .entrySet()
+                .removeIf(m -> !m.getValue().isAfter(now)
+                        || isCleared(m.getKey(), m.getValue().minus(retention)));
+        clearances.values().removeIf(t -> !t.plus(retention).isAfter(now));
+        signsOfLife.values().removeIf(t -> !t.plus(retention).isAfter(now));
         List<Set<String>> crashes = new ArrayList<>();
         for (CrashReport r : reports.values()) {
             Set<String> suspects = new TreeSet<>(r.suspects());
-            known.addAll(suspects);
-            suspects.removeIf(f -> completionTimes.getOrDefault(f, Instant.MIN).isAfter(r.at()));
+            suspects.removeIf(f -> isCleared(f, r.at()));
             crashes.add(suspects);
         }
-        completionTimes.keySet().retainAll(known);
-        analysis = CrashAnalysis.analyse(crashes);
+        analysis = CrashAnalysis.analyse(crashes, thresholds);
         nextExpiry = reports.values().stream()
                 .map(r -> r.at().plus(retention))
                 .min(Comparator.naturalOrder())
--- a/core/src/test/java/org/cornelramp/core/poison/CrashingFleet.java
+++ b/core/src/test/java/org/cornelramp/core/poison/CrashingFleet.java
@@ -1,6 +1,5 @@
 package org.cornelramp.core.poison;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -25,7 +24,7 @@
     private final int maxReportDelayTicks;
     private final List<List<Run>> servers = new ArrayList<>();
     private final List<Delayed> delayed = new ArrayList<>();
-    private final PoisonDetector detector = new PoisonDetector(Duration.ofMinutes(10), 256);
+    private final PoisonDetector detector = PoisonDetector.standard(BlameThresholds.OBSERVED);
     private final Map<String, Integer> crashes = new HashMap<>();
     private Instant now = Instant.ofEpochSecond(1_000);
     private int tick;
--- a/core/src/test/java/org/cornelramp/core/poison/PoisonDetectorProperties.java
+++ b/core/src/test/java/org/cornelramp/core/poison/PoisonDetectorProperties.java
@@ -62,7 +62,7 @@
     @Property(seed = "4104", tries = 100)
     void boundsHoldAndEverythingExpires(@ForAll long seed) {
         Random random = new Random(seed);
-        PoisonDetector detector = new PoisonDetector(Duration.ofSeconds(60), 16);
+        PoisonDetector detector = new PoisonDetector(Duration.ofSeconds(60), 16, BlameThresholds.OBSERVED);
         Instant now = NOW;
         for (int i = 0; i < 100; i++) {
             now = now.plusMillis(random.nextInt(500));
@@ -75,7 +75,7 @@
     }
 
     private static PoisonDetector detectorWith(List<CrashReport> reports) {
-        PoisonDetector detector = PoisonDetector.standard();
+        PoisonDetector detector = PoisonDetector.standard(BlameThresholds.OBSERVED);
         reports.forEach(r -> detector.recordCrash(CrashReport.parse(r.toString()), NOW));
         return detector;
     }
--- a/core/src/test/java/org/cornelramp/core/poison/PoisonDetectorTest.java
+++ b/core/src/test/java/org/cornelramp/core/poison/PoisonDetectorTest.java
@@ -67,7 +67,7 @@
     @Test
     public void aMarkOfAPeerKeepsItsExpiry() {
         PoisonDetector one = detectorAfter(Set.of("p"), Set.of("p"));
-        PoisonDetector other = PoisonDetector.standard();
+        PoisonDetector other = PoisonDetector.standard(BlameThresholds.OBSERVED);
         Instant later = NOW.plusSeconds(300);
         other.addMarks(one.marks(NOW), later);
         one.addMarks(other.marks(later), later);
@@ -102,7 +102,7 @@
 
     @SafeVarargs
     private static PoisonDetector detectorAfter(Set<String>... crashes) {
-        PoisonDetector detector = PoisonDetector.standard();
+        PoisonDetector detector = PoisonDetector.standard(BlameThresholds.OBSERVED);
         for (int i = 0; i < crashes.length; i++) {
             detector.recordCrash(new CrashReport("c" + i, NOW, crashes[i]), NOW);
         }
--- a/daemon/src/main/java/org/cornelramp/daemon/entry/PoisonTracker.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/entry/PoisonTracker.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import org.cornelramp.core.model.Problem;
 import org.cornelramp.core.model.ProblemKind;
+import org.cornelramp.core.poison.BlameThresholds;
 import org.cornelramp.core.poison.CrashReport;
 import org.cornelramp.core.poison.PoisonDetector;
 import org.cornelramp.ports.LogClient;
@@ -34,7 +35,7 @@
     private static final Duration SUSPECT_AGE = Duration.ofSeconds(30);
     private static final long MAX_APPEND_DELAY_MILLIS = 1_000;
 
-    private final PoisonDetector detector = PoisonDetector.standard();
+    private final PoisonDetector detector = PoisonDetector.standard(BlameThresholds.OBSERVED);
     private final LogClient log;
     private final Router router;
     private final LogFollower follower;
