Hold a suspect until it is known whether its last server crashed under it

What callers saw: within one arrival, a request goes on to the next server some milliseconds after the last one has crashed under it.

Cause: a retry is sent at once, and that a server has crashed is known only when it has been asked, 5 to 60 ms later. Evidence: with one gateway that remembers, a stream still crashed 4 engines; the log shows the fourth sending before the third line 'crashed'.

A request that would be refused with the crash that is not decided yet waits for it, half a second at most, in the queue for retries; other requests are retried at once, as before. With one gateway a stream now crashes 3. Taken back, PoisonGuardTest.startedStreamBreaksOffAfterTheThirdCrash fails.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import org.cornelramp.core.poison.BlameThresholds;
 import org.cornelramp.core.poison.CrashEvidence.Crash;
 import org.cornelramp.core.poison.PoisonDetector;
 import org.cornelramp.core.poison.PoisonMark;
@@ -20,7 +21,15 @@
  * there is a crash to compare it with, so requests cost nothing as long as no server crashes.
  */
 final class PoisonGuard {
+    /**
+     * Longest time for which a request waits until the fate of its last server is known; a question about it is answered
+     * within a tenth of it.
+     */
+    private static final long MAX_FATE_WAIT_MILLIS = 500;
+
     private final PoisonDetector detector;
+    private final CrashObserver observer;
+    private final int blamedCrashes;
     private final EventLog log;
     private final Meters meters;
     private Map<String, Instant> refused = Map.of();
@@ -28,12 +37,17 @@
     /** Whether a request may be sent. Immutable, safe for use by any thread. */
     enum Verdict {
         SEND,
+        /** A server may just have crashed under it, and with that crash it would be refused. */
+        WAIT,
         /** Servers have crashed under it. */
         REFUSE
     }
 
-    PoisonGuard(PoisonDetector detector, CrashObserver observer, EventLog log, Meters meters) {
-        this.detector = detector;
+    PoisonGuard(CrashObserver observer, EventLog log, Meters meters) {
+        BlameThresholds thresholds = BlameThresholds.INFERRED;
+        this.detector = PoisonDetector.standard(thresholds);
+        this.blamedCrashes = thresholds.crashes();
+        this.observer = observer;
         this.log = log;
         this.meters = meters;
         observer.setOnCrash(this::recordCrash);
@@ -46,7 +60,21 @@
 
     /** Whether a request may be sent to a server now. */
     Verdict verdict(ActiveRequest request, long now) {
-        return isPoison(request, now) ? Verdict.REFUSE : Verdict.SEND;
+        if (isPoison(request, now)) {
+            return Verdict.REFUSE;
+        }
+        return awaitsFate(request, now) ? Verdict.WAIT : Verdict.SEND;
+    }
+
+    /** Whether the fate of servers that may have crashed under a request decides whether it is refused. */
+    private boolean awaitsFate(ActiveRequest request, long now) {
+        if (detector.isEmpty() || !observer.hasUndecided()) {
+            return false;
+        }
+        long undecided = observer.undecidedCrashes(request.fingerprint(), MAX_FATE_WAIT_MILLIS, now);
+        int known = detector.unexplainedCrashes(request.fingerprint(), instant(now));
+        return undecided > 0
+                && (known + undecided >= blamedCrashes || detector.isSuspect(request.fingerprint(), instant(now)));
     }
 
     /** Whether a request is refused because servers have crashed under it. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -8,8 +8,6 @@
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.cornelramp.core.model.ServiceName;
-import org.cornelramp.core.poison.BlameThresholds;
-import org.cornelramp.core.poison.PoisonDetector;
 import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.gateway.SteadyClock;
@@ -99,8 +97,7 @@
                 settings.name(), settings.dataCentre(), fleet, sharedRetries, failureDetector::handlePeerSuspicion);
         failureDetector.setOnLost(peerUpdateHandler::recordFailure);
         this.crashObserver = new CrashObserver(fleet, engineControl, log, meters, events);
-        this.poisonGuard =
-                new PoisonGuard(PoisonDetector.standard(BlameThresholds.INFERRED), crashObserver, log, meters);
+        this.poisonGuard = new PoisonGuard(crashObserver, log, meters);
         this.retryDelay = new RetryDelay(fleet, poisonGuard);
         this.dispatcher = new Dispatcher(settings, clients, config, fleet, poisonGuard, clock, log, attemptEnds);
         this.retryDispatcher = new RetryDispatcher(sharedRetries, dispatcher, fleet, poisonGuard, routingLog, faults);
@@ -228,6 +225,9 @@
             retryDispatcher.queueForPath(request, now);
             return;
         }
+        if (poisonGuard.verdict(request, now) == PoisonGuard.Verdict.WAIT && retryDispatcher.queue(request, now)) {
+            return;
+        }
         boolean poison = poisonGuard.isPoison(request, now);
         Refusal notRun = poison ? Refusal.POISON : Refusal.NO_SERVER;
         giveUp(
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
@@ -111,10 +111,15 @@
 
     /** Queues a started stream for which there is no path. */
     void queueForPath(ActiveRequest request, long now) {
-        retryQueue.add(request, queueEntry(request, now));
+        queue(request, now);
         handleNoPath(request, now);
     }
 
+    /** Queues a request that may be sent soon; false if the queue is full. */
+    boolean queue(ActiveRequest request, long now) {
+        return retryQueue.add(request, queueEntry(request, now));
+    }
+
     /**
      * Retries the waiting requests, the most urgent first, and asks the peers to lend the retries that are still
      * missing.
@@ -217,7 +222,7 @@
     }
 
     private boolean enqueue(ActiveRequest request, long now) {
-        return isWaitUseful(request, now) && retryQueue.add(request, queueEntry(request, now));
+        return isWaitUseful(request, now) && queue(request, now);
     }
 
     /** Whether waiting may help; a request that could only be refused later is refused at once. */
@@ -226,7 +231,8 @@
         boolean serverMayReturn = fleet.hasSuspect(request.service(), now);
         boolean serverOpens =
                 fleet.millisUntilOpen(request.service(), now).orElse(Long.MAX_VALUE) < MAX_UNSTARTED_WAIT_MILLIS;
-        return request.exchange().isCommitted() || peersMayLend || serverMayReturn || serverOpens;
+        boolean verdictIsDue = poisonGuard.verdict(request, now) == PoisonGuard.Verdict.WAIT;
+        return request.exchange().isCommitted() || peersMayLend || serverMayReturn || serverOpens || verdictIsDue;
     }
 
     private static RetryQueue.WaitState queueEntry(ActiveRequest request, long now) {
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonGuardTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonGuardTest.java
@@ -1,12 +1,16 @@
 package org.cornelramp.gateway.route;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.EOFException;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.gateway.GatewayFixture;
 import org.cornelramp.gateway.TestServers;
 import org.cornelramp.gateway.request.FakeClient;
@@ -21,6 +25,7 @@
     private static final Optional<PlatformFault> REFUSED =
             Optional.of(new PlatformFault(PlatformFault.Kind.NOT_LISTENING, "refused"));
 
+    private final Set<BackendServerId> dead = new HashSet<>();
     private RouterSimulation router;
     private int servers;
     private int handled;
@@ -28,6 +33,8 @@
     @BeforeMethod
     public void start() {
         router = new RouterSimulation(StandInConfig.small(1), GatewayFixture.MANY_RETRIES, 1);
+        router.setReportFaults(server -> dead.contains(server.id()) ? REFUSED : Optional.empty());
+        dead.clear();
         servers = 0;
         handled = 0;
     }
@@ -40,20 +47,19 @@
         return router.calls().get(handled++);
     }
 
-    /** Adds the only server that listens, and returns it. */
+    /** Adds a server, and returns it. */
     private BackendServer addServer(boolean engine) {
         servers++;
         BackendServer server = engine
                 ? RouterSimulation.engine("e" + servers, 100 + servers, 0, 8)
                 : TestServers.plain("p" + servers, 200 + servers);
-        router.setReportFaults(asked -> asked.id().equals(server.id()) ? Optional.empty() : REFUSED);
         router.register(server);
         router.run(300);
         return server;
     }
 
     private void crash(FakeHttpClient.Call call, BackendServer server) {
-        router.setReportFaults(asked -> REFUSED);
+        dead.add(server.id());
         call.fail(new EOFException("closed"));
         router.run(100);
         router.unregister(server);
@@ -106,6 +112,24 @@
         assertEquals(router.calls().size(), handled + 1);
     }
 
+    /** Guards against a started stream that is sent on after the third crash, or looks complete when it ends. */
+    @Test
+    public void startedStreamBreaksOffAfterTheThirdCrash() {
+        BackendServer server = addServer(true);
+        FakeClient client = send("/chat/a", "r1", "poison");
+        for (int event = 0; event < 3; event++) {
+            FakeHttpClient.Call call = nextCall();
+            assertEquals(call.port(), server.address().port());
+            call.events("r1", "id: " + event + "\ndata: x\n\n");
+            BackendServer next = addServer(true);
+            crash(call, server);
+            server = next;
+        }
+        assertEquals(router.calls().size(), handled, "no server gets it");
+        assertTrue(client.isClosed());
+        assertFalse(client.isComplete());
+    }
+
     /** Guards against refusals that never end. */
     @Test
     public void refusalEndsAfterTenMinutes() {
