Tell peers of crashes under requests, and of the requests that are refused for them

What callers saw: after one gateway refuses the request, the others still send it, and each lets three servers of its own crash first.

Cause: what one gateway knows stays there.

Updates to peers now carry the crashes that the sender has seen (for 10 s, at once to all when new), the requests that it refuses, clearances, and signs of life of servers that were thought to have crashed. One crash has one name at all gateways, the incarnation of the server, so it counts once. Times are ages, as gateways share no clock; a crash or refusal ages by a second on its way, so that a late update does not make it look newer than what refutes it, and a refusal that goes round ends. An update has at most 96 suspects and 32 entries of each other kind, so it stays below a datagram. Gateways of the previous build are still heard.

--- a/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -175,6 +176,13 @@
         return !refused && isPoison(mark.fingerprint(), now);
     }
 
+    /** When a request was cleared of the crashes that a refusal stands on; empty if it was not. */
+    public Optional<Instant> clearance(PoisonMark mark) {
+        return isCleared(mark.fingerprint(), mark.until().minus(retention))
+                ? Optional.of(clearances.get(mark.fingerprint()))
+                : Optional.empty();
+    }
+
     /** Whether a request is refused as poison; its caller gets the final answer at once. */
     public boolean isPoison(String fingerprint, Instant now) {
         removeExpired(now);
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdate.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdate.java
@@ -8,6 +8,7 @@
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.path.EngineLoads;
+import org.cornelramp.core.poison.PoisonUpdate;
 import org.cornelramp.core.retry.RetryLoanUpdate;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.follow.PeerConfigVersions;
@@ -28,6 +29,7 @@
  * @param reading how far it has read the store for all gateways; empty if it does not read for them
  * @param configVersion version of the configuration that it has in force; negative for none
  * @param rateLimits what it knows of limits that servers have named, and what it has sent to these servers
+ * @param poison crashes of servers that it has seen, and the requests that it refuses for such crashes
  */
 public record PeerUpdate(
         Sender sender,
@@ -41,7 +43,8 @@
         List<HostPort> recentPeers,
         Optional<ReadCoordinator.ReadPosition> reading,
         long configVersion,
-        Map<BackendServerId, RateLimitUpdate> rateLimits) {
+        Map<BackendServerId, RateLimitUpdate> rateLimits,
+        PoisonUpdate poison) {
 
     public PeerUpdate {
         loads = loads.map(Map::copyOf);
@@ -65,7 +68,7 @@
         return sender.name();
     }
 
-    /** An update without peers, reading, configuration version and limits. */
+    /** An update without peers, reading, configuration version, limits and crashes. */
     public static PeerUpdate of(
             Sender sender,
             long number,
@@ -87,7 +90,8 @@
                 List.of(),
                 Optional.empty(),
                 PeerConfigVersions.NONE,
-                Map.of());
+                Map.of(),
+                PoisonUpdate.NONE);
     }
 
     /** The same update with addresses of peers. */
@@ -104,7 +108,8 @@
                 addresses,
                 reading,
                 configVersion,
-                rateLimits);
+                rateLimits,
+                poison);
     }
 
     /** The same update with how far this gateway has read the store for all. */
@@ -121,7 +126,8 @@
                 recentPeers,
                 progress,
                 configVersion,
-                rateLimits);
+                rateLimits,
+                poison);
     }
 
     /** The same update with the configuration version that this gateway has in force. */
@@ -138,7 +144,8 @@
                 recentPeers,
                 reading,
                 version,
-                rateLimits);
+                rateLimits,
+                poison);
     }
 
     /** The same update with what this gateway knows of servers' limits. */
@@ -155,7 +162,26 @@
                 recentPeers,
                 reading,
                 configVersion,
-                limits);
+                limits,
+                poison);
+    }
+
+    /** The same update with what this gateway knows of crashes. */
+    public PeerUpdate withPoison(PoisonUpdate news) {
+        return new PeerUpdate(
+                sender,
+                sequenceNumber,
+                leaving,
+                loads,
+                crossings,
+                slowdowns,
+                suspects,
+                retryLoans,
+                recentPeers,
+                reading,
+                configVersion,
+                rateLimits,
+                news);
     }
 
     /** The same update without the loads, which make up most of its bytes. */
@@ -172,6 +198,7 @@
                 recentPeers,
                 reading,
                 configVersion,
-                rateLimits);
+                rateLimits,
+                poison);
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateCodec.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateCodec.java
@@ -14,6 +14,7 @@
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.EngineLoads;
+import org.cornelramp.core.poison.PoisonUpdate;
 import org.cornelramp.core.retry.RetryLoanUpdate;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.follow.ReadCoordinator;
@@ -23,9 +24,12 @@
 
 /** Encodes the updates between gateways as MessagePack and decodes them. Stateless, safe for use by any thread. */
 final class PeerUpdateCodec {
-    private static final int FORMAT = 8;
+    private static final int FORMAT = 9;
 
-    /** Positions of this format, which a process of the previous build sends, do not say how long they are valid. */
+    /** Updates of this format, which a process of the previous build sends, end before the crashes. */
+    private static final int FORMAT_WITHOUT_CRASHES = 8;
+
+    /** Positions of this format do not say how long they are valid. */
     private static final int FORMAT_WITHOUT_VALIDITY = 7;
 
     /** Updates of this format end before the limits. */
@@ -75,12 +79,58 @@
             }
             out.packLong(update.configVersion());
             writeRateLimits(update.rateLimits(), out);
+            writePoison(update.poison(), out);
             return out.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("Writing to memory failed", e);
         }
     }
 
+    private static void writePoison(PoisonUpdate poison, MessageBufferPacker out) throws IOException {
+        out.packArrayHeader(poison.crashes().size());
+        for (PoisonUpdate.ToldCrash crash : poison.crashes()) {
+            out.packString(crash.crashId());
+            out.packLong(crash.ageMillis());
+            out.packArrayHeader(crash.suspects().size());
+            for (String suspect : crash.suspects()) {
+                out.packString(suspect);
+            }
+        }
+        writeTimes(poison.refusals(), out);
+        writeTimes(poison.clearances(), out);
+        writeTimes(poison.signsOfLife(), out);
+    }
+
+    private static void writeTimes(Map<String, Long> times, MessageBufferPacker out) throws IOException {
+        out.packMapHeader(times.size());
+        for (Map.Entry<String, Long> time : times.entrySet()) {
+            out.packString(time.getKey());
+            out.packLong(time.getValue());
+        }
+    }
+
+    private static PoisonUpdate readPoison(MessageUnpacker in) throws IOException {
+        List<PoisonUpdate.ToldCrash> crashes = new ArrayList<>();
+        for (int left = in.unpackArrayHeader(); left > 0; left--) {
+            String crashId = in.unpackString();
+            long ageMillis = in.unpackLong();
+            Set<String> suspects = new HashSet<>();
+            for (int more = in.unpackArrayHeader(); more > 0; more--) {
+                suspects.add(in.unpackString());
+            }
+            crashes.add(new PoisonUpdate.ToldCrash(crashId, ageMillis, suspects));
+        }
+        return new PoisonUpdate(crashes, readTimes(in), readTimes(in), readTimes(in));
+    }
+
+    private static Map<String, Long> readTimes(MessageUnpacker in) throws IOException {
+        Map<String, Long> times = new HashMap<>();
+        for (int left = in.unpackMapHeader(); left > 0; left--) {
+            times.put(in.unpackString(), in.unpackLong());
+        }
+        return times;
+    }
+
     private static void writeLoads(Map<BackendServerId, EngineLoads.Load> loads, MessageBufferPacker out)
             throws IOException {
         out.packMapHeader(loads.size());
@@ -222,6 +272,7 @@
             long version = in.unpackLong();
             Map<BackendServerId, RateLimitUpdate> rateLimits =
                     format > FORMAT_WITHOUT_LIMITS ? readRateLimits(in) : Map.of();
+            PoisonUpdate poison = format > FORMAT_WITHOUT_CRASHES ? readPoison(in) : PoisonUpdate.NONE;
             return Either.right(new PeerUpdate(
                     sender,
                     number,
@@ -234,7 +285,8 @@
                     recentPeers,
                     reading,
                     version,
-                    rateLimits));
+                    rateLimits,
+                    poison));
         } catch (IOException | RuntimeException e) {
             return Either.left(e.toString());
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/UpdateUrgency.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/UpdateUrgency.java
@@ -19,13 +19,14 @@
     private Set<BackendServerId> sentSuspects = Set.of();
     private Set<Long> sentAskIds = Set.of();
     private Map<BackendServerId, Optional<Double>> sentLimits = Map.of();
+    private Set<Object> sentPoison = Set.of();
     private boolean sentLeaving;
     private Optional<ReadCoordinator.ReadPosition> sentReading = Optional.empty();
 
     /**
      * Whether the update reports one of these for the first time: a failed server, the shutdown of this gateway,
-     * progress in reading the store, a limit that a server names, or a request for retries. Streams that have begun wait
-     * for those retries, and the peers of a single turn may have none to lend.
+     * progress in reading the store, a limit that a server names, a crash under a request, or a request for retries.
+     * Streams that have begun wait for those retries, and the peers of a single turn may have none to lend.
      */
     boolean isUrgent(PeerUpdate update) {
         Set<Long> askIds = askIds(update.retryLoans().loanRequests().values());
@@ -33,15 +34,18 @@
         boolean readingProgressed = update.reading()
                 .filter(reading -> sentReading.filter(reading::isAt).isEmpty())
                 .isPresent();
+        Set<Object> poison = update.poison().observations();
         boolean urgent = !sentSuspects.containsAll(update.suspects())
                 || !sentAskIds.containsAll(askIds)
                 || !sentLimits.entrySet().containsAll(limits.entrySet())
+                || !sentPoison.containsAll(poison)
                 || (update.leaving() && !sentLeaving)
                 || readingProgressed;
         sentReading = update.reading();
         sentSuspects = update.suspects();
         sentAskIds = askIds;
         sentLimits = limits;
+        sentPoison = poison;
         sentLeaving = update.leaving();
         return urgent;
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
@@ -34,6 +34,7 @@
     private final PeerUpdate.Sender sender;
     private final FleetState fleet;
     private final SharedRetries sharedRetries;
+    private final PoisonGuard poisonGuard;
     private final BiConsumer<BackendServer, Long> probe;
     private final Map<BackendServerId, Long> failuresSeen = new HashMap<>();
     private final Map<String, Long> stayingPeers = new ConcurrentHashMap<>();
@@ -47,10 +48,12 @@
             DataCentre dataCentre,
             FleetState fleet,
             SharedRetries sharedRetries,
+            PoisonGuard poisonGuard,
             BiConsumer<BackendServer, Long> probe) {
         this.sender = new PeerUpdate.Sender(name, PeerUpdateService.newIncarnation(), dataCentre);
         this.fleet = fleet;
         this.sharedRetries = sharedRetries;
+        this.poisonGuard = poisonGuard;
         this.probe = probe;
         this.currentUpdate = PeerUpdate.of(sender, 0, false, Map.of(), 0, Map.of(), Set.of(), RetryLoanUpdate.NONE);
     }
@@ -97,7 +100,8 @@
                         loads.slowdownFactors(),
                         failuresSeen.keySet(),
                         sharedRetries.loanUpdate(nowMillis))
-                .withRateLimits(fleet.rateLimits().update(nowMillis));
+                .withRateLimits(fleet.rateLimits().update(nowMillis))
+                .withPoison(poisonGuard.update(nowMillis));
     }
 
     /** Applies a peer's update. */
@@ -113,6 +117,7 @@
                         peerLoads -> loads.updatePeer(update.name(), peerLoads, update.crossings(), nowMillis),
                         () -> loads.keepPeer(update.name(), update.crossings(), nowMillis));
         sharedRetries.applyPeerUpdate(update.name(), update.retryLoans(), nowMillis);
+        poisonGuard.applyPeerUpdate(update.name(), update.poison(), nowMillis);
         update.slowdowns().forEach((id, slowdown) -> {
             if (loads.slowdown(id) == 1) {
                 loads.setSlowdown(id, slowdown, nowMillis - SLOWDOWN_AGE_MILLIS);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
@@ -7,10 +7,15 @@
 import java.util.stream.Collectors;
 import org.cornelramp.core.poison.BlameThresholds;
 import org.cornelramp.core.poison.CrashEvidence.Crash;
+import org.cornelramp.core.poison.CrashReport;
 import org.cornelramp.core.poison.PoisonDetector;
 import org.cornelramp.core.poison.PoisonMark;
+import org.cornelramp.core.poison.PoisonNews;
+import org.cornelramp.core.poison.PoisonUpdate;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
+import org.cornelramp.gateway.request.Attempt;
+import org.cornelramp.gateway.request.AttemptEnd;
 import org.cornelramp.gateway.request.Exchange;
 
 /**
@@ -28,6 +33,7 @@
     private static final long MAX_FATE_WAIT_MILLIS = 500;
 
     private final PoisonDetector detector;
+    private final PoisonNews news;
     private final CrashObserver observer;
     private final int blamedCrashes;
     private final EventLog log;
@@ -46,6 +52,7 @@
     PoisonGuard(CrashObserver observer, EventLog log, Meters meters) {
         BlameThresholds thresholds = BlameThresholds.INFERRED;
         this.detector = PoisonDetector.standard(thresholds);
+        this.news = new PoisonNews(detector);
         this.blamedCrashes = thresholds.crashes();
         this.observer = observer;
         this.log = log;
@@ -88,13 +95,26 @@
         return until.isAfter(instant(now)) ? until.toEpochMilli() - now : 0;
     }
 
-    /** Records that a server has run a request to its end. */
-    void recordCompletion(Exchange.ClientRequest call, long now) {
+    /** Observes the end of an attempt. */
+    void attemptEnded(Attempt attempt, AttemptEnd end, long now) {
+        observer.attemptEnded(attempt, end, now);
+        if (end.kind() == AttemptEnd.Kind.RELAYED || end.kind() == AttemptEnd.Kind.ANSWERED) {
+            recordCompletion(attempt.exchange().request(), now);
+        }
+    }
+
+    /** Looks for crashes that only time or the registrations show, and for refusals that have ended. */
+    void check(long now) {
+        observer.check(now);
+        refresh(now);
+    }
+
+    private void recordCompletion(Exchange.ClientRequest call, long now) {
         if (detector.isEmpty()) {
             return;
         }
         String fingerprint = call.fingerprint();
-        if (detector.recordCompletion(fingerprint, instant(now))) {
+        if (news.recordCompletion(fingerprint, now)) {
             log.line("route", "cleared")
                     .with("fingerprint", fingerprint)
                     .with("id", call.id())
@@ -104,17 +124,38 @@
     }
 
     private void recordCrash(Crash crash, long now) {
-        detector.recordCrash(crash.report(), instant(now));
+        news.recordCrash(crash.report(), now);
         refresh(now);
     }
 
     private void recordSignOfLife(String crashId, long now) {
-        detector.recordSignOfLife(crashId, instant(now), instant(now));
+        news.recordSignOfLife(crashId, now);
+        refresh(now);
+    }
+
+    /** What to tell the peers now. */
+    PoisonUpdate update(long now) {
+        return news.update(now);
+    }
+
+    /** Applies what a peer tells. */
+    void applyPeerUpdate(String peer, PoisonUpdate update, long now) {
+        if (update.isEmpty()) {
+            return;
+        }
+        for (CrashReport crash : news.apply(update, now)) {
+            meters.countCrash("peer");
+            log.line("fleet", "crash told")
+                    .with("server", crash.crashId())
+                    .with("by", peer)
+                    .with("suspects", crash.suspects().size())
+                    .write();
+        }
         refresh(now);
     }
 
     /** Logs which requests are refused from now on, and which are not any more. */
-    void refresh(long now) {
+    private void refresh(long now) {
         Map<String, Instant> current = detector.poisonRequests(instant(now)).stream()
                 .collect(Collectors.toMap(PoisonMark::fingerprint, PoisonMark::until, (a, b) -> a, TreeMap::new));
         Set<String> before = refused.keySet();
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -17,7 +17,6 @@
 import org.cornelramp.gateway.request.AttemptEnd;
 import org.cornelramp.gateway.request.Exchange;
 import org.cornelramp.gateway.request.Refusal;
-import org.cornelramp.platform.RequestHead;
 import org.eclipse.jetty.client.HttpClient;
 
 /**
@@ -93,11 +92,16 @@
         this.sharedRetries = new SharedRetries(settings.name(), settings.retries(), random);
         this.failureDetector =
                 new FailureDetector(fleet, engineControl, settings.timing().stallMillis(), log, meters, events);
-        this.peerUpdateHandler = new PeerUpdateHandler(
-                settings.name(), settings.dataCentre(), fleet, sharedRetries, failureDetector::handlePeerSuspicion);
-        failureDetector.setOnLost(peerUpdateHandler::recordFailure);
         this.crashObserver = new CrashObserver(fleet, engineControl, log, meters, events);
         this.poisonGuard = new PoisonGuard(crashObserver, log, meters);
+        this.peerUpdateHandler = new PeerUpdateHandler(
+                settings.name(),
+                settings.dataCentre(),
+                fleet,
+                sharedRetries,
+                poisonGuard,
+                failureDetector::handlePeerSuspicion);
+        failureDetector.setOnLost(peerUpdateHandler::recordFailure);
         this.retryDelay = new RetryDelay(fleet, poisonGuard);
         this.dispatcher = new Dispatcher(settings, clients, config, fleet, poisonGuard, clock, log, attemptEnds);
         this.retryDispatcher = new RetryDispatcher(sharedRetries, dispatcher, fleet, poisonGuard, routingLog, faults);
@@ -186,7 +190,7 @@
         Exchange.ClientRequest call = exchange.request();
         double draw = (call.id().hashCode() & 0x7fffffff) / (double) (1L << 31);
         ServiceName service = call.route().service(draw);
-        ActiveRequest request = new ActiveRequest(exchange, service, expectedTokens(call.head()));
+        ActiveRequest request = new ActiveRequest(exchange, service, call.head().expectedTokens());
         activeRequests.put(exchange, request);
         activeRequestCount.incrementAndGet();
         sharedRetries.countRequest(service, now);
@@ -197,12 +201,6 @@
         send(request, now);
     }
 
-    private static int expectedTokens(RequestHead head) {
-        int guess = head.estimatedOutputTokens() > 0 ? head.estimatedOutputTokens() : head.maxOutputTokens();
-        int output = head.maxOutputTokens() > 0 ? Math.min(guess, head.maxOutputTokens()) : guess;
-        return head.promptTokens() + output;
-    }
-
     /** Sends a request, or ends it if no server can take it. */
     private void send(ActiveRequest request, long now) {
         if (now >= request.exchange().request().deadlineMillis()) {
@@ -242,7 +240,7 @@
         meters.countAttempt(end.kind().name());
         boolean current = request != null && request.attempt() == attempt;
         faults.run("notice", now, () -> serverNotices.handleResponseHead(attempt, now));
-        faults.run("crash", now, () -> observeEnd(attempt, end, now));
+        faults.run("crash", now, () -> poisonGuard.attemptEnded(attempt, end, now));
         faults.run("outcome", now, () -> failureDetector.recordOutcome(attempt, end, now));
         if (current) {
             boolean handled = faults.run(request, () -> settleAttempt(request, attempt, end, now));
@@ -252,13 +250,6 @@
         }
     }
 
-    private void observeEnd(Attempt attempt, AttemptEnd end, long now) {
-        crashObserver.attemptEnded(attempt, end, now);
-        if (end.kind() == AttemptEnd.Kind.RELAYED || end.kind() == AttemptEnd.Kind.ANSWERED) {
-            poisonGuard.recordCompletion(attempt.exchange().request(), now);
-        }
-    }
-
     private void settleAttempt(ActiveRequest request, Attempt attempt, AttemptEnd end, long now) {
         if (OverdueAttempts.hasEvents(request, attempt)) {
             // A short stream may end between two ticks.
@@ -397,17 +388,12 @@
         faults.run("probes", now, () -> fleetUpdater.probeSuspects(now));
         faults.run("streams", now, () -> streamMonitor.check(activeRequests.values(), config.current(), now));
         faults.run("registrations", now, () -> fleetUpdater.expireRegistrations(now));
-        faults.run("crash", now, () -> checkCrashes(now));
+        faults.run("crash", now, () -> poisonGuard.check(now));
         faults.run("limits", now, () -> serverNotices.expire(now));
         faults.run("peers", now, () -> peerUpdateHandler.refreshUpdate(now));
         faults.run("view", now, () -> view = fleet.view(now));
     }
 
-    private void checkCrashes(long now) {
-        crashObserver.check(now);
-        poisonGuard.refresh(now);
-    }
-
     /** Checks a request. Its deadline ends it also if its check always throws an exception. */
     private void checkSafely(ActiveRequest request, long now) {
         boolean checked = faults.run(request, () -> checkRequest(request, now));
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/PeerUpdateCodecTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/PeerUpdateCodecTest.java
@@ -14,6 +14,7 @@
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.EngineLoads;
+import org.cornelramp.core.poison.PoisonUpdate;
 import org.cornelramp.core.retry.RetryLoanUpdate;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.follow.ReadCoordinator;
@@ -44,7 +45,15 @@
                     new BackendServerId("i-2"),
                     new RateLimitUpdate(Optional.of(new RateLimitUpdate.Observation(Optional.empty(), 7)), 0),
                     new BackendServerId("i-3"),
-                    new RateLimitUpdate(Optional.empty(), 8)));
+                    new RateLimitUpdate(Optional.empty(), 8)),
+            new PoisonUpdate(
+                    List.of(new PoisonUpdate.ToldCrash("i-4", 1_200, Set.of("f1", "f2"))),
+                    Map.of("f3", 500_000L),
+                    Map.of("f4", 20L),
+                    Map.of("i-5", 30L)));
+
+    /** Bytes of the crashes, refusals, clearances and signs of life of an update that has none. */
+    private static final int NO_POISON_BYTES = 4;
 
     @Test
     public void readsWhatWasWritten() {
@@ -57,13 +66,23 @@
     /** Guards against gateways of two builds that do not hear each other while one replaces the other. */
     @Test
     public void updateWithoutLimitsIsRead() {
-        PeerUpdate update = UPDATE.withRateLimits(Map.of()).withReading(Optional.empty());
+        PeerUpdate update =
+                UPDATE.withRateLimits(Map.of()).withReading(Optional.empty()).withPoison(PoisonUpdate.NONE);
         byte[] bytes = PeerUpdateCodec.write(update);
         bytes[0] = 6;
-        int withoutLimits = bytes.length - 1; // the empty map of limits takes the last byte
+        int withoutLimits = bytes.length - NO_POISON_BYTES - 1; // the empty map of limits takes one byte
         assertEquals(PeerUpdateCodec.read(bytes, withoutLimits).get(), update);
     }
 
+    /** Guards against gateways that do not hear those of the previous build, which tell no crashes. */
+    @Test
+    public void updateWithoutCrashesIsRead() {
+        PeerUpdate update = UPDATE.withPoison(PoisonUpdate.NONE);
+        byte[] bytes = PeerUpdateCodec.write(update);
+        bytes[0] = 8;
+        assertEquals(PeerUpdateCodec.read(bytes, bytes.length - NO_POISON_BYTES).get(), update);
+    }
+
     /**
      * Guards against relying on a position of the previous build, which does not say how long it is valid; all else of
      * its update is used.
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/UpdateUrgencyTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/UpdateUrgencyTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -9,6 +10,7 @@
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.poison.PoisonUpdate;
 import org.cornelramp.core.retry.RetryLoanUpdate;
 import org.testng.annotations.Test;
 
@@ -60,4 +62,26 @@
         assertEquals(urgency.isUrgent(update(suspects, Map.of())), true);
         assertEquals(urgency.isUrgent(update(suspects, Map.of())), false);
     }
+
+    /** Guards against peers that send a request to a third server before they hear of the crashes of two. */
+    @Test
+    public void newCrashIsUrgentOnce() {
+        UpdateUrgency urgency = new UpdateUrgency();
+        PeerUpdate quiet = update(Set.of(), Map.of());
+        assertEquals(urgency.isUrgent(quiet.withPoison(crash(20, Set.of("f")))), true);
+        assertEquals(urgency.isUrgent(quiet.withPoison(crash(140, Set.of("f")))), false);
+        assertEquals(urgency.isUrgent(quiet.withPoison(crash(260, Set.of("f", "g")))), true);
+    }
+
+    /** Guards against a burst of updates of every gateway to every other one when all learn of a refusal. */
+    @Test
+    public void refusalIsNotUrgent() {
+        PoisonUpdate refusal = new PoisonUpdate(List.of(), Map.of("f", 500_000L), Map.of(), Map.of());
+        assertEquals(new UpdateUrgency().isUrgent(update(Set.of(), Map.of()).withPoison(refusal)), false);
+    }
+
+    private static PoisonUpdate crash(long ageMillis, Set<String> suspects) {
+        PoisonUpdate.ToldCrash crash = new PoisonUpdate.ToldCrash("i-1", ageMillis, suspects);
+        return new PoisonUpdate(List.of(crash), Map.of(), Map.of(), Map.of());
+    }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PeerUpdateHandlerTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PeerUpdateHandlerTest.java
@@ -4,12 +4,16 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.io.ByteArrayOutputStream;
+import java.time.Clock;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.retry.RetryLoanUpdate;
 import org.cornelramp.core.settings.GatewaySettings;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.peer.PeerRotation;
 import org.cornelramp.gateway.peer.PeerUpdate;
 import org.testng.annotations.BeforeMethod;
@@ -31,7 +35,10 @@
     public void start() {
         fleet = new FleetState("g1", 1_200);
         sharedRetries = new SharedRetries("g1", new GatewaySettings.Retries(0.2, 100, 10_000), new SplittableRandom(1));
-        peerUpdateHandler = new PeerUpdateHandler("g1", HERE, fleet, sharedRetries, (server, at) -> {});
+        EventLog log = new EventLog(new ByteArrayOutputStream(), Clock.systemUTC(), "g1");
+        CrashObserver observer = new CrashObserver(fleet, null, log, new Meters(), event -> {});
+        PoisonGuard poisonGuard = new PoisonGuard(observer, log, new Meters());
+        peerUpdateHandler = new PeerUpdateHandler("g1", HERE, fleet, sharedRetries, poisonGuard, (server, at) -> {});
     }
 
     private void receiveUpdate(long now) {
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
@@ -65,10 +65,13 @@
         fleet.addPoison(Kind.NON_IDEMPOTENT, 0);
         fleet.run(1_000, 12);
         fleet.poisons().forEach(poison -> fleet.repeat(poison, PAUSE_MILLIS));
-        fleet.run(RUN_MILLIS, 12);
+        fleet.run(RUN_MILLIS / 2, 12);
+        long settled = fleet.now();
+        fleet.run(RUN_MILLIS / 2, 12);
+        fleet.run(2_000, 0);
         assertRule(fleet);
         assertEquals(fleet.innocentsSetAside(), 0);
-        double served = fleet.servedSince(fleet.now() - RUN_MILLIS / 2);
+        double served = fleet.servedSince(settled);
         assertTrue(served > 0.99, "share served after the crashes: " + served);
     }
 
