Look for a server at its address whenever a connection to it breaks

Cause: that an engine has crashed was learned from its probe alone, and an engine that has answered a probe is not asked again for up to a second. If it crashes meanwhile, the crash shows only when its registration lapses, 3.6 s later. Evidence: the log of the test has no line 'crashed' between the break and the lapse; the engine had answered 0.3 s before.

A break is newer than any answer, so the server is looked for at its address at once, an engine like a plain server, and again each 0.1 s for a second while nothing answers. Later a connection proves nothing: another server may have taken the address. Probes and their pauses stay as they are.

engineThatHasJustAnsweredIsAskedAgainAfterABreak failed before; anotherServerAtTheAddressDoesNotRefuteACrash holds the other side.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
@@ -42,6 +42,8 @@
 
     private static final long PROBE_PAUSE_MILLIS = 250;
 
+    private static final long CHECK_PAUSE_MILLIS = 100;
+
     /**
      * Time for which an engine that has answered is not probed again for streams that were silent already then. When an
      * engine dies, all other engines on the paths of its streams are probed too; probed four times a second, they took
@@ -67,6 +69,7 @@
     private final EngineCalls calls;
     private final Executor threads;
     private final Map<BackendServerId, ProbePause> pauses = new HashMap<>();
+    private final Map<BackendServerId, Long> checkPauses = new HashMap<>();
 
     /**
      * When an engine may be probed again. Immutable.
@@ -156,19 +159,17 @@
     }
 
     /**
-     * Tries to connect to a plain server, which has no report, after a connection to it has broken. Repeated checks of
-     * one server within a short time are skipped. Called by the router's thread only.
+     * Tries to connect to a server after a connection to it has broken. Repeated checks of one server within a short time
+     * are skipped; a probe that it has answered before is no reason to skip one. Called by the router's thread only.
      *
      * @param lagMillis recent scheduling delay of this process, by which the result may be read later
      */
     void checkConnection(BackendServer server, Consumer<RouterEvent> router, long lagMillis, long now) {
-        pauses.values().removeIf(pause -> now >= pause.untilMillis());
-        if (pauses.containsKey(server.id())) {
-            return;
+        checkPauses.values().removeIf(until -> now >= until);
+        if (checkPauses.putIfAbsent(server.id(), now + CHECK_PAUSE_MILLIS) == null) {
+            long timeout = PROBE_TIMEOUT_MILLIS + LAG_FACTOR * lagMillis;
+            submit(() -> router.accept(new RouterEvent.ConnectionChecked(server, connect(server, timeout))));
         }
-        pauses.put(server.id(), ProbePause.until(now + PROBE_PAUSE_MILLIS));
-        long timeout = PROBE_TIMEOUT_MILLIS + LAG_FACTOR * lagMillis;
-        submit(() -> router.accept(new RouterEvent.ConnectionChecked(server, connect(server, timeout))));
     }
 
     private Optional<PlatformFault> connect(BackendServer server, long timeoutMillis) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
@@ -2,7 +2,10 @@
 
 import io.vavr.control.Either;
 import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.cornelramp.core.fleet.BackendServer;
@@ -31,6 +34,12 @@
      */
     private static final long STARTING_MILLIS = 500;
 
+    /**
+     * Time for which a server is looked for at its address after a connection to it has broken. Later, another one may
+     * listen there.
+     */
+    private static final long CHECK_MILLIS = 1_000;
+
     /** Most requests that one log line names. */
     private static final int MAX_LOGGED_REQUESTS = 8;
 
@@ -40,9 +49,13 @@
     private final Meters meters;
     private final Consumer<RouterEvent> router;
     private final CrashEvidence evidence = new CrashEvidence();
+    private final Map<BackendServerId, Unchecked> unchecked = new HashMap<>();
     private BiConsumer<Crash, Long> onCrash = (crash, nowMillis) -> {};
     private BiConsumer<BackendServerId, Long> onSignOfLife = (server, nowMillis) -> {};
 
+    /** A server whose connections have broken, and until when it is looked for at its address. */
+    private record Unchecked(BackendServer server, long untilMillis) {}
+
     /** What shows that a server has ended. Immutable, safe for use by any thread. */
     private enum Sign {
         /** Nothing listens at its address. */
@@ -101,9 +114,8 @@
         }
         boolean starting = isStarting(attempt, now);
         String fingerprint = attempt.exchange().request().fingerprint();
-        if (server.card().isEmpty()) {
-            engineControl.checkConnection(server, router, fleet.lagMillis(), now);
-        }
+        engineControl.checkConnection(server, router, fleet.lagMillis(), now);
+        unchecked.put(server.id(), new Unchecked(server, now + CHECK_MILLIS));
         evidence.recordBreak(server.id(), fingerprint, starting, now)
                 .ifPresent(crash -> handleCrash(crash, "after the end", now));
     }
@@ -123,11 +135,11 @@
         }
     }
 
-    /** Observes the result of a connection check. */
+    /** Observes the result of a connection check. One that comes late may be that of another server at the address. */
     void connectionChecked(BackendServer server, Optional<PlatformFault> fault, long now) {
         if (fault.isPresent()) {
             recordFault(server, fault.get(), now);
-        } else {
+        } else if (unchecked.containsKey(server.id())) {
             recordSignOfLife(server.id(), now);
         }
     }
@@ -140,10 +152,16 @@
         }
     }
 
-    /** Looks for the servers of broken connections in the registrations. */
+    /** Looks for the servers of broken connections, at their addresses and in the registrations. */
     void check(long now) {
         evidence.expire(now);
-        for (BackendServerId id : evidence.undecidedServers()) {
+        Set<BackendServerId> undecided = evidence.undecidedServers();
+        unchecked
+                .entrySet()
+                .removeIf(one -> !undecided.contains(one.getKey())
+                        || now >= one.getValue().untilMillis());
+        unchecked.values().forEach(one -> engineControl.checkConnection(one.server(), router, fleet.lagMillis(), now));
+        for (BackendServerId id : undecided) {
             if (fleet.registry().isReplaced(id)) {
                 recordEnd(id, Sign.ANOTHER_SERVER, now);
             } else if (fleet.registry().server(id).isEmpty()) {
--- a/gateway/src/test/java/org/cornelramp/gateway/route/CrashObserverTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/CrashObserverTest.java
@@ -75,6 +75,30 @@
         assertCrashes(0);
     }
 
+    /** Guards against engines whose crash is not seen because they had answered a question a moment before. */
+    @Test
+    public void engineThatHasJustAnsweredIsAskedAgainAfterABreak() {
+        FakeHttpClient.Call first = send("/chat/a", "r1");
+        FakeHttpClient.Call second = send("/chat/b", "r2");
+        breakOff(first);
+        router.setReportFaults(server -> REFUSED);
+        breakOff(second);
+        assertCrashes(1);
+    }
+
+    /** Guards against a server that has come back at its address and passes for the one that has crashed. */
+    @Test
+    public void anotherServerAtTheAddressDoesNotRefuteACrash() {
+        router.setReportFaults(server -> Optional.of(new PlatformFault(PlatformFault.Kind.NO_ANSWER, "silent")));
+        breakOff(send("/look/a", "r1"));
+        router.run(1_200);
+        router.setReportFaults(server -> Optional.empty());
+        router.run(2_400);
+        router.unregister(plain);
+        router.tick();
+        assertCrashes(1);
+    }
+
     /** Guards against servers that leave as planned and count as crashed. */
     @Test
     public void serverThatWasLeavingHasNotCrashed() {
