Start requests that the next crash may blame apart from each other

A request at two unexplained crashes is a suspect. It waits until the fate of its last server is known and all gateways have heard of it (0.25 s), and starts on a server that follows from its place among the suspects, so gateways that know the same give different suspects different servers; copies of one start one after the other. Requests at one crash are retried at once as before. Weighed: a hash of request and server, which needs no agreement but puts two suspects of four servers together in a quarter of the cases.

PoisonGuardTest.suspectsOfTheSameCrashesStartOnDifferentServers and copiesOfASuspectStartOneAfterTheOther fail without it.

--- a/core/src/main/java/org/cornelramp/core/poison/CrashAnalysis.java
+++ b/core/src/main/java/org/cornelramp/core/poison/CrashAnalysis.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SortedSet;
 import java.util.TreeSet;
 
 /**
@@ -55,8 +56,8 @@
     }
 
     /** Returns the requests that the next crash may make culprits, counting no crash that a culprit explains. */
-    Set<String> suspects() {
-        Set<String> all = new TreeSet<>(indistinguishable);
+    SortedSet<String> suspects() {
+        SortedSet<String> all = new TreeSet<>(indistinguishable);
         unexplainedCrashesOf.forEach((s, crashes) -> {
             if (crashes.size() >= thresholds.crashes() - 1) {
                 all.add(s);
--- a/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -11,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SortedSet;
 import java.util.TreeSet;
 
 /**
@@ -44,6 +46,7 @@
 
     private final Map<String, Instant> peerMarks = new HashMap<>();
     private CrashAnalysis analysis;
+    private SortedSet<String> suspects = Collections.emptySortedSet();
     private Instant nextExpiry = Instant.MAX;
 
     /**
@@ -207,8 +210,26 @@
 
     /** Whether the next crash at which a request is in progress may show that it is a poison request. */
     public boolean isSuspect(String fingerprint, Instant now) {
+        return suspects(now).contains(fingerprint);
+    }
+
+    /** The requests of which the next crash may show that they are poison requests. */
+    public SortedSet<String> suspects(Instant now) {
         removeExpired(now);
-        return analysis.suspects().contains(fingerprint);
+        return Collections.unmodifiableSortedSet(suspects);
+    }
+
+    /** Whether a crash is reported and not refuted. */
+    public boolean isReported(String crashId) {
+        return reports.containsKey(crashId);
+    }
+
+    /** When a request was last in progress at a crash. */
+    public Optional<Instant> latestCrash(String fingerprint) {
+        return reports.values().stream()
+                .filter(r -> r.suspects().contains(fingerprint))
+                .map(CrashReport::at)
+                .max(Comparator.naturalOrder());
     }
 
     /**
@@ -275,6 +296,7 @@
             crashes.add(suspects);
         }
         analysis = CrashAnalysis.analyse(crashes, thresholds);
+        suspects = analysis.suspects();
         nextExpiry = reports.values().stream()
                 .map(r -> r.at().plus(retention))
                 .min(Comparator.naturalOrder())
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -85,22 +85,42 @@
         if (poisonGuard.verdict(request, now) != PoisonGuard.Verdict.SEND) {
             return Optional.empty();
         }
-        Optional<EngineSpec> engine = engineSpec(request);
         Set<BackendServerId> closed = fleet.closedServers(request.service(), now);
-        Optional<Target> target;
-        if (engine.isEmpty()) {
-            target = choosePlainServer(request, closed, now).map(server -> new Target(server, Optional.empty()));
-        } else {
-            request.setDefaultTokens(engine.get().meanRequestTokens());
-            target = findPath(request, engine.get(), closed, now)
-                    .map(stagePath -> new Target(stagePath.first(), Optional.of(stagePath)));
-        }
+        Optional<Target> target =
+                poisonGuard.isSuspect(request, now) ? chooseApart(request, closed, now) : choose(request, closed, now);
         if (!closed.isEmpty()) {
             logHeldBack(request, closed, target, now);
         }
         return target;
     }
 
+    private Optional<Target> choose(ActiveRequest request, Set<BackendServerId> closed, long now) {
+        Optional<EngineSpec> engine = engineSpec(request);
+        if (engine.isEmpty()) {
+            return choosePlainServer(request, closed, now).map(server -> new Target(server, Optional.empty()));
+        }
+        request.setDefaultTokens(engine.get().meanRequestTokens());
+        return findPath(request, engine.get(), closed, now)
+                .map(stagePath -> new Target(stagePath.first(), Optional.of(stagePath)));
+    }
+
+    /** The best server for a suspect on which it starts apart from other suspects. */
+    private Optional<Target> chooseApart(ActiveRequest request, Set<BackendServerId> closed, long now) {
+        List<BackendServer> servers = fleet.startServers(request.service());
+        for (BackendServer server : poisonGuard.serversFor(request, servers, now)) {
+            Set<BackendServerId> others = new HashSet<>(closed);
+            servers.stream()
+                    .map(BackendServer::id)
+                    .filter(id -> !id.equals(server.id()))
+                    .forEach(others::add);
+            Optional<Target> target = choose(request, others, now);
+            if (target.isPresent()) {
+                return target;
+            }
+        }
+        return Optional.empty();
+    }
+
     private Optional<BackendServer> choosePlainServer(ActiveRequest request, Set<BackendServerId> excluded, long now) {
         Set<BackendServerId> avoided = new HashSet<>(request.avoidedServers());
         avoided.addAll(excluded);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
@@ -183,11 +183,22 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
+    /** The servers of a service at which a request can begin and that are not shutting down, suspected or not. */
+    public List<BackendServer> startServers(ServiceName service) {
+        return registry.servers().stream()
+                .filter(server -> server.service().equals(service) && !isLeaving(server.id()))
+                .filter(FleetState::canStart)
+                .toList();
+    }
+
+    private static boolean canStart(BackendServer server) {
+        return server.card().isEmpty() || server.holds(0);
+    }
+
     /** Whether a working server of the service, at which a request can begin, takes requests of this gateway now. */
     public boolean hasOpenServer(ServiceName service, long nowMillis) {
         Set<BackendServerId> closed = closedServers(service, nowMillis);
-        return usableServers(service, closed, nowMillis).stream()
-                .anyMatch(server -> server.card().isEmpty() || server.holds(0));
+        return usableServers(service, closed, nowMillis).stream().anyMatch(FleetState::canStart);
     }
 
     /** Time until a working server of the service takes requests again, in milliseconds; empty if none is to be expected. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
@@ -1,10 +1,18 @@
 package org.cornelramp.gateway.route;
 
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.poison.BlameThresholds;
 import org.cornelramp.core.poison.CrashEvidence.Crash;
 import org.cornelramp.core.poison.CrashReport;
@@ -32,6 +40,10 @@
      */
     private static final long MAX_FATE_WAIT_MILLIS = 500;
 
+    /** Time in which all gateways hear of a crash, so that they agree on the suspects. */
+    private static final long SETTLE_MILLIS = 250;
+
+    private final Collection<ActiveRequest> activeRequests;
     private final PoisonDetector detector;
     private final PoisonNews news;
     private final CrashObserver observer;
@@ -43,13 +55,15 @@
     /** Whether a request may be sent. Immutable, safe for use by any thread. */
     enum Verdict {
         SEND,
-        /** A server may just have crashed under it, and with that crash it would be refused. */
+        /** Soon it is known whether it is refused, or it may run apart from other suspects. */
         WAIT,
         /** Servers have crashed under it. */
         REFUSE
     }
 
-    PoisonGuard(CrashObserver observer, EventLog log, Meters meters) {
+    /** @param activeRequests the requests in progress, kept up to date by the caller */
+    PoisonGuard(Collection<ActiveRequest> activeRequests, CrashObserver observer, EventLog log, Meters meters) {
+        this.activeRequests = activeRequests;
         BlameThresholds thresholds = BlameThresholds.INFERRED;
         this.detector = PoisonDetector.standard(thresholds);
         this.news = new PoisonNews(detector);
@@ -70,18 +84,64 @@
         if (isPoison(request, now)) {
             return Verdict.REFUSE;
         }
-        return awaitsFate(request, now) ? Verdict.WAIT : Verdict.SEND;
+        boolean waits = awaitsFate(request, now) || (isSuspect(request, now) && !mayStart(request, now));
+        return waits ? Verdict.WAIT : Verdict.SEND;
+    }
+
+    /**
+     * Whether the next crash under a request may show that it is the cause. It must then run apart from other suspects, or
+     * that crash would not tell them apart either.
+     */
+    boolean isSuspect(ActiveRequest request, long now) {
+        return !detector.isEmpty() && detector.isSuspect(request.fingerprint(), instant(now));
+    }
+
+    private boolean mayStart(ActiveRequest request, long now) {
+        boolean settled = detector.latestCrash(request.fingerprint())
+                .map(at -> now - at.toEpochMilli() >= SETTLE_MILLIS)
+                .orElse(true);
+        return settled && startingSuspects(now).noneMatch(other -> isCopy(other, request));
+    }
+
+    private static boolean isCopy(ActiveRequest other, ActiveRequest request) {
+        return other != request && other.fingerprint().equals(request.fingerprint());
+    }
+
+    private Stream<ActiveRequest> startingSuspects(long now) {
+        return activeRequests.stream()
+                .filter(request -> request.attempt() != null && CrashObserver.isStarting(request.attempt(), now))
+                .filter(request -> isSuspect(request, now));
+    }
+
+    /**
+     * Orders the servers of a service for a suspect, the one on which it should start first. All gateways that know the
+     * same suspects and servers give different suspects different servers, as far as there are enough. Servers on which
+     * another suspect of this gateway starts are left out.
+     */
+    List<BackendServer> serversFor(ActiveRequest request, Collection<BackendServer> servers, long now) {
+        List<BackendServer> ordered = new ArrayList<>(servers.stream()
+                .filter(server -> !detector.isReported(server.id().value()))
+                .sorted(Comparator.comparing(BackendServer::id))
+                .toList());
+        int rank =
+                detector.suspects(instant(now)).headSet(request.fingerprint()).size();
+        Collections.rotate(ordered, -rank);
+        Set<BackendServerId> occupied = startingSuspects(now)
+                .filter(other -> other != request)
+                .map(other -> other.attempt().server().id())
+                .collect(Collectors.toSet());
+        ordered.removeIf(server -> occupied.contains(server.id()));
+        return ordered;
     }
 
-    /** Whether the fate of servers that may have crashed under a request decides whether it is refused. */
+    /** Whether the fate of servers that may have crashed under a request decides whether it is a suspect, or refused. */
     private boolean awaitsFate(ActiveRequest request, long now) {
         if (detector.isEmpty() || !observer.hasUndecided()) {
             return false;
         }
         long undecided = observer.undecidedCrashes(request.fingerprint(), MAX_FATE_WAIT_MILLIS, now);
         int known = detector.unexplainedCrashes(request.fingerprint(), instant(now));
-        return undecided > 0
-                && (known + undecided >= blamedCrashes || detector.isSuspect(request.fingerprint(), instant(now)));
+        return undecided > 0 && (known + undecided >= blamedCrashes - 1 || isSuspect(request, now));
     }
 
     /** Whether a request is refused because servers have crashed under it. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -93,7 +93,7 @@
         this.failureDetector =
                 new FailureDetector(fleet, engineControl, settings.timing().stallMillis(), log, meters, events);
         this.crashObserver = new CrashObserver(fleet, engineControl, log, meters, events);
-        this.poisonGuard = new PoisonGuard(crashObserver, log, meters);
+        this.poisonGuard = new PoisonGuard(activeRequests.values(), crashObserver, log, meters);
         this.peerUpdateHandler = new PeerUpdateHandler(
                 settings.name(),
                 settings.dataCentre(),
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonGuardTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonGuardTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.io.EOFException;
@@ -61,7 +62,7 @@
     private void crash(FakeHttpClient.Call call, BackendServer server) {
         dead.add(server.id());
         call.fail(new EOFException("closed"));
-        router.run(100);
+        router.run(400);
         router.unregister(server);
     }
 
@@ -130,6 +131,49 @@
         assertFalse(client.isComplete());
     }
 
+    /**
+     * Guards against requests that cannot be told apart: they were at the same two crashes, and would be at the third one
+     * together as well.
+     */
+    @Test
+    public void suspectsOfTheSameCrashesStartOnDifferentServers() {
+        BackendServer server = addServer(true);
+        send("/chat/a", "p", "poison");
+        send("/chat/a", "i", "innocent");
+        for (int crashes = 0; crashes < 2; crashes++) {
+            FakeHttpClient.Call first = nextCall();
+            FakeHttpClient.Call second = nextCall();
+            assertEquals(first.port(), second.port(), "the only server");
+            BackendServer next = addServer(true);
+            if (crashes == 1) {
+                addServer(true);
+            }
+            dead.add(server.id());
+            first.fail(new EOFException("closed"));
+            crash(second, server);
+            server = next;
+        }
+        assertNotEquals(nextCall().port(), nextCall().port());
+    }
+
+    /** Guards against copies of a suspect that crash several servers at once. */
+    @Test
+    public void copiesOfASuspectStartOneAfterTheOther() {
+        crashPlainServers(2, "poison");
+        addServer(false);
+        addServer(false);
+        router.run(1_000);
+        send("/book/a", "r1", "poison");
+        FakeHttpClient.Call call = nextCall();
+        FakeClient copy = send("/book/a", "r2", "poison");
+        assertEquals(router.calls().size(), handled, "it waits for the first");
+        call.complete(200, HeaderFixtures.answer("r1"));
+        router.run(100);
+        nextCall().complete(200, HeaderFixtures.answer("r2"));
+        router.settle();
+        assertTrue(copy.isComplete());
+    }
+
     /** Guards against refusals that never end. */
     @Test
     public void refusalEndsAfterTenMinutes() {
