Leave the port out of a request's identity

Cause: a gateway's clients name its address with its port in the Host header, so one request had another fingerprint at each gateway.

The host is now taken as routes are matched with it, in lower case and without a port; one function serves both.

--- a/core/src/main/java/org/cornelramp/core/poison/Fingerprint.java
+++ b/core/src/main/java/org/cornelramp/core/poison/Fingerprint.java
@@ -5,7 +5,6 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
-import java.util.Locale;
 import java.util.Optional;
 import org.cornelramp.core.model.OrganisationId;
 import org.cornelramp.core.model.ServiceName;
@@ -30,12 +29,13 @@
      * hexadecimal.
      *
      * @param organisation the organisation of the caller's key; empty for an anonymous caller
+     * @param host the host that the request names, in the form that routes are matched with
      * @param pathQuery path and query as received
      */
     public static String ofHttp(
             Optional<OrganisationId> organisation, String method, String host, String pathQuery, byte[] body) {
         String caller = organisation.map(OrganisationId::value).orElse("");
-        return hash(bytes(caller), bytes(method), bytes(host.toLowerCase(Locale.ROOT)), bytes(pathQuery), body)
+        return hash(bytes(caller), bytes(method), bytes(host), bytes(pathQuery), body)
                 .substring(0, HTTP_DIGITS);
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/request/ClientRequestHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/ClientRequestHandler.java
@@ -1,7 +1,6 @@
 package org.cornelramp.gateway.request;
 
 import java.io.IOException;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
@@ -83,8 +82,8 @@
             refuse(request, response, callback, head, Refusal.NO_CONFIGURATION);
             return;
         }
-        Optional<Route> route =
-                version.get().route(host(fields), request.getHttpURI().getCanonicalPath());
+        Optional<Route> route = version.get()
+                .route(Exchange.ClientRequest.host(fields), request.getHttpURI().getCanonicalPath());
         if (route.isEmpty()) {
             refuse(request, response, callback, head, Refusal.NO_ROUTE);
             return;
@@ -170,13 +169,4 @@
                         config.current().map(RoutingConfig::version).orElse(-1L))
                 .write();
     }
-
-    private static String host(HttpFields fields) {
-        String host = fields.get(HttpHeader.HOST);
-        if (host == null) {
-            return "";
-        }
-        int port = host.lastIndexOf(':');
-        return (port < 0 ? host : host.substring(0, port)).toLowerCase(Locale.ROOT);
-    }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -82,8 +82,17 @@
 
         /** Identifies the request when its client sends it again with another id; computed at each call. */
         public String fingerprint() {
+            return Fingerprint.ofHttp(organisation, method, host(fields), pathQuery, body);
+        }
+
+        /** The host that a request names, in lower case and without a port; empty if it names none. */
+        static String host(HttpFields fields) {
             String host = fields.get(HttpHeader.HOST);
-            return Fingerprint.ofHttp(organisation, method, host == null ? "" : host, pathQuery, body);
+            if (host == null) {
+                return "";
+            }
+            int port = host.lastIndexOf(':');
+            return (port < 0 ? host : host.substring(0, port)).toLowerCase(Locale.ROOT);
         }
     }
 
