Send requests that crash their servers in the soak

A server that runs one crashes: its connections close, nothing listens at its address, its registration lapses after 0.8 s and it is back after 2.5 s. The usual faults go on.

--- a/bench/src/main/java/org/cornelramp/bench/fleet/Relay.java
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/Relay.java
@@ -17,8 +17,9 @@
 public final class Relay implements AutoCloseable {
     private static final int BUFFER = 16 << 10;
 
-    private final ServerSocket server;
+    private final int port;
     private final int target;
+    private volatile ServerSocket server;
     private final List<RelayedConnection> connections = new CopyOnWriteArrayList<>();
     private volatile boolean refusing;
     private volatile boolean blackholed;
@@ -28,13 +29,36 @@
 
     /** Listens on {@code port} and forwards connections to {@code target}, both on loopback. */
     public Relay(int port, int target) {
+        this.port = port;
         this.target = target;
+        listen();
+    }
+
+    private void listen() {
         try {
-            this.server = new ServerSocket(port, 64, InetAddress.getLoopbackAddress());
+            server = new ServerSocket(port, 64, InetAddress.getLoopbackAddress());
         } catch (IOException e) {
             throw new FleetException("Could not listen on port " + port, e);
         }
-        startDaemonThread("relay-" + port, this::accept);
+        ServerSocket opened = server;
+        startDaemonThread("relay-" + port, () -> accept(opened));
+    }
+
+    /** Sets whether anything listens at the port; without a listener, connections are refused as after a crash. */
+    public synchronized void setListening(boolean listening) {
+        if (listening && server.isClosed()) {
+            listen();
+        } else if (!listening) {
+            closeListener();
+        }
+    }
+
+    private void closeListener() {
+        try {
+            server.close();
+        } catch (IOException e) {
+            throw new FleetException("Could not close a relay", e);
+        }
     }
 
     /** Silences the connections that are open now, in both directions and permanently. */
@@ -73,19 +97,15 @@
     }
 
     @Override
-    public void close() {
-        try {
-            server.close();
-        } catch (IOException e) {
-            throw new FleetException("Could not close a relay", e);
-        }
+    public synchronized void close() {
+        closeListener();
         cut();
     }
 
-    private void accept() {
-        while (!server.isClosed()) {
+    private void accept(ServerSocket listener) {
+        while (!listener.isClosed()) {
             try {
-                Socket clientSocket = server.accept();
+                Socket clientSocket = listener.accept();
                 if (refusing) {
                     clientSocket.close();
                 } else {
--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewayLoad.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewayLoad.java
@@ -18,12 +18,18 @@
     private static final double DISCONNECT_PROBABILITY = 0.05;
     private static final int MAX_DISCONNECT_DELAY_MILLIS = 300;
 
+    /** One request in so many is a poison request, in runs that have some. */
+    private static final int POISON_INTERVAL = 9;
+
     private final GatewayEnvironment environment;
     private final CallRecords calls;
+    private final int poisonRequests;
     private final SplittableRandom random;
     private final List<StandInCaller> callers;
 
-    GatewayLoad(GatewayEnvironment environment, CallRecords calls, long seed) {
+    /** @param poisonRequests number of requests that crash each server which runs them, and come again and again */
+    GatewayLoad(GatewayEnvironment environment, CallRecords calls, int poisonRequests, long seed) {
+        this.poisonRequests = poisonRequests;
         this.environment = environment;
         this.calls = calls;
         this.random = new SplittableRandom(seed);
@@ -39,10 +45,28 @@
             if (wait > 0) {
                 Thread.sleep(wait);
             }
+            if (poisonRequests > 0 && sent % POISON_INTERVAL == 0) {
+                sendPoison(sent);
+            }
             send("r" + sent);
         }
     }
 
+    private void sendPoison(long sequence) {
+        int request = random.nextInt(poisonRequests);
+        SoakGateway gateway =
+                environment.gateways().get(random.nextInt(environment.gateways().size()));
+        String id = PoisonRecords.id(request, gateway.number(), sequence);
+        String path = PoisonRecords.path(request);
+        var unused = callers.get(gateway.number())
+                .send(
+                        gateway.clientAddress(),
+                        path,
+                        id,
+                        path,
+                        PoisonRecords.kind(request).deadlineMillis());
+    }
+
     private void send(String id) {
         SoakGateway gateway =
                 environment.gateways().get(random.nextInt(environment.gateways().size()));
--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewaySoakCommand.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewaySoakCommand.java
@@ -19,14 +19,16 @@
 import org.cornelramp.platform.standin.StandInFleet;
 
 /**
- * {@code soak --seed N --seconds S [--gateways G] [--notices]}: runs gateways as separate processes under random faults and checks
+ * {@code soak --seed N --seconds S [--gateways G] [--notices] [--poison P]}: runs gateways as separate processes under random faults and checks
  * the guarantees of the product. After a violation it prints the schedule, the folder of the logs and every violation,
  * and exits with status 1. The last line holds the figures of the run. Stateless.
  */
 public final class GatewaySoakCommand implements BenchCommand {
     private static final String GATEWAYS_OPTION = "gateways";
     private static final String NOTICES_OPTION = "notices";
+    private static final String POISON_OPTION = "poison";
     private static final String DEFAULT_GATEWAYS = "6";
+    private static final String DEFAULT_POISON = "0";
     private static final Duration RECOVERY_LIMIT = Duration.ofSeconds(40);
     private static final long FINAL_ANSWERS_MILLIS = 12_000;
     private static final long POLL_MILLIS = 50;
@@ -46,14 +48,16 @@
     public Options options() {
         return new Options()
                 .addOption(Option.builder().longOpt(GATEWAYS_OPTION).hasArg().get())
-                .addOption(Option.builder().longOpt(NOTICES_OPTION).get());
+                .addOption(Option.builder().longOpt(NOTICES_OPTION).get())
+                .addOption(Option.builder().longOpt(POISON_OPTION).hasArg().get());
     }
 
     @Override
     public int run(BenchContext context, CommandLine line) throws Exception {
         int gateways = Integer.parseInt(line.getOptionValue(GATEWAYS_OPTION, DEFAULT_GATEWAYS));
         boolean notices = line.hasOption(NOTICES_OPTION);
-        return run(context.home(), context.seed(), context.seconds(), gateways, notices)
+        int poison = Integer.parseInt(line.getOptionValue(POISON_OPTION, DEFAULT_POISON));
+        return run(context.home(), context.seed(), context.seconds(), gateways, notices, poison)
                         .all()
                         .isEmpty()
                 ? 0
@@ -64,8 +68,10 @@
      * Runs once and returns the violations of the guarantees.
      *
      * @param notices whether servers limit their rate, ask for rest and announce that they leave, instead of failing
+     * @param poison number of requests that crash each server which runs them, and come again and again
      */
-    public static Violations run(Path home, long seed, int seconds, int gateways, boolean notices) throws Exception {
+    public static Violations run(Path home, long seed, int seconds, int gateways, boolean notices, int poison)
+            throws Exception {
         HTTP_LOGGER.setLevel(Level.OFF);
         Violations violations = new Violations();
         Path folder = home.resolve("out").resolve("soak-" + seed);
@@ -74,8 +80,11 @@
         GatewayFaultInjector faults;
         try (GatewayEnvironment environment = new GatewayEnvironment(home, folder, gateways)) {
             environment.start();
+            PoisonRecords poisonRecords = new PoisonRecords();
+            environment.backends().forEach(backend -> backend.crashUnder(poisonRecords));
             faults = new GatewayFaultInjector(environment, violations, seed, seconds * 1_000L, notices);
-            runLoad(environment, faults, calls, violations, seed, seconds * 1_000L);
+            GatewayLoad load = new GatewayLoad(environment, calls, poison, seed);
+            runLoad(environment, load, faults, calls, violations, seconds * 1_000L);
             awaitRecovery(environment, violations);
             new GatewayChecks(
                             calls.all(), environment.fleet().observedRequests(), environment.faultHistory(), violations)
@@ -83,6 +92,13 @@
             new NoticeChecks(
                             calls.all(), environment.fleet().observedRequests(), environment.faultHistory(), violations)
                     .run();
+            new PoisonChecks(
+                            calls.all(),
+                            environment.fleet().observedRequests(),
+                            poisonRecords,
+                            environment.faultHistory(),
+                            violations)
+                    .run(poison);
         }
         report(seed, folder, faults, calls.all(), violations);
         return violations;
@@ -100,10 +116,10 @@
 
     private static void runLoad(
             GatewayEnvironment environment,
+            GatewayLoad load,
             GatewayFaultInjector faults,
             CallRecords calls,
             Violations violations,
-            long seed,
             long millis)
             throws InterruptedException {
         List<ConfigMonitor> monitors = new ArrayList<>();
@@ -120,7 +136,7 @@
                 Thread.currentThread().interrupt();
             }
         });
-        new GatewayLoad(environment, calls, seed).run(millis);
+        load.run(millis);
         faultThread.join();
         long until = StandInFleet.nowMillis() + FINAL_ANSWERS_MILLIS;
         while (calls.openCount() > 0 && StandInFleet.nowMillis() < until) {
--- a/bench/src/main/java/org/cornelramp/bench/gateway/SoakBackend.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/SoakBackend.java
@@ -12,6 +12,9 @@
  * A backend server behind a relay. Safe for use by any thread; a fault that stops and restarts it holds its monitor.
  */
 final class SoakBackend implements AutoCloseable {
+    private static final long POISON_LAPSE_MILLIS = 800;
+    private static final long POISON_DOWN_MILLIS = 2_500;
+
     private final StandInBackend server;
     private final Relay relay;
     private final boolean engine;
@@ -45,6 +48,33 @@
         return engine;
     }
 
+    /** Lets requests with these paths crash the server whenever it runs them. */
+    void crashUnder(PoisonRecords poison) {
+        server.setPoison(PoisonRecords::isPoison, path -> crash(path, poison));
+    }
+
+    private void crash(String path, PoisonRecords poison) {
+        poison.recordCrash(path, StandInFleet.nowMillis());
+        relay.setListening(false);
+        server.crash();
+        relay.cut();
+        Thread restart = new Thread(this::restart, "restart-" + server.name());
+        restart.setDaemon(true);
+        restart.start();
+    }
+
+    private synchronized void restart() {
+        try {
+            Thread.sleep(POISON_LAPSE_MILLIS);
+            server.unregister();
+            Thread.sleep(POISON_DOWN_MILLIS - POISON_LAPSE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        relay.setListening(true);
+        server.startIncarnation();
+    }
+
     @Override
     public void close() throws Exception {
         server.close();
--- a/system-tests/src/test/java/org/cornelramp/systemtests/GatewaySoakTest.java
+++ b/system-tests/src/test/java/org/cornelramp/systemtests/GatewaySoakTest.java
@@ -13,7 +13,7 @@
     @Test
     public void aShortRunHasNoViolations() throws Exception {
         assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 1, 12, 4, false)
+                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 1, 12, 4, false, 0)
                         .all(),
                 List.of());
     }
@@ -26,7 +26,7 @@
     @Test
     public void aStreamCutDuringShutdownIsNotReadAsComplete() throws Exception {
         assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 6, 25, 6, false)
+                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 6, 25, 6, false, 0)
                         .all(),
                 List.of());
     }
@@ -35,7 +35,7 @@
     @Test
     public void serversAreHeardThatSayWhatTheyTake() throws Exception {
         assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 43, 20, 4, true)
+                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 43, 20, 4, true, 0)
                         .all(),
                 List.of());
     }
