Blame nobody before all gateways have reported, and let suspects take turns

A gateway blamed its own request before it had heard which others were at the same crashes, and its peers took the refusal over: the log has 'set aside' at g1 and g3 within 2 ms, two requests, the same three servers. And both had started together on the only engine that had come back, since there were more suspects than servers.

Nobody is blamed within 0.25 s of a report; the request is held meanwhile. A suspect whose place is beyond the number of servers waits 0.3 s for each turn, three at most, and an unstarted one waits for it up to 1.2 s in place of 0.4 s. The daemon blames at once as before: it sees each crash whole.

--- a/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
@@ -38,6 +38,9 @@
     private final BlameThresholds thresholds;
     private final Map<String, CrashReport> reports = new HashMap<>();
 
+    /** When a report was last added to, by the id of its crash. */
+    private final Map<String, Instant> changeTimes = new HashMap<>();
+
     /** When a request was cleared of the crashes before, by its completion or by an operator. */
     private final Map<String, Instant> clearances = new LinkedHashMap<>();
 
@@ -92,6 +95,7 @@
             return false;
         }
         reports.put(after.crashId(), after);
+        changeTimes.put(after.crashId(), now);
         if (reports.size() > maxReports) {
             reports.remove(reports.values().stream().min(BY_TIME).orElseThrow().crashId());
         }
@@ -189,10 +193,20 @@
     /** Whether a request is refused as poison; its caller gets the final answer at once. */
     public boolean isPoison(String fingerprint, Instant now) {
         removeExpired(now);
-        return analysis.culprits().contains(fingerprint)
+        return (analysis.culprits().contains(fingerprint) && isSettled(fingerprint, now))
                 || peerMarks.getOrDefault(fingerprint, Instant.MIN).isAfter(now);
     }
 
+    /** Whether all processes have had the time to report what they know of the crashes of a request. */
+    public boolean isSettled(String fingerprint, Instant now) {
+        return reports.values().stream()
+                .filter(r -> r.suspects().contains(fingerprint))
+                .allMatch(r -> !changeTimes
+                        .get(r.crashId())
+                        .plus(thresholds.settling())
+                        .isAfter(now));
+    }
+
     /** Ids of the crashes at which a request was in progress. */
     public List<String> crashesOf(String fingerprint) {
         return reports.values().stream()
@@ -208,12 +222,12 @@
         return analysis.unexplainedCrashes(fingerprint);
     }
 
-    /** Whether the next crash at which a request is in progress may show that it is a poison request. */
+    /** Whether a request may turn out to be a poison request by the next crash, or by further reports of known ones. */
     public boolean isSuspect(String fingerprint, Instant now) {
         return suspects(now).contains(fingerprint);
     }
 
-    /** The requests of which the next crash may show that they are poison requests. */
+    /** The requests that may turn out to be poison requests by the next crash, or by further reports of known ones. */
     public SortedSet<String> suspects(Instant now) {
         removeExpired(now);
         return Collections.unmodifiableSortedSet(suspects);
@@ -224,14 +238,6 @@
         return reports.containsKey(crashId);
     }
 
-    /** When a request was last in progress at a crash. */
-    public Optional<Instant> latestCrash(String fingerprint) {
-        return reports.values().stream()
-                .filter(r -> r.suspects().contains(fingerprint))
-                .map(CrashReport::at)
-                .max(Comparator.naturalOrder());
-    }
-
     /**
      * Whether a request may start on a backend server beside those in progress there. Two suspects never run on one
      * server at the same time, as another crash would again not show which of them caused it.
@@ -249,7 +255,9 @@
     public List<PoisonMark> poisonRequests(Instant now) {
         removeExpired(now);
         Map<String, Instant> all = new HashMap<>(peerMarks);
-        analysis.culprits().forEach(f -> all.merge(f, expiry(f), PoisonDetector::later));
+        analysis.culprits().stream()
+                .filter(f -> isSettled(f, now))
+                .forEach(f -> all.merge(f, expiry(f), PoisonDetector::later));
         return all.entrySet().stream()
                 .filter(e -> e.getValue().isAfter(now))
                 .map(e -> new PoisonMark(e.getKey(), e.getValue()))
@@ -283,6 +291,7 @@
 
     private void analyse(Instant now) {
         reports.values().removeIf(r -> !r.at().plus(retention).isAfter(now));
+        changeTimes.keySet().retainAll(reports.keySet());
         peerMarks
                 .entrySet()
                 .removeIf(m -> !m.getValue().isAfter(now)
@@ -296,7 +305,10 @@
             crashes.add(suspects);
         }
         analysis = CrashAnalysis.analyse(crashes, thresholds);
-        suspects = analysis.suspects();
+        suspects = new TreeSet<>(analysis.suspects());
+        if (!thresholds.settling().isZero()) {
+            suspects.addAll(analysis.culprits()); // until they are settled
+        }
         nextExpiry = reports.values().stream()
                 .map(r -> r.at().plus(retention))
                 .min(Comparator.naturalOrder())
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
@@ -31,6 +31,7 @@
     private boolean firstEventSeen;
     private boolean notMovable;
     private String fingerprint;
+    private long firstTurnMillis = Long.MAX_VALUE;
     private boolean needsRetry;
     private boolean faultLogged;
     private boolean awaitingPath;
@@ -99,6 +100,7 @@
         firstEventSeen = false;
         notMovable = false;
         awaitingPath = false;
+        firstTurnMillis = Long.MAX_VALUE;
         leavingSinceMillis = 0;
         lastSearchMillis = Long.MIN_VALUE / 2;
     }
@@ -218,6 +220,12 @@
         return moveOrders.size();
     }
 
+    /** Time since the first call for the next attempt, in milliseconds. */
+    long millisSinceFirstTurn(long nowMillis) {
+        firstTurnMillis = Math.min(firstTurnMillis, nowMillis);
+        return nowMillis - firstTurnMillis;
+    }
+
     /** Whether the next search for a server is due; if so, records it as made now. */
     boolean tryStartSearch(long nowMillis, long pauseMillis) {
         boolean due = nowMillis - lastSearchMillis >= pauseMillis;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
@@ -40,8 +40,11 @@
      */
     private static final long MAX_FATE_WAIT_MILLIS = 500;
 
-    /** Time in which all gateways hear of a crash, so that they agree on the suspects. */
-    private static final long SETTLE_MILLIS = 250;
+    /** Time that a suspect on a server gets before the next one may start there: most have begun to run by then. */
+    private static final long TURN_MILLIS = 300;
+
+    /** Last turn; a suspect that would have to wait longer takes it as well. */
+    private static final int MAX_TURN = 3;
 
     private final Collection<ActiveRequest> activeRequests;
     private final PoisonDetector detector;
@@ -97,10 +100,8 @@
     }
 
     private boolean mayStart(ActiveRequest request, long now) {
-        boolean settled = detector.latestCrash(request.fingerprint())
-                .map(at -> now - at.toEpochMilli() >= SETTLE_MILLIS)
-                .orElse(true);
-        return settled && startingSuspects(now).noneMatch(other -> isCopy(other, request));
+        return detector.isSettled(request.fingerprint(), instant(now))
+                && startingSuspects(now).noneMatch(other -> isCopy(other, request));
     }
 
     private static boolean isCopy(ActiveRequest other, ActiveRequest request) {
@@ -115,16 +116,23 @@
 
     /**
      * Orders the servers of a service for a suspect, the one on which it should start first. All gateways that know the
-     * same suspects and servers give different suspects different servers, as far as there are enough. Servers on which
-     * another suspect of this gateway starts are left out.
+     * same suspects and servers give different suspects different servers, or different turns on one. Servers on which
+     * another suspect of this gateway starts are left out; none is left before the suspect's turn.
      */
     List<BackendServer> serversFor(ActiveRequest request, Collection<BackendServer> servers, long now) {
         List<BackendServer> ordered = new ArrayList<>(servers.stream()
                 .filter(server -> !detector.isReported(server.id().value()))
                 .sorted(Comparator.comparing(BackendServer::id))
                 .toList());
+        if (ordered.isEmpty()) {
+            return ordered;
+        }
         int rank =
                 detector.suspects(instant(now)).headSet(request.fingerprint()).size();
+        int turn = Math.min(MAX_TURN, rank / ordered.size());
+        if (request.millisSinceFirstTurn(now) < turn * TURN_MILLIS) {
+            return List.of();
+        }
         Collections.rotate(ordered, -rank);
         Set<BackendServerId> occupied = startingSuspects(now)
                 .filter(other -> other != request)
@@ -151,8 +159,11 @@
 
     /** Time until a request is no longer refused, in milliseconds; 0 if it is not. */
     long millisUntilEnd(ActiveRequest request, long now) {
-        Instant until = refused.getOrDefault(request.fingerprint(), Instant.MIN);
-        return until.isAfter(instant(now)) ? until.toEpochMilli() - now : 0;
+        return detector.poisonRequests(instant(now)).stream()
+                .filter(mark -> mark.fingerprint().equals(request.fingerprint()))
+                .mapToLong(mark -> mark.until().toEpochMilli() - now)
+                .findFirst()
+                .orElse(0);
     }
 
     /** Observes the end of an attempt. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
@@ -45,6 +45,9 @@
      */
     private static final long SEARCH_INTERVAL_MILLIS = 60;
 
+    /** The same for a request that waits for its turn to run apart from others, in milliseconds. */
+    private static final long MAX_SUSPECT_WAIT_MILLIS = 1_200;
+
     /** Time after which a request may use the servers again that have failed it, if no other server is available. */
     private static final long AVOIDANCE_MILLIS = 250;
 
@@ -235,11 +238,12 @@
         return request.exchange().isCommitted() || peersMayLend || serverMayReturn || serverOpens || verdictIsDue;
     }
 
-    private static RetryQueue.WaitState queueEntry(ActiveRequest request, long now) {
+    private RetryQueue.WaitState queueEntry(ActiveRequest request, long now) {
+        boolean held = poisonGuard.verdict(request, now) == PoisonGuard.Verdict.WAIT;
         return new RetryQueue.WaitState(
                 request.exchange().isCommitted(),
                 request.exchange().request().deadlineMillis(),
-                now + MAX_UNSTARTED_WAIT_MILLIS);
+                now + (held ? MAX_SUSPECT_WAIT_MILLIS : MAX_UNSTARTED_WAIT_MILLIS));
     }
 
     /**
