Do no work for crashes at each tick while none is known

A gateway looked through its crash evidence and rebuilt its list of refused requests fifty times a second.

It now returns at once while no connection has broken and no crash is known, and looks for refusals that have ended five times a second.

--- a/core/src/main/java/org/cornelramp/core/poison/CrashEvidence.java
+++ b/core/src/main/java/org/cornelramp/core/poison/CrashEvidence.java
@@ -76,6 +76,11 @@
         return endedMillis.remove(server) != null;
     }
 
+    /** Whether there are servers of which it is not known yet whether they have crashed. */
+    public boolean hasUndecided() {
+        return !undecided.isEmpty();
+    }
+
     /** Servers of which it is not known yet whether they have crashed. */
     public Set<BackendServerId> undecidedServers() {
         return Set.copyOf(undecided.keySet());
--- a/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
@@ -154,6 +154,9 @@
 
     /** Looks for the servers of broken connections, at their addresses and in the registrations. */
     void check(long now) {
+        if (!hasUndecided()) {
+            return;
+        }
         evidence.expire(now);
         Set<BackendServerId> undecided = evidence.undecidedServers();
         unchecked
@@ -208,7 +211,7 @@
 
     /** Whether there are broken connections to servers whose fate is not known yet. */
     boolean hasUndecided() {
-        return !evidence.undecidedServers().isEmpty();
+        return evidence.hasUndecided();
     }
 
     /** Number of servers that may have crashed under a request within the given time, which is not known yet. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
@@ -46,6 +46,9 @@
     /** Last turn; a suspect that would have to wait longer takes it as well. */
     private static final int MAX_TURN = 3;
 
+    /** Time between two looks for refusals that have ended. */
+    private static final long REFRESH_MILLIS = 200;
+
     private final Collection<ActiveRequest> activeRequests;
     private final PoisonDetector detector;
     private final PoisonNews news;
@@ -54,6 +57,7 @@
     private final EventLog log;
     private final Meters meters;
     private Map<String, Instant> refused = Map.of();
+    private long refreshedMillis;
 
     /** Whether a request may be sent. Immutable, safe for use by any thread. */
     enum Verdict {
@@ -177,7 +181,9 @@
     /** Looks for crashes that only time or the registrations show, and for refusals that have ended. */
     void check(long now) {
         observer.check(now);
-        refresh(now);
+        if (now - refreshedMillis >= REFRESH_MILLIS) {
+            refresh(now);
+        }
     }
 
     private void recordCompletion(Exchange.ClientRequest call, long now) {
@@ -227,6 +233,10 @@
 
     /** Logs which requests are refused from now on, and which are not any more. */
     private void refresh(long now) {
+        refreshedMillis = now;
+        if (detector.isEmpty() && refused.isEmpty()) {
+            return;
+        }
         Map<String, Instant> current = detector.poisonRequests(instant(now)).stream()
                 .collect(Collectors.toMap(PoisonMark::fingerprint, PoisonMark::until, (a, b) -> a, TreeMap::new));
         Set<String> before = refused.keySet();
