Tell a peer that has just started at once what is refused

Found by reading: in a fleet beyond nine gateways a new process hears of each peer only in its turn, half a second with 28 gateways and 4.5 s with 300, and sends on meanwhile what the others refuse.

The first update of a process that a gateway has not heard before puts it among the peers that are told out of turn, if there is a refusal to tell; a fleet that starts as a whole tells none. What orders the updates of a peer has become a class, so that the place of an update can be tested (UpdateOrderTest).

--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateService.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateService.java
@@ -7,7 +7,6 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.SocketTimeoutException;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -44,7 +43,7 @@
     private final SteadyClock clock;
     private final EventLog log;
     private final Thread thread = new Thread(this::run, "peers");
-    private final Map<String, long[]> latestReceived = new HashMap<>();
+    private final UpdateOrder order = new UpdateOrder();
     private final PeerDirectory<InetSocketAddress> directory = new PeerDirectory<>();
     private final PeerRotation rotation = new PeerRotation();
     private final PeerRotation introductionRotation = new PeerRotation();
@@ -216,6 +215,10 @@
         return new InetSocketAddress(peer.host(), peer.port());
     }
 
+    private boolean tellsRefusals() {
+        return !ownUpdate.get().poison().refusals().isEmpty();
+    }
+
     private void receive(byte[] bytes, int length, SocketAddress from) {
         Either<String, PeerUpdate> read = PeerUpdateCodec.read(bytes, length);
         if (read.isLeft()) {
@@ -234,12 +237,11 @@
         update.recentPeers().stream()
                 .filter(peer -> !peer.equals(address))
                 .forEach(peer -> directory.addIntroduced(socketAddress(peer), clock.millis()));
-        long[] previous = latestReceived.get(update.name());
-        boolean outdated = previous != null
-                && previous[0] == update.sender().incarnation()
-                && previous[1] >= update.sequenceNumber();
-        if (!outdated) {
-            latestReceived.put(update.name(), new long[] {update.sender().incarnation(), update.sequenceNumber()});
+        UpdateOrder.Place place = order.place(update);
+        if (place == UpdateOrder.Place.FIRST && from instanceof InetSocketAddress sender && tellsRefusals()) {
+            priorityPeers.add(sender); // it would send on what its peers refuse until their turn comes
+        }
+        if (place != UpdateOrder.Place.OUTDATED) {
             update.reading().ifPresent(reading -> readCoordinator.receivePosition(reading, clock.millis()));
             onUpdate.accept(update);
         }
