Let operators clear a request that is refused for crashes

POST /poison/clear?fingerprint=F at a gateway's internal address clears the request of all crashes so far, here at once and at the peers with the next update; a peer that was cut off meanwhile is told again when it still refuses. Without it a request that was refused by mistake would wait ten minutes.

--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -23,11 +23,14 @@
 import org.cornelramp.gateway.place.LeaderLease;
 import org.cornelramp.gateway.request.GatewayHttpServer;
 import org.cornelramp.gateway.request.InternalHandler;
+import org.cornelramp.gateway.request.PoisonClearHandler;
 import org.cornelramp.gateway.route.AsyncEngineControl;
 import org.cornelramp.gateway.route.ConfigHolder;
 import org.cornelramp.gateway.route.Router;
+import org.cornelramp.gateway.route.RouterEvent;
 import org.cornelramp.platform.EngineControl;
 import org.cornelramp.platform.MetadataStore;
+import org.eclipse.jetty.server.Handler;
 
 /**
  * Assembles the components of one gateway. {@link #beginStop} may be called by any thread, the other methods by the
@@ -132,12 +135,19 @@
                 clients.threads(),
                 config,
                 router,
-                new InternalHandler(meters, new PeerRecordsHandler(cache, config, clock)),
+                internalHandler(cache, config),
                 clock,
                 log,
                 meters);
     }
 
+    private Handler internalHandler(RecordCache cache, ConfigHolder config) {
+        PoisonClearHandler poison =
+                new PoisonClearHandler(fingerprint -> router.offer(new RouterEvent.PoisonCleared(fingerprint)));
+        Handler others = new Handler.Sequence(poison, new PeerRecordsHandler(cache, config, clock));
+        return new InternalHandler(meters, others);
+    }
+
     /** Both topics are read alike, so the smaller of the two bounds holds for both. */
     private static ReadTiming readTiming(GatewaySettings.Timing timing) {
         return ReadTiming.of(Math.max(MIN_BOUND_MILLIS, Math.min(timing.applyMillis(), timing.drainMillis())));
--- a/gateway/src/main/java/org/cornelramp/gateway/request/InternalHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/InternalHandler.java
@@ -10,23 +10,23 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
-/** Serves the metrics and delegates all other requests to the handler for peers. Safe for use by any thread. */
+/** Serves the metrics and delegates all other requests to another handler. Safe for use by any thread. */
 public final class InternalHandler extends Handler.Abstract {
     private static final String METRICS_PATH = "/metrics";
 
     private final Meters meters;
-    private final Handler peers;
+    private final Handler others;
 
-    /** @param peers handles requests from peers */
-    public InternalHandler(Meters meters, Handler peers) {
+    /** @param others handles requests from peers and operators */
+    public InternalHandler(Meters meters, Handler others) {
         this.meters = meters;
-        this.peers = peers;
+        this.others = others;
     }
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) throws Exception {
         if (!Request.getPathInContext(request).equals(METRICS_PATH)) {
-            return peers.handle(request, response, callback);
+            return others.handle(request, response, callback);
         }
         response.setStatus(HttpStatus.OK_200);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
@@ -200,6 +200,16 @@
         }
     }
 
+    /** Clears a request of the crashes so far for an operator, here and at the peers. */
+    void clear(String fingerprint, long now) {
+        news.clear(fingerprint, now);
+        log.line("route", "cleared")
+                .with("fingerprint", fingerprint)
+                .with("why", "an operator has asked for it")
+                .write();
+        refresh(now);
+    }
+
     private void recordCrash(Crash crash, long now) {
         news.recordCrash(crash.report(), now);
         refresh(now);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -163,6 +163,8 @@
             engineResults.handleReport(reported, now);
         } else if (event instanceof RouterEvent.ConnectionChecked checked) {
             crashObserver.connectionChecked(checked.server(), checked.fault(), now);
+        } else if (event instanceof RouterEvent.PoisonCleared cleared) {
+            poisonGuard.clear(cleared.fingerprint(), now);
         } else if (event instanceof RouterEvent.MoveResult moved) {
             engineResults.handleMoveResult(moved, now);
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
@@ -54,6 +54,9 @@
      */
     record ConnectionChecked(BackendServer server, Optional<PlatformFault> fault) implements RouterEvent {}
 
+    /** An operator clears a request of the crashes so far. */
+    record PoisonCleared(String fingerprint) implements RouterEvent {}
+
     /** An order to an engine to move a running request to another path has ended. */
     record MoveResult(Attempt attempt, StagePath path, Either<MoveFault, byte[]> result) implements RouterEvent {}
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonGuardTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonGuardTest.java
@@ -113,6 +113,18 @@
         assertEquals(router.calls().size(), handled + 1);
     }
 
+    /** Guards against an operator who must wait ten minutes for a request that was refused by mistake. */
+    @Test
+    public void operatorClearsARequest() {
+        crashPlainServers(3, "poison");
+        addServer(false);
+        FakeClient refused = send("/book/a", "refused", "poison");
+        assertTrue(PoisonFleet.isSetAside(refused));
+        router.handle(new RouterEvent.PoisonCleared(refused.exchange().request().fingerprint()));
+        send("/book/a", "again", "poison");
+        assertEquals(router.calls().size(), handled + 1);
+    }
+
     /** Guards against a started stream that is sent on after the third crash, or looks complete when it ends. */
     @Test
     public void startedStreamBreaksOffAfterTheThirdCrash() {
