Leave it to the poison detector whether a request crashes its engines

The same cause elsewhere: a stream counted all its runs towards the six that it may have once three of its first engines were gone, a guess at a poison request from one arrival alone.

What crashes engines is now found from crashes, over all arrivals and gateways; the guess goes, with the only use of FleetState.isGone. A started stream ends after six runs without an event, as before. streamWhoseEnginesLeaveIsAlwaysResumed fails on the code before, at the sixth engine.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
@@ -123,17 +123,9 @@
         return possibleRunCount;
     }
 
-    /**
-     * Number of attempts that count towards the limit.
-     *
-     * @param crashing whether the request seems to crash the engines that run it; then a run counts even if it
-     * delivered events
-     */
-    int countedAttempts(boolean crashing) {
-        if (!exchange.isCommitted()) {
-            return attemptCount;
-        }
-        return crashing ? possibleRunCount : runsWithoutEvents;
+    /** Number of attempts that count towards the limit; once its answer has started, those without an event. */
+    int countedAttempts() {
+        return exchange.isCommitted() ? runsWithoutEvents : attemptCount;
     }
 
     /** Records that the current attempt has delivered events; true on the first call for this attempt. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
@@ -247,11 +247,6 @@
         return suspectedServers.isLost(id, nowMillis) || registry.isReplaced(id);
     }
 
-    /** Whether a server is lost or no longer registered. */
-    public boolean isGone(BackendServerId id, long nowMillis) {
-        return isLost(id, nowMillis) || registry.server(id).isEmpty();
-    }
-
     /** The server of a service at an address; another service may have registered the same address. */
     public Optional<BackendServer> serverAt(HostPort address, ServiceName service) {
         return registry.servers().stream()
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
@@ -25,12 +25,6 @@
      */
     private static final int MAX_ATTEMPTS = 6;
 
-    /**
-     * Number of lost engines from which on a request is assumed to crash the engines that run it, so that all its runs
-     * count.
-     */
-    private static final int CRASH_THRESHOLD = 3;
-
     /**
      * Longest wait of a request that has not started, in milliseconds. Peers lend within two rounds of updates, and an
      * engine that was full is tried again after 250 ms. A client that is refused after this time can still retry by
@@ -109,7 +103,7 @@
     boolean requeueStream(ActiveRequest request, boolean needsRetry, long now) {
         request.setNeedsRetry(needsRetry);
         boolean inTime = now < request.exchange().request().deadlineMillis();
-        return inTime && request.countedAttempts(seemsToCrash(request, now)) < MAX_ATTEMPTS && enqueue(request, now);
+        return inTime && request.countedAttempts() < MAX_ATTEMPTS && enqueue(request, now);
     }
 
     /** Queues a started stream for which there is no path. */
@@ -171,15 +165,7 @@
         boolean engines = failed.path().isPresent();
         boolean left = engines || request.possibleRunCount() < request.route().maxAttempts();
         boolean inTime = now < request.exchange().request().deadlineMillis();
-        return left && inTime && request.countedAttempts(seemsToCrash(request, now)) < MAX_ATTEMPTS;
-    }
-
-    /** Whether so many engines that ran a request are lost that the request may be the cause. */
-    private boolean seemsToCrash(ActiveRequest request, long now) {
-        long gone = request.usedFirstEngines().stream()
-                .filter(id -> fleet.isGone(id, now))
-                .count();
-        return gone >= CRASH_THRESHOLD;
+        return left && inTime && request.countedAttempts() < MAX_ATTEMPTS;
     }
 
     private void avoidFailedServers(ActiveRequest request, Attempt failed, AttemptEnd end) {
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonGuardTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonGuardTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.fleet.ServerState;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.gateway.GatewayFixture;
 import org.cornelramp.gateway.TestServers;
@@ -186,6 +187,27 @@
         assertTrue(copy.isComplete());
     }
 
+    /** Guards against a stream that is ended although each run makes progress, because its engines leave as planned. */
+    @Test
+    public void streamWhoseEnginesLeaveIsAlwaysResumed() {
+        BackendServer server = addServer(true);
+        FakeClient client = send("/chat/a", "r1", "long");
+        for (int event = 0; event < 9; event++) {
+            FakeHttpClient.Call call = nextCall();
+            call.events("r1", "id: " + event + "\ndata: x\n\n");
+            BackendServer next = addServer(true);
+            router.register(server.withState(ServerState.DRAINING));
+            dead.add(server.id());
+            call.fail(new EOFException("closed"));
+            router.run(400);
+            router.unregister(server);
+            server = next;
+        }
+        nextCall().complete(200, HeaderFixtures.answer("r1"));
+        router.settle();
+        assertTrue(client.isComplete());
+    }
+
     /** Guards against refusals that never end. */
     @Test
     public void refusalEndsAfterTenMinutes() {
