Count a crash under a poison request as a fault of the soak

The log shows that its engine crashed under a poison request 38 ms after r47 was sent there (EOFException, then connection refused), which the history of faults did not know. The check of planned stops leaves out what another fault has met, as before; these crashes are now among them.

--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewaySoakCommand.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewaySoakCommand.java
@@ -81,7 +81,7 @@
         try (GatewayEnvironment environment = new GatewayEnvironment(home, folder, gateways)) {
             environment.start();
             PoisonRecords poisonRecords = new PoisonRecords();
-            environment.backends().forEach(backend -> backend.crashUnder(poisonRecords));
+            environment.backends().forEach(backend -> backend.crashUnder(poisonRecords, environment.faultHistory()));
             faults = new GatewayFaultInjector(environment, violations, seed, seconds * 1_000L, notices);
             GatewayLoad load = new GatewayLoad(environment, calls, poison, seed);
             runLoad(environment, load, faults, calls, violations, seconds * 1_000L);
--- a/bench/src/main/java/org/cornelramp/bench/gateway/SoakBackend.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/SoakBackend.java
@@ -49,16 +49,22 @@
     }
 
     /** Lets requests with these paths crash the server whenever it runs them. */
-    void crashUnder(PoisonRecords poison) {
-        server.setPoison(PoisonRecords::isPoison, path -> crash(path, poison));
+    void crashUnder(PoisonRecords poison, FaultHistory faultHistory) {
+        server.setPoison(PoisonRecords::isPoison, path -> crash(path, poison, faultHistory));
     }
 
-    private void crash(String path, PoisonRecords poison) {
-        poison.recordCrash(path, StandInFleet.nowMillis());
+    private void crash(String path, PoisonRecords poison, FaultHistory faultHistory) {
+        long now = StandInFleet.nowMillis();
+        poison.recordCrash(path, now);
+        FaultHistory.FaultPeriod crash = faultHistory.begin(FaultHistory.Target.BACKEND, FaultHistory.ALL, now);
         relay.setListening(false);
         server.crash();
         relay.cut();
-        Thread restart = new Thread(this::restart, "restart-" + server.name());
+        Runnable work = () -> {
+            restart();
+            faultHistory.end(crash, StandInFleet.nowMillis());
+        };
+        Thread restart = new Thread(work, "restart-" + server.name());
         restart.setDaemon(true);
         restart.start();
     }
