Let a gateway's own reports decide over the refusal of a peer

Cause: a refusal of a peer counted beside the own analysis, whoever knew more. Evidence: 'released' and 'set aside' of one fingerprint in turn at g1 and g3.

A peer's refusal now counts only where the reports held here are too few to blame the request.

PoisonNewsTest.refusalOfAPeerThatKnowsLessIsNotTakenOver failed before.

--- a/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
@@ -193,8 +193,20 @@
     /** Whether a request is refused as poison; its caller gets the final answer at once. */
     public boolean isPoison(String fingerprint, Instant now) {
         removeExpired(now);
-        return (analysis.culprits().contains(fingerprint) && isSettled(fingerprint, now))
-                || peerMarks.getOrDefault(fingerprint, Instant.MIN).isAfter(now);
+        return isBlamed(fingerprint, now)
+                || (peerMarks.getOrDefault(fingerprint, Instant.MIN).isAfter(now) && needsPeers(fingerprint));
+    }
+
+    private boolean isBlamed(String fingerprint, Instant now) {
+        return analysis.culprits().contains(fingerprint) && isSettled(fingerprint, now);
+    }
+
+    /**
+     * Whether the reports held here cannot tell that a request is to blame, so that a peer's refusal decides. Where they
+     * can, a peer that knows fewer of them may refuse an innocent request.
+     */
+    private boolean needsPeers(String fingerprint) {
+        return crashesOf(fingerprint).size() < thresholds.crashes();
     }
 
     /** Whether all processes have had the time to report what they know of the crashes of a request. */
@@ -255,8 +267,9 @@
     public List<PoisonMark> poisonRequests(Instant now) {
         removeExpired(now);
         Map<String, Instant> all = new HashMap<>(peerMarks);
+        all.keySet().removeIf(f -> !needsPeers(f));
         analysis.culprits().stream()
-                .filter(f -> isSettled(f, now))
+                .filter(f -> isBlamed(f, now))
                 .forEach(f -> all.merge(f, expiry(f), PoisonDetector::later));
         return all.entrySet().stream()
                 .filter(e -> e.getValue().isAfter(now))
--- a/core/src/test/java/org/cornelramp/core/poison/PoisonNewsTest.java
+++ b/core/src/test/java/org/cornelramp/core/poison/PoisonNewsTest.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -71,6 +72,20 @@
         assertFalse(refuses(detector, "i", SETTLED + 500));
     }
 
+    /** Guards against an innocent request that stays refused because a peer has not heard of all requests at its crashes. */
+    @Test
+    public void refusalOfAPeerThatKnowsLessIsNotTakenOver() {
+        for (int i = 0; i < 3; i++) {
+            news.recordCrash(crash("s" + i, NOW, "p", "i"), NOW);
+            other.recordCrash(crash("s" + i, NOW, "i"), NOW);
+        }
+        PoisonUpdate refusal = new PoisonUpdate(List.of(), Map.of("i", 500_000L, "q", 500_000L), Map.of(), Map.of());
+        news.apply(refusal, SETTLED);
+        assertFalse(refuses(detector, "i", SETTLED));
+        assertTrue(refuses(detector, "q", SETTLED), "nothing is known of it here");
+        assertEquals(news.update(SETTLED).refusals().keySet(), Set.of("q"));
+    }
+
     /** Guards against a crash that is counted once for each process which sees it. */
     @Test
     public void crashThatTwoProcessesSeeIsOne() {
