Tell peers the most suspect requests of a crash first

Found by reading: a crash under more requests than an update may name was not told at all, nor were older ones after it. Now each crash is told as far as there is room, with the requests first that were at most crashes.

--- a/core/src/main/java/org/cornelramp/core/poison/PoisonNews.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonNews.java
@@ -3,10 +3,12 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
@@ -16,7 +18,7 @@
  * <p>Invariants: only the process that has seen a crash, a clearance or a sign of life tells it, so that none circulates
  * without end. A refusal is told by all that know it, so that a process which has just started learns it from any peer;
  * each passing on shortens it by more than an update takes, so that it ends all the same. An update has at most
- * {@value #MAX_SUSPECTS} suspects, of the newest crashes, and {@value #MAX_OTHERS} entries of each other kind.
+ * {@value #MAX_SUSPECTS} suspects, of the newest crashes first, and {@value #MAX_OTHERS} entries of each other kind.
  */
 public final class PoisonNews {
     /** Time for which a fact is told: each peer of a large fleet is reached twice in it, and datagrams get lost. */
@@ -95,18 +97,29 @@
 
     private List<PoisonUpdate.ToldCrash> toldCrashes(long nowMillis) {
         List<PoisonUpdate.ToldCrash> told = new ArrayList<>();
-        int suspects = 0;
+        int room = MAX_SUSPECTS;
         for (Told<CrashReport> one : newestFirst(crashes)) {
             CrashReport report = one.fact();
-            suspects += report.suspects().size();
-            if (!report.suspects().isEmpty() && suspects <= MAX_SUSPECTS) {
+            Set<String> suspects = mostSuspect(report, room);
+            room -= suspects.size();
+            if (!suspects.isEmpty()) {
                 told.add(new PoisonUpdate.ToldCrash(
-                        report.crashId(), nowMillis - report.at().toEpochMilli(), report.suspects()));
+                        report.crashId(), nowMillis - report.at().toEpochMilli(), suspects));
             }
         }
         return told;
     }
 
+    /** The suspects of a crash, those that were at most crashes first, as far as there is room. */
+    private Set<String> mostSuspect(CrashReport report, int room) {
+        Comparator<String> byCrashes =
+                Comparator.comparing(suspect -> -detector.crashesOf(suspect).size());
+        return report.suspects().stream()
+                .sorted(byCrashes.thenComparing(Comparator.naturalOrder()))
+                .limit(room)
+                .collect(Collectors.toSet());
+    }
+
     private static <T> List<Told<T>> newestFirst(Map<String, Told<T>> facts) {
         List<Told<T>> all = new ArrayList<>(facts.values());
         Collections.reverse(all);
