--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDelay.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDelay.java
@@ -18,7 +18,8 @@
     /** Time in milliseconds, not before a server takes requests if none does now; 0 if no later request would help. */
     long millis(ActiveRequest request, Refusal refusal, long now) {
         if (refusal == Refusal.POISON) {
-            return Math.max(refusal.retryMillis(), poisonGuard.millisUntilEnd(request, now));
+            long millis = poisonGuard.millisUntilEnd(request, now);
+            return millis > 0 ? millis : refusal.retryMillis();
         }
         if (refusal.retryMillis() == 0 || fleet.hasOpenServer(request.service(), now)) {
             return refusal.retryMillis();
