Count each crash once, however many requests it ends

Found by reading: each request whose end was handled after the crash had been seen counted as a crash in the metrics, with a line of its own. The further lines are now sampled, with the evidence SEEN_BEFORE.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
@@ -63,7 +63,9 @@
         /** Another server answers at its address, or has registered there. */
         ANOTHER_SERVER,
         /** Its registration is gone, although it was not leaving. */
-        UNREGISTERED
+        UNREGISTERED,
+        /** Its end has been seen before; a further request has ended with it. */
+        SEEN_BEFORE
     }
 
     /** @param router receives the results of connection checks as events */
@@ -117,7 +119,7 @@
         engineControl.checkConnection(server, router, fleet.lagMillis(), now);
         unchecked.put(server.id(), new Unchecked(server, now + CHECK_MILLIS));
         evidence.recordBreak(server.id(), fingerprint, starting, now)
-                .ifPresent(crash -> handleCrash(crash, "after the end", now));
+                .ifPresent(crash -> handleCrash(crash, Sign.SEEN_BEFORE, now));
     }
 
     /** Whether a run has hardly made any progress. */
@@ -175,7 +177,7 @@
 
     private void recordEnd(BackendServerId server, Sign sign, long now) {
         if (!isPlannedEnd(server)) {
-            evidence.recordEnd(server, now).ifPresent(crash -> handleCrash(crash, sign.name(), now));
+            evidence.recordEnd(server, now).ifPresent(crash -> handleCrash(crash, sign, now));
         }
     }
 
@@ -191,10 +193,13 @@
         }
     }
 
-    private void handleCrash(Crash crash, String sign, long now) {
-        meters.countCrash(sign);
+    private void handleCrash(Crash crash, Sign sign, long now) {
+        boolean first = sign != Sign.SEEN_BEFORE;
+        if (first) {
+            meters.countCrash(sign.name());
+        }
         Instant at = crash.report().at();
-        log.line("fleet", "crashed")
+        (first ? log.line("fleet", "crashed") : log.routine("fleet", "crashed"))
                 .with("server", crash.report().crashId())
                 .with("evidence", sign)
                 .with("ageMillis", now - at.toEpochMilli())
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
@@ -192,21 +192,14 @@
         }
         String fingerprint = call.fingerprint();
         if (news.recordCompletion(fingerprint, now)) {
-            log.line("route", "cleared")
-                    .with("fingerprint", fingerprint)
-                    .with("id", call.id())
-                    .with("why", "a server has run it to its end")
-                    .write();
+            logCleared(fingerprint, "a server has run " + call.id() + " to its end");
         }
     }
 
     /** Clears a request of the crashes so far for an operator, here and at the peers. */
     void clear(String fingerprint, long now) {
         news.clear(fingerprint, now);
-        log.line("route", "cleared")
-                .with("fingerprint", fingerprint)
-                .with("why", "an operator has asked for it")
-                .write();
+        logCleared(fingerprint, "an operator has asked for it");
         refresh(now);
     }
 
@@ -241,6 +234,13 @@
         refresh(now);
     }
 
+    private void logCleared(String fingerprint, String why) {
+        log.line("route", "cleared")
+                .with("fingerprint", fingerprint)
+                .with("why", why)
+                .write();
+    }
+
     /** Logs which requests are refused from now on, and which are not any more. */
     private void refresh(long now) {
         refreshedMillis = now;
