--- a/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
@@ -30,7 +30,7 @@
     }
 
     /** Guards against a request that takes down one server after the other, each time as if it were new. */
-    @Test(dataProvider = "kindsAndFleets", groups = "known-red")
+    @Test(dataProvider = "kindsAndFleets")
     public void requestThatComesAgainCrashesThreeServersAtMost(Kind kind, int gateways) {
         PoisonFleet fleet = new PoisonFleet(gateways, ENGINES, PLAIN_SERVERS, 4901);
         Poison poison = fleet.addPoison(kind, 0);
@@ -43,7 +43,7 @@
     }
 
     /** Guards against streams that crash their engine only after an event, so that each run makes progress. */
-    @Test(groups = "known-red")
+    @Test
     public void streamThatCrashesItsEngineAfterAnEventCrashesThreeAtMost() {
         PoisonFleet fleet = new PoisonFleet(4, ENGINES, PLAIN_SERVERS, 4902);
         Poison poison = fleet.addPoison(Kind.STREAM, 1);
@@ -56,7 +56,7 @@
     }
 
     /** Guards against a fleet that a few requests of one caller take down for all others. */
-    @Test(groups = "known-red")
+    @Test
     public void otherRequestsAreServedWhileFourPoisonRequestsComeAgain() {
         PoisonFleet fleet = new PoisonFleet(4, ENGINES, PLAIN_SERVERS, 4903);
         fleet.addPoison(Kind.STREAM, 0);
@@ -76,7 +76,7 @@
     }
 
     /** Guards against copies of one request that reach all gateways before any of them has heard of a crash. */
-    @Test(groups = "known-red")
+    @Test
     public void copiesAtOnceAreNotSentAgainLater() {
         PoisonFleet fleet = new PoisonFleet(4, ENGINES, PLAIN_SERVERS, 4904);
         Poison poison = fleet.addPoison(Kind.STREAM, 0);
@@ -90,7 +90,7 @@
     }
 
     /** Guards against a gateway that has just started and lets through what its peers refuse. */
-    @Test(groups = "known-red")
+    @Test
     public void gatewayThatHasStartedRefusesWhatItsPeersRefuse() {
         PoisonFleet fleet = new PoisonFleet(4, ENGINES, PLAIN_SERVERS, 4905);
         Poison poison = fleet.addPoison(Kind.STREAM, 0);
@@ -111,7 +111,7 @@
     }
 
     /** Guards against any series of crashes, restarts, cuts and lost or late updates that lets a request through again. */
-    @Test(dataProvider = "histories", groups = "known-red")
+    @Test(dataProvider = "histories")
     public void poisonRequestsAreHeldBackInRandomHistories(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         PoisonFleet fleet = new PoisonFleet(1 + random.nextInt(6), ENGINES, PLAIN_SERVERS, seed);
--- a/system-tests/src/test/java/org/cornelramp/systemtests/GatewaySoakTest.java
+++ b/system-tests/src/test/java/org/cornelramp/systemtests/GatewaySoakTest.java
@@ -39,4 +39,13 @@
                         .all(),
                 List.of());
     }
+
+    /** Requests that crash each server which runs them are held back by all gateways, and no other request is. */
+    @Test
+    public void requestsThatCrashServersAreHeldBack() throws Exception {
+        assertEquals(
+                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 4921, 20, 4, false, 3)
+                        .all(),
+                List.of());
+    }
 }
