Identify no request once the last refusal of a peer has ended

Found by reading: refusals that only a peer had told were dropped at the next report of a crash, if one came; until then every request was hashed. They now end at their time. PoisonNewsTest.nothingIsKnownOnceARefusalOfAPeerHasEnded fails without it.

--- a/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
 /**
  * Detects poison requests, which crash the backend servers that run them, so that they are refused.
@@ -70,7 +71,8 @@
     }
 
     /** Whether nothing is known of any crash or poison request, so that no request needs to be identified. */
-    public boolean isEmpty() {
+    public boolean isEmpty(Instant now) {
+        removeExpired(now);
         return reports.isEmpty() && peerMarks.isEmpty();
     }
 
@@ -179,6 +181,7 @@
         peerMarks.values().removeIf(t -> !t.isAfter(now));
         if (peerMarks.size() < maxReports) {
             peerMarks.merge(mark.fingerprint(), until, PoisonDetector::later);
+            nextExpiry = nextExpiry.isBefore(until) ? nextExpiry : until;
         }
         return !refused && isPoison(mark.fingerprint(), now);
     }
@@ -322,8 +325,8 @@
         if (!thresholds.settling().isZero()) {
             suspects.addAll(analysis.culprits()); // until they are settled
         }
-        nextExpiry = reports.values().stream()
-                .map(r -> r.at().plus(retention))
+        nextExpiry = Stream.concat(
+                        reports.values().stream().map(r -> r.at().plus(retention)), peerMarks.values().stream())
                 .min(Comparator.naturalOrder())
                 .orElse(Instant.MAX);
     }
--- a/core/src/main/java/org/cornelramp/core/poison/PoisonNews.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonNews.java
@@ -84,7 +84,7 @@
         expire(crashes, nowMillis);
         expire(clearances, nowMillis);
         expire(signsOfLife, nowMillis);
-        if (detector.isEmpty() && crashes.isEmpty() && clearances.isEmpty() && signsOfLife.isEmpty()) {
+        if (detector.isEmpty(instant(nowMillis)) && crashes.isEmpty() && clearances.isEmpty() && signsOfLife.isEmpty()) {
             return PoisonUpdate.NONE;
         }
         Map<String, Long> refusals = detector.poisonRequests(instant(nowMillis)).stream()
--- a/core/src/test/java/org/cornelramp/core/poison/PoisonNewsTest.java
+++ b/core/src/test/java/org/cornelramp/core/poison/PoisonNewsTest.java
@@ -111,6 +111,14 @@
         assertTrue(refuses(third, "p", later));
     }
 
+    /** Guards against requests that are identified for ever because a refusal of a peer was known once. */
+    @Test
+    public void nothingIsKnownOnceARefusalOfAPeerHasEnded() {
+        other.apply(new PoisonUpdate(List.of(), Map.of("p", 5_000L), Map.of(), Map.of()), NOW);
+        assertFalse(otherDetector.isEmpty(Instant.ofEpochMilli(NOW)));
+        assertTrue(otherDetector.isEmpty(Instant.ofEpochMilli(NOW + 5_000)));
+    }
+
     /** Guards against a refusal that processes keep alive by telling it to each other. */
     @Test
     public void refusalEndsAlthoughItIsPassedRound() {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
@@ -100,7 +100,7 @@
      * that crash would not tell them apart either.
      */
     boolean isSuspect(ActiveRequest request, long now) {
-        return !detector.isEmpty() && detector.isSuspect(request.fingerprint(), instant(now));
+        return !detector.isEmpty(instant(now)) && detector.isSuspect(request.fingerprint(), instant(now));
     }
 
     private boolean mayStart(ActiveRequest request, long now) {
@@ -148,7 +148,7 @@
 
     /** Whether the fate of servers that may have crashed under a request decides whether it is a suspect, or refused. */
     private boolean awaitsFate(ActiveRequest request, long now) {
-        if (detector.isEmpty() || !observer.hasUndecided()) {
+        if (detector.isEmpty(instant(now)) || !observer.hasUndecided()) {
             return false;
         }
         long undecided = observer.undecidedCrashes(request.fingerprint(), MAX_FATE_WAIT_MILLIS, now);
@@ -158,7 +158,7 @@
 
     /** Whether a request is refused because servers have crashed under it. */
     boolean isPoison(ActiveRequest request, long now) {
-        return !detector.isEmpty() && detector.isPoison(request.fingerprint(), instant(now));
+        return !detector.isEmpty(instant(now)) && detector.isPoison(request.fingerprint(), instant(now));
     }
 
     /** Time until a request is no longer refused, in milliseconds; 0 if it is not. */
@@ -187,7 +187,7 @@
     }
 
     private void recordCompletion(Exchange.ClientRequest call, long now) {
-        if (detector.isEmpty()) {
+        if (detector.isEmpty(instant(now))) {
             return;
         }
         String fingerprint = call.fingerprint();
@@ -244,7 +244,7 @@
     /** Logs which requests are refused from now on, and which are not any more. */
     private void refresh(long now) {
         refreshedMillis = now;
-        if (detector.isEmpty() && refused.isEmpty()) {
+        if (detector.isEmpty(instant(now)) && refused.isEmpty()) {
             return;
         }
         Map<String, Instant> current = detector.poisonRequests(instant(now)).stream()
