Sort the suspects of a crash only if there is not room to tell all

Found by reading: an update is built fifty times a second, and sorting counted the crashes of each suspect some ten times, so a gateway would have spent hundredths of a core on it for ten seconds after a crash under many requests.

--- a/core/src/main/java/org/cornelramp/core/poison/PoisonNews.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonNews.java
@@ -84,7 +84,10 @@
         expire(crashes, nowMillis);
         expire(clearances, nowMillis);
         expire(signsOfLife, nowMillis);
-        if (detector.isEmpty(instant(nowMillis)) && crashes.isEmpty() && clearances.isEmpty() && signsOfLife.isEmpty()) {
+        if (detector.isEmpty(instant(nowMillis))
+                && crashes.isEmpty()
+                && clearances.isEmpty()
+                && signsOfLife.isEmpty()) {
             return PoisonUpdate.NONE;
         }
         Map<String, Long> refusals = detector.poisonRequests(instant(nowMillis)).stream()
@@ -110,10 +113,16 @@
         return told;
     }
 
-    /** The suspects of a crash, those that were at most crashes first, as far as there is room. */
+    /** The suspects of a crash; those that were at most crashes if there is not room for all. */
     private Set<String> mostSuspect(CrashReport report, int room) {
-        Comparator<String> byCrashes =
-                Comparator.comparing(suspect -> -detector.crashesOf(suspect).size());
+        if (report.suspects().size() <= room) {
+            return report.suspects();
+        }
+        Map<String, Integer> crashCounts = new HashMap<>();
+        report.suspects()
+                .forEach(suspect ->
+                        crashCounts.put(suspect, detector.crashesOf(suspect).size()));
+        Comparator<String> byCrashes = Comparator.comparing(crashCounts::get, Comparator.reverseOrder());
         return report.suspects().stream()
                 .sorted(byCrashes.thenComparing(Comparator.naturalOrder()))
                 .limit(room)
