Let no late answer take back a crash that is certain

Cause: any sign of life of an incarnation refuted its end. But a process at whose address nothing listens is gone; an answer of the same id is an answer of before that is handled late, or the server has started again under its id. Only an end that was inferred from a registration, which may lapse in an outage of the store, is taken back now. After a restart under the same id a further break needs evidence of its own.

lateAnswerDoesNotTakeACertainEndBack and serverThatStartsAgainUnderItsIdHasCrashedAllTheSame fail on the code before.

--- a/core/src/main/java/org/cornelramp/core/poison/CrashEvidence.java
+++ b/core/src/main/java/org/cornelramp/core/poison/CrashEvidence.java
@@ -16,22 +16,29 @@
  *
  * <p>Invariant: a connection that breaks is no crash. It becomes one if the incarnation of the server is seen to have
  * ended, and is forgotten if the incarnation gives a sign of life, or if nothing is seen within
- * {@value #UNDECIDED_MILLIS} ms. Owned by one thread; all state is bounded by the constants below.
+ * {@value #UNDECIDED_MILLIS} ms. A sign of life takes back an end that was only inferred, and none that is certain: an
+ * answer may be handled late, and a server may start again under its id. Owned by one thread; all state is bounded by the
+ * constants below.
  */
 public final class CrashEvidence {
     /** Time after a break in which the end of its server explains it; an unrenewed registration expires within it. */
     public static final long UNDECIDED_MILLIS = 6_000;
 
+    /** Time after an end within which an answer may have been sent before it. */
+    private static final long LATE_ANSWER_MILLIS = 500;
+
     private static final int MAX_SERVERS = 256;
     private static final int MAX_RUNS_PER_SERVER = 512;
     private static final int MAX_BROKEN_IN_PROGRESS = 4_096;
 
     private final Map<BackendServerId, List<BrokenRun>> undecided = new LinkedHashMap<>();
-    private final Map<BackendServerId, Long> endedMillis = new LinkedHashMap<>();
+    private final Map<BackendServerId, End> ends = new LinkedHashMap<>();
 
     /** Requests that had made progress in an earlier run when its server crashed. */
     private final Map<String, Long> brokenInProgress = new LinkedHashMap<>();
 
+    private record End(long millis, boolean certain) {}
+
     /**
      * A run of a request whose connection broke.
      *
@@ -60,20 +67,33 @@
             runs.add(new BrokenRun(fingerprint, starting, nowMillis));
         }
         removeOldest(undecided, MAX_SERVERS);
-        return endedMillis.containsKey(server) ? takeCrash(server) : Optional.empty();
+        return ends.containsKey(server) ? takeCrash(server) : Optional.empty();
     }
 
-    /** Records that an incarnation of a server has ended without leaving; returns the crash if requests ended with it. */
-    public Optional<Crash> recordEnd(BackendServerId server, long nowMillis) {
-        endedMillis.putIfAbsent(server, nowMillis);
-        removeOldest(endedMillis, MAX_SERVERS);
+    /**
+     * Records that an incarnation of a server has ended without leaving.
+     *
+     * @param certain whether its process is known to be gone
+     * @return the crash, if requests ended with it
+     */
+    public Optional<Crash> recordEnd(BackendServerId server, boolean certain, long nowMillis) {
+        End known = ends.get(server);
+        if (known == null || (certain && !known.certain())) {
+            ends.put(server, new End(nowMillis, certain));
+        }
+        removeOldest(ends, MAX_SERVERS);
         return takeCrash(server);
     }
 
-    /** Records a sign of life of an incarnation; returns whether it was thought to have ended. */
-    public boolean recordSignOfLife(BackendServerId server) {
+    /** Records a sign of life of an incarnation; returns whether it takes back that the incarnation has ended. */
+    public boolean recordSignOfLife(BackendServerId server, long nowMillis) {
+        End end = ends.get(server);
+        if (end != null && end.certain() && nowMillis - end.millis() < LATE_ANSWER_MILLIS) {
+            return false;
+        }
         undecided.remove(server);
-        return endedMillis.remove(server) != null;
+        ends.remove(server);
+        return end != null && !end.certain();
     }
 
     /** Whether there are servers of which it is not known yet whether they have crashed. */
--- a/core/src/test/java/org/cornelramp/core/poison/CrashEvidenceTest.java
+++ b/core/src/test/java/org/cornelramp/core/poison/CrashEvidenceTest.java
@@ -21,9 +21,9 @@
         CrashEvidence lost = new CrashEvidence();
         assertTrue(lost.recordBreak(SERVER, "f", true, 100).isEmpty());
         assertEquals(lost.undecidedCrashes("f", 500, 200), 1);
-        assertFalse(lost.recordSignOfLife(SERVER), "it was not thought to have ended");
+        assertFalse(lost.recordSignOfLife(SERVER, 200), "it was not thought to have ended");
         assertEquals(lost.undecidedServers(), Set.of());
-        assertTrue(lost.recordEnd(SERVER, 300).isEmpty(), "the connection broke before the sign of life");
+        assertTrue(lost.recordEnd(SERVER, true, 300).isEmpty(), "the connection broke before the sign of life");
     }
 
     /** Guards against requests that are missing in a crash because their connections broke before or after it was seen. */
@@ -32,7 +32,7 @@
         CrashEvidence crashed = new CrashEvidence();
         crashed.recordBreak(SERVER, "f", true, 100);
         crashed.recordBreak(OTHER, "h", true, 100);
-        CrashEvidence.Crash crash = crashed.recordEnd(SERVER, 110).orElseThrow();
+        CrashEvidence.Crash crash = crashed.recordEnd(SERVER, true, 110).orElseThrow();
         assertEquals(crash.report().suspects(), Set.of("f"));
         assertEquals(crash.report().at().toEpochMilli(), 100);
         CrashEvidence.Crash more = crashed.recordBreak(SERVER, "g", true, 120).orElseThrow();
@@ -46,21 +46,42 @@
     public void runThatHadMadeProgressIsNoSuspectAtFirst() {
         CrashEvidence crashed = new CrashEvidence();
         crashed.recordBreak(SERVER, "f", false, 100);
-        assertEquals(crashed.recordEnd(SERVER, 110).orElseThrow().report().suspects(), Set.of());
+        assertEquals(crashed.recordEnd(SERVER, true, 110).orElseThrow().report().suspects(), Set.of());
         crashed.recordBreak(OTHER, "f", false, 2_000);
-        assertEquals(crashed.recordEnd(OTHER, 2_010).orElseThrow().report().suspects(), Set.of("f"));
+        assertEquals(
+                crashed.recordEnd(OTHER, true, 2_010).orElseThrow().report().suspects(), Set.of("f"));
     }
 
     /** Guards against a server that is seen to live again, and whose later breaks would count as crashes at once. */
     @Test
-    public void signOfLifeTakesAnEndBack() {
+    public void signOfLifeTakesAnInferredEndBack() {
         CrashEvidence taken = new CrashEvidence();
         taken.recordBreak(SERVER, "f", true, 100);
-        assertTrue(taken.recordEnd(SERVER, 110).isPresent());
-        assertTrue(taken.recordSignOfLife(SERVER));
+        assertTrue(taken.recordEnd(SERVER, false, 110).isPresent());
+        assertTrue(taken.recordSignOfLife(SERVER, 150));
         assertTrue(taken.recordBreak(SERVER, "f", true, 200).isEmpty());
     }
 
+    /** Guards against a crash that is taken back by an answer of before it which is handled late. */
+    @Test
+    public void lateAnswerDoesNotTakeACertainEndBack() {
+        CrashEvidence crashed = new CrashEvidence();
+        crashed.recordBreak(SERVER, "f", true, 100);
+        assertTrue(crashed.recordEnd(SERVER, true, 110).isPresent());
+        assertFalse(crashed.recordSignOfLife(SERVER, 130));
+        assertTrue(crashed.recordBreak(SERVER, "g", true, 140).isPresent(), "it belongs to the crash");
+    }
+
+    /** Guards against a server that starts again under its id, and whose later breaks would count as crashes at once. */
+    @Test
+    public void serverThatStartsAgainUnderItsIdHasCrashedAllTheSame() {
+        CrashEvidence crashed = new CrashEvidence();
+        crashed.recordBreak(SERVER, "f", true, 100);
+        assertTrue(crashed.recordEnd(SERVER, true, 110).isPresent());
+        assertFalse(crashed.recordSignOfLife(SERVER, 1_500), "the crash stands");
+        assertTrue(crashed.recordBreak(SERVER, "f", true, 2_000).isEmpty(), "this break needs evidence of its own");
+    }
+
     /** Guards against a break that waits for the end of its server for ever. */
     @Test
     public void breakIsForgotten() {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
@@ -59,13 +59,19 @@
     /** What shows that a server has ended. Immutable, safe for use by any thread. */
     private enum Sign {
         /** Nothing listens at its address. */
-        NOT_LISTENING,
+        NOT_LISTENING(true),
         /** Another server answers at its address, or has registered there. */
-        ANOTHER_SERVER,
-        /** Its registration is gone, although it was not leaving. */
-        UNREGISTERED,
+        ANOTHER_SERVER(true),
+        /** Its registration is gone, although it was not leaving; it may have lapsed in an outage of the store. */
+        UNREGISTERED(false),
         /** Its end has been seen before; a further request has ended with it. */
-        SEEN_BEFORE
+        SEEN_BEFORE(true);
+
+        private final boolean certain;
+
+        Sign(boolean certain) {
+            this.certain = certain;
+        }
     }
 
     /** @param router receives the results of connection checks as events */
@@ -177,7 +183,7 @@
 
     private void recordEnd(BackendServerId server, Sign sign, long now) {
         if (!isPlannedEnd(server)) {
-            evidence.recordEnd(server, now).ifPresent(crash -> handleCrash(crash, sign, now));
+            evidence.recordEnd(server, sign.certain, now).ifPresent(crash -> handleCrash(crash, sign, now));
         }
     }
 
@@ -187,7 +193,7 @@
     }
 
     private void recordSignOfLife(BackendServerId server, long now) {
-        if (evidence.recordSignOfLife(server)) {
+        if (evidence.recordSignOfLife(server, now)) {
             log.line("fleet", "crash refuted").with("server", server).write();
             onSignOfLife.accept(server, now);
         }
