Let suspects start on a server that has come back under its id

With all servers of a service back under their ids, a request at two crashes would find none.

It is passed over for three seconds after its crash. suspectStartsOnAServerThatHasComeBackUnderItsId failed before.

--- a/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
@@ -248,9 +248,10 @@
         return Collections.unmodifiableSortedSet(suspects);
     }
 
-    /** Whether a crash is reported and not refuted. */
-    public boolean isReported(String crashId) {
-        return reports.containsKey(crashId);
+    /** Whether a crash after a time is reported. */
+    public boolean isReported(String crashId, Instant since) {
+        CrashReport report = reports.get(crashId);
+        return report != null && report.at().isAfter(since);
     }
 
     /**
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
@@ -46,6 +46,9 @@
     /** Last turn; a suspect that would have to wait longer takes it as well. */
     private static final int MAX_TURN = 3;
 
+    /** Time after a crash in which a server takes no suspects; it may come back under its id. */
+    private static final long DOWN_MILLIS = 3_000;
+
     /** Time between two looks for refusals that have ended. */
     private static final long REFRESH_MILLIS = 200;
 
@@ -125,7 +128,7 @@
      */
     List<BackendServer> serversFor(ActiveRequest request, Collection<BackendServer> servers, long now) {
         List<BackendServer> ordered = new ArrayList<>(servers.stream()
-                .filter(server -> !detector.isReported(server.id().value()))
+                .filter(server -> !detector.isReported(server.id().value(), instant(now - DOWN_MILLIS)))
                 .sorted(Comparator.comparing(BackendServer::id))
                 .toList());
         if (ordered.isEmpty()) {
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonGuardTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonGuardTest.java
@@ -169,6 +169,24 @@
         assertNotEquals(nextCall().port(), nextCall().port());
     }
 
+    /** Guards against suspects that no server takes any more, because all have crashed once and come back under their ids. */
+    @Test
+    public void suspectStartsOnAServerThatHasComeBackUnderItsId() {
+        BackendServer first = addServer(false);
+        BackendServer second = addServer(false);
+        for (int crashes = 0; crashes < 2; crashes++) {
+            send("/book/a", "r" + crashes, "innocent");
+            FakeHttpClient.Call call = nextCall();
+            dead.add(call.port() == first.address().port() ? first.id() : second.id());
+            call.fail(new EOFException("closed"));
+            router.run(400);
+        }
+        dead.clear();
+        router.run(3_500);
+        send("/book/a", "again", "innocent");
+        assertEquals(router.calls().size(), handled + 1);
+    }
+
     /** Guards against copies of a suspect that crash several servers at once. */
     @Test
     public void copiesOfASuspectStartOneAfterTheOther() {
