--- a/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
@@ -121,7 +121,7 @@
         return new Object[][] {{6_067L}, {6_251L}, {6_375L}, {6_378L}};
     }
 
-    /** Guards against requests to the plain service that are sent on after the third crash, in histories that show it. */
+    /** Guards against requests that are sent on because the only gateway has started again and knows nothing. */
     @Test(dataProvider = "historiesThatBreakTheRule", groups = "known-red")
     public void poisonRequestsAreHeldBackInHistoriesThatWereFound(long seed) {
         assertHeldBack(seed);
