Tell how an answer's end was seen, and where a resumed stream goes on

Callers saw a stream with a part missing; no line of the gateway says whether the answer had a length or chunks, how long the stream had been silent when it ended, or with which event a resumed run began. So a crash that is taken for an end, a cut further down the path, and a run that resumes elsewhere look alike.

- route "ended with connection": a response without a length and chunks has ended, how that was read, and the time since its last event
- route "resumed": the id after which a stream was to go on, and that of the first event of the new run
- ends.unframed by kind

No decision changes.

--- a/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
@@ -105,6 +105,11 @@
         count("attempts", "end", end);
     }
 
+    /** Counts a response that has ended with its connection, without a length or chunks. */
+    public void countUnframedEnd(String end) {
+        count("ends.unframed", "end", end);
+    }
+
     /** Counts a request that the gateway itself has refused. */
     public void countRefusal(String cause) {
         count("refusals", "cause", cause);
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -60,6 +60,7 @@
     private volatile Throwable clientFailure;
     private volatile ConnectionFault connectionFault = ConnectionFault.NONE;
     private volatile long firstEventMillis;
+    private volatile long firstEventId = -1;
     private volatile ResponseHead receivedHead;
     private volatile HttpFields fields = HttpFields.EMPTY;
     private boolean writing;
@@ -139,6 +140,24 @@
         return firstEventMillis;
     }
 
+    /** Id of the first event of this attempt; -1 before. */
+    public long firstEventId() {
+        return firstEventId;
+    }
+
+    /** Id of the event after which the backend server was asked to resume the stream; -1 if it was not. */
+    public long resumedAfterId() {
+        return head.lastEventId().orElse(-1L);
+    }
+
+    /** Whether only the close of the connection can mark the end of the response; false before its head has arrived. */
+    public boolean endsWithConnection() {
+        ResponseHead received = receivedHead;
+        return received != null
+                && !received.framed()
+                && !HttpMethod.HEAD.is(exchange.request().method());
+    }
+
     /** Whether bytes of the response wait unread in the socket. */
     public boolean hasUnreadBytes() {
         Request out = request;
@@ -272,6 +291,7 @@
         Callback callback = Callback.from(() -> onRelayed(source, last), this::onWriteFailed);
         long now = clock.millis();
         firstEventMillis = firstEventMillis == 0 ? now : firstEventMillis;
+        firstEventId = splitter.firstId();
         try {
             exchange.relay(fields, events, splitter.lastId(), now, callback);
         } catch (RuntimeException e) {
--- a/gateway/src/main/java/org/cornelramp/gateway/request/EventSplitter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/EventSplitter.java
@@ -19,6 +19,7 @@
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
     private byte[] incomplete = EMPTY;
+    private long firstId = -1;
     private long lastId = -1;
     private boolean overflowed;
 
@@ -57,6 +58,11 @@
         return overflowed;
     }
 
+    /** Id of the first whole event; -1 if there was none. */
+    long firstId() {
+        return firstId;
+    }
+
     /** Id of the last whole event; -1 if there was none. */
     long lastId() {
         return lastId;
@@ -76,6 +82,7 @@
                 }
             }
             lastId = digits ? id : lastId;
+            firstId = firstId < 0 ? lastId : firstId;
         }
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/OverdueAttempts.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/OverdueAttempts.java
@@ -33,13 +33,15 @@
         return request.exchange().lastEventMillis() > attempt.startMillis();
     }
 
-    /** Records that events of the attempt have arrived; further calls for the same attempt have no effect. */
-    void recordFirstEvent(ActiveRequest request, Attempt attempt, long now) {
-        if (request.markFirstEvent()) {
+    /** Records that events of the attempt have arrived; true on the first call for the attempt. */
+    boolean recordFirstEvent(ActiveRequest request, Attempt attempt, long now) {
+        boolean first = request.markFirstEvent();
+        if (first) {
             attempt.path()
                     .ifPresent(
                             path -> lostAnswerDetector.recordBegun(path.first().id(), attempt.startMillis(), now));
         }
+        return first;
     }
 
     /** Why an attempt without an event is to be cancelled now; empty if it continues. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -244,6 +244,10 @@
         faults.run("notice", now, () -> serverNotices.handleResponseHead(attempt, now));
         faults.run("crash", now, () -> poisonGuard.attemptEnded(attempt, end, now));
         faults.run("outcome", now, () -> failureDetector.recordOutcome(attempt, end, now));
+        if (current && attempt.endsWithConnection()) {
+            meters.countUnframedEnd(end.kind().name());
+            routingLog.endedWithConnection(request, attempt, end, now);
+        }
         if (current) {
             boolean handled = faults.run(request, () -> settleAttempt(request, attempt, end, now));
             if (!handled) {
@@ -376,7 +380,9 @@
 
     private void handleFirstEvent(ActiveRequest request, Attempt attempt, long now) {
         dispatcher.recordPromptRead(request);
-        overdueAttempts.recordFirstEvent(request, attempt, now);
+        if (overdueAttempts.recordFirstEvent(request, attempt, now) && attempt.resumedAfterId() >= 0) {
+            routingLog.resumed(request, attempt);
+        }
     }
 
     /** Checks all requests; called about every {@link #TICK_MILLIS}. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RoutingLog.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RoutingLog.java
@@ -1,6 +1,7 @@
 package org.cornelramp.gateway.route;
 
 import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.path.StagePath;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.request.Attempt;
@@ -29,6 +30,30 @@
                 .write();
     }
 
+    /** A response has ended with its connection, without a length or chunks. */
+    void endedWithConnection(ActiveRequest request, Attempt attempt, AttemptEnd end, long nowMillis) {
+        Exchange exchange = request.exchange();
+        long quietSince = Math.max(exchange.lastEventMillis(), attempt.startMillis());
+        log.line("route", "ended with connection")
+                .with("id", exchange.request().id())
+                .with("server", attempt.server().id())
+                .with("path", attempt.path().map(StagePath::text).orElse(""))
+                .with("kind", end.kind())
+                .with("lastEvent", exchange.lastEventId().orElse(-1L))
+                .with("quietMillis", nowMillis - quietSince)
+                .write();
+    }
+
+    /** The first events of an attempt that resumes a stream have arrived. */
+    void resumed(ActiveRequest request, Attempt attempt) {
+        log.line("route", "resumed")
+                .with("id", request.exchange().request().id())
+                .with("server", attempt.server().id())
+                .with("lastEvent", attempt.resumedAfterId())
+                .with("nextEvent", attempt.firstEventId())
+                .write();
+    }
+
     /**
      * @param left retries left for the service; may include some that are reserved for started streams
      * @param waitsForRetry whether the request waits for a retry
