Frame the fake servers' answers by default

The answers of the fixtures had neither a length nor chunks, so tests of framed answers would change their meaning once the two are told apart. An engine's answer now comes in chunks and any other with its length; a test asks for another framing with setFraming, and ends the connection in order (close) or not (reset).

--- a/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
@@ -63,7 +63,7 @@
     }
 
     private static Response engineResponse() {
-        return engineResponse(HeaderFixtures.answer(ID));
+        return engineResponse(HeaderFixtures.chunked(HeaderFixtures.answer(ID)));
     }
 
     private static Response engineResponse(HttpFields head) {
@@ -195,7 +195,8 @@
         for (HttpField field : HeaderFixtures.answer(ID)) {
             head.add(field.getName(), field.getValue().equals(ID) ? ID : "another " + field.getValue());
         }
-        return head.put("Content-Type", "text/plain").put("Trailer", "X-After").asImmutable();
+        head.put("Content-Type", "text/plain").put("Trailer", "X-After");
+        return HeaderFixtures.chunked(head);
     }
 
     /** Guards against a started stream that is closed, or changed, by the headers of the response that resumes it. */
@@ -227,7 +228,7 @@
         first.onComplete(new Result(null, null, engineResponse(), new IllegalStateException("reset")));
 
         Attempt second = attempt(exchange);
-        Response foreign = engineResponse(HeaderFixtures.answer("another"));
+        Response foreign = engineResponse(HeaderFixtures.chunked(HeaderFixtures.answer("another")));
         second.onContent(foreign, source(chunk("id: 1\ndata: z\n\n", () -> {})));
         second.onComplete(new Result(null, foreign));
         assertEquals(ends.get(1).kind(), AttemptEnd.Kind.BROKEN, "it is retried");
--- a/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/FakeHttpClient.java
@@ -1,5 +1,7 @@
 package org.cornelramp.gateway.route;
 
+import java.io.EOFException;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -52,7 +54,18 @@
         return new Call(port).request;
     }
 
-    /** One request and its response. */
+    /** How a response states where its body ends. Immutable, safe for use by any thread. */
+    enum Framing {
+        CHUNKED,
+        LENGTH,
+        /** The body ends with the connection. */
+        UNFRAMED
+    }
+
+    /**
+     * One request and its response. A response is framed unless {@link #setFraming} says otherwise: that of an engine is
+     * sent in chunks, any other with its length.
+     */
     final class Call {
         private final int port;
         private final HttpFields.Mutable headers = HttpFields.build();
@@ -65,6 +78,8 @@
         private Runnable demand;
         private Throwable aborted;
         private boolean ended;
+        private Framing framing;
+        private int length;
 
         private Call(int port) {
             this.port = port;
@@ -124,6 +139,55 @@
             return aborted != null;
         }
 
+        /** Sets how the response will be framed; called before its head. */
+        void setFraming(Framing given) {
+            framing = given;
+        }
+
+        private Framing framing() {
+            if (framing == null) {
+                framing = HeaderFixtures.enginePorts(this::header).isEmpty() ? Framing.LENGTH : Framing.CHUNKED;
+            }
+            return framing;
+        }
+
+        private HttpFields framed(HttpFields fields) {
+            return switch (framing()) {
+                case CHUNKED -> HeaderFixtures.chunked(fields);
+                case LENGTH -> HeaderFixtures.ofLength(length, fields);
+                case UNFRAMED -> fields;
+            };
+        }
+
+        /** Delivers the head of a successful response and the beginning of its body. */
+        void begin(HttpFields fields, byte[] body, int sent) {
+            length = body.length;
+            head(200, fields);
+            if (sent > 0) {
+                deliver(Content.Chunk.from(ByteBuffer.wrap(body, 0, sent), false));
+            }
+        }
+
+        /** Closes the connection in order, which ends an unframed response and breaks off any other. */
+        void close() {
+            if (response != null && framing() == Framing.UNFRAMED) {
+                finish();
+            } else {
+                fail(new EOFException("the connection was closed"));
+            }
+        }
+
+        /** Resets the connection. */
+        void reset() {
+            fail(new IOException("Connection reset"));
+        }
+
+        /** Ends a response of which all of the body has been delivered. */
+        void finish() {
+            deliver(Content.Chunk.EOF);
+            end(null);
+        }
+
         /** Delivers events of a successful stream. */
         void events(String id, String text) {
             events(id, text, () -> {});
@@ -140,6 +204,7 @@
         }
 
         private void events(HttpFields fields, String text, Runnable beforeWrite) {
+            framing = framing == null ? Framing.CHUNKED : framing;
             head(200, fields);
             ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
             deliver(Content.Chunk.from(bytes, false, ignored -> beforeWrite.run()));
@@ -154,8 +219,7 @@
         /** Ends a response normally. */
         void complete(int status, HttpFields fields) {
             head(status, fields);
-            deliver(Content.Chunk.EOF);
-            end(null);
+            finish();
         }
 
         /** Ends the request with a failure; that of an aborted request is the reason of the abort. */
@@ -165,9 +229,10 @@
 
         private void head(int status, HttpFields fields) {
             if (response == null) {
+                HttpFields sent = framed(fields);
                 response = Fakes.of(Response.class, (name, args) -> switch (name) {
                     case "getStatus" -> status;
-                    case "getHeaders" -> fields;
+                    case "getHeaders" -> sent;
                     default -> null;
                 });
                 onContent.onContentSource(response, source());
