--- a/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
@@ -40,6 +40,16 @@
         this(RequestFixtures.on(route, id, path, body, nowMillis));
     }
 
+    /**
+     * A client that resumes a stream by itself.
+     *
+     * @param lastEventId the last event that it has
+     * @param nowMillis when the request was received
+     */
+    public static FakeClient resuming(Route route, String id, long lastEventId, long nowMillis) {
+        return new FakeClient(RequestFixtures.resumption(route, id, lastEventId, nowMillis));
+    }
+
     private FakeClient(Exchange.ClientRequest request) {
         this.exchange =
                 new Exchange(request, response(), Callback.from(this::finish, this::close), () -> false, probe());
--- a/gateway/src/test/java/org/cornelramp/gateway/request/RequestFixtures.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/RequestFixtures.java
@@ -42,7 +42,17 @@
 
     /** A request on a route with this path and body. */
     static Exchange.ClientRequest on(Route route, String id, String path, byte[] body, long receivedMillis) {
-        HttpFields fields = HeaderFixtures.request(id);
+        return on(route, HeaderFixtures.request(id), path, body, receivedMillis);
+    }
+
+    /** A request on a route for the events after one that the client has. */
+    static Exchange.ClientRequest resumption(Route route, String id, long lastEventId, long receivedMillis) {
+        HttpFields fields = HeaderFixtures.resumption(id, lastEventId);
+        return on(route, fields, route.pathPrefix() + "a", new byte[0], receivedMillis);
+    }
+
+    private static Exchange.ClientRequest on(
+            Route route, HttpFields fields, String path, byte[] body, long receivedMillis) {
         return new Exchange.ClientRequest(
                 RequestHead.decode(fields),
                 "POST",
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -54,6 +54,8 @@
     private final RequestRouter router;
     private RepathAnswer repathAnswer = order -> Either.right(new byte[0]);
     private Function<BackendServer, Optional<PlatformFault>> reportFaults = engine -> Optional.empty();
+    private Function<BackendServer, Optional<PlatformFault>> connectFaults =
+            server -> reportFaults.apply(server).filter(fault -> fault.kind() != PlatformFault.Kind.CONFLICT);
     private boolean engineCallsRejected;
     private boolean failsNextEnd;
     private long failedEnds;
@@ -124,7 +126,7 @@
     private final class Calls implements EngineCalls {
         @Override
         public Optional<PlatformFault> connect(BackendServer server, long timeoutMillis) {
-            return reportFaults.apply(server).filter(fault -> fault.kind() != PlatformFault.Kind.CONFLICT);
+            return connectFaults.apply(server);
         }
 
         @Override
@@ -205,6 +207,11 @@
         reportFaults = faults;
     }
 
+    /** Sets which servers accept no connections, and why; otherwise those that do not answer requests for reports. */
+    void setConnectFaults(Function<BackendServer, Optional<PlatformFault>> faults) {
+        connectFaults = faults;
+    }
+
     /** Sets whether calls to engines are rejected because too many are queued. */
     void setEngineCallsRejected(boolean rejected) {
         engineCallsRejected = rejected;
@@ -212,7 +219,12 @@
 
     /** Puts a version of the configuration in force. */
     void publish(StandInConfig version) {
-        byte[] source = version.json().getBytes(StandardCharsets.UTF_8);
+        publish(version.json());
+    }
+
+    /** Puts a record of the configuration in force. */
+    void publish(String json) {
+        byte[] source = json.getBytes(StandardCharsets.UTF_8);
         config.offer(ConfigDecoder.decode(source).get(), source);
     }
 
@@ -263,6 +275,13 @@
         return client;
     }
 
+    /** Sends a client's request for the events of a stream after one that it has. */
+    FakeClient resume(String path, String id, long lastEventId) {
+        FakeClient client = FakeClient.resuming(route(path), id, lastEventId, now);
+        handle(new RouterEvent.RequestReceived(client.exchange()));
+        return client;
+    }
+
     /** Hands an event to the router at once, before the queued ones. */
     void handle(RouterEvent event) {
         router.handle(event, now);
