Soak: a share of the answers is unframed and ends with its connection

A process that ends between two events then closes its connection in order, which looks like the end of the answer. The soak's stand-ins framed each answer, so no run could show it.

The end of a server closes in order, as before. Stray bytes are put in on kept connections only: behind an unframed answer they would be part of it.

The check of whole answers needed no change but its message, which says if a server answered unframed.

--- a/bench/src/main/java/org/cornelramp/bench/fleet/Relay.java
+++ b/bench/src/main/java/org/cornelramp/bench/fleet/Relay.java
@@ -6,16 +6,19 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
  * A TCP proxy on loopback that can close, delay or silence the connections that pass through it.
  *
- * <p>Safe for use by any thread. A silenced connection stays open and forwards no more data; new connections work.
+ * <p>Safe for use by any thread. A silenced connection stays open and forwards no more data; new connections work. A
+ * connection that was reset at one end, or has lost data, is never closed in order at the other.
  */
 public final class Relay implements AutoCloseable {
     private static final int BUFFER = 16 << 10;
+    private static final String LAST_ANSWER = "\r\nConnection: close\r\n";
 
     private final int port;
     private final int target;
@@ -66,9 +69,14 @@
         connections.forEach(connection -> connection.silenced = true);
     }
 
-    /** Closes the connections that are open now. */
+    /** Closes the connections that are open now in order, as the end of a process does. */
     public void cut() {
-        connections.forEach(RelayedConnection::close);
+        connections.forEach(connection -> connection.close(false));
+    }
+
+    /** Resets the connections that are open now. */
+    public void reset() {
+        connections.forEach(connection -> connection.close(true));
     }
 
     /** Sets whether new connections are closed at once; together with {@link #cut} this simulates a broken link. */
@@ -152,6 +160,10 @@
         private final Socket clientSocket;
         private final Socket targetSocket;
         private volatile boolean silenced;
+        private volatile boolean lossy;
+
+        /** Whether the target has said that it closes the connection after its answer. */
+        private volatile boolean lastAnswer;
 
         RelayedConnection(Socket clientSocket, Socket targetSocket) {
             this.clientSocket = clientSocket;
@@ -165,27 +177,36 @@
                 OutputStream out = to.getOutputStream();
                 for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
                     Thread.sleep(delayMillis);
-                    if (!silenced && !blackholed && !(fromTarget && droppingResponses)) {
-                        out.write(buffer, 0, n);
-                        out.write(fromTarget ? removeStrayBytes() : new byte[0]);
+                    if (silenced || blackholed || (fromTarget && droppingResponses)) {
+                        lossy = true;
+                        continue;
+                    }
+                    out.write(buffer, 0, n);
+                    if (fromTarget) {
+                        lastAnswer |= new String(buffer, 0, n, StandardCharsets.ISO_8859_1).contains(LAST_ANSWER);
+                        // Bytes behind an answer that ends with its connection would belong to that answer.
+                        out.write(lastAnswer ? new byte[0] : removeStrayBytes());
                     }
                 }
             } catch (IOException e) {
-                // One end has closed; the other must see it too, unless the connection is silenced.
-                close();
+                // One end has failed; the other must see it too, unless the connection is silenced.
+                close(true);
                 return;
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-            close();
+            close(false);
         }
 
-        void close() {
-            if (silenced || blackholed) {
+        void close(boolean reset) {
+            if (silenced || blackholed || !connections.remove(this)) {
                 return;
             }
-            connections.remove(this);
             try {
+                if (reset || lossy) {
+                    clientSocket.setSoLinger(true, 0);
+                    targetSocket.setSoLinger(true, 0);
+                }
                 clientSocket.close();
                 targetSocket.close();
             } catch (IOException e) {
--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewayChecks.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewayChecks.java
@@ -101,7 +101,8 @@
         if (fromServer && call.isComplete() && !received.equals(expected)) {
             violations.add(
                     "whole",
-                    call.id() + " received " + received.size() + " lines of " + expected.size() + " as a whole answer");
+                    call.id() + " received " + received.size() + " lines of " + expected.size() + " as a whole answer"
+                            + (isAnsweredUnframed(call) ? ", a server answered unframed" : ""));
         }
         boolean wrongPrefix = !received.isEmpty() && !isPrefixOf(received, expected);
         if (fromServer && !call.isComplete() && wrongPrefix) {
@@ -109,6 +110,10 @@
         }
     }
 
+    private boolean isAnsweredUnframed(Call call) {
+        return observedRequestsById.getOrDefault(call.id(), List.of()).stream().anyMatch(ObservedRequest::isUnframed);
+    }
+
     private static boolean isPrefixOf(List<String> received, List<String> expected) {
         int last = received.size() - 1;
         return received.size() <= expected.size()
--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewayFault.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewayFault.java
@@ -180,7 +180,7 @@
             fault.backend().relay().setBlackholed(true);
             fault.sleepForDuration();
             fault.backend().relay().setBlackholed(false);
-            fault.backend().relay().cut();
+            fault.backend().relay().reset();
         }
     },
     BACKEND_LEAVES(Target.BACKEND) {
@@ -201,25 +201,25 @@
     BACKEND_SLOW(Target.BACKEND) {
         @Override
         void inject(ScheduledFault fault) throws InterruptedException {
-            fault.backend().server().setSlowdown(2 + fault.nextInt(4));
+            fault.backend().server().faults().setSlowdown(2 + fault.nextInt(4));
             fault.sleepForDuration();
-            fault.backend().server().setSlowdown(1);
+            fault.backend().server().faults().setSlowdown(1);
         }
     },
     BACKEND_FAILS(Target.BACKEND) {
         @Override
         void inject(ScheduledFault fault) throws InterruptedException {
-            fault.backend().server().setFailureRate(0.5);
+            fault.backend().server().faults().setFailureRate(0.5);
             fault.sleepForDuration();
-            fault.backend().server().setFailureRate(0);
+            fault.backend().server().faults().setFailureRate(0);
         }
     },
     BACKEND_LOSES_ANSWERS(Target.BACKEND) {
         @Override
         void inject(ScheduledFault fault) throws InterruptedException {
-            fault.backend().server().setAnswerLossRate(0.3);
+            fault.backend().server().faults().setAnswerLossRate(0.3);
             fault.sleepForDuration();
-            fault.backend().server().setAnswerLossRate(0);
+            fault.backend().server().faults().setAnswerLossRate(0);
         }
     },
     BACKEND_SILENCED(Target.BACKEND) {
@@ -231,7 +231,7 @@
     BACKEND_RESET(Target.BACKEND) {
         @Override
         void inject(ScheduledFault fault) {
-            fault.backend().relay().cut();
+            fault.backend().relay().reset();
         }
     },
     BACKEND_DELAYED(Target.BACKEND) {
@@ -256,9 +256,9 @@
 
         @Override
         void inject(ScheduledFault fault) throws InterruptedException {
-            fault.backend().server().setRequestsPerSecond(0.5 + fault.nextInt(8));
+            fault.backend().server().faults().setRequestsPerSecond(0.5 + fault.nextInt(8));
             Thread.sleep(LIMIT_MILLIS);
-            fault.backend().server().setRequestsPerSecond(0);
+            fault.backend().server().faults().setRequestsPerSecond(0);
         }
     },
     BACKEND_ASKS_FOR_REST(Target.BACKEND) {
@@ -269,9 +269,9 @@
 
         @Override
         void inject(ScheduledFault fault) throws InterruptedException {
-            fault.backend().server().setRestSeconds(1 + fault.nextInt(3));
+            fault.backend().server().faults().setRestSeconds(1 + fault.nextInt(3));
             fault.sleepForDuration();
-            fault.backend().server().setRestSeconds(0);
+            fault.backend().server().faults().setRestSeconds(0);
         }
     },
     BACKEND_ANNOUNCES_LEAVING(Target.BACKEND) {
--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewaySoakCommand.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewaySoakCommand.java
@@ -16,6 +16,7 @@
 import org.cornelramp.bench.BenchContext;
 import org.cornelramp.bench.fleet.FleetException;
 import org.cornelramp.bench.soak.Violations;
+import org.cornelramp.platform.standin.ObservedRequest;
 import org.cornelramp.platform.standin.StandInFleet;
 
 /**
@@ -81,6 +82,7 @@
         try (GatewayEnvironment environment = new GatewayEnvironment(home, folder, gateways)) {
             environment.start();
             PoisonRecords poisonRecords = new PoisonRecords();
+            environment.backends().forEach(backend -> backend.answerUnframed(seed));
             environment.backends().forEach(backend -> backend.crashUnder(poisonRecords, environment.faultHistory()));
             faults = new GatewayFaultInjector(environment, violations, seed, seconds * 1_000L, notices);
             GatewayLoad load = new GatewayLoad(environment, calls, poison, seed);
@@ -99,6 +101,7 @@
                             environment.faultHistory(),
                             violations)
                     .run(poison);
+            reportUnframed(environment.fleet().observedRequests());
         }
         report(seed, folder, faults, calls.all(), violations);
         return violations;
@@ -171,6 +174,16 @@
         }
     }
 
+    private static void reportUnframed(List<ObservedRequest> observed) {
+        List<ObservedRequest> unframed =
+                observed.stream().filter(ObservedRequest::isUnframed).toList();
+        System.out.printf(
+                Locale.ROOT,
+                "unframed answers: %d, of these cut by the end of their server: %d%n",
+                unframed.size(),
+                unframed.stream().filter(ObservedRequest::isCut).count());
+    }
+
     private static void report(
             long seed, Path folder, GatewayFaultInjector faults, List<Call> calls, Violations violations) {
         if (!violations.all().isEmpty()) {
--- a/bench/src/main/java/org/cornelramp/bench/gateway/SoakBackend.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/SoakBackend.java
@@ -1,5 +1,6 @@
 package org.cornelramp.bench.gateway;
 
+import java.util.SplittableRandom;
 import org.cornelramp.bench.fleet.Ports;
 import org.cornelramp.bench.fleet.Relay;
 import org.cornelramp.core.settings.HostPort;
@@ -15,6 +16,11 @@
     private static final long POISON_LAPSE_MILLIS = 800;
     private static final long POISON_DOWN_MILLIS = 2_500;
 
+    /** One stream in so many, and one other answer in so many, ends with its connection. */
+    private static final int UNFRAMED_STREAM_SHARE = 5;
+
+    private static final int UNFRAMED_BODY_SHARE = 10;
+
     private final StandInBackend server;
     private final Relay relay;
     private final boolean engine;
@@ -48,9 +54,15 @@
         return engine;
     }
 
+    /** Sends a share of the answers, which follows from the seed, with neither a length nor chunks. */
+    void answerUnframed(long seed) {
+        int share = engine ? UNFRAMED_STREAM_SHARE : UNFRAMED_BODY_SHARE;
+        server.faults().setUnframed(answer -> new SplittableRandom(seed ^ answer.hashCode()).nextInt(share) == 0);
+    }
+
     /** Lets requests with these paths crash the server whenever it runs them. */
     void crashUnder(PoisonRecords poison, FaultHistory faultHistory) {
-        server.setPoison(PoisonRecords::isPoison, path -> crash(path, poison, faultHistory));
+        server.faults().setPoison(PoisonRecords::isPoison, path -> crash(path, poison, faultHistory));
     }
 
     private void crash(String path, PoisonRecords poison, FaultHistory faultHistory) {
