--- a/gateway/src/main/java/org/cornelramp/gateway/route/UnframedEnds.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/UnframedEnds.java
@@ -88,9 +88,11 @@
         unconfirmed.put(request, new Unconfirmed(attempt, end, now, servers));
         if (attempt.path().isPresent() && hasStalled(request, attempt, now)) {
             settle(request, Optional.of("the stream stalled before its end"), now);
-            return;
+        } else if (attempt.path().isEmpty() && healthPath(attempt.server()).isEmpty()) {
+            settle(request, Optional.of("the configuration names no health path to ask for a sign of life"), now);
+        } else {
+            ask(servers, now);
         }
-        ask(servers, now);
     }
 
     /** An engine that waits for another one of the path sends nothing until it gives up. */
