Ask for signs of life on threads of their own, and name the engine that has ended

Found in review of the mend of unframed ends, each shown by a trial there: - questions held the eight threads of probes and moves, again and again while the last was pending: with 4 to 12 busy plain servers a probe of a dead engine took 1.2 to 8 s. They have their own threads, and one question a server is pending at a time. - a stream that was resumed because an engine of its path had ended could go through it again, and the first engine was blamed. The end names that engine now, and the crash observer hears every result. - a server whose registration had changed meanwhile was not recognised; servers are awaited by id. - a question that was sent just before the end in the same millisecond counted; questions are numbered. - a stream of one engine that was read late counted as stalled; only other engines of a path can stall it.

--- a/gateway/src/main/java/org/cornelramp/gateway/request/AttemptEnd.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/AttemptEnd.java
@@ -75,9 +75,13 @@
         return new AttemptEnd(kind.confirmed(), status, fields, body, faultAt, detail);
     }
 
-    /** The end of an unframed response that is not known to be complete. */
-    public AttemptEnd refuted(String why) {
-        return without(Kind.BROKEN, why);
+    /**
+     * The end of an unframed response that is not known to be complete.
+     *
+     * @param endedAt engine of the path, other than the first, that is known to have ended
+     */
+    public AttemptEnd refuted(String why, Optional<HostPort> endedAt) {
+        return new AttemptEnd(Kind.BROKEN, 0, HttpFields.EMPTY, new byte[0], endedAt, why);
     }
 
     /** An end without a response. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
@@ -43,7 +43,7 @@
     private static final long PROBE_PAUSE_MILLIS = 250;
 
     /** Time that a server has to give a sign of life; a plain server may answer only when a slot is free. */
-    private static final long LIFE_TIMEOUT_MILLIS = 250;
+    private static final long LIFE_TIMEOUT_MILLIS = 150;
 
     private static final long CHECK_PAUSE_MILLIS = 100;
 
@@ -71,6 +71,7 @@
 
     private final EngineCalls calls;
     private final Executor threads;
+    private final Executor lifeThreads;
     private final Map<BackendServerId, ProbePause> pauses = new HashMap<>();
     private final Map<BackendServerId, Long> checkPauses = new HashMap<>();
 
@@ -98,22 +99,28 @@
     /**
      * @param calls blocking calls to engines
      * @param threads run the calls; may reject them
+     * @param lifeThreads run the questions for signs of life; may reject them
      */
-    AsyncEngineControl(EngineCalls calls, Executor threads) {
+    AsyncEngineControl(EngineCalls calls, Executor threads, Executor lifeThreads) {
         this.calls = calls;
         this.threads = threads;
+        this.lifeThreads = lifeThreads;
     }
 
     /** Makes the calls on threads of its own. */
     public static AsyncEngineControl withOwnThreads(EngineCalls calls) {
-        ThreadPoolExecutor threads = new ThreadPoolExecutor(
+        return new AsyncEngineControl(calls, pool("engines"), pool("life"));
+    }
+
+    private static Executor pool(String name) {
+        ThreadPoolExecutor pool = new ThreadPoolExecutor(
                 THREADS, THREADS, 5, TimeUnit.SECONDS, new ArrayBlockingQueue<>(QUEUE_CAPACITY), task -> {
-                    Thread thread = new Thread(task, "engines");
+                    Thread thread = new Thread(task, name);
                     thread.setDaemon(true);
                     return thread;
                 });
-        threads.allowCoreThreadTimeOut(true);
-        return new AsyncEngineControl(calls, threads);
+        pool.allowCoreThreadTimeOut(true);
+        return pool;
     }
 
     /**
@@ -184,16 +191,20 @@
     }
 
     /**
-     * Asks a server for a sign of life; false if too many calls are queued.
+     * Asks a server for a sign of life, on threads that serve nothing else: a busy server may take its time.
      *
      * @param healthPath path of the health of a plain server
+     * @param question number that the result carries
      * @param lagMillis recent scheduling delay of this process, by which the answer may be read later
+     * @return whether a result follows; false if too many calls are queued
      */
     boolean askForLife(
-            BackendServer server, String healthPath, Consumer<RouterEvent> router, long lagMillis, long now) {
+            BackendServer server, String healthPath, long question, Consumer<RouterEvent> router, long lagMillis) {
         long timeout = LIFE_TIMEOUT_MILLIS + LAG_FACTOR * lagMillis;
         return submit(
-                () -> router.accept(new RouterEvent.LifeAsked(server, now, askForLife(server, healthPath, timeout))));
+                lifeThreads,
+                () -> router.accept(
+                        new RouterEvent.LifeAsked(server, question, askForLife(server, healthPath, timeout))));
     }
 
     private Optional<PlatformFault> askForLife(BackendServer server, String healthPath, long timeoutMillis) {
@@ -237,8 +248,12 @@
     }
 
     private boolean submit(Runnable call) {
+        return submit(threads, call);
+    }
+
+    private static boolean submit(Executor executor, Runnable call) {
         try {
-            threads.execute(call);
+            executor.execute(call);
             return true;
         } catch (RejectedExecutionException e) {
             return false; // the caller retries at its next tick
--- a/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
@@ -156,6 +156,11 @@
         }
     }
 
+    /** Observes whether a server has given a sign of life when it was asked for one. */
+    void lifeAsked(BackendServer server, Optional<PlatformFault> fault, long now) {
+        fault.ifPresentOrElse(why -> recordFault(server, why, now), () -> recordSignOfLife(server.id(), now));
+    }
+
     private void recordFault(BackendServer server, PlatformFault fault, long now) {
         if (fault.kind() == PlatformFault.Kind.NOT_LISTENING) {
             recordEnd(server.id(), Sign.NOT_LISTENING, now);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -183,6 +183,7 @@
         } else if (event instanceof RouterEvent.ConnectionChecked checked) {
             crashObserver.connectionChecked(checked.server(), checked.fault(), now);
         } else if (event instanceof RouterEvent.LifeAsked asked) {
+            crashObserver.lifeAsked(asked.server(), asked.fault(), now);
             unframedEnds.handleLifeAsked(asked, now);
         } else if (event instanceof RouterEvent.PoisonCleared cleared) {
             poisonGuard.clear(cleared.fingerprint(), now);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
@@ -57,10 +57,10 @@
     /**
      * A server was asked for a sign of life.
      *
-     * @param askedMillis time on the steady clock before the question was sent
+     * @param question number of the question; a later one was sent later
      * @param fault why there is none; empty if this incarnation has answered
      */
-    record LifeAsked(BackendServer server, long askedMillis, Optional<PlatformFault> fault) implements RouterEvent {}
+    record LifeAsked(BackendServer server, long question, Optional<PlatformFault> fault) implements RouterEvent {}
 
     /** An operator clears a request of the crashes so far. */
     record PoisonCleared(String fingerprint) implements RouterEvent {}
--- a/gateway/src/main/java/org/cornelramp/gateway/route/UnframedEnds.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/UnframedEnds.java
@@ -1,5 +1,6 @@
 package org.cornelramp.gateway.route;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
@@ -10,9 +11,9 @@
 import java.util.function.Consumer;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
-import org.cornelramp.core.path.Hop;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.core.routing.ServiceSpec;
+import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.request.Attempt;
@@ -33,9 +34,6 @@
     /** Longest wait for the signs of life, in milliseconds; clients leave a silent stream after two seconds. */
     private static final long MAX_WAIT_MILLIS = 1_000;
 
-    /** Time after which a server that has not answered is asked again, in milliseconds. */
-    private static final long ASK_PAUSE_MILLIS = 100;
-
     private final FleetState fleet;
     private final ConfigHolder config;
     private final AsyncEngineControl engineControl;
@@ -45,15 +43,27 @@
     private final Consumer<RouterEvent> router;
     private final Settler settler;
     private final IdentityHashMap<ActiveRequest, Unconfirmed> unconfirmed = new IdentityHashMap<>();
-    private final Map<BackendServerId, Long> askedMillis = new HashMap<>();
+
+    /** Servers that have been asked and whose result is still due. */
+    private final Set<BackendServerId> asked = new HashSet<>();
+
+    private long questions;
 
     /** Handles the end of an attempt that has been decided. */
     interface Settler {
         void settle(ActiveRequest request, Attempt attempt, AttemptEnd end, long nowMillis);
     }
 
-    /** @param awaited the servers that have given no sign of life since the end */
-    private record Unconfirmed(Attempt attempt, AttemptEnd end, long endMillis, Set<BackendServer> awaited) {}
+    /**
+     * @param questionsBefore number of questions that were asked before the end, which say nothing about it
+     * @param awaited the servers that have given no sign of life since the end
+     */
+    private record Unconfirmed(
+            Attempt attempt,
+            AttemptEnd end,
+            long endMillis,
+            long questionsBefore,
+            Map<BackendServerId, BackendServer> awaited) {}
 
     /**
      * @param stallMillis time after which a first engine closes the streams that wait for an engine of their path
@@ -81,24 +91,30 @@
 
     /** Decides about the end of a request's attempt, which is unframed; the decision follows within a second. */
     void decide(ActiveRequest request, Attempt attempt, AttemptEnd end, long now) {
-        Set<BackendServer> servers = new HashSet<>(attempt.path().map(StagePath::hops).orElse(List.of()).stream()
-                .map(Hop::server)
-                .toList());
-        servers.add(attempt.server());
-        unconfirmed.put(request, new Unconfirmed(attempt, end, now, servers));
-        if (attempt.path().isPresent() && hasStalled(request, attempt, now)) {
-            settle(request, Optional.of("the stream stalled before its end"), now);
+        Map<BackendServerId, BackendServer> servers = new HashMap<>();
+        attempt.path()
+                .map(StagePath::hops)
+                .orElse(List.of())
+                .forEach(hop -> servers.put(hop.server().id(), hop.server()));
+        servers.put(attempt.server().id(), attempt.server());
+        unconfirmed.put(request, new Unconfirmed(attempt, end, now, questions, servers));
+        if (servers.size() > 1 && hasStalled(request, attempt, now)) {
+            settle(request, Optional.of("the stream stalled before its end"), Optional.empty(), now);
         } else if (attempt.path().isEmpty() && healthPath(attempt.server()).isEmpty()) {
-            settle(request, Optional.of("the configuration names no health path to ask for a sign of life"), now);
+            settle(
+                    request,
+                    Optional.of("the configuration names no health path to ask for a sign of life"),
+                    Optional.empty(),
+                    now);
         } else {
-            ask(servers, now);
+            ask(servers.values());
         }
     }
 
     /** An engine that waits for another one of the path sends nothing until it gives up. */
     private boolean hasStalled(ActiveRequest request, Attempt attempt, long now) {
         long since = Math.max(request.exchange().lastEventMillis(), attempt.startMillis());
-        return now - since > stallMillis - stallMillis / 4;
+        return now - since > stallMillis - stallMillis / 4 + fleet.lagMillis();
     }
 
     /** Whether the end of a request's last attempt is not decided yet. */
@@ -111,55 +127,53 @@
         unconfirmed.remove(request);
     }
 
-    /** Handles the answer to a question of {@link #ask}, or that there is none. */
-    void handleLifeAsked(RouterEvent.LifeAsked asked, long now) {
-        BackendServer server = asked.server();
-        askedMillis.remove(server.id(), asked.askedMillis());
+    /** Handles the result of a question. */
+    void handleLifeAsked(RouterEvent.LifeAsked result, long now) {
+        asked.remove(result.server().id());
         for (Map.Entry<ActiveRequest, Unconfirmed> one : List.copyOf(unconfirmed.entrySet())) {
             Unconfirmed end = one.getValue();
-            if (end.awaited().contains(server) && asked.askedMillis() >= end.endMillis()) {
-                handleLifeAsked(one.getKey(), end, asked, now);
+            boolean awaited = end.awaited().containsKey(result.server().id());
+            if (awaited && result.question() > end.questionsBefore()) {
+                handleLifeAsked(one.getKey(), end, result, now);
             }
         }
     }
 
-    private void handleLifeAsked(ActiveRequest request, Unconfirmed end, RouterEvent.LifeAsked asked, long now) {
-        Optional<PlatformFault> fault = asked.fault();
+    private void handleLifeAsked(ActiveRequest request, Unconfirmed end, RouterEvent.LifeAsked result, long now) {
+        BackendServer server = result.server();
+        Optional<PlatformFault> fault = result.fault();
         if (fault.isEmpty()) {
-            end.awaited().remove(asked.server());
+            end.awaited().remove(server.id());
             if (end.awaited().isEmpty()) {
-                settle(request, Optional.empty(), now);
+                settle(request, Optional.empty(), Optional.empty(), now);
             }
         } else if (fault.get().kind() == PlatformFault.Kind.NOT_LISTENING
                 || fault.get().kind() == PlatformFault.Kind.CONFLICT) {
-            settle(request, Optional.of("server " + asked.server().id() + " has ended: " + fault.get()), now);
+            String why = "server " + server.id() + " has ended: " + fault.get();
+            settle(request, Optional.of(why), Optional.of(server), now);
         }
     }
 
     /** Asks again where there is no answer, and decides where none has come in time. */
     void check(long now) {
-        if (unconfirmed.isEmpty()) {
-            askedMillis.clear();
-            return;
-        }
         for (Map.Entry<ActiveRequest, Unconfirmed> one : List.copyOf(unconfirmed.entrySet())) {
             Unconfirmed end = one.getValue();
             if (now - end.endMillis() >= MAX_WAIT_MILLIS) {
-                List<BackendServerId> silent =
-                        end.awaited().stream().map(BackendServer::id).toList();
-                settle(one.getKey(), Optional.of("no sign of life from " + silent), now);
+                String why = "no sign of life from " + end.awaited().keySet();
+                settle(one.getKey(), Optional.of(why), Optional.empty(), now);
             } else {
-                ask(end.awaited(), now);
+                ask(end.awaited().values());
             }
         }
     }
 
-    private void ask(Set<BackendServer> servers, long now) {
+    private void ask(Collection<BackendServer> servers) {
         for (BackendServer server : servers) {
-            Long last = askedMillis.get(server.id());
-            boolean due = last == null || now - last >= ASK_PAUSE_MILLIS;
-            if (due && engineControl.askForLife(server, healthPath(server), router, fleet.lagMillis(), now)) {
-                askedMillis.put(server.id(), now);
+            long question = questions + 1;
+            if (!asked.contains(server.id())
+                    && engineControl.askForLife(server, healthPath(server), question, router, fleet.lagMillis())) {
+                asked.add(server.id());
+                questions = question;
             }
         }
     }
@@ -171,10 +185,16 @@
                 .orElse("");
     }
 
-    /** @param fault why the response does not count as complete; empty if it does */
-    private void settle(ActiveRequest request, Optional<String> fault, long now) {
+    /**
+     * @param fault why the response does not count as complete; empty if it does
+     * @param ended the server that is known to have ended
+     */
+    private void settle(ActiveRequest request, Optional<String> fault, Optional<BackendServer> ended, long now) {
         Unconfirmed one = unconfirmed.remove(request);
-        AttemptEnd end = fault.map(one.end()::refuted).orElseGet(one.end()::confirmed);
+        Optional<HostPort> other = ended.filter(
+                        server -> !server.id().equals(one.attempt().server().id()))
+                .map(BackendServer::address);
+        AttemptEnd end = fault.map(why -> one.end().refuted(why, other)).orElseGet(one.end()::confirmed);
         meters.countUnframedEnd(fault.isEmpty() ? "confirmed" : "refuted");
         log.line("route", fault.isEmpty() ? "end confirmed" : "end refuted")
                 .with("id", request.exchange().request().id())
--- a/gateway/src/test/java/org/cornelramp/gateway/route/ProbePauseTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/ProbePauseTest.java
@@ -19,7 +19,7 @@
     @BeforeMethod
     public void answer() {
         calls.clear();
-        control = new AsyncEngineControl(null, calls::add);
+        control = new AsyncEngineControl(null, calls::add, calls::add);
         control.recordAnswer(engine.id(), ANSWERED_MILLIS);
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -90,7 +90,7 @@
                  "metrics":"127.0.0.1:3","peers":"127.0.0.1:4","store":"127.0.0.1:5"%s}"""
                         .formatted(name, more);
         GatewaySettings settings = new GatewaySettingsReader().read(text).get();
-        AsyncEngineControl engineControl = new AsyncEngineControl(new Calls(), this::submit);
+        AsyncEngineControl engineControl = new AsyncEngineControl(new Calls(), this::submit, this::submit);
         router = new RequestRouter(
                 settings,
                 route -> http,
