--- a/gateway/src/test/java/org/cornelramp/gateway/CutConnectionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/CutConnectionTest.java
@@ -79,6 +79,7 @@
     @BeforeClass
     public void start() throws Exception {
         listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        listener.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
         clients.start();
     }
 
@@ -133,7 +134,7 @@
                 server.name(), 9_000, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
         CompletableFuture<AttemptEnd> ended = new CompletableFuture<>();
         Attempt attempt = new Attempt(
-                clients.pooled(), client.exchange(), server, head, () -> 1, (any, end) -> ended.complete(end));
+                clients.unpooled(), client.exchange(), server, head, () -> 1, (any, end) -> ended.complete(end));
         attempt.start(0);
         respond(response, sent, reset);
         AttemptEnd end = ended.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
