Take an accepted connection for no sign of life of a server that may have crashed

What callers saw: a request that crashes servers goes on crashing them where the port of a server that has ended still accepts connections (a relay, a supervisor).

Cause: CrashObserver.connectionChecked took an accepted connection for a sign of life and forgot the broken one.

Change: where a connection is accepted, the server is asked for a sign of life; after three questions without an answer it counts as crashed (evidence UNANSWERED), which a later answer takes back. LifeQuestions asks for this class and for UnframedEnds, one question a server at a time.

Why it works: only the process itself can answer. Nothing is asked while no connection breaks.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
@@ -40,11 +40,15 @@
      */
     private static final long CHECK_MILLIS = 1_000;
 
+    /** Questions without an answer after which a server whose port accepts connections counts as crashed. */
+    private static final int MAX_UNANSWERED = 3;
+
     /** Most requests that one log line names. */
     private static final int MAX_LOGGED_REQUESTS = 8;
 
     private final FleetState fleet;
     private final AsyncEngineControl engineControl;
+    private final LifeQuestions questions;
     private final EventLog log;
     private final Meters meters;
     private final Consumer<RouterEvent> router;
@@ -53,8 +57,17 @@
     private BiConsumer<Crash, Long> onCrash = (crash, nowMillis) -> {};
     private BiConsumer<BackendServerId, Long> onSignOfLife = (server, nowMillis) -> {};
 
-    /** A server whose connections have broken, and until when it is looked for at its address. */
-    private record Unchecked(BackendServer server, long untilMillis) {}
+    /**
+     * A server whose connections have broken.
+     *
+     * @param untilMillis until when it is looked for at its address
+     * @param unanswered questions for a sign of life that it has not answered since
+     */
+    private record Unchecked(BackendServer server, long untilMillis, int unanswered) {
+        Unchecked withUnanswered() {
+            return new Unchecked(server, untilMillis, unanswered + 1);
+        }
+    }
 
     /** What shows that a server has ended. Immutable, safe for use by any thread. */
     private enum Sign {
@@ -64,6 +77,8 @@
         ANOTHER_SERVER(true),
         /** Its registration is gone, although it was not leaving; it may have lapsed in an outage of the store. */
         UNREGISTERED(false),
+        /** Its port accepts connections, and it does not answer; its process may be gone behind a relay. */
+        UNANSWERED(false),
         /** Its end has been seen before; a further request has ended with it. */
         SEEN_BEFORE(true);
 
@@ -78,11 +93,13 @@
     CrashObserver(
             FleetState fleet,
             AsyncEngineControl engineControl,
+            LifeQuestions questions,
             EventLog log,
             Meters meters,
             Consumer<RouterEvent> router) {
         this.fleet = fleet;
         this.engineControl = engineControl;
+        this.questions = questions;
         this.log = log;
         this.meters = meters;
         this.router = router;
@@ -127,7 +144,7 @@
         boolean starting = isStarting(attempt, now);
         String fingerprint = attempt.exchange().request().fingerprint();
         engineControl.checkConnection(server, router, fleet.lagMillis(), now);
-        unchecked.put(server.id(), new Unchecked(server, now + CHECK_MILLIS));
+        unchecked.put(server.id(), new Unchecked(server, now + CHECK_MILLIS, 0));
         evidence.recordBreak(server.id(), fingerprint, starting, now)
                 .ifPresent(crash -> handleCrash(crash, Sign.SEEN_BEFORE, now));
     }
@@ -147,18 +164,29 @@
         }
     }
 
-    /** Observes the result of a connection check. One that comes late may be that of another server at the address. */
+    /**
+     * Observes the result of a connection check. An accepted connection is no sign of life, since a relay may hold the
+     * port; so the server is asked for one. A result that comes late may be that of another server at the address.
+     */
     void connectionChecked(BackendServer server, Optional<PlatformFault> fault, long now) {
         if (fault.isPresent()) {
             recordFault(server, fault.get(), now);
         } else if (unchecked.containsKey(server.id())) {
-            recordSignOfLife(server.id(), now);
+            questions.ask(server);
         }
     }
 
     /** Observes whether a server has given a sign of life when it was asked for one. */
     void lifeAsked(BackendServer server, Optional<PlatformFault> fault, long now) {
-        fault.ifPresentOrElse(why -> recordFault(server, why, now), () -> recordSignOfLife(server.id(), now));
+        if (fault.isEmpty()) {
+            recordSignOfLife(server.id(), now);
+            return;
+        }
+        recordFault(server, fault.get(), now);
+        Unchecked one = unchecked.computeIfPresent(server.id(), (id, before) -> before.withUnanswered());
+        if (one != null && one.unanswered() >= MAX_UNANSWERED) {
+            recordEnd(server.id(), Sign.UNANSWERED, now);
+        }
     }
 
     private void recordFault(BackendServer server, PlatformFault fault, long now) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -60,6 +60,7 @@
     private final EngineResultHandler engineResults;
     private final CrashObserver crashObserver;
     private final PoisonGuard poisonGuard;
+    private final LifeQuestions lifeQuestions;
     private final UnframedEnds unframedEnds;
     private final RequestEnder ender;
     private volatile FleetView view = FleetView.EMPTY;
@@ -93,7 +94,8 @@
         this.sharedRetries = new SharedRetries(settings.name(), settings.retries(), random);
         this.failureDetector =
                 new FailureDetector(fleet, engineControl, settings.timing().stallMillis(), log, meters, events);
-        this.crashObserver = new CrashObserver(fleet, engineControl, log, meters, events);
+        this.lifeQuestions = new LifeQuestions(fleet, config, engineControl, events);
+        this.crashObserver = new CrashObserver(fleet, engineControl, lifeQuestions, log, meters, events);
         this.poisonGuard = new PoisonGuard(activeRequests.values(), crashObserver, log, meters);
         this.peerUpdateHandler = new PeerUpdateHandler(
                 settings.name(),
@@ -110,14 +112,7 @@
         this.streamMonitor =
                 new StreamMonitor(fleet, engineControl, failureDetector, overdueAttempts, faults, log, events);
         this.unframedEnds = new UnframedEnds(
-                fleet,
-                config,
-                engineControl,
-                settings.timing().stallMillis(),
-                log,
-                meters,
-                events,
-                this::settleUnframed);
+                fleet, lifeQuestions, settings.timing().stallMillis(), log, meters, this::settleUnframed);
         this.ender = new RequestEnder(
                 activeRequests,
                 activeRequestCount,
@@ -183,6 +178,7 @@
         } else if (event instanceof RouterEvent.ConnectionChecked checked) {
             crashObserver.connectionChecked(checked.server(), checked.fault(), now);
         } else if (event instanceof RouterEvent.LifeAsked asked) {
+            lifeQuestions.handleResult(asked);
             crashObserver.lifeAsked(asked.server(), asked.fault(), now);
             unframedEnds.handleLifeAsked(asked, now);
         } else if (event instanceof RouterEvent.PoisonCleared cleared) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/UnframedEnds.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/UnframedEnds.java
@@ -1,18 +1,13 @@
 package org.cornelramp.gateway.route;
 
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.function.Consumer;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.StagePath;
-import org.cornelramp.core.routing.ServiceSpec;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
@@ -35,20 +30,13 @@
     private static final long MAX_WAIT_MILLIS = 1_000;
 
     private final FleetState fleet;
-    private final ConfigHolder config;
-    private final AsyncEngineControl engineControl;
+    private final LifeQuestions questions;
     private final long stallMillis;
     private final EventLog log;
     private final Meters meters;
-    private final Consumer<RouterEvent> router;
     private final Settler settler;
     private final IdentityHashMap<ActiveRequest, Unconfirmed> unconfirmed = new IdentityHashMap<>();
 
-    /** Servers that have been asked and whose result is still due. */
-    private final Set<BackendServerId> asked = new HashSet<>();
-
-    private long questions;
-
     /** Handles the end of an attempt that has been decided. */
     interface Settler {
         void settle(ActiveRequest request, Attempt attempt, AttemptEnd end, long nowMillis);
@@ -67,25 +55,15 @@
 
     /**
      * @param stallMillis time after which a first engine closes the streams that wait for an engine of their path
-     * @param router receives the signs of life as events
      * @param settler called once with each end, unless its request is removed before
      */
     UnframedEnds(
-            FleetState fleet,
-            ConfigHolder config,
-            AsyncEngineControl engineControl,
-            long stallMillis,
-            EventLog log,
-            Meters meters,
-            Consumer<RouterEvent> router,
-            Settler settler) {
+            FleetState fleet, LifeQuestions questions, long stallMillis, EventLog log, Meters meters, Settler settler) {
         this.fleet = fleet;
-        this.config = config;
-        this.engineControl = engineControl;
+        this.questions = questions;
         this.stallMillis = stallMillis;
         this.log = log;
         this.meters = meters;
-        this.router = router;
         this.settler = settler;
     }
 
@@ -97,17 +75,17 @@
                 .orElse(List.of())
                 .forEach(hop -> servers.put(hop.server().id(), hop.server()));
         servers.put(attempt.server().id(), attempt.server());
-        unconfirmed.put(request, new Unconfirmed(attempt, end, now, questions, servers));
+        unconfirmed.put(request, new Unconfirmed(attempt, end, now, questions.count(), servers));
         if (servers.size() > 1 && hasStalled(request, attempt, now)) {
             settle(request, Optional.of("the stream stalled before its end"), Optional.empty(), now);
-        } else if (attempt.path().isEmpty() && healthPath(attempt.server()).isEmpty()) {
+        } else if (!questions.canAsk(attempt.server())) {
             settle(
                     request,
                     Optional.of("the configuration names no health path to ask for a sign of life"),
                     Optional.empty(),
                     now);
         } else {
-            ask(servers.values());
+            servers.values().forEach(questions::ask);
         }
     }
 
@@ -129,7 +107,6 @@
 
     /** Handles the result of a question. */
     void handleLifeAsked(RouterEvent.LifeAsked result, long now) {
-        asked.remove(result.server().id());
         for (Map.Entry<ActiveRequest, Unconfirmed> one : List.copyOf(unconfirmed.entrySet())) {
             Unconfirmed end = one.getValue();
             boolean awaited = end.awaited().containsKey(result.server().id());
@@ -162,29 +139,11 @@
                 String why = "no sign of life from " + end.awaited().keySet();
                 settle(one.getKey(), Optional.of(why), Optional.empty(), now);
             } else {
-                ask(end.awaited().values());
-            }
-        }
-    }
-
-    private void ask(Collection<BackendServer> servers) {
-        for (BackendServer server : servers) {
-            long question = questions + 1;
-            if (!asked.contains(server.id())
-                    && engineControl.askForLife(server, healthPath(server), question, router, fleet.lagMillis())) {
-                asked.add(server.id());
-                questions = question;
+                end.awaited().values().forEach(questions::ask);
             }
         }
     }
 
-    private String healthPath(BackendServer server) {
-        return config.current()
-                .flatMap(version -> version.service(server.service()))
-                .map(ServiceSpec::healthPath)
-                .orElse("");
-    }
-
     /**
      * @param fault why the response does not count as complete; empty if it does
      * @param ended the server that is known to have ended
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PeerUpdateHandlerTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PeerUpdateHandlerTest.java
@@ -37,7 +37,13 @@
         fleet = new FleetState("g1", 1_200);
         sharedRetries = new SharedRetries("g1", new GatewaySettings.Retries(0.2, 100, 10_000), new SplittableRandom(1));
         EventLog log = new EventLog(new ByteArrayOutputStream(), Clock.systemUTC(), "g1");
-        CrashObserver observer = new CrashObserver(fleet, null, log, new Meters(), event -> {});
+        CrashObserver observer = new CrashObserver(
+                fleet,
+                null,
+                new LifeQuestions(fleet, new ConfigHolder(), null, event -> {}),
+                log,
+                new Meters(),
+                event -> {});
         PoisonGuard poisonGuard = new PoisonGuard(List.of(), observer, log, new Meters());
         peerUpdateHandler = new PeerUpdateHandler("g1", HERE, fleet, sharedRetries, poisonGuard, (server, at) -> {});
     }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
@@ -43,7 +43,7 @@
     }
 
     /** Guards against servers whose end is not seen, since the relay before them still accepts connections. */
-    @Test(dataProvider = "kindsAndFleets", groups = "known-red")
+    @Test(dataProvider = "kindsAndFleets")
     public void requestIsHeldBackWhereRelaysAcceptConnectionsForDeadServers(Kind kind, int gateways) {
         PoisonFleet fleet = new PoisonFleet(gateways, ENGINES, PLAIN_SERVERS, 4906);
         fleet.setRelayed(true);
