Do not join a run that repeats events to a stream

An event that one run sent twice passed in the same way.

Cause: nothing compared ids. The splitter kept only the first and the last id, and Exchange took the maximum.

Change: the splitter knows the event that the stream was resumed after and returns nothing from a chunk with an id that isn't above the one before it; the attempt is cancelled with the reason, so it ends BROKEN, and the request is sent again from the last forwarded event or visibly broken off. It also ends BROKEN if the whole response had arrived before the abort, and is then no broken connection: CrashObserver would take that for a crash. Valid events of the same chunk before the repetition are dropped too; the next run sends them. Gaps and events without ids pass as before: ids needn't be consecutive.

Not changed: the retry isn't steered away from the engine that repeated events, as a cancelled attempt is no evidence against its engine.

--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -46,7 +46,7 @@
     private final ForwardedHead head;
     private final SteadyClock clock;
     private final BiConsumer<Attempt, AttemptEnd> onEnd;
-    private final EventSplitter splitter = new EventSplitter();
+    private final EventSplitter splitter;
     private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
     private final AtomicReference<AttemptEnd> reportedEnd = new AtomicReference<>();
     private final AtomicReference<ResponseHead> untakenHead = new AtomicReference<>();
@@ -93,6 +93,7 @@
         this.clock = clock;
         this.onEnd = onEnd;
         this.path = head.path().orElse(null);
+        this.splitter = new EventSplitter(resumedAfterId());
     }
 
     /** The client exchange that this attempt serves. */
@@ -280,6 +281,8 @@
         ByteBuffer events = splitter.consume(bytes);
         if (splitter.hasOverflowed()) {
             cancel("an event exceeds the size limit");
+        } else if (!splitter.disorder().isEmpty()) {
+            cancel(splitter.disorder());
         }
         return events;
     }
@@ -364,7 +367,7 @@
         }
         if (relaying) {
             boolean whole = contentEnded && splitter.isWhole();
-            connectionFault = whole ? ConnectionFault.NONE : ConnectionFault.BROKEN;
+            connectionFault = whole || cancelled ? ConnectionFault.NONE : ConnectionFault.BROKEN;
             AttemptEnd.Kind kind = endsWithConnection() ? AttemptEnd.Kind.RELAYED_UNFRAMED : AttemptEnd.Kind.RELAYED;
             return new AttemptEnd(
                     whole ? kind : AttemptEnd.Kind.BROKEN,
@@ -372,11 +375,16 @@
                     fields,
                     new byte[0],
                     responseHead.faultyEngine(),
-                    whole ? "" : "the stream ended in the middle of an event");
+                    whole ? "" : brokenDetail());
         }
         return bufferedEnd(responseHead);
     }
 
+    private String brokenDetail() {
+        String disorder = splitter.disorder();
+        return disorder.isEmpty() ? "the stream ended in the middle of an event" : disorder;
+    }
+
     private ConnectionFault connectionFault(Throwable failure) {
         if (cancelled || !(failure instanceof IOException) || failure instanceof SocketTimeoutException) {
             return ConnectionFault.NONE;
--- a/gateway/src/main/java/org/cornelramp/gateway/request/EventSplitter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/EventSplitter.java
@@ -10,6 +10,9 @@
  * <p>A backend server may fail in the middle of an event. If the first half were forwarded, another server could not
  * supply the rest, because it sends the whole event again. So only whole events are forwarded, and the id of the last
  * one tells another server where to resume.
+ *
+ * <p>Invariant: the ids of the returned events increase strictly, with or without gaps, from above that of the event
+ * after which the stream was resumed; from a chunk with an id that does not, nothing more is returned.
  */
 final class EventSplitter {
     private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
@@ -18,13 +21,34 @@
     /** Size above which an unfinished event counts as invalid; the largest valid events have a few kilobytes. */
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
+    private final long resumedAfterId;
     private byte[] incomplete = EMPTY;
     private long firstId = -1;
-    private long lastId = -1;
+    private long lastId;
+    private String disorder = "";
     private boolean overflowed;
 
-    /** Consumes bytes and returns the whole events that they complete; the caller owns the returned buffer. */
+    /** Splits a stream that begins with its first event. */
+    EventSplitter() {
+        this(-1);
+    }
+
+    /** @param resumedAfterId id of the event after which the stream was resumed; -1 if it was not */
+    EventSplitter(long resumedAfterId) {
+        this.resumedAfterId = resumedAfterId;
+        this.lastId = resumedAfterId;
+    }
+
+    /**
+     * Consumes bytes and returns the whole events that they complete; none once an id has not increased. The caller owns
+     * the returned buffer.
+     */
     ByteBuffer consume(ByteBuffer bytes) {
+        ByteBuffer events = split(bytes);
+        return disorder.isEmpty() ? events : ByteBuffer.allocate(0);
+    }
+
+    private ByteBuffer split(ByteBuffer bytes) {
         byte[] joined = Arrays.copyOf(incomplete, incomplete.length + bytes.remaining());
         bytes.get(joined, incomplete.length, bytes.remaining());
         int end = 0;
@@ -50,7 +74,7 @@
 
     /** Whether the bytes so far end with a whole event. */
     boolean isWhole() {
-        return incomplete.length == 0 && !overflowed;
+        return incomplete.length == 0 && !overflowed && disorder.isEmpty();
     }
 
     /** Whether an event exceeded the size limit, so that the rest of the stream cannot be parsed. */
@@ -58,17 +82,23 @@
         return overflowed;
     }
 
+    /** Which id was not above the one before it; empty if there was none. */
+    String disorder() {
+        return disorder;
+    }
+
     /** Id of the first whole event; -1 if there was none. */
     long firstId() {
         return firstId;
     }
 
-    /** Id of the last whole event; -1 if there was none. */
+    /** Id of the last whole event; if there was none, that of the event after which the stream was resumed, or -1. */
     long lastId() {
         return lastId;
     }
 
     private void readId(byte[] joined, int from, int to) {
+        long eventId = -1;
         for (int at = from; at < to; at = nextLine(joined, at, to)) {
             if (Arrays.mismatch(joined, at, Math.min(at + ID.length, to), ID, 0, ID.length) >= 0) {
                 continue;
@@ -81,9 +111,21 @@
                     digits = true;
                 }
             }
-            lastId = digits ? id : lastId;
-            firstId = firstId < 0 ? lastId : firstId;
+            eventId = digits ? id : eventId;
+        }
+        if (eventId >= 0) {
+            accept(eventId);
+        }
+    }
+
+    private void accept(long id) {
+        if (id <= lastId && disorder.isEmpty()) {
+            disorder = firstId < 0
+                    ? "the stream was resumed at event " + id + " instead of after " + resumedAfterId
+                    : "event " + id + " was sent after event " + lastId;
         }
+        lastId = Math.max(lastId, id);
+        firstId = firstId < 0 ? id : firstId;
     }
 
     private static int nextLine(byte[] joined, int from, int to) {
--- a/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
@@ -236,6 +236,26 @@
         assertFalse(exchange.isEnded());
     }
 
+    /** Guards against a living engine that counts as crashed because its response had arrived before its cancellation. */
+    @Test
+    public void wholeResponseWithARepeatedEventIsNoBrokenConnection() {
+        Exchange exchange = exchange();
+        Attempt attempt = attempt(exchange);
+        Response response = engineResponse();
+        attempt.onContent(
+                response,
+                source(
+                        chunk("id: 4\ndata: x\n\n", () -> {}),
+                        chunk("id: 4\ndata: x\n\n", () -> {}),
+                        Content.Chunk.EOF));
+        attempt.onComplete(new Result(null, response));
+        assertEquals(ends.get(0).kind(), AttemptEnd.Kind.BROKEN);
+        assertEquals(ends.get(0).detail(), "event 4 was sent after event 4");
+        assertEquals(attempt.connectionFault(), Attempt.ConnectionFault.NONE);
+        assertEquals(written, List.of("id: 4\ndata: x\n\n"));
+        assertFalse(exchange.isEnded());
+    }
+
     private Attempt attempt(Exchange exchange) {
         ForwardedHead head = new ForwardedHead(
                 engine().name(), 9_000, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
