Count a service's reply that may be cut as lost

Cause: HTTP lets the end of the connection end such a body, so the HTTP client reports a success, after a reset too (its connector reads one as a close), and HttpServiceClient took each success for a complete answer.

Change: such an answer is ANSWER_LOST, as when a connection breaks during an answer: the outcome is unknown. The message says that the service must send a Content-Length or chunks. Answers without a body (HEAD, 204, 304) are whole.

Price: a whole reply of a service that never frames its replies is lost too, with its status, and counts as a lost answer of its request; the two can't be told apart. Answers in JSON (log, engine steps, offers) are unchanged: a cut one is MALFORMED.

The system tests were not run.

--- a/ports/src/main/java/org/cornelramp/ports/http/HttpCalls.java
+++ b/ports/src/main/java/org/cornelramp/ports/http/HttpCalls.java
@@ -15,6 +15,7 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
@@ -83,11 +84,20 @@
         request.idleTimeout(timeoutMillis + MILLIS_PER_SECOND, TimeUnit.MILLISECONDS);
         request.onRequestBegin(sent -> startedSending.set(true));
         request.send(new BufferingResponseListener(MAX_ANSWER_BYTES) {
+            private volatile boolean endStated;
+
+            @Override
+            public boolean onHeader(Response response, HttpField field) {
+                endStated |= statesEnd(field); // read here, since the decoder of a body removes such headers
+                return super.onHeader(response, field);
+            }
+
             @Override
             public void onComplete(Result result) {
                 if (result.isSucceeded()) {
-                    future.complete(
-                            new HttpAnswer(result.getResponse().getStatus(), result.getResponse(), getContent()));
+                    Response response = result.getResponse();
+                    future.complete(new HttpAnswer(
+                            response.getStatus(), response, getContent(), endStated || hasNoBody(response)));
                 } else {
                     future.completeExceptionally(failure(result, startedSending.get()));
                 }
@@ -96,6 +106,17 @@
         return future;
     }
 
+    private static boolean statesEnd(HttpField field) {
+        return field.getHeader() == HttpHeader.CONTENT_LENGTH
+                || (field.getHeader() == HttpHeader.TRANSFER_ENCODING && field.contains("chunked"));
+    }
+
+    private static boolean hasNoBody(Response response) {
+        return response.getStatus() == HttpStatus.NO_CONTENT_204
+                || response.getStatus() == HttpStatus.NOT_MODIFIED_304
+                || HttpMethod.HEAD.is(response.getRequest().getMethod());
+    }
+
     private PlatformException failure(Result result, boolean startedSending) {
         Throwable cause = result.getFailure();
         if (startedSending && cause instanceof TimeoutException) {
@@ -156,8 +177,12 @@
         return "Answered with status " + answer.status() + ": " + part;
     }
 
-    /** One complete answer. */
-    record HttpAnswer(int status, Response response, byte[] body) {
+    /**
+     * One complete answer.
+     *
+     * @param framed whether the end of its body can be told from a connection that ends early
+     */
+    record HttpAnswer(int status, Response response, byte[] body, boolean framed) {
         HttpAnswer {
             body = body == null ? new byte[0] : body;
         }
--- a/ports/src/main/java/org/cornelramp/ports/http/HttpServiceClient.java
+++ b/ports/src/main/java/org/cornelramp/ports/http/HttpServiceClient.java
@@ -14,7 +14,8 @@
  * Client of a plain service over HTTP. Safe for use by any thread.
  *
  * <p>Every complete answer is a reply, whatever its status, since only the service defines what a status means for the
- * effect of the call.
+ * effect of the call. An answer whose end only the end of the connection marks is lost: a crash of the service would end
+ * it in the same way.
  */
 final class HttpServiceClient implements ServiceClient {
     private static final String KEY_HEADER = "Idempotency-Key";
@@ -40,8 +41,18 @@
             return CompletableFuture.failedFuture(new PlatformException(
                     PlatformException.Kind.NOT_SENT, "The path cannot be sent, correct it: " + e.getMessage(), 0));
         }
-        return calls.send(request, call.timeoutMillis())
-                .thenApply(answer -> new ServiceReply(answer.status(), answer.contentType(), answer.body()));
+        return calls.send(request, call.timeoutMillis()).thenApply(HttpServiceClient::toReply);
+    }
+
+    private static ServiceReply toReply(HttpCalls.HttpAnswer answer) {
+        if (!answer.framed()) {
+            throw new PlatformException(
+                    PlatformException.Kind.ANSWER_LOST,
+                    "The answer may be cut, as only the end of its connection marks its end; the service must send a"
+                            + " Content-Length or chunks",
+                    0);
+        }
+        return new ServiceReply(answer.status(), answer.contentType(), answer.body());
     }
 
     private Request requestOf(ServiceCall call) {
