--- a/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
@@ -40,6 +40,15 @@
         this(RequestFixtures.on(route, id, path, body, nowMillis));
     }
 
+    /**
+     * A client of a request with these headers, path and body.
+     *
+     * @param nowMillis when the request was received
+     */
+    public FakeClient(Route route, HttpFields fields, String path, byte[] body, long nowMillis) {
+        this(RequestFixtures.on(route, fields, path, body, nowMillis));
+    }
+
     private FakeClient(Exchange.ClientRequest request) {
         this.exchange =
                 new Exchange(request, response(), Callback.from(this::finish, this::close), () -> false, probe());
--- a/gateway/src/test/java/org/cornelramp/gateway/request/RequestFixtures.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/RequestFixtures.java
@@ -42,7 +42,11 @@
 
     /** A request on a route with this path and body. */
     static Exchange.ClientRequest on(Route route, String id, String path, byte[] body, long receivedMillis) {
-        HttpFields fields = HeaderFixtures.request(id);
+        return on(route, HeaderFixtures.request(id), path, body, receivedMillis);
+    }
+
+    /** A request on a route with these headers, path and body. */
+    static Exchange.ClientRequest on(Route route, HttpFields fields, String path, byte[] body, long receivedMillis) {
         return new Exchange.ClientRequest(
                 RequestHead.decode(fields),
                 "POST",
--- a/gateway/src/test/java/org/cornelramp/gateway/route/CrashingServer.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/CrashingServer.java
@@ -36,6 +36,7 @@
     private final List<Run> runs = new ArrayList<>();
     private BackendServer current;
     private boolean listening;
+    private long silentUntilMillis;
     private int starts;
 
     /** A request that it runs. */
@@ -74,10 +75,18 @@
         return current;
     }
 
+    /** Why a connection to this address cannot be opened; empty if something accepts it. */
+    Optional<PlatformFault> connectFault() {
+        return listening || fleet.isRelayed()
+                ? Optional.empty()
+                : Optional.of(new PlatformFault(PlatformFault.Kind.NOT_LISTENING, "refused"));
+    }
+
     /** Why a question about a server at this address gets no answer; empty if it does. */
     Optional<PlatformFault> faultOf(BackendServer asked) {
-        if (!listening) {
-            return Optional.of(new PlatformFault(PlatformFault.Kind.NOT_LISTENING, "refused"));
+        if (!listening || isSilent()) {
+            return connectFault()
+                    .or(() -> Optional.of(new PlatformFault(PlatformFault.Kind.NO_ANSWER, "closed without an answer")));
         }
         return asked.id().equals(current.id())
                 ? Optional.empty()
@@ -112,21 +121,41 @@
             return;
         }
         listening = false;
+        silentUntilMillis = 0;
         BackendServer ended = current;
+        closeConnections();
+        fleet.schedule(REGISTRATION_MILLIS, () -> fleet.unregister(ended));
+        fleet.schedule(downMillis, () -> start(false));
+    }
+
+    /** Loses its connections and answers nothing for a time, but goes on as the same server afterwards. */
+    void interrupt(long forMillis) {
+        if (listening) {
+            silentUntilMillis = fleet.now() + forMillis;
+            closeConnections();
+        }
+    }
+
+    private boolean isSilent() {
+        return fleet.now() < silentUntilMillis;
+    }
+
+    private void closeConnections() {
         List<Run> lost = List.copyOf(runs);
         runs.clear();
         lost.forEach(run -> run.call.fail(new EOFException("the connection was closed")));
-        fleet.schedule(REGISTRATION_MILLIS, () -> fleet.unregister(ended));
-        fleet.schedule(downMillis, () -> start(false));
     }
 
     /** Receives a request. */
     void receive(FakeHttpClient.Call call, String expectedServer, PoisonFleet.Caller caller) {
         if (!listening) {
-            call.fail(new ConnectException("Connection refused"));
+            call.fail(
+                    fleet.isRelayed()
+                            ? new EOFException("the connection was closed")
+                            : new ConnectException("Connection refused"));
             return;
         }
-        caller.poison().ifPresent(poison -> fleet.recordArrival(poison));
+        caller.poisons().forEach(fleet::recordArrival);
         if (!expectedServer.equals(current.name().value())) {
             call.complete(421, HeaderFixtures.answer(HeaderFixtures.requestId(call::header)));
             return;
@@ -137,7 +166,7 @@
     /** Lets its work go on for a tick. */
     void work() {
         for (Run run : List.copyOf(runs)) {
-            if (!listening) {
+            if (!listening || isSilent()) {
                 return;
             }
             if (run.call.isAborted()) {
@@ -150,9 +179,9 @@
     }
 
     private void advance(Run run) {
-        Optional<PoisonFleet.Poison> poison = run.caller.poison();
-        if (poison.isPresent() && run.nextEvent >= poison.get().eventsBeforeCrash()) {
-            fleet.recordCrash(poison.get());
+        List<PoisonFleet.Poison> poisons = run.caller.poisons();
+        if (poisons.stream().anyMatch(poison -> run.nextEvent >= poison.eventsBeforeCrash())) {
+            poisons.forEach(fleet::recordCrash);
             crash(fleet.downMillis());
             return;
         }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonFleet.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonFleet.java
@@ -18,6 +18,7 @@
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.cornelramp.platform.standin.StandInConfig;
+import org.eclipse.jetty.http.HttpFields;
 
 /**
  * Several gateways in simulated time in front of engines and plain servers, of which some crash, and callers of whom some
@@ -28,11 +29,14 @@
     /** Crashes after which a request must reach hardly any servers. */
     static final int CRASHES = 3;
 
+    /** Crashes after which requests with a part of a prompt must reach hardly any servers. */
+    static final int PART_CRASHES = 5;
+
     /** Time without a fault after which a gateway counts, and from the last of these crashes on. */
     static final long STABLE_MILLIS = 3_000;
 
     /** Text of the answer to a request that is refused because servers have crashed under it. */
-    private static final String SET_ASIDE = "crashed while they ran this request";
+    private static final String SET_ASIDE = "crashed while they ran";
 
     private static final int FIRST_PORT = 11;
 
@@ -51,13 +55,40 @@
     private long scheduledCount;
     private int requestCount;
     private int restarts;
+    private boolean relayed;
+    private Optional<String> config = Optional.empty();
 
     private record Scheduled(long atMillis, long number, Runnable action) {}
 
-    /** Who has sent a request: a caller of a poison request, or another one. */
-    record Caller(Optional<Poison> poison) {}
+    /** Who has sent a request, and what crashes servers in it; empty for other callers. Immutable. */
+    record Caller(List<Poison> poisons) {
+        Caller {
+            poisons = List.copyOf(poisons);
+        }
+    }
+
+    /** @param inTouch whether the gateway had been undisturbed for some time */
+    private record Innocent(FakeClient client, Kind kind, long sentMillis, boolean inTouch) {
+        boolean isSentWithin(long fromMillis, long toMillis) {
+            return sentMillis >= fromMillis && sentMillis < toMillis;
+        }
 
-    private record Innocent(FakeClient client, long sentMillis) {}
+        boolean hasStarted() {
+            return client.status() == 200 && !client.received().isEmpty();
+        }
+    }
+
+    /** How many streams of other callers were sent in a span of time, and how many of them have begun. Immutable. */
+    record Started(long sent, long begun) {
+        double share() {
+            return sent == 0 ? 1 : begun / (double) sent;
+        }
+
+        @Override
+        public String toString() {
+            return begun + " of " + sent;
+        }
+    }
 
     /** A kind of request that a caller sends. */
     enum Kind {
@@ -72,19 +103,26 @@
         }
     }
 
-    /** A request that crashes each server which runs it, and what the servers have seen of it. */
+    /** A request, or a part of prompts, that crashes each server which runs it, and what the servers have seen of it. */
     static final class Poison {
         private final Kind kind;
         private final String content;
         private final int eventsBeforeCrash;
+        private final int limit;
         private final List<Long> crashMillis = new ArrayList<>();
         private int lateArrivals;
         private FakeClient last;
 
-        private Poison(Kind kind, String content, int eventsBeforeCrash) {
+        private Poison(Kind kind, String content, int eventsBeforeCrash, int limit) {
             this.kind = kind;
             this.content = content;
             this.eventsBeforeCrash = eventsBeforeCrash;
+            this.limit = limit;
+        }
+
+        /** The part of the prompt, or the request. */
+        String content() {
+            return content;
         }
 
         int eventsBeforeCrash() {
@@ -96,6 +134,16 @@
             return crashMillis.size();
         }
 
+        /** When a server has crashed under it for the first time. */
+        long firstCrashMillis() {
+            return crashMillis.get(0);
+        }
+
+        /** When the last crash that is allowed has happened; the last one if there were fewer. */
+        long limitMillis() {
+            return crashMillis.get(Math.min(limit, crashMillis.size()) - 1);
+        }
+
         /** Number of times that gateways in touch have sent it to a server too late. */
         int lateArrivals() {
             return lateArrivals;
@@ -148,6 +196,8 @@
         router.pass(now - router.now());
         registered.values().forEach(router::register);
         router.setReportFaults(server -> serverAt(server.address().port()).faultOf(server));
+        router.setConnectFaults(server -> serverAt(server.address().port()).connectFault());
+        config.ifPresent(router::publish);
         gateways.put(name, new Gateway(router, now + random.nextInt(PeerRotation.ROUND_MILLIS), undisturbedSince));
     }
 
@@ -163,6 +213,25 @@
         return now;
     }
 
+    int gatewayCount() {
+        return gateways.size();
+    }
+
+    /** Puts relays in front of the servers, which accept connections and close them while the server behind is gone. */
+    void setRelayed(boolean relayed) {
+        this.relayed = relayed;
+    }
+
+    boolean isRelayed() {
+        return relayed;
+    }
+
+    /** Puts a configuration record in force at all gateways. */
+    void publish(String json) {
+        config = Optional.of(json);
+        gateways.values().forEach(gateway -> gateway.router.publish(json));
+    }
+
     /** Time until an engine has read a prompt. */
     long promptMillis() {
         return 40L + random.nextInt(200);
@@ -199,7 +268,14 @@
 
     /** Adds a request that crashes its servers; it is sent by {@link #send} and {@link #repeat}. */
     Poison addPoison(Kind kind, int eventsBeforeCrash) {
-        Poison poison = new Poison(kind, "poison" + poisons.size(), eventsBeforeCrash);
+        Poison poison = new Poison(kind, "poison" + poisons.size(), eventsBeforeCrash, CRASHES);
+        poisons.add(poison);
+        return poison;
+    }
+
+    /** Adds a part of prompts that crashes the servers; {@link #sendStream} sends it. */
+    Poison addPoisonPart(String part, int eventsBeforeCrash) {
+        Poison poison = new Poison(Kind.STREAM, part, eventsBeforeCrash, PART_CRASHES);
         poisons.add(poison);
         return poison;
     }
@@ -210,7 +286,7 @@
 
     /** Sends a poison request to a gateway. */
     FakeClient send(Poison poison, int gateway) {
-        poison.last = request(gateway(gateway), poison.kind, poison.content, new Caller(Optional.of(poison)));
+        poison.last = request(gateway(gateway), poison.kind, poison.content, new Caller(List.of(poison)));
         return poison.last;
     }
 
@@ -229,11 +305,43 @@
         return gateway.router.request(kind.prefix + content, id, content.getBytes(StandardCharsets.UTF_8));
     }
 
+    /**
+     * Sends a stream to a gateway.
+     *
+     * @param content the body, and the last part of the path
+     * @param prompt the parts of the prompt; empty if the request names none
+     * @param poisons what crashes servers in it
+     */
+    FakeClient sendStream(int index, String content, String prompt, List<Poison> poisons) {
+        Gateway gateway = gateway(index);
+        String id = "r" + requestCount++;
+        gateway.callers.put(id, new Caller(poisons));
+        HttpFields plain = HeaderFixtures.request(id);
+        FakeClient client = gateway.router.request(
+                Kind.STREAM.prefix + content,
+                prompt.isEmpty() ? plain : HeaderFixtures.prompting(prompt, plain),
+                content.getBytes(StandardCharsets.UTF_8));
+        poisons.forEach(poison -> poison.last = client);
+        if (poisons.isEmpty()) {
+            innocents.add(new Innocent(client, Kind.STREAM, now, isInTouch(gateway)));
+        }
+        return client;
+    }
+
+    private boolean isInTouch(Gateway gateway) {
+        return gateway.undisturbedSince + STABLE_MILLIS <= now;
+    }
+
     /** Lets a server crash that no request has caused to. */
     void crashServer(int index) {
         servers.get(index % servers.size()).crash(downMillis());
     }
 
+    /** Lets a server lose its connections and be silent for a time without a crash. */
+    void interruptServer(int index, long forMillis) {
+        servers.get(index % servers.size()).interrupt(forMillis);
+    }
+
     /** Replaces a gateway by a new process of the same name, which knows nothing. */
     void restartGateway(int index) {
         String name = List.copyOf(gateways.keySet()).get(index % gateways.size());
@@ -274,8 +382,8 @@
 
     /** Records that a poison request has reached a server. */
     void recordArrival(Poison poison) {
-        boolean late = poison.crashes() >= CRASHES && now - poison.crashMillis.get(CRASHES - 1) > STABLE_MILLIS;
-        if (late && sending.undisturbedSince + STABLE_MILLIS <= now) {
+        boolean late = poison.crashes() >= poison.limit && now - poison.limitMillis() > STABLE_MILLIS;
+        if (late && isInTouch(sending)) {
             poison.lateArrivals++;
         }
     }
@@ -303,8 +411,8 @@
     private void sendInnocent(Gateway gateway) {
         Kind[] kinds = {Kind.STREAM, Kind.STREAM, Kind.IDEMPOTENT, Kind.NON_IDEMPOTENT};
         Kind kind = kinds[random.nextInt(kinds.length)];
-        FakeClient client = request(gateway, kind, "innocent" + requestCount, new Caller(Optional.empty()));
-        innocents.add(new Innocent(client, now));
+        FakeClient client = request(gateway, kind, "innocent" + requestCount, new Caller(List.of()));
+        innocents.add(new Innocent(client, kind, now, isInTouch(gateway)));
     }
 
     private void serveAll() {
@@ -357,6 +465,15 @@
         return sent.isEmpty() ? 1 : served / (double) sent.size();
     }
 
+    /** The streams of other callers that gateways in touch were sent within a span of time. */
+    Started startedWithin(long fromMillis, long toMillis) {
+        List<Innocent> sent = innocents.stream()
+                .filter(one -> one.kind() == Kind.STREAM && one.inTouch() && one.isSentWithin(fromMillis, toMillis))
+                .toList();
+        return new Started(
+                sent.size(), sent.stream().filter(Innocent::hasStarted).count());
+    }
+
     /** Whether the router of no gateway has thrown an exception. */
     boolean hasNoExceptions() {
         return gateways.values().stream().allMatch(gateway -> gateway.router.exceptions() == 0);
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
@@ -17,8 +17,8 @@
     /** Sends to servers that the users allow, by gateways in touch, once the third server has crashed 3 s ago. */
     private static final int ALLOWED_SENDS = 3;
 
-    private static final int ENGINES = 8;
-    private static final int PLAIN_SERVERS = 3;
+    private static final int ENGINES = PoisonHistory.ENGINES;
+    private static final int PLAIN_SERVERS = PoisonHistory.PLAIN_SERVERS;
     private static final long PAUSE_MILLIS = 300;
     private static final long RUN_MILLIS = 30_000;
 
@@ -42,6 +42,19 @@
         assertEquals(fleet.innocentsSetAside(), 0);
     }
 
+    /** Guards against servers whose end is not seen, since the relay before them still accepts connections. */
+    @Test(dataProvider = "kindsAndFleets", groups = "known-red")
+    public void requestIsHeldBackWhereRelaysAcceptConnectionsForDeadServers(Kind kind, int gateways) {
+        PoisonFleet fleet = new PoisonFleet(gateways, ENGINES, PLAIN_SERVERS, 4906);
+        fleet.setRelayed(true);
+        Poison poison = fleet.addPoison(kind, 0);
+        fleet.run(1_000, 20.0 / gateways);
+        fleet.repeat(poison, PAUSE_MILLIS);
+        fleet.run(RUN_MILLIS, 20.0 / gateways);
+        assertRule(fleet);
+        assertEquals(fleet.innocentsSetAside(), 0);
+    }
+
     /** Guards against streams that crash their engine only after an event, so that each run makes progress. */
     @Test
     public void streamThatCrashesItsEngineAfterAnEventCrashesThreeAtMost() {
@@ -135,7 +148,7 @@
             Poison poison = fleet.addPoison(kind, kind == Kind.STREAM ? random.nextInt(2) : 0);
             fleet.schedule(random.nextInt(8_000), () -> fleet.repeat(poison, 100L + random.nextInt(1_500)));
         }
-        disturb(fleet, random, 40);
+        PoisonHistory.disturb(fleet, random, 40);
         assertRule(fleet);
         assertTrue(fleet.hasNoExceptions());
     }
@@ -145,41 +158,11 @@
     public void crashesWithoutAPoisonRequestSetNoRequestAside(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         PoisonFleet fleet = new PoisonFleet(1 + random.nextInt(6), ENGINES, PLAIN_SERVERS, seed);
-        disturb(fleet, random, 60);
+        PoisonHistory.disturb(fleet, random, 60);
         assertEquals(fleet.innocentsSetAside(), 0);
         assertTrue(fleet.hasNoExceptions());
     }
 
-    /** Lets servers and gateways fail at random for a while. */
-    private static void disturb(PoisonFleet fleet, SplittableRandom random, int steps) {
-        for (int step = 0; step < steps; step++) {
-            switch (random.nextInt(8)) {
-                case 0 -> fleet.crashServer(random.nextInt(ENGINES + PLAIN_SERVERS));
-                case 1 -> crashRack(fleet, random);
-                case 2 -> crashInTurn(fleet, random);
-                case 3 -> fleet.restartGateway(random.nextInt(8));
-                case 4 -> fleet.cutGateway(random.nextInt(8), random.nextInt(5_000));
-                case 5 -> fleet.setUpdateLoss(random.nextInt(4) * 0.15);
-                case 6 -> fleet.setUpdateDelay(random.nextInt(3) * 300L);
-                default -> {
-                    // only time passes
-                }
-            }
-            fleet.run(200L + random.nextInt(1_500), 2 + random.nextInt(10));
-        }
-    }
-
-    private static void crashRack(PoisonFleet fleet, SplittableRandom random) {
-        int first = random.nextInt(ENGINES);
-        IntStream.range(first, first + 3).forEach(fleet::crashServer);
-    }
-
-    private static void crashInTurn(PoisonFleet fleet, SplittableRandom random) {
-        int first = random.nextInt(ENGINES);
-        long pauseMillis = 20L + random.nextInt(400);
-        IntStream.range(0, 4).forEach(i -> fleet.schedule(pauseMillis * i, () -> fleet.crashServer(first + i)));
-    }
-
     private static void assertRule(PoisonFleet fleet) {
         for (Poison poison : fleet.poisons()) {
             assertTrue(poison.lateArrivals() <= ALLOWED_SENDS, poison.toString());
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -32,6 +32,7 @@
 import org.cornelramp.platform.MoveFault;
 import org.cornelramp.platform.PlatformFault;
 import org.cornelramp.platform.standin.StandInConfig;
+import org.eclipse.jetty.http.HttpFields;
 
 /**
  * The decisions of a router without threads, sockets or a real clock. A test decides in which order events reach the
@@ -54,6 +55,8 @@
     private final RequestRouter router;
     private RepathAnswer repathAnswer = order -> Either.right(new byte[0]);
     private Function<BackendServer, Optional<PlatformFault>> reportFaults = engine -> Optional.empty();
+    private Function<BackendServer, Optional<PlatformFault>> connectFaults =
+            server -> reportFaults.apply(server).filter(fault -> fault.kind() != PlatformFault.Kind.CONFLICT);
     private boolean engineCallsRejected;
     private boolean failsNextEnd;
     private long failedEnds;
@@ -124,7 +127,7 @@
     private final class Calls implements EngineCalls {
         @Override
         public Optional<PlatformFault> connect(BackendServer server, long timeoutMillis) {
-            return reportFaults.apply(server).filter(fault -> fault.kind() != PlatformFault.Kind.CONFLICT);
+            return connectFaults.apply(server);
         }
 
         @Override
@@ -205,6 +208,14 @@
         reportFaults = faults;
     }
 
+    /**
+     * Sets which servers do not accept connections, and why; unless it is called, those that do not answer requests for
+     * their reports. A relay in front of a server accepts connections also when the server is gone.
+     */
+    void setConnectFaults(Function<BackendServer, Optional<PlatformFault>> faults) {
+        connectFaults = faults;
+    }
+
     /** Sets whether calls to engines are rejected because too many are queued. */
     void setEngineCallsRejected(boolean rejected) {
         engineCallsRejected = rejected;
@@ -212,7 +223,12 @@
 
     /** Puts a version of the configuration in force. */
     void publish(StandInConfig version) {
-        byte[] source = version.json().getBytes(StandardCharsets.UTF_8);
+        publish(version.json());
+    }
+
+    /** Puts a configuration record in force. */
+    void publish(String json) {
+        byte[] source = json.getBytes(StandardCharsets.UTF_8);
         config.offer(ConfigDecoder.decode(source).get(), source);
     }
 
@@ -263,6 +279,13 @@
         return client;
     }
 
+    /** Sends a client's request with this path, these headers and this body. */
+    FakeClient request(String path, HttpFields fields, byte[] body) {
+        FakeClient client = new FakeClient(route(path), fields, path, body, now);
+        handle(new RouterEvent.RequestReceived(client.exchange()));
+        return client;
+    }
+
     /** Hands an event to the router at once, before the queued ones. */
     void handle(RouterEvent event) {
         router.handle(event, now);
