Blame parts of prompts that are at the crashes of different requests

Requests that share a deadly part are all new, and each is at one or two crashes.

A part is one more suspect (part:ID) in the same reports, clearances, refusals and updates; the wire format is as before. A request is refused if it holds a whole group. One request that is at all but one of the crashes explains them by itself. Crashes that a group explains say nothing against requests. Updates keep their bounds: 64 parts among the 96 suspects, and 1,024 letters of names that callers choose in each kind. Peers' refusals of parts: 48 at most, as each costs a look at all reports.

Tried: the highest score alone, ties by name.

Nothing of it acts without parts, so the daemon decides as before (PoisonDetectorTest, PoisonDetectorProperties unchanged).

--- a/core/src/main/java/org/cornelramp/core/poison/CrashReport.java
+++ b/core/src/main/java/org/cornelramp/core/poison/CrashReport.java
@@ -2,9 +2,12 @@
 
 import java.time.Instant;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 /**
  * One crash of one backend server with the requests that were in progress there. Immutable, safe for use by any
@@ -15,13 +18,20 @@
  * @param crashId id of the crash, the same in all reports of it: the agent's incarnation and the backend server's
  *     incarnation, or the agent's alone if the agent died as well
  * @param at when the crash was detected
- * @param suspects fingerprints of the requests in progress, at most {@value #MAX_SUSPECTS}
+ * @param suspects fingerprints of the requests in progress, and names of the parts of their prompts
+ *     ({@link PromptParts}), at most {@value #MAX_SUSPECTS}
  */
 public record CrashReport(String crashId, Instant at, Set<String> suspects) {
-    /** Most suspects of one crash; those first in sort order are kept, so that the order of reports has no effect. */
+    /**
+     * Most suspects of one crash; parts of prompts, and then those first in sort order, are kept, so that the order of
+     * reports has no effect.
+     */
     public static final int MAX_SUSPECTS = 512;
 
     private static final String SEPARATOR = "|";
+    private static final Comparator<String> PARTS_FIRST = Comparator.comparing(
+                    PromptParts::isPart, Comparator.reverseOrder())
+            .thenComparing(Comparator.naturalOrder());
 
     public CrashReport {
         if (crashId.isEmpty() || crashId.contains(SEPARATOR)) {
@@ -58,10 +68,11 @@
     }
 
     private static Set<String> firstSuspects(Collection<String> all) {
-        TreeSet<String> sorted = new TreeSet<>(all);
-        while (sorted.size() > MAX_SUSPECTS) {
-            sorted.pollLast();
-        }
-        return java.util.Collections.unmodifiableSet(sorted);
+        return all.stream()
+                .sorted(PARTS_FIRST)
+                .distinct()
+                .limit(MAX_SUSPECTS)
+                .collect(Collectors.collectingAndThen(
+                        Collectors.toCollection(TreeSet::new), Collections::unmodifiableSet));
     }
 }
--- a/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
@@ -14,16 +14,19 @@
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.cornelramp.core.poison.PartRefusals.OpenCrash;
 
 /**
- * Detects poison requests, which crash the backend servers that run them, so that they are refused.
+ * Detects poison requests, which crash the backend servers that run them, and parts of prompts that make each request
+ * that holds them do so, so that they are refused.
  *
  * <p>Crash reports arrive from heartbeats and from the log, late, in any order and more than once; two processes with
  * the same reports refuse the same requests. A report expires after the retention time, and with it the refusals that
  * it caused. A refusal learnt from a peer keeps its expiry time, so that processes do not prolong it by passing it on.
  * A clearance ends the suspicion for all crashes before it. Owned by one thread; holds at most the given number of
- * reports, as many refusals of peers and {@value #MAX_CLEARANCES} clearances, and drops the oldest.
+ * reports, as many refusals of peers, {@value #MAX_MARKS} of them of parts, and {@value #MAX_CLEARANCES} clearances, and drops the oldest.
  */
 public final class PoisonDetector {
     /** Most poison requests that one heartbeat carries. */
@@ -31,7 +34,7 @@
 
     private static final int MAX_CLEARANCES = 1_024;
 
-    private static final Comparator<CrashReport> BY_TIME =
+    static final Comparator<CrashReport> BY_TIME =
             Comparator.comparing(CrashReport::at).thenComparing(CrashReport::crashId);
 
     private final Duration retention;
@@ -42,7 +45,7 @@
     /** When a report was last added to, by the id of its crash. */
     private final Map<String, Instant> changeTimes = new HashMap<>();
 
-    /** When a request was cleared of the crashes before, by its completion or by an operator. */
+    /** When a request or a part was cleared of the crashes before, by a run or by an operator. */
     private final Map<String, Instant> clearances = new LinkedHashMap<>();
 
     /** When a server that was reported as crashed has given a sign of life, by the id of the crash. */
@@ -51,7 +54,10 @@
     private final Map<String, Instant> peerMarks = new HashMap<>();
     private CrashAnalysis analysis;
     private SortedSet<String> suspects = Collections.emptySortedSet();
-    private Instant nextExpiry = Instant.MAX;
+    private PartRefusals partRefusals = PartRefusals.NONE;
+
+    /** When a report or a refusal expires, or a report settles. */
+    private Instant nextChange = Instant.MAX;
 
     /**
      * @param retention retention time of a crash report, from the time of the crash
@@ -135,24 +141,70 @@
         return known;
     }
 
-    /** Clears a request of all crashes before a time, and ends its refusal; returns whether that changes anything. */
-    public boolean clear(String fingerprint, Instant at, Instant now) {
-        Instant before = clearances.getOrDefault(fingerprint, Instant.MIN);
-        if (!at.isAfter(before)) {
+    /**
+     * Clears a request, a part or each part of a group of all crashes before a time, and ends its refusal; returns whether
+     * that changes anything.
+     */
+    public boolean clear(String name, Instant at, Instant now) {
+        boolean changed = false;
+        for (String suspect : PromptParts.membersOf(name)) {
+            changed |= putClearance(suspect, at);
+        }
+        if (changed) {
+            analyse(now);
+        }
+        return changed;
+    }
+
+    /**
+     * Clears parts of prompts, on which runs have lived, of the crashes before.
+     *
+     * @param parts when the part of a name is cleared
+     * @return the parts that were at such a crash, and not cleared of it
+     */
+    public Set<String> clearParts(Map<String, Instant> parts, Instant now) {
+        Set<String> cleared = new TreeSet<>();
+        for (String part : unclearedParts(now)) {
+            Instant at = parts.getOrDefault(part, Instant.MIN);
+            if (isOpenBefore(part, at) && putClearance(part, at)) {
+                cleared.add(part);
+            }
+        }
+        if (!cleared.isEmpty()) {
+            analyse(now);
+        }
+        return cleared;
+    }
+
+    private boolean isOpenBefore(String suspect, Instant at) {
+        return reports.values().stream()
+                .anyMatch(r ->
+                        r.suspects().contains(suspect) && at.isAfter(r.at()) && !isSuspectCleared(suspect, r.at()));
+    }
+
+    private boolean putClearance(String suspect, Instant at) {
+        if (!at.isAfter(clearances.getOrDefault(suspect, Instant.MIN))) {
             return false;
         }
-        clearances.remove(fingerprint);
-        clearances.put(fingerprint, at);
+        clearances.remove(suspect);
+        clearances.put(suspect, at);
         removeOldest(clearances, MAX_CLEARANCES);
-        analyse(now);
         return true;
     }
 
-    private boolean isCleared(String fingerprint, Instant crash) {
-        return clearances.getOrDefault(fingerprint, Instant.MIN).isAfter(crash);
+    /** Whether a request, or each part of a group, is cleared of a crash. */
+    private boolean isCleared(String name, Instant crash) {
+        if (!PromptParts.isPart(name)) {
+            return isSuspectCleared(name, crash);
+        }
+        return PromptParts.membersOf(name).stream().allMatch(part -> isSuspectCleared(part, crash));
+    }
+
+    private boolean isSuspectCleared(String suspect, Instant crash) {
+        return clearances.getOrDefault(suspect, Instant.MIN).isAfter(crash);
     }
 
-    private static Instant later(Instant one, Instant other) {
+    static Instant later(Instant one, Instant other) {
         return one.isAfter(other) ? one : other;
     }
 
@@ -179,25 +231,55 @@
             return false;
         }
         peerMarks.values().removeIf(t -> !t.isAfter(now));
-        if (peerMarks.size() < maxReports) {
-            peerMarks.merge(mark.fingerprint(), until, PoisonDetector::later);
-            nextExpiry = nextExpiry.isBefore(until) ? nextExpiry : until;
+        if (hasRoom(mark.fingerprint())) {
+            boolean news = peerMarks.put(mark.fingerprint(), later(until, peerMark(mark.fingerprint()))) == null;
+            nextChange = nextChange.isBefore(until) ? nextChange : until;
+            if (news && PromptParts.isPart(mark.fingerprint())) {
+                analyse(now);
+            }
         }
         return !refused && isPoison(mark.fingerprint(), now);
     }
 
-    /** When a request was cleared of the crashes that a refusal stands on; empty if it was not. */
-    public Optional<Instant> clearance(PoisonMark mark) {
-        return isCleared(mark.fingerprint(), mark.until().minus(retention))
-                ? Optional.of(clearances.get(mark.fingerprint()))
-                : Optional.empty();
+    private boolean hasRoom(String name) {
+        boolean room = peerMarks.size() < maxReports;
+        if (room && PromptParts.isPart(name)) {
+            return peerMarks.keySet().stream().filter(PromptParts::isPart).count() < MAX_MARKS;
+        }
+        return room;
+    }
+
+    private Instant peerMark(String name) {
+        return peerMarks.getOrDefault(name, Instant.MIN);
+    }
+
+    /** When the suspects of a refusal were cleared of the crashes that it stands on; without those that were not. */
+    public Map<String, Instant> clearances(PoisonMark mark) {
+        Map<String, Instant> cleared = new HashMap<>();
+        for (String suspect : PromptParts.membersOf(mark.fingerprint())) {
+            if (isSuspectCleared(suspect, mark.until().minus(retention))) {
+                cleared.put(suspect, clearances.get(suspect));
+            }
+        }
+        return cleared;
+    }
+
+    /** The refusal of a request that holds these parts of prompts; empty if it is not refused for them. */
+    public Optional<PoisonMark> refusalOfParts(Set<String> parts, Instant now) {
+        removeExpired(now);
+        return partRefusals.refusing(parts);
+    }
+
+    /** Parts of prompts that were at a crash and are not cleared of it. */
+    public Set<String> unclearedParts(Instant now) {
+        removeExpired(now);
+        return partRefusals.uncleared();
     }
 
     /** Whether a request is refused as poison; its caller gets the final answer at once. */
     public boolean isPoison(String fingerprint, Instant now) {
         removeExpired(now);
-        return isBlamed(fingerprint, now)
-                || (peerMarks.getOrDefault(fingerprint, Instant.MIN).isAfter(now) && needsPeers(fingerprint));
+        return isBlamed(fingerprint, now) || (peerMark(fingerprint).isAfter(now) && needsPeers(fingerprint));
     }
 
     private boolean isBlamed(String fingerprint, Instant now) {
@@ -216,16 +298,14 @@
     public boolean isSettled(String fingerprint, Instant now) {
         return reports.values().stream()
                 .filter(r -> r.suspects().contains(fingerprint))
-                .allMatch(r -> !changeTimes
-                        .get(r.crashId())
-                        .plus(thresholds.settling())
-                        .isAfter(now));
+                .allMatch(r -> !settlingEnd(r).isAfter(now));
     }
 
-    /** Ids of the crashes at which a request was in progress. */
-    public List<String> crashesOf(String fingerprint) {
+    /** Ids of the crashes at which a request, or each part of a group, was in progress. */
+    public List<String> crashesOf(String name) {
+        Set<String> members = PromptParts.membersOf(name);
         return reports.values().stream()
-                .filter(r -> r.suspects().contains(fingerprint))
+                .filter(r -> r.suspects().containsAll(members))
                 .sorted(BY_TIME)
                 .map(CrashReport::crashId)
                 .toList();
@@ -267,11 +347,12 @@
         return poisonRequests(now).stream().map(PoisonMark::toString).toList();
     }
 
-    /** Returns the poison requests, those with the latest expiry first, at most {@value #MAX_MARKS}. */
+    /** Returns the poison requests and parts, those with the latest expiry first, at most {@value #MAX_MARKS}. */
     public List<PoisonMark> poisonRequests(Instant now) {
         removeExpired(now);
         Map<String, Instant> all = new HashMap<>(peerMarks);
-        all.keySet().removeIf(f -> !needsPeers(f));
+        all.keySet().removeIf(f -> PromptParts.isPart(f) || !needsPeers(f));
+        all.putAll(partRefusals.ends());
         analysis.culprits().stream()
                 .filter(f -> isBlamed(f, now))
                 .forEach(f -> all.merge(f, expiry(f), PoisonDetector::later));
@@ -301,7 +382,7 @@
     }
 
     private void removeExpired(Instant now) {
-        if (!nextExpiry.isAfter(now)) {
+        if (!nextChange.isAfter(now)) {
             analyse(now);
         }
     }
@@ -315,19 +396,55 @@
                         || isCleared(m.getKey(), m.getValue().minus(retention)));
         clearances.values().removeIf(t -> !t.plus(retention).isAfter(now));
         signsOfLife.values().removeIf(t -> !t.plus(retention).isAfter(now));
-        List<Set<String>> crashes = new ArrayList<>();
-        for (CrashReport r : reports.values()) {
-            Set<String> suspects = new TreeSet<>(r.suspects());
-            suspects.removeIf(f -> isCleared(f, r.at()));
-            crashes.add(suspects);
-        }
-        analysis = CrashAnalysis.analyse(crashes, thresholds);
+        List<OpenCrash> crashes =
+                reports.values().stream().map(r -> openCrash(r, now)).toList();
+        partRefusals = PartRefusals.of(crashes, peerMarksOfParts(), thresholds, retention);
+        analysis = CrashAnalysis.analyse(requestsAtCrashes(crashes), thresholds);
         suspects = new TreeSet<>(analysis.suspects());
         if (!thresholds.settling().isZero()) {
             suspects.addAll(analysis.culprits()); // until they are settled
         }
-        nextExpiry = Stream.concat(
-                        reports.values().stream().map(r -> r.at().plus(retention)), peerMarks.values().stream())
+        nextChange = nextChange(now);
+    }
+
+    private OpenCrash openCrash(CrashReport report, Instant now) {
+        Set<String> open = new TreeSet<>(report.suspects());
+        open.removeIf(suspect -> isSuspectCleared(suspect, report.at()));
+        return new OpenCrash(report, open, !settlingEnd(report).isAfter(now));
+    }
+
+    private Instant settlingEnd(CrashReport report) {
+        return changeTimes.get(report.crashId()).plus(thresholds.settling());
+    }
+
+    /** What peers refuse of parts, without those that are cleared. */
+    private List<PoisonMark> peerMarksOfParts() {
+        return peerMarks.entrySet().stream()
+                .filter(mark -> PromptParts.isPart(mark.getKey()))
+                .map(mark -> new PoisonMark(mark.getKey(), mark.getValue()))
+                .flatMap(mark -> PartRefusals.without(clearances(mark).keySet(), mark).stream())
+                .toList();
+    }
+
+    /** The requests at each crash that no part of their prompts explains. */
+    private List<Set<String>> requestsAtCrashes(List<OpenCrash> crashes) {
+        List<Set<String>> requests = new ArrayList<>();
+        for (OpenCrash crash : crashes) {
+            if (!partRefusals.explains(crash.suspects())) {
+                requests.add(crash.suspects().stream()
+                        .filter(suspect -> !PromptParts.isPart(suspect))
+                        .collect(Collectors.toSet()));
+            }
+        }
+        return requests;
+    }
+
+    private Instant nextChange(Instant now) {
+        Stream<Instant> expiries = reports.values().stream().map(r -> r.at().plus(retention));
+        Stream<Instant> settlings =
+                reports.values().stream().map(this::settlingEnd).filter(end -> end.isAfter(now));
+        return Stream.of(expiries, settlings, peerMarks.values().stream())
+                .flatMap(times -> times)
                 .min(Comparator.naturalOrder())
                 .orElse(Instant.MAX);
     }
--- a/core/src/main/java/org/cornelramp/core/poison/PoisonMark.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonMark.java
@@ -4,9 +4,9 @@
 import java.util.Optional;
 
 /**
- * States that a request is refused as poison until a given time. Immutable, safe for use by any thread.
+ * States that a request, or each request that holds some parts of prompts, is refused as poison until a given time. Immutable, safe for use by any thread.
  *
- * @param fingerprint {@link Fingerprint} of the request
+ * @param fingerprint {@link Fingerprint} of the request, or name of the group of parts ({@link PromptParts})
  * @param until when the refusal ends
  */
 public record PoisonMark(String fingerprint, Instant until) {
--- a/core/src/main/java/org/cornelramp/core/poison/PoisonNews.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonNews.java
@@ -2,14 +2,15 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * Decides what a process tells its peers about crashes and poison requests, and enters what they tell into its detector.
@@ -18,7 +19,8 @@
  * <p>Invariants: only the process that has seen a crash, a clearance or a sign of life tells it, so that none circulates
  * without end. A refusal is told by all that know it, so that a process which has just started learns it from any peer;
  * each passing on shortens it by more than an update takes, so that it ends all the same. An update has at most
- * {@value #MAX_SUSPECTS} suspects, of the newest crashes first, and {@value #MAX_OTHERS} entries of each other kind.
+ * {@value #MAX_SUSPECTS} suspects, of the newest crashes first, and {@value #MAX_OTHERS} entries of each other kind. Names
+ * of parts of prompts, which callers choose, have at most {@value #MAX_PART_LETTERS} letters in each of these kinds.
  */
 public final class PoisonNews {
     /** Time for which a fact is told: each peer of a large fleet is reached twice in it, and datagrams get lost. */
@@ -33,6 +35,12 @@
     static final int MAX_SUSPECTS = 96;
     static final int MAX_OTHERS = 32;
 
+    /** Most parts of prompts among the suspects; the rest of the room is for whole requests. */
+    static final int MAX_PARTS = 64;
+
+    /** As much as fingerprints take in the place of the parts. */
+    static final int MAX_PART_LETTERS = 1_024;
+
     private final PoisonDetector detector;
     private final Map<String, Told<CrashReport>> crashes = new LinkedHashMap<>();
     private final Map<String, Told<Instant>> clearances = new LinkedHashMap<>();
@@ -73,10 +81,24 @@
         return suspected;
     }
 
-    /** Enters that an operator clears a request of all crashes so far. */
-    public void clear(String fingerprint, long nowMillis) {
-        put(clearances, fingerprint, instant(nowMillis), nowMillis);
-        detector.clear(fingerprint, instant(nowMillis), instant(nowMillis));
+    /**
+     * Enters that runs of this process have lived on parts of prompts, and therefore clear them of crashes.
+     *
+     * @param parts times, by the name of a part, before which it has caused no crash
+     * @return the parts that are cleared of a crash by it
+     */
+    public Set<String> recordSoundParts(Map<String, Long> parts, long nowMillis) {
+        Map<String, Instant> times = new HashMap<>();
+        parts.forEach((part, millis) -> times.put(part, instant(millis)));
+        Set<String> cleared = detector.clearParts(times, instant(nowMillis));
+        cleared.forEach(part -> put(clearances, part, times.get(part), nowMillis));
+        return cleared;
+    }
+
+    /** Enters that an operator clears a request, or the parts of a group, of all crashes so far. */
+    public void clear(String name, long nowMillis) {
+        PromptParts.membersOf(name).forEach(suspect -> put(clearances, suspect, instant(nowMillis), nowMillis));
+        detector.clear(name, instant(nowMillis), instant(nowMillis));
     }
 
     /** What to tell the peers now. */
@@ -90,43 +112,80 @@
                 && signsOfLife.isEmpty()) {
             return PoisonUpdate.NONE;
         }
-        Map<String, Long> refusals = detector.poisonRequests(instant(nowMillis)).stream()
-                .limit(MAX_OTHERS)
-                .collect(Collectors.toMap(
-                        PoisonMark::fingerprint, mark -> mark.until().toEpochMilli() - nowMillis));
         return new PoisonUpdate(
-                toldCrashes(nowMillis), refusals, ages(clearances, nowMillis), ages(signsOfLife, nowMillis));
+                toldCrashes(nowMillis), refusals(nowMillis), ages(clearances, nowMillis), ages(signsOfLife, nowMillis));
+    }
+
+    private Map<String, Long> refusals(long nowMillis) {
+        Map<String, Long> all = new LinkedHashMap<>();
+        detector.poisonRequests(instant(nowMillis))
+                .forEach(mark -> all.put(mark.fingerprint(), mark.until().toEpochMilli() - nowMillis));
+        all.keySet().retainAll(fitting(all.keySet(), MAX_OTHERS));
+        return all;
+    }
+
+    /** The first of some names for which there is room. */
+    private static List<String> fitting(Collection<String> names, int most) {
+        List<String> fitting = new ArrayList<>();
+        int letters = 0;
+        for (String name : names) {
+            int more = PromptParts.isPart(name) ? name.length() : 0;
+            if (fitting.size() < most && letters + more <= MAX_PART_LETTERS) {
+                fitting.add(name);
+                letters += more;
+            }
+        }
+        return fitting;
     }
 
     private List<PoisonUpdate.ToldCrash> toldCrashes(long nowMillis) {
-        List<PoisonUpdate.ToldCrash> told = new ArrayList<>();
-        int room = MAX_SUSPECTS;
-        for (Told<CrashReport> one : newestFirst(crashes)) {
-            CrashReport report = one.fact();
-            Set<String> suspects = mostSuspect(report, room);
-            room -= suspects.size();
-            if (!suspects.isEmpty()) {
-                told.add(new PoisonUpdate.ToldCrash(
-                        report.crashId(), nowMillis - report.at().toEpochMilli(), suspects));
+        List<CrashReport> reports =
+                newestFirst(crashes).stream().map(Told::fact).toList();
+        Map<String, Set<String>> told = new LinkedHashMap<>();
+        reports.forEach(report -> told.put(report.crashId(), new HashSet<>()));
+        int room = MAX_PARTS;
+        int letters = MAX_PART_LETTERS;
+        for (CrashReport report : reports) {
+            for (String part : mostSuspect(report, true, room)) {
+                if (part.length() <= letters) {
+                    told.get(report.crashId()).add(part);
+                    room--;
+                    letters -= part.length();
+                }
             }
         }
-        return told;
+        room += MAX_SUSPECTS - MAX_PARTS;
+        for (CrashReport report : reports) {
+            List<String> requests = mostSuspect(report, false, room);
+            told.get(report.crashId()).addAll(requests);
+            room -= requests.size();
+        }
+        return reports.stream()
+                .filter(report -> !told.get(report.crashId()).isEmpty())
+                .map(report -> new PoisonUpdate.ToldCrash(
+                        report.crashId(), nowMillis - report.at().toEpochMilli(), told.get(report.crashId())))
+                .toList();
     }
 
-    /** The suspects of a crash; those that were at most crashes if there is not room for all. */
-    private Set<String> mostSuspect(CrashReport report, int room) {
-        if (report.suspects().size() <= room) {
-            return report.suspects();
+    /**
+     * The parts of prompts among the suspects of a crash, or the requests; those that were at most crashes if there is not
+     * room for all.
+     */
+    private List<String> mostSuspect(CrashReport report, boolean parts, int room) {
+        List<String> all = report.suspects().stream()
+                .filter(suspect -> PromptParts.isPart(suspect) == parts)
+                .toList();
+        if (all.size() <= room) {
+            return all;
         }
         Map<String, Integer> crashCounts = new HashMap<>();
-        report.suspects()
-                .forEach(suspect ->
-                        crashCounts.put(suspect, detector.crashesOf(suspect).size()));
+        all.forEach(
+                suspect -> crashCounts.put(suspect, detector.crashesOf(suspect).size()));
         Comparator<String> byCrashes = Comparator.comparing(crashCounts::get, Comparator.reverseOrder());
-        return report.suspects().stream()
+        return all.stream()
                 .sorted(byCrashes.thenComparing(Comparator.naturalOrder()))
                 .limit(room)
-                .collect(Collectors.toSet());
+                .toList();
     }
 
     private static <T> List<Told<T>> newestFirst(Map<String, Told<T>> facts) {
@@ -137,7 +196,10 @@
 
     private static Map<String, Long> ages(Map<String, Told<Instant>> facts, long nowMillis) {
         Map<String, Long> ages = new HashMap<>();
-        facts.forEach((id, told) -> ages.put(id, nowMillis - told.fact().toEpochMilli()));
+        List<String> newest = new ArrayList<>(facts.keySet());
+        Collections.reverse(newest);
+        fitting(newest, MAX_OTHERS)
+                .forEach(id -> ages.put(id, nowMillis - facts.get(id).fact().toEpochMilli()));
         return ages;
     }
 
@@ -165,12 +227,12 @@
     }
 
     /** A peer that still refuses what was cleared has not heard of it, so it is told again. */
-    private void applyRefusal(String fingerprint, long forMillis, long nowMillis) {
+    private void applyRefusal(String name, long forMillis, long nowMillis) {
         Instant until = instant(nowMillis + forMillis - PASSING_MILLIS);
-        PoisonMark mark = new PoisonMark(fingerprint, until);
+        PoisonMark mark = new PoisonMark(name, until);
         detector.addMark(mark, instant(nowMillis));
-        detector.clearance(mark)
-                .ifPresent(at -> clearances.computeIfAbsent(fingerprint, any -> new Told<>(at, nowMillis)));
+        detector.clearances(mark)
+                .forEach((suspect, at) -> clearances.computeIfAbsent(suspect, any -> new Told<>(at, nowMillis)));
     }
 
     private static <T> void put(Map<String, Told<T>> facts, String id, T fact, long nowMillis) {
--- a/core/src/main/java/org/cornelramp/core/poison/PoisonUpdate.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonUpdate.java
@@ -50,11 +50,16 @@
         return equals(NONE);
     }
 
-    /** What the sender has observed itself, without the times. Refusals follow from it, or from what peers observe. */
+    /**
+     * What the sender has observed itself, without the times. Refusals follow from it, or from what peers observe. Parts of
+     * prompts that are cleared are left out: at each crash many processes clear the same ones.
+     */
     public Set<Object> observations() {
         Set<Object> facts = new HashSet<>();
         crashes.forEach(crash -> facts.add(Map.entry(crash.crashId(), crash.suspects())));
-        clearances.keySet().forEach(request -> facts.add(List.of("cleared", request)));
+        clearances.keySet().stream()
+                .filter(suspect -> !PromptParts.isPart(suspect))
+                .forEach(request -> facts.add(List.of("cleared", request)));
         signsOfLife.keySet().forEach(crash -> facts.add(List.of("alive", crash)));
         return facts;
     }
