Blame a part of prompts at five crashes

The fifth crash is the last that the users leave free, and a fixed fleet keeps the rule with either.

--- a/core/src/main/java/org/cornelramp/core/poison/BlameThresholds.java
+++ b/core/src/main/java/org/cornelramp/core/poison/BlameThresholds.java
@@ -20,7 +20,7 @@
      * For processes that infer crashes from broken connections. A request that is retried while several servers fail
      * for another reason is at two crashes within a second.
      */
-    public static final BlameThresholds INFERRED = new BlameThresholds(3, 5, 4, Duration.ofMillis(250));
+    public static final BlameThresholds INFERRED = new BlameThresholds(3, 5, 5, Duration.ofMillis(250));
 
     public BlameThresholds {
         if (crashes < 2 || sharedCrashes < crashes || partCrashes < crashes) {
