--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonPromptPartTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonPromptPartTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -30,6 +31,11 @@
 
     private static final int MANY_CRASHES = 30;
 
+    /** Seeds of histories in which a rule is broken; see the list of known failures. */
+    private static final Set<Long> LISTED_SEEDS = Set.of(
+            5_201L, 5_203L, 5_205L, 5_206L, 5_210L, 5_212L, 5_213L, 5_214L, 5_220L, 5_224L, 5_226L, 5_228L, 5_234L,
+            5_241L, 5_246L, 5_248L, 5_249L, 5_253L, 5_255L, 5_256L);
+
     private static final String PART = "e0000001:300";
     private static final String OTHER_PART = "e0000002:150";
     private static final double SHARE = 0.1;
@@ -59,14 +65,14 @@
     }
 
     /** Guards against requests of which each is new and crashes a server by a part that all of them have. */
-    @Test(dataProvider = "fleets", groups = "known-red")
+    @Test(dataProvider = "fleets")
     public void requestsWithThePartAreHeldBackAndOthersServed(int gateways, int eventsBeforeCrash) {
         PoisonFleet fleet = newFleet(gateways);
         assertHeldBack(fleet, third(fleet, eventsBeforeCrash));
     }
 
     /** Guards against crashes that are not seen because a relay still accepts connections for the dead engine. */
-    @Test(dataProvider = "fleets", groups = "known-red")
+    @Test(dataProvider = "fleets")
     public void partIsHeldBackWhereRelaysAcceptConnectionsForDeadEngines(int gateways, int eventsBeforeCrash) {
         PoisonFleet fleet = newFleet(gateways);
         fleet.setRelayed(true);
@@ -74,7 +80,7 @@
     }
 
     /** Guards against streams that may not be resumed, each of which is sent to one engine only. */
-    @Test(dataProvider = "smallFleets", groups = "known-red")
+    @Test(dataProvider = "smallFleets")
     public void partOfStreamsThatMayNotBeResumedIsHeldBack(int gateways, int eventsBeforeCrash) {
         PoisonFleet fleet = newFleet(gateways);
         fleet.publish(StandInConfig.small(2).jsonWithoutStreamResumption());
@@ -87,14 +93,14 @@
     }
 
     /** Guards against a part that is found only at one place of the prompt. */
-    @Test(dataProvider = "places", groups = "known-red")
+    @Test(dataProvider = "places")
     public void partIsHeldBackAtEachPlace(int place) {
         PoisonFleet fleet = newFleet(4);
         assertHeldBack(fleet, new RareParts(List.of(PART), place, SHARE, Optional.of(fleet.addPoisonPart(PART, 1))));
     }
 
     /** Guards against two parts that always come together and cannot be told apart. */
-    @Test(dataProvider = "smallFleets", groups = "known-red")
+    @Test(dataProvider = "smallFleets")
     public void partsThatAlwaysComeTogetherAreHeldBack(int gateways, int eventsBeforeCrash) {
         PoisonFleet fleet = newFleet(gateways);
         Poison poison = fleet.addPoisonPart(PART, eventsBeforeCrash);
@@ -102,7 +108,7 @@
     }
 
     /** Guards against a request that repeats a part which crashes servers, and hides it from those that are new. */
-    @Test(dataProvider = "smallFleets", groups = "known-red")
+    @Test(dataProvider = "smallFleets")
     public void partIsHeldBackThatAlsoComesInARequestWhichIsRepeated(int gateways, int eventsBeforeCrash) {
         PoisonFleet fleet = newFleet(gateways);
         RareParts rare = third(fleet, eventsBeforeCrash);
@@ -121,7 +127,7 @@
     }
 
     /** Guards against gateways that let through what another one refuses, because they have seen no crash themselves. */
-    @Test(dataProvider = "fleets", groups = "known-red")
+    @Test(dataProvider = "fleets")
     public void partIsRefusedAtOnceAtEachGatewayAlsoOneThatHasStarted(int gateways, int eventsBeforeCrash) {
         PoisonFleet fleet = newFleet(gateways);
         RareParts rare = third(fleet, eventsBeforeCrash);
@@ -156,9 +162,31 @@
         return IntStream.range(0, 60).mapToObj(i -> new Object[] {5_200L + i}).toArray(Object[][]::new);
     }
 
+    @DataProvider
+    Object[][] historiesThatKeepTheRules() {
+        return Stream.of(histories())
+                .filter(row -> !LISTED_SEEDS.contains(row[0]))
+                .toArray(Object[][]::new);
+    }
+
     /** Guards against any series of crashes, restarts, cuts and lost or late updates that lets a part through again. */
-    @Test(dataProvider = "histories", groups = "known-red")
+    @Test(dataProvider = "historiesThatKeepTheRules")
     public void partsAreHeldBackInRandomHistories(long seed) {
+        assertHistory(seed);
+    }
+
+    @DataProvider
+    Object[][] historiesThatBreakARule() {
+        return LISTED_SEEDS.stream().sorted().map(seed -> new Object[] {seed}).toArray(Object[][]::new);
+    }
+
+    /** Guards against the same in histories in which a part is let through, or a sound request is refused. */
+    @Test(dataProvider = "historiesThatBreakARule", groups = "known-red")
+    public void partsAreHeldBackInHistoriesThatWereFound(long seed) {
+        assertHistory(seed);
+    }
+
+    private static void assertHistory(long seed) {
         PoisonFleet fleet = runHistory(seed, true);
         assertRules(fleet);
         assertTrue(fleet.hasNoExceptions());
