Soak: parts of prompts that crash engines

The soak knew only requests that come again unchanged.

Each stream of the soak has a prompt of four parts: one that all share, one of six, one of eight, one of its own. An engine that begins to write on it ends before its first, second or third event and is back after 1.2 to 3.4 s under another id. These streams are ordinary calls, so all checks of answers and retries hold for them too.

Two requests that crash a server at the same instant now count as one crash.

The usual faults come every 2.1 s in these runs instead of every 0.7 s.

--- a/bench/src/main/java/org/cornelramp/bench/gateway/CallKind.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/CallKind.java
@@ -41,6 +41,11 @@
         return deadlineMillis;
     }
 
+    /** Ids of the parts of the prompt of a request; empty for a request without a prompt. */
+    List<String> promptParts(String requestId) {
+        return this == CHAT ? PromptParts.of(requestId) : List.of();
+    }
+
     /** The lines of the complete answer to a request. */
     List<String> completeAnswer(String requestId) {
         return List.of(StandInBackend.answerTo(requestId));
--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewayEnvironment.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewayEnvironment.java
@@ -105,7 +105,13 @@
 
     private boolean serves(SoakGateway gateway, CallKind kind) {
         String id = "check-" + StandInFleet.nowMillis() + "-" + gateway.name();
-        return caller.send(gateway.directAddress(), kind.path() + "check", id, kind.deadlineMillis())
+        return caller.send(
+                        gateway.directAddress(),
+                        kind.path() + "check",
+                        id,
+                        id,
+                        kind.promptParts(id),
+                        kind.deadlineMillis())
                 .thenApply(answer -> answer.status() == 200 && answer.complete())
                 .join();
     }
--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewayFaultInjector.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewayFaultInjector.java
@@ -16,7 +16,11 @@
 /** Draws the faults of a run from its seed before the run starts, then injects each on a separate thread. */
 final class GatewayFaultInjector {
     private static final long EARLIEST_START_MILLIS = 500;
-    private static final int MEAN_GAP_MILLIS = 700;
+    static final int MEAN_GAP_MILLIS = 700;
+
+    /** Leaves gateways undisturbed for the three seconds after which the checks of poisonous parts count them. */
+    static final int LONG_MEAN_GAP_MILLIS = 2_100;
+
     private static final int MIN_DURATION_MILLIS = 200;
     private static final int MAX_DURATION_MILLIS = 3_500;
 
@@ -34,23 +38,31 @@
         return thread;
     });
 
-    /** @param notices whether servers limit their rate, ask for rest and announce that they leave, instead of failing */
+    /**
+     * @param notices whether servers limit their rate, ask for rest and announce that they leave, instead of failing
+     * @param meanGapMillis mean time between two faults
+     */
     GatewayFaultInjector(
-            GatewayEnvironment environment, Violations violations, long seed, long millis, boolean notices) {
+            GatewayEnvironment environment,
+            Violations violations,
+            long seed,
+            long millis,
+            boolean notices,
+            int meanGapMillis) {
         this.environment = environment;
         this.violations = violations;
-        this.planned = draw(environment, seed, millis, notices);
+        this.planned = draw(environment, seed, millis, notices, meanGapMillis);
     }
 
     private static List<GatewayFault.ScheduledFault> draw(
-            GatewayEnvironment environment, long seed, long millis, boolean notices) {
+            GatewayEnvironment environment, long seed, long millis, boolean notices, int meanGapMillis) {
         SplittableRandom random = new SplittableRandom(seed);
         GatewayFault[] kinds = Stream.of(GatewayFault.values())
                 .filter(fault -> notices ? fault.isNotice() || fault.target() != Target.BACKEND : !fault.isNotice())
                 .toArray(GatewayFault[]::new);
         List<GatewayFault.ScheduledFault> faults = new ArrayList<>();
         int targetIndex = random.nextInt(TARGET_INDEX_BOUND);
-        long startMillis = EARLIEST_START_MILLIS + random.nextInt(MEAN_GAP_MILLIS);
+        long startMillis = EARLIEST_START_MILLIS + random.nextInt(meanGapMillis);
         while (startMillis < millis) {
             targetIndex =
                     random.nextDouble() < SAME_TARGET_PROBABILITY ? targetIndex : random.nextInt(TARGET_INDEX_BOUND);
@@ -59,7 +71,7 @@
             GatewayFault fault = kinds[random.nextInt(kinds.length)];
             faults.add(new GatewayFault.ScheduledFault(
                     fault, environment, targetIndex, startMillis, durationMillis, random.split()));
-            startMillis += 1 + random.nextInt(2 * MEAN_GAP_MILLIS);
+            startMillis += 1 + random.nextInt(2 * meanGapMillis);
         }
         return List.copyOf(faults);
     }
--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewayLoad.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewayLoad.java
@@ -21,15 +21,26 @@
     /** One request in so many is a poison request, in runs that have some. */
     private static final int POISON_INTERVAL = 9;
 
+    /** One stream in so many holds a poisonous part, in runs that have some, from a moment between these on. */
+    private static final int POISONED_STREAM_INTERVAL = 10;
+
+    private static final int MIN_SOUND_MILLIS = 3_000;
+    private static final int MAX_SOUND_MILLIS = 6_000;
+
     private final GatewayEnvironment environment;
     private final CallRecords calls;
     private final int poisonRequests;
+    private final int poisonousParts;
     private final SplittableRandom random;
     private final List<StandInCaller> callers;
 
-    /** @param poisonRequests number of requests that crash each server which runs them, and come again and again */
-    GatewayLoad(GatewayEnvironment environment, CallRecords calls, int poisonRequests, long seed) {
+    /**
+     * @param poisonRequests number of requests that crash each server which runs them, and come again and again
+     * @param poisonousParts number of parts of prompts that crash each engine which begins to write on them
+     */
+    GatewayLoad(GatewayEnvironment environment, CallRecords calls, int poisonRequests, int poisonousParts, long seed) {
         this.poisonRequests = poisonRequests;
+        this.poisonousParts = poisonousParts;
         this.environment = environment;
         this.calls = calls;
         this.random = new SplittableRandom(seed);
@@ -40,6 +51,9 @@
     /** Sends requests for the given time. */
     void run(long millis) throws InterruptedException {
         long begin = StandInFleet.nowMillis();
+        long poisonedFromMillis = poisonousParts > 0
+                ? MIN_SOUND_MILLIS + random.nextInt(MAX_SOUND_MILLIS - MIN_SOUND_MILLIS)
+                : Long.MAX_VALUE;
         for (long sent = 0; sent * SEND_INTERVAL_MILLIS < millis; sent++) {
             long wait = begin + sent * SEND_INTERVAL_MILLIS - StandInFleet.nowMillis();
             if (wait > 0) {
@@ -48,7 +62,7 @@
             if (poisonRequests > 0 && sent % POISON_INTERVAL == 0) {
                 sendPoison(sent);
             }
-            send("r" + sent);
+            send("r" + sent, sent * SEND_INTERVAL_MILLIS >= poisonedFromMillis);
         }
     }
 
@@ -58,25 +72,23 @@
                 environment.gateways().get(random.nextInt(environment.gateways().size()));
         String id = PoisonRecords.id(request, gateway.number(), sequence);
         String path = PoisonRecords.path(request);
+        CallKind kind = PoisonRecords.kind(request);
         var unused = callers.get(gateway.number())
-                .send(
-                        gateway.clientAddress(),
-                        path,
-                        id,
-                        path,
-                        PoisonRecords.kind(request).deadlineMillis());
+                .send(gateway.clientAddress(), path, id, path, kind.promptParts(path), kind.deadlineMillis());
     }
 
-    private void send(String id) {
+    private void send(String sequenceId, boolean mayBePoisoned) {
         SoakGateway gateway =
                 environment.gateways().get(random.nextInt(environment.gateways().size()));
         double draw = random.nextDouble();
         CallKind kind = draw < CHAT_SHARE ? CallKind.CHAT : draw < CHAT_AND_LOOK_SHARE ? CallKind.LOOK : CallKind.BOOK;
         boolean disconnects = random.nextDouble() < DISCONNECT_PROBABILITY;
         long disconnectDelayMillis = 1L + random.nextInt(MAX_DISCONNECT_DELAY_MILLIS);
+        boolean poisoned = mayBePoisoned && kind == CallKind.CHAT && random.nextInt(POISONED_STREAM_INTERVAL) == 0;
+        String id = poisoned ? PromptParts.poisonedId(sequenceId, random.nextInt(poisonousParts)) : sequenceId;
         calls.recordStart(id, kind, gateway.number(), StandInFleet.nowMillis());
         CompletableFuture<StandInCaller.Answer> answer = callers.get(gateway.number())
-                .send(gateway.clientAddress(), kind.path() + id, id, kind.deadlineMillis());
+                .send(gateway.clientAddress(), kind.path() + id, id, id, kind.promptParts(id), kind.deadlineMillis());
         var unused = answer.thenAccept(received -> calls.recordAnswer(id, received, StandInFleet.nowMillis()));
         if (disconnects) {
             CompletableFuture.delayedExecutor(disconnectDelayMillis, TimeUnit.MILLISECONDS)
--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewaySoakCommand.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewaySoakCommand.java
@@ -20,7 +20,7 @@
 import org.cornelramp.platform.standin.StandInFleet;
 
 /**
- * {@code soak --seed N --seconds S [--gateways G] [--notices] [--poison P]}: runs gateways as separate processes under random faults and checks
+ * {@code soak --seed N --seconds S [--gateways G] [--notices] [--poison P] [--poison-parts K]}: runs gateways as separate processes under random faults and checks
  * the guarantees of the product. After a violation it prints the schedule, the folder of the logs and every violation,
  * and exits with status 1. The last line holds the figures of the run. Stateless.
  */
@@ -28,6 +28,7 @@
     private static final String GATEWAYS_OPTION = "gateways";
     private static final String NOTICES_OPTION = "notices";
     private static final String POISON_OPTION = "poison";
+    private static final String POISON_PARTS_OPTION = "poison-parts";
     private static final String DEFAULT_GATEWAYS = "6";
     private static final String DEFAULT_POISON = "0";
     private static final Duration RECOVERY_LIMIT = Duration.ofSeconds(40);
@@ -50,7 +51,9 @@
         return new Options()
                 .addOption(Option.builder().longOpt(GATEWAYS_OPTION).hasArg().get())
                 .addOption(Option.builder().longOpt(NOTICES_OPTION).get())
-                .addOption(Option.builder().longOpt(POISON_OPTION).hasArg().get());
+                .addOption(Option.builder().longOpt(POISON_OPTION).hasArg().get())
+                .addOption(
+                        Option.builder().longOpt(POISON_PARTS_OPTION).hasArg().get());
     }
 
     @Override
@@ -58,7 +61,8 @@
         int gateways = Integer.parseInt(line.getOptionValue(GATEWAYS_OPTION, DEFAULT_GATEWAYS));
         boolean notices = line.hasOption(NOTICES_OPTION);
         int poison = Integer.parseInt(line.getOptionValue(POISON_OPTION, DEFAULT_POISON));
-        return run(context.home(), context.seed(), context.seconds(), gateways, notices, poison)
+        int poisonParts = Integer.parseInt(line.getOptionValue(POISON_PARTS_OPTION, DEFAULT_POISON));
+        return run(context.home(), context.seed(), context.seconds(), gateways, notices, poison, poisonParts)
                         .all()
                         .isEmpty()
                 ? 0
@@ -70,8 +74,10 @@
      *
      * @param notices whether servers limit their rate, ask for rest and announce that they leave, instead of failing
      * @param poison number of requests that crash each server which runs them, and come again and again
+     * @param poisonParts number of parts of prompts that crash each engine which begins to write on them
      */
-    public static Violations run(Path home, long seed, int seconds, int gateways, boolean notices, int poison)
+    public static Violations run(
+            Path home, long seed, int seconds, int gateways, boolean notices, int poison, int poisonParts)
             throws Exception {
         HTTP_LOGGER.setLevel(Level.OFF);
         Violations violations = new Violations();
@@ -83,9 +89,17 @@
             environment.start();
             PoisonRecords poisonRecords = new PoisonRecords();
             environment.backends().forEach(backend -> backend.answerUnframed(seed));
-            environment.backends().forEach(backend -> backend.crashUnder(poisonRecords, environment.faultHistory()));
-            faults = new GatewayFaultInjector(environment, violations, seed, seconds * 1_000L, notices);
-            GatewayLoad load = new GatewayLoad(environment, calls, poison, seed);
+            environment
+                    .backends()
+                    .forEach(backend -> backend.crashUnder(poisonRecords, environment.faultHistory(), seed));
+            faults = new GatewayFaultInjector(
+                    environment,
+                    violations,
+                    seed,
+                    seconds * 1_000L,
+                    notices,
+                    poisonParts > 0 ? GatewayFaultInjector.LONG_MEAN_GAP_MILLIS : GatewayFaultInjector.MEAN_GAP_MILLIS);
+            GatewayLoad load = new GatewayLoad(environment, calls, poison, poisonParts, seed);
             runLoad(environment, load, faults, calls, violations, seconds * 1_000L);
             awaitRecovery(environment, violations);
             new GatewayChecks(
@@ -100,7 +114,7 @@
                             poisonRecords,
                             environment.faultHistory(),
                             violations)
-                    .run(poison);
+                    .run(poison, poisonParts);
             reportUnframed(environment.fleet().observedRequests());
         }
         report(seed, folder, faults, calls.all(), violations);
--- a/bench/src/main/java/org/cornelramp/bench/gateway/PoisonRecords.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/PoisonRecords.java
@@ -8,7 +8,7 @@
 import java.util.regex.Pattern;
 
 /**
- * Requests that crash each server which runs them, and the servers that have crashed under them. Safe for use by any
+ * Requests that crash each server which runs them, and the crashes under them and under poisonous parts of prompts. Safe for use by any
  * thread.
  */
 final class PoisonRecords {
@@ -42,8 +42,9 @@
         return kind(request).path() + ID_PREFIX + request;
     }
 
-    static boolean isPoison(String path) {
-        return path.contains(ID_PREFIX);
+    /** Whether the path of a request or a part of its prompt crashes servers. */
+    static boolean isPoison(String feature) {
+        return feature.contains(ID_PREFIX) || PromptParts.isPoisonous(feature);
     }
 
     /** Which request and gateway an id stands for; null if it is no poison request's. */
@@ -54,16 +55,16 @@
                 : null;
     }
 
-    void recordCrash(String path, long nowMillis) {
-        List<Long> crashes = crashMillis.computeIfAbsent(path, any -> new ArrayList<>());
+    void recordCrash(String feature, long nowMillis) {
+        List<Long> crashes = crashMillis.computeIfAbsent(feature, any -> new ArrayList<>());
         synchronized (crashes) {
             crashes.add(nowMillis);
         }
     }
 
-    /** When servers crashed under a request, in order. */
-    List<Long> crashes(int request) {
-        List<Long> crashes = crashMillis.getOrDefault(path(request), List.of());
+    /** When servers crashed under the path of a request, or a part of a prompt, in order. */
+    List<Long> crashes(String feature) {
+        List<Long> crashes = crashMillis.getOrDefault(feature, List.of());
         synchronized (crashes) {
             return List.copyOf(crashes);
         }
--- a/bench/src/main/java/org/cornelramp/bench/gateway/SoakBackend.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/SoakBackend.java
@@ -16,6 +16,11 @@
     private static final long POISON_LAPSE_MILLIS = 800;
     private static final long POISON_DOWN_MILLIS = 2_500;
 
+    /** How long an engine stays down that a part of a prompt has crashed. */
+    private static final int MIN_DOWN_MILLIS = 1_200;
+
+    private static final int MAX_DOWN_MILLIS = 3_400;
+
     /** One stream in so many, and one other answer in so many, ends with its connection. */
     private static final int UNFRAMED_STREAM_SHARE = 5;
 
@@ -60,20 +65,23 @@
         server.faults().setUnframed(answer -> new SplittableRandom(seed ^ answer.hashCode()).nextInt(share) == 0);
     }
 
-    /** Lets requests with these paths crash the server whenever it runs them. */
-    void crashUnder(PoisonRecords poison, FaultHistory faultHistory) {
-        server.faults().setPoison(PoisonRecords::isPoison, path -> crash(path, poison, faultHistory));
+    /** Lets poison requests, and those with poisonous parts, crash the server whenever it runs them. */
+    void crashUnder(PoisonRecords poison, FaultHistory faultHistory, long seed) {
+        SplittableRandom random = new SplittableRandom(seed ^ server.name().hashCode());
+        server.faults().setPoison(PoisonRecords::isPoison, feature -> crash(feature, poison, faultHistory, random));
     }
 
-    private void crash(String path, PoisonRecords poison, FaultHistory faultHistory) {
+    private void crash(String feature, PoisonRecords poison, FaultHistory faultHistory, SplittableRandom random) {
+        if (!server.crash()) {
+            return;
+        }
         long now = StandInFleet.nowMillis();
-        poison.recordCrash(path, now);
+        poison.recordCrash(feature, now);
         FaultHistory.FaultPeriod crash = faultHistory.begin(FaultHistory.Target.BACKEND, FaultHistory.ALL, now);
         relay.setListening(false);
-        server.crash();
         relay.cut();
         Runnable work = () -> {
-            restart();
+            restart(PromptParts.isPoisonous(feature), random);
             faultHistory.end(crash, StandInFleet.nowMillis());
         };
         Thread restart = new Thread(work, "restart-" + server.name());
@@ -81,16 +89,22 @@
         restart.start();
     }
 
-    private synchronized void restart() {
+    private synchronized void restart(boolean underNewId, SplittableRandom random) {
+        long downMillis =
+                underNewId ? MIN_DOWN_MILLIS + random.nextInt(MAX_DOWN_MILLIS - MIN_DOWN_MILLIS) : POISON_DOWN_MILLIS;
         try {
             Thread.sleep(POISON_LAPSE_MILLIS);
             server.unregister();
-            Thread.sleep(POISON_DOWN_MILLIS - POISON_LAPSE_MILLIS);
+            Thread.sleep(downMillis - POISON_LAPSE_MILLIS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         relay.setListening(true);
-        server.startIncarnation();
+        if (underNewId) {
+            server.startUnderNewId();
+        } else {
+            server.startIncarnation();
+        }
     }
 
     @Override
--- a/system-tests/src/test/java/org/cornelramp/systemtests/GatewaySoakTest.java
+++ b/system-tests/src/test/java/org/cornelramp/systemtests/GatewaySoakTest.java
@@ -13,7 +13,7 @@
     @Test
     public void aShortRunHasNoViolations() throws Exception {
         assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 1, 12, 4, false, 0)
+                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 1, 12, 4, false, 0, 0)
                         .all(),
                 List.of());
     }
@@ -26,7 +26,7 @@
     @Test
     public void aStreamCutDuringShutdownIsNotReadAsComplete() throws Exception {
         assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 6, 25, 6, false, 0)
+                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 6, 25, 6, false, 0, 0)
                         .all(),
                 List.of());
     }
@@ -35,7 +35,7 @@
     @Test
     public void serversAreHeardThatSayWhatTheyTake() throws Exception {
         assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 43, 20, 4, true, 0)
+                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 43, 20, 4, true, 0, 0)
                         .all(),
                 List.of());
     }
@@ -44,7 +44,16 @@
     @Test(groups = "known-red")
     public void requestsThatCrashServersAreHeldBack() throws Exception {
         assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 4921, 20, 4, false, 3)
+                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 4921, 20, 4, false, 3, 0)
+                        .all(),
+                List.of());
+    }
+
+    /** Streams that share a part of their prompt which crashes engines are held back, and no other stream is. */
+    @Test(groups = "known-red")
+    public void streamsWithPartThatCrashesEnginesAreHeldBack() throws Exception {
+        assertEquals(
+                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 8, 30, 4, false, 0, 1)
                         .all(),
                 List.of());
     }
