--- a/core/src/test/java/org/cornelramp/core/poison/PromptPartNewsTest.java
+++ b/core/src/test/java/org/cornelramp/core/poison/PromptPartNewsTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -16,6 +17,8 @@
 
 /** What processes tell each other about parts of prompts under which servers crash. */
 public class PromptPartNewsTest {
+    private static final BlameThresholds THRESHOLDS = new BlameThresholds(3, 5, 4, Duration.ofMillis(250));
+
     private static final long NOW = 1_000_000;
     private static final long SETTLED = NOW + 300;
     private static final long LATER = NOW + 2 * PoisonNews.TELL_MILLIS;
@@ -27,8 +30,8 @@
 
     @BeforeMethod
     public void start() {
-        detector = PoisonDetector.standard(BlameThresholds.INFERRED);
-        otherDetector = PoisonDetector.standard(BlameThresholds.INFERRED);
+        detector = PoisonDetector.standard(THRESHOLDS);
+        otherDetector = PoisonDetector.standard(THRESHOLDS);
         news = new PoisonNews(detector);
         other = new PoisonNews(otherDetector);
     }
--- a/core/src/test/java/org/cornelramp/core/poison/PromptPartTest.java
+++ b/core/src/test/java/org/cornelramp/core/poison/PromptPartTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -16,6 +17,8 @@
 
 /** Requests that share a part of their prompts under which servers crash are refused; those that share the others are not. */
 public class PromptPartTest {
+    private static final BlameThresholds THRESHOLDS = new BlameThresholds(3, 5, 4, Duration.ofMillis(250));
+
     private static final long NOW = 1_000_000;
     private static final long SETTLED = NOW + 300;
     private static final long MINUTES_10 = 600_000;
@@ -24,7 +27,7 @@
 
     @BeforeMethod
     public void start() {
-        detector = PoisonDetector.standard(BlameThresholds.INFERRED);
+        detector = PoisonDetector.standard(THRESHOLDS);
     }
 
     private static Instant at(long millis) {
