Decode the parts of a request in progress once

SoundParts decoded the header of every request in progress anew at each crash and each time a run had lived; ActiveRequest keeps the decoded parts.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/SoundParts.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/SoundParts.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import org.cornelramp.gateway.request.Attempt;
 import org.cornelramp.gateway.request.AttemptEnd;
 
@@ -43,7 +44,7 @@
     /** Observes the end of an attempt: the crash that ended it may have killed all runs that would clear its parts. */
     void attemptEnded(Attempt attempt) {
         if (attempt.connectionFault() == Attempt.ConnectionFault.BROKEN && hasLived(attempt)) {
-            add(attempt, attempt.firstEventMillis() + PROOF_MILLIS, ended);
+            add(attempt.exchange().request().sharedPromptParts(), attempt.firstEventMillis() + PROOF_MILLIS, ended);
             while (ended.size() > MAX_ENDED) {
                 ended.remove(ended.keySet().iterator().next());
             }
@@ -55,7 +56,7 @@
         Map<String, Long> parts = new HashMap<>();
         if (end.kind() == AttemptEnd.Kind.RELAYED) {
             long first = attempt.firstEventMillis() > 0 ? attempt.firstEventMillis() : attempt.startMillis();
-            add(attempt, Math.min(now, first + PROOF_MILLIS), parts);
+            add(attempt.exchange().request().sharedPromptParts(), Math.min(now, first + PROOF_MILLIS), parts);
         }
         return parts;
     }
@@ -66,7 +67,10 @@
         ended.forEach((part, until) -> parts.put(part, Math.min(now, until)));
         for (ActiveRequest request : activeRequests) {
             if (request.attempt() != null && hasLived(request.attempt())) {
-                add(request.attempt(), Math.min(now, request.attempt().firstEventMillis() + PROOF_MILLIS), parts);
+                add(
+                        request.sharedPromptParts(),
+                        Math.min(now, request.attempt().firstEventMillis() + PROOF_MILLIS),
+                        parts);
             }
         }
         return parts;
@@ -77,13 +81,16 @@
         Map<String, Long> parts = new HashMap<>();
         for (ActiveRequest request : activeRequests) {
             if (request.attempt() != null && hasLived(request.attempt()) && request.markLived()) {
-                add(request.attempt(), Math.min(now, request.attempt().firstEventMillis() + PROOF_MILLIS), parts);
+                add(
+                        request.sharedPromptParts(),
+                        Math.min(now, request.attempt().firstEventMillis() + PROOF_MILLIS),
+                        parts);
             }
         }
         return parts;
     }
 
-    private static void add(Attempt attempt, long untilMillis, Map<String, Long> parts) {
-        attempt.exchange().request().sharedPromptParts().forEach(part -> parts.merge(part, untilMillis, Math::max));
+    private static void add(Set<String> names, long untilMillis, Map<String, Long> parts) {
+        names.forEach(part -> parts.merge(part, untilMillis, Math::max));
     }
 }
