Unframed ends: one way to connect, one mapping of thrown calls, one switch over ends

Found when reading the change again, no decision changes: - EngineControl opened a connection and mapped its failures in two places. - AsyncEngineControl had two methods that turn an exception into a missing answer, beside a third for results. - RequestRouter had the switch over the end of an attempt twice; a confirmed end takes the same one as any other. - EventSplitter had a constructor that only tests called. - CutConnectionTest spelled names of the users' platform; they come from the fixtures of the platform module.

LifeQuestionTest 5, CutAnswerTest 155, CutConnectionTest 12, JoinedRunsTest 9, AttemptTest 8, AttemptEndFaultTest 6, RouterFaultTest 4, ProbePauseTest 3, GatewayEndToEndTest 16, StreamResumptionTest 8 pass.

--- a/gateway/src/main/java/org/cornelramp/gateway/request/EventSplitter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/EventSplitter.java
@@ -28,11 +28,6 @@
     private String disorder = "";
     private boolean overflowed;
 
-    /** Splits a stream that begins with its first event. */
-    EventSplitter() {
-        this(-1);
-    }
-
     /** @param resumedAfterId id of the event after which the stream was resumed; -1 if it was not */
     EventSplitter(long resumedAfterId) {
         this.resumedAfterId = resumedAfterId;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
@@ -178,15 +178,8 @@
         checkPauses.values().removeIf(until -> now >= until);
         if (checkPauses.putIfAbsent(server.id(), now + CHECK_PAUSE_MILLIS) == null) {
             long timeout = PROBE_TIMEOUT_MILLIS + LAG_FACTOR * lagMillis;
-            submit(() -> router.accept(new RouterEvent.ConnectionChecked(server, connect(server, timeout))));
-        }
-    }
-
-    private Optional<PlatformFault> connect(BackendServer server, long timeoutMillis) {
-        try {
-            return calls.connect(server, timeoutMillis);
-        } catch (RuntimeException e) {
-            return Optional.of(new PlatformFault(PlatformFault.Kind.NO_ANSWER, e.toString()));
+            submit(() -> router.accept(
+                    new RouterEvent.ConnectionChecked(server, faultIfThrown(() -> calls.connect(server, timeout)))));
         }
     }
 
@@ -203,16 +196,8 @@
         long timeout = LIFE_TIMEOUT_MILLIS + LAG_FACTOR * lagMillis;
         return submit(
                 lifeThreads,
-                () -> router.accept(
-                        new RouterEvent.LifeAsked(server, question, askForLife(server, healthPath, timeout))));
-    }
-
-    private Optional<PlatformFault> askForLife(BackendServer server, String healthPath, long timeoutMillis) {
-        try {
-            return calls.askForLife(server, healthPath, timeoutMillis);
-        } catch (RuntimeException e) {
-            return Optional.of(new PlatformFault(PlatformFault.Kind.NO_ANSWER, e.toString()));
-        }
+                () -> router.accept(new RouterEvent.LifeAsked(
+                        server, question, faultIfThrown(() -> calls.askForLife(server, healthPath, timeout)))));
     }
 
     /** Reads the report of an engine; false if too many calls are queued. */
@@ -247,6 +232,15 @@
         }
     }
 
+    /** The same for a call whose only result is a fault. */
+    private static Optional<PlatformFault> faultIfThrown(Supplier<Optional<PlatformFault>> call) {
+        try {
+            return call.get();
+        } catch (RuntimeException e) {
+            return Optional.of(new PlatformFault(PlatformFault.Kind.NO_ANSWER, e.toString()));
+        }
+    }
+
     private boolean submit(Runnable call) {
         return submit(threads, call);
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -281,6 +281,10 @@
         if (attempt.path().isPresent() && !end.kind().surelyNotRun()) {
             request.usedFirstEngines().add(attempt.server().id());
         }
+        handleEnd(request, attempt, end, now);
+    }
+
+    private void handleEnd(ActiveRequest request, Attempt attempt, AttemptEnd end, long now) {
         switch (end.kind()) {
             case RELAYED -> ender.complete(request, end, now);
             case CLIENT_GONE -> ender.abort(request, "client gone", end.detail(), now);
@@ -294,13 +298,7 @@
     private void settleUnframed(ActiveRequest request, Attempt attempt, AttemptEnd end, long now) {
         faults.run("crash", now, () -> poisonGuard.attemptEnded(attempt, end, now));
         faults.run("outcome", now, () -> failureDetector.recordOutcome(attempt, end, now));
-        boolean handled = faults.run(request, () -> {
-            switch (end.kind()) {
-                case RELAYED -> ender.complete(request, end, now);
-                case ANSWERED -> handleAnswer(request, attempt, end, now);
-                default -> handleFailure(request, attempt, end, now);
-            }
-        });
+        boolean handled = faults.run(request, () -> handleEnd(request, attempt, end, now));
         if (!handled) {
             continueAfterFault(request, attempt, end, now);
         }
--- a/gateway/src/test/java/org/cornelramp/gateway/CutConnectionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/CutConnectionTest.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.routing.Route;
@@ -23,6 +24,7 @@
 import org.cornelramp.gateway.request.AttemptEnd;
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.ForwardedHead;
+import org.cornelramp.platform.standin.HeaderFixtures;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
@@ -34,7 +36,10 @@
  */
 public class CutConnectionTest {
     private static final String ID = "r1";
-    private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Server-Seal: s\r\n";
+    private static final String HEAD = "HTTP/1.1 200 OK\r\n"
+            + HeaderFixtures.answer(ID).stream()
+                    .map(field -> field.getName() + ": " + field.getValue() + "\r\n")
+                    .collect(Collectors.joining());
     private static final String FIRST = "id: 0\ndata: a\n\n";
     private static final String SECOND = "id: 1\ndata: b\n\n";
     private static final String BODY = FIRST + SECOND;
--- a/gateway/src/test/java/org/cornelramp/gateway/request/EventSplitterProperties.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/EventSplitterProperties.java
@@ -29,7 +29,7 @@
             whole.append("\n\n");
         }
         byte[] bytes = whole.toString().getBytes(StandardCharsets.UTF_8);
-        EventSplitter splitter = new EventSplitter();
+        EventSplitter splitter = new EventSplitter(-1);
         StringBuilder out = new StringBuilder();
         int at = 0;
         for (int cut : cuts) {
@@ -56,7 +56,7 @@
     /** Guards against unbounded buffering when a faulty server sends bytes that never complete an event. */
     @Example
     void limitsTheSizeOfAnUnfinishedEvent() {
-        EventSplitter splitter = new EventSplitter();
+        EventSplitter splitter = new EventSplitter(-1);
         byte[] part = new byte[1 << 16];
         for (int i = 0; i <= 1 << 4; i++) {
             splitter.consume(ByteBuffer.wrap(part));
