--- /dev/null
+++ b/core/src/main/java/org/cornelramp/core/admission/Prospect.java
@@ -0,0 +1,67 @@
+package org.cornelramp.core.admission;
+
+/**
+ * What is predicted for a request if it started now on its path. Immutable, safe for use by any thread.
+ *
+ * @param priority priority of the request, 0 first
+ * @param pauseMillis predicted pause between events on the path, with the request included
+ * @param pauseLimitMillis longest pause that the route allows; 0 if it has no limit
+ * @param firstEventMillis predicted time to the first event
+ * @param targetLeftMillis time left until the first event is late; negative if it is late already
+ * @param routeTargetMillis time that the route allows for the first event of a new request
+ * @param patienceLeftMillis time left until the client leaves
+ * @param reserve the requests for which capacity is to be left
+ * @param starved whether the request goes first because its priority or organisation got too small a share
+ * @param onTimeWaiting whether a request waits that can still be on time and is at least as urgent
+ */
+public record Prospect(
+        int priority,
+        double pauseMillis,
+        double pauseLimitMillis,
+        double firstEventMillis,
+        double targetLeftMillis,
+        double routeTargetMillis,
+        double patienceLeftMillis,
+        Reserve reserve,
+        boolean starved,
+        boolean onTimeWaiting) {
+
+    /**
+     * Capacity that a request has to leave for those expected to arrive before more becomes free.
+     *
+     * @param moreUrgentPerSecond arrivals of more urgent requests at all gateways, per second
+     * @param samePriorityPerSecond arrivals of its own priority at all gateways, per second
+     * @param horizonMillis time in which capacity becomes free, and the age of the loads of peers
+     * @param paths number of paths over which the arrivals are spread, at least 1
+     * @param pausePerRequestMillis time that each running request adds to the pauses of its path
+     */
+    public record Reserve(
+            double moreUrgentPerSecond,
+            double samePriorityPerSecond,
+            double horizonMillis,
+            double paths,
+            double pausePerRequestMillis) {
+        /** No arrivals are expected. */
+        public static final Reserve NONE = new Reserve(0, 0, 0, 1, 0);
+
+        double pauseMillis(boolean late) {
+            double perSecond = moreUrgentPerSecond + (late ? samePriorityPerSecond : 0);
+            return perSecond * horizonMillis / 1_000 / Math.max(1, paths) * pausePerRequestMillis;
+        }
+    }
+
+    boolean late() {
+        return firstEventMillis > targetLeftMillis;
+    }
+
+    /** Whether the pauses on the path stay within a part of the limit, with the reserve included. */
+    boolean pauseWithin(double margin) {
+        double reserved = starved ? 0 : reserve.pauseMillis(late());
+        return pauseLimitMillis <= 0 || pauseMillis + reserved <= pauseLimitMillis * margin;
+    }
+
+    /** Whether a new request of the route could be on time, which is the only limit of a route without a pause limit. */
+    boolean newRequestOnTime() {
+        return pauseLimitMillis > 0 || firstEventMillis <= routeTargetMillis;
+    }
+}
--- a/core/src/main/java/org/cornelramp/core/path/PathFinder.java
+++ b/core/src/main/java/org/cornelramp/core/path/PathFinder.java
@@ -26,6 +26,12 @@
     /** A token that arrives during a step waits for half of that step on average and then takes a step of its own. */
     private static final double QUEUEING_FACTOR = 1.5;
 
+    /**
+     * Part of an engine's requests that run in one step. The requests are spread over the hops of their paths, so one
+     * step runs only a part of them; the conservative estimate of one half keeps copies evenly loaded.
+     */
+    private static final double STEP_PART_OF_REQUESTS = 0.5;
+
     /** Network delay and processing for each hop within a data centre, in milliseconds; twice the delay of the links. */
     private static final double HOP_MILLIS = 0.2;
 
@@ -155,6 +161,17 @@
                 .map(last -> toPath(last, spec, demand));
     }
 
+    /** Returns the token time that each further request on all engines of a path adds there, by its cards. */
+    public static double tokenMillisPerRequest(StagePath path, EngineSpec spec) {
+        double stepFactor = 0;
+        for (Hop hop : path.hops()) {
+            double share = hop.layers() / (double) spec.layers();
+            stepFactor += share
+                    * spec.card(hop.server().card()).map(CardKind::stepFactor).orElse(1.0);
+        }
+        return QUEUEING_FACTOR * STEP_PART_OF_REQUESTS * spec.meanRequestStepMillis() * stepFactor;
+    }
+
     /** Lists the engines that hold each layer, so that a search among hundreds looks at a few engines for each step. */
     private static List<List<Candidate>> candidatesByLayer(
             EngineSpec spec, List<BackendServer> engines, EngineLoads loads) {
@@ -261,12 +278,10 @@
             this.failureMillis = CONSTANT_FAILURE_MILLIS * loads.failureShare(server.id());
         }
 
-        /**
-         * Time for one token and one layer under the present load. The requests are spread over the hops of their paths,
-         * so one step runs only a part of them; the conservative estimate of one half keeps copies evenly loaded.
-         */
+        /** Time for one token and one layer under the present load. */
         private static double layerMillis(EngineLoads.Load load, CardKind card, EngineSpec spec) {
-            double step = spec.stepMillis() + (load.requests() + 1) / 2.0 * spec.meanRequestStepMillis();
+            double step =
+                    spec.stepMillis() + (load.requests() + 1) * STEP_PART_OF_REQUESTS * spec.meanRequestStepMillis();
             double reading = load.pendingPromptTokens() / spec.prefillTokensPerMilli() * card.prefillFactor();
             return (QUEUEING_FACTOR * step * card.stepFactor() + PENDING_PROMPT_PART * reading) / spec.layers();
         }
