--- a/core/src/main/java/org/cornelramp/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/cornelramp/core/admission/AdmissionQueue.java
@@ -155,6 +155,12 @@
         return expired;
     }
 
+    /** Records that a request starts at once, without having been offered. */
+    public void recordAdmittedAtOnce(WaitingRequest<T> request, long nowMillis) {
+        shares.recordOffered(request.priority(), request.organisation(), request.cost(), nowMillis);
+        recordAdmitted(request, nowMillis);
+    }
+
     /** Records that a request starts, and removes it if it waits. */
     public void recordAdmitted(WaitingRequest<T> request, long nowMillis) {
         advance(nowMillis);
--- a/core/src/main/java/org/cornelramp/core/path/PathFinder.java
+++ b/core/src/main/java/org/cornelramp/core/path/PathFinder.java
@@ -89,13 +89,15 @@
      * @param expectedTokens expected tokens of prompt and answer
      * @param allowedFirstEngines the engines that may be the first of the path; empty for any
      * @param excludedFirstEngines the engines that must not be the first of the path
+     * @param reservedRequests requests of mean length for each copy of the model whose memory is left free
      */
     public record Demand(
             DataCentre clientDataCentre,
             int promptTokens,
             int expectedTokens,
             Set<BackendServerId> allowedFirstEngines,
-            Set<BackendServerId> excludedFirstEngines) {
+            Set<BackendServerId> excludedFirstEngines,
+            double reservedRequests) {
         public Demand {
             allowedFirstEngines = Set.copyOf(allowedFirstEngines);
             excludedFirstEngines = Set.copyOf(excludedFirstEngines);
@@ -107,12 +109,24 @@
                 int promptTokens,
                 int expectedTokens,
                 Set<BackendServerId> allowedFirstEngines) {
-            this(clientDataCentre, promptTokens, expectedTokens, allowedFirstEngines, Set.of());
+            this(clientDataCentre, promptTokens, expectedTokens, allowedFirstEngines, Set.of(), 0);
         }
 
         /** A copy that excludes these first engines. */
         public Demand withExcludedFirstEngines(Set<BackendServerId> excluded) {
-            return new Demand(clientDataCentre, promptTokens, expectedTokens, allowedFirstEngines, excluded);
+            return new Demand(
+                    clientDataCentre, promptTokens, expectedTokens, allowedFirstEngines, excluded, reservedRequests);
+        }
+
+        /** A copy that leaves memory free for that many requests of mean length for each copy of the model. */
+        public Demand withReservedRequests(double requests) {
+            return new Demand(
+                    clientDataCentre,
+                    promptTokens,
+                    expectedTokens,
+                    allowedFirstEngines,
+                    excludedFirstEngines,
+                    requests);
         }
 
         boolean mayStartAt(BackendServer server) {
@@ -144,7 +158,7 @@
 
     private static Optional<StagePath> search(
             PartialPath start, EngineSpec spec, List<BackendServer> engines, EngineLoads loads, Demand demand) {
-        List<List<Candidate>> candidates = candidatesByLayer(spec, engines, loads);
+        List<List<Candidate>> candidates = candidatesByLayer(spec, engines, loads, demand);
         List<List<PartialPath>> best = new ArrayList<>();
         for (int layer = 0; layer <= spec.layers(); layer++) {
             best.add(new ArrayList<>());
@@ -174,7 +188,7 @@
 
     /** Lists the engines that hold each layer, so that a search among hundreds looks at a few engines for each step. */
     private static List<List<Candidate>> candidatesByLayer(
-            EngineSpec spec, List<BackendServer> engines, EngineLoads loads) {
+            EngineSpec spec, List<BackendServer> engines, EngineLoads loads, Demand demand) {
         List<List<Candidate>> candidates = new ArrayList<>(spec.layers());
         for (int layer = 0; layer < spec.layers(); layer++) {
             candidates.add(new ArrayList<>());
@@ -183,7 +197,7 @@
             Optional<CardKind> card = spec.card(server.card());
             Optional<LayerRange> layers = server.layers();
             if (card.isPresent() && layers.isPresent()) {
-                Candidate engine = new Candidate(server, layers.get(), card.get(), spec, loads);
+                Candidate engine = new Candidate(server, layers.get(), card.get(), spec, loads, demand);
                 candidates
                         .subList(
                                 layers.get().from(),
@@ -267,13 +281,21 @@
         private final double layerMillis;
         private final double failureMillis;
 
-        Candidate(BackendServer server, LayerRange layers, CardKind card, EngineSpec spec, EngineLoads loads) {
+        Candidate(
+                BackendServer server,
+                LayerRange layers,
+                CardKind card,
+                EngineSpec spec,
+                EngineLoads loads,
+                Demand demand) {
             EngineLoads.Load load = loads.load(server.id());
-            double freeMb = card.memoryMb() - (layers.to() - layers.from()) * spec.layerMb();
+            int layerCount = layers.to() - layers.from();
+            double freeMb = card.memoryMb() - layerCount * spec.layerMb();
+            double reserved = demand.reservedRequests() * spec.meanRequestTokens() * layerCount;
             this.server = server;
             this.endLayer = layers.to();
             this.hasSlot = load.asFirstEngine() < server.slots();
-            this.freeTokenLayers = MAX_MEMORY_SHARE * freeMb / spec.tokenMbPerLayer() - load.tokenLayers();
+            this.freeTokenLayers = MAX_MEMORY_SHARE * freeMb / spec.tokenMbPerLayer() - load.tokenLayers() - reserved;
             this.layerMillis = layerMillis(load, card, spec) * loads.slowdown(server.id());
             this.failureMillis = CONSTANT_FAILURE_MILLIS * loads.failureShare(server.id());
         }
--- a/core/src/main/java/org/cornelramp/core/routing/RoutingConfig.java
+++ b/core/src/main/java/org/cornelramp/core/routing/RoutingConfig.java
@@ -2,11 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Optional;
+import java.util.TreeSet;
 import org.cornelramp.core.model.OrganisationId;
 import org.cornelramp.core.model.ServiceName;
 
@@ -22,6 +25,7 @@
     private final Map<String, Organisation> organisationsByKey;
     private final boolean keysRequired;
     private final ClientLimits limits;
+    private final Map<ServiceName, NavigableSet<Integer>> prioritiesByService = new HashMap<>();
 
     /**
      * The organisation that a key identifies. Immutable, safe for use by any thread.
@@ -56,6 +60,23 @@
         this.organisationsByKey = Map.copyOf(organisationsByKey);
         this.keysRequired = keysRequired;
         this.limits = limits;
+        routes.forEach(this::addPriorities);
+    }
+
+    private void addPriorities(Route route) {
+        for (WeightedService weighted : route.split()) {
+            NavigableSet<Integer> priorities =
+                    prioritiesByService.computeIfAbsent(weighted.service(), service -> organisationPriorities());
+            priorities.add(route.priority());
+        }
+    }
+
+    private NavigableSet<Integer> organisationPriorities() {
+        NavigableSet<Integer> priorities = new TreeSet<>();
+        organisationsByKey
+                .values()
+                .forEach(organisation -> organisation.priority().ifPresent(priorities::add));
+        return priorities;
     }
 
     public long version() {
@@ -88,6 +109,14 @@
                 .findFirst();
     }
 
+    /**
+     * Priorities that requests to a service may have, most urgent first: those of its routes and, as they go before a
+     * route's priority, those of the organisations.
+     */
+    public NavigableSet<Integer> priorities(ServiceName service) {
+        return prioritiesByService.getOrDefault(service, Collections.emptyNavigableSet());
+    }
+
     /** Whether a request on the route must carry the key of an organisation. */
     public boolean requiresKey(Route route) {
         return keysRequired && !route.anonymous();
--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -211,6 +211,7 @@
             Thread.sleep(POLL_INTERVAL_MILLIS);
             if (clock.millis() >= beganMillis + REFUSE_STREAMS_AFTER_MILLIS) {
                 server.refuseStreams();
+                router.refuseWaitingStreams();
             }
             if (clock.millis() >= limitMillis - REFUSE_ALL_BEFORE_END_MILLIS) {
                 server.refuseNew();
--- a/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
@@ -120,6 +120,11 @@
         count("refusals", "cause", cause);
     }
 
+    /** Counts a decision on the admission of a request to a service with several priorities. */
+    public void countAdmission(String decision) {
+        count("admissions", "decision", decision);
+    }
+
     /** Counts an exception in a step of the router's work, which ends only that step. */
     public void countException(String step) {
         count("exceptions", "step", step);
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -18,6 +18,7 @@
 import org.cornelramp.platform.ResponseHead;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpURI;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
@@ -83,6 +84,16 @@
             return head.requestId();
         }
 
+        /** The host that the request names, in lower case and without a port; empty if it names none. */
+        public String host() {
+            return host(fields);
+        }
+
+        /** The canonical path of the request. */
+        public String path() {
+            return HttpURI.from(pathQuery).getCanonicalPath();
+        }
+
         /** Identifies the request when its client sends it again with another id; computed at each call. */
         public String fingerprint() {
             return Fingerprint.ofHttp(organisation, method, host(fields), pathQuery, body);
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Refusal.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Refusal.java
@@ -14,6 +14,7 @@
     TOO_LARGE(413, "The body is larger than the configuration allows; send less.", 0),
     NO_SERVER(503, "No backend server can take this request now; send it again.", 1_000),
     OVERLOADED(503, "All backend servers are full; send the request again.", 1_500),
+    CONFIGURATION_CHANGED(503, "The configuration of this request's route or key has changed; send it again.", 100),
     POISON(503, "Backend servers crashed while they ran this request; do not send it again unchanged.", 60_000),
     POISON_PART(
             503,
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
@@ -41,6 +41,8 @@
     private long lastMoveMillis = Long.MIN_VALUE / 2;
     private long lastSearchMillis = Long.MIN_VALUE / 2;
     private long leavingSinceMillis;
+    private long admissionId;
+    private double reservedRequests;
 
     /** @param tokens tokens that the request is expected to occupy when it is finished; 0 for a plain service */
     ActiveRequest(Exchange exchange, ServiceName service, int tokens) {
@@ -287,4 +289,22 @@
         lastMoveMillis = due ? nowMillis : lastMoveMillis;
         return due;
     }
+
+    /** Number under which the request was admitted or waits for its admission; 0 for none. */
+    long admissionId() {
+        return admissionId;
+    }
+
+    void setAdmissionId(long id) {
+        admissionId = id;
+    }
+
+    /** Requests of mean length for each copy of the model whose memory this request leaves to more urgent ones. */
+    double reservedRequests() {
+        return reservedRequests;
+    }
+
+    void setReservedRequests(double requests) {
+        reservedRequests = requests;
+    }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -180,7 +180,8 @@
         int prompt = request.exchange().request().head().promptTokens();
         PathFinder.Demand demand = new PathFinder.Demand(
                         settings.dataCentre(), prompt, request.expectedTokens(), allowedFirstEngines(request))
-                .withExcludedFirstEngines(closed);
+                .withExcludedFirstEngines(closed)
+                .withReservedRequests(request.exchange().isCommitted() ? 0 : request.reservedRequests());
         List<BackendServer> usable = fleet.usableServers(request.service(), request.avoidedServers(), now);
         return PathFinder.find(spec, usable, fleet.loads(), demand);
     }
--- /dev/null
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -0,0 +1,397 @@
+package org.cornelramp.gateway.route;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.Optional;
+import org.cornelramp.core.admission.AdmissionPolicy;
+import org.cornelramp.core.admission.AdmissionQueue;
+import org.cornelramp.core.admission.AdmissionRefusal;
+import org.cornelramp.core.admission.Evicted;
+import org.cornelramp.core.admission.Fit;
+import org.cornelramp.core.admission.PaceEstimator;
+import org.cornelramp.core.admission.Prospect;
+import org.cornelramp.core.admission.WaitingRequest;
+import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.path.StagePath;
+import org.cornelramp.core.routing.EngineSpec;
+import org.cornelramp.core.routing.Route;
+import org.cornelramp.core.routing.RouteKind;
+import org.cornelramp.core.routing.RoutingConfig;
+import org.cornelramp.core.routing.ServiceSpec;
+import org.cornelramp.gateway.log.EventLog;
+import org.cornelramp.gateway.metrics.Meters;
+import org.cornelramp.gateway.request.Attempt;
+import org.cornelramp.gateway.request.Exchange;
+import org.cornelramp.gateway.request.Refusal;
+
+/**
+ * Admits streams to engines in the order of their urgency while there is not enough capacity for all. Takes part only
+ * where the configuration gives a service's routes or the organisations more than one priority; other requests are
+ * handled as if this class did not exist. Confined to the router's thread.
+ *
+ * <p>Invariants: a request that waits here was never sent to a server, so it may be refused with a status that promises
+ * that it has not run. No request is sent before a waiting one that is more urgent.
+ */
+final class RequestAdmission {
+    /** Most requests that wait in one gateway. */
+    private static final int QUEUE_CAPACITY = 256;
+
+    /**
+     * Failed searches after which a tick tries no further request. The first ones are the most urgent; the next may
+     * need less memory, so a single large request does not block the queue.
+     */
+    private static final int MAX_FAILED_SEARCHES = 3;
+
+    /** Shortest time after which a client leaves a stream that sends no event, in milliseconds. */
+    private static final long MIN_PATIENCE_MILLIS = 2_000;
+
+    /** Multiple of the target latency that clients of a stream wait for its first event. */
+    private static final long PATIENCE_TARGETS = 4;
+
+    /** Multiple of the longest pause of a route that clients of a stream wait for its first event. */
+    private static final long PATIENCE_PAUSES = 8;
+
+    /** Time of more urgent arrivals for which capacity is left free, in seconds: about that in which it becomes free. */
+    private static final double RESERVE_SECONDS = 0.5;
+
+    /** Shortest time after which a refused client may return, in milliseconds: capacity was missing for longer. */
+    private static final long MIN_RETRY_MILLIS = 500;
+
+    /**
+     * Part of the client's remaining time within which it may return, as a divisor: clients disregard a longer time, and
+     * up to a half is added at random.
+     */
+    private static final long MAX_RETRY_PART = 5;
+
+    /** Time that is left to the engines for the first event of a request that has waited, in milliseconds. */
+    private static final long FIRST_EVENT_MILLIS = 200;
+
+    private final FleetState fleet;
+    private final ConfigHolder config;
+    private final Dispatcher dispatcher;
+    private final EventLog log;
+    private final Meters meters;
+    private final AdmissionQueue<ActiveRequest> queue = new AdmissionQueue<>(QUEUE_CAPACITY);
+    private final Map<ServiceName, PaceEstimator> paces = new HashMap<>();
+    private final Map<ServiceName, AdmissionPolicy> policies = new HashMap<>();
+    private long lastId;
+    private long checkedVersion = -1;
+
+    /**
+     * A request that is refused, with the time after which its client may return.
+     *
+     * @param retryMillis time until capacity is expected, in milliseconds
+     */
+    record Rejected(ActiveRequest request, Refusal refusal, String why, long retryMillis) {}
+
+    RequestAdmission(FleetState fleet, ConfigHolder config, Dispatcher dispatcher, EventLog log, Meters meters) {
+        this.fleet = fleet;
+        this.config = config;
+        this.dispatcher = dispatcher;
+        this.log = log;
+        this.meters = meters;
+    }
+
+    /** Whether the request is admitted by its urgency: a stream of a service with requests of several priorities. */
+    boolean applies(ActiveRequest request) {
+        return request.route().kind() == RouteKind.STREAMING
+                && !request.exchange().isCommitted()
+                && request.attemptCount() == 0
+                && fleet.isInitialised()
+                && priorities(request).size() > 1;
+    }
+
+    private NavigableSet<Integer> priorities(ActiveRequest request) {
+        return config.current()
+                .filter(version -> version.service(request.service())
+                        .filter(service -> service.engine().isPresent())
+                        .isPresent())
+                .map(version -> version.priorities(request.service()))
+                .orElse(Collections.emptyNavigableSet());
+    }
+
+    /** Whether the request waits here. */
+    boolean isWaiting(ActiveRequest request) {
+        return request.admissionId() != 0 && queue.find(request.admissionId()).isPresent();
+    }
+
+    /** Removes a request that has ended. */
+    void remove(ActiveRequest request) {
+        if (request.admissionId() != 0) {
+            queue.remove(request.admissionId());
+        }
+    }
+
+    /** Number of waiting requests. */
+    int size() {
+        return queue.size();
+    }
+
+    /**
+     * Sends a request, or lets it wait until there is capacity for it.
+     *
+     * @return the requests that are refused because of it, which may include the request itself
+     */
+    List<Rejected> admit(ActiveRequest request, long now) {
+        WaitingRequest<ActiveRequest> waiting = describe(request, now);
+        if (!isOvertaking(request) && trySend(waiting, now)) {
+            return List.of();
+        }
+        return enqueue(waiting, now);
+    }
+
+    private boolean isOvertaking(ActiveRequest request) {
+        int priority = request.exchange().request().priority();
+        return priorities(request).headSet(priority, true).stream().anyMatch(other -> queue.size(other) > 0);
+    }
+
+    private List<Rejected> enqueue(WaitingRequest<ActiveRequest> waiting, long now) {
+        ActiveRequest request = waiting.work();
+        Either<AdmissionRefusal, List<Evicted<ActiveRequest>>> offered = queue.offer(waiting, now);
+        if (offered.isLeft()) {
+            return List.of(rejected(request, offered.getLeft(), now));
+        }
+        request.setAdmissionId(waiting.id());
+        meters.countAdmission("queued");
+        logWaiting(waiting, now);
+        return rejected(offered.get(), now);
+    }
+
+    /**
+     * Sends the waiting requests for which there is capacity now, most urgent first.
+     *
+     * @return the requests that are refused, as they can no longer be served in time
+     */
+    List<Rejected> check(long now) {
+        if (queue.size() == 0) {
+            return List.of();
+        }
+        List<Rejected> rejected = new ArrayList<>(rejected(queue.expire(now), now));
+        rejected.addAll(removeUnroutable(now));
+        int failedSearches = 0;
+        int failedPriority = Integer.MAX_VALUE;
+        for (WaitingRequest<ActiveRequest> waiting : queue.inOrder(now)) {
+            if (failedSearches >= MAX_FAILED_SEARCHES || waiting.priority() > failedPriority) {
+                break;
+            }
+            if (trySend(waiting, now)) {
+                queue.remove(waiting.id());
+            } else {
+                failedSearches++;
+                failedPriority = waiting.priority();
+            }
+        }
+        return rejected;
+    }
+
+    /** Removes and returns all waiting requests of a gateway that stops: another one may be able to serve them. */
+    List<Rejected> drain(long now) {
+        List<Rejected> rejected = new ArrayList<>();
+        for (WaitingRequest<ActiveRequest> waiting : queue.inOrder(now)) {
+            queue.remove(waiting.id());
+            rejected.add(new Rejected(
+                    waiting.work(), Refusal.LEAVING, "this process is stopping", Refusal.LEAVING.retryMillis()));
+        }
+        return rejected;
+    }
+
+    /** Records the time to the first event of a stream, by which later predictions are calibrated. */
+    void recordFirstEvent(ActiveRequest request, Attempt attempt, long now) {
+        if (!applies(request) && request.admissionId() == 0) {
+            return;
+        }
+        attempt.path().ifPresent(path -> pace(request)
+                .recordFirstEvent(pace(request).uncalibratedFirstEventMillis(path), now - attempt.startMillis(), now));
+    }
+
+    /** Records the pauses of an attempt that has ended. */
+    void recordEnd(ActiveRequest request, Attempt attempt, long now) {
+        double pauseMillis = request.exchange().meanPauseMillis();
+        if (request.admissionId() != 0 && request.attemptCount() == 1 && pauseMillis > 0) {
+            attempt.path().ifPresent(path -> pace(request)
+                    .recordPause(pace(request).uncalibratedPauseMillis(path), pauseMillis, now));
+        }
+    }
+
+    private PaceEstimator pace(ActiveRequest request) {
+        return paces.computeIfAbsent(request.service(), service -> new PaceEstimator(1));
+    }
+
+    private boolean trySend(WaitingRequest<ActiveRequest> waiting, long now) {
+        ActiveRequest request = waiting.work();
+        double arrivals = moreUrgentArrivals(waiting);
+        boolean starved = queue.isStarved(waiting, now);
+        request.setReservedRequests(starved ? 0 : arrivals * RESERVE_SECONDS / copies(request, now));
+        Optional<Dispatcher.Target> target = dispatcher.chooseTarget(request, now);
+        if (target.isEmpty() || !keepsPace(waiting, target.get(), arrivals, starved, now)) {
+            return false;
+        }
+        if (request.admissionId() == 0) {
+            queue.recordAdmittedAtOnce(waiting, now);
+            meters.countAdmission("at once");
+        } else {
+            queue.recordAdmitted(waiting, now);
+            meters.countAdmission("after a wait");
+            logAdmitted(waiting, arrivals, now);
+        }
+        request.setAdmissionId(waiting.id());
+        dispatcher.send(request, target.get(), now);
+        return true;
+    }
+
+    /**
+     * Whether the streams on the path keep the pauses of their routes. Not asked for the most urgent requests, nor for
+     * those whose target has passed: a late answer is better than none.
+     */
+    private boolean keepsPace(
+            WaitingRequest<ActiveRequest> waiting,
+            Dispatcher.Target target,
+            double arrivals,
+            boolean starved,
+            long now) {
+        ActiveRequest request = waiting.work();
+        if (waiting.priority() <= priorities(request).first()
+                || now >= waiting.targetMillis()
+                || target.path().isEmpty()) {
+            return true;
+        }
+        StagePath path = target.path().get();
+        Route route = request.route();
+        PaceEstimator pace = pace(request);
+        double perRequest = engine(request)
+                .map(spec -> pace.pausePerRequestMillis(path, spec, now))
+                .orElse(0.0);
+        Prospect.Reserve reserve =
+                new Prospect.Reserve(arrivals, 0, RESERVE_SECONDS * 1_000, copies(request, now), perRequest);
+        Prospect prospect = new Prospect(
+                waiting.priority(),
+                pace.pauseMillis(path, now),
+                route.gapMillis(),
+                pace.firstEventMillis(path, now),
+                waiting.targetMillis() - now,
+                route.targetMillis(),
+                waiting.patienceMillis() - now,
+                reserve,
+                starved,
+                false);
+        Fit fit = policies.computeIfAbsent(request.service(), service -> new AdmissionPolicy())
+                .judge(prospect);
+        if (!fit.admits()) {
+            meters.countAdmission("held back");
+        }
+        return fit.admits();
+    }
+
+    /** Recent arrivals of more urgent requests at all gateways, per second. */
+    private double moreUrgentArrivals(WaitingRequest<ActiveRequest> waiting) {
+        return 0;
+    }
+
+    /** Copies of the model that the usable engines hold together; at least one. */
+    private double copies(ActiveRequest request, long now) {
+        int layers = engine(request).map(EngineSpec::layers).orElse(1);
+        int held = fleet.usableServers(request.service(), now).stream()
+                .flatMap(server -> server.layers().stream())
+                .mapToInt(range -> range.to() - range.from())
+                .sum();
+        return Math.max(1, held / (double) layers);
+    }
+
+    private Optional<EngineSpec> engine(ActiveRequest request) {
+        return config.current()
+                .flatMap(version -> version.service(request.service()))
+                .flatMap(ServiceSpec::engine);
+    }
+
+    private WaitingRequest<ActiveRequest> describe(ActiveRequest request, long now) {
+        Exchange.ClientRequest call = request.exchange().request();
+        Route route = request.route();
+        long patience = Math.max(
+                MIN_PATIENCE_MILLIS,
+                Math.max(PATIENCE_TARGETS * route.targetMillis(), PATIENCE_PAUSES * route.gapMillis()));
+        long leavesMillis = Math.min(call.receivedMillis() + patience, call.deadlineMillis());
+        EngineSpec spec = engine(request).orElseThrow();
+        request.setDefaultTokens(spec.meanRequestTokens());
+        return new WaitingRequest<>(
+                ++lastId,
+                call.priority(),
+                call.organisation(),
+                Math.max(1.0, request.expectedTokens()) * spec.layers(),
+                now,
+                call.receivedMillis() + route.targetMillis(),
+                leavesMillis - FIRST_EVENT_MILLIS,
+                request);
+    }
+
+    /** Removes the waiting requests whose route or key the configuration in force does not have any more. */
+    private List<Rejected> removeUnroutable(long now) {
+        long version = config.current().map(RoutingConfig::version).orElse(-1L);
+        if (version == checkedVersion) {
+            return List.of();
+        }
+        checkedVersion = version;
+        List<Rejected> rejected = new ArrayList<>();
+        for (WaitingRequest<ActiveRequest> waiting : queue.inOrder(now)) {
+            if (!config.current()
+                    .map(current -> isRoutable(waiting.work(), current))
+                    .orElse(true)) {
+                queue.remove(waiting.id());
+                rejected.add(new Rejected(
+                        waiting.work(),
+                        Refusal.CONFIGURATION_CHANGED,
+                        "its route or key has changed while it waited",
+                        Refusal.CONFIGURATION_CHANGED.retryMillis()));
+            }
+        }
+        return rejected;
+    }
+
+    private static boolean isRoutable(ActiveRequest request, RoutingConfig current) {
+        Exchange.ClientRequest call = request.exchange().request();
+        return current.route(call.host(), call.path())
+                .filter(route -> route.split().stream()
+                        .anyMatch(weighted -> weighted.service().equals(request.service())))
+                .filter(route -> !current.requiresKey(route)
+                        || call.head().key().flatMap(current::organisation).isPresent())
+                .isPresent();
+    }
+
+    private static List<Rejected> rejected(List<Evicted<ActiveRequest>> evicted, long now) {
+        return evicted.stream()
+                .map(entry -> rejected(entry.request().work(), entry.refusal(), now))
+                .toList();
+    }
+
+    /** The client may return when there is capacity, but early enough to be served within the time that it has left. */
+    private static Rejected rejected(ActiveRequest request, AdmissionRefusal refusal, long now) {
+        long leftMillis = request.exchange().request().deadlineMillis() - now;
+        long waitMillis = Math.max(MIN_RETRY_MILLIS, refusal.expectedWaitMillis());
+        long retryMillis = Math.max(1, Math.min(waitMillis, leftMillis / MAX_RETRY_PART));
+        return new Rejected(request, Refusal.OVERLOADED, refusal.reason().detail(), retryMillis);
+    }
+
+    private void logWaiting(WaitingRequest<ActiveRequest> waiting, long now) {
+        log.routine("admission", "waiting")
+                .with("id", waiting.work().exchange().request().id())
+                .with("priority", waiting.priority())
+                .with("expectedWaitMillis", queue.expectedWaitMillis(waiting.priority(), now))
+                .with("waiting", queue.size())
+                .with("peers", fleet.loads().peerCount())
+                .write();
+    }
+
+    private void logAdmitted(WaitingRequest<ActiveRequest> waiting, double arrivals, long now) {
+        log.routine("admission", "admitted")
+                .with("id", waiting.work().exchange().request().id())
+                .with("priority", waiting.priority())
+                .with("waitedMillis", now - waiting.arrivalMillis())
+                .with("moreUrgentPerSecond", Math.round(arrivals))
+                .with("waiting", queue.size())
+                .write();
+    }
+}
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestEnder.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestEnder.java
@@ -20,6 +20,7 @@
     private final PoisonGuard poisonGuard;
     private final RetryDelay retryDelay;
     private final RoutingLog routingLog;
+    private final RequestAdmission admission;
 
     /**
      * @param activeRequests the requests in progress
@@ -34,7 +35,8 @@
             UnframedEnds unframedEnds,
             PoisonGuard poisonGuard,
             RetryDelay retryDelay,
-            RoutingLog routingLog) {
+            RoutingLog routingLog,
+            RequestAdmission admission) {
         this.activeRequests = activeRequests;
         this.activeRequestCount = activeRequestCount;
         this.sharedRetries = sharedRetries;
@@ -44,6 +46,7 @@
         this.poisonGuard = poisonGuard;
         this.retryDelay = retryDelay;
         this.routingLog = routingLog;
+        this.admission = admission;
     }
 
     /** Ends a request whose whole stream has been forwarded. */
@@ -62,8 +65,20 @@
 
     /** Refuses a request, or aborts it if a part of its response has been sent. */
     void giveUp(ActiveRequest request, Refusal refusal, String why, long now) {
-        boolean refused = !request.exchange().isCommitted()
-                && request.exchange().refuse(refusal, retryDelay.millis(request, refusal, now));
+        giveUp(request, refusal, retryDelay.millis(request, refusal, now), why, now);
+    }
+
+    /** Refuses a request that was not admitted. */
+    void reject(RequestAdmission.Rejected rejected, long now) {
+        ActiveRequest request = rejected.request();
+        long retryMillis =
+                Math.max(rejected.retryMillis(), retryDelay.millisUntilOpen(request, rejected.refusal(), now));
+        giveUp(request, rejected.refusal(), retryMillis, rejected.why(), now);
+    }
+
+    private void giveUp(ActiveRequest request, Refusal refusal, long retryMillis, String why, long now) {
+        boolean refused =
+                !request.exchange().isCommitted() && request.exchange().refuse(refusal, retryMillis);
         if (!refused) {
             abort(request, why, "", now); // its first event may have been sent a moment ago
             return;
@@ -89,6 +104,7 @@
             activeRequestCount.decrementAndGet();
         }
         retryDispatcher.remove(request);
+        admission.remove(request);
         unframedEnds.remove(request);
         dispatcher.removeLoad(request);
         routingLog.ended(request, outcome, status, now);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -36,9 +36,6 @@
      */
     private static final long STARTUP_WAIT_MILLIS = 1_000;
 
-    /** Lowest HTTP status that means a failure of the backend server. */
-    private static final int SERVER_ERROR = 500;
-
     private final ConfigHolder config;
     private final Meters meters;
     private final RoutingLog routingLog;
@@ -61,6 +58,9 @@
     private final LifeQuestions lifeQuestions;
     private final UnframedEnds unframedEnds;
     private final RequestEnder ender;
+    private final FailedAttempts failedAttempts;
+    private final RequestAdmission admission;
+    private volatile boolean refusingStreams;
     private volatile FleetView view = FleetView.EMPTY;
     private long lastTickMillis;
 
@@ -111,6 +111,7 @@
                 new StreamMonitor(fleet, engineControl, failureDetector, overdueAttempts, faults, log, events);
         this.unframedEnds = new UnframedEnds(
                 fleet, lifeQuestions, settings.timing().stallMillis(), log, meters, this::settleUnframed);
+        this.admission = new RequestAdmission(fleet, config, dispatcher, log, meters);
         this.ender = new RequestEnder(
                 activeRequests,
                 activeRequestCount,
@@ -120,7 +121,9 @@
                 unframedEnds,
                 poisonGuard,
                 new RetryDelay(fleet, poisonGuard),
-                routingLog);
+                routingLog,
+                admission);
+        this.failedAttempts = new FailedAttempts(retryDispatcher, ender, failureDetector, routingLog);
         this.engineResults = new EngineResultHandler(
                 activeRequests,
                 fleet,
@@ -224,11 +227,27 @@
     private void send(ActiveRequest request, long now) {
         if (now >= request.exchange().request().deadlineMillis()) {
             ender.giveUp(request, Refusal.NOT_RUN_IN_TIME, "deadline", now);
+        } else if (admission.applies(request) && poisonGuard.verdict(request, now) == PoisonGuard.Verdict.SEND) {
+            rejectAll(admission.admit(request, now), now);
         } else if (!dispatcher.send(request, now)) {
             waitOrGiveUp(request, now);
         }
     }
 
+    private void rejectAll(List<RequestAdmission.Rejected> rejected, long now) {
+        rejected.forEach(each -> faults.run(each.request(), () -> ender.reject(each, now)));
+    }
+
+    /** Sends waiting requests for which there is capacity, and refuses those that cannot be served in time. */
+    private void admitWaiting(long now) {
+        rejectAll(refusingStreams ? admission.drain(now) : admission.check(now), now);
+    }
+
+    /** Refuses the streams that wait for capacity, as this process stops; may be called by any thread. */
+    void refuseWaitingStreams() {
+        refusingStreams = true;
+    }
+
     /**
      * Handles a request that no server can take. A started stream waits for a path until its client leaves, since only
      * this gateway can continue it. A request that has not started is refused at once, except shortly after the start
@@ -280,6 +299,7 @@
             faults.run(request, () -> handleFirstEvent(request, attempt, now));
         }
         dispatcher.removeLoad(request);
+        admission.recordEnd(request, attempt, now);
         request.endAttempt(end.kind().surelyNotRun());
         if (attempt.path().isPresent() && !end.kind().surelyNotRun()) {
             request.usedFirstEngines().add(attempt.server().id());
@@ -291,9 +311,9 @@
         switch (end.kind()) {
             case RELAYED -> ender.complete(request, end, now);
             case CLIENT_GONE -> ender.abort(request, "client gone", end.detail(), now);
-            case ANSWERED -> handleAnswer(request, attempt, end, now);
+            case ANSWERED -> failedAttempts.handleAnswer(request, attempt, end, now);
             case RELAYED_UNFRAMED, ANSWERED_UNFRAMED -> unframedEnds.decide(request, attempt, end, now);
-            default -> handleFailure(request, attempt, end, now);
+            default -> failedAttempts.handleFailure(request, attempt, end, now);
         }
     }
 
@@ -325,7 +345,8 @@
         return activeRequests.containsKey(request.exchange())
                 && request.attempt() == null
                 && !unframedEnds.isUndecided(request)
-                && !retryDispatcher.isWaiting(request);
+                && !retryDispatcher.isWaiting(request)
+                && !admission.isWaiting(request);
     }
 
     private void requeueOrEnd(ActiveRequest request, boolean needsRetry, long now) {
@@ -337,46 +358,13 @@
         }
     }
 
-    private void handleAnswer(ActiveRequest request, Attempt attempt, AttemptEnd end, long now) {
-        // A started stream has sent its status to the client already, so any status that a retry is answered with is a
-        // failure.
-        boolean started = request.exchange().isCommitted();
-        boolean failed = started || end.status() >= SERVER_ERROR;
-        if (failed && request.route().mayRetry() && retryAnswered(request, attempt, end, now)) {
-            return;
-        }
-        if (started) {
-            ender.abort(request, "a retry was answered with status " + end.status(), "", now);
-            return;
-        }
-        request.exchange().forwardResponse(end.status(), end.fields(), end.body());
-        ender.finish(request, "answered", end.status(), now);
-    }
-
-    /**
-     * Retries an answered request. A request that has not started is not queued for the retry, as its answer can be
-     * passed on.
-     */
-    private boolean retryAnswered(ActiveRequest request, Attempt attempt, AttemptEnd end, long now) {
-        return request.exchange().isCommitted()
-                ? retryDispatcher.retryOrQueue(request, attempt, end, now)
-                : retryDispatcher.retryNow(request, attempt, end, now);
-    }
-
-    private void handleFailure(ActiveRequest request, Attempt attempt, AttemptEnd end, long now) {
-        failureDetector.handleFailedAttempt(attempt, end, now);
-        routingLog.attemptFailed(request, attempt, end, now);
-        boolean mayRetry = end.kind().surelyNotRun() || request.route().mayRetry();
-        if (mayRetry && retryDispatcher.retryOrQueue(request, attempt, end, now)) {
-            return;
-        }
-        ender.giveUp(request, ender.refusalFor(request, now), end.detail(), now);
-    }
-
     private void handleFirstEvent(ActiveRequest request, Attempt attempt, long now) {
         dispatcher.recordPromptRead(request);
-        if (overdueAttempts.recordFirstEvent(request, attempt, now) && attempt.resumedAfterId() >= 0) {
-            routingLog.resumed(request, attempt);
+        if (overdueAttempts.recordFirstEvent(request, attempt, now)) {
+            admission.recordFirstEvent(request, attempt, now);
+            if (attempt.resumedAfterId() >= 0) {
+                routingLog.resumed(request, attempt);
+            }
         }
     }
 
@@ -388,6 +376,7 @@
             checkSafely(request, now);
         }
         faults.run("retries", now, () -> retryWaiting(now));
+        faults.run("admission", now, () -> admitWaiting(now));
         faults.run("probes", now, () -> fleetUpdater.probeSuspects(now));
         faults.run("streams", now, () -> streamMonitor.check(activeRequests.values(), config.current(), now));
         faults.run("registrations", now, () -> fleetUpdater.expireRegistrations(now));
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDelay.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDelay.java
@@ -24,7 +24,14 @@
         if (refusal.retryMillis() == 0 || fleet.hasOpenServer(request.service(), now)) {
             return refusal.retryMillis();
         }
-        long openMillis = fleet.millisUntilOpen(request.service(), now).orElse(0);
-        return Math.max(refusal.retryMillis(), Math.min(openMillis, MAX_MILLIS));
+        return Math.max(refusal.retryMillis(), millisUntilOpen(request, refusal, now));
+    }
+
+    /** Time in milliseconds until a server takes requests, within limits; 0 if one does now or if none will help. */
+    long millisUntilOpen(ActiveRequest request, Refusal refusal, long now) {
+        if (refusal.retryMillis() == 0 || fleet.hasOpenServer(request.service(), now)) {
+            return 0;
+        }
+        return Math.min(fleet.millisUntilOpen(request.service(), now).orElse(0), MAX_MILLIS);
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -100,6 +100,11 @@
         requestRouter.peerUpdates().announceStop();
     }
 
+    /** Refuses the streams that wait for capacity, as this process stops. */
+    public void refuseWaitingStreams() {
+        requestRouter.refuseWaitingStreams();
+    }
+
     /** Whether there is a peer that is not stopping. */
     public boolean hasStayingPeer() {
         return requestRouter.peerUpdates().hasStayingPeer();
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
@@ -0,0 +1,141 @@
+package org.cornelramp.gateway.route;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.gateway.request.FakeClient;
+import org.cornelramp.platform.standin.HeaderFixtures;
+import org.cornelramp.platform.standin.StandInConfig;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Streams of two priorities that compete for an engine whose slots are all taken. */
+public class PriorityAdmissionTest {
+    private static final int SLOTS = 8;
+    private static final String URGENT_ROUTE =
+            """
+            {"name":"urgent","host":"127.0.0.1","pathPrefix":"/urgent/","kind":"streaming","timeoutMs":9000,
+             "targetLatencyMs":500,"priority":0,"service":"llm","maxAttempts":2,"streamResumption":true},
+            """;
+
+    private final BackendServer engine = RouterSimulation.engine("a1", 11, 0, 8);
+    private RouterSimulation router;
+
+    private static String json(int version, String urgentPath) {
+        return StandInConfig.small(version)
+                .json()
+                .replace("\"routes\":[", "\"routes\":[" + URGENT_ROUTE.replace("/urgent/", urgentPath));
+    }
+
+    @BeforeMethod
+    public void fillEngine() {
+        router = new RouterSimulation(StandInConfig.small(1), "", 1);
+        router.publish(json(2, "/urgent/"));
+        router.register(engine);
+        for (int i = 0; i < SLOTS; i++) {
+            router.request("/chat/a", "running" + i);
+        }
+        assertEquals(router.calls().size(), SLOTS);
+    }
+
+    private List<String> sentIds() {
+        return router.calls().stream()
+                .skip(SLOTS)
+                .map(call -> call.header("X-Attempt-Id"))
+                .toList();
+    }
+
+    private void freeOneSlot() {
+        router.calls().get(0).complete(200, HeaderFixtures.answer("running0"));
+        router.settle();
+    }
+
+    /** Guards against a less urgent request that takes the place for which a more urgent one waits. */
+    @Test
+    public void mostUrgentRequestGetsTheFreedSlot() {
+        router.request("/chat/a", "normal");
+        router.request("/urgent/a", "urgent");
+        router.run(100);
+        assertEquals(sentIds(), List.of());
+        freeOneSlot();
+        router.run(100);
+        assertEquals(sentIds(), List.of("urgent"));
+    }
+
+    /** Guards against a new request that takes a slot before an older one of its priority that waits. */
+    @Test
+    public void newRequestDoesNotOvertakeAWaitingOne() {
+        router.request("/chat/a", "first");
+        freeOneSlot();
+        router.request("/chat/a", "second");
+        router.run(100);
+        assertEquals(sentIds(), List.of("first"));
+    }
+
+    /** Guards against a request that waits until its client has left instead of being refused in time. */
+    @Test
+    public void requestIsRefusedBeforeItsClientLeaves() {
+        FakeClient client = router.request("/urgent/a", "urgent");
+        router.run(2_000);
+        assertEquals(client.status(), 503);
+        assertNotNull(client.header("Retry-After"));
+        freeOneSlot();
+        router.run(100);
+        assertEquals(sentIds(), List.of(), "a refused request never runs");
+    }
+
+    /** Guards against places that are kept for clients that have left. */
+    @Test
+    public void clientThatLeavesFreesItsPlace() {
+        FakeClient client = router.request("/urgent/a", "gone");
+        client.leave();
+        router.run(1_000);
+        router.request("/chat/a", "normal");
+        freeOneSlot();
+        router.run(100);
+        assertEquals(sentIds(), List.of("normal"));
+    }
+
+    /** Guards against requests that wait in a process that stops, until it is killed. */
+    @Test
+    public void stoppingProcessRefusesWaitingRequests() {
+        FakeClient client = router.request("/urgent/a", "urgent");
+        router.refuseWaitingStreams();
+        router.run(40);
+        assertEquals(client.status(), 503);
+    }
+
+    /** Guards against requests that are sent by a route which was removed while they waited. */
+    @Test
+    public void requestOfARemovedRouteIsRefused() {
+        FakeClient client = router.request("/urgent/a", "urgent");
+        router.publish(json(3, "/other/"));
+        freeOneSlot();
+        router.run(100);
+        assertEquals(client.status(), 503);
+        assertEquals(sentIds(), List.of());
+    }
+
+    /** Guards against waiting requests that are lost when the engine that they wait for is gone. */
+    @Test
+    public void waitingRequestUsesAnotherEngine() {
+        router.request("/urgent/a", "urgent");
+        router.register(RouterSimulation.engine("b1", 12, 0, 8));
+        router.run(100);
+        assertEquals(sentIds(), List.of("urgent"));
+    }
+
+    /** Guards against a change for deployments whose routes all have one priority: they refuse at once. */
+    @Test
+    public void requestsOfOnePriorityDoNotWait() {
+        router.publish(StandInConfig.small(3).json());
+        FakeClient client = router.request("/chat/a", "normal");
+        assertEquals(client.status(), 503);
+        assertTrue(client.isComplete());
+        assertFalse(client.isClosed());
+    }
+}
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -361,6 +361,11 @@
         }
     }
 
+    /** Refuses the streams that wait for capacity, as when the process stops. */
+    void refuseWaitingStreams() {
+        router.refuseWaitingStreams();
+    }
+
     /** Number of exceptions in the router's work; a router in production logs them and goes on. */
     long exceptions() {
         return router.exceptionCount();
