Demand reports between gateways, in update format 10

Change: DemandCounter counts the own demand, DemandReport carries it, FleetDemand sums all reports with their ages. An update has an optional last section with the report and the sender's GatewayStatus. A reader of format 9 drops updates of any later format as a whole, so an update without the section is still written in format 9. Nothing is counted or reported until FleetState.setDemandUse turns a use on; nothing does yet.

--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdate.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdate.java
@@ -30,6 +30,7 @@
  * @param configVersion version of the configuration that it has in force; negative for none
  * @param rateLimits what it knows of limits that servers have named, and what it has sent to these servers
  * @param poison crashes of servers that it has seen, and the requests that it refuses for such crashes
+ * @param demandSection the demand at the sender and its own status
  */
 public record PeerUpdate(
         Sender sender,
@@ -44,7 +45,8 @@
         Optional<ReadCoordinator.ReadPosition> reading,
         long configVersion,
         Map<BackendServerId, RateLimitUpdate> rateLimits,
-        PoisonUpdate poison) {
+        PoisonUpdate poison,
+        DemandSection demandSection) {
 
     public PeerUpdate {
         loads = loads.map(Map::copyOf);
@@ -68,7 +70,7 @@
         return sender.name();
     }
 
-    /** An update without peers, reading, configuration version, limits and crashes. */
+    /** An update without peers, reading, configuration version, limits, crashes and demand. */
     public static PeerUpdate of(
             Sender sender,
             long number,
@@ -91,7 +93,8 @@
                 Optional.empty(),
                 PeerConfigVersions.NONE,
                 Map.of(),
-                PoisonUpdate.NONE);
+                PoisonUpdate.NONE,
+                DemandSection.NONE);
     }
 
     /** The same update with addresses of peers. */
@@ -109,7 +112,8 @@
                 reading,
                 configVersion,
                 rateLimits,
-                poison);
+                poison,
+                demandSection);
     }
 
     /** The same update with how far this gateway has read the store for all. */
@@ -127,7 +131,8 @@
                 progress,
                 configVersion,
                 rateLimits,
-                poison);
+                poison,
+                demandSection);
     }
 
     /** The same update with the configuration version that this gateway has in force. */
@@ -145,7 +150,8 @@
                 reading,
                 version,
                 rateLimits,
-                poison);
+                poison,
+                demandSection);
     }
 
     /** The same update with what this gateway knows of servers' limits. */
@@ -163,7 +169,8 @@
                 reading,
                 configVersion,
                 limits,
-                poison);
+                poison,
+                demandSection);
     }
 
     /** The same update with what this gateway knows of crashes. */
@@ -181,7 +188,27 @@
                 reading,
                 configVersion,
                 rateLimits,
-                news);
+                news,
+                demandSection);
+    }
+
+    /** The same update with the demand at this gateway and its status. */
+    public PeerUpdate withDemandSection(DemandSection section) {
+        return new PeerUpdate(
+                sender,
+                sequenceNumber,
+                leaving,
+                loads,
+                crossings,
+                slowdowns,
+                suspects,
+                retryLoans,
+                recentPeers,
+                reading,
+                configVersion,
+                rateLimits,
+                poison,
+                section);
     }
 
     /** The same update without the loads, which make up most of its bytes. */
@@ -199,6 +226,7 @@
                 reading,
                 configVersion,
                 rateLimits,
-                poison);
+                poison,
+                demandSection);
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateCodec.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateCodec.java
@@ -24,9 +24,15 @@
 
 /** Encodes the updates between gateways as MessagePack and decodes them. Stateless, safe for use by any thread. */
 final class PeerUpdateCodec {
-    private static final int FORMAT = 9;
+    private static final int FORMAT = 10;
 
-    /** Updates of this format, which a process of the previous build sends, end before the crashes. */
+    /**
+     * Updates of this format end before the demand. A process of the previous build ignores updates of any later format
+     * as a whole, so an update without demand is written in this one.
+     */
+    private static final int FORMAT_WITHOUT_DEMAND = 9;
+
+    /** Updates of this format end before the crashes. */
     private static final int FORMAT_WITHOUT_CRASHES = 8;
 
     /** Positions of this format do not say how long they are valid. */
@@ -42,7 +48,7 @@
 
     static byte[] write(PeerUpdate update) {
         try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-            out.packInt(FORMAT);
+            out.packInt(update.demandSection().isEmpty() ? FORMAT_WITHOUT_DEMAND : FORMAT);
             out.packString(update.sender().name());
             out.packLong(update.sender().incarnation());
             out.packString(update.sender().dataCentre().value());
@@ -80,6 +86,9 @@
             out.packLong(update.configVersion());
             writeRateLimits(update.rateLimits(), out);
             writePoison(update.poison(), out);
+            if (!update.demandSection().isEmpty()) {
+                out.writePayload(DemandSectionCodec.write(update.demandSection()));
+            }
             return out.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("Writing to memory failed", e);
@@ -273,6 +282,7 @@
             Map<BackendServerId, RateLimitUpdate> rateLimits =
                     format > FORMAT_WITHOUT_LIMITS ? readRateLimits(in) : Map.of();
             PoisonUpdate poison = format > FORMAT_WITHOUT_CRASHES ? readPoison(in) : PoisonUpdate.NONE;
+            DemandSection demand = format > FORMAT_WITHOUT_DEMAND ? DemandSectionCodec.read(in) : DemandSection.NONE;
             return Either.right(new PeerUpdate(
                     sender,
                     number,
@@ -286,7 +296,8 @@
                     reading,
                     version,
                     rateLimits,
-                    poison));
+                    poison,
+                    demand));
         } catch (IOException | RuntimeException e) {
             return Either.left(e.toString());
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
@@ -1,6 +1,7 @@
 package org.cornelramp.gateway.route;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -8,12 +9,15 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.cornelramp.core.admission.FleetDemand;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.PlainServerSelector;
 import org.cornelramp.core.fleet.RestingServers;
 import org.cornelramp.core.fleet.ServerRegistry;
 import org.cornelramp.core.fleet.SuspectedServers;
 import org.cornelramp.core.limit.ServerRateLimits;
+import org.cornelramp.core.member.GatewayStatus;
+import org.cornelramp.core.member.GatewayStatuses;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.EngineLoads;
@@ -37,6 +41,10 @@
     private final PlainServerSelector plainServers = new PlainServerSelector();
     private final ServerRateLimits rateLimits;
     private final RestingServers restingServers = new RestingServers();
+    private final FleetDemand demand = new FleetDemand();
+    private final GatewayStatuses gatewayStatuses = new GatewayStatuses();
+    private final Set<DemandUse> demandUses = EnumSet.noneOf(DemandUse.class);
+    private Optional<GatewayStatus> ownStatus = Optional.empty();
     private long lagMillis;
     private long lateUntilMillis = Long.MIN_VALUE;
     private boolean initialised;
@@ -82,6 +90,50 @@
         return restingServers;
     }
 
+    /** Demand at this gateway and its peers; each report in it has an age. */
+    public FleetDemand demand() {
+        return demand;
+    }
+
+    /** Capacity and load of the peers, with their ages. */
+    public GatewayStatuses gatewayStatuses() {
+        return gatewayStatuses;
+    }
+
+    /** A function that needs demand reports while it is on. */
+    public enum DemandUse {
+        /** Admission of requests by priority. */
+        ADMISSION,
+        /** Choice of a plain server by the requests that all gateways have in flight there. */
+        PLAIN_SERVERS,
+        /** Distribution of connections over gateways of unequal size. */
+        GATEWAY_LOAD
+    }
+
+    /** Says whether a function that needs demand reports is on; this gateway builds reports while any of them is. */
+    public void setDemandUse(DemandUse use, boolean on) {
+        if (on) {
+            demandUses.add(use);
+        } else {
+            demandUses.remove(use);
+        }
+    }
+
+    /** Whether this gateway builds demand reports. */
+    public boolean reportsDemand() {
+        return !demandUses.isEmpty();
+    }
+
+    /** Sets the status that this gateway reports while {@link DemandUse#GATEWAY_LOAD} is on. */
+    public void setOwnStatus(GatewayStatus status) {
+        ownStatus = Optional.of(status);
+    }
+
+    /** The status that this gateway reports; empty while it measures none. */
+    public Optional<GatewayStatus> ownStatus() {
+        return ownStatus.filter(status -> demandUses.contains(DemandUse.GATEWAY_LOAD));
+    }
+
     /** Recent scheduling delay of the router's thread, in milliseconds. */
     public long lagMillis() {
         return lagMillis;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
@@ -10,6 +10,7 @@
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.path.EngineLoads;
 import org.cornelramp.core.retry.RetryLoanUpdate;
+import org.cornelramp.gateway.peer.DemandSection;
 import org.cornelramp.gateway.peer.PeerRotation;
 import org.cornelramp.gateway.peer.PeerUpdate;
 import org.cornelramp.gateway.peer.PeerUpdateService;
@@ -35,6 +36,7 @@
     private final FleetState fleet;
     private final SharedRetries sharedRetries;
     private final PoisonGuard poisonGuard;
+    private final DemandReporter demandReporter;
     private final BiConsumer<BackendServer, Long> probe;
     private final Map<BackendServerId, Long> failuresSeen = new HashMap<>();
     private final Map<String, Long> stayingPeers = new ConcurrentHashMap<>();
@@ -49,11 +51,13 @@
             FleetState fleet,
             SharedRetries sharedRetries,
             PoisonGuard poisonGuard,
+            DemandReporter demandReporter,
             BiConsumer<BackendServer, Long> probe) {
         this.sender = new PeerUpdate.Sender(name, PeerUpdateService.newIncarnation(), dataCentre);
         this.fleet = fleet;
         this.sharedRetries = sharedRetries;
         this.poisonGuard = poisonGuard;
+        this.demandReporter = demandReporter;
         this.probe = probe;
         this.currentUpdate = PeerUpdate.of(sender, 0, false, Map.of(), 0, Map.of(), Set.of(), RetryLoanUpdate.NONE);
     }
@@ -88,6 +92,8 @@
         // Updates may have been waiting unread for as long as this process is late.
         long silence = PeerRotation.silenceMillis(loads.peerCount()) + fleet.lagMillis();
         loads.removeSilentPeers(silence, nowMillis);
+        fleet.demand().removeSilentPeers(silence, nowMillis);
+        fleet.gatewayStatuses().removeSilentPeers(silence, nowMillis);
         sharedRetries.setPeers(loads.peerCount(), nowMillis);
         stayingPeers.values().removeIf(at -> nowMillis - at > silence);
         failuresSeen.values().removeIf(at -> nowMillis - at > FAILURE_REPORT_MILLIS);
@@ -101,7 +107,8 @@
                         failuresSeen.keySet(),
                         sharedRetries.loanUpdate(nowMillis))
                 .withRateLimits(fleet.rateLimits().update(nowMillis))
-                .withPoison(poisonGuard.update(nowMillis));
+                .withPoison(poisonGuard.update(nowMillis))
+                .withDemandSection(demandReporter.section(nowMillis));
     }
 
     /** Applies a peer's update. */
@@ -118,6 +125,7 @@
                         () -> loads.keepPeer(update.name(), update.crossings(), nowMillis));
         sharedRetries.applyPeerUpdate(update.name(), update.retryLoans(), nowMillis);
         poisonGuard.applyPeerUpdate(update.name(), update.poison(), nowMillis);
+        applyDemand(update, nowMillis);
         update.slowdowns().forEach((id, slowdown) -> {
             if (loads.slowdown(id) == 1) {
                 loads.setSlowdown(id, slowdown, nowMillis - SLOWDOWN_AGE_MILLIS);
@@ -132,4 +140,17 @@
             }
         }
     }
+
+    private void applyDemand(PeerUpdate update, long nowMillis) {
+        DataCentre dataCentre = update.sender().dataCentre();
+        DemandSection section = update.demandSection();
+        section.report()
+                .ifPresentOrElse(
+                        report -> fleet.demand().updatePeer(update.name(), dataCentre, report, nowMillis),
+                        () -> fleet.demand().removePeer(update.name()));
+        section.status()
+                .ifPresentOrElse(
+                        status -> fleet.gatewayStatuses().update(update.name(), dataCentre, status, nowMillis),
+                        () -> fleet.gatewayStatuses().remove(update.name()));
+    }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestEnder.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestEnder.java
@@ -19,6 +19,7 @@
     private final UnframedEnds unframedEnds;
     private final PoisonGuard poisonGuard;
     private final RetryDelay retryDelay;
+    private final DemandReporter demandReporter;
     private final RoutingLog routingLog;
 
     /**
@@ -34,6 +35,7 @@
             UnframedEnds unframedEnds,
             PoisonGuard poisonGuard,
             RetryDelay retryDelay,
+            DemandReporter demandReporter,
             RoutingLog routingLog) {
         this.activeRequests = activeRequests;
         this.activeRequestCount = activeRequestCount;
@@ -43,6 +45,7 @@
         this.unframedEnds = unframedEnds;
         this.poisonGuard = poisonGuard;
         this.retryDelay = retryDelay;
+        this.demandReporter = demandReporter;
         this.routingLog = routingLog;
     }
 
@@ -68,6 +71,7 @@
             abort(request, why, "", now); // its first event may have been sent a moment ago
             return;
         }
+        demandReporter.recordRefusal(request, now);
         routingLog.refused(request, refusal, why);
         finish(request, "refused", refusal.status(), now);
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -49,6 +49,7 @@
     private final SharedRetries sharedRetries;
     private final FailureDetector failureDetector;
     private final OverdueAttempts overdueAttempts;
+    private final DemandReporter demandReporter;
     private final PeerUpdateHandler peerUpdateHandler;
     private final AtomicInteger activeRequestCount = new AtomicInteger();
     private final Dispatcher dispatcher;
@@ -95,12 +96,14 @@
         this.lifeQuestions = new LifeQuestions(fleet, config, engineControl, events);
         this.crashObserver = new CrashObserver(fleet, engineControl, lifeQuestions, log, meters, events);
         this.poisonGuard = new PoisonGuard(activeRequests.values(), crashObserver, log, meters);
+        this.demandReporter = new DemandReporter(settings.dataCentre(), fleet, activeRequests.values());
         this.peerUpdateHandler = new PeerUpdateHandler(
                 settings.name(),
                 settings.dataCentre(),
                 fleet,
                 sharedRetries,
                 poisonGuard,
+                demandReporter,
                 failureDetector::handlePeerSuspicion);
         failureDetector.setOnLost(peerUpdateHandler::recordFailure);
         this.dispatcher = new Dispatcher(settings, clients, config, fleet, poisonGuard, clock, log, attemptEnds);
@@ -120,6 +123,7 @@
                 unframedEnds,
                 poisonGuard,
                 new RetryDelay(fleet, poisonGuard),
+                demandReporter,
                 routingLog);
         this.engineResults = new EngineResultHandler(
                 activeRequests,
@@ -212,6 +216,7 @@
         activeRequests.put(exchange, request);
         activeRequestCount.incrementAndGet();
         sharedRetries.countRequest(service, now);
+        demandReporter.recordArrival(request, now);
         if (exchange.hasClientDisconnected(now)) {
             ender.abort(
                     request, "client gone", request.exchange().clientCloseReason(), now); // while the request was held
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/PeerUpdateCodecTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/PeerUpdateCodecTest.java
@@ -50,7 +50,8 @@
                     List.of(new PoisonUpdate.ToldCrash("i-4", 1_200, Set.of("f1", "f2"))),
                     Map.of("f3", 500_000L),
                     Map.of("f4", 20L),
-                    Map.of("i-5", 30L)));
+                    Map.of("i-5", 30L)),
+            DemandSection.NONE);
 
     /** Bytes of the crashes, refusals, clearances and signs of life of an update that has none. */
     private static final int NO_POISON_BYTES = 4;
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PeerUpdateHandlerTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PeerUpdateHandlerTest.java
@@ -45,7 +45,14 @@
                 new Meters(),
                 event -> {});
         PoisonGuard poisonGuard = new PoisonGuard(List.of(), observer, log, new Meters());
-        peerUpdateHandler = new PeerUpdateHandler("g1", HERE, fleet, sharedRetries, poisonGuard, (server, at) -> {});
+        peerUpdateHandler = new PeerUpdateHandler(
+                "g1",
+                HERE,
+                fleet,
+                sharedRetries,
+                poisonGuard,
+                new DemandReporter(HERE, fleet, List.of()),
+                (server, at) -> {});
     }
 
     private void receiveUpdate(long now) {
