Admission: read the demand of all gateways

Cause: a gateway knew only its own more urgent arrivals.

Change: the reserve of a less urgent stream follows the arrivals that all gateways report; reports are on while a service has several priorities.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -168,11 +168,11 @@
      * @return the requests that are refused, as they can no longer be served in time
      */
     List<Rejected> check(long now) {
+        List<Rejected> rejected = new ArrayList<>(applyConfiguration(now));
         if (queue.size() == 0) {
-            return List.of();
+            return rejected;
         }
-        List<Rejected> rejected = new ArrayList<>(rejected(queue.expire(now), now));
-        rejected.addAll(removeUnroutable(now));
+        rejected.addAll(rejected(queue.expire(now), now));
         int failedSearches = 0;
         int failedPriority = Integer.MAX_VALUE;
         for (WaitingRequest<ActiveRequest> waiting : queue.inOrder(now)) {
@@ -206,7 +206,8 @@
             return;
         }
         attempt.path().ifPresent(path -> pace(request)
-                .recordFirstEvent(pace(request).uncalibratedFirstEventMillis(path), now - attempt.startMillis(), now));
+                .recordFirstEvent(
+                        pace(request).uncalibratedFirstEventMillis(path), (double) (now - attempt.startMillis()), now));
     }
 
     /** Records the pauses of an attempt that has ended. */
@@ -224,7 +225,7 @@
 
     private boolean trySend(WaitingRequest<ActiveRequest> waiting, long now) {
         ActiveRequest request = waiting.work();
-        double arrivals = moreUrgentArrivals(waiting);
+        double arrivals = fleet.demand().arrivalsPerSecond(request.service(), waiting.priority());
         boolean starved = queue.isStarved(waiting, now);
         request.setReservedRequests(starved ? 0 : arrivals * RESERVE_SECONDS / copies(request, now));
         Optional<Dispatcher.Target> target = dispatcher.chooseTarget(request, now);
@@ -273,9 +274,9 @@
                 pace.pauseMillis(path, now),
                 route.gapMillis(),
                 pace.firstEventMillis(path, now),
-                waiting.targetMillis() - now,
+                (double) (waiting.targetMillis() - now),
                 route.targetMillis(),
-                waiting.patienceMillis() - now,
+                (double) (waiting.patienceMillis() - now),
                 reserve,
                 starved,
                 false);
@@ -287,11 +288,6 @@
         return fit.admits();
     }
 
-    /** Recent arrivals of more urgent requests at all gateways, per second. */
-    private double moreUrgentArrivals(WaitingRequest<ActiveRequest> waiting) {
-        return 0;
-    }
-
     /** Copies of the model that the usable engines hold together; at least one. */
     private double copies(ActiveRequest request, long now) {
         int layers = engine(request).map(EngineSpec::layers).orElse(1);
@@ -329,17 +325,16 @@
     }
 
     /** Removes the waiting requests whose route or key the configuration in force does not have any more. */
-    private List<Rejected> removeUnroutable(long now) {
-        long version = config.current().map(RoutingConfig::version).orElse(-1L);
-        if (version == checkedVersion) {
+    private List<Rejected> applyConfiguration(long now) {
+        Optional<RoutingConfig> current = config.current();
+        if (current.isEmpty() || current.get().version() == checkedVersion) {
             return List.of();
         }
-        checkedVersion = version;
+        checkedVersion = current.get().version();
+        fleet.setDemandUse(FleetState.DemandUse.ADMISSION, hasPriorities(current.get()));
         List<Rejected> rejected = new ArrayList<>();
         for (WaitingRequest<ActiveRequest> waiting : queue.inOrder(now)) {
-            if (!config.current()
-                    .map(current -> isRoutable(waiting.work(), current))
-                    .orElse(true)) {
+            if (!isRoutable(waiting.work(), current.get())) {
                 queue.remove(waiting.id());
                 rejected.add(new Rejected(
                         waiting.work(),
@@ -351,6 +346,12 @@
         return rejected;
     }
 
+    private static boolean hasPriorities(RoutingConfig current) {
+        return current.services().stream()
+                .filter(service -> service.engine().isPresent())
+                .anyMatch(service -> current.priorities(service.name()).size() > 1);
+    }
+
     private static boolean isRoutable(ActiveRequest request, RoutingConfig current) {
         Exchange.ClientRequest call = request.exchange().request();
         return current.route(call.host(), call.path())
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestEnder.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestEnder.java
@@ -19,6 +19,7 @@
     private final UnframedEnds unframedEnds;
     private final PoisonGuard poisonGuard;
     private final RetryDelay retryDelay;
+    private final DemandReporter demandReporter;
     private final RoutingLog routingLog;
     private final RequestAdmission admission;
 
@@ -35,6 +36,7 @@
             UnframedEnds unframedEnds,
             PoisonGuard poisonGuard,
             RetryDelay retryDelay,
+            DemandReporter demandReporter,
             RoutingLog routingLog,
             RequestAdmission admission) {
         this.activeRequests = activeRequests;
@@ -45,6 +47,7 @@
         this.unframedEnds = unframedEnds;
         this.poisonGuard = poisonGuard;
         this.retryDelay = retryDelay;
+        this.demandReporter = demandReporter;
         this.routingLog = routingLog;
         this.admission = admission;
     }
@@ -83,6 +86,7 @@
             abort(request, why, "", now); // its first event may have been sent a moment ago
             return;
         }
+        demandReporter.recordRefusal(request, now);
         routingLog.refused(request, refusal, why);
         finish(request, "refused", refusal.status(), now);
     }
