Admission: standing, early retries and unseen starts of peers

Cause: the decision in core has grown a standing of priorities and organisations, charges for early retries and an estimate of starts that peers have not reported; the gateway did not use them.

Change: RequestAdmission uses them; the time to the first event shortens the wait; PriorityAdmissionTest sends host and key, as real clients do.

--- a/core/src/main/java/org/cornelramp/core/admission/EarlyRetries.java
+++ b/core/src/main/java/org/cornelramp/core/admission/EarlyRetries.java
@@ -11,7 +11,7 @@
  * are treated as new requests.
  */
 public final class EarlyRetries {
-    private final Map<Long, Long> retryAtMillis;
+    private final Map<String, Long> retryAtMillis;
 
     /**
      * @param capacity maximum number of fingerprints
@@ -21,21 +21,26 @@
             private static final long serialVersionUID = 1;
 
             @Override
-            protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+            protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
                 return size() > capacity;
             }
         };
     }
 
     /** Records that a request was refused and when it may return. */
-    public void recordRefusal(long fingerprint, long retryAfterMillis, long nowMillis) {
+    public void recordRefusal(String fingerprint, long retryAfterMillis, long nowMillis) {
         retryAtMillis.remove(fingerprint);
         retryAtMillis.put(fingerprint, nowMillis + retryAfterMillis);
     }
 
     /** Whether a request that arrives now returns too early. Its earlier refusal is forgotten. */
-    public boolean isEarly(long fingerprint, long nowMillis) {
+    public boolean isEarly(String fingerprint, long nowMillis) {
         Long retryAt = retryAtMillis.remove(fingerprint);
         return retryAt != null && nowMillis < retryAt;
     }
+
+    /** Whether no refusal is remembered. */
+    public boolean isEmpty() {
+        return retryAtMillis.isEmpty();
+    }
 }
--- a/core/src/test/java/org/cornelramp/core/admission/AdmissionQueueTest.java
+++ b/core/src/test/java/org/cornelramp/core/admission/AdmissionQueueTest.java
@@ -129,8 +129,8 @@
         ShareTracker shares = new ShareTracker();
         EarlyRetries retries = new EarlyRetries(2);
         Optional<OrganisationId> first = Optional.of(new OrganisationId("first"));
-        retries.recordRefusal(7, 500, 0);
-        assertTrue(retries.isEarly(7, 499));
+        retries.recordRefusal("7", 500, 0);
+        assertTrue(retries.isEarly("7", 499));
         shares.recordEarlyRetry(first, 3, 499);
         assertEquals(shares.admittedCost(first, 499), 3.0);
         assertEquals(shares.admittedCost(first, 5_600), 0.0);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -11,11 +11,15 @@
 import org.cornelramp.core.admission.AdmissionPolicy;
 import org.cornelramp.core.admission.AdmissionQueue;
 import org.cornelramp.core.admission.AdmissionRefusal;
+import org.cornelramp.core.admission.EarlyRetries;
 import org.cornelramp.core.admission.Evicted;
 import org.cornelramp.core.admission.Fit;
 import org.cornelramp.core.admission.PaceEstimator;
 import org.cornelramp.core.admission.Prospect;
+import org.cornelramp.core.admission.RecentStarts;
+import org.cornelramp.core.admission.Standing;
 import org.cornelramp.core.admission.WaitingRequest;
+import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.core.routing.EngineSpec;
@@ -47,6 +51,9 @@
      */
     private static final int MAX_FAILED_SEARCHES = 3;
 
+    /** Refusals that are remembered to recognise clients that return too early. */
+    private static final int MAX_EARLY_RETRIES = 512;
+
     /** Shortest time after which a client leaves a stream that sends no event, in milliseconds. */
     private static final long MIN_PATIENCE_MILLIS = 2_000;
 
@@ -56,9 +63,6 @@
     /** Multiple of the longest pause of a route that clients of a stream wait for its first event. */
     private static final long PATIENCE_PAUSES = 8;
 
-    /** Time of more urgent arrivals for which capacity is left free, in seconds: about that in which it becomes free. */
-    private static final double RESERVE_SECONDS = 0.5;
-
     /** Shortest time after which a refused client may return, in milliseconds: capacity was missing for longer. */
     private static final long MIN_RETRY_MILLIS = 500;
 
@@ -68,8 +72,14 @@
      */
     private static final long MAX_RETRY_PART = 5;
 
-    /** Time that is left to the engines for the first event of a request that has waited, in milliseconds. */
-    private static final long FIRST_EVENT_MILLIS = 200;
+    /** Time to the first event that is expected before any was observed, in milliseconds. */
+    private static final double USUAL_FIRST_EVENT_MILLIS = 200;
+
+    /** Longest time to the first event that shortens the wait of a request, in milliseconds: half of the least patience. */
+    private static final double MAX_FIRST_EVENT_MILLIS = MIN_PATIENCE_MILLIS / 2.0;
+
+    /** Weight of the newest prediction in the moving average of the time to the first event. */
+    private static final double SMOOTHING_FACTOR = 0.1;
 
     private final FleetState fleet;
     private final ConfigHolder config;
@@ -79,6 +89,9 @@
     private final AdmissionQueue<ActiveRequest> queue = new AdmissionQueue<>(QUEUE_CAPACITY);
     private final Map<ServiceName, PaceEstimator> paces = new HashMap<>();
     private final Map<ServiceName, AdmissionPolicy> policies = new HashMap<>();
+    private final RecentStarts<BackendServerId> recentStarts = new RecentStarts<>();
+    private final EarlyRetries earlyRetries = new EarlyRetries(MAX_EARLY_RETRIES);
+    private double firstEventMillis = USUAL_FIRST_EVENT_MILLIS;
     private long lastId;
     private long checkedVersion = -1;
 
@@ -139,6 +152,11 @@
      */
     List<Rejected> admit(ActiveRequest request, long now) {
         WaitingRequest<ActiveRequest> waiting = describe(request, now);
+        queue.setFirstEventMillis(Math.round(firstEventMillis));
+        if (!earlyRetries.isEmpty() && earlyRetries.isEarly(request.fingerprint(), now)) {
+            queue.recordEarlyRetry(waiting, now);
+            meters.countAdmission("early retry");
+        }
         if (!isOvertaking(request) && trySend(waiting, now)) {
             return List.of();
         }
@@ -226,10 +244,11 @@
     private boolean trySend(WaitingRequest<ActiveRequest> waiting, long now) {
         ActiveRequest request = waiting.work();
         double arrivals = fleet.demand().arrivalsPerSecond(request.service(), waiting.priority());
-        boolean starved = queue.isStarved(waiting, now);
-        request.setReservedRequests(starved ? 0 : arrivals * RESERVE_SECONDS / copies(request, now));
+        Standing standing = queue.standing(waiting, now);
+        double reserved = arrivals * Prospect.Reserve.USUAL_HORIZON_MILLIS / 1_000 / copies(request, now);
+        request.setReservedRequests(standing == Standing.STARVED ? 0 : reserved);
         Optional<Dispatcher.Target> target = dispatcher.chooseTarget(request, now);
-        if (target.isEmpty() || !keepsPace(waiting, target.get(), arrivals, starved, now)) {
+        if (target.isEmpty() || !keepsPace(waiting, target.get(), arrivals, standing, now)) {
             return false;
         }
         if (request.admissionId() == 0) {
@@ -241,6 +260,8 @@
             logAdmitted(waiting, arrivals, now);
         }
         request.setAdmissionId(waiting.id());
+        target.get().path().ifPresent(path -> observeFirstEvent(pace(request).firstEventMillis(path, now)));
+        recentStarts.record(target.get().server().id(), now);
         dispatcher.send(request, target.get(), now);
         return true;
     }
@@ -253,7 +274,7 @@
             WaitingRequest<ActiveRequest> waiting,
             Dispatcher.Target target,
             double arrivals,
-            boolean starved,
+            Standing standing,
             long now) {
         ActiveRequest request = waiting.work();
         if (waiting.priority() <= priorities(request).first()
@@ -267,19 +288,19 @@
         double perRequest = engine(request)
                 .map(spec -> pace.pausePerRequestMillis(path, spec, now))
                 .orElse(0.0);
-        Prospect.Reserve reserve =
-                new Prospect.Reserve(arrivals, 0, RESERVE_SECONDS * 1_000, copies(request, now), perRequest);
+        Prospect.Reserve reserve = new Prospect.Reserve(
+                arrivals, 0, Prospect.Reserve.USUAL_HORIZON_MILLIS, copies(request, now), perRequest);
         Prospect prospect = new Prospect(
                 waiting.priority(),
-                pace.pauseMillis(path, now),
+                pace.pauseMillis(path, now) + unseenRequests(path, now) * perRequest,
                 route.gapMillis(),
                 pace.firstEventMillis(path, now),
                 (double) (waiting.targetMillis() - now),
                 route.targetMillis(),
                 (double) (waiting.patienceMillis() - now),
                 reserve,
-                starved,
-                false);
+                standing,
+                queue.isOnTimeWaiting(waiting.priority(), now));
         Fit fit = policies.computeIfAbsent(request.service(), service -> new AdmissionPolicy())
                 .judge(prospect);
         if (!fit.admits()) {
@@ -288,6 +309,17 @@
         return fit.admits();
     }
 
+    private void observeFirstEvent(double expectedMillis) {
+        double bounded = Math.min(expectedMillis, MAX_FIRST_EVENT_MILLIS);
+        firstEventMillis += SMOOTHING_FACTOR * (bounded - firstEventMillis);
+    }
+
+    /** Requests that peers are expected to have started on the path since their last updates. */
+    private double unseenRequests(StagePath path, long now) {
+        long ageMillis = fleet.demand().oldestAgeMillis(now);
+        return recentStarts.expectedUnseen(path.first().id(), fleet.loads().peerCount(), ageMillis, now);
+    }
+
     /** Copies of the model that the usable engines hold together; at least one. */
     private double copies(ActiveRequest request, long now) {
         int layers = engine(request).map(EngineSpec::layers).orElse(1);
@@ -320,7 +352,7 @@
                 Math.max(1.0, request.expectedTokens()) * spec.layers(),
                 now,
                 call.receivedMillis() + route.targetMillis(),
-                leavesMillis - FIRST_EVENT_MILLIS,
+                leavesMillis,
                 request);
     }
 
@@ -362,17 +394,18 @@
                 .isPresent();
     }
 
-    private static List<Rejected> rejected(List<Evicted<ActiveRequest>> evicted, long now) {
+    private List<Rejected> rejected(List<Evicted<ActiveRequest>> evicted, long now) {
         return evicted.stream()
                 .map(entry -> rejected(entry.request().work(), entry.refusal(), now))
                 .toList();
     }
 
     /** The client may return when there is capacity, but early enough to be served within the time that it has left. */
-    private static Rejected rejected(ActiveRequest request, AdmissionRefusal refusal, long now) {
+    private Rejected rejected(ActiveRequest request, AdmissionRefusal refusal, long now) {
         long leftMillis = request.exchange().request().deadlineMillis() - now;
         long waitMillis = Math.max(MIN_RETRY_MILLIS, refusal.expectedWaitMillis());
         long retryMillis = Math.max(1, Math.min(waitMillis, leftMillis / MAX_RETRY_PART));
+        earlyRetries.recordRefusal(request.fingerprint(), retryMillis, now);
         return new Rejected(request, Refusal.OVERLOADED, refusal.reason().detail(), retryMillis);
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
@@ -10,6 +10,8 @@
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.cornelramp.platform.standin.StandInConfig;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -37,11 +39,18 @@
         router.publish(json(2, "/urgent/"));
         router.register(engine);
         for (int i = 0; i < SLOTS; i++) {
-            router.request("/chat/a", "running" + i);
+            request("/chat/a", "running" + i);
         }
         assertEquals(router.calls().size(), SLOTS);
     }
 
+    private FakeClient request(String path, String id) {
+        HttpFields fields = HttpFields.build(HeaderFixtures.request(id))
+                .put(HttpHeader.HOST, "127.0.0.1")
+                .put(HttpHeader.AUTHORIZATION, "Token " + StandInConfig.KEY);
+        return router.request(path, fields, new byte[0]);
+    }
+
     private List<String> sentIds() {
         return router.calls().stream()
                 .skip(SLOTS)
@@ -50,15 +59,15 @@
     }
 
     private void freeOneSlot() {
-        router.calls().get(0).complete(200, HeaderFixtures.answer("running0"));
+        router.calls().get(0).stream(HeaderFixtures.answer("running0"));
         router.settle();
     }
 
     /** Guards against a less urgent request that takes the place for which a more urgent one waits. */
     @Test
     public void mostUrgentRequestGetsTheFreedSlot() {
-        router.request("/chat/a", "normal");
-        router.request("/urgent/a", "urgent");
+        request("/chat/a", "normal");
+        request("/urgent/a", "urgent");
         router.run(100);
         assertEquals(sentIds(), List.of());
         freeOneSlot();
@@ -69,9 +78,9 @@
     /** Guards against a new request that takes a slot before an older one of its priority that waits. */
     @Test
     public void newRequestDoesNotOvertakeAWaitingOne() {
-        router.request("/chat/a", "first");
+        request("/chat/a", "first");
         freeOneSlot();
-        router.request("/chat/a", "second");
+        request("/chat/a", "second");
         router.run(100);
         assertEquals(sentIds(), List.of("first"));
     }
@@ -79,7 +88,7 @@
     /** Guards against a request that waits until its client has left instead of being refused in time. */
     @Test
     public void requestIsRefusedBeforeItsClientLeaves() {
-        FakeClient client = router.request("/urgent/a", "urgent");
+        FakeClient client = request("/urgent/a", "urgent");
         router.run(2_000);
         assertEquals(client.status(), 503);
         assertNotNull(client.header("Retry-After"));
@@ -91,10 +100,10 @@
     /** Guards against places that are kept for clients that have left. */
     @Test
     public void clientThatLeavesFreesItsPlace() {
-        FakeClient client = router.request("/urgent/a", "gone");
+        FakeClient client = request("/urgent/a", "gone");
         client.leave();
         router.run(1_000);
-        router.request("/chat/a", "normal");
+        request("/chat/a", "normal");
         freeOneSlot();
         router.run(100);
         assertEquals(sentIds(), List.of("normal"));
@@ -103,7 +112,7 @@
     /** Guards against requests that wait in a process that stops, until it is killed. */
     @Test
     public void stoppingProcessRefusesWaitingRequests() {
-        FakeClient client = router.request("/urgent/a", "urgent");
+        FakeClient client = request("/urgent/a", "urgent");
         router.refuseWaitingStreams();
         router.run(40);
         assertEquals(client.status(), 503);
@@ -112,7 +121,7 @@
     /** Guards against requests that are sent by a route which was removed while they waited. */
     @Test
     public void requestOfARemovedRouteIsRefused() {
-        FakeClient client = router.request("/urgent/a", "urgent");
+        FakeClient client = request("/urgent/a", "urgent");
         router.publish(json(3, "/other/"));
         freeOneSlot();
         router.run(100);
@@ -123,7 +132,7 @@
     /** Guards against waiting requests that are lost when the engine that they wait for is gone. */
     @Test
     public void waitingRequestUsesAnotherEngine() {
-        router.request("/urgent/a", "urgent");
+        request("/urgent/a", "urgent");
         router.register(RouterSimulation.engine("b1", 12, 0, 8));
         router.run(100);
         assertEquals(sentIds(), List.of("urgent"));
@@ -133,7 +142,7 @@
     @Test
     public void requestsOfOnePriorityDoNotWait() {
         router.publish(StandInConfig.small(3).json());
-        FakeClient client = router.request("/chat/a", "normal");
+        FakeClient client = request("/chat/a", "normal");
         assertEquals(client.status(), 503);
         assertTrue(client.isComplete());
         assertFalse(client.isClosed());
