--- a/core/src/main/java/org/cornelramp/core/admission/DemandReport.java
+++ b/core/src/main/java/org/cornelramp/core/admission/DemandReport.java
@@ -65,7 +65,8 @@
             tokenLayers.values().forEach(inUse -> check("token-layers", inUse, Long.MAX_VALUE));
         }
 
-        private double arrivalsPerSecond() {
+        /** Requests received per second at all priorities. */
+        public double arrivalsPerSecond() {
             return priorities.stream()
                     .mapToDouble(PriorityDemand::arrivalsPerSecond)
                     .sum();
--- a/core/src/main/java/org/cornelramp/core/admission/FleetDemand.java
+++ b/core/src/main/java/org/cornelramp/core/admission/FleetDemand.java
@@ -28,7 +28,7 @@
     private final Map<BackendServerId, Long> plainInFlight = new HashMap<>();
     private Received own;
 
-    private record Received(DemandReport report, DataCentre dataCentre, long receivedMillis) {}
+    private record Received(DemandReport report, DataCentre dataCentre, long receivedMillis, long silenceMillis) {}
 
     private record Totals(long arrivalSteps, long waiting, long tokenLayers, long refusalSteps) {
         static final Totals NONE = new Totals(0, 0, 0, 0);
@@ -55,7 +55,7 @@
     /** Records the report of this gateway, which replaces its previous one. */
     public void updateOwn(DemandReport report, DataCentre dataCentre, long nowMillis) {
         removeOwn();
-        own = new Received(report, dataCentre, nowMillis);
+        own = new Received(report, dataCentre, nowMillis, Long.MAX_VALUE);
         add(own, 1);
     }
 
@@ -67,10 +67,15 @@
         }
     }
 
-    /** Records the report of a peer, which replaces its previous one. */
-    public void updatePeer(String name, DataCentre dataCentre, DemandReport report, long nowMillis) {
+    /**
+     * Records the report of a peer, which replaces its previous one.
+     *
+     * @param silenceMillis time for which the report counts unless the peer sends another
+     */
+    public void updatePeer(
+            String name, DataCentre dataCentre, DemandReport report, long silenceMillis, long nowMillis) {
         removePeer(name);
-        Received received = new Received(report, dataCentre, nowMillis);
+        Received received = new Received(report, dataCentre, nowMillis, silenceMillis);
         peers.put(name, received);
         add(received, 1);
     }
@@ -83,10 +88,14 @@
         }
     }
 
-    /** Removes peers without a report for longer than the given time. */
-    public void removeSilentPeers(long silenceMillis, long nowMillis) {
+    /**
+     * Removes the peers whose reports have expired.
+     *
+     * @param lagMillis how late this process is; updates may have been waiting unread for that time
+     */
+    public void removeSilentPeers(long lagMillis, long nowMillis) {
         peers.values().removeIf(received -> {
-            boolean silent = nowMillis - received.receivedMillis() > silenceMillis;
+            boolean silent = nowMillis - received.receivedMillis() > received.silenceMillis() + lagMillis;
             if (silent) {
                 add(received, -1);
             }
--- a/core/src/main/java/org/cornelramp/core/member/GatewayStatuses.java
+++ b/core/src/main/java/org/cornelramp/core/member/GatewayStatuses.java
@@ -21,8 +21,10 @@
      * @param dataCentre where the peer runs
      * @param status what it has reported
      * @param receivedMillis when its report was received, on the steady clock
+     * @param silenceMillis time for which the status counts unless the peer sends another
      */
-    public record PeerStatus(String name, DataCentre dataCentre, GatewayStatus status, long receivedMillis) {
+    public record PeerStatus(
+            String name, DataCentre dataCentre, GatewayStatus status, long receivedMillis, long silenceMillis) {
         /** Time since the report was received, in milliseconds. */
         public long ageMillis(long nowMillis) {
             return nowMillis - receivedMillis;
@@ -30,8 +32,8 @@
     }
 
     /** Records the status of a peer, which replaces its previous one. */
-    public void update(String name, DataCentre dataCentre, GatewayStatus status, long nowMillis) {
-        peers.put(name, new PeerStatus(name, dataCentre, status, nowMillis));
+    public void update(PeerStatus status) {
+        peers.put(status.name(), status);
     }
 
     /** Removes the status of a peer, which has ceased to report one. */
@@ -39,9 +41,13 @@
         peers.remove(name);
     }
 
-    /** Removes peers without a status for longer than the given time. */
-    public void removeSilentPeers(long silenceMillis, long nowMillis) {
-        peers.values().removeIf(peer -> peer.ageMillis(nowMillis) > silenceMillis);
+    /**
+     * Removes the peers whose statuses have expired.
+     *
+     * @param lagMillis how late this process is; updates may have been waiting unread for that time
+     */
+    public void removeSilentPeers(long lagMillis, long nowMillis) {
+        peers.values().removeIf(peer -> peer.ageMillis(nowMillis) > peer.silenceMillis() + lagMillis);
     }
 
     /** The status of a peer. */
--- /dev/null
+++ b/core/src/test/java/org/cornelramp/core/admission/DemandCounterTest.java
@@ -0,0 +1,74 @@
+package org.cornelramp.core.admission;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cornelramp.core.admission.DemandCounter.RequestInProgress;
+import org.cornelramp.core.admission.DemandReport.ServiceDemand;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.OrganisationId;
+import org.cornelramp.core.model.ServiceName;
+import org.testng.annotations.Test;
+
+/** Bounds of a report on a gateway with more priorities, organisations and servers than it can name. */
+public class DemandCounterTest {
+    private static final ServiceName SERVICE = new ServiceName("llm");
+    private static final DataCentre HERE = new DataCentre("dc1");
+    private static final int NAMES = 100;
+
+    private static DemandReport reportOfMany(long nowMillis) {
+        DemandCounter counter = new DemandCounter();
+        List<RequestInProgress> requests = new ArrayList<>();
+        for (int i = 0; i < NAMES; i++) {
+            counter.recordArrival(SERVICE, i % 10, nowMillis);
+            for (int j = 0; j <= i; j++) {
+                requests.add(new RequestInProgress(
+                        SERVICE,
+                        i % 10,
+                        Optional.of(new OrganisationId("o" + i)),
+                        j == 0,
+                        j * 80L,
+                        Optional.of(new BackendServerId("s" + i))));
+            }
+        }
+        return counter.report(requests, nowMillis);
+    }
+
+    /** Guards against demand that is lost, or counts as less urgent than it is, because a report has too few rows. */
+    @Test
+    public void rowsAreBoundedAndNoDemandIsLost() {
+        ServiceDemand demand = reportOfMany(5).services().get(0);
+        assertEquals(demand.priorities().size(), DemandReport.MAX_PRIORITIES);
+        assertEquals(demand.priorities().get(0).arrivalsPerSecond(), 10.0);
+        assertEquals(demand.priorities().get(3).arrivalsPerSecond(), 70.0);
+        assertEquals(demand.priorities().stream().mapToInt(row -> row.waiting()).sum(), NAMES);
+        assertEquals(demand.tokenLayers().size(), DemandReport.MAX_ORGANISATIONS);
+        assertEquals(
+                demand.tokenLayers().get(new OrganisationId("o99")),
+                Long.valueOf(80L * 99 * 100 / 2),
+                "the organisations that use most");
+        assertEquals(reportOfMany(5).plainInFlight().size(), DemandReport.MAX_PLAIN_SERVERS);
+        assertEquals(reportOfMany(5).plainInFlight().get(new BackendServerId("s99")), Integer.valueOf(100));
+    }
+
+    /** Guards against totals that keep a part of reports that were replaced or removed. */
+    @Test
+    public void removedReportsLeaveNothingInTheTotals() {
+        FleetDemand demand = new FleetDemand();
+        demand.updatePeer("g2", HERE, reportOfMany(5), 50, 10);
+        demand.updatePeer("g2", HERE, reportOfMany(5), 100, 20);
+        demand.updateOwn(reportOfMany(5), HERE, 30);
+        assertEquals(demand.arrivalsPerSecond(SERVICE, 1), 20.0);
+        assertEquals(demand.oldestAgeMillis(50), 30);
+        demand.removeSilentPeers(0, 121);
+        assertEquals(demand.arrivalsPerSecond(SERVICE, HERE), 100.0);
+        demand.removeOwn();
+        assertEquals(demand.arrivalsPerSecond(SERVICE, 10), 0.0);
+        assertEquals(demand.arrivalsPerSecond(SERVICE, HERE), 0.0);
+        assertEquals(demand.inUse(SERVICE, new OrganisationId("o99")), 0);
+        assertEquals(demand.plainInFlight(new BackendServerId("s99")), 0);
+    }
+}
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/DemandSectionCodec.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/DemandSectionCodec.java
@@ -35,7 +35,8 @@
         byte[] bytes = encode(section);
         DemandSection reduced = section;
         while (bytes.length > MAX_BYTES) {
-            reduced = new DemandSection(reduced.report().map(DemandReport::reduced), reduced.status());
+            reduced = new DemandSection(
+                    reduced.report().map(DemandReport::reduced), reduced.recipients(), reduced.status());
             bytes = encode(reduced);
         }
         return bytes;
@@ -47,6 +48,7 @@
             if (section.report().isPresent()) {
                 writeReport(section.report().get(), out);
             }
+            out.packInt(section.recipients());
             out.packBoolean(section.status().isPresent());
             if (section.status().isPresent()) {
                 GatewayStatus status = section.status().get();
@@ -86,8 +88,9 @@
 
     static DemandSection read(MessageUnpacker in) throws IOException {
         Optional<DemandReport> report = in.unpackBoolean() ? Optional.of(readReport(in)) : Optional.empty();
+        int recipients = in.unpackInt();
         Optional<GatewayStatus> status = in.unpackBoolean() ? Optional.of(readStatus(in)) : Optional.empty();
-        return new DemandSection(report, status);
+        return new DemandSection(report, recipients, status);
     }
 
     private static GatewayStatus readStatus(MessageUnpacker in) throws IOException {
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateService.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateService.java
@@ -160,8 +160,8 @@
         if (known.isEmpty()) {
             return;
         }
-        PeerUpdate update = ownUpdate
-                .get()
+        PeerUpdate current = ownUpdate.get();
+        PeerUpdate update = current.withDemandSection(current.demandSection().withRecipients(known.size()))
                 .withRecentPeers(peersToIntroduce())
                 .withReading(readCoordinator.ownPosition(isLeader.getAsBoolean(), clock.millis()))
                 .withConfigVersion(versions.ownVersion());
--- a/gateway/src/main/java/org/cornelramp/gateway/route/DemandReporter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/DemandReporter.java
@@ -5,9 +5,11 @@
 import org.cornelramp.core.admission.DemandCounter;
 import org.cornelramp.core.admission.DemandCounter.RequestInProgress;
 import org.cornelramp.core.admission.DemandReport;
+import org.cornelramp.core.admission.FleetDemand;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.path.Hop;
 import org.cornelramp.core.path.StagePath;
+import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.peer.DemandSection;
 import org.cornelramp.gateway.request.Attempt;
 import org.cornelramp.gateway.request.Exchange;
@@ -26,18 +28,24 @@
      */
     static final long INTERVAL_MILLIS = 60;
 
+    /** Interval of the log line that gives the summed demand, in milliseconds. */
+    private static final long LOG_INTERVAL_MILLIS = 5_000;
+
     private final DataCentre dataCentre;
     private final FleetState fleet;
     private final Collection<ActiveRequest> activeRequests;
+    private final EventLog log;
     private DemandCounter counter = new DemandCounter();
     private Optional<DemandReport> report = Optional.empty();
     private long reportedMillis;
+    private long loggedMillis;
 
     /** @param activeRequests the requests in progress */
-    DemandReporter(DataCentre dataCentre, FleetState fleet, Collection<ActiveRequest> activeRequests) {
+    DemandReporter(DataCentre dataCentre, FleetState fleet, Collection<ActiveRequest> activeRequests, EventLog log) {
         this.dataCentre = dataCentre;
         this.fleet = fleet;
         this.activeRequests = activeRequests;
+        this.log = log;
     }
 
     /** Records that a request was received. */
@@ -56,24 +64,49 @@
         }
     }
 
-    /** The section for the next update; a report that is due is built and counts in {@link FleetState#demand}. */
+    /**
+     * The section for the next update, without the number of recipients, which its sender knows. A report that is due is
+     * built and counts in {@link FleetState#demand}.
+     */
     DemandSection section(long now) {
         if (!fleet.reportsDemand()) {
             if (report.isPresent()) {
                 fleet.demand().removeOwn();
                 report = Optional.empty();
                 counter = new DemandCounter();
+                log.line("peers", "demand not reported").write();
             }
             return DemandSection.NONE;
         }
         if (report.isEmpty() || now - reportedMillis >= INTERVAL_MILLIS) {
+            if (report.isEmpty()) {
+                log.line("peers", "demand reported").write();
+            }
             DemandReport built = counter.report(
                     activeRequests.stream().map(DemandReporter::inProgress).toList(), now);
             fleet.demand().updateOwn(built, dataCentre, now);
             report = Optional.of(built);
             reportedMillis = now;
+            logSums(built, now);
+        }
+        return new DemandSection(report, 0, fleet.ownStatus());
+    }
+
+    private void logSums(DemandReport own, long now) {
+        if (now - loggedMillis < LOG_INTERVAL_MILLIS) {
+            return;
+        }
+        loggedMillis = now;
+        FleetDemand demand = fleet.demand();
+        for (DemandReport.ServiceDemand row : own.services()) {
+            log.routine("peers", "demand")
+                    .with("service", row.service())
+                    .with("perSecond", demand.arrivalsPerSecond(row.service(), Integer.MAX_VALUE))
+                    .with("ownPerSecond", row.arrivalsPerSecond())
+                    .with("reports", demand.peerCount())
+                    .with("oldestMillis", demand.oldestAgeMillis(now))
+                    .write();
         }
-        return new DemandSection(report, fleet.ownStatus());
     }
 
     private static RequestInProgress inProgress(ActiveRequest request) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
 import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.member.GatewayStatuses.PeerStatus;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.path.EngineLoads;
@@ -62,6 +63,11 @@
         this.currentUpdate = PeerUpdate.of(sender, 0, false, Map.of(), 0, Map.of(), Set.of(), RetryLoanUpdate.NONE);
     }
 
+    /** The state that the updates report and change. */
+    FleetState fleet() {
+        return fleet;
+    }
+
     /** The update to send now; may be called by any thread. */
     PeerUpdate currentUpdate() {
         return currentUpdate;
@@ -92,8 +98,8 @@
         // Updates may have been waiting unread for as long as this process is late.
         long silence = PeerRotation.silenceMillis(loads.peerCount()) + fleet.lagMillis();
         loads.removeSilentPeers(silence, nowMillis);
-        fleet.demand().removeSilentPeers(silence, nowMillis);
-        fleet.gatewayStatuses().removeSilentPeers(silence, nowMillis);
+        fleet.demand().removeSilentPeers(fleet.lagMillis(), nowMillis);
+        fleet.gatewayStatuses().removeSilentPeers(fleet.lagMillis(), nowMillis);
         sharedRetries.setPeers(loads.peerCount(), nowMillis);
         stayingPeers.values().removeIf(at -> nowMillis - at > silence);
         failuresSeen.values().removeIf(at -> nowMillis - at > FAILURE_REPORT_MILLIS);
@@ -144,13 +150,15 @@
     private void applyDemand(PeerUpdate update, long nowMillis) {
         DataCentre dataCentre = update.sender().dataCentre();
         DemandSection section = update.demandSection();
+        long silence = section.silenceMillis();
         section.report()
                 .ifPresentOrElse(
-                        report -> fleet.demand().updatePeer(update.name(), dataCentre, report, nowMillis),
+                        report -> fleet.demand().updatePeer(update.name(), dataCentre, report, silence, nowMillis),
                         () -> fleet.demand().removePeer(update.name()));
         section.status()
                 .ifPresentOrElse(
-                        status -> fleet.gatewayStatuses().update(update.name(), dataCentre, status, nowMillis),
+                        status -> fleet.gatewayStatuses()
+                                .update(new PeerStatus(update.name(), dataCentre, status, nowMillis, silence)),
                         () -> fleet.gatewayStatuses().remove(update.name()));
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -96,7 +96,7 @@
         this.lifeQuestions = new LifeQuestions(fleet, config, engineControl, events);
         this.crashObserver = new CrashObserver(fleet, engineControl, lifeQuestions, log, meters, events);
         this.poisonGuard = new PoisonGuard(activeRequests.values(), crashObserver, log, meters);
-        this.demandReporter = new DemandReporter(settings.dataCentre(), fleet, activeRequests.values());
+        this.demandReporter = new DemandReporter(settings.dataCentre(), fleet, activeRequests.values(), log);
         this.peerUpdateHandler = new PeerUpdateHandler(
                 settings.name(),
                 settings.dataCentre(),
--- /dev/null
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/DemandReporterTest.java
@@ -0,0 +1,143 @@
+package org.cornelramp.gateway.route;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cornelramp.core.admission.DemandReport;
+import org.cornelramp.core.admission.DemandReport.ServiceDemand;
+import org.cornelramp.core.admission.FleetDemand;
+import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.member.GatewayStatus;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.retry.RetryLoanUpdate;
+import org.cornelramp.gateway.TestServers;
+import org.cornelramp.gateway.peer.DemandSection;
+import org.cornelramp.gateway.peer.PeerRotation;
+import org.cornelramp.gateway.peer.PeerUpdate;
+import org.cornelramp.gateway.route.FleetState.DemandUse;
+import org.cornelramp.platform.standin.StandInConfig;
+import org.eclipse.jetty.http.HttpFields;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What a router counts of its own demand, sends to its peers and takes from their updates. */
+public class DemandReporterTest {
+    private static final ServiceName ENGINES = new ServiceName(StandInConfig.ENGINES);
+    private static final ServiceName PLAIN = new ServiceName(StandInConfig.PLAIN);
+    private static final DataCentre ELSEWHERE = new DataCentre("dc2");
+    private static final GatewayStatus STATUS = new GatewayStatus(1.5, 0.5, true);
+
+    private final BackendServer engine = RouterSimulation.engine("a1", 11, 0, 8);
+    private final BackendServer plain = TestServers.plain("p1", 12);
+    private RouterSimulation router;
+    private FleetDemand demand;
+    private long number;
+
+    @BeforeMethod
+    public void start() {
+        router = new RouterSimulation(StandInConfig.small(1), "", 1);
+        demand = router.fleet().demand();
+        router.register(engine);
+        router.register(plain);
+        number = 0;
+    }
+
+    private void receive(DemandSection section) {
+        PeerUpdate.Sender peer = new PeerUpdate.Sender("g2", 1, ELSEWHERE);
+        router.handle(new RouterEvent.PeerUpdateReceived(
+                PeerUpdate.of(peer, ++number, false, Map.of(), 0, Map.of(), Set.of(), RetryLoanUpdate.NONE)
+                        .withDemandSection(section)));
+    }
+
+    private ServiceDemand reported(ServiceName service) {
+        DemandReport report = router.peerUpdate().demandSection().report().get();
+        return report.services().stream()
+                .filter(row -> row.service().equals(service))
+                .findFirst()
+                .get();
+    }
+
+    @Test
+    public void requestsAreReported() {
+        router.fleet().setDemandUse(DemandUse.ADMISSION, true);
+        router.tick();
+        router.request("/chat/a", "stream");
+        router.request("/look/a", "one");
+        router.request("/look/a", "two");
+        router.run(100);
+        int priority = router.route("/chat/a").priority();
+        DemandReport.PriorityDemand row = reported(ENGINES).priorities().get(0);
+        assertEquals(row.priority(), priority);
+        assertEquals(row.arrivalsPerSecond(), 1, 0.2);
+        assertEquals(row.waiting(), 0);
+        assertTrue(row.tokenLayers() > 0 && row.tokenLayers() % 8 == 0, "token-layers " + row.tokenLayers());
+        assertEquals(demand.inUse(ENGINES, priority), row.tokenLayers());
+        assertEquals(reported(PLAIN).priorities().get(0).arrivalsPerSecond(), 2, 0.3);
+        assertEquals(demand.plainInFlight(plain.id()), 2);
+        assertEquals(demand.peersPlainInFlight(plain.id()), 0);
+        router.calls().get(1).complete(200, HttpFields.EMPTY);
+        router.run(100);
+        assertEquals(demand.plainInFlight(plain.id()), 1);
+    }
+
+    /** Guards against refusals that peers do not learn of. */
+    @Test
+    public void refusalIsReported() {
+        router.fleet().setDemandUse(DemandUse.ADMISSION, true);
+        router.unregister(engine);
+        router.request("/chat/a", "refused");
+        router.run(100);
+        assertEquals(reported(ENGINES).priorities().get(0).refusedPerSecond(), 1, 0.2);
+        assertEquals(router.activeRequests(), 0);
+    }
+
+    /** Guards against updates that older gateways do not read, and against work, where no function needs reports. */
+    @Test
+    public void nothingIsReportedUnlessAUseIsOn() {
+        router.fleet().setOwnStatus(STATUS);
+        router.request("/chat/a", "stream");
+        router.run(100);
+        assertEquals(router.peerUpdate().demandSection(), DemandSection.NONE);
+        assertEquals(demand.arrivalsPerSecond(ENGINES, Integer.MAX_VALUE), 0.0);
+        router.fleet().setDemandUse(DemandUse.GATEWAY_LOAD, true);
+        router.run(100);
+        assertEquals(router.peerUpdate().demandSection().status(), Optional.of(STATUS));
+        router.fleet().setDemandUse(DemandUse.GATEWAY_LOAD, false);
+        router.run(100);
+        assertEquals(router.peerUpdate().demandSection(), DemandSection.NONE);
+        assertEquals(demand.oldestAgeMillis(router.now()), 0);
+    }
+
+    /** Guards against demand that counts after its gateway has died, or has ceased to report it. */
+    @Test
+    public void silentPeerIsLeftOut() {
+        DemandReport report = new DemandReport(
+                List.of(new ServiceDemand(
+                        ENGINES, List.of(new DemandReport.PriorityDemand(0, 12.5, 3, 800, 0.5)), Map.of())),
+                Map.of(plain.id(), 4));
+        DemandSection section = new DemandSection(Optional.of(report), 1, Optional.of(STATUS));
+        receive(section);
+        router.run(200);
+        assertEquals(demand.arrivalsPerSecond(ENGINES, 1), 12.5);
+        assertEquals(demand.arrivalsPerSecond(ENGINES, 0), 0.0);
+        assertEquals(demand.arrivalsPerSecond(ENGINES, ELSEWHERE), 12.5);
+        assertEquals(demand.waiting(ENGINES, 0), 3);
+        assertEquals(demand.peersPlainInFlight(plain.id()), 4);
+        assertEquals(demand.oldestAgeMillis(router.now()), 200);
+        assertEquals(
+                router.fleet().gatewayStatuses().inDataCentre(ELSEWHERE).get(0).status(), STATUS);
+        receive(DemandSection.NONE);
+        assertEquals(demand.waiting(ENGINES, 0), 0);
+        assertEquals(router.fleet().gatewayStatuses().status("g2"), Optional.empty());
+        receive(section);
+        router.run(PeerRotation.silenceMillis(1) + 100);
+        assertEquals(demand.peerCount(), 0);
+        assertEquals(demand.arrivalsPerSecond(ENGINES, 1), 0.0);
+        assertEquals(router.fleet().gatewayStatuses().all().size(), 0);
+    }
+}
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -183,6 +183,11 @@
         return router.peerUpdates().currentUpdate();
     }
 
+    /** The router's state of the servers and the peers. */
+    FleetState fleet() {
+        return router.peerUpdates().fleet();
+    }
+
     /** Number of logged lines that contain a text; called once, at the end of a test. */
     long linesWith(String text) {
         return logLines().stream().filter(line -> line.contains(text)).count();
