--- a/core/src/main/java/org/cornelramp/core/fleet/BackendServer.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/BackendServer.java
@@ -22,6 +22,8 @@
  * @param slots requests that it runs concurrently
  * @param card kind of its accelerator card; empty for a plain service
  * @param layers layers of the model that it holds; empty if none
+ * @param coldRemainingMillis time after the registration for which it is slower because it has just started, in
+ *     milliseconds; 0 if it is not
  */
 public record BackendServer(
         BackendServerId id,
@@ -32,7 +34,21 @@
         ServerState state,
         int slots,
         String card,
-        Optional<LayerRange> layers) {
+        Optional<LayerRange> layers,
+        long coldRemainingMillis) {
+    /** Creates a server that is not cold. */
+    public BackendServer(
+            BackendServerId id,
+            BackendServerId name,
+            ServiceName service,
+            HostPort address,
+            DataCentre dataCentre,
+            ServerState state,
+            int slots,
+            String card,
+            Optional<LayerRange> layers) {
+        this(id, name, service, address, dataCentre, state, slots, card, layers, 0);
+    }
 
     /** Whether it holds the layer. */
     public boolean holds(int layer) {
@@ -42,11 +58,18 @@
 
     /** Returns a copy with other layers. */
     public BackendServer withLayers(Optional<LayerRange> other) {
-        return new BackendServer(id, name, service, address, dataCentre, state, slots, card, other);
+        return new BackendServer(
+                id, name, service, address, dataCentre, state, slots, card, other, coldRemainingMillis);
     }
 
     /** Returns a copy in another state. */
     public BackendServer withState(ServerState other) {
-        return new BackendServer(id, name, service, address, dataCentre, other, slots, card, layers);
+        return new BackendServer(
+                id, name, service, address, dataCentre, other, slots, card, layers, coldRemainingMillis);
+    }
+
+    /** Returns a copy with another time for which it is cold. */
+    public BackendServer withColdRemainingMillis(long other) {
+        return new BackendServer(id, name, service, address, dataCentre, state, slots, card, layers, other);
     }
 }
--- a/core/src/main/java/org/cornelramp/core/fleet/ServerRegistry.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/ServerRegistry.java
@@ -110,7 +110,7 @@
         byId.put(server.id(), entry);
         endedIncarnations.markRegistered(server.id());
         BackendServer effective = entry.staysLeaving ? server.withState(ServerState.DRAINING) : server;
-        boolean changed = !effective.equals(entry.server) || entry.removeAtMillis != Long.MAX_VALUE;
+        boolean changed = !isSame(effective, entry.server) || entry.removeAtMillis != Long.MAX_VALUE;
         entry.server = effective;
         entry.offset = record.offset();
         entry.removeAtMillis = Long.MAX_VALUE;
@@ -119,6 +119,11 @@
         return changed;
     }
 
+    /** Whether two registrations differ at most in the remaining cold time, which falls with every heartbeat. */
+    private static boolean isSame(BackendServer server, BackendServer before) {
+        return before != null && server.equals(before.withColdRemainingMillis(server.coldRemainingMillis()));
+    }
+
     /**
      * Records that a server itself has said that it is shutting down. Its incarnation stays leaving, whatever its
      * registrations say.
