Choose plain servers by the load of all gateways where many share them

Cause: with as many gateways as a server has slots, one gateway's own requests in flight say little about its load. Change: SharedServerSelector applies there: reported load, requests in flight, recent latency and failures, cold time, two weighted draws. Its statistics are those of PlainServerSelector, whose decisions stay (PlainServerSelectorProperties). A server that sheds or reports no free slot is avoided; an unsafe request waits for a slot for at most a quarter of its target. Log lines fleet: full, route: awaits slot, slot wait ended; metrics server.full, slot.waits. Peers' requests in flight are 0 until updates carry them (FleetState.plainPeersInFlight).

--- /dev/null
+++ b/core/src/test/java/org/cornelramp/core/fleet/PlainFleet.java
@@ -0,0 +1,224 @@
+package org.cornelramp.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.IntUnaryOperator;
+import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.settings.HostPort;
+
+/**
+ * Gateways that share three plain servers of six slots, which shed when full. A gateway learns the in-flight requests of
+ * each peer every 600 ms. Used by one thread.
+ */
+final class PlainFleet {
+    static final int GATEWAYS = 41;
+    static final int SLOTS = 6;
+    static final long TARGET_MILLIS = 142;
+    static final int BASE_MILLIS = 60;
+    private static final DataCentre HOME = new DataCentre("dc1");
+    private static final long ROUND_MILLIS = 120;
+    private static final int PEERS_PER_ROUND = 8;
+    private static final long ROUND_TRIP_MILLIS = 2;
+    private static final long RETRY_MILLIS = 60;
+    private static final int MAX_ATTEMPTS = 6;
+
+    /** How the servers behave at a time. */
+    interface Behaviour {
+        double slowdown(int server, long now);
+
+        default double failures(int server) {
+            return 0;
+        }
+    }
+
+    private record Event(long at, long number, Runnable action) {}
+
+    private static final class Gateway {
+        private final PlainServerStats stats = new PlainServerStats();
+        private final PlainServerSelector today = new PlainServerSelector(stats);
+        private final SharedServerSelector shared = new SharedServerSelector(stats);
+        private final int[][] peers = new int[GATEWAYS][];
+    }
+
+    private final List<BackendServer> servers = new ArrayList<>();
+    private final List<Gateway> gateways = new ArrayList<>();
+    private final int[] running;
+    private final int[] arrived;
+    private final Behaviour behaviour;
+    private final SplittableRandom random;
+    private final boolean shared;
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
+    private long now;
+    private long number;
+    private int requests;
+    private int onTime;
+    private int perfectOnTime;
+    private int sheds;
+    private final long[][] freeAt;
+
+    /** @param shared whether the selector for many gateways is used, else the one for few */
+    PlainFleet(int serverCount, boolean shared, Behaviour behaviour, long seed) {
+        this.shared = shared;
+        this.behaviour = behaviour;
+        this.random = new SplittableRandom(seed);
+        running = new int[serverCount];
+        arrived = new int[serverCount];
+        freeAt = new long[serverCount][SLOTS];
+        for (int i = 0; i < serverCount; i++) {
+            servers.add(server("p" + i));
+        }
+        for (int i = 0; i < GATEWAYS; i++) {
+            gateways.add(new Gateway());
+            int gateway = i;
+            at(i * ROUND_MILLIS / GATEWAYS, () -> sendUpdates(gateway, gateway));
+        }
+    }
+
+    static BackendServer server(String name) {
+        BackendServerId id = new BackendServerId(name);
+        return new BackendServer(
+                id,
+                id,
+                new ServiceName("s"),
+                new HostPort("10.0.0.1", 80),
+                HOME,
+                ServerState.READY,
+                SLOTS,
+                "",
+                Optional.empty());
+    }
+
+    private void at(long time, Runnable action) {
+        events.add(new Event(time, number++, action));
+    }
+
+    private void sendUpdates(int sender, int next) {
+        PlainServerStats stats = gateways.get(sender).stats;
+        int[] inFlight =
+                servers.stream().mapToInt(server -> stats.inFlight(server.id())).toArray();
+        for (int i = 0; i < PEERS_PER_ROUND; i++) {
+            gateways.get((next + i) % GATEWAYS).peers[sender] = inFlight;
+        }
+        at(now + ROUND_MILLIS, () -> sendUpdates(sender, next + PEERS_PER_ROUND));
+    }
+
+    private int peersInFlight(int gateway, BackendServerId server) {
+        int index = Integer.parseInt(server.value().substring(1));
+        int sum = 0;
+        for (int peer = 0; peer < GATEWAYS; peer++) {
+            int[] reported = gateways.get(gateway).peers[peer];
+            sum += peer == gateway || reported == null ? 0 : reported[index];
+        }
+        return sum;
+    }
+
+    /** Lets time pass, with that many requests per second at all gateways together. */
+    PlainFleet run(long millis, IntUnaryOperator perSecond) {
+        long end = now + millis;
+        for (long time = now; time < end; time++) {
+            for (int k = perSecond.applyAsInt((int) time); k > 0; k -= 1_000) {
+                if (random.nextInt(1_000) < k) {
+                    at(time, this::request);
+                }
+            }
+        }
+        while (events.peek().at() < end) {
+            Event event = events.poll();
+            now = event.at();
+            event.action().run();
+        }
+        now = end;
+        return this;
+    }
+
+    private void request() {
+        requests++;
+        double noise = 0.8 + 0.4 * random.nextDouble();
+        countPerfect(noise);
+        attempt(random.nextInt(GATEWAYS), noise, now, 1, Set.of());
+    }
+
+    /** One queue with complete knowledge gives each request the slot where it ends first. */
+    private void countPerfect(double noise) {
+        long best = Long.MAX_VALUE;
+        int[] chosen = {0, 0};
+        for (int s = 0; s < freeAt.length; s++) {
+            for (int slot = 0; slot < SLOTS; slot++) {
+                long end = Math.max(now, freeAt[s][slot]) + millis(s, noise);
+                if (end < best && behaviour.failures(s) == 0) {
+                    best = end;
+                    chosen = new int[] {s, slot};
+                }
+            }
+        }
+        freeAt[chosen[0]][chosen[1]] = best;
+        perfectOnTime += best + ROUND_TRIP_MILLIS - now <= TARGET_MILLIS ? 1 : 0;
+    }
+
+    private long millis(int server, double noise) {
+        return Math.round(BASE_MILLIS * noise * behaviour.slowdown(server, now));
+    }
+
+    private void attempt(int index, double noise, long start, int count, Set<BackendServerId> avoided) {
+        Gateway gateway = gateways.get(index);
+        Optional<BackendServer> target = shared
+                ? gateway.shared.choose(
+                        servers,
+                        avoided,
+                        new SharedServerSelector.Situation(HOME, id -> peersInFlight(index, id), now),
+                        random)
+                : gateway.today.choose(servers, avoided, HOME);
+        if (target.isEmpty()) {
+            at(now + RETRY_MILLIS, () -> attempt(index, noise, start, count, Set.of()));
+            return;
+        }
+        BackendServerId id = target.get().id();
+        int s = servers.indexOf(target.get());
+        gateway.stats.requestSent(id, now);
+        arrived[s]++;
+        boolean shed = running[s] >= SLOTS;
+        sheds += shed ? 1 : 0;
+        boolean failed = !shed && random.nextDouble() < behaviour.failures(s);
+        running[s] += shed ? 0 : 1;
+        long sent = now;
+        at(now + ROUND_TRIP_MILLIS + (shed ? 0 : millis(s, noise)), () -> {
+            running[s] -= shed ? 0 : 1;
+            gateway.stats.loadReported(id, running[s], SLOTS, now);
+            PlainServerStats.Outcome outcome = shed
+                    ? PlainServerStats.Outcome.SHED
+                    : failed ? PlainServerStats.Outcome.FAILED : PlainServerStats.Outcome.SUCCEEDED;
+            gateway.stats.requestEnded(id, outcome, now - sent, now);
+            onTime += outcome == PlainServerStats.Outcome.SUCCEEDED && now - start <= TARGET_MILLIS ? 1 : 0;
+            if (shed && count < MAX_ATTEMPTS) {
+                Set<BackendServerId> more = new HashSet<>(avoided);
+                more.add(id);
+                attempt(index, noise, start, count + 1, more);
+            }
+        });
+    }
+
+    /** Share of requests answered on time, in relation to one queue with complete knowledge. */
+    double goodput() {
+        return onTime / (double) Math.max(1, perfectOnTime);
+    }
+
+    /** Sheds for each request. */
+    double shedRate() {
+        return sheds / (double) requests;
+    }
+
+    @Override
+    public String toString() {
+        return "goodput %.3f, sheds %.4f, to the last server %.3f"
+                .formatted(goodput(), shedRate(), arrived[arrived.length - 1] / (double) requests);
+    }
+}
--- a/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
@@ -155,6 +155,16 @@
         count("server.rests", "change", change);
     }
 
+    /** Counts a plain server that has become known to be full: it has shed a request, or has reported so. */
+    public void countFullServer(String evidence) {
+        count("server.full", "evidence", evidence);
+    }
+
+    /** Counts a wait of a request for a slot at a plain server that has started, or how it ended. */
+    public void countSlotWait(String change) {
+        count("slot.waits", "change", change);
+    }
+
     /** Counts a backend server that has said that it is shutting down before its registration did. */
     public void countAnnouncedShutdown() {
         enqueue(target -> target.counter(PREFIX + "server.shutdowns.announced").increment());
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
@@ -41,6 +41,9 @@
     private long lastMoveMillis = Long.MIN_VALUE / 2;
     private long lastSearchMillis = Long.MIN_VALUE / 2;
     private long leavingSinceMillis;
+    private boolean awaitingSlot;
+    private long slotWaitEndMillis = Long.MAX_VALUE;
+    private long expectedSlotMillis;
 
     /** @param tokens tokens that the request is expected to occupy when it is finished; 0 for a plain service */
     ActiveRequest(Exchange exchange, ServiceName service, int tokens) {
@@ -118,6 +121,7 @@
         lived = false;
         notMovable = false;
         awaitingPath = false;
+        awaitingSlot = false;
         firstTurnMillis = Long.MAX_VALUE;
         leavingSinceMillis = 0;
         lastSearchMillis = Long.MIN_VALUE / 2;
@@ -266,6 +270,45 @@
         return awaitingPath ? nowMillis - awaitingPathSinceMillis : 0;
     }
 
+    /** Whether the request waits because all plain servers are known to be full. */
+    boolean isAwaitingSlot() {
+        return awaitingSlot;
+    }
+
+    /**
+     * Records that the request waits for a slot; true unless it did already.
+     *
+     * @param maxMillis longest wait from now on
+     * @param expectedMillis time until a slot is expected to be free
+     */
+    boolean startSlotWait(long nowMillis, long maxMillis, long expectedMillis) {
+        boolean first = !awaitingSlot;
+        awaitingSlot = true;
+        slotWaitEndMillis = Math.min(slotWaitEndMillis, nowMillis + maxMillis);
+        expectedSlotMillis = expectedMillis;
+        return first;
+    }
+
+    /** Records that the request does not wait for a slot any more. */
+    void endSlotWait() {
+        awaitingSlot = false;
+    }
+
+    /** Time for which the request may still wait for a slot, at most the given one; all its waits share one bound. */
+    long remainingSlotWaitMillis(long maxMillis, long nowMillis) {
+        return Math.max(0, Math.min(maxMillis, slotWaitEndMillis - nowMillis));
+    }
+
+    /** When the wait for a slot ends. */
+    long slotWaitEndMillis() {
+        return slotWaitEndMillis;
+    }
+
+    /** Time until a slot was expected to be free at the last search, in milliseconds. */
+    long expectedSlotMillis() {
+        return expectedSlotMillis;
+    }
+
     /** Records that the first engine of the current attempt accepts no orders, so the attempt cannot be moved. */
     void markNotMovable() {
         notMovable = true;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -37,6 +37,7 @@
     private final Function<Route, HttpClient> clients;
     private final ConfigHolder config;
     private final FleetState fleet;
+    private final PlainServerChooser plainServers;
     private final PoisonGuard poisonGuard;
     private final SteadyClock clock;
     private final EventLog log;
@@ -51,6 +52,7 @@
             Function<Route, HttpClient> clients,
             ConfigHolder config,
             FleetState fleet,
+            PlainServerChooser plainServers,
             PoisonGuard poisonGuard,
             SteadyClock clock,
             EventLog log,
@@ -59,6 +61,7 @@
         this.clients = clients;
         this.config = config;
         this.fleet = fleet;
+        this.plainServers = plainServers;
         this.poisonGuard = poisonGuard;
         this.clock = clock;
         this.log = log;
@@ -97,7 +100,7 @@
     private Optional<Target> choose(ActiveRequest request, Set<BackendServerId> closed, long now) {
         Optional<EngineSpec> engine = engineSpec(request);
         if (engine.isEmpty()) {
-            return choosePlainServer(request, closed, now).map(server -> new Target(server, Optional.empty()));
+            return plainServers.choose(request, closed, now).map(server -> new Target(server, Optional.empty()));
         }
         request.setDefaultTokens(engine.get().meanRequestTokens());
         return findPath(request, engine.get(), closed, now)
@@ -121,12 +124,6 @@
         return Optional.empty();
     }
 
-    private Optional<BackendServer> choosePlainServer(ActiveRequest request, Set<BackendServerId> excluded, long now) {
-        Set<BackendServerId> avoided = new HashSet<>(request.avoidedServers());
-        avoided.addAll(excluded);
-        return fleet.plainServers().choose(fleet.usableServers(request.service(), now), avoided, settings.dataCentre());
-    }
-
     /**
      * Sends the request to a server that {@link #chooseTarget} has just returned. If it cannot be sent, the attempt
      * ends like any other.
@@ -136,8 +133,8 @@
         fleet.rateLimits().recordSent(target.server().id());
         Attempt attempt = createAttempt(request, target, ends, now);
         request.startAttempt(attempt);
-        target.path().ifPresentOrElse(stagePath -> addLoadWithPrompt(request, stagePath), () -> fleet.plainServers()
-                .requestSent(target.server().id()));
+        target.path().ifPresentOrElse(stagePath -> addLoadWithPrompt(request, stagePath), () -> fleet.plainStats()
+                .requestSent(target.server().id(), now));
         logSent(request, target);
         try {
             attempt.start(now);
@@ -221,7 +218,7 @@
         Set<BackendServerId> excluded = new HashSet<>(fleet.closedServers(request.service(), now));
         excluded.add(server.id());
         return poisonGuard.verdict(request, now) == PoisonGuard.Verdict.SEND
-                && choosePlainServer(request, excluded, now).isPresent();
+                && plainServers.hasServer(request, excluded, now);
     }
 
     private Attempt createAttempt(ActiveRequest request, Target target, FirstEnd ends, long now) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
@@ -5,6 +5,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.fleet.PlainServerStats;
 import org.cornelramp.core.fleet.SuspectedServers.Evidence;
 import org.cornelramp.core.fleet.UnansweredProbes;
 import org.cornelramp.core.model.BackendServerId;
@@ -14,6 +15,7 @@
 import org.cornelramp.gateway.request.AttemptEnd;
 import org.cornelramp.platform.EngineReport;
 import org.cornelramp.platform.PlatformFault;
+import org.eclipse.jetty.http.HttpStatus;
 
 /**
  * Detects failed servers from the ends of attempts and from engines' reports, and records them as suspected. Confined
@@ -76,8 +78,7 @@
             return;
         }
         if (attempt.path().isEmpty()) {
-            boolean good = end.kind() == AttemptEnd.Kind.ANSWERED && end.status() < SERVER_ERROR;
-            fleet.plainServers().requestEnded(attempt.server().id(), good, now - attempt.startMillis());
+            recordPlainOutcome(attempt, end, now);
         } else if (end.kind() == AttemptEnd.Kind.RELAYED) {
             fleet.loads().recordOutcome(attempt.server().id(), false);
         } else if (isOwnFailure(attempt, end)) {
@@ -85,6 +86,33 @@
         }
     }
 
+    private void recordPlainOutcome(Attempt attempt, AttemptEnd end, long now) {
+        BackendServerId server = attempt.server().id();
+        long millis = now - attempt.startMillis();
+        if (fleet.plainStats().requestEnded(server, plainOutcome(attempt, end), millis, now)) {
+            meters.countFullServer("shed");
+            log.routine("fleet", "full")
+                    .with("server", server)
+                    .with("why", "shed")
+                    .with("id", attempt.exchange().request().id())
+                    .with("inFlight", fleet.plainStats().inFlight(server))
+                    .with("peersInFlight", fleet.plainPeersInFlight(server))
+                    .with("forMillis", fleet.plainStats().millisUntilSlot(server, now))
+                    .write();
+        }
+    }
+
+    private static PlainServerStats.Outcome plainOutcome(Attempt attempt, AttemptEnd end) {
+        if (end.kind() == AttemptEnd.Kind.ANSWERED && end.status() < SERVER_ERROR) {
+            return PlainServerStats.Outcome.SUCCEEDED;
+        }
+        if (end.kind() == AttemptEnd.Kind.NOT_RUN && end.status() == HttpStatus.SERVICE_UNAVAILABLE_503) {
+            return PlainServerStats.Outcome.SHED;
+        }
+        boolean givenUp = end.kind() == AttemptEnd.Kind.CLIENT_GONE || attempt.isCancelled();
+        return givenUp ? PlainServerStats.Outcome.ABANDONED : PlainServerStats.Outcome.FAILED;
+    }
+
     /**
      * Whether the attempt failed at its own engine, neither because of another engine of the path nor by cancellation.
      */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
@@ -10,8 +10,10 @@
 import java.util.stream.Stream;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.PlainServerSelector;
+import org.cornelramp.core.fleet.PlainServerStats;
 import org.cornelramp.core.fleet.RestingServers;
 import org.cornelramp.core.fleet.ServerRegistry;
+import org.cornelramp.core.fleet.SharedServerSelector;
 import org.cornelramp.core.fleet.SuspectedServers;
 import org.cornelramp.core.limit.ServerRateLimits;
 import org.cornelramp.core.model.BackendServerId;
@@ -34,7 +36,9 @@
     private final ServerRegistry registry = new ServerRegistry();
     private final SuspectedServers suspectedServers = new SuspectedServers();
     private final EngineLoads loads = new EngineLoads();
-    private final PlainServerSelector plainServers = new PlainServerSelector();
+    private final PlainServerStats plainStats = new PlainServerStats();
+    private final PlainServerSelector plainServers = new PlainServerSelector(plainStats);
+    private final SharedServerSelector sharedServers = new SharedServerSelector(plainStats);
     private final ServerRateLimits rateLimits;
     private final RestingServers restingServers = new RestingServers();
     private long lagMillis;
@@ -67,11 +71,31 @@
         return loads;
     }
 
-    /** Recent results of the plain servers, which are not engines. */
+    /** What this gateway has observed of the plain servers, which are not engines. */
+    public PlainServerStats plainStats() {
+        return plainStats;
+    }
+
+    /** Chooses plain servers that few gateways share. */
     public PlainServerSelector plainServers() {
         return plainServers;
     }
 
+    /** Chooses plain servers that many gateways share. */
+    public SharedServerSelector sharedServers() {
+        return sharedServers;
+    }
+
+    /** Number of gateways: this one and those whose updates it receives. */
+    public int gatewayCount() {
+        return loads.peerCount() + 1;
+    }
+
+    /** Requests that the other gateways have in flight at a plain server. Their updates do not carry them yet, so 0. */
+    public int plainPeersInFlight(BackendServerId server) {
+        return 0;
+    }
+
     /** Limits that servers name on the requests that they take. */
     public ServerRateLimits rateLimits() {
         return rateLimits;
@@ -127,6 +151,7 @@
         if (read.era() < era || (read.era() > era && !read.complete())) {
             return RegistrationEffect.UNCHANGED;
         }
+        recordColdServers(read.records(), nowMillis);
         boolean restored = read.era() > era && initialised;
         era = read.era();
         initialised = true;
@@ -137,6 +162,13 @@
         return applyRecords(read, nowMillis) ? RegistrationEffect.CHANGED : RegistrationEffect.UNCHANGED;
     }
 
+    private void recordColdServers(List<ServerRegistry.Registration> records, long nowMillis) {
+        records.stream()
+                .flatMap(record -> record.server().stream())
+                .filter(server -> server.card().isEmpty())
+                .forEach(server -> plainStats.coldReported(server.id(), server.coldRemainingMillis(), nowMillis));
+    }
+
     private boolean applyRecords(RouterEvent.RegistrationsRead read, long nowMillis) {
         if (read.complete()) {
             return registry.replaceAll(read.records(), read.end(), nowMillis);
@@ -274,6 +306,6 @@
     public void removeUnregistered(long nowMillis) {
         suspectedServers.retain(id -> registry.server(id).isPresent() || isSuspect(id, nowMillis));
         loads.retain(id -> registry.server(id).isPresent());
-        plainServers.retain(id -> registry.server(id).isPresent());
+        plainStats.retain(id -> registry.server(id).isPresent());
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -103,7 +103,9 @@
                 poisonGuard,
                 failureDetector::handlePeerSuspicion);
         failureDetector.setOnLost(peerUpdateHandler::recordFailure);
-        this.dispatcher = new Dispatcher(settings, clients, config, fleet, poisonGuard, clock, log, attemptEnds);
+        PlainServerChooser plainServers = new PlainServerChooser(fleet, settings.dataCentre(), random, routingLog);
+        this.dispatcher =
+                new Dispatcher(settings, clients, config, fleet, plainServers, poisonGuard, clock, log, attemptEnds);
         this.retryDispatcher = new RetryDispatcher(sharedRetries, dispatcher, fleet, poisonGuard, routingLog, faults);
         this.overdueAttempts = new OverdueAttempts(sharedRetries, dispatcher);
         this.serverNotices = new ServerNoticeHandler(fleet, log, meters);
@@ -232,7 +234,7 @@
     /**
      * Handles a request that no server can take. A started stream waits for a path until its client leaves, since only
      * this gateway can continue it. A request that has not started is refused at once, except shortly after the start
-     * of the process, while the servers are not known yet.
+     * of the process, while the servers are not known yet, and while an unsafe request waits for a slot.
      */
     private void waitOrGiveUp(ActiveRequest request, long now) {
         if (!fleet.isInitialised() && now - request.exchange().request().receivedMillis() < STARTUP_WAIT_MILLIS) {
@@ -242,7 +244,8 @@
             retryDispatcher.queueForPath(request, now);
             return;
         }
-        if (poisonGuard.verdict(request, now) == PoisonGuard.Verdict.WAIT && retryDispatcher.queue(request, now)) {
+        boolean waits = request.isAwaitingSlot() || poisonGuard.verdict(request, now) == PoisonGuard.Verdict.WAIT;
+        if (waits && retryDispatcher.queue(request, now)) {
             return;
         }
         Refusal notRun = poisonGuard.refusal(request, now).orElse(Refusal.NO_SERVER);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDelay.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDelay.java
@@ -7,6 +7,9 @@
     /** Longest time after which a client is asked to return: another gateway may be able to serve it earlier. */
     private static final long MAX_MILLIS = 5_000;
 
+    /** Shortest time after which a client is asked to return when a slot was expected soon, in milliseconds. */
+    private static final long MIN_SLOT_MILLIS = 200;
+
     private final FleetState fleet;
     private final PoisonGuard poisonGuard;
 
@@ -21,6 +24,9 @@
             long millis = poisonGuard.millisUntilEnd(request, now);
             return millis > 0 ? millis : refusal.retryMillis();
         }
+        if (request.isAwaitingSlot() && refusal == Refusal.OVERLOADED) {
+            return Math.max(MIN_SLOT_MILLIS, request.expectedSlotMillis());
+        }
         if (refusal.retryMillis() == 0 || fleet.hasOpenServer(request.service(), now)) {
             return refusal.retryMillis();
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
@@ -140,7 +140,11 @@
 
     /** Removes and returns the requests that have not started and have waited for the longest permitted time. */
     List<ActiveRequest> removeExpired(long now) {
-        return retryQueue.removeOverdue(now);
+        List<ActiveRequest> expired = retryQueue.removeOverdue(now);
+        expired.stream()
+                .filter(ActiveRequest::isAwaitingSlot)
+                .forEach(request -> routingLog.slotWaitEnded(request, "refused"));
+        return expired;
     }
 
     /** Removes and returns the requests that are refused by now because servers have crashed under them. */
@@ -185,14 +189,20 @@
             logNoRetryLeft(request, now);
             return false;
         }
-        if (!request.tryStartSearch(now, SEARCH_INTERVAL_MILLIS)) {
+        boolean awaitedSlot = request.isAwaitingSlot();
+        if (!request.tryStartSearch(now, awaitedSlot ? 0 : SEARCH_INTERVAL_MILLIS)) {
             return false;
         }
         Optional<Dispatcher.Target> target = dispatcher.chooseTarget(request, now);
         if (target.isEmpty()) {
-            handleNoPath(request, now);
+            if (!request.isAwaitingSlot()) {
+                handleNoPath(request, now);
+            }
             return false;
         }
+        if (awaitedSlot) {
+            routingLog.slotWaitEnded(request, "sent");
+        }
         if (request.needsRetry()) {
             sharedRetries.tryConsume(request.service(), started, now);
             request.setNeedsRetry(false);
@@ -222,15 +232,22 @@
         boolean serverOpens =
                 fleet.millisUntilOpen(request.service(), now).orElse(Long.MAX_VALUE) < MAX_UNSTARTED_WAIT_MILLIS;
         boolean verdictIsDue = poisonGuard.verdict(request, now) == PoisonGuard.Verdict.WAIT;
-        return request.exchange().isCommitted() || peersMayLend || serverMayReturn || serverOpens || verdictIsDue;
+        boolean slotIsDue = request.isAwaitingSlot();
+        return request.exchange().isCommitted()
+                || slotIsDue
+                || peersMayLend
+                || serverMayReturn
+                || serverOpens
+                || verdictIsDue;
     }
 
     private RetryQueue.WaitState queueEntry(ActiveRequest request, long now) {
         boolean held = poisonGuard.verdict(request, now) == PoisonGuard.Verdict.WAIT;
+        long maxMillis = held ? MAX_SUSPECT_WAIT_MILLIS : MAX_UNSTARTED_WAIT_MILLIS;
         return new RetryQueue.WaitState(
                 request.exchange().isCommitted(),
                 request.exchange().request().deadlineMillis(),
-                now + (held ? MAX_SUSPECT_WAIT_MILLIS : MAX_UNSTARTED_WAIT_MILLIS));
+                request.isAwaitingSlot() ? request.slotWaitEndMillis() : now + maxMillis);
     }
 
     /**
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RoutingLog.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RoutingLog.java
@@ -149,6 +149,27 @@
                 .write();
     }
 
+    /** A request waits because all plain servers are known to be full. */
+    void slotWaitStarted(ActiveRequest request, int servers, long expectedMillis, long maxMillis) {
+        meters.countSlotWait("started");
+        log.routine("route", "awaits slot")
+                .with("id", request.exchange().request().id())
+                .with("servers", servers)
+                .with("expectedMillis", expectedMillis)
+                .with("maxMillis", maxMillis)
+                .with("attempts", request.attemptCount())
+                .write();
+    }
+
+    /** The wait for a slot has ended: the request is sent or refused. */
+    void slotWaitEnded(ActiveRequest request, String how) {
+        meters.countSlotWait(how);
+        log.routine("route", "slot wait ended")
+                .with("id", request.exchange().request().id())
+                .with("how", how)
+                .write();
+    }
+
     /** A failed attempt is not followed by another one, for a reason other than a lack of retries. */
     void notRetried(ActiveRequest request, String why) {
         log.line("route", "not repeated")
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ServerNoticeHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ServerNoticeHandler.java
@@ -30,6 +30,7 @@
         attempt.takeResponseHead().ifPresent(head -> {
             handleLimit(attempt, head, now);
             handleRest(attempt, head, now);
+            head.load().ifPresent(load -> handleLoad(attempt, load, now));
             if (head.notice().leaving()) {
                 handleLeaving(attempt, now);
             }
@@ -70,6 +71,23 @@
         }
     }
 
+    /** Records the load of a plain server; an engine's load is known from its report and the gateways' own counts. */
+    private void handleLoad(Attempt attempt, ResponseHead.ServerLoad load, long now) {
+        BackendServerId server = attempt.server().id();
+        int requests = (int) Math.min(Integer.MAX_VALUE, (long) load.running() + load.waiting());
+        if (attempt.path().isEmpty() && fleet.plainStats().loadReported(server, requests, load.slots(), now)) {
+            meters.countFullServer("reported");
+            log.routine("fleet", "full")
+                    .with("server", server)
+                    .with("why", "reported")
+                    .with("running", load.running())
+                    .with("waiting", load.waiting())
+                    .with("slots", load.slots())
+                    .with("forMillis", fleet.plainStats().millisUntilSlot(server, now))
+                    .write();
+        }
+    }
+
     private void handleLeaving(Attempt attempt, long now) {
         BackendServerId server = attempt.server().id();
         if (fleet.registry().markLeaving(server, now)) {
