Gateway settings: read the optional section limits

Cause: a gateway does not know what share of a VM's processors it may use, so it can't tell its size to its peers or its load from its processor time.

Change: the optional section `limits` with `cpuShare` (above 0 to 1) and `cores` (1 to 1,024, fractions allowed), both required in it, and `linkMbps` (above 0, absent or null without a limited link). Every fault names its remedy.

--- a/core/src/main/java/org/cornelramp/core/settings/GatewaySettings.java
+++ b/core/src/main/java/org/cornelramp/core/settings/GatewaySettings.java
@@ -1,5 +1,6 @@
 package org.cornelramp.core.settings;
 
+import java.util.Optional;
 import org.cornelramp.core.model.DataCentre;
 
 /**
@@ -14,6 +15,7 @@
  * @param store address of the platform's store
  * @param timing intervals and timeouts agreed with the platform
  * @param retries limits on retries
+ * @param limits what the platform lets this process use; empty if it is not known
  */
 public record GatewaySettings(
         String name,
@@ -24,7 +26,8 @@
         HostPort peers,
         HostPort store,
         Timing timing,
-        Retries retries) {
+        Retries retries,
+        Optional<Limits> limits) {
 
     /**
      * Intervals and timeouts agreed with the platform, in milliseconds. Immutable, safe for use by any thread.
@@ -47,4 +50,19 @@
      * @param windowMillis length of a window, in milliseconds
      */
     public record Retries(double ratio, double reserve, long windowMillis) {}
+
+    /**
+     * What the platform lets this process use of its VM. Immutable, safe for use by any thread.
+     *
+     * @param cpuShare share of the processor time of the cores that this process may use
+     * @param cores number of cores
+     * @param linkMbps rate of the network link, in megabits per second; empty if it is not limited
+     */
+    public record Limits(double cpuShare, double cores, Optional<Double> linkMbps) {
+
+        /** Processor time that this process may use, in cores. */
+        public double capacityCores() {
+            return cpuShare * cores;
+        }
+    }
 }
--- a/core/src/main/java/org/cornelramp/core/settings/GatewaySettingsReader.java
+++ b/core/src/main/java/org/cornelramp/core/settings/GatewaySettingsReader.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.NameValidator;
 
@@ -25,6 +26,7 @@
     private static final String ADDRESS_REMEDY = "Give host:port, the port from 0 to 65535.";
     private static final String NAME_REMEDY =
             "Give 1 to " + NameValidator.MAX_LENGTH + " letters, digits, dots or dashes.";
+    private static final double MAX_CORES = 1_024;
     private static final long HOUR_MILLIS = 3_600_000L;
 
     /** In less time, a read would have to be answered in the time of a usual round trip between data centres. */
@@ -57,6 +59,8 @@
         Optional<HostPort> store = readAddress(root, "store");
         GatewaySettings.Timing timing = readTiming(root.section("timing"));
         GatewaySettings.Retries retries = readRetries(root.section("retries"));
+        Optional<GatewaySettings.Limits> limits =
+                root.has("limits") ? readLimits(root.section("limits")) : Optional.empty();
         root.rejectUnknownNames();
         if (name.isEmpty()
                 || dataCentre.isEmpty()
@@ -76,7 +80,8 @@
                 peers.get(),
                 store.get(),
                 timing,
-                retries));
+                retries,
+                limits));
     }
 
     private static GatewaySettings.Timing readTiming(SettingsSection section) {
@@ -99,6 +104,36 @@
         return retries;
     }
 
+    private static Optional<GatewaySettings.Limits> readLimits(SettingsSection section) {
+        Optional<Double> cpuShare = section.required(
+                "cpuShare", value -> parsePositive(value, 1), "Give a number above 0 to 1, or leave out limits.");
+        Optional<Double> cores = section.required(
+                "cores", GatewaySettingsReader::parseCores, "Give a number from 1 to 1024, or leave out limits.");
+        Optional<Optional<Double>> linkMbps = section.optional(
+                "linkMbps",
+                value -> value.isNull() ? Optional.empty() : Optional.of(parsePositive(value, Double.MAX_VALUE)),
+                "Give a number above 0, or leave out linkMbps if the link is not limited.");
+        section.rejectUnknownNames();
+        return cpuShare.flatMap(share ->
+                cores.map(count -> new GatewaySettings.Limits(share, count, linkMbps.flatMap(Function.identity()))));
+    }
+
+    private static double parseCores(JsonNode value) {
+        double cores = parsePositive(value, MAX_CORES);
+        if (cores < 1) {
+            throw new IllegalArgumentException("less than a core");
+        }
+        return cores;
+    }
+
+    private static double parsePositive(JsonNode value, double max) {
+        double number = value.asDouble();
+        if (!value.isNumber() || !(number > 0 && number <= max)) {
+            throw new IllegalArgumentException("out of range");
+        }
+        return number;
+    }
+
     private static long secondsAsMillis(SettingsSection section, String name, double defaultSeconds) {
         return Math.round(section.decimal(name, 0.01, 3_600, defaultSeconds) * 1_000);
     }
--- a/core/src/test/java/org/cornelramp/core/settings/GatewaySettingsReaderTest.java
+++ b/core/src/test/java/org/cornelramp/core/settings/GatewaySettingsReaderTest.java
@@ -45,4 +45,35 @@
         assertEquals(faults("{").size(), 1);
         assertEquals(faults("").isEmpty(), false);
     }
+
+    private static String withLimits(String limits) {
+        return VALID.trim().replaceFirst("}$", ",\"limits\":" + limits + "}");
+    }
+
+    /** Guards against settings for a platform without limits, or without a limited link, that keep a gateway from starting. */
+    @Test
+    public void limitsAreOptional() {
+        assertTrue(new GatewaySettingsReader().read(VALID).get().limits().isEmpty());
+        GatewaySettings.Limits limits = new GatewaySettingsReader()
+                .read(withLimits("{\"cpuShare\":0.75,\"cores\":2,\"linkMbps\":null}"))
+                .get()
+                .limits()
+                .orElseThrow();
+        assertEquals(limits.capacityCores(), 1.5);
+        assertTrue(limits.linkMbps().isEmpty());
+    }
+
+    /** Guards against limits out of range that would give a gateway a wrong capacity, and against errors without a remedy. */
+    @Test
+    public void reportsEveryFaultOfTheLimits() {
+        List<String> all = List.of("/limits/cores", "/limits/cpuShare", "/limits/linkMbps");
+        for (String invalid : List.of(
+                "{\"cpuShare\":0,\"cores\":0.5,\"linkMbps\":0}",
+                "{\"cpuShare\":1.01,\"cores\":1025,\"linkMbps\":-1}",
+                "{\"cpuShare\":null,\"cores\":\"2\",\"linkMbps\":\"14\"}")) {
+            List<SettingsFault> faults = faults(withLimits(invalid));
+            assertEquals(faults.stream().map(SettingsFault::path).sorted().toList(), all, invalid);
+            faults.forEach(fault -> assertTrue(fault.remedy().startsWith("Give a number"), fault.remedy()));
+        }
+    }
 }
