--- a/core/src/main/java/org/cornelramp/core/member/package-info.java
+++ b/core/src/main/java/org/cornelramp/core/member/package-info.java
@@ -1,2 +1,2 @@
-/** Membership of agents: which exist, which accept new work, and which have ended. */
+/** Membership of agents: which exist, which accept new work, and which have ended. Load and readiness of gateways. */
 package org.cornelramp.core.member;
