Gateway: measure the own load, close connections and answer not ready by it

Cause: nothing measured the load of the process or acted on it.

GatewayHttpServer asks it once for each response and for readiness. It exists only with the setting `limits`. Peers' statuses are wired to an empty collection in Gateway until updates contain them; the monitor then closes and refuses nothing. The router's ticks record their longest delay for it (TickLag).

Not run: the other tests of the gateway; no run with real processes.

--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -1,7 +1,11 @@
 package org.cornelramp.gateway;
 
+import com.sun.management.OperatingSystemMXBean;
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.nio.channels.ServerSocketChannel;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import org.cornelramp.core.routing.RoutingConfig;
@@ -21,6 +25,7 @@
 import org.cornelramp.gateway.peer.PeerUpdateService;
 import org.cornelramp.gateway.place.LayerPlacer;
 import org.cornelramp.gateway.place.LeaderLease;
+import org.cornelramp.gateway.request.CapacityMonitor;
 import org.cornelramp.gateway.request.GatewayHttpServer;
 import org.cornelramp.gateway.request.InternalHandler;
 import org.cornelramp.gateway.request.PoisonClearHandler;
@@ -68,6 +73,7 @@
     private final PeerUpdateService peers;
     private final LeaderLease lease;
     private final LayerPlacer layerPlacer;
+    private final Optional<CapacityMonitor> capacity;
     private final GatewayHttpServer server;
     private final CountDownLatch stop = new CountDownLatch(1);
 
@@ -129,18 +135,35 @@
         this.serverFollower = new ServerFollower(parts, router);
         this.layerPlacer = new LayerPlacer(lease, control, config, router::view, clock, log, meters);
         registerGauges(config);
+        this.capacity = settings.limits().map(this::capacityMonitor);
         this.server = new GatewayHttpServer(
                 settings,
                 listener,
                 clients.threads(),
                 config,
                 router,
+                capacity,
                 internalHandler(cache, config),
                 clock,
                 log,
                 meters);
     }
 
+    private CapacityMonitor capacityMonitor(GatewaySettings.Limits limits) {
+        CapacityMonitor.Sources sources = new CapacityMonitor.Sources(
+                Gateway::processorNanos,
+                router::takeLongestLagMillis,
+                router::activeRequestCount,
+                List::of); // updates do not contain statuses yet; without them the monitor closes and refuses nothing
+        return new CapacityMonitor(settings.name(), limits, sources, clock, log, meters);
+    }
+
+    private static long processorNanos() {
+        return ManagementFactory.getOperatingSystemMXBean() instanceof OperatingSystemMXBean system
+                ? system.getProcessCpuTime()
+                : -1;
+    }
+
     private Handler internalHandler(RecordCache cache, ConfigHolder config) {
         PoisonClearHandler poison =
                 new PoisonClearHandler(fingerprint -> router.offer(new RouterEvent.PoisonCleared(fingerprint)));
@@ -177,7 +200,10 @@
 
     /** Starts all components. */
     public void start() throws Exception {
-        log.line("process", "start").with("dataCentre", settings.dataCentre()).write();
+        log.line("process", "start")
+                .with("dataCentre", settings.dataCentre())
+                .with("limits", settings.limits())
+                .write();
         clients.start();
         configFollower.start();
         serverFollower.start();
@@ -186,6 +212,7 @@
         peers.start();
         lease.start();
         layerPlacer.start();
+        capacity.ifPresent(CapacityMonitor::start);
         meters.start();
     }
 
@@ -223,6 +250,7 @@
     /** Stops all components at once and cuts off requests in progress. */
     @Override
     public void close() throws Exception {
+        capacity.ifPresent(CapacityMonitor::stop);
         configFollower.stop();
         serverFollower.stop();
         layerPlacer.stop();
--- a/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
@@ -160,6 +160,11 @@
         enqueue(target -> target.counter(PREFIX + "server.shutdowns.announced").increment());
     }
 
+    /** Counts a connection that is closed after its response because this gateway is overloaded. */
+    public void countCapacityClose() {
+        enqueue(target -> target.counter(PREFIX + "capacity.closes").increment());
+    }
+
     /** Counts an order to move a running request to another path. */
     public void countMove(boolean done) {
         count("moves", "result", done ? "done" : "refused");
--- a/gateway/src/main/java/org/cornelramp/gateway/request/ClientRequestHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/ClientRequestHandler.java
@@ -37,7 +37,7 @@
     private final Meters meters;
 
     /**
-     * @param closing whether connections are closed after their responses
+     * @param closing whether a connection is closed after its response; asked once for each response
      * @param refuses whether new requests of a kind are refused because this process is stopping
      */
     ClientRequestHandler(
--- a/gateway/src/main/java/org/cornelramp/gateway/request/GatewayHttpServer.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/GatewayHttpServer.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
+import java.util.Optional;
 import org.cornelramp.core.routing.RouteKind;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.HostPort;
@@ -40,17 +41,22 @@
     private final Server server;
     private final ConfigHolder config;
     private final Router router;
+    private final Optional<CapacityMonitor> capacity;
     private volatile boolean shuttingDown;
     private volatile boolean refusingStreams;
     private volatile boolean refusing;
 
-    /** @param listener the bound channel for clients' connections, see {@link #open} */
+    /**
+     * @param listener the bound channel for clients' connections, see {@link #open}
+     * @param capacity decides whether this process is overloaded; empty if its limits are not known
+     */
     public GatewayHttpServer(
             GatewaySettings settings,
             ServerSocketChannel listener,
             QueuedThreadPool threads,
             ConfigHolder config,
             Router router,
+            Optional<CapacityMonitor> capacity,
             Handler internal,
             SteadyClock clock,
             EventLog log,
@@ -58,6 +64,7 @@
             throws IOException {
         this.config = config;
         this.router = router;
+        this.capacity = capacity;
         this.server = new Server(threads);
         ServerConnector requests = connector(settings.requests(), "requests");
         requests.open(listener);
@@ -67,7 +74,7 @@
         ServerConnector internalConnector = connector(settings.metrics(), "internal");
         server.addConnector(internalConnector);
         ClientRequestHandler requestHandler =
-                new ClientRequestHandler(config, router, clock, log, () -> shuttingDown, this::refuses, meters);
+                new ClientRequestHandler(config, router, clock, log, this::closesNext, this::refuses, meters);
         server.setHandler(new Handler.Abstract.NonBlocking() {
             @Override
             public boolean handle(Request request, Response response, Callback callback) throws Exception {
@@ -116,7 +123,16 @@
         response.write(true, null, callback);
     }
 
+    private boolean closesNext() {
+        return shuttingDown || capacity.map(CapacityMonitor::closesNext).orElse(false);
+    }
+
     private boolean isReady() {
+        return isOtherwiseReady() && capacity.map(CapacityMonitor::isReady).orElse(true);
+    }
+
+    /** Whether this process is ready, apart from its load. */
+    public boolean isOtherwiseReady() {
         return !shuttingDown && config.current().isPresent() && router.view().initialised();
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -51,6 +51,7 @@
     private final OverdueAttempts overdueAttempts;
     private final PeerUpdateHandler peerUpdateHandler;
     private final AtomicInteger activeRequestCount = new AtomicInteger();
+    private final TickLag tickLag = new TickLag();
     private final Dispatcher dispatcher;
     private final RetryDispatcher retryDispatcher;
     private final StreamMonitor streamMonitor;
@@ -138,6 +139,11 @@
         return activeRequestCount.get();
     }
 
+    /** Delay of the ticks; may be used by any thread. */
+    TickLag tickLag() {
+        return tickLag;
+    }
+
     /** Number of exceptions in the router's work, each of which has ended only one step or request. */
     long exceptionCount() {
         return faults.count();
@@ -384,6 +390,7 @@
     void tick(long now) {
         fleet.recordTickDelay(lastTickMillis == 0 ? 0 : Math.max(0, now - lastTickMillis - TICK_MILLIS), now);
         lastTickMillis = now;
+        tickLag.record(fleet.lagMillis(), now);
         for (ActiveRequest request : List.copyOf(activeRequests.values())) {
             checkSafely(request, now);
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -85,6 +85,11 @@
         return requestRouter.activeRequestCount();
     }
 
+    /** Longest delay of the router's ticks since the last call, in milliseconds. */
+    public long takeLongestLagMillis() {
+        return requestRouter.tickLag().takeLongest(clock.millis());
+    }
+
     /** The state of the backend servers as of the last tick. */
     public FleetView view() {
         return requestRouter.view();
--- a/gateway/src/test/java/org/cornelramp/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/ExchangeTest.java
@@ -189,4 +189,27 @@
         assertTrue(made[0].isCommitted());
         assertTrue(made[0].abort("deadline"));
     }
+
+    /** Guards against a close that cuts a stream: it is announced in the headers and follows the last event. */
+    @Test
+    public void closeIsAnnouncedAtTheStartAndFollowsTheEndOfAStream() {
+        HttpFields.Mutable headers = HttpFields.build();
+        AtomicBoolean ended = new AtomicBoolean();
+        Callback callback = Callback.from(() -> ended.set(true));
+        Response response = Fakes.of(Response.class, (name, args) -> {
+            if (name.equals("write") && (boolean) args[0]) {
+                ((Callback) args[2]).succeeded();
+            }
+            return name.equals("getHeaders") ? headers : null;
+        });
+        Exchange exchange = new Exchange(
+                RequestFixtures.stream(ID, 0), response, callback, () -> true, RequestFixtures.probe(null));
+        relay(exchange, 0, 10);
+        relay(exchange, 1, 20);
+        assertEquals(headers.get("Connection"), "close");
+        assertEquals(headers.get("Transfer-Encoding"), "chunked");
+        assertFalse(ended.get());
+        assertTrue(exchange.complete(HeaderFixtures.answer(ID)));
+        assertTrue(ended.get());
+    }
 }
