--- a/core/src/main/java/org/cornelramp/core/member/GatewayStatus.java
+++ b/core/src/main/java/org/cornelramp/core/member/GatewayStatus.java
@@ -1,10 +1,10 @@
 package org.cornelramp.core.member;
 
 /**
- * Capacity and load of one gateway, as it reports them to its peers. Immutable, safe for use by any thread.
+ * What a gateway tells its peers about its size and load. Immutable, safe for use by any thread.
  *
- * @param capacityCores capacity in cores
- * @param load share of the capacity that is in use, 0 and up
- * @param ready whether the gateway takes new connections
+ * @param capacityCores processor time that it may use, in cores
+ * @param load its load, see {@link GatewayLoad#value()}
+ * @param ready whether it takes new connections and has not announced that it will stop doing so
  */
 public record GatewayStatus(double capacityCores, double load, boolean ready) {}
