--- a/core/src/main/java/org/cornelramp/core/settings/GatewaySettings.java
+++ b/core/src/main/java/org/cornelramp/core/settings/GatewaySettings.java
@@ -57,8 +57,9 @@
      * @param cpuShare share of the processor time of the cores that this process may use
      * @param cores number of cores
      * @param linkMbps rate of the network link, in megabits per second; empty if it is not limited
+     * @param smallCores capacity in cores below which a gateway hands connections over to larger ones
      */
-    public record Limits(double cpuShare, double cores, Optional<Double> linkMbps) {
+    public record Limits(double cpuShare, double cores, Optional<Double> linkMbps, double smallCores) {
 
         /** Processor time that this process may use, in cores. */
         public double capacityCores() {
--- a/core/src/main/java/org/cornelramp/core/settings/GatewaySettingsReader.java
+++ b/core/src/main/java/org/cornelramp/core/settings/GatewaySettingsReader.java
@@ -29,6 +29,9 @@
     private static final double MAX_CORES = 1_024;
     private static final long HOUR_MILLIS = 3_600_000L;
 
+    /** With less than a quarter of a core, one slow second makes the streams of a gateway late. */
+    private static final double DEFAULT_SMALL_CORES = 0.25;
+
     /** In less time, a read would have to be answered in the time of a usual round trip between data centres. */
     private static final long MIN_APPLY_MILLIS = 500;
 
@@ -113,9 +116,10 @@
                 "linkMbps",
                 value -> value.isNull() ? Optional.empty() : Optional.of(parsePositive(value, Double.MAX_VALUE)),
                 "Give a number above 0, or leave out linkMbps if the link is not limited.");
+        double smallCores = section.decimal("smallCores", 0, MAX_CORES, DEFAULT_SMALL_CORES);
         section.rejectUnknownNames();
-        return cpuShare.flatMap(share ->
-                cores.map(count -> new GatewaySettings.Limits(share, count, linkMbps.flatMap(Function.identity()))));
+        return cpuShare.flatMap(share -> cores.map(
+                count -> new GatewaySettings.Limits(share, count, linkMbps.flatMap(Function.identity()), smallCores)));
     }
 
     private static double parseCores(JsonNode value) {
--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.nio.channels.ServerSocketChannel;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
@@ -154,7 +153,7 @@
                 Gateway::processorNanos,
                 router::takeLongestLagMillis,
                 router::activeRequestCount,
-                List::of); // updates do not contain statuses yet; without them the monitor closes and refuses nothing
+                router.capacity()::peers);
         return new CapacityMonitor(settings.name(), limits, sources, clock, log, meters);
     }
 
@@ -198,8 +197,14 @@
         return lease;
     }
 
+    private void exchangeStatuses(CapacityMonitor monitor) {
+        double smallCores = settings.limits().orElseThrow().smallCores();
+        router.capacity().setOwnStatus(() -> monitor.status(server.isOtherwiseReady()), smallCores);
+    }
+
     /** Starts all components. */
     public void start() throws Exception {
+        capacity.ifPresent(this::exchangeStatuses);
         log.line("process", "start")
                 .with("dataCentre", settings.dataCentre())
                 .with("limits", settings.limits())
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
@@ -99,9 +99,9 @@
         return loads.peerCount() + 1;
     }
 
-    /** Requests that the other gateways have in flight at a plain server. Their updates do not carry them yet, so 0. */
+    /** Requests that the other gateways have in flight at a plain server, as last reported. */
     public int plainPeersInFlight(BackendServerId server) {
-        return 0;
+        return (int) demand.peersPlainInFlight(server);
     }
 
     /** Limits that servers name on the requests that they take. */
@@ -128,8 +128,6 @@
     public enum DemandUse {
         /** Admission of requests by priority. */
         ADMISSION,
-        /** Choice of a plain server by the requests that all gateways have in flight there. */
-        PLAIN_SERVERS,
         /** Distribution of connections over gateways of unequal size. */
         GATEWAY_LOAD
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
@@ -39,6 +39,7 @@
     private final PoisonGuard poisonGuard;
     private final DemandReporter demandReporter;
     private final BiConsumer<BackendServer, Long> probe;
+    private final CapacityExchange capacity;
     private final Map<BackendServerId, Long> failuresSeen = new HashMap<>();
     private final Map<String, Long> stayingPeers = new ConcurrentHashMap<>();
     private volatile boolean leaving;
@@ -60,6 +61,7 @@
         this.poisonGuard = poisonGuard;
         this.demandReporter = demandReporter;
         this.probe = probe;
+        this.capacity = new CapacityExchange(dataCentre);
         this.currentUpdate = PeerUpdate.of(sender, 0, false, Map.of(), 0, Map.of(), Set.of(), RetryLoanUpdate.NONE);
     }
 
@@ -73,6 +75,11 @@
         return currentUpdate;
     }
 
+    /** Passes statuses of gateways between the updates and the capacity monitor; may be called by any thread. */
+    CapacityExchange capacity() {
+        return capacity;
+    }
+
     /** Marks this process as stopping in its updates; may be called by any thread. */
     void announceStop() {
         leaving = true;
@@ -103,6 +110,7 @@
         sharedRetries.setPeers(loads.peerCount(), nowMillis);
         stayingPeers.values().removeIf(at -> nowMillis - at > silence);
         failuresSeen.values().removeIf(at -> nowMillis - at > FAILURE_REPORT_MILLIS);
+        capacity.refresh(fleet, nowMillis);
         currentUpdate = PeerUpdate.of(
                         sender,
                         ++number,
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PlainServerChooser.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PlainServerChooser.java
@@ -40,7 +40,7 @@
     Optional<BackendServer> choose(ActiveRequest request, Set<BackendServerId> excluded, long now) {
         Set<BackendServerId> avoided = avoided(request, excluded);
         List<BackendServer> servers = fleet.usableServers(request.service(), now);
-        if (!SharedServerSelector.applies(servers, fleet.gatewayCount())) {
+        if (!fleet.reportsDemand() || !SharedServerSelector.applies(servers, fleet.gatewayCount())) {
             return fleet.plainServers().choose(servers, avoided, home);
         }
         if (shouldWait(request, servers, avoided, now)) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -100,6 +100,11 @@
         return requestRouter.peerUpdates().currentUpdate();
     }
 
+    /** Passes statuses of gateways between the updates and the capacity monitor. */
+    public CapacityExchange capacity() {
+        return requestRouter.peerUpdates().capacity();
+    }
+
     /** Marks this process as stopping in the updates to its peers. */
     public void announceStop() {
         requestRouter.peerUpdates().announceStop();
--- a/gateway/src/test/java/org/cornelramp/gateway/request/CapacityMonitorTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/CapacityMonitorTest.java
@@ -29,7 +29,7 @@
     private CapacityMonitor overloaded(PeerStatus... peers) {
         CapacityMonitor.Sources sources =
                 new CapacityMonitor.Sources(() -> now.get() * 200_000, () -> 100, () -> 3, () -> List.of(peers));
-        GatewaySettings.Limits limits = new GatewaySettings.Limits(0.2, 1, Optional.empty());
+        GatewaySettings.Limits limits = new GatewaySettings.Limits(0.2, 1, Optional.empty(), 0.25);
         CapacityMonitor monitor = new CapacityMonitor("g1", limits, sources, now::get, log, meters);
         for (int i = 0; i < 10; i++) {
             now.addAndGet(500);
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PlainSlotWaitTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PlainSlotWaitTest.java
@@ -12,8 +12,21 @@
 
 /** Unsafe requests while the only plain server is known to be full. Its route has a target of 300 ms. */
 public class PlainSlotWaitTest {
+    /** A configuration with two priorities of streams, so that the gateways report their demand. */
+    private static String withPriorities(int version) {
+        return StandInConfig.small(version)
+                .json()
+                .replace("\"routes\":[", "\"routes\":[" + PriorityAdmissionTest.URGENT_ROUTE);
+    }
+
     private static RouterSimulation fullServer(int gateways) {
+        return fullServer(gateways, withPriorities(2));
+    }
+
+    private static RouterSimulation fullServer(int gateways, String config) {
         RouterSimulation router = new RouterSimulation(StandInConfig.small(1), GatewayFixture.MANY_RETRIES, 1);
+        router.publish(config);
+        router.tick();
         router.register(TestServers.plain("p1", 31));
         for (int i = 2; i <= gateways; i++) {
             RouterSimulation peer =
@@ -67,7 +80,7 @@
     @Test
     public void clientThatLeavesEndsTheWait() {
         RouterSimulation router = fullServer(8);
-        String config = StandInConfig.small(2).json();
+        String config = withPriorities(3);
         router.publish(config.replace("\"targetLatencyMs\":300", "\"targetLatencyMs\":3000"));
         FakeClient client = router.request("/book/", "unsafe");
         router.calls().get(0).complete(200, HeaderFixtures.loaded("8,70,8", HeaderFixtures.answer("running")));
@@ -80,6 +93,14 @@
         assertEquals(sent(router, "unsafe"), 0);
     }
 
+    /** Guards against a change for deployments whose gateways report no demand: their requests do not wait. */
+    @Test
+    public void requestIsSentAtOnceWithoutDemandReports() {
+        RouterSimulation router = fullServer(8, StandInConfig.small(2).json());
+        router.request("/book/", "unsafe");
+        assertEquals(sent(router, "unsafe"), 1);
+    }
+
     /** Guards against waits where few gateways share the server. */
     @Test
     public void requestIsSentAtOnceWithFewerGatewaysThanSlots() {
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
@@ -18,7 +18,7 @@
 /** Streams of two priorities that compete for an engine whose slots are all taken. */
 public class PriorityAdmissionTest {
     private static final int SLOTS = 8;
-    private static final String URGENT_ROUTE =
+    static final String URGENT_ROUTE =
             """
             {"name":"urgent","host":"127.0.0.1","pathPrefix":"/urgent/","kind":"streaming","timeoutMs":9000,
              "targetLatencyMs":500,"priority":0,"service":"llm","maxAttempts":2,"streamResumption":true},
