Bound responses that never end in bytes, memory and time

Cause: the HTTP client keeps heads and trailers without a limit and skips chunk headers and chunk extensions without counting them; an interim head ended a call and left its connection open; plain responses were buffered up to 16 MB each.

Change: limits of head and trailer, of the bytes between two signs of progress of a connection, of events without an id, of one buffered response and of all together; an attempt whose response arrives without completing a head or an event for 1 s goes on elsewhere; such ends count against the engine. The splitter no longer copies and scans an unfinished event at each chunk.

--- a/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
@@ -26,6 +26,12 @@
 
     private static final int MAX_CONNECTIONS = 512;
 
+    /**
+     * Most bytes of a response's head and trailer, twice what the sample configuration allows for a request's; without
+     * it the HTTP library keeps them without limit.
+     */
+    private static final int MAX_HEAD_BYTES = 32 << 10;
+
     private final QueuedThreadPool threads = new PlainThreadPool();
     private final ScheduledExecutorScheduler timers = new ScheduledExecutorScheduler("timers", true);
     private final SelectorAwareScheduler pooledConnects = new SelectorAwareScheduler(timers);
@@ -77,6 +83,7 @@
         client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
         client.setIdleTimeout(idleMillis);
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
+        client.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
--- a/gateway/src/main/java/org/cornelramp/gateway/ResetAwareConnector.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/ResetAwareConnector.java
@@ -19,8 +19,8 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * A connector for backend servers with two differences from its parent: a connection reset fails the response, and a
- * connect times out only if the peer has not accepted it.
+ * A connector for backend servers with three differences from its parent: a connection reset fails the response, a
+ * connect times out only if the peer has not accepted it, and a response has a limit of its bytes.
  *
  * <p>The default end point treats a reset like an orderly close. A response without a length ends with its connection,
  * so a response that was cut off by a crash would look complete, and the client would get a part of it as a success.
@@ -90,10 +90,19 @@
     }
 
     /**
-     * Propagates the exception of a failed read instead of treating it as the end of input. As thread-safe as its
-     * parent.
+     * Propagates the exception of a failed read instead of treating it as the end of input, and fails a read beyond the
+     * limit of a response. As thread-safe as its parent.
      */
-    private static final class ResetAwareEndPoint extends SocketChannelEndPoint {
+    private static final class ResetAwareEndPoint extends SocketChannelEndPoint implements ResponseMeter {
+        /** Longest part of the time between two reads that counts as receiving; a longer time is a pause. */
+        private static final long MAX_RECEIVING_NANOS = 100_000_000L;
+
+        private static final long NANOS_PER_MILLI = 1_000_000L;
+
+        private long bytes;
+        private long receivingNanos;
+        private long lastReadNanos;
+
         ResetAwareEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
             super(channel, selector, key, scheduler);
         }
@@ -108,6 +117,7 @@
                 int filled = getChannel().read(buffer);
                 if (filled > 0) {
                     notIdle();
+                    recordRead(filled);
                 } else if (filled < 0) {
                     shutdownInput();
                 }
@@ -116,5 +126,32 @@
                 BufferUtil.flipToFlush(buffer, position);
             }
         }
+
+        @Override
+        public boolean flush(ByteBuffer... buffers) throws IOException {
+            recordProgress();
+            return super.flush(buffers);
+        }
+
+        private synchronized void recordRead(int count) throws ResponseLimitException {
+            long now = System.nanoTime();
+            receivingNanos += bytes == 0 ? 0 : Math.min(now - lastReadNanos, MAX_RECEIVING_NANOS);
+            lastReadNanos = now;
+            bytes += count;
+            if (bytes > MAX_BYTES) {
+                throw new ResponseLimitException("the response exceeds " + MAX_BYTES + " bytes without progress");
+            }
+        }
+
+        @Override
+        public synchronized void recordProgress() {
+            bytes = 0;
+            receivingNanos = 0;
+        }
+
+        @Override
+        public synchronized long receivingMillis() {
+            return receivingNanos / NANOS_PER_MILLI;
+        }
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -1,9 +1,5 @@
 package org.cornelramp.gateway.request;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.net.ConnectException;
-import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
@@ -11,8 +7,10 @@
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.core.routing.RouteKind;
+import org.cornelramp.gateway.ResponseMeter;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.platform.ForwardedHead;
+import org.cornelramp.platform.InterimResponses;
 import org.cornelramp.platform.ResponseHead;
 import org.cornelramp.platform.SocketReadiness;
 import org.eclipse.jetty.client.BytesRequestContent;
@@ -22,6 +20,7 @@
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
 
@@ -34,12 +33,6 @@
  * so a slow client applies backpressure to its backend server instead of filling the memory.
  */
 public final class Attempt {
-    /** Limit of a buffered response; no plain service sends a larger one. Streams are not buffered. */
-    private static final int MAX_BUFFERED_BYTES = 16 << 20;
-
-    /** Length to which the text of a failure is cut in logs; keeps its type and the start of its message. */
-    private static final int MAX_DETAIL_CHARS = 120;
-
     private final HttpClient http;
     private final Exchange exchange;
     private final BackendServer server;
@@ -47,7 +40,7 @@
     private final SteadyClock clock;
     private final BiConsumer<Attempt, AttemptEnd> onEnd;
     private final EventSplitter splitter;
-    private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+    private final ResponseBuffer buffer = new ResponseBuffer();
     private final AtomicReference<AttemptEnd> reportedEnd = new AtomicReference<>();
     private final AtomicReference<ResponseHead> untakenHead = new AtomicReference<>();
     private volatile StagePath path;
@@ -56,6 +49,7 @@
     private volatile boolean answering;
     private volatile boolean relaying;
     private volatile boolean cancelled;
+    private volatile boolean invalid;
     private volatile boolean contentEnded;
     private volatile Throwable clientFailure;
     private volatile ConnectionFault connectionFault = ConnectionFault.NONE;
@@ -179,6 +173,7 @@
             out.body(new BytesRequestContent((String) null, call.body()));
         }
         out.onRequestBegin(started -> requestBegun = true);
+        InterimResponses.closeAfter(out);
         out.onResponseContentSource(this::onContent);
         request = out;
         out.send(this::onComplete);
@@ -189,25 +184,45 @@
         cancelled = true;
         Request out = request;
         if (out != null) {
-            var unused = out.abort(new AttemptCancelledException(reason)); // onComplete reports the end
+            var unused = out.abort(new AttemptFailures.CancelledException(reason)); // onComplete reports the end
         }
     }
 
-    /** Whether this gateway has cancelled the attempt; its end then says nothing about the backend server's health. */
+    /** Cancels the attempt because its response is not valid, which counts against the backend server. */
+    public void reject(String reason) {
+        invalid = true;
+        cancel(reason);
+    }
+
+    /** Whether the attempt was cancelled because its response is not valid. */
+    public boolean hasInvalidResponse() {
+        return invalid;
+    }
+
+    /**
+     * Whether this gateway has cancelled the attempt; its end then says nothing about the backend server's health,
+     * unless its response is not valid.
+     */
     public boolean isCancelled() {
         return cancelled;
     }
 
-    /** Marks an attempt that the gateway itself cancelled. Immutable. */
-    private static final class AttemptCancelledException extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        AttemptCancelledException(String reason) {
-            super(reason, null, false, false);
-        }
+    /**
+     * Time for which bytes of the response have been arriving without completing its head or an event with an id, in
+     * milliseconds; 0 for a buffered response whose head has arrived.
+     */
+    public long unfinishedMillis() {
+        Request out = request;
+        return out == null || (answering && !relaying)
+                ? 0
+                : ResponseMeter.of(out).map(ResponseMeter::receivingMillis).orElse(0L);
     }
 
     void onContent(Response response, Content.Source source) {
+        if (HttpStatus.isInterim(response.getStatus())) {
+            reject("the response has an interim status, though none was asked for");
+            return;
+        }
         fields = response.getHeaders();
         ResponseHead responseHead = ResponseHead.decode(response.getStatus(), fields);
         receivedHead = responseHead;
@@ -274,11 +289,11 @@
             if (relaying) {
                 return splitEvents(bytes);
             }
-            byte[] copy = new byte[bytes.remaining()];
-            bytes.get(copy);
-            buffer.writeBytes(copy);
-            if (buffer.size() > MAX_BUFFERED_BYTES) {
-                cancel("the response exceeds the buffer limit");
+            ResponseBuffer.Result kept = cancelled ? ResponseBuffer.Result.KEPT : buffer.add(bytes);
+            if (kept == ResponseBuffer.Result.TOO_LONG) {
+                reject("the response exceeds the buffer limit");
+            } else if (kept == ResponseBuffer.Result.NO_MEMORY) {
+                cancel("buffered responses take all memory for them");
             }
             return ByteBuffer.allocate(0);
         } finally {
@@ -290,10 +305,14 @@
         ByteBuffer events = splitter.consume(bytes);
         received = splitter.received();
         if (splitter.hasOverflowed()) {
-            cancel("an event exceeds the size limit");
+            reject("an event, or events without an id, exceed the size limit");
         } else if (!splitter.disorder().isEmpty()) {
             cancel(splitter.disorder());
         }
+        if (splitter.newIds().count() > 0) {
+            Request out = request;
+            Optional.ofNullable(out).flatMap(ResponseMeter::of).ifPresent(ResponseMeter::recordProgress);
+        }
         return events;
     }
 
@@ -403,12 +422,13 @@
     private AttemptEnd end(Result result) {
         Throwable failure = result.getFailure();
         if (clientFailure != null) {
-            return AttemptEnd.without(AttemptEnd.Kind.CLIENT_GONE, "write failed: " + summarise(clientFailure));
+            return AttemptEnd.without(
+                    AttemptEnd.Kind.CLIENT_GONE, "write failed: " + AttemptFailures.summarise(clientFailure));
         }
         ResponseHead responseHead = receivedHead;
         if (result.isFailed() || responseHead == null) {
-            connectionFault = connectionFault(failure);
-            return AttemptEnd.without(kindWithoutResponse(failure), summarise(failure));
+            connectionFault = cancelled ? ConnectionFault.NONE : AttemptFailures.connectionFault(failure, requestBegun);
+            return AttemptEnd.without(AttemptFailures.kind(failure, requestBegun), AttemptFailures.summarise(failure));
         }
         if (!matchesRequest(responseHead) && !responseHead.notRun()) {
             return AttemptEnd.without(AttemptEnd.Kind.BROKEN, "the response belongs to another request");
@@ -433,33 +453,6 @@
         return disorder.isEmpty() ? "the stream ended in the middle of an event" : disorder;
     }
 
-    private ConnectionFault connectionFault(Throwable failure) {
-        if (cancelled || !(failure instanceof IOException) || failure instanceof SocketTimeoutException) {
-            return ConnectionFault.NONE;
-        }
-        if (failure instanceof ConnectException) {
-            return ConnectionFault.REFUSED;
-        }
-        return requestBegun ? ConnectionFault.BROKEN : ConnectionFault.NONE;
-    }
-
-    /** The kind of an end without a response. */
-    private AttemptEnd.Kind kindWithoutResponse(Throwable failure) {
-        if (requestBegun && !(failure instanceof ConnectException)) {
-            return AttemptEnd.Kind.BROKEN;
-        }
-        boolean timedOut = failure instanceof SocketTimeoutException;
-        return timedOut ? AttemptEnd.Kind.NO_CONNECTION : AttemptEnd.Kind.NOT_SENT;
-    }
-
-    /**
-     * Shortens a failure for logs; the HTTP library's messages dump the state of a whole connection, about a kilobyte.
-     */
-    private static String summarise(Throwable failure) {
-        String text = failure instanceof AttemptCancelledException ? failure.getMessage() : String.valueOf(failure);
-        return text.length() > MAX_DETAIL_CHARS ? text.substring(0, MAX_DETAIL_CHARS) : text;
-    }
-
     private AttemptEnd bufferedEnd(ResponseHead responseHead) {
         AttemptEnd.Kind kind = endsWithConnection() ? AttemptEnd.Kind.ANSWERED_UNFRAMED : AttemptEnd.Kind.ANSWERED;
         if (responseHead.notRun()) {
@@ -477,6 +470,7 @@
     }
 
     private void reportEnd(AttemptEnd end) {
+        buffer.releaseMemory();
         if (reportedEnd.compareAndSet(null, end)) {
             onEnd.accept(this, end);
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/request/EventSplitter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/EventSplitter.java
@@ -18,11 +18,17 @@
     private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] EMPTY = new byte[0];
 
-    /** Size above which an unfinished event counts as invalid; the largest valid events have a few kilobytes. */
-    private static final int MAX_EVENT_BYTES = 1 << 20;
+    /**
+     * Size above which an unfinished event, or events without an id in a row, count as invalid; the largest valid events
+     * have 64 KB.
+     */
+    private static final int MAX_EVENT_BYTES = 256 << 10;
 
     private final long resumedAfterId;
-    private byte[] incomplete = EMPTY;
+    private byte[] held = EMPTY;
+    private int heldBytes;
+    private int lineStart;
+    private int bytesWithoutId;
     private EventIds received;
     private EventIds newIds = EventIds.after(-1);
     private String disorder = "";
@@ -41,36 +47,57 @@
     ByteBuffer consume(ByteBuffer bytes) {
         newIds = EventIds.after(-1);
         ByteBuffer events = split(bytes);
-        return disorder.isEmpty() ? events : ByteBuffer.allocate(0);
+        return disorder.isEmpty() && !overflowed ? events : ByteBuffer.allocate(0);
     }
 
     private ByteBuffer split(ByteBuffer bytes) {
-        byte[] joined = Arrays.copyOf(incomplete, incomplete.length + bytes.remaining());
-        bytes.get(joined, incomplete.length, bytes.remaining());
+        int scanned = heldBytes;
+        append(bytes);
         int end = 0;
-        int lineStart = 0;
-        for (int i = 0; i < joined.length; i++) {
-            if (joined[i] != '\n') {
+        for (int i = scanned; i < heldBytes; i++) {
+            if (held[i] != '\n') {
                 continue;
             }
-            boolean blankLine = i == lineStart || (i == lineStart + 1 && joined[lineStart] == '\r');
+            boolean blankLine = i == lineStart || (i == lineStart + 1 && held[lineStart] == '\r');
             if (blankLine) {
-                readId(joined, end, i);
+                boolean named = readId(held, end, i);
+                bytesWithoutId = named ? 0 : bytesWithoutId + i + 1 - end;
                 end = i + 1;
             }
             lineStart = i + 1;
         }
-        incomplete = end == joined.length ? EMPTY : Arrays.copyOfRange(joined, end, joined.length);
-        if (incomplete.length > MAX_EVENT_BYTES) {
+        ByteBuffer events = ByteBuffer.wrap(held, 0, end);
+        removeFirst(end);
+        if (heldBytes > MAX_EVENT_BYTES || bytesWithoutId > MAX_EVENT_BYTES) {
             overflowed = true;
-            incomplete = EMPTY;
+            removeFirst(heldBytes);
+        }
+        return events;
+    }
+
+    /** Adds bytes behind those held; the array grows by doubling, as a faulty server may send one byte at a time. */
+    private void append(ByteBuffer bytes) {
+        int size = heldBytes + bytes.remaining();
+        if (size > held.length) {
+            held = Arrays.copyOf(held, heldBytes == 0 ? size : Math.max(size, 2 * held.length));
+        }
+        int added = bytes.remaining();
+        bytes.get(held, heldBytes, added);
+        heldBytes += added;
+    }
+
+    /** Removes bytes by copying the others, since the caller owns the array of the events returned. */
+    private void removeFirst(int count) {
+        if (count > 0) {
+            held = count == heldBytes ? EMPTY : Arrays.copyOfRange(held, count, heldBytes);
+            heldBytes -= count;
+            lineStart -= count;
         }
-        return ByteBuffer.wrap(joined, 0, end);
     }
 
     /** Whether the bytes so far end with a whole event. */
     boolean isWhole() {
-        return incomplete.length == 0 && !overflowed && disorder.isEmpty();
+        return heldBytes == 0 && !overflowed && disorder.isEmpty();
     }
 
     /** Whether an event exceeded the size limit, so that the rest of the stream cannot be parsed. */
@@ -93,7 +120,8 @@
         return newIds;
     }
 
-    private void readId(byte[] joined, int from, int to) {
+    /** Reads the id of an event; false if it has none. */
+    private boolean readId(byte[] joined, int from, int to) {
         long eventId = -1;
         for (int at = from; at < to; at = nextLine(joined, at, to)) {
             if (Arrays.mismatch(joined, at, Math.min(at + ID.length, to), ID, 0, ID.length) >= 0) {
@@ -112,6 +140,7 @@
         if (eventId >= 0) {
             accept(eventId);
         }
+        return eventId >= 0;
     }
 
     private void accept(long id) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
@@ -86,11 +86,13 @@
     }
 
     /**
-     * Whether the attempt failed at its own engine, neither because of another engine of the path nor by cancellation.
+     * Whether the attempt failed at its own engine, neither because of another engine of the path nor by cancellation
+     * for a reason other than its response.
      */
     private static boolean isOwnFailure(Attempt attempt, AttemptEnd end) {
         boolean broken = end.kind() == AttemptEnd.Kind.BROKEN || end.kind() == AttemptEnd.Kind.ANSWERED;
-        return attempt.path().isPresent() && broken && end.faultAt().isEmpty() && !attempt.isCancelled();
+        boolean ownReason = !attempt.isCancelled() || attempt.hasInvalidResponse();
+        return attempt.path().isPresent() && broken && end.faultAt().isEmpty() && ownReason;
     }
 
     /** Determines from a failed attempt which server to suspect or to probe. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/OverdueAttempts.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/OverdueAttempts.java
@@ -19,6 +19,12 @@
      */
     private static final double LATE_FACTOR = 1.2;
 
+    /**
+     * Time for which bytes may arrive without completing the head of a response or an event with an id. Valid heads and
+     * events arrive within some milliseconds, and clients of a stream leave after 2 s or more without an event.
+     */
+    private static final long MAX_UNFINISHED_MILLIS = 1_000;
+
     private final SharedRetries sharedRetries;
     private final Dispatcher dispatcher;
     private final LostAnswerDetector lostAnswerDetector = new LostAnswerDetector();
@@ -52,6 +58,13 @@
                         !attempt.hasUnreadBytes()); // the answer has arrived, but this process has not read it yet
     }
 
+    /** Whether a server sends, byte by byte, what never completes a part of a response, and the request can be retried. */
+    boolean isUnfinished(ActiveRequest request, Attempt attempt, long now) {
+        return attempt.unfinishedMillis() > MAX_UNFINISHED_MILLIS
+                && request.route().mayRetry()
+                && canRetry(request, attempt, now);
+    }
+
     private Optional<String> overdueReason(ActiveRequest request, Attempt attempt, long now) {
         if (isAnswerLost(request, attempt, now)) {
             return Optional.of("its answer is lost: streams sent to the same engine later have started");
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -483,6 +483,8 @@
                     now);
         } else if (attempt == null) {
             sendUnsent(request, now);
+        } else if (overdueAttempts.isUnfinished(request, attempt, now)) {
+            attempt.reject("its response arrives without an end of its head or event");
         } else if (OverdueAttempts.hasEvents(request, attempt)) {
             handleFirstEvent(request, attempt, now);
         } else {
--- a/ports/src/main/java/org/cornelramp/ports/http/HttpPlatform.java
+++ b/ports/src/main/java/org/cornelramp/ports/http/HttpPlatform.java
@@ -24,6 +24,9 @@
     private static final int MAX_THREADS = 6;
     private static final int MIN_THREADS = 2;
 
+    /** Most bytes of the head and trailer of an answer; without it the HTTP client keeps them without limit. */
+    private static final int MAX_HEAD_BYTES = 32 << 10;
+
     private final HttpClient http;
     private final HttpTimeouts timeouts;
     private final ObjectMapper mapper = JsonMapper.builder()
@@ -44,6 +47,7 @@
         threads.setName("platform");
         threads.setDaemon(true);
         http.setExecutor(threads);
+        http.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
         http.setFollowRedirects(false);
         http.setUserAgentField(null);
         http.setConnectTimeout(timeouts.connectMillis());
