--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -183,6 +183,11 @@
         return router.peerUpdates().currentUpdate();
     }
 
+    /** Passes statuses of gateways between the updates and the capacity monitor. */
+    CapacityExchange capacity() {
+        return router.peerUpdates().capacity();
+    }
+
     /** The router's state of the servers and the peers. */
     FleetState fleet() {
         return router.peerUpdates().fleet();
