--- a/core/src/test/java/org/cornelramp/core/admission/AdmissionGoalsProperties.java
+++ b/core/src/test/java/org/cornelramp/core/admission/AdmissionGoalsProperties.java
@@ -10,9 +10,9 @@
 
 /** The goals of admission under scarcity. Load: 0.6 of the capacity, twice that (1.2) for 10 s, then 0.6 again. */
 class AdmissionGoalsProperties {
-    private static final double LOAD = 0.6;
-    private static final long BURST_START = 3_000;
-    private static final long BURST_END = 13_000;
+    static final double LOAD = 0.6;
+    static final long BURST_START = 3_000;
+    static final long BURST_END = 13_000;
 
     /** Guards against a burst in which all priorities become late together. */
     @Property(seed = "9201", tries = 20)
@@ -64,7 +64,7 @@
         assertTrue(urgent >= 0.95, urgent + " of the most urgent on time");
     }
 
-    private static ScarceFleet run(int gateways, long seed) {
+    static ScarceFleet run(int gateways, long seed) {
         ScarceFleet fleet = new ScarceFleet(gateways, seed);
         fleet.run(BURST_START, LOAD);
         fleet.run(BURST_END - BURST_START, 2 * LOAD);
@@ -77,11 +77,11 @@
         return fleet.all.stream().mapToDouble(Stream::value).sum();
     }
 
-    private static double onTime(ScarceFleet fleet, int priority, long from, long to) {
+    static double onTime(ScarceFleet fleet, int priority, long from, long to) {
         return share(fleet, s -> s.priority == priority && s.arrival >= from && s.arrival < to, Stream::onTime);
     }
 
-    private static double share(ScarceFleet fleet, Predicate<Stream> of, Predicate<Stream> which) {
+    static double share(ScarceFleet fleet, Predicate<Stream> of, Predicate<Stream> which) {
         return fleet.all.stream()
                 .filter(of)
                 .mapToInt(s -> which.test(s) ? 1 : 0)
