Response limits: pauses do not count as receiving

A sound stream whose event arrives in pieces, or that sends comments without an id, with 11 pauses of over 100 ms was rejected after "1 s of arriving bytes", and its engine was suspected.

Change: a time of more than 100 ms between two reads does not count.

--- a/gateway/src/main/java/org/cornelramp/gateway/ResetAwareConnector.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/ResetAwareConnector.java
@@ -94,7 +94,7 @@
      * limit of a response. As thread-safe as its parent.
      */
     private static final class ResetAwareEndPoint extends SocketChannelEndPoint implements ResponseMeter {
-        /** Longest part of the time between two reads that counts as receiving; a longer time is a pause. */
+        /** Longest time between two reads that counts as receiving; a longer one is a pause and does not count. */
         private static final long MAX_RECEIVING_NANOS = 100_000_000L;
 
         private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -135,7 +135,8 @@
 
         private synchronized void recordRead(int count) throws ResponseLimitException {
             long now = System.nanoTime();
-            receivingNanos += bytes == 0 ? 0 : Math.min(now - lastReadNanos, MAX_RECEIVING_NANOS);
+            long sinceLastRead = now - lastReadNanos;
+            receivingNanos += bytes == 0 || sinceLastRead > MAX_RECEIVING_NANOS ? 0 : sinceLastRead;
             lastReadNanos = now;
             bytes += count;
             if (bytes > MAX_BYTES) {
