Admission: large starved requests no longer hold up urgent ones

Cause: one request of each starved priority is tried first. A tick ended its search when the second of them was less urgent than a first that had failed, and after three failures of any priority. With requests of two starved priorities that did not fit, a more urgent request behind them, which did fit, was not tried until their clients had left.

Change: a failure skips less urgent requests, and the limit of failures counts for one priority. At most three searches for each priority fail in a tick.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -46,8 +46,8 @@
     private static final int QUEUE_CAPACITY = 256;
 
     /**
-     * Failed searches after which a tick tries no further request. The first ones are the most urgent; the next may
-     * need less memory, so a single large request does not block the queue.
+     * Failed searches after which a tick tries only more urgent requests. The next request may need less memory, so a
+     * single large one does not block the queue.
      */
     private static final int MAX_FAILED_SEARCHES = 3;
 
@@ -194,14 +194,15 @@
         int failedSearches = 0;
         int failedPriority = Integer.MAX_VALUE;
         for (WaitingRequest<ActiveRequest> waiting : queue.inOrder(now)) {
-            if (failedSearches >= MAX_FAILED_SEARCHES || waiting.priority() > failedPriority) {
-                break;
+            int priority = waiting.priority();
+            if (priority > failedPriority || (priority == failedPriority && failedSearches >= MAX_FAILED_SEARCHES)) {
+                continue; // requests of starved priorities come first, so a more urgent one may follow
             }
             if (trySend(waiting, now)) {
                 queue.remove(waiting.id());
             } else {
-                failedSearches++;
-                failedPriority = waiting.priority();
+                failedSearches = priority == failedPriority ? failedSearches + 1 : 1;
+                failedPriority = priority;
             }
         }
         return rejected;
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
@@ -18,6 +18,13 @@
 /** Streams of two priorities that compete for an engine whose slots are all taken. */
 public class PriorityAdmissionTest {
     private static final int SLOTS = 8;
+
+    /** Waiting requests of a priority none of which was served, from which on it counts as starved. */
+    private static final int STARVED = 6;
+
+    /** More than the memory of the engine can hold. */
+    private static final String TOO_MANY_TOKENS = "10,900000";
+
     static final String URGENT_ROUTE =
             """
             {"name":"urgent","host":"127.0.0.1","pathPrefix":"/urgent/","kind":"streaming","timeoutMs":9000,
@@ -45,7 +52,12 @@
     }
 
     private FakeClient request(String path, String id) {
+        return request(path, id, "10,10");
+    }
+
+    private FakeClient request(String path, String id, String tokens) {
         HttpFields fields = HttpFields.build(HeaderFixtures.request(id))
+                .put("X-Token-Counts", tokens)
                 .put(HttpHeader.HOST, "127.0.0.1")
                 .put(HttpHeader.AUTHORIZATION, "Token " + StandInConfig.KEY);
         return router.request(path, fields, new byte[0]);
@@ -147,4 +159,24 @@
         assertTrue(client.isComplete());
         assertFalse(client.isClosed());
     }
+
+    /** Guards against large requests of starved priorities that hold up more urgent ones which fit. */
+    @Test
+    public void largeRequestsOfStarvedPrioritiesDoNotHoldUpUrgentOnes() {
+        String later = URGENT_ROUTE.replace("urgent", "later").replace("\"priority\":0", "\"priority\":2");
+        router = new RouterSimulation(StandInConfig.small(1), "", 1);
+        router.publish(json(2, "/urgent/").replace("\"routes\":[", "\"routes\":[" + later));
+        router.register(engine);
+        for (int i = 0; i < SLOTS; i++) {
+            request("/urgent/a", "running" + i);
+        }
+        for (int i = 0; i < STARVED; i++) {
+            request("/chat/a", "large" + i, TOO_MANY_TOKENS);
+            request("/later/a", "larger" + i, TOO_MANY_TOKENS);
+        }
+        request("/urgent/a", "urgent");
+        freeOneSlot();
+        router.run(100);
+        assertEquals(sentIds(), List.of("urgent"));
+    }
 }
