Admission: a waiting request is refused when its service has no engines

Cause: a new configuration may make a service with waiting requests a plain one. The set of its priorities was then empty, and its first element was asked for at each tick: the exception ended the admission step, and no waiting request of any service was sent or refused.

Change: such requests are refused with CONFIGURATION_CHANGED, like those of a removed route.

Result: requestOfAServiceWithoutEnginesIsRefused failed (no response after 100 ms) and passes.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -357,7 +357,7 @@
                 request);
     }
 
-    /** Removes the waiting requests whose route or key the configuration in force does not have any more. */
+    /** Removes the waiting requests whose route, key or engines the configuration in force does not have any more. */
     private List<Rejected> applyConfiguration(long now) {
         Optional<RoutingConfig> current = config.current();
         if (current.isEmpty() || current.get().version() == checkedVersion) {
@@ -392,6 +392,8 @@
                         .anyMatch(weighted -> weighted.service().equals(request.service())))
                 .filter(route -> !current.requiresKey(route)
                         || call.head().key().flatMap(current::organisation).isPresent())
+                .flatMap(route -> current.service(request.service()))
+                .flatMap(ServiceSpec::engine)
                 .isPresent();
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
@@ -179,4 +179,14 @@
         router.run(100);
         assertEquals(sentIds(), List.of("urgent"));
     }
+
+    /** Guards against an exception at each tick, which stops the admission of all requests, when a service changes. */
+    @Test
+    public void requestOfAServiceWithoutEnginesIsRefused() {
+        FakeClient client = request("/urgent/a", "urgent");
+        router.publish(json(3, "/urgent/").replaceFirst("(?s),\"engine\":\\{.*?\\]\\}\\}", "}"));
+        router.run(100);
+        assertEquals(client.status(), 503);
+        assertEquals(router.exceptions(), 0);
+    }
 }
