Admission: the retry time is at least 200 ms

Cause: for a client with little time left, the retry time was a fifth of that time and at least 1 ms, which is written as "0.00".

Change: the retry time is at least 200 ms, also with little time left.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -63,8 +63,11 @@
     /** Multiple of the longest pause of a route that clients of a stream wait for its first event. */
     private static final long PATIENCE_PAUSES = 8;
 
-    /** Shortest time after which a refused client may return, in milliseconds: capacity was missing for longer. */
-    private static final long MIN_RETRY_MILLIS = 500;
+    /** Shortest time until capacity is expected, in milliseconds: it was missing for longer. */
+    private static final long MIN_WAIT_MILLIS = 500;
+
+    /** Shortest time after which a refused client may return, in milliseconds, also with little time left. */
+    private static final long MIN_RETRY_MILLIS = 200;
 
     /**
      * Part of the client's remaining time within which it may return, as a divisor: clients disregard a longer time, and
@@ -406,8 +409,8 @@
     /** The client may return when there is capacity, but early enough to be served within the time that it has left. */
     private Rejected rejected(ActiveRequest request, AdmissionRefusal refusal, long now) {
         long leftMillis = request.exchange().request().deadlineMillis() - now;
-        long waitMillis = Math.max(MIN_RETRY_MILLIS, refusal.expectedWaitMillis());
-        long retryMillis = Math.max(1, Math.min(waitMillis, leftMillis / MAX_RETRY_PART));
+        long waitMillis = Math.max(MIN_WAIT_MILLIS, refusal.expectedWaitMillis());
+        long retryMillis = Math.max(MIN_RETRY_MILLIS, Math.min(waitMillis, leftMillis / MAX_RETRY_PART));
         earlyRetries.recordRefusal(request.fingerprint(), retryMillis, now);
         return new Rejected(request, Refusal.OVERLOADED, refusal.reason().detail(), retryMillis);
     }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
@@ -189,4 +189,15 @@
         assertEquals(client.status(), 503);
         assertEquals(router.exceptions(), 0);
     }
+
+    /** Guards against clients with little time left that are told to return at once, when there is no capacity yet. */
+    @Test
+    public void refusedClientReturnsNotBeforeTheLeastRetryTime() {
+        router.publish(json(3, "/urgent/").replaceFirst("\"timeoutMs\":9000", "\"timeoutMs\":600"));
+        FakeClient client = request("/urgent/a", "urgent");
+        router.run(600);
+        assertEquals(client.status(), 503);
+        double seconds = Double.parseDouble(client.header("Retry-After"));
+        assertTrue(seconds >= 0.2, "Retry-After: " + seconds);
+    }
 }
