--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -46,8 +46,8 @@
     private static final int QUEUE_CAPACITY = 256;
 
     /**
-     * Failed searches after which a tick tries no further request. The first ones are the most urgent; the next may
-     * need less memory, so a single large request does not block the queue.
+     * Failed searches after which a tick tries only more urgent requests. The next request may need less memory, so a
+     * single large one does not block the queue.
      */
     private static final int MAX_FAILED_SEARCHES = 3;
 
@@ -63,8 +63,11 @@
     /** Multiple of the longest pause of a route that clients of a stream wait for its first event. */
     private static final long PATIENCE_PAUSES = 8;
 
-    /** Shortest time after which a refused client may return, in milliseconds: capacity was missing for longer. */
-    private static final long MIN_RETRY_MILLIS = 500;
+    /** Shortest time until capacity is expected, in milliseconds: it was missing for longer. */
+    private static final long MIN_WAIT_MILLIS = 500;
+
+    /** Shortest time after which a refused client may return, in milliseconds, also with little time left. */
+    private static final long MIN_RETRY_MILLIS = 200;
 
     /**
      * Part of the client's remaining time within which it may return, as a divisor: clients disregard a longer time, and
@@ -194,14 +197,15 @@
         int failedSearches = 0;
         int failedPriority = Integer.MAX_VALUE;
         for (WaitingRequest<ActiveRequest> waiting : queue.inOrder(now)) {
-            if (failedSearches >= MAX_FAILED_SEARCHES || waiting.priority() > failedPriority) {
-                break;
+            int priority = waiting.priority();
+            if (priority > failedPriority || (priority == failedPriority && failedSearches >= MAX_FAILED_SEARCHES)) {
+                continue; // requests of starved priorities come first, so a more urgent one may follow
             }
             if (trySend(waiting, now)) {
                 queue.remove(waiting.id());
             } else {
-                failedSearches++;
-                failedPriority = waiting.priority();
+                failedSearches = priority == failedPriority ? failedSearches + 1 : 1;
+                failedPriority = priority;
             }
         }
         return rejected;
@@ -356,7 +360,7 @@
                 request);
     }
 
-    /** Removes the waiting requests whose route or key the configuration in force does not have any more. */
+    /** Removes the waiting requests whose route, key or engines the configuration in force does not have any more. */
     private List<Rejected> applyConfiguration(long now) {
         Optional<RoutingConfig> current = config.current();
         if (current.isEmpty() || current.get().version() == checkedVersion) {
@@ -391,6 +395,8 @@
                         .anyMatch(weighted -> weighted.service().equals(request.service())))
                 .filter(route -> !current.requiresKey(route)
                         || call.head().key().flatMap(current::organisation).isPresent())
+                .flatMap(route -> current.service(request.service()))
+                .flatMap(ServiceSpec::engine)
                 .isPresent();
     }
 
@@ -403,8 +409,8 @@
     /** The client may return when there is capacity, but early enough to be served within the time that it has left. */
     private Rejected rejected(ActiveRequest request, AdmissionRefusal refusal, long now) {
         long leftMillis = request.exchange().request().deadlineMillis() - now;
-        long waitMillis = Math.max(MIN_RETRY_MILLIS, refusal.expectedWaitMillis());
-        long retryMillis = Math.max(1, Math.min(waitMillis, leftMillis / MAX_RETRY_PART));
+        long waitMillis = Math.max(MIN_WAIT_MILLIS, refusal.expectedWaitMillis());
+        long retryMillis = Math.max(MIN_RETRY_MILLIS, Math.min(waitMillis, leftMillis / MAX_RETRY_PART));
         earlyRetries.recordRefusal(request.fingerprint(), retryMillis, now);
         return new Rejected(request, Refusal.OVERLOADED, refusal.reason().detail(), retryMillis);
     }
