Admission: rank by organisation and then by route; on only where routes differ

Change: the rank of a request is the priority of its organisation, or else of its route, and among equal ones that of the route; admission is on only where a service's routes for streams differ in priority. Reports have up to 8 rows by rank; the test of the bound follows the constant.

--- a/core/src/main/java/org/cornelramp/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/cornelramp/core/admission/AdmissionQueue.java
@@ -134,6 +134,11 @@
         return lines.getOrDefault(priority, Line.EMPTY).size();
     }
 
+    /** Whether a request waits that is at least as urgent as the given priority. */
+    public boolean isWaiting(int priority) {
+        return !lines.headMap(priority, true).isEmpty();
+    }
+
     /** Whether a request that is at least as urgent as the given priority waits and can still be on time. */
     public boolean isOnTimeWaiting(int priority, long nowMillis) {
         advance(nowMillis);
--- a/core/src/main/java/org/cornelramp/core/admission/DemandReport.java
+++ b/core/src/main/java/org/cornelramp/core/admission/DemandReport.java
@@ -23,7 +23,7 @@
     public static final int MAX_SERVICES = 8;
 
     /** Most priorities of a service. */
-    public static final int MAX_PRIORITIES = 4;
+    public static final int MAX_PRIORITIES = 8;
 
     /** Most organisations of a service. */
     public static final int MAX_ORGANISATIONS = 8;
--- a/core/src/main/java/org/cornelramp/core/routing/RoutingConfig.java
+++ b/core/src/main/java/org/cornelramp/core/routing/RoutingConfig.java
@@ -60,25 +60,17 @@
         this.organisationsByKey = Map.copyOf(organisationsByKey);
         this.keysRequired = keysRequired;
         this.limits = limits;
-        routes.forEach(this::addPriorities);
+        routes.stream().filter(route -> route.kind() == RouteKind.STREAMING).forEach(this::addPriorities);
     }
 
     private void addPriorities(Route route) {
         for (WeightedService weighted : route.split()) {
             NavigableSet<Integer> priorities =
-                    prioritiesByService.computeIfAbsent(weighted.service(), service -> organisationPriorities());
+                    prioritiesByService.computeIfAbsent(weighted.service(), service -> new TreeSet<>());
             priorities.add(route.priority());
         }
     }
 
-    private NavigableSet<Integer> organisationPriorities() {
-        NavigableSet<Integer> priorities = new TreeSet<>();
-        organisationsByKey
-                .values()
-                .forEach(organisation -> organisation.priority().ifPresent(priorities::add));
-        return priorities;
-    }
-
     public long version() {
         return version;
     }
@@ -109,11 +101,8 @@
                 .findFirst();
     }
 
-    /**
-     * Priorities that requests to a service may have, most urgent first: those of its routes and, as they go before a
-     * route's priority, those of the organisations.
-     */
-    public NavigableSet<Integer> priorities(ServiceName service) {
+    /** Priorities of the routes for streams to a service, most urgent first. */
+    public NavigableSet<Integer> streamPriorities(ServiceName service) {
         return prioritiesByService.getOrDefault(service, Collections.emptyNavigableSet());
     }
 
--- a/core/src/test/java/org/cornelramp/core/admission/DemandCounterTest.java
+++ b/core/src/test/java/org/cornelramp/core/admission/DemandCounterTest.java
@@ -43,7 +43,8 @@
         ServiceDemand demand = reportOfMany(5).services().get(0);
         assertEquals(demand.priorities().size(), DemandReport.MAX_PRIORITIES);
         assertEquals(demand.priorities().get(0).arrivalsPerSecond(), 10.0);
-        assertEquals(demand.priorities().get(3).arrivalsPerSecond(), 70.0);
+        int last = DemandReport.MAX_PRIORITIES - 1;
+        assertEquals(demand.priorities().get(last).arrivalsPerSecond(), 10.0 * (10 - last));
         assertEquals(demand.priorities().stream().mapToInt(row -> row.waiting()).sum(), NAMES);
         assertEquals(demand.tokenLayers().size(), DemandReport.MAX_ORGANISATIONS);
         assertEquals(
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -78,12 +78,23 @@
             int priority,
             long receivedMillis,
             long deadlineMillis) {
+        /** Number of priorities, 0 to 9. */
+        private static final int PRIORITIES = 10;
 
         /** The request id that the client chose. */
         public String id() {
             return head.requestId();
         }
 
+        /**
+         * Rank among the requests of a service, lowest first: by the priority of the organisation, or else of the route,
+         * and among equal ones by that of the route.
+         */
+        public int rank() {
+            int last = PRIORITIES - 1;
+            return Math.max(0, Math.min(last, priority)) * PRIORITIES + Math.max(0, Math.min(last, route.priority()));
+        }
+
         /** The host that the request names, in lower case and without a port; empty if it names none. */
         public String host() {
             return host(fields);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/DemandReporter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/DemandReporter.java
@@ -52,7 +52,7 @@
     void recordArrival(ActiveRequest request, long now) {
         if (fleet.reportsDemand()) {
             counter.recordArrival(
-                    request.service(), request.exchange().request().priority(), now);
+                    request.service(), request.exchange().request().rank(), now);
         }
     }
 
@@ -60,7 +60,7 @@
     void recordRefusal(ActiveRequest request, long now) {
         if (fleet.reportsDemand() && request.possibleRunCount() == 0) {
             counter.recordRefusal(
-                    request.service(), request.exchange().request().priority(), now);
+                    request.service(), request.exchange().request().rank(), now);
         }
     }
 
@@ -114,7 +114,7 @@
         Optional<Attempt> attempt = Optional.ofNullable(request.attempt());
         return new RequestInProgress(
                 request.service(),
-                exchange.request().priority(),
+                exchange.request().rank(),
                 exchange.request().organisation(),
                 attempt.isEmpty() && !exchange.isCommitted(),
                 tokenLayers(request),
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -2,11 +2,9 @@
 
 import io.vavr.control.Either;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableSet;
 import java.util.Optional;
 import org.cornelramp.core.admission.AdmissionPolicy;
 import org.cornelramp.core.admission.AdmissionQueue;
@@ -35,7 +33,7 @@
 
 /**
  * Admits streams to engines in the order of their urgency while there is not enough capacity for all. Takes part only
- * where the configuration gives a service's routes or the organisations more than one priority; other requests are
+ * where the configuration gives a service's routes for streams more than one priority; other requests are
  * handled as if this class did not exist. Confined to the router's thread.
  *
  * <p>Invariants: a request that waits here was never sent to a server, so it may be refused with a status that promises
@@ -119,16 +117,9 @@
                 && !request.exchange().isCommitted()
                 && request.attemptCount() == 0
                 && fleet.isInitialised()
-                && priorities(request).size() > 1;
-    }
-
-    private NavigableSet<Integer> priorities(ActiveRequest request) {
-        return config.current()
-                .filter(version -> version.service(request.service())
-                        .filter(service -> service.engine().isPresent())
-                        .isPresent())
-                .map(version -> version.priorities(request.service()))
-                .orElse(Collections.emptyNavigableSet());
+                && config.current()
+                        .filter(version -> hasPriorities(version, request.service()))
+                        .isPresent();
     }
 
     /** Whether the request waits here. */
@@ -167,8 +158,7 @@
     }
 
     private boolean isOvertaking(ActiveRequest request) {
-        int priority = request.exchange().request().priority();
-        return priorities(request).headSet(priority, true).stream().anyMatch(other -> queue.size(other) > 0);
+        return queue.isWaiting(request.exchange().request().rank());
     }
 
     private List<Rejected> enqueue(WaitingRequest<ActiveRequest> waiting, long now) {
@@ -271,8 +261,8 @@
     }
 
     /**
-     * Whether the streams on the path keep the pauses of their routes. Not asked for the most urgent requests, nor for
-     * those whose target has passed: a late answer is better than none.
+     * Whether the streams on the path keep the pauses of their routes. Not asked while no more urgent requests arrive,
+     * nor for a request whose target has passed: a late answer is better than none.
      */
     private boolean keepsPace(
             WaitingRequest<ActiveRequest> waiting,
@@ -281,9 +271,7 @@
             Standing standing,
             long now) {
         ActiveRequest request = waiting.work();
-        if (waiting.priority() <= priorities(request).first()
-                || now >= waiting.targetMillis()
-                || target.path().isEmpty()) {
+        if (arrivals <= 0 || now >= waiting.targetMillis() || target.path().isEmpty()) {
             return true;
         }
         StagePath path = target.path().get();
@@ -351,7 +339,7 @@
         request.setDefaultTokens(spec.meanRequestTokens());
         return new WaitingRequest<>(
                 ++lastId,
-                call.priority(),
+                call.rank(),
                 call.organisation(),
                 Math.max(1.0, request.expectedTokens()) * spec.layers(),
                 now,
@@ -383,9 +371,12 @@
     }
 
     private static boolean hasPriorities(RoutingConfig current) {
-        return current.services().stream()
-                .filter(service -> service.engine().isPresent())
-                .anyMatch(service -> current.priorities(service.name()).size() > 1);
+        return current.services().stream().anyMatch(service -> hasPriorities(current, service.name()));
+    }
+
+    private static boolean hasPriorities(RoutingConfig current, ServiceName service) {
+        return current.service(service).flatMap(ServiceSpec::engine).isPresent()
+                && current.streamPriorities(service).size() > 1;
     }
 
     private static boolean isRoutable(ActiveRequest request, RoutingConfig current) {
--- a/gateway/src/test/java/org/cornelramp/gateway/route/DemandReporterTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/DemandReporterTest.java
@@ -73,7 +73,7 @@
         router.request("/look/a", "one");
         router.request("/look/a", "two");
         router.run(100);
-        int priority = router.route("/chat/a").priority();
+        int priority = 11; // that of the route, 1, as the organisation has none
         DemandReport.PriorityDemand row = reported(ENGINES).priorities().get(0);
         assertEquals(row.priority(), priority);
         assertEquals(row.arrivalsPerSecond(), 1, 0.2);
