Admission: a waiting request that crashes servers is refused at once

Cause: a request that was found to crash servers while it waited for its admission was not sent, but kept its place until its client's patience ended, took one of the three failed searches of each tick, and was then refused as OVERLOADED with a retry time of a second or less.

Change: the check of each request refuses it as soon as the crash guard does, with the guard's status, cause and retry time, like a request in the retry queue.

Result: waitingRequestThatCrashesServersIsRefused failed (no response after 40 ms) and passes.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -432,15 +432,15 @@
 
     /**
      * Sends a request that has no attempt and is not queued for a retry: it arrived before the servers were known. Only
-     * a request that was never sent; any other might run twice, and would need a retry.
+     * a request that was never sent; any other might run twice, and would need a retry. Refuses a request that waits for
+     * its admission and is known to crash servers.
      */
     private void sendUnsent(ActiveRequest request, long now) {
-        if (!isUnattended(request)) {
-            return;
-        }
-        if (request.attemptCount() == 0) {
+        if (admission.isWaiting(request) && poisonGuard.isPoison(request, now)) {
+            waitOrGiveUp(request, now);
+        } else if (isUnattended(request) && request.attemptCount() == 0) {
             send(request, now);
-        } else {
+        } else if (isUnattended(request)) {
             requeueOrEnd(request, true, now);
         }
     }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
@@ -6,7 +6,13 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.poison.PoisonUpdate;
+import org.cornelramp.core.retry.RetryLoanUpdate;
+import org.cornelramp.gateway.peer.PeerUpdate;
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.cornelramp.platform.standin.StandInConfig;
@@ -200,4 +206,19 @@
         double seconds = Double.parseDouble(client.header("Retry-After"));
         assertTrue(seconds >= 0.2, "Retry-After: " + seconds);
     }
+
+    /** Guards against requests that crash servers and wait at the front of the queue until their clients leave. */
+    @Test
+    public void waitingRequestThatCrashesServersIsRefused() {
+        FakeClient client = request("/urgent/a", "poison");
+        String fingerprint = client.exchange().request().fingerprint();
+        PeerUpdate.Sender peer = new PeerUpdate.Sender("g2", 1, new DataCentre("dc1"));
+        PoisonUpdate refusal = new PoisonUpdate(List.of(), Map.of(fingerprint, 60_000L), Map.of(), Map.of());
+        router.handle(new RouterEvent.PeerUpdateReceived(
+                PeerUpdate.of(peer, 1, false, Map.of(), 0, Map.of(), Set.of(), RetryLoanUpdate.NONE)
+                        .withPoison(refusal)));
+        router.run(40);
+        assertEquals(client.status(), 503);
+        assertTrue(Double.parseDouble(client.header("Retry-After")) > 50, "the time until it is not refused any more");
+    }
 }
