Admission: state the exception of starved requests in the invariant

Cause: the class comment said that no request is sent before a more urgent waiting one. The first request of a priority or organisation whose recent share is too small is, and a more urgent one that does not fit is skipped.

Change: the comment says so. No change of behaviour.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -39,7 +39,8 @@
  * handled as if this class did not exist. Confined to the router's thread.
  *
  * <p>Invariants: a request that waits here was never sent to a server, so it may be refused with a status that promises
- * that it has not run. No request is sent before a waiting one that is more urgent.
+ * that it has not run. No request is sent before a waiting one that is more urgent and fits, except for the first of a
+ * priority or organisation whose recent share is too small.
  */
 final class RequestAdmission {
     /** Most requests that wait in one gateway. */
