--- a/core/src/main/java/org/cornelramp/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/cornelramp/core/admission/AdmissionQueue.java
@@ -202,12 +202,6 @@
         return (long) (ahead * 1_000 / Math.max(left, MIN_RATE_PART * rate));
     }
 
-    /** Capacity that becomes free, as cost per second; 0 while unknown. */
-    public double freedPerSecond(long nowMillis) {
-        advance(nowMillis);
-        return drainRate.perSecond(instant());
-    }
-
     private AdmissionRefusal refusal(RefusalReason reason, WaitingRequest<T> request) {
         long wait = expectedWaitMillis(request.priority(), latestMillis);
         return new AdmissionRefusal(reason, wait, RetryTime.millis(wait, request.patienceMillis() - latestMillis));
--- a/core/src/main/java/org/cornelramp/core/admission/Prospect.java
+++ b/core/src/main/java/org/cornelramp/core/admission/Prospect.java
@@ -47,9 +47,6 @@
          */
         public static final double USUAL_HORIZON_MILLIS = 800;
 
-        /** No arrivals are expected. */
-        public static final Reserve NONE = new Reserve(0, 0, 0, 1, 0);
-
         double pauseMillis(boolean late) {
             double perSecond = moreUrgentPerSecond + (late ? samePriorityPerSecond : 0);
             return perSecond * horizonMillis / 1_000 / Math.max(1, paths) * pausePerRequestMillis;
