Planner: copies by demand, relief of layers that only slow engines hold

Cause: the planner placed layers by cards and copies only. A data centre with more demand aimed at as many copies as the others, and an engine at a twelfth of its pace counted as a full holder, also as the only one.

Change: the planner takes PlacementPreferences. Where nothing else is ordered, one engine whose layers all keep a sound, ready holder moves to layers that only slow engines hold.

Ruled out: raising the copies above what the cards hold anyway, which would take memory from requests where demand is highest.

--- a/core/src/main/java/org/cornelramp/core/admission/FleetDemand.java
+++ b/core/src/main/java/org/cornelramp/core/admission/FleetDemand.java
@@ -116,6 +116,20 @@
                 arrivalsByDataCentre.getOrDefault(service, Map.of()).getOrDefault(dataCentre, 0L));
     }
 
+    /**
+     * An immutable copy of the requests received per second at any priority, by service and data centre; without a
+     * service that receives none.
+     */
+    public Map<ServiceName, Map<DataCentre, Double>> arrivalsByDataCentre() {
+        Map<ServiceName, Map<DataCentre, Double>> copy = new HashMap<>();
+        arrivalsByDataCentre.forEach((service, steps) -> {
+            Map<DataCentre, Double> rates = new HashMap<>();
+            steps.forEach((at, count) -> rates.put(at, DemandReport.rate(count)));
+            copy.put(service, Map.copyOf(rates));
+        });
+        return Map.copyOf(copy);
+    }
+
     /** Requests of a service and priority that wait at all gateways. */
     public long waiting(ServiceName service, int priority) {
         return totals(service, priority).waiting();
--- a/core/src/main/java/org/cornelramp/core/placement/Planner.java
+++ b/core/src/main/java/org/cornelramp/core/placement/Planner.java
@@ -23,7 +23,11 @@
  * remaining engines hold second copies, so that after the death of an engine streams change their path and need not
  * wait for layers to be loaded. Engines that hold layers keep them: orders go to empty engines, and an engine is moved
  * only if another engine in its data centre holds each of its layers while some layer there has no holder; if there is
- * none, an engine beside such a layer extends its range. The result depends only on the input, so all processes with
+ * none, an engine beside such a layer extends its range.
+ *
+ * <p>{@link PlacementPreferences} refine this after these rules: a data centre with more demand aims at more copies, and
+ * where nothing else is to be ordered, an engine without which each of its layers still has a sound holder is moved to
+ * layers that only slow engines hold. The result depends only on the input, so all processes with
  * the same input compute the same plan. Stateless, safe for use by any thread.
  */
 public final class Planner {
@@ -51,6 +55,12 @@
     /** Value of loading a layer that no engine of the data centre holds. */
     private static final double VALUE_NOT_HELD_HERE = 1e3;
 
+    /** Value of loading a layer that only slow engines of the data centre hold. */
+    private static final double VALUE_HELD_BY_SLOW_HERE = 100;
+
+    /** A slow engine counts as this part of a holder. */
+    private static final double SLOW_HOLDER_WEIGHT = 0.5;
+
     /** Value of loading a layer that one engine of the data centre holds. */
     private static final double VALUE_HELD_ONCE_HERE = 10;
 
@@ -69,12 +79,22 @@
      */
     public static List<Placement> plan(
             EngineSpec spec, List<BackendServer> engines, Set<BackendServerId> busy, Set<BackendServerId> reserved) {
-        return new PlanningRun(spec, engines, busy, reserved).run();
+        return plan(spec, engines, busy, reserved, PlacementPreferences.NONE);
+    }
+
+    /** Returns the orders to send now, with preferences that apply after the rules for layers without a holder. */
+    public static List<Placement> plan(
+            EngineSpec spec,
+            List<BackendServer> engines,
+            Set<BackendServerId> busy,
+            Set<BackendServerId> reserved,
+            PlacementPreferences preferences) {
+        return new PlanningRun(spec, engines, busy, reserved, preferences).run();
     }
 
     /** Returns as text, for each data centre with engines, how many layers have no holder there and how many have one. */
     public static String coverage(EngineSpec spec, List<BackendServer> engines) {
-        PlanningRun run = new PlanningRun(spec, engines, Set.of(), Set.of());
+        PlanningRun run = new PlanningRun(spec, engines, Set.of(), Set.of(), PlacementPreferences.NONE);
         StringBuilder text = new StringBuilder();
         run.holderCounts.entrySet().stream().sorted(Map.Entry.comparingByKey()).forEach(entry -> {
             long none = Arrays.stream(entry.getValue())
@@ -99,14 +119,21 @@
         private final Map<DataCentre, int[]> holderCounts = new HashMap<>();
         private final Set<BackendServerId> busy;
         private final Set<BackendServerId> reserved;
-        private final int requestsPerEngine;
+        private final PlacementPreferences preferences;
+
+        /** Engines that hold or are loading each layer and are not slow. */
+        private final Map<DataCentre, int[]> soundCounts = new HashMap<>();
+
+        private final Map<DataCentre, Integer> requestsPerEngine = new HashMap<>();
 
         PlanningRun(
                 EngineSpec spec,
                 List<BackendServer> engines,
                 Set<BackendServerId> busy,
-                Set<BackendServerId> reserved) {
+                Set<BackendServerId> reserved,
+                PlacementPreferences preferences) {
             this.spec = spec;
+            this.preferences = preferences;
             this.busy = busy;
             this.reserved = reserved;
             for (BackendServer engine : engines) {
@@ -122,9 +149,11 @@
                         .thenComparing(engine -> -card(engine).memoryMb())
                         .thenComparing(BackendServer::id));
                 holderCounts.put(at, new int[spec.layers()]);
-                here.forEach(engine -> engine.layers().ifPresent(range -> addToHolderCounts(at, range, 1)));
+                soundCounts.put(at, new int[spec.layers()]);
+                here.forEach(engine -> engine.layers().ifPresent(range -> addHolder(engine, range, 1)));
             });
-            this.requestsPerEngine = requestsThatFit();
+            int most = requestsThatFit();
+            byDataCentre.forEach((at, here) -> requestsPerEngine.put(at, requestsForDemand(at, here, most)));
         }
 
         List<Placement> run() {
@@ -135,17 +164,66 @@
                 if (orders.size() == before) {
                     moveRedundantEngine(at).or(() -> extendIntoGap(at)).ifPresent(orders::add);
                 }
+                long additional = orders.stream().filter(Placement::additional).count();
+                if (orders.size() == before && additional < preferences.additionalLoads()) {
+                    relieveSlowEngine(at).ifPresent(orders::add);
+                }
             });
             return orders;
         }
 
+        /**
+         * Moves one sound engine to layers that only slow engines hold. Layers that an engine is still loading do not
+         * make another holder of them redundant, so that no layer is without a sound holder while engines load.
+         */
+        private Optional<Placement> relieveSlowEngine(DataCentre at) {
+            if (preferences.slowEngines().isEmpty() || hasGap(at)) {
+                return Optional.empty();
+            }
+            int[] sound = soundCounts.get(at);
+            int[] ready = readySoundCounts(at);
+            Placement best = null;
+            int mostRelieved = 0;
+            for (BackendServer engine : byDataCentre.get(at)) {
+                LayerRange old = engine.layers().orElse(null);
+                int capacity = layerCapacity(engine, requestsPerEngine.get(at));
+                boolean movable = old != null && capacity > 0 && !busy.contains(engine.id()) && isSound(engine);
+                if (!movable || !isRedundant(ready, old)) {
+                    continue;
+                }
+                addHolder(engine, old, -1);
+                LayerRange range = mostValuableRange(at, capacity);
+                int relieved = countLayersWithFewHolders(sound, range);
+                addHolder(engine, old, 1);
+                // Of equal engines the last one is the slowest card, so that fast ones stay on the paths.
+                if (relieved > 0 && relieved >= mostRelieved) {
+                    mostRelieved = relieved;
+                    best = new Placement(engine, range, true);
+                }
+            }
+            return Optional.ofNullable(best);
+        }
+
+        /** Engines that hold each layer, are not slow and carry out no order. */
+        private int[] readySoundCounts(DataCentre at) {
+            int[] counts = new int[spec.layers()];
+            byDataCentre.get(at).stream()
+                    .filter(engine -> isSound(engine) && !busy.contains(engine.id()))
+                    .forEach(engine -> engine.layers().ifPresent(range -> add(counts, range, 1)));
+            return counts;
+        }
+
+        private boolean isSound(BackendServer engine) {
+            return !preferences.slowEngines().contains(engine.id());
+        }
+
         private void fillEmptyEngines(DataCentre at, List<Placement> orders) {
             for (BackendServer engine : byDataCentre.get(at)) {
-                int capacity = layerCapacity(engine, requestsPerEngine);
+                int capacity = layerCapacity(engine, requestsPerEngine.get(at));
                 boolean isReserved = reserved.contains(engine.id()) && !hasGap(at);
                 if (engine.layers().isEmpty() && capacity > 0 && !isReserved && !busy.contains(engine.id())) {
                     LayerRange range = mostValuableRange(at, capacity);
-                    addToHolderCounts(at, range, 1);
+                    addHolder(engine, range, 1);
                     orders.add(new Placement(engine, range));
                 }
             }
@@ -165,14 +243,14 @@
             double bestShare = 0;
             for (BackendServer engine : byDataCentre.get(at)) {
                 LayerRange old = engine.layers().orElse(null);
-                int capacity = layerCapacity(engine, requestsPerEngine);
+                int capacity = layerCapacity(engine, requestsPerEngine.get(at));
                 if (old == null || capacity == 0 || busy.contains(engine.id()) || !isRedundant(here, old)) {
                     continue;
                 }
-                addToHolderCounts(at, old, -1);
+                addHolder(engine, old, -1);
                 LayerRange range = mostValuableRange(at, capacity);
                 double share = countLayersWithFewHolders(here, range) / (double) capacity;
-                addToHolderCounts(at, old, 1);
+                addHolder(engine, old, 1);
                 if (share > 0 && share >= bestShare) {
                     bestShare = share;
                     best = new Placement(engine, range);
@@ -309,14 +387,25 @@
         private double layerValue(DataCentre at, int layer) {
             int here = holderCounts.get(at)[layer];
             if (here > 0) {
-                return here == 1 ? VALUE_HELD_ONCE_HERE : VALUE_HELD_OFTEN_HERE / here;
+                int sound = soundCounts.get(at)[layer];
+                if (sound == 0) {
+                    return VALUE_HELD_BY_SLOW_HERE;
+                }
+                double holders = sound + SLOW_HOLDER_WEIGHT * (here - sound);
+                return here == 1 ? VALUE_HELD_ONCE_HERE : VALUE_HELD_OFTEN_HERE / holders;
             }
             boolean unheld = holderCounts.values().stream().allMatch(counts -> counts[layer] == 0);
             return unheld ? VALUE_HELD_NOWHERE : VALUE_NOT_HELD_HERE;
         }
 
-        private void addToHolderCounts(DataCentre at, LayerRange range, int by) {
-            int[] counts = holderCounts.get(at);
+        private void addHolder(BackendServer engine, LayerRange range, int by) {
+            add(holderCounts.get(engine.dataCentre()), range, by);
+            if (isSound(engine)) {
+                add(soundCounts.get(engine.dataCentre()), range, by);
+            }
+        }
+
+        private static void add(int[] counts, LayerRange range, int by) {
             for (int layer = range.from(); layer < range.to(); layer++) {
                 counts[layer] += by;
             }
@@ -328,18 +417,33 @@
                     requests > MIN_REQUESTS;
                     requests -= REQUESTS_STEP) {
                 int candidate = requests;
-                boolean enough = byDataCentre.values().stream()
-                        .allMatch(here -> here.stream()
-                                        .mapToInt(engine -> layerCapacity(engine, candidate))
-                                        .sum()
-                                >= TARGET_COPIES * spec.layers());
-                if (enough) {
+                if (byDataCentre.values().stream().allMatch(here -> holdCopies(here, candidate, TARGET_COPIES))) {
                     return requests;
                 }
             }
             return MIN_REQUESTS;
         }
 
+        /**
+         * The most requests, at most {@code most}, for which a data centre with more demand than the mean holds more
+         * copies in the same proportion.
+         */
+        private int requestsForDemand(DataCentre at, List<BackendServer> here, int most) {
+            double factor = preferences.demandFactors().getOrDefault(at, 1.0);
+            int requests = most;
+            while (factor > 1 && requests > MIN_REQUESTS && !holdCopies(here, requests, TARGET_COPIES * factor)) {
+                requests = Math.max(MIN_REQUESTS, requests - REQUESTS_STEP);
+            }
+            return requests;
+        }
+
+        private boolean holdCopies(List<BackendServer> here, int requests, double copies) {
+            return here.stream()
+                            .mapToInt(engine -> layerCapacity(engine, requests))
+                            .sum()
+                    >= copies * spec.layers();
+        }
+
         /** Layers that fit on the engine's card beside the memory of that many requests of the usual size. */
         private int layerCapacity(BackendServer engine, int requests) {
             double requestsMb = requests * spec.meanRequestTokens() * spec.tokenMbPerLayer();
