Placement: pass demand and pace from the router to the planner

Cause: the placement thread saw neither the demand reports nor the engines' slowdowns, which only the router's thread may read.

Change: FleetView carries copies of both. PlacementDemand derives the planner's preferences from them, limits additional loads to 6 a minute and allows none in a leader's first minute. A service without reported demand has no preferences.

--- a/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
@@ -190,6 +190,11 @@
         count("orders", "result", accepted ? "accepted" : "failed");
     }
 
+    /** Counts an order that only relieves a slow engine. */
+    public void countAdditionalLoad(boolean accepted) {
+        count("additional.loads", "result", accepted ? "accepted" : "failed");
+    }
+
     /** Counts a record of the store that could not be decoded. */
     public void countUnreadableRecord(String follower) {
         count("records.unreadable", "topic", follower);
--- a/gateway/src/main/java/org/cornelramp/gateway/place/LayerPlacer.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/LayerPlacer.java
@@ -14,6 +14,7 @@
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.LayerRange;
 import org.cornelramp.core.placement.Placement;
+import org.cornelramp.core.placement.PlacementPreferences;
 import org.cornelramp.core.placement.Planner;
 import org.cornelramp.core.routing.EngineSpec;
 import org.cornelramp.core.routing.RoutingConfig;
@@ -71,6 +72,7 @@
     private final SteadyClock clock;
     private final EventLog log;
     private final Meters meters;
+    private final PlacementDemand demand;
     private final Thread thread = new Thread(this::run, "placement");
     private final Map<BackendServerId, Order> orders = new HashMap<>();
     private final Map<BackendServerId, Long> acceptedOrders = new HashMap<>();
@@ -99,6 +101,7 @@
         this.clock = clock;
         this.log = log;
         this.meters = meters;
+        this.demand = new PlacementDemand(log);
         thread.setDaemon(true);
     }
 
@@ -125,13 +128,15 @@
     }
 
     private void step(long now) {
+        FleetView view = fleet.get();
+        demand.observe(view, now);
         LeaderLease.Term term = lease.term(now);
         if (!term.equals(lastTerm)) {
             orders.clear();
             acceptedOrders.clear();
+            demand.startTerm(now);
             lastTerm = term;
         }
-        FleetView view = fleet.get();
         Optional<RoutingConfig> version = config.current();
         // Without the store no gateway learns of new layers, this one included, so it would order engines to load again
         // and again.
@@ -175,7 +180,8 @@
                 .map(BackendServer::id)
                 .filter(id -> now - firstSeenMillis.get(id) < NEW_ENGINE_MILLIS)
                 .forEach(reserved::add);
-        for (Placement placement : Planner.plan(spec, candidates, busy, reserved)) {
+        PlacementPreferences preferences = demand.preferences(service.name(), now);
+        for (Placement placement : Planner.plan(spec, candidates, busy, reserved, preferences)) {
             sendOrder(placement, spec, now);
         }
     }
@@ -220,11 +226,16 @@
         }
         Either<PlatformFault, byte[]> result = engines.place(engine, placement.layers(), before);
         meters.countOrder(result.isRight());
+        if (placement.additional()) {
+            demand.recordAdditionalLoad(now);
+            meters.countAdditionalLoad(result.isRight());
+        }
         log.line("placement", result.isRight() ? "ordered" : "order failed")
                 .with("server", engine.id())
                 .with(
                         "layers",
                         placement.layers().from() + "-" + placement.layers().to())
+                .with("additional", placement.additional())
                 .with("ordersBefore", before)
                 .with("term", lastTerm.generation())
                 .with("era", lastTerm.era())
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
@@ -346,7 +346,8 @@
                 suspects.add(server.id());
             }
         }
-        return new FleetView(servers, suspects, storeAvailable, initialised);
+        return new FleetView(
+                servers, suspects, storeAvailable, initialised, demand.arrivalsByDataCentre(), loads.slowdownFactors());
     }
 
     /**
