Admission: an exception in one request does not stop the others; reports of at most six services

Cause: found in the review: an exception while one waiting request was tried ended the step for all, at each tick; a request whose refusal threw an exception stayed active and could have been sent after its refusal. With eight rows for each of eight services, two services did not fit into the section (DemandSectionTest: 6 of 8 read, 7 asked).

Change: each waiting request is tried behind the fault barrier; a refusal that throws ends the request as other faults do; a report has at most six services, the busiest.

--- a/core/src/main/java/org/cornelramp/core/admission/DemandReport.java
+++ b/core/src/main/java/org/cornelramp/core/admission/DemandReport.java
@@ -20,7 +20,7 @@
  */
 public record DemandReport(List<ServiceDemand> services, Map<BackendServerId, Integer> plainInFlight) {
     /** Most services in a report. */
-    public static final int MAX_SERVICES = 8;
+    public static final int MAX_SERVICES = 6;
 
     /** Most priorities of a service. */
     public static final int MAX_PRIORITIES = 8;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -86,6 +86,7 @@
     private final FleetState fleet;
     private final ConfigHolder config;
     private final Dispatcher dispatcher;
+    private final FaultBarrier faults;
     private final EventLog log;
     private final Meters meters;
     private final AdmissionQueue<ActiveRequest> queue = new AdmissionQueue<>(QUEUE_CAPACITY);
@@ -104,10 +105,17 @@
      */
     record Rejected(ActiveRequest request, Refusal refusal, String why, long retryMillis) {}
 
-    RequestAdmission(FleetState fleet, ConfigHolder config, Dispatcher dispatcher, EventLog log, Meters meters) {
+    RequestAdmission(
+            FleetState fleet,
+            ConfigHolder config,
+            Dispatcher dispatcher,
+            FaultBarrier faults,
+            EventLog log,
+            Meters meters) {
         this.fleet = fleet;
         this.config = config;
         this.dispatcher = dispatcher;
+        this.faults = faults;
         this.log = log;
         this.meters = meters;
     }
@@ -192,9 +200,8 @@
             if (priority > failedPriority || (priority == failedPriority && failedSearches >= MAX_FAILED_SEARCHES)) {
                 continue; // requests of starved priorities come first, so a more urgent one may follow
             }
-            if (trySend(waiting, now)) {
-                queue.remove(waiting.id());
-            } else {
+            faults.run(waiting.work(), () -> trySend(waiting, now));
+            if (queue.find(waiting.id()).isPresent()) {
                 failedSearches = priority == failedPriority ? failedSearches + 1 : 1;
                 failedPriority = priority;
             }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -117,7 +117,7 @@
                 new StreamMonitor(fleet, engineControl, failureDetector, overdueAttempts, faults, log, events);
         this.unframedEnds = new UnframedEnds(
                 fleet, lifeQuestions, settings.timing().stallMillis(), log, meters, this::settleUnframed);
-        this.admission = new RequestAdmission(fleet, config, dispatcher, log, meters);
+        this.admission = new RequestAdmission(fleet, config, dispatcher, faults, log, meters);
         this.ender = new RequestEnder(
                 activeRequests,
                 activeRequestCount,
@@ -248,12 +248,11 @@
     }
 
     private void rejectAll(List<RequestAdmission.Rejected> rejected, long now) {
-        rejected.forEach(each -> faults.run(each.request(), () -> ender.reject(each, now)));
-    }
-
-    /** Sends waiting requests for which there is capacity, and refuses those that cannot be served in time. */
-    private void admitWaiting(long now) {
-        rejectAll(refusingStreams ? admission.drain(now) : admission.check(now), now);
+        for (RequestAdmission.Rejected each : rejected) {
+            if (!faults.run(each.request(), () -> ender.reject(each, now))) {
+                endAfterFault(each.request(), each.why(), now);
+            }
+        }
     }
 
     /** Refuses the streams that wait for capacity, as this process stops; may be called by any thread. */
@@ -391,7 +390,8 @@
             checkSafely(request, now);
         }
         faults.run("retries", now, () -> retryWaiting(now));
-        faults.run("admission", now, () -> admitWaiting(now));
+        faults.run(
+                "admission", now, () -> rejectAll(refusingStreams ? admission.drain(now) : admission.check(now), now));
         faults.run("probes", now, () -> fleetUpdater.probeSuspects(now));
         faults.run("streams", now, () -> streamMonitor.check(activeRequests.values(), config.current(), now));
         faults.run("registrations", now, () -> fleetUpdater.expireRegistrations(now));
