Prompt prefix affinity: prefer engines that hold a prompt's beginning

An engine keeps the memory of a prompt while the request runs; paths were found by load alone, so a request whose beginning a running request holds was read again elsewhere.

Change: PromptHolders tracks what the running requests of the gateway and its peers hold, PrefixSketch (at most 300 bytes at the end of an update's last section) tells peers, PrefixAffinity weighs the saving after admission has judged the path by load. Off unless promptPrefix.enabled is set; the updates are then unchanged. Parts that were at a crash and are not cleared are left out.

--- a/core/src/main/java/org/cornelramp/core/settings/GatewaySettings.java
+++ b/core/src/main/java/org/cornelramp/core/settings/GatewaySettings.java
@@ -16,6 +16,7 @@
  * @param timing intervals and timeouts agreed with the platform
  * @param retries limits on retries
  * @param limits what the platform lets this process use; empty if it is not known
+ * @param promptPrefix whether requests prefer engines that hold the beginning of their prompt
  */
 public record GatewaySettings(
         String name,
@@ -27,7 +28,8 @@
         HostPort store,
         Timing timing,
         Retries retries,
-        Optional<Limits> limits) {
+        Optional<Limits> limits,
+        PromptPrefixes promptPrefix) {
 
     /**
      * Intervals and timeouts agreed with the platform, in milliseconds. Immutable, safe for use by any thread.
@@ -51,6 +53,17 @@
      */
     public record Retries(double ratio, double reserve, long windowMillis) {}
 
+    /**
+     * Preference of engines that hold the beginning of a prompt. Immutable, safe for use by any thread.
+     *
+     * @param enabled whether there is any
+     * @param maxTrackedParts maximum number of beginnings of prompts that are tracked
+     */
+    public record PromptPrefixes(boolean enabled, int maxTrackedParts) {
+        /** Off, as where the settings have no such section. */
+        public static final PromptPrefixes OFF = new PromptPrefixes(false, 0);
+    }
+
     /**
      * What the platform lets this process use of its VM. Immutable, safe for use by any thread.
      *
--- a/core/src/main/java/org/cornelramp/core/settings/GatewaySettingsReader.java
+++ b/core/src/main/java/org/cornelramp/core/settings/GatewaySettingsReader.java
@@ -29,6 +29,11 @@
     private static final double MAX_CORES = 1_024;
     private static final long HOUR_MILLIS = 3_600_000L;
 
+    /** Beginnings of prompts tracked by default; a beginning that is left out only loses its saving. */
+    private static final int DEFAULT_TRACKED_PARTS = 4_096;
+
+    private static final int MAX_TRACKED_PARTS = 65_536;
+
     /** With less than a quarter of a core, one slow second makes the streams of a gateway late. */
     private static final double DEFAULT_SMALL_CORES = 0.25;
 
@@ -64,6 +69,9 @@
         GatewaySettings.Retries retries = readRetries(root.section("retries"));
         Optional<GatewaySettings.Limits> limits =
                 root.has("limits") ? readLimits(root.section("limits")) : Optional.empty();
+        GatewaySettings.PromptPrefixes promptPrefix = root.has("promptPrefix")
+                ? readPromptPrefix(root.section("promptPrefix"))
+                : GatewaySettings.PromptPrefixes.OFF;
         root.rejectUnknownNames();
         if (name.isEmpty()
                 || dataCentre.isEmpty()
@@ -84,7 +92,8 @@
                 store.get(),
                 timing,
                 retries,
-                limits));
+                limits,
+                promptPrefix));
     }
 
     private static GatewaySettings.Timing readTiming(SettingsSection section) {
@@ -107,6 +116,14 @@
         return retries;
     }
 
+    private static GatewaySettings.PromptPrefixes readPromptPrefix(SettingsSection section) {
+        GatewaySettings.PromptPrefixes promptPrefix =
+                new GatewaySettings.PromptPrefixes(section.bool("enabled", false), (int)
+                        section.number("maxTrackedParts", 16, MAX_TRACKED_PARTS, DEFAULT_TRACKED_PARTS));
+        section.rejectUnknownNames();
+        return promptPrefix;
+    }
+
     private static Optional<GatewaySettings.Limits> readLimits(SettingsSection section) {
         Optional<Double> cpuShare = section.required(
                 "cpuShare", value -> parsePositive(value, 1), "Give a number above 0 to 1, or leave out limits.");
--- a/core/src/test/java/org/cornelramp/core/settings/GatewaySettingsReaderTest.java
+++ b/core/src/test/java/org/cornelramp/core/settings/GatewaySettingsReaderTest.java
@@ -63,6 +63,21 @@
         assertTrue(limits.linkMbps().isEmpty());
     }
 
+    /** Guards against a deployment that changes without its settings, and against bounds out of range. */
+    @Test
+    public void promptPrefixIsOffUnlessEnabled() {
+        assertEquals(new GatewaySettingsReader().read(VALID).get().promptPrefix(), GatewaySettings.PromptPrefixes.OFF);
+        String empty = withLimits("{\"cpuShare\":1,\"cores\":1},\"promptPrefix\":{}");
+        GatewaySettings.PromptPrefixes defaults =
+                new GatewaySettingsReader().read(empty).get().promptPrefix();
+        assertEquals(defaults, new GatewaySettings.PromptPrefixes(false, 4_096));
+        String invalid = empty.replace("{}", "{\"enabled\":1,\"maxTrackedParts\":15,\"bound\":1}");
+        assertEquals(
+                faults(invalid).stream().map(SettingsFault::path).sorted().toList(),
+                List.of("/promptPrefix/bound", "/promptPrefix/enabled", "/promptPrefix/maxTrackedParts"));
+        faults(invalid).forEach(fault -> assertTrue(!fault.remedy().isBlank()));
+    }
+
     /** Guards against limits out of range that would give a gateway a wrong capacity, and against errors without a remedy. */
     @Test
     public void reportsEveryFaultOfTheLimits() {
--- a/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/metrics/Meters.java
@@ -180,6 +180,12 @@
         enqueue(target -> target.counter(PREFIX + "capacity.closes").increment());
     }
 
+    /** Counts a run whose engines hold the beginning of its prompt, and the tokens that they need not read. */
+    public void countPromptPrefix(String path, int savedTokens) {
+        count("prompt.prefix.hits", "path", path);
+        enqueue(target -> target.counter(PREFIX + "prompt.prefix.tokens.saved").increment(savedTokens));
+    }
+
     /** Counts an order to move a running request to another path. */
     public void countMove(boolean done) {
         count("moves", "result", done ? "done" : "refused");
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/DemandSection.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/DemandSection.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.cornelramp.core.admission.DemandReport;
 import org.cornelramp.core.member.GatewayStatus;
+import org.cornelramp.core.path.PrefixSketch;
 
 /**
  * The optional section at the end of an update. Immutable, safe for use by any thread.
@@ -10,8 +11,10 @@
  * @param report the demand at the sender; empty if it builds no report
  * @param recipients number of peers among which the sender rotates its updates; it determines how long the section counts
  * @param status capacity and load of the sender; empty if it does not measure them
+ * @param prefixes beginnings of prompts that the sender's requests hold; empty if it tracks none
  */
-public record DemandSection(Optional<DemandReport> report, int recipients, Optional<GatewayStatus> status) {
+public record DemandSection(
+        Optional<DemandReport> report, int recipients, Optional<GatewayStatus> status, PrefixSketch prefixes) {
     /** Most peers that a section may name. */
     private static final int MAX_RECIPIENTS = 100_000;
 
@@ -26,6 +29,16 @@
         }
     }
 
+    /** A section without beginnings of prompts. */
+    public DemandSection(Optional<DemandReport> report, int recipients, Optional<GatewayStatus> status) {
+        this(report, recipients, status, PrefixSketch.EMPTY);
+    }
+
+    /** The same section with other beginnings of prompts. */
+    public DemandSection withPrefixes(PrefixSketch other) {
+        return new DemandSection(report, recipients, status, other);
+    }
+
     /**
      * Time for which the section counts unless its sender sends another. It follows from the number of peers to which
      * the sender sends, not from the number that the reader hears: while the fleet is partitioned, a sender still gives
@@ -37,10 +50,10 @@
 
     /** The same section with the number of peers among which the sender rotates its updates. */
     DemandSection withRecipients(int count) {
-        return isEmpty() ? this : new DemandSection(report, Math.min(count, MAX_RECIPIENTS), status);
+        return isEmpty() ? this : new DemandSection(report, Math.min(count, MAX_RECIPIENTS), status, prefixes);
     }
 
     boolean isEmpty() {
-        return report.isEmpty() && status.isEmpty();
+        return report.isEmpty() && status.isEmpty() && prefixes.isEmpty();
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/DemandSectionCodec.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/DemandSectionCodec.java
@@ -13,6 +13,7 @@
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.OrganisationId;
 import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.path.PrefixSketch;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -36,7 +37,10 @@
         DemandSection reduced = section;
         while (bytes.length > MAX_BYTES) {
             reduced = new DemandSection(
-                    reduced.report().map(DemandReport::reduced), reduced.recipients(), reduced.status());
+                    reduced.report().map(DemandReport::reduced),
+                    reduced.recipients(),
+                    reduced.status(),
+                    reduced.prefixes());
             bytes = encode(reduced);
         }
         return bytes;
@@ -56,6 +60,10 @@
                 out.packLong(Math.round(status.load() * STATUS_STEPS));
                 out.packBoolean(status.ready());
             }
+            if (!section.prefixes().isEmpty()) {
+                byte[] sketch = section.prefixes().encode();
+                out.packBinaryHeader(sketch.length).writePayload(sketch);
+            }
             return out.toByteArray();
         }
     }
@@ -90,7 +98,16 @@
         Optional<DemandReport> report = in.unpackBoolean() ? Optional.of(readReport(in)) : Optional.empty();
         int recipients = in.unpackInt();
         Optional<GatewayStatus> status = in.unpackBoolean() ? Optional.of(readStatus(in)) : Optional.empty();
-        return new DemandSection(report, recipients, status);
+        return new DemandSection(report, recipients, status, in.hasNext() ? readPrefixes(in) : PrefixSketch.EMPTY);
+    }
+
+    /** Reads the sketch, which gateways before its introduction leave out and ignore at the end of an update. */
+    private static PrefixSketch readPrefixes(MessageUnpacker in) throws IOException {
+        int size = in.unpackBinaryHeader();
+        if (size > PrefixSketch.MAX_BYTES) {
+            throw new IllegalArgumentException("A sketch is too large; bytes=" + size);
+        }
+        return PrefixSketch.decode(in.readPayload(size));
     }
 
     private static GatewayStatus readStatus(MessageUnpacker in) throws IOException {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/ActiveRequest.java
@@ -3,13 +3,17 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.path.PromptHolders;
+import org.cornelramp.core.path.PromptPrefix;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.core.routing.Route;
 import org.cornelramp.gateway.request.Attempt;
 import org.cornelramp.gateway.request.Exchange;
+import org.cornelramp.platform.RequestHead;
 
 /** The router's state of one request in progress. Confined to the router's thread. */
 final class ActiveRequest {
@@ -32,6 +36,8 @@
     private boolean notMovable;
     private String fingerprint;
     private Set<String> sharedPromptParts;
+    private List<PromptPrefix.Part> sharedPrompt;
+    private PromptHolders.Hold heldPrefix;
     private boolean lived;
     private long firstTurnMillis = Long.MAX_VALUE;
     private boolean needsRetry;
@@ -82,6 +88,23 @@
         return sharedPromptParts;
     }
 
+    /** The parts of its prompt that other requests may share, in order; decoded at the first call. */
+    List<PromptPrefix.Part> sharedPrompt() {
+        if (sharedPrompt == null) {
+            sharedPrompt = RequestHead.sharedPrompt(exchange.request().fields());
+        }
+        return sharedPrompt;
+    }
+
+    /** What its current run holds on engines; empty before its prompt has been read. */
+    Optional<PromptHolders.Hold> heldPrefix() {
+        return Optional.ofNullable(heldPrefix);
+    }
+
+    void setHeldPrefix(Optional<PromptHolders.Hold> hold) {
+        heldPrefix = hold.orElse(null);
+    }
+
     /** Records that the current attempt has lived on its parts; true on the first call for this attempt. */
     boolean markLived() {
         boolean first = !lived;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -42,6 +42,7 @@
     private final SteadyClock clock;
     private final EventLog log;
     private final BiConsumer<Attempt, AttemptEnd> onEnd;
+    private PromptPrefixUse promptPrefixes;
 
     /**
      * @param clients the HTTP client that sends the requests of a route
@@ -68,6 +69,11 @@
         this.onEnd = onEnd;
     }
 
+    /** Sets what prefers engines that hold the beginning of a prompt; called once, before the first request. */
+    void setPromptPrefixes(PromptPrefixUse use) {
+        promptPrefixes = use;
+    }
+
     /**
      * The server to which a request can be sent now. Immutable.
      *
@@ -125,10 +131,14 @@
     }
 
     /**
-     * Sends the request to a server that {@link #chooseTarget} has just returned. If it cannot be sent, the attempt
+     * Sends the request to a server that {@link #chooseTarget} has just returned, or to one that is better because its
+     * path holds the beginning of the prompt. Admission has judged the former. If the request cannot be sent, the attempt
      * ends like any other.
+     *
+     * @return the server to which it was sent
      */
-    void send(ActiveRequest request, Target target, long now) {
+    Target send(ActiveRequest request, Target found, long now) {
+        Target target = preferHolders(request, found, now);
         FirstEnd ends = new FirstEnd(onEnd);
         fleet.rateLimits().recordSent(target.server().id());
         Attempt attempt = createAttempt(request, target, ends, now);
@@ -144,6 +154,19 @@
             }
             endUnstarted(attempt, ends, e);
         }
+        return target;
+    }
+
+    private Target preferHolders(ActiveRequest request, Target found, long now) {
+        Optional<EngineSpec> spec = engineSpec(request);
+        if (found.path().isEmpty() || spec.isEmpty() || fleet.promptHolders().isEmpty()) {
+            return found;
+        }
+        Set<BackendServerId> closed = fleet.closedServers(request.service(), now);
+        List<BackendServer> usable = fleet.usableServers(request.service(), request.avoidedServers(), now);
+        StagePath path =
+                promptPrefixes.prefer(request, found.path().get(), spec.get(), usable, demand(request, closed), now);
+        return new Target(path.first(), Optional.of(path));
     }
 
     private void addLoadWithPrompt(ActiveRequest request, StagePath stagePath) {
@@ -174,13 +197,16 @@
 
     private Optional<StagePath> findPath(
             ActiveRequest request, EngineSpec spec, Set<BackendServerId> closed, long now) {
+        List<BackendServer> usable = fleet.usableServers(request.service(), request.avoidedServers(), now);
+        return PathFinder.find(spec, usable, fleet.loads(), demand(request, closed));
+    }
+
+    private PathFinder.Demand demand(ActiveRequest request, Set<BackendServerId> closed) {
         int prompt = request.exchange().request().head().promptTokens();
-        PathFinder.Demand demand = new PathFinder.Demand(
+        return new PathFinder.Demand(
                         settings.dataCentre(), prompt, request.expectedTokens(), allowedFirstEngines(request))
                 .withExcludedFirstEngines(closed)
                 .withReservedRequests(request.exchange().isCommitted() ? 0 : request.reservedRequests());
-        List<BackendServer> usable = fleet.usableServers(request.service(), request.avoidedServers(), now);
-        return PathFinder.find(spec, usable, fleet.loads(), demand);
     }
 
     private Set<BackendServerId> allowedFirstEngines(ActiveRequest request) {
@@ -205,8 +231,15 @@
         }
     }
 
+    /** Records that the first events of a run have arrived, so that the engines of its path hold its prompt. */
+    void recordFirstEvent(ActiveRequest request, long now) {
+        recordPromptRead(request);
+        promptPrefixes.recordRead(request, now);
+    }
+
     /** Removes the load of the request from the engines. */
     void removeLoad(ActiveRequest request) {
+        promptPrefixes.release(request);
         if (request.loadedPath() != null) {
             recordPromptRead(request);
             fleet.loads().remove(request.loadedPath(), request.expectedTokens());
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
@@ -23,6 +23,7 @@
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.EngineLoads;
+import org.cornelramp.core.path.PromptHolders;
 import org.cornelramp.core.settings.HostPort;
 
 /** State of the backend servers as this gateway knows it. Confined to the router's thread. */
@@ -48,6 +49,7 @@
     private final FleetDemand demand = new FleetDemand();
     private final GatewayStatuses gatewayStatuses = new GatewayStatuses();
     private final Set<DemandUse> demandUses = EnumSet.noneOf(DemandUse.class);
+    private Optional<PromptHolders> promptHolders = Optional.empty();
     private Optional<GatewayStatus> ownStatus = Optional.empty();
     private long lagMillis;
     private long lateUntilMillis = Long.MIN_VALUE;
@@ -124,6 +126,16 @@
         return gatewayStatuses;
     }
 
+    /** Which engines hold beginnings of prompts; empty while nothing uses it. */
+    public Optional<PromptHolders> promptHolders() {
+        return promptHolders;
+    }
+
+    /** Tracks which engines hold beginnings of prompts from now on. */
+    public void trackPromptHolders(PromptHolders holders) {
+        promptHolders = Optional.of(holders);
+    }
+
     /** A function that needs demand reports while it is on. */
     public enum DemandUse {
         /** Admission of requests by priority. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
@@ -10,6 +10,7 @@
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.path.EngineLoads;
+import org.cornelramp.core.path.PrefixSketch;
 import org.cornelramp.core.retry.RetryLoanUpdate;
 import org.cornelramp.gateway.peer.DemandSection;
 import org.cornelramp.gateway.peer.PeerRotation;
@@ -106,6 +107,7 @@
         long silence = PeerRotation.silenceMillis(loads.peerCount()) + fleet.lagMillis();
         loads.removeSilentPeers(silence, nowMillis);
         fleet.demand().removeSilentPeers(fleet.lagMillis(), nowMillis);
+        fleet.promptHolders().ifPresent(holders -> holders.removeSilentPeers(fleet.lagMillis(), nowMillis));
         fleet.gatewayStatuses().removeSilentPeers(fleet.lagMillis(), nowMillis);
         sharedRetries.setPeers(loads.peerCount(), nowMillis);
         stayingPeers.values().removeIf(at -> nowMillis - at > silence);
@@ -122,7 +124,11 @@
                         sharedRetries.loanUpdate(nowMillis))
                 .withRateLimits(fleet.rateLimits().update(nowMillis))
                 .withPoison(poisonGuard.update(nowMillis))
-                .withDemandSection(demandReporter.section(nowMillis));
+                .withDemandSection(demandReporter
+                        .section(nowMillis)
+                        .withPrefixes(fleet.promptHolders()
+                                .map(holders -> holders.sketch(nowMillis))
+                                .orElse(PrefixSketch.EMPTY)));
     }
 
     /** Applies a peer's update. */
@@ -163,6 +169,8 @@
                 .ifPresentOrElse(
                         report -> fleet.demand().updatePeer(update.name(), dataCentre, report, silence, nowMillis),
                         () -> fleet.demand().removePeer(update.name()));
+        fleet.promptHolders()
+                .ifPresent(holders -> holders.updatePeer(update.name(), section.prefixes(), silence, nowMillis));
         section.status()
                 .ifPresentOrElse(
                         status -> fleet.gatewayStatuses()
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
@@ -14,6 +14,7 @@
 import java.util.stream.Stream;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
+import org.cornelramp.core.path.PromptPrefix;
 import org.cornelramp.core.poison.BlameThresholds;
 import org.cornelramp.core.poison.CrashEvidence.Crash;
 import org.cornelramp.core.poison.CrashReport;
@@ -166,6 +167,17 @@
         return undecided > 0 && (known + undecided >= blamedCrashes - 1 || isSuspect(request, now));
     }
 
+    /** The parts of a prompt before the first one that was at a crash and is not cleared of it. */
+    List<PromptPrefix.Part> soundBeginning(List<PromptPrefix.Part> parts, long now) {
+        if (detector.isEmpty(instant(now))) {
+            return parts;
+        }
+        Set<String> suspected = detector.unclearedParts(instant(now));
+        return parts.stream()
+                .takeWhile(part -> !suspected.contains(PromptParts.name(part.id())))
+                .toList();
+    }
+
     /** Whether a request is refused because servers have crashed under it, or under requests with parts of its prompt. */
     boolean isPoison(ActiveRequest request, long now) {
         return !detector.isEmpty(instant(now))
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -261,8 +261,8 @@
         }
         request.setAdmissionId(waiting.id());
         target.get().path().ifPresent(path -> observeFirstEvent(pace(request).firstEventMillis(path, now)));
-        recentStarts.record(target.get().server().id(), now);
-        dispatcher.send(request, target.get(), now);
+        Dispatcher.Target sent = dispatcher.send(request, target.get(), now);
+        recentStarts.record(sent.server().id(), now);
         return true;
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -110,6 +110,7 @@
         PlainServerChooser plainServers = new PlainServerChooser(fleet, settings.dataCentre(), random, routingLog);
         this.dispatcher =
                 new Dispatcher(settings, clients, config, fleet, plainServers, poisonGuard, clock, log, attemptEnds);
+        dispatcher.setPromptPrefixes(new PromptPrefixUse(settings, fleet, poisonGuard, routingLog));
         this.retryDispatcher = new RetryDispatcher(sharedRetries, dispatcher, fleet, poisonGuard, routingLog, faults);
         this.overdueAttempts = new OverdueAttempts(sharedRetries, dispatcher);
         this.serverNotices = new ServerNoticeHandler(fleet, log, meters);
@@ -373,7 +374,7 @@
     }
 
     private void handleFirstEvent(ActiveRequest request, Attempt attempt, long now) {
-        dispatcher.recordPromptRead(request);
+        dispatcher.recordFirstEvent(request, now);
         if (overdueAttempts.recordFirstEvent(request, attempt, now)) {
             admission.recordFirstEvent(request, attempt, now);
             if (attempt.resumedAfterId() >= 0) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RoutingLog.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RoutingLog.java
@@ -1,6 +1,7 @@
 package org.cornelramp.gateway.route;
 
 import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.path.PrefixAffinity;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
@@ -48,6 +49,23 @@
                 .write();
     }
 
+    /**
+     * The engines of a request's path hold the beginning of its prompt.
+     *
+     * @param changed whether the path was chosen for it
+     */
+    void promptPrefixHeld(ActiveRequest request, PrefixAffinity.Choice choice, boolean changed, long oldestMillis) {
+        meters.countPromptPrefix(changed ? "chosen" : "kept", choice.savedTokens());
+        log.routine("route", "prompt prefix")
+                .with("id", request.exchange().request().id())
+                .with("changed", changed)
+                .with("savedTokens", choice.savedTokens())
+                .with("savedMicros", Math.round(choice.savedMillis() * 1_000))
+                .with("expectedMicros", Math.round(choice.firstEventMillis() * 1_000))
+                .with("oldestMillis", oldestMillis)
+                .write();
+    }
+
     /** The first events of an attempt that resumes a stream have arrived. */
     void resumed(ActiveRequest request, Attempt attempt) {
         log.line("route", "resumed")
--- a/gateway/src/test/java/org/cornelramp/gateway/peer/DemandSectionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/DemandSectionTest.java
@@ -20,6 +20,7 @@
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.OrganisationId;
 import org.cornelramp.core.model.ServiceName;
+import org.cornelramp.core.path.PrefixSketch;
 import org.cornelramp.core.retry.RetryLoanUpdate;
 import org.testng.annotations.Test;
 
@@ -105,6 +106,31 @@
                 sentAndRead(WITHOUT_DEMAND.withDemandSection(section(usual))).demandSection(), section(usual));
     }
 
+    /** Guards against a sketch that does not arrive, that exceeds its bound, or that pushes a section over its own. */
+    @Test
+    public void sketchIsReadAsWritten() throws IOException {
+        Map<Integer, Integer> engines =
+                IntStream.range(0, 38).boxed().collect(Collectors.toMap(i -> i * 77_777_777, i -> 255));
+        PrefixSketch sketch = new PrefixSketch(Map.of(-1, engines, -2, Map.of(0, 255, 77_777_777, 255)));
+        assertTrue(sketch.encode().length > PrefixSketch.MAX_BYTES - 60);
+        DemandSection alone = DemandSection.NONE.withPrefixes(sketch).withRecipients(40);
+        assertEquals(sentAndRead(WITHOUT_DEMAND.withDemandSection(alone)).demandSection(), alone);
+        byte[] without = PeerUpdateCodec.write(
+                WITHOUT_DEMAND.withDemandSection(new DemandSection(Optional.empty(), 40, Optional.of(STATUS))));
+        byte[] with = PeerUpdateCodec.write(
+                WITHOUT_DEMAND.withDemandSection(new DemandSection(Optional.empty(), 40, Optional.of(STATUS), sketch)));
+        assertTrue(with.length - without.length <= 300, "bytes " + (with.length - without.length));
+        assertEquals(Arrays.copyOf(with, without.length), without, "earlier gateways ignore what follows");
+        DemandReport largest = report(DemandReport.MAX_SERVICES, DemandReport.MAX_ORGANISATIONS, 32, "n".repeat(60), 9);
+        DemandSection full = section(largest).withPrefixes(sketch);
+        assertTrue(DemandSectionCodec.write(full).length < 1_400);
+        assertEquals(
+                sentAndRead(WITHOUT_DEMAND.withDemandSection(full))
+                        .demandSection()
+                        .prefixes(),
+                sketch);
+    }
+
     /** Guards against a gateway that a truncated or altered datagram stops, or that takes over impossible figures. */
     @Test
     public void damagedSectionIsReportedWithoutAnException() {
