Peer reports that expire: one class for demand, gateway status and prompt holders

Cause: FleetDemand, GatewayStatuses and PromptHolders each kept a map of peers' reports with a receipt time and a silence time of its own, and GatewayStatuses had a second type beside PeerStatus. Change: PeerReports<T> keeps them; GatewayStatuses returns PeerStatus. Decisions are unchanged.

--- a/core/src/main/java/org/cornelramp/core/admission/FleetDemand.java
+++ b/core/src/main/java/org/cornelramp/core/admission/FleetDemand.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import org.cornelramp.core.admission.DemandReport.PriorityDemand;
 import org.cornelramp.core.admission.DemandReport.ServiceDemand;
+import org.cornelramp.core.member.PeerReports;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.OrganisationId;
@@ -21,14 +22,15 @@
 public final class FleetDemand {
     private static final TreeMap<Integer, Totals> NO_PRIORITIES = new TreeMap<>();
 
-    private final Map<String, Received> peers = new HashMap<>();
+    private final PeerReports<Located> peers = new PeerReports<>();
     private final Map<ServiceName, TreeMap<Integer, Totals>> byPriority = new HashMap<>();
     private final Map<ServiceName, Map<OrganisationId, Long>> byOrganisation = new HashMap<>();
     private final Map<ServiceName, Map<DataCentre, Long>> arrivalsByDataCentre = new HashMap<>();
     private final Map<BackendServerId, Long> plainInFlight = new HashMap<>();
-    private Received own;
+    private Located own;
+    private long ownMillis;
 
-    private record Received(DemandReport report, DataCentre dataCentre, long receivedMillis, long silenceMillis) {}
+    private record Located(DemandReport report, DataCentre dataCentre) {}
 
     private record Totals(long arrivalSteps, long waiting, long tokenLayers, long refusalSteps) {
         static final Totals NONE = new Totals(0, 0, 0, 0);
@@ -55,7 +57,8 @@
     /** Records the report of this gateway, which replaces its previous one. */
     public void updateOwn(DemandReport report, DataCentre dataCentre, long nowMillis) {
         removeOwn();
-        own = new Received(report, dataCentre, nowMillis, Long.MAX_VALUE);
+        own = new Located(report, dataCentre);
+        ownMillis = nowMillis;
         add(own, 1);
     }
 
@@ -74,18 +77,14 @@
      */
     public void updatePeer(
             String name, DataCentre dataCentre, DemandReport report, long silenceMillis, long nowMillis) {
-        removePeer(name);
-        Received received = new Received(report, dataCentre, nowMillis, silenceMillis);
-        peers.put(name, received);
+        Located received = new Located(report, dataCentre);
+        peers.put(name, received, silenceMillis, nowMillis).ifPresent(previous -> add(previous, -1));
         add(received, 1);
     }
 
     /** Removes the report of a peer, which has ceased to send one. */
     public void removePeer(String name) {
-        Received previous = peers.remove(name);
-        if (previous != null) {
-            add(previous, -1);
-        }
+        peers.remove(name).ifPresent(previous -> add(previous, -1));
     }
 
     /**
@@ -94,13 +93,7 @@
      * @param lagMillis how late this process is; updates may have been waiting unread for that time
      */
     public void removeSilentPeers(long lagMillis, long nowMillis) {
-        peers.values().removeIf(received -> {
-            boolean silent = nowMillis - received.receivedMillis() > received.silenceMillis() + lagMillis;
-            if (silent) {
-                add(received, -1);
-            }
-            return silent;
-        });
+        peers.removeSilent(lagMillis, nowMillis).forEach(silent -> add(silent, -1));
     }
 
     /** Requests of a service received per second by all gateways at priorities more urgent than the given one. */
@@ -171,11 +164,7 @@
 
     /** Age of the oldest report that counts, in milliseconds; 0 if there is none. */
     public long oldestAgeMillis(long nowMillis) {
-        long oldest = own == null ? nowMillis : own.receivedMillis();
-        for (Received received : peers.values()) {
-            oldest = Math.min(oldest, received.receivedMillis());
-        }
-        return nowMillis - oldest;
+        return Math.max(own == null ? 0 : nowMillis - ownMillis, peers.oldestAgeMillis(nowMillis));
     }
 
     private NavigableMap<Integer, Totals> priorities(ServiceName service) {
@@ -186,7 +175,7 @@
         return priorities(service).getOrDefault(priority, Totals.NONE);
     }
 
-    private void add(Received received, int sign) {
+    private void add(Located received, int sign) {
         DemandReport report = received.report();
         for (ServiceDemand demand : report.services()) {
             addPriorities(demand, received.dataCentre(), sign);
--- a/core/src/main/java/org/cornelramp/core/member/GatewayStatuses.java
+++ b/core/src/main/java/org/cornelramp/core/member/GatewayStatuses.java
@@ -1,8 +1,6 @@
 package org.cornelramp.core.member;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.cornelramp.core.model.DataCentre;
 
@@ -12,33 +10,22 @@
  * <p>Invariant: at most one status is kept for each peer, and only until it falls silent.
  */
 public final class GatewayStatuses {
-    private final Map<String, PeerStatus> peers = new HashMap<>();
+    private final PeerReports<Located> peers = new PeerReports<>();
+
+    private record Located(DataCentre dataCentre, GatewayStatus status) {}
 
     /**
-     * The status of a peer. Immutable, safe for use by any thread.
+     * Records the status of a peer, which replaces its previous one.
      *
-     * @param name name of the peer
-     * @param dataCentre where the peer runs
-     * @param status what it has reported
-     * @param receivedMillis when its report was received, on the steady clock
-     * @param silenceMillis time for which the status counts unless the peer sends another
+     * @param silenceMillis time for which the status counts unless the peer sends another, in milliseconds
      */
-    public record PeerStatus(
-            String name, DataCentre dataCentre, GatewayStatus status, long receivedMillis, long silenceMillis) {
-        /** Time since the report was received, in milliseconds. */
-        public long ageMillis(long nowMillis) {
-            return nowMillis - receivedMillis;
-        }
-    }
-
-    /** Records the status of a peer, which replaces its previous one. */
-    public void update(PeerStatus status) {
-        peers.put(status.name(), status);
+    public void update(String name, DataCentre dataCentre, GatewayStatus status, long silenceMillis, long nowMillis) {
+        var unused = peers.put(name, new Located(dataCentre, status), silenceMillis, nowMillis);
     }
 
     /** Removes the status of a peer, which has ceased to report one. */
     public void remove(String name) {
-        peers.remove(name);
+        var unused = peers.remove(name);
     }
 
     /**
@@ -47,23 +34,30 @@
      * @param lagMillis how late this process is; updates may have been waiting unread for that time
      */
     public void removeSilentPeers(long lagMillis, long nowMillis) {
-        peers.values().removeIf(peer -> peer.ageMillis(nowMillis) > peer.silenceMillis() + lagMillis);
+        var unused = peers.removeSilent(lagMillis, nowMillis);
     }
 
     /** The status of a peer. */
-    public Optional<PeerStatus> status(String name) {
-        return Optional.ofNullable(peers.get(name));
+    public Optional<GatewayStatus> status(String name) {
+        return Optional.ofNullable(peers.all().get(name))
+                .map(received -> received.report().status());
     }
 
     /** The statuses of the peers in a data centre, in no particular order. */
-    public List<PeerStatus> inDataCentre(DataCentre dataCentre) {
-        return peers.values().stream()
-                .filter(peer -> peer.dataCentre().equals(dataCentre))
+    public List<PeerStatus> inDataCentre(DataCentre dataCentre, long nowMillis) {
+        return peers.all().entrySet().stream()
+                .filter(peer -> peer.getValue().report().dataCentre().equals(dataCentre))
+                .map(peer -> new PeerStatus(
+                        peer.getKey(),
+                        peer.getValue().report().status(),
+                        peer.getValue().ageMillis(nowMillis)))
                 .toList();
     }
 
     /** The statuses of all peers, in no particular order. */
-    public List<PeerStatus> all() {
-        return List.copyOf(peers.values());
+    public List<GatewayStatus> all() {
+        return peers.all().values().stream()
+                .map(received -> received.report().status())
+                .toList();
     }
 }
--- a/core/src/main/java/org/cornelramp/core/path/PromptHolders.java
+++ b/core/src/main/java/org/cornelramp/core/path/PromptHolders.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.cornelramp.core.member.PeerReports;
 import org.cornelramp.core.model.BackendServerId;
 
 /**
@@ -37,7 +38,7 @@
     private final Map<Integer, Map<Integer, TreeMap<Integer, Integer>>> holders = new HashMap<>();
 
     private final Set<Hold> ownHolds = new LinkedHashSet<>();
-    private final Map<String, Peer> peers = new HashMap<>();
+    private final PeerReports<PrefixSketch> peers = new PeerReports<>();
     private PrefixSketch sketch = PrefixSketch.EMPTY;
     private boolean changed;
     private long sketchMillis;
@@ -60,8 +61,6 @@
         }
     }
 
-    private record Peer(PrefixSketch counted, long receivedMillis, long silenceMillis) {}
-
     /** @param maxPrefixes maximum number of beginnings that are tracked */
     public PromptHolders(int maxPrefixes) {
         this.maxPrefixes = maxPrefixes;
@@ -116,15 +115,12 @@
                 engines.forEach((engine, from) -> add(prefix, engine, from, 1));
             }
         });
-        peers.put(name, new Peer(new PrefixSketch(counted), nowMillis, silenceMillis));
+        var unused = peers.put(name, new PrefixSketch(counted), silenceMillis, nowMillis);
     }
 
     /** Removes what a peer has reported. */
     public void removePeer(String name) {
-        Peer peer = peers.remove(name);
-        if (peer != null) {
-            subtract(peer);
-        }
+        peers.remove(name).ifPresent(this::subtract);
     }
 
     /**
@@ -133,18 +129,11 @@
      * @param lagMillis how late this process is; updates may have been waiting unread for that time
      */
     public void removeSilentPeers(long lagMillis, long nowMillis) {
-        peers.values().removeIf(peer -> {
-            boolean silent = nowMillis - peer.receivedMillis() > peer.silenceMillis() + lagMillis;
-            if (silent) {
-                subtract(peer);
-            }
-            return silent;
-        });
+        peers.removeSilent(lagMillis, nowMillis).forEach(this::subtract);
     }
 
-    private void subtract(Peer peer) {
-        peer.counted()
-                .holders()
+    private void subtract(PrefixSketch counted) {
+        counted.holders()
                 .forEach((prefix, engines) -> engines.forEach((engine, from) -> add(prefix, engine, from, -1)));
     }
 
@@ -171,10 +160,7 @@
 
     /** Time since the oldest report of a peer that counts was received, in milliseconds; 0 if there is none. */
     public long oldestAgeMillis(long nowMillis) {
-        return peers.values().stream()
-                .mapToLong(peer -> nowMillis - peer.receivedMillis())
-                .max()
-                .orElse(0);
+        return peers.oldestAgeMillis(nowMillis);
     }
 
     /** Number of leading parts that an engine holds for its last layers, from any layer on. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/CapacityExchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/CapacityExchange.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.cornelramp.core.member.GatewayStatus;
-import org.cornelramp.core.member.GatewayStatuses;
 import org.cornelramp.core.member.PeerStatus;
 import org.cornelramp.core.model.DataCentre;
 
@@ -46,21 +45,14 @@
         boolean used = status.isPresent() && (isSmall(status.get()) || hasSmallPeer(fleet));
         fleet.setDemandUse(FleetState.DemandUse.GATEWAY_LOAD, used);
         status.ifPresent(fleet::setOwnStatus);
-        peers = used ? ofDataCentre(fleet, nowMillis) : List.of();
+        peers = used ? fleet.gatewayStatuses().inDataCentre(dataCentre, nowMillis) : List.of();
     }
 
     private boolean hasSmallPeer(FleetState fleet) {
-        return fleet.gatewayStatuses().all().stream().anyMatch(peer -> isSmall(peer.status()));
+        return fleet.gatewayStatuses().all().stream().anyMatch(this::isSmall);
     }
 
     private boolean isSmall(GatewayStatus status) {
         return status.capacityCores() < smallCores;
     }
-
-    private List<PeerStatus> ofDataCentre(FleetState fleet, long nowMillis) {
-        List<GatewayStatuses.PeerStatus> known = fleet.gatewayStatuses().inDataCentre(dataCentre);
-        return known.stream()
-                .map(peer -> new PeerStatus(peer.name(), peer.status(), peer.ageMillis(nowMillis)))
-                .toList();
-    }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
 import org.cornelramp.core.fleet.BackendServer;
-import org.cornelramp.core.member.GatewayStatuses.PeerStatus;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.path.EngineLoads;
@@ -173,8 +172,7 @@
                 .ifPresent(holders -> holders.updatePeer(update.name(), section.prefixes(), silence, nowMillis));
         section.status()
                 .ifPresentOrElse(
-                        status -> fleet.gatewayStatuses()
-                                .update(new PeerStatus(update.name(), dataCentre, status, nowMillis, silence)),
+                        status -> fleet.gatewayStatuses().update(update.name(), dataCentre, status, silence, nowMillis),
                         () -> fleet.gatewayStatuses().remove(update.name()));
     }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/CapacityExchangeTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/CapacityExchangeTest.java
@@ -5,7 +5,6 @@
 import static org.testng.Assert.assertTrue;
 
 import org.cornelramp.core.member.GatewayStatus;
-import org.cornelramp.core.member.GatewayStatuses;
 import org.cornelramp.core.model.DataCentre;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -30,8 +29,7 @@
     }
 
     private void receive(String name, double cores) {
-        fleet.gatewayStatuses()
-                .update(new GatewayStatuses.PeerStatus(name, HERE, new GatewayStatus(cores, 0.1, true), 1_000, 1_000));
+        fleet.gatewayStatuses().update(name, HERE, new GatewayStatus(cores, 0.1, true), 1_000, 1_000);
     }
 
     /** Guards against a change for fleets without small gateways: their updates stay as they are. */
--- a/gateway/src/test/java/org/cornelramp/gateway/route/DemandReporterTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/DemandReporterTest.java
@@ -133,7 +133,12 @@
         assertEquals(demand.peersPlainInFlight(plain.id()), 4);
         assertEquals(demand.oldestAgeMillis(router.now()), 200);
         assertEquals(
-                router.fleet().gatewayStatuses().inDataCentre(ELSEWHERE).get(0).status(), STATUS);
+                router.fleet()
+                        .gatewayStatuses()
+                        .inDataCentre(ELSEWHERE, router.now())
+                        .get(0)
+                        .status(),
+                STATUS);
         receive(DemandSection.NONE);
         assertEquals(demand.waiting(ENGINES, 0), 0);
         assertEquals(router.fleet().gatewayStatuses().status("g2"), Optional.empty());
