PeerUpdate: one private copy instead of repeated 14-argument constructor calls

Change: with(Consumer<Copy>) copies the record once. No change of behaviour or of the encoded bytes.

--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdate.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdate.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.cornelramp.core.limit.RateLimitUpdate;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
@@ -97,136 +98,85 @@
                 DemandSection.NONE);
     }
 
+    /** The fields in which copies of an update differ from it. Used by one thread. */
+    private static final class Copy {
+        private final PeerUpdate original;
+        private Optional<Map<BackendServerId, EngineLoads.Load>> loads;
+        private List<HostPort> recentPeers;
+        private Optional<ReadCoordinator.ReadPosition> reading;
+        private long configVersion;
+        private Map<BackendServerId, RateLimitUpdate> rateLimits;
+        private PoisonUpdate poison;
+        private DemandSection demandSection;
+
+        Copy(PeerUpdate original) {
+            this.original = original;
+            this.loads = original.loads;
+            this.recentPeers = original.recentPeers;
+            this.reading = original.reading;
+            this.configVersion = original.configVersion;
+            this.rateLimits = original.rateLimits;
+            this.poison = original.poison;
+            this.demandSection = original.demandSection;
+        }
+
+        PeerUpdate build() {
+            return new PeerUpdate(
+                    original.sender,
+                    original.sequenceNumber,
+                    original.leaving,
+                    loads,
+                    original.crossings,
+                    original.slowdowns,
+                    original.suspects,
+                    original.retryLoans,
+                    recentPeers,
+                    reading,
+                    configVersion,
+                    rateLimits,
+                    poison,
+                    demandSection);
+        }
+    }
+
+    private PeerUpdate with(Consumer<Copy> change) {
+        Copy copy = new Copy(this);
+        change.accept(copy);
+        return copy.build();
+    }
+
     /** The same update with addresses of peers. */
     PeerUpdate withRecentPeers(List<HostPort> addresses) {
-        return new PeerUpdate(
-                sender,
-                sequenceNumber,
-                leaving,
-                loads,
-                crossings,
-                slowdowns,
-                suspects,
-                retryLoans,
-                addresses,
-                reading,
-                configVersion,
-                rateLimits,
-                poison,
-                demandSection);
+        return with(copy -> copy.recentPeers = addresses);
     }
 
     /** The same update with how far this gateway has read the store for all. */
     PeerUpdate withReading(Optional<ReadCoordinator.ReadPosition> progress) {
-        return new PeerUpdate(
-                sender,
-                sequenceNumber,
-                leaving,
-                loads,
-                crossings,
-                slowdowns,
-                suspects,
-                retryLoans,
-                recentPeers,
-                progress,
-                configVersion,
-                rateLimits,
-                poison,
-                demandSection);
+        return with(copy -> copy.reading = progress);
     }
 
     /** The same update with the configuration version that this gateway has in force. */
     PeerUpdate withConfigVersion(long version) {
-        return new PeerUpdate(
-                sender,
-                sequenceNumber,
-                leaving,
-                loads,
-                crossings,
-                slowdowns,
-                suspects,
-                retryLoans,
-                recentPeers,
-                reading,
-                version,
-                rateLimits,
-                poison,
-                demandSection);
+        return with(copy -> copy.configVersion = version);
     }
 
     /** The same update with what this gateway knows of servers' limits. */
     public PeerUpdate withRateLimits(Map<BackendServerId, RateLimitUpdate> limits) {
-        return new PeerUpdate(
-                sender,
-                sequenceNumber,
-                leaving,
-                loads,
-                crossings,
-                slowdowns,
-                suspects,
-                retryLoans,
-                recentPeers,
-                reading,
-                configVersion,
-                limits,
-                poison,
-                demandSection);
+        return with(copy -> copy.rateLimits = limits);
     }
 
     /** The same update with what this gateway knows of crashes. */
     public PeerUpdate withPoison(PoisonUpdate news) {
-        return new PeerUpdate(
-                sender,
-                sequenceNumber,
-                leaving,
-                loads,
-                crossings,
-                slowdowns,
-                suspects,
-                retryLoans,
-                recentPeers,
-                reading,
-                configVersion,
-                rateLimits,
-                news,
-                demandSection);
+        return with(copy -> copy.poison = news);
     }
 
     /** The same update with the demand at this gateway and its status. */
     public PeerUpdate withDemandSection(DemandSection section) {
-        return new PeerUpdate(
-                sender,
-                sequenceNumber,
-                leaving,
-                loads,
-                crossings,
-                slowdowns,
-                suspects,
-                retryLoans,
-                recentPeers,
-                reading,
-                configVersion,
-                rateLimits,
-                poison,
-                section);
+        return with(copy -> copy.demandSection = section);
     }
 
     /** The same update without the loads, which make up most of its bytes. */
     PeerUpdate withoutLoads() {
-        return new PeerUpdate(
-                sender,
-                sequenceNumber,
-                leaving,
-                Optional.empty(),
-                crossings,
-                slowdowns,
-                suspects,
-                retryLoans,
-                recentPeers,
-                reading,
-                configVersion,
-                rateLimits,
-                poison,
-                demandSection);
+        return with(copy -> copy.loads = Optional.empty());
     }
 }
