Planner: one search for the most valuable move of an engine

Cause: moveRedundantEngine and relieveSlowEngine walked the engines with the same loop, and PlacementDemand kept a map derived from DemandFactors beside it. Change: both use mostValuableMove; DemandFactors.factors() replaces the map. Plans are unchanged (PlannerTest).

--- a/core/src/main/java/org/cornelramp/core/placement/DemandFactors.java
+++ b/core/src/main/java/org/cornelramp/core/placement/DemandFactors.java
@@ -56,6 +56,11 @@
         if (mean > 0 && nowMillis - startedMillis >= WARM_UP_MILLIS) {
             smoothed.forEach((at, rate) -> adjust(at, Math.min(MAX_FACTOR, Math.max(1 / MAX_FACTOR, rate / mean))));
         }
+        return factors();
+    }
+
+    /** The factors as of the last rates; without data centres whose factor is still 1. */
+    public Map<DataCentre, Double> factors() {
         return Map.copyOf(factors);
     }
 
--- a/core/src/main/java/org/cornelramp/core/placement/Planner.java
+++ b/core/src/main/java/org/cornelramp/core/placement/Planner.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
@@ -181,24 +182,40 @@
                 return Optional.empty();
             }
             int[] sound = soundCounts.get(at);
-            int[] ready = readySoundCounts(at);
+            MoveValue relieved = (range, capacity) -> countLayersWithFewHolders(sound, range);
+            return mostValuableMove(at, this::isSound, readySoundCounts(at), relieved)
+                    .map(move -> new Placement(move.server(), move.layers(), true));
+        }
+
+        /** Value of a new range of an engine that holds nothing else then; 0 if the engine is not to be moved to it. */
+        private interface MoveValue {
+            double of(LayerRange range, int capacity);
+        }
+
+        /**
+         * The most valuable move of an engine whose layers all have another holder. Of equal ones the last, which is the
+         * slowest card, so that fast engines stay on the paths.
+         *
+         * @param holders number of holders of each layer, of which one may be moved away from it
+         */
+        private Optional<Placement> mostValuableMove(
+                DataCentre at, Predicate<BackendServer> mayMove, int[] holders, MoveValue value) {
             Placement best = null;
-            int mostRelieved = 0;
+            double bestValue = 0;
             for (BackendServer engine : byDataCentre.get(at)) {
                 LayerRange old = engine.layers().orElse(null);
                 int capacity = layerCapacity(engine, requestsPerEngine.get(at));
-                boolean movable = old != null && capacity > 0 && !busy.contains(engine.id()) && isSound(engine);
-                if (!movable || !isRedundant(ready, old)) {
+                boolean movable = old != null && capacity > 0 && !busy.contains(engine.id()) && mayMove.test(engine);
+                if (!movable || !isRedundant(holders, old)) {
                     continue;
                 }
                 addHolder(engine, old, -1);
                 LayerRange range = mostValuableRange(at, capacity);
-                int relieved = countLayersWithFewHolders(sound, range);
+                double moveValue = value.of(range, capacity);
                 addHolder(engine, old, 1);
-                // Of equal engines the last one is the slowest card, so that fast ones stay on the paths.
-                if (relieved > 0 && relieved >= mostRelieved) {
-                    mostRelieved = relieved;
-                    best = new Placement(engine, range, true);
+                if (moveValue > 0 && moveValue >= bestValue) {
+                    bestValue = moveValue;
+                    best = new Placement(engine, range);
                 }
             }
             return Optional.ofNullable(best);
@@ -235,28 +252,12 @@
          * so that fast engines stay on the paths.
          */
         private Optional<Placement> moveRedundantEngine(DataCentre at) {
-            int[] here = holderCounts.get(at);
             if (!hasGap(at)) {
                 return Optional.empty();
             }
-            Placement best = null;
-            double bestShare = 0;
-            for (BackendServer engine : byDataCentre.get(at)) {
-                LayerRange old = engine.layers().orElse(null);
-                int capacity = layerCapacity(engine, requestsPerEngine.get(at));
-                if (old == null || capacity == 0 || busy.contains(engine.id()) || !isRedundant(here, old)) {
-                    continue;
-                }
-                addHolder(engine, old, -1);
-                LayerRange range = mostValuableRange(at, capacity);
-                double share = countLayersWithFewHolders(here, range) / (double) capacity;
-                addHolder(engine, old, 1);
-                if (share > 0 && share >= bestShare) {
-                    bestShare = share;
-                    best = new Placement(engine, range);
-                }
-            }
-            return Optional.ofNullable(best);
+            int[] here = holderCounts.get(at);
+            MoveValue share = (range, capacity) -> countLayersWithFewHolders(here, range) / (double) capacity;
+            return mostValuableMove(at, engine -> true, here, share);
         }
 
         /**
--- a/gateway/src/main/java/org/cornelramp/gateway/place/PlacementDemand.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/PlacementDemand.java
@@ -22,7 +22,6 @@
  */
 final class PlacementDemand {
     private final Map<ServiceName, DemandFactors> factorsByService = new HashMap<>();
-    private final Map<ServiceName, Map<DataCentre, Double>> factors = new HashMap<>();
     private final SlowEngines slowEngines = new SlowEngines();
     private final LoadBudget budget = new LoadBudget();
     private final EventLog log;
@@ -43,12 +42,11 @@
                     .write();
         }
         factorsByService.keySet().retainAll(view.arrivals().keySet());
-        factors.keySet().retainAll(view.arrivals().keySet());
         view.arrivals().forEach((service, arrivals) -> {
             DemandFactors smoothed = factorsByService.computeIfAbsent(service, any -> new DemandFactors());
+            Map<DataCentre, Double> before = smoothed.factors();
             Map<DataCentre, Double> now = smoothed.update(arrivals, nowMillis);
-            Map<DataCentre, Double> before = factors.put(service, now);
-            if (!now.equals(before == null ? Map.of() : before)) {
+            if (!now.equals(before)) {
                 log.line("placement", "demand")
                         .with("service", service)
                         .with("factors", now)
@@ -64,10 +62,10 @@
     }
 
     PlacementPreferences preferences(ServiceName service, long nowMillis) {
-        if (!factors.containsKey(service)) {
-            return PlacementPreferences.NONE;
-        }
-        return new PlacementPreferences(factors.get(service), slow, budget.available(nowMillis));
+        DemandFactors smoothed = factorsByService.get(service);
+        return smoothed == null
+                ? PlacementPreferences.NONE
+                : new PlacementPreferences(smoothed.factors(), slow, budget.available(nowMillis));
     }
 
     /** Records an additional load, also one without an answer, which may have been accepted. */
