Request admission: copies of a path are counted only where more urgent requests arrive

Cause: each search counted the copies of all layers for every waiting request, also when the reserve is zero; the state of a stop was kept in the router; Dispatcher got its PromptPrefixUse through a setter. Change: copies are counted once and only if needed; RequestAdmission keeps the stop; the constructor takes all dependencies. Verdicts are unchanged (RequestAdmissionTest, PriorityAdmissionTest).

--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -38,11 +38,11 @@
     private final ConfigHolder config;
     private final FleetState fleet;
     private final PlainServerChooser plainServers;
+    private final PromptPrefixUse promptPrefixes;
     private final PoisonGuard poisonGuard;
     private final SteadyClock clock;
     private final EventLog log;
     private final BiConsumer<Attempt, AttemptEnd> onEnd;
-    private PromptPrefixUse promptPrefixes;
 
     /**
      * @param clients the HTTP client that sends the requests of a route
@@ -54,6 +54,7 @@
             ConfigHolder config,
             FleetState fleet,
             PlainServerChooser plainServers,
+            PromptPrefixUse promptPrefixes,
             PoisonGuard poisonGuard,
             SteadyClock clock,
             EventLog log,
@@ -63,17 +64,13 @@
         this.config = config;
         this.fleet = fleet;
         this.plainServers = plainServers;
+        this.promptPrefixes = promptPrefixes;
         this.poisonGuard = poisonGuard;
         this.clock = clock;
         this.log = log;
         this.onEnd = onEnd;
     }
 
-    /** Sets what prefers engines that hold the beginning of a prompt; called once, before the first request. */
-    void setPromptPrefixes(PromptPrefixUse use) {
-        promptPrefixes = use;
-    }
-
     /**
      * The server to which a request can be sent now. Immutable.
      *
@@ -189,7 +186,8 @@
                 .isPresent();
     }
 
-    private Optional<EngineSpec> engineSpec(ActiveRequest request) {
+    /** Size and speed of the engines of a request's service; empty for a plain service. */
+    Optional<EngineSpec> engineSpec(ActiveRequest request) {
         return config.current()
                 .flatMap(version -> version.service(request.service()))
                 .flatMap(ServiceSpec::engine);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -34,7 +34,7 @@
 /**
  * Admits streams to engines in the order of their urgency while there is not enough capacity for all. Takes part only
  * where the configuration gives a service's routes for streams more than one priority; other requests are
- * handled as if this class did not exist. Confined to the router's thread.
+ * handled as if this class did not exist. Confined to the router's thread, except for {@link #beginStop}.
  *
  * <p>Invariants: a request that waits here was never sent to a server, so it may be refused with a status that promises
  * that it has not run. No request is sent before a waiting one that is more urgent and fits, except for the first of a
@@ -97,6 +97,7 @@
     private double firstEventMillis = USUAL_FIRST_EVENT_MILLIS;
     private long lastId;
     private long checkedVersion = -1;
+    private volatile boolean stopping;
 
     /**
      * A request that is refused, with the time after which its client may return.
@@ -143,11 +144,6 @@
         }
     }
 
-    /** Number of waiting requests. */
-    int size() {
-        return queue.size();
-    }
-
     /**
      * Sends a request, or lets it wait until there is capacity for it.
      *
@@ -188,6 +184,9 @@
      * @return the requests that are refused, as they can no longer be served in time
      */
     List<Rejected> check(long now) {
+        if (stopping) {
+            return drain(now);
+        }
         List<Rejected> rejected = new ArrayList<>(applyConfiguration(now));
         if (queue.size() == 0) {
             return rejected;
@@ -209,8 +208,13 @@
         return rejected;
     }
 
-    /** Removes and returns all waiting requests of a gateway that stops: another one may be able to serve them. */
-    List<Rejected> drain(long now) {
+    /** Refuses all waiting requests from now on, as this process stops; may be called by any thread. */
+    void beginStop() {
+        stopping = true;
+    }
+
+    /** Removes and returns all waiting requests: another gateway may be able to serve them. */
+    private List<Rejected> drain(long now) {
         List<Rejected> rejected = new ArrayList<>();
         for (WaitingRequest<ActiveRequest> waiting : queue.inOrder(now)) {
             queue.remove(waiting.id());
@@ -222,7 +226,7 @@
 
     /** Records the time to the first event of a stream, by which later predictions are calibrated. */
     void recordFirstEvent(ActiveRequest request, Attempt attempt, long now) {
-        if (!applies(request) && request.admissionId() == 0) {
+        if (request.admissionId() == 0) {
             return;
         }
         attempt.path().ifPresent(path -> pace(request)
@@ -247,10 +251,11 @@
         ActiveRequest request = waiting.work();
         double arrivals = fleet.demand().arrivalsPerSecond(request.service(), waiting.priority());
         Standing standing = queue.standing(waiting, now);
-        double reserved = arrivals * Prospect.Reserve.USUAL_HORIZON_MILLIS / 1_000 / copies(request, now);
+        double copies = arrivals > 0 ? copies(request, now) : 1;
+        double reserved = arrivals * Prospect.Reserve.USUAL_HORIZON_MILLIS / 1_000 / copies;
         request.setReservedRequests(standing == Standing.STARVED ? 0 : reserved);
         Optional<Dispatcher.Target> target = dispatcher.chooseTarget(request, now);
-        if (target.isEmpty() || !keepsPace(waiting, target.get(), arrivals, standing, now)) {
+        if (target.isEmpty() || !keepsPace(waiting, target.get(), arrivals, copies, standing, now)) {
             return false;
         }
         if (request.admissionId() == 0) {
@@ -276,6 +281,7 @@
             WaitingRequest<ActiveRequest> waiting,
             Dispatcher.Target target,
             double arrivals,
+            double copies,
             Standing standing,
             long now) {
         ActiveRequest request = waiting.work();
@@ -285,11 +291,12 @@
         StagePath path = target.path().get();
         Route route = request.route();
         PaceEstimator pace = pace(request);
-        double perRequest = engine(request)
+        double perRequest = dispatcher
+                .engineSpec(request)
                 .map(spec -> pace.pausePerRequestMillis(path, spec, now))
                 .orElse(0.0);
-        Prospect.Reserve reserve = new Prospect.Reserve(
-                arrivals, 0, Prospect.Reserve.USUAL_HORIZON_MILLIS, copies(request, now), perRequest);
+        Prospect.Reserve reserve =
+                new Prospect.Reserve(arrivals, 0, Prospect.Reserve.USUAL_HORIZON_MILLIS, copies, perRequest);
         Prospect prospect = new Prospect(
                 waiting.priority(),
                 pace.pauseMillis(path, now) + unseenRequests(path, now) * perRequest,
@@ -322,7 +329,7 @@
 
     /** Copies of the model that the usable engines hold together; at least one. */
     private double copies(ActiveRequest request, long now) {
-        int layers = engine(request).map(EngineSpec::layers).orElse(1);
+        int layers = dispatcher.engineSpec(request).map(EngineSpec::layers).orElse(1);
         int held = fleet.usableServers(request.service(), now).stream()
                 .flatMap(server -> server.layers().stream())
                 .mapToInt(range -> range.to() - range.from())
@@ -330,12 +337,6 @@
         return Math.max(1, held / (double) layers);
     }
 
-    private Optional<EngineSpec> engine(ActiveRequest request) {
-        return config.current()
-                .flatMap(version -> version.service(request.service()))
-                .flatMap(ServiceSpec::engine);
-    }
-
     private WaitingRequest<ActiveRequest> describe(ActiveRequest request, long now) {
         Exchange.ClientRequest call = request.exchange().request();
         Route route = request.route();
@@ -343,7 +344,7 @@
                 MIN_PATIENCE_MILLIS,
                 Math.max(PATIENCE_TARGETS * route.targetMillis(), PATIENCE_PAUSES * route.gapMillis()));
         long leavesMillis = Math.min(call.receivedMillis() + patience, call.deadlineMillis());
-        EngineSpec spec = engine(request).orElseThrow();
+        EngineSpec spec = dispatcher.engineSpec(request).orElseThrow();
         request.setDefaultTokens(spec.meanRequestTokens());
         return new WaitingRequest<>(
                 ++lastId,
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -62,7 +62,6 @@
     private final RequestEnder ender;
     private final FailedAttempts failedAttempts;
     private final RequestAdmission admission;
-    private volatile boolean refusingStreams;
     private volatile FleetView view = FleetView.EMPTY;
     private long lastTickMillis;
 
@@ -107,10 +106,10 @@
                 demandReporter,
                 failureDetector::handlePeerSuspicion);
         failureDetector.setOnLost(peerUpdateHandler::recordFailure);
-        PlainServerChooser plainServers = new PlainServerChooser(fleet, settings.dataCentre(), random, routingLog);
+        PlainServerChooser plain = new PlainServerChooser(fleet, settings.dataCentre(), random, routingLog);
+        PromptPrefixUse prefixes = new PromptPrefixUse(settings, fleet, poisonGuard, routingLog);
         this.dispatcher =
-                new Dispatcher(settings, clients, config, fleet, plainServers, poisonGuard, clock, log, attemptEnds);
-        dispatcher.setPromptPrefixes(new PromptPrefixUse(settings, fleet, poisonGuard, routingLog));
+                new Dispatcher(settings, clients, config, fleet, plain, prefixes, poisonGuard, clock, log, attemptEnds);
         this.retryDispatcher = new RetryDispatcher(sharedRetries, dispatcher, fleet, poisonGuard, routingLog, faults);
         this.overdueAttempts = new OverdueAttempts(sharedRetries, dispatcher);
         this.serverNotices = new ServerNoticeHandler(fleet, log, meters);
@@ -258,7 +257,7 @@
 
     /** Refuses the streams that wait for capacity, as this process stops; may be called by any thread. */
     void refuseWaitingStreams() {
-        refusingStreams = true;
+        admission.beginStop();
     }
 
     /**
@@ -391,8 +390,7 @@
             checkSafely(request, now);
         }
         faults.run("retries", now, () -> retryWaiting(now));
-        faults.run(
-                "admission", now, () -> rejectAll(refusingStreams ? admission.drain(now) : admission.check(now), now));
+        faults.run("admission", now, () -> rejectAll(admission.check(now), now));
         faults.run("probes", now, () -> fleetUpdater.probeSuspects(now));
         faults.run("streams", now, () -> streamMonitor.check(activeRequests.values(), config.current(), now));
         faults.run("registrations", now, () -> fleetUpdater.expireRegistrations(now));
