--- a/core/src/main/java/org/cornelramp/core/admission/AdmissionOrder.java
+++ b/core/src/main/java/org/cornelramp/core/admission/AdmissionOrder.java
@@ -17,9 +17,9 @@
 import org.cornelramp.core.model.OrganisationId;
 
 /**
- * The order in which waiting requests are tried: one request of each starved or inverted priority and starved organisation, then those that
- * can be on time, then late ones; each by priority, then the organisation that used least capacity, then latest start.
- * Owned by one thread.
+ * The order in which waiting requests are tried: one request of each starved or inverted priority and starved
+ * organisation, then those that can be on time, then late ones; each by priority, then the organisation that used least
+ * capacity, then latest start. Owned by one thread.
  */
 final class AdmissionOrder<T> {
     private final ShareTracker shares;
--- a/core/src/main/java/org/cornelramp/core/admission/Prospect.java
+++ b/core/src/main/java/org/cornelramp/core/admission/Prospect.java
@@ -42,8 +42,7 @@
             double paths,
             double pausePerRequestMillis) {
         /**
-         * Horizon for loads that are 120 to 360 ms old. Shorter ones left the most urgent priority too little: with 4
-         * gateways at one and a half times the capacity, 0.91 of it were on time at 400 ms and 0.99 at 800 ms.
+         * Horizon for loads that are 120 to 360 ms old: within it, peers' starts become known and running requests end.
          */
         public static final double USUAL_HORIZON_MILLIS = 800;
 
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
@@ -29,7 +29,7 @@
     private static final int STARVED = 6;
 
     /** More than the memory of the engine can hold. */
-    private static final String TOO_MANY_TOKENS = "10,900000";
+    private static final int TOO_MANY_TOKENS = 900_000;
 
     static final String URGENT_ROUTE =
             """
@@ -58,12 +58,12 @@
     }
 
     private FakeClient request(String path, String id) {
-        return request(path, id, "10,10");
+        return request(path, id, 10, 10);
     }
 
-    private FakeClient request(String path, String id, String tokens) {
-        HttpFields fields = HttpFields.build(HeaderFixtures.request(id))
-                .put("X-Token-Counts", tokens)
+    private FakeClient request(String path, String id, int promptTokens, int outputTokens) {
+        HttpFields fields = HttpFields.build(
+                        HeaderFixtures.counting(promptTokens, outputTokens, HeaderFixtures.request(id)))
                 .put(HttpHeader.HOST, "127.0.0.1")
                 .put(HttpHeader.AUTHORIZATION, "Token " + StandInConfig.KEY);
         return router.request(path, fields, new byte[0]);
@@ -72,7 +72,7 @@
     private List<String> sentIds() {
         return router.calls().stream()
                 .skip(SLOTS)
-                .map(call -> call.header("X-Attempt-Id"))
+                .map(call -> HeaderFixtures.requestId(call::header))
                 .toList();
     }
 
@@ -177,8 +177,8 @@
             request("/urgent/a", "running" + i);
         }
         for (int i = 0; i < STARVED; i++) {
-            request("/chat/a", "large" + i, TOO_MANY_TOKENS);
-            request("/later/a", "larger" + i, TOO_MANY_TOKENS);
+            request("/chat/a", "large" + i, 10, TOO_MANY_TOKENS);
+            request("/later/a", "larger" + i, 10, TOO_MANY_TOKENS);
         }
         request("/urgent/a", "urgent");
         freeOneSlot();
