Paths avoid an engine that has closed connections until it is probed

Cause: a stream whose first engine crashes is retried at once. The engine only got a higher cost as a first engine, so the retry took a path with the same engine as a later one; the loss was noticed after the work had stalled for 0.4 s, and the retry was consumed in vain. Ruled out: peers' reports of the crash (they arrive, but behind the failures in the router's queue of a small gateway). Change: DoubtfulServers holds an engine that closed the connection of a running request until a report arrives or 1 s has passed. The whole path is searched twice only if there is none without the engine.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -196,7 +196,12 @@
     private Optional<StagePath> findPath(
             ActiveRequest request, EngineSpec spec, Set<BackendServerId> closed, long now) {
         List<BackendServer> usable = fleet.usableServers(request.service(), request.avoidedServers(), now);
-        return PathFinder.find(spec, usable, fleet.loads(), demand(request, closed));
+        PathFinder.Demand demand = demand(request, closed);
+        List<BackendServer> certain = fleet.doubtfulServers().without(usable, now);
+        Optional<StagePath> path = PathFinder.find(spec, certain, fleet.loads(), demand);
+        return path.isPresent() || certain.size() == usable.size()
+                ? path
+                : PathFinder.find(spec, usable, fleet.loads(), demand);
     }
 
     private PathFinder.Demand demand(ActiveRequest request, Set<BackendServerId> closed) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
@@ -144,6 +144,9 @@
             handleNoConnection(attempt.server(), end, now);
         } else if (isOwnFailure(attempt, end)) {
             // A crash resets the open connections before new ones are refused.
+            if (attempt.connectionFault() == Attempt.ConnectionFault.BROKEN) {
+                fleet.doubtfulServers().recordBreak(attempt.server().id(), now);
+            }
             engineControl.probe(attempt.server(), router, fleet.lagMillis(), AsyncEngineControl.NO_EVENT, now);
         }
     }
@@ -218,6 +221,7 @@
             return;
         }
         engineControl.recordAnswer(engine.id(), now);
+        fleet.doubtfulServers().recordSignOfLife(engine.id());
         recordAlive(engine.id(), now, "it answers", now);
         double before = fleet.loads().slowdown(engine.id());
         double slowdown = report.get().slowdown();
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
@@ -11,6 +11,7 @@
 import java.util.stream.Stream;
 import org.cornelramp.core.admission.FleetDemand;
 import org.cornelramp.core.fleet.BackendServer;
+import org.cornelramp.core.fleet.DoubtfulServers;
 import org.cornelramp.core.fleet.PlainServerSelector;
 import org.cornelramp.core.fleet.PlainServerStats;
 import org.cornelramp.core.fleet.RestingServers;
@@ -40,6 +41,7 @@
     private final long confirmMillis;
     private final ServerRegistry registry = new ServerRegistry();
     private final SuspectedServers suspectedServers = new SuspectedServers();
+    private final DoubtfulServers doubtfulServers = new DoubtfulServers();
     private final EngineLoads loads = new EngineLoads();
     private final PlainServerStats plainStats = new PlainServerStats();
     private final PlainServerSelector plainServers = new PlainServerSelector(plainStats);
@@ -76,6 +78,11 @@
         return suspectedServers;
     }
 
+    /** Servers that have broken connections, until it is known whether they still work. */
+    public DoubtfulServers doubtfulServers() {
+        return doubtfulServers;
+    }
+
     /** Load and slowdown of each engine. */
     public EngineLoads loads() {
         return loads;
