--- a/core/src/main/java/org/cornelramp/core/fleet/DoubtfulServers.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/DoubtfulServers.java
@@ -23,10 +23,10 @@
 
     private final Map<BackendServerId, Long> untilMillis = new HashMap<>();
 
-    /** Records that a server has closed the connection of a running request. */
-    public void recordBreak(BackendServerId id, long nowMillis) {
+    /** Records that a server has closed the connection of a running request; whether it was not doubtful before. */
+    public boolean recordBreak(BackendServerId id, long nowMillis) {
         untilMillis.values().removeIf(until -> nowMillis >= until);
-        untilMillis.put(id, nowMillis + MAX_MILLIS);
+        return untilMillis.put(id, nowMillis + MAX_MILLIS) == null;
     }
 
     /** Records that a server works. */
@@ -39,7 +39,7 @@
         return nowMillis < untilMillis.getOrDefault(id, Long.MIN_VALUE);
     }
 
-    /** The servers of which none is doubtful. */
+    /** Those of the servers that are not doubtful. */
     public List<BackendServer> without(Collection<BackendServer> servers, long nowMillis) {
         return servers.stream()
                 .filter(server -> !isDoubtful(server.id(), nowMillis))
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -160,7 +160,8 @@
             return found;
         }
         Set<BackendServerId> closed = fleet.closedServers(request.service(), now);
-        List<BackendServer> usable = fleet.usableServers(request.service(), request.avoidedServers(), now);
+        List<BackendServer> usable = fleet.doubtfulServers()
+                .without(fleet.usableServers(request.service(), request.avoidedServers(), now), now);
         StagePath path =
                 promptPrefixes.prefer(request, found.path().get(), spec.get(), usable, demand(request, closed), now);
         return new Target(path.first(), Optional.of(path));
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
@@ -144,9 +144,7 @@
             handleNoConnection(attempt.server(), end, now);
         } else if (isOwnFailure(attempt, end)) {
             // A crash resets the open connections before new ones are refused.
-            if (attempt.connectionFault() == Attempt.ConnectionFault.BROKEN) {
-                fleet.doubtfulServers().recordBreak(attempt.server().id(), now);
-            }
+            doubt(attempt, now);
             engineControl.probe(attempt.server(), router, fleet.lagMillis(), AsyncEngineControl.NO_EVENT, now);
         }
     }
@@ -166,6 +164,16 @@
         }
     }
 
+    private void doubt(Attempt attempt, long now) {
+        boolean broken = attempt.connectionFault() == Attempt.ConnectionFault.BROKEN;
+        if (broken && fleet.doubtfulServers().recordBreak(attempt.server().id(), now)) {
+            log.line("fleet", "doubted")
+                    .with("server", attempt.server().id())
+                    .with("id", attempt.exchange().request().id())
+                    .write();
+        }
+    }
+
     private void suspect(BackendServer server, Evidence evidence, String why, long now) {
         if (!fleet.suspectedServers().suspect(server.id(), evidence, now)) {
             return;
