Admission: a changed configuration applies to the timeout and rank of waiting requests

Cause: a waiting stream kept the route and rank that it had at its arrival; a new version only ended the wait of streams whose route or key was removed. Change: at the tick after a new version, each waiting stream gets the timeout, target, pauses and rank that it would have if it had arrived under it (Exchange.reconfigure, AdmissionQueue.replace). It ends if its route is not for streams any more, or if it may have run and may not run again. ClientRequestHandler and the change share the rule for deadline and priority. The fixtures give a request the organisation that holds its key.

--- a/core/src/main/java/org/cornelramp/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/cornelramp/core/admission/AdmissionQueue.java
@@ -119,6 +119,20 @@
         return entry != null;
     }
 
+    /**
+     * Replaces a waiting request whose priority or times have changed by another one with the same id. It keeps its place
+     * in a full queue, and counts as offered once.
+     */
+    public boolean replace(WaitingRequest<T> changed, long nowMillis) {
+        WaitingEntry<T> entry = byId.get(changed.id());
+        if (entry != null) {
+            advance(nowMillis);
+            remove(entry);
+            insert(new WaitingEntry<>(changed));
+        }
+        return entry != null;
+    }
+
     /** Returns a waiting request. */
     public Optional<WaitingRequest<T>> find(long id) {
         return Optional.ofNullable(byId.get(id)).map(entry -> entry.request);
--- a/core/src/test/java/org/cornelramp/core/admission/AdmissionQueueTest.java
+++ b/core/src/test/java/org/cornelramp/core/admission/AdmissionQueueTest.java
@@ -64,6 +64,19 @@
         assertTrue(queue.offer(request(34, 2, "a", 500, 2_000), 0).isLeft(), "only one at a time");
     }
 
+    /** Guards against a request that is served by the priority and times that it had before a change. */
+    @Test
+    public void aChangedRequestTakesItsNewPlace() {
+        offer(request(1, 1, "a", 500, 2_000));
+        offer(request(2, 1, "a", 600, 2_000));
+        assertTrue(queue.replace(request(2, 0, "a", 600, 400), 100));
+        assertEquals(order(100), List.of(2L, 1L));
+        assertEquals(queue.size(0), 1);
+        assertEquals(queue.size(1), 1);
+        assertEquals(queue.expire(450).get(0).request().id(), 2);
+        assertFalse(queue.replace(request(2, 0, "a", 600, 900), 500), "it does not wait any more");
+    }
+
     /** Guards against a gateway that was suspended and then starts requests whose clients have left. */
     @Test
     public void aSuspendedGatewayRefusesWhatHasRunOutOfTime() {
--- a/gateway/src/main/java/org/cornelramp/gateway/request/ClientRequestHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/ClientRequestHandler.java
@@ -130,7 +130,7 @@
 
     private void submit(Request request, Response response, Callback callback, ResolvedHead resolved, byte[] body) {
         Route route = resolved.route();
-        long timeoutMillis = Math.min(resolved.head().remainingMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
+        long timeoutMillis = Exchange.ClientRequest.timeoutMillis(resolved.head(), route);
         Exchange.ClientRequest call = new Exchange.ClientRequest(
                 resolved.head(),
                 request.getMethod(),
@@ -139,9 +139,7 @@
                 body,
                 route,
                 resolved.organisation().map(RoutingConfig.Organisation::id),
-                resolved.organisation()
-                        .flatMap(RoutingConfig.Organisation::priority)
-                        .orElse(route.priority()),
+                Exchange.ClientRequest.priority(route, resolved.organisation()),
                 resolved.now(),
                 resolved.now() + timeoutMillis);
         IdleTimeoutExtension.begin(request, timeoutMillis);
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -14,6 +14,7 @@
 import org.cornelramp.core.poison.Fingerprint;
 import org.cornelramp.core.poison.PromptParts;
 import org.cornelramp.core.routing.Route;
+import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.platform.RequestHead;
 import org.cornelramp.platform.ResponseHead;
 import org.eclipse.jetty.http.HttpFields;
@@ -25,14 +26,15 @@
 /**
  * One client's request together with the response to the client.
  *
- * <p>Safe for use by any thread: the fields that are not final are written by one attempt at a time. Invariant: the
+ * <p>Safe for use by any thread: the fields that are not final are written by one attempt at a time,
+ * and the request by the router between attempts. Invariant: the
  * client gets one response; the first call that ends the exchange determines it, and later calls have no effect.
  */
 public final class Exchange {
     private static final System.Logger LOG = System.getLogger(Exchange.class.getName());
     private static final double RETRY_JITTER = 0.5;
 
-    private final ClientRequest request;
+    private volatile ClientRequest request;
     private final Response response;
     private final Callback callback;
     private final BooleanSupplier closing;
@@ -81,6 +83,36 @@
         /** Number of priorities, 0 to 9. */
         private static final int PRIORITIES = 10;
 
+        /**
+         * The same request under another configuration: its route, rank and deadline. The organisation that is charged
+         * for it stays the one at its arrival.
+         *
+         * @param keyHolder the organisation that now holds the caller's key
+         */
+        public ClientRequest withConfiguration(Route changed, Optional<RoutingConfig.Organisation> keyHolder) {
+            return new ClientRequest(
+                    head,
+                    method,
+                    pathQuery,
+                    fields,
+                    body,
+                    changed,
+                    organisation,
+                    priority(changed, keyHolder),
+                    receivedMillis,
+                    receivedMillis + timeoutMillis(head, changed));
+        }
+
+        /** Priority of a request: that of the organisation that holds its key, or else of its route. */
+        static int priority(Route route, Optional<RoutingConfig.Organisation> keyHolder) {
+            return keyHolder.flatMap(RoutingConfig.Organisation::priority).orElse(route.priority());
+        }
+
+        /** Time from the receipt of a request to its deadline: that of the route, or less if the client says so. */
+        static long timeoutMillis(RequestHead head, Route route) {
+            return Math.min(head.remainingMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
+        }
+
         /** The request id that the client chose. */
         public String id() {
             return head.requestId();
@@ -147,6 +179,11 @@
         return request;
     }
 
+    /** Applies a changed configuration to the request; called only while it has no attempt. */
+    public void reconfigure(ClientRequest changed) {
+        request = changed;
+    }
+
     /** Whether a part of the response has been sent, so that it can only be continued or aborted. */
     public boolean isCommitted() {
         return committed;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -137,7 +137,7 @@
      * @return the requests that are refused because of it, which may include the request itself
      */
     List<Rejected> admit(ActiveRequest request, long now) {
-        WaitingRequest<ActiveRequest> waiting = describe(request, now);
+        WaitingRequest<ActiveRequest> waiting = describe(request, ++lastId, now);
         queue.setFirstEventMillis(Math.round(firstEventMillis));
         if (!earlyRetries.isEmpty() && earlyRetries.isEarly(request.fingerprint(), now)) {
             queue.recordEarlyRetry(waiting, now);
@@ -156,7 +156,7 @@
      * @return the requests that are refused because of it, which may include the request itself
      */
     List<Rejected> readmit(ActiveRequest request, long now) {
-        WaitingRequest<ActiveRequest> waiting = describe(request, now);
+        WaitingRequest<ActiveRequest> waiting = describe(request, ++lastId, now);
         queue.setFirstEventMillis(Math.round(firstEventMillis));
         meters.countAdmission("retry");
         if (!isOvertaking(request) && retries.hasRetry(request, now) && trySend(waiting, now)) {
@@ -314,7 +314,8 @@
         firstEventMillis += SMOOTHING_FACTOR * (bounded - firstEventMillis);
     }
 
-    private WaitingRequest<ActiveRequest> describe(ActiveRequest request, long now) {
+    /** @param now when it begins to wait, which counts for the log; a request that is sent again keeps its arrival time */
+    private WaitingRequest<ActiveRequest> describe(ActiveRequest request, long id, long now) {
         Exchange.ClientRequest call = request.exchange().request();
         Route route = request.route();
         long patience = Math.max(
@@ -324,7 +325,7 @@
         EngineSpec spec = dispatcher.engineSpec(request).orElseThrow();
         request.setDefaultTokens(spec.meanRequestTokens());
         return new WaitingRequest<>(
-                ++lastId,
+                id,
                 call.rank(),
                 call.organisation(),
                 Math.max(1.0, request.expectedTokens()) * spec.layers(),
@@ -334,7 +335,10 @@
                 request);
     }
 
-    /** Removes the waiting requests whose route, key or engines the configuration in force does not have any more. */
+    /**
+     * Applies a changed configuration to the waiting requests: their route with its timeout and target, and their rank.
+     * Removes those that the configuration would not let wait here.
+     */
     private List<Rejected> applyConfiguration(long now) {
         Optional<RoutingConfig> current = config.current();
         if (current.isEmpty() || current.get().version() == checkedVersion) {
@@ -344,7 +348,11 @@
         fleet.setDemandUse(FleetState.DemandUse.ADMISSION, hasPriorities(current.get()));
         List<Rejected> rejected = new ArrayList<>();
         for (WaitingRequest<ActiveRequest> waiting : queue.inOrder(now)) {
-            if (!isRoutable(waiting.work(), current.get())) {
+            Optional<Exchange.ClientRequest> changed = reconfigured(waiting.work(), current.get());
+            if (changed.isPresent()) {
+                waiting.work().exchange().reconfigure(changed.get());
+                queue.replace(describe(waiting.work(), waiting.id(), waiting.arrivalMillis()), now);
+            } else {
                 queue.remove(waiting.id());
                 rejected.add(new Rejected(
                         waiting.work(),
@@ -365,16 +373,23 @@
                 && current.streamPriorities(service).size() > 1;
     }
 
-    private static boolean isRoutable(ActiveRequest request, RoutingConfig current) {
+    /**
+     * A request under a configuration; empty if it has no route, key or engines there, or if it may have run and may not
+     * run again.
+     */
+    private static Optional<Exchange.ClientRequest> reconfigured(ActiveRequest request, RoutingConfig current) {
         Exchange.ClientRequest call = request.exchange().request();
+        Optional<RoutingConfig.Organisation> keyHolder = call.head().key().flatMap(current::organisation);
         return current.route(call.host(), call.path())
+                .filter(route -> route.kind() == RouteKind.STREAMING)
+                .filter(route -> route.mayRetry() || request.possibleRunCount() == 0)
                 .filter(route -> route.split().stream()
                         .anyMatch(weighted -> weighted.service().equals(request.service())))
-                .filter(route -> !current.requiresKey(route)
-                        || call.head().key().flatMap(current::organisation).isPresent())
-                .flatMap(route -> current.service(request.service()))
-                .flatMap(ServiceSpec::engine)
-                .isPresent();
+                .filter(route -> !current.requiresKey(route) || keyHolder.isPresent())
+                .filter(route -> current.service(request.service())
+                        .flatMap(ServiceSpec::engine)
+                        .isPresent())
+                .map(route -> call.withConfiguration(route, keyHolder));
     }
 
     private List<Rejected> rejected(List<Evicted<ActiveRequest>> evicted, long now) {
--- a/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/FakeClient.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.cornelramp.core.routing.Route;
+import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.gateway.Fakes;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.EndPoint;
@@ -50,6 +52,21 @@
         this(RequestFixtures.on(route, fields, path, body, nowMillis));
     }
 
+    /**
+     * A client of a request with these headers, path and body, whose key an organisation holds.
+     *
+     * @param nowMillis when the request was received
+     */
+    public FakeClient(
+            Route route,
+            Optional<RoutingConfig.Organisation> keyHolder,
+            HttpFields fields,
+            String path,
+            byte[] body,
+            long nowMillis) {
+        this(RequestFixtures.on(route, keyHolder, fields, path, body, nowMillis));
+    }
+
     /**
      * A client that resumes a stream by itself.
      *
--- a/gateway/src/test/java/org/cornelramp/gateway/request/RequestFixtures.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/RequestFixtures.java
@@ -5,6 +5,7 @@
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.routing.RouteKind;
+import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.core.routing.WeightedService;
 import org.cornelramp.platform.RequestHead;
 import org.cornelramp.platform.standin.HeaderFixtures;
@@ -53,6 +54,17 @@
 
     /** A request on a route with these headers, path and body. */
     static Exchange.ClientRequest on(Route route, HttpFields fields, String path, byte[] body, long receivedMillis) {
+        return on(route, Optional.empty(), fields, path, body, receivedMillis);
+    }
+
+    /** A request on a route with these headers, path and body, whose key an organisation holds. */
+    static Exchange.ClientRequest on(
+            Route route,
+            Optional<RoutingConfig.Organisation> keyHolder,
+            HttpFields fields,
+            String path,
+            byte[] body,
+            long receivedMillis) {
         return new Exchange.ClientRequest(
                 RequestHead.decode(fields),
                 "POST",
@@ -60,8 +72,8 @@
                 fields,
                 body,
                 route,
-                Optional.empty(),
-                route.priority(),
+                keyHolder.map(RoutingConfig.Organisation::id),
+                Exchange.ClientRequest.priority(route, keyHolder),
                 receivedMillis,
                 receivedMillis + route.timeoutMillis());
     }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
@@ -17,7 +17,6 @@
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.cornelramp.platform.standin.StandInConfig;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -37,6 +36,8 @@
              "targetLatencyMs":500,"priority":0,"service":"llm","maxAttempts":2,"streamResumption":true},
             """;
 
+    private static final PeerUpdate.Sender PEER = new PeerUpdate.Sender("g2", 1, new DataCentre("dc1"));
+
     private final BackendServer engine = RouterSimulation.engine("a1", 11, 0, 8);
     private RouterSimulation router;
 
@@ -62,10 +63,7 @@
     }
 
     private FakeClient request(String path, String id, int promptTokens, int outputTokens) {
-        HttpFields fields = HttpFields.build(
-                        HeaderFixtures.counting(promptTokens, outputTokens, HeaderFixtures.request(id)))
-                .put(HttpHeader.HOST, "127.0.0.1")
-                .put(HttpHeader.AUTHORIZATION, "Token " + StandInConfig.KEY);
+        HttpFields fields = HeaderFixtures.counting(promptTokens, outputTokens, HeaderFixtures.authorised(id));
         return router.request(path, fields, new byte[0]);
     }
 
@@ -212,13 +210,39 @@
     public void waitingRequestThatCrashesServersIsRefused() {
         FakeClient client = request("/urgent/a", "poison");
         String fingerprint = client.exchange().request().fingerprint();
-        PeerUpdate.Sender peer = new PeerUpdate.Sender("g2", 1, new DataCentre("dc1"));
         PoisonUpdate refusal = new PoisonUpdate(List.of(), Map.of(fingerprint, 60_000L), Map.of(), Map.of());
         router.handle(new RouterEvent.PeerUpdateReceived(
-                PeerUpdate.of(peer, 1, false, Map.of(), 0, Map.of(), Set.of(), RetryLoanUpdate.NONE)
+                PeerUpdate.of(PEER, 1, false, Map.of(), 0, Map.of(), Set.of(), RetryLoanUpdate.NONE)
                         .withPoison(refusal)));
         router.run(40);
         assertEquals(client.status(), 503);
         assertTrue(Double.parseDouble(client.header("Retry-After")) > 50, "the time until it is not refused any more");
     }
+
+    /** Guards against waiting requests that are served by the priority that their route had when they arrived. */
+    @Test
+    public void changedPriorityAppliesToWaitingRequests() {
+        request("/chat/a", "normal");
+        request("/urgent/a", "urgent");
+        router.publish(json(3, "/urgent/").replace("\"priority\":0", "\"priority\":5"));
+        freeOneSlot();
+        router.run(100);
+        assertEquals(sentIds(), List.of("normal"));
+    }
+
+    /** Guards against waiting requests that are refused, or wait on, by the timeout that their route had. */
+    @Test
+    public void changedTimeoutAppliesToWaitingRequests() {
+        FakeClient client = request("/urgent/a", "urgent");
+        router.publish(json(3, "/urgent/").replaceFirst("\"timeoutMs\":9000", "\"timeoutMs\":600"));
+        router.run(700);
+        assertEquals(client.status(), 503);
+        FakeClient other = request("/urgent/a", "other");
+        router.publish(json(4, "/urgent/"));
+        router.run(700);
+        assertEquals(other.status(), 0);
+        freeOneSlot();
+        router.run(40);
+        assertEquals(sentIds(), List.of("other"));
+    }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RetryAdmissionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RetryAdmissionTest.java
@@ -242,6 +242,18 @@
         assertEquals(router.activeRequests(), SLOTS);
     }
 
+    /** Guards against a second run on a route that has been changed to allow only one while the stream waited. */
+    @Test
+    public void streamThatMayNotRunAgainAfterAChangeEnds() {
+        FakeClient client = requestToLostEngine("/urgent/a", "urgent");
+        router.run(40);
+        router.publish(json(3).replace("\"streamResumption\":true", "\"streamResumption\":false"));
+        freeOneSlot();
+        router.run(40);
+        assertEquals(client.status(), 502);
+        assertEquals(sentIds(), List.of("urgent"));
+    }
+
     /** Guards against a retry for a client that has left. */
     @Test
     public void clientThatLeavesEndsTheWaitForARetry() {
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -17,6 +17,7 @@
 import org.cornelramp.core.model.LayerRange;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.core.routing.Route;
+import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.GatewaySettingsReader;
 import org.cornelramp.core.settings.HostPort;
@@ -31,6 +32,7 @@
 import org.cornelramp.platform.EngineReport;
 import org.cornelramp.platform.MoveFault;
 import org.cornelramp.platform.PlatformFault;
+import org.cornelramp.platform.RequestHead;
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.cornelramp.platform.standin.StandInConfig;
 import org.eclipse.jetty.http.HttpFields;
@@ -318,9 +320,11 @@
         return client;
     }
 
-    /** Sends a client's request with this path, these headers and this body. */
+    /** Sends a client's request with this path, these headers, which may include a key, and this body. */
     FakeClient request(String path, HttpFields fields, byte[] body) {
-        FakeClient client = new FakeClient(route(path), fields, path, body, now);
+        Optional<RoutingConfig.Organisation> keyHolder =
+                RequestHead.decode(fields).key().flatMap(config.current().get()::organisation);
+        FakeClient client = new FakeClient(route(path), keyHolder, fields, path, body, now);
         handle(new RouterEvent.RequestReceived(client.exchange()));
         return client;
     }
