Admission: the capacity that an organisation uses through other gateways counts in the order

Cause: AdmissionQueue.inOrder takes this use, but the gateway passed none, so that an organisation got more than others by spreading its requests over gateways. Change: FleetDemand.peersInUse leaves out the own report; RequestAdmission passes its sum over the services whose streams are admitted by priority.

--- a/core/src/main/java/org/cornelramp/core/admission/FleetDemand.java
+++ b/core/src/main/java/org/cornelramp/core/admission/FleetDemand.java
@@ -146,6 +146,17 @@
         return byOrganisation.getOrDefault(service, Map.of()).getOrDefault(organisation, 0L);
     }
 
+    /** The part of {@link #inUse(ServiceName, OrganisationId)} that requests of the peers use. */
+    public long peersInUse(ServiceName service, OrganisationId organisation) {
+        long ownUse = own == null
+                ? 0
+                : own.report().services().stream()
+                        .filter(demand -> demand.service().equals(service))
+                        .mapToLong(demand -> demand.tokenLayers().getOrDefault(organisation, 0L))
+                        .sum();
+        return inUse(service, organisation) - ownUse;
+    }
+
     /** Requests of all gateways in flight at a plain server. */
     public long plainInFlight(BackendServerId server) {
         return plainInFlight.getOrDefault(server, 0L);
--- a/core/src/test/java/org/cornelramp/core/admission/AdmissionQueueTest.java
+++ b/core/src/test/java/org/cornelramp/core/admission/AdmissionQueueTest.java
@@ -77,6 +77,19 @@
         assertFalse(queue.replace(request(2, 0, "a", 600, 900), 500), "it does not wait any more");
     }
 
+    /** Guards against an organisation that gets more than others by sending through many gateways. */
+    @Test
+    public void useThroughOtherGatewaysCounts() {
+        offer(request(1, 0, "a", 400, 2_000));
+        offer(request(2, 0, "b", 500, 2_000));
+        Optional<OrganisationId> a = Optional.of(new OrganisationId("a"));
+        assertEquals(
+                queue.inOrder(0, organisation -> organisation.equals(a) ? 5 : 0)
+                        .get(0)
+                        .id(),
+                2);
+    }
+
     /** Guards against a gateway that was suspended and then starts requests whose clients have left. */
     @Test
     public void aSuspendedGatewayRefusesWhatHasRunOutOfTime() {
--- a/core/src/test/java/org/cornelramp/core/admission/DemandCounterTest.java
+++ b/core/src/test/java/org/cornelramp/core/admission/DemandCounterTest.java
@@ -64,6 +64,8 @@
         demand.updateOwn(reportOfMany(5), HERE, 30);
         assertEquals(demand.arrivalsPerSecond(SERVICE, 1), 20.0);
         assertEquals(demand.oldestAgeMillis(50), 30);
+        OrganisationId most = new OrganisationId("o99");
+        assertEquals(demand.peersInUse(SERVICE, most), demand.inUse(SERVICE, most) / 2, "the own use is left out");
         demand.removeSilentPeers(0, 121);
         assertEquals(demand.arrivalsPerSecond(SERVICE, HERE), 100.0);
         demand.removeOwn();
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -4,11 +4,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.cornelramp.core.admission.AdmissionQueue;
 import org.cornelramp.core.admission.AdmissionRefusal;
 import org.cornelramp.core.admission.EarlyRetries;
 import org.cornelramp.core.admission.Evicted;
 import org.cornelramp.core.admission.WaitingRequest;
+import org.cornelramp.core.model.OrganisationId;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.routing.EngineSpec;
 import org.cornelramp.core.routing.Route;
@@ -82,6 +85,7 @@
     private double firstEventMillis = USUAL_FIRST_EVENT_MILLIS;
     private long lastId;
     private long checkedVersion = -1;
+    private Set<ServiceName> services = Set.of();
     private volatile boolean stopping;
 
     /**
@@ -196,7 +200,7 @@
         }
         rejected.addAll(rejected(queue.expire(now), now));
         SearchLimits limits = new SearchLimits();
-        for (WaitingRequest<ActiveRequest> waiting : queue.inOrder(now)) {
+        for (WaitingRequest<ActiveRequest> waiting : queue.inOrder(now, this::usedThroughPeers)) {
             boolean checked =
                     faults.run(waiting.work(), () -> check(waiting, limits, now).ifPresent(rejected::add));
             if (!checked) {
@@ -206,6 +210,14 @@
         return rejected;
     }
 
+    /** Capacity that an organisation uses through other gateways, in the services whose streams are admitted here. */
+    private double usedThroughPeers(Optional<OrganisationId> organisation) {
+        return organisation.stream()
+                .flatMapToLong(id ->
+                        services.stream().mapToLong(service -> fleet.demand().peersInUse(service, id)))
+                .sum();
+    }
+
     /** Sends a waiting request if there is capacity, or removes and returns it if no retry is left for it. */
     private Optional<Rejected> check(WaitingRequest<ActiveRequest> waiting, SearchLimits limits, long now) {
         ActiveRequest request = waiting.work();
@@ -345,7 +357,11 @@
             return List.of();
         }
         checkedVersion = current.get().version();
-        fleet.setDemandUse(FleetState.DemandUse.ADMISSION, hasPriorities(current.get()));
+        services = current.get().services().stream()
+                .map(ServiceSpec::name)
+                .filter(service -> hasPriorities(current.get(), service))
+                .collect(Collectors.toUnmodifiableSet());
+        fleet.setDemandUse(FleetState.DemandUse.ADMISSION, !services.isEmpty());
         List<Rejected> rejected = new ArrayList<>();
         for (WaitingRequest<ActiveRequest> waiting : queue.inOrder(now)) {
             Optional<Exchange.ClientRequest> changed = reconfigured(waiting.work(), current.get());
@@ -364,10 +380,6 @@
         return rejected;
     }
 
-    private static boolean hasPriorities(RoutingConfig current) {
-        return current.services().stream().anyMatch(service -> hasPriorities(current, service.name()));
-    }
-
     private static boolean hasPriorities(RoutingConfig current, ServiceName service) {
         return current.service(service).flatMap(ServiceSpec::engine).isPresent()
                 && current.streamPriorities(service).size() > 1;
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
@@ -7,16 +7,22 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.cornelramp.core.admission.DemandReport;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.OrganisationId;
+import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.poison.PoisonUpdate;
 import org.cornelramp.core.retry.RetryLoanUpdate;
+import org.cornelramp.gateway.peer.DemandSection;
 import org.cornelramp.gateway.peer.PeerUpdate;
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.cornelramp.platform.standin.StandInConfig;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -36,6 +42,12 @@
              "targetLatencyMs":500,"priority":0,"service":"llm","maxAttempts":2,"streamResumption":true},
             """;
 
+    private static final String OTHER_KEY = "key-of-another";
+    private static final String OTHER_ORGANISATION = "{\"name\":\"another\",\"apiKeys\":[\"" + OTHER_KEY + "\"]},";
+
+    /** Token-layers, more than all requests of a test use. */
+    private static final long MUCH_USE = 100_000_000;
+
     private static final PeerUpdate.Sender PEER = new PeerUpdate.Sender("g2", 1, new DataCentre("dc1"));
 
     private final BackendServer engine = RouterSimulation.engine("a1", 11, 0, 8);
@@ -245,4 +257,28 @@
         router.run(40);
         assertEquals(sentIds(), List.of("other"));
     }
+
+    /** Guards against an organisation that gets more than others by sending through several gateways. */
+    @Test
+    public void useThroughOtherGatewaysDecidesBetweenOrganisations() {
+        router.publish(json(3, "/urgent/").replace("\"tenants\":[", "\"tenants\":[" + OTHER_ORGANISATION));
+        router.run(20);
+        reportUse("another");
+        HttpFields fields = HttpFields.build(HeaderFixtures.authorised("first"))
+                .put(HttpHeader.AUTHORIZATION, "Token " + OTHER_KEY);
+        router.request("/chat/a", fields, new byte[0]); // of an organisation that has used nothing here
+        request("/chat/a", "second");
+        freeOneSlot();
+        router.run(40);
+        assertEquals(sentIds(), List.of("second"));
+    }
+
+    private void reportUse(String organisation) {
+        DemandReport.ServiceDemand use = new DemandReport.ServiceDemand(
+                new ServiceName(StandInConfig.ENGINES), List.of(), Map.of(new OrganisationId(organisation), MUCH_USE));
+        router.handle(new RouterEvent.PeerUpdateReceived(
+                PeerUpdate.of(PEER, 1, false, Map.of(), 0, Map.of(), Set.of(), RetryLoanUpdate.NONE)
+                        .withDemandSection(new DemandSection(
+                                Optional.of(new DemandReport(List.of(use), Map.of())), 1, Optional.empty()))));
+    }
 }
