Admission: the reserve covers the spread of arrivals, and the hysteresis applies to the pause without it

Change: the reserve is the mean and 4 standard deviations of the number of arrivals within the horizon, 2 for inverted priorities. A priority that was held back returns when the pause is at 0.9 of the limit, and with the reserve within it. AdmissionOpenGoalsTest becomes AdmissionBurstGoalsTest, no longer known-red, with its checks unchanged. In AdmissionQueueTest, the check that 10 ms are kept for 20 arrivals a second assumed the mean alone; it is replaced by four checks of the two limits and of the reserve.

--- a/core/src/main/java/org/cornelramp/core/admission/Prospect.java
+++ b/core/src/main/java/org/cornelramp/core/admission/Prospect.java
@@ -46,9 +46,11 @@
          */
         public static final double USUAL_HORIZON_MILLIS = 800;
 
-        double pauseMillis(boolean late) {
+        /** @param deviations standard deviations of the arrivals that are covered in addition to their mean */
+        double pauseMillis(boolean late, double deviations) {
             double perSecond = moreUrgentPerSecond + (late ? samePriorityPerSecond : 0);
-            return perSecond * horizonMillis / 1_000 / Math.max(1, paths) * pausePerRequestMillis;
+            double mean = perSecond * horizonMillis / 1_000 / Math.max(1, paths);
+            return (mean + deviations * Math.sqrt(mean)) * pausePerRequestMillis; // the variance of a count is its mean
         }
     }
 
@@ -56,10 +58,15 @@
         return firstEventMillis > targetLeftMillis;
     }
 
-    /** Whether the pauses on the path stay within a part of the limit, with the reserve included. */
+    /**
+     * Whether the pauses on the path stay within a part of the limit, and with the reserve included within the limit. The
+     * part does not apply to the reserve, which is a margin itself: with both, the least urgent requests were held back for
+     * two seconds after a burst.
+     */
     boolean pauseWithin(double margin) {
-        double reserved = standing.leavesReserve() ? reserve.pauseMillis(late()) : 0;
-        return pauseLimitMillis <= 0 || pauseMillis + reserved <= pauseLimitMillis * margin;
+        double reserved = standing.leavesReserve() ? reserve.pauseMillis(late(), standing.reserveDeviations()) : 0;
+        return pauseLimitMillis <= 0
+                || (pauseMillis <= pauseLimitMillis * margin && pauseMillis + reserved <= pauseLimitMillis);
     }
 
     /** Whether a new request of the route could be on time, which is the only limit of a route without a pause limit. */
--- a/core/src/test/java/org/cornelramp/core/admission/AdmissionOpenGoalsTest.java
+++ b/core/src/test/java/org/cornelramp/core/admission/AdmissionBurstGoalsTest.java
@@ -4,13 +4,13 @@
 
 import org.testng.annotations.Test;
 
-/** Goals of admission under scarcity that are not reached yet; the load is that of {@link AdmissionGoalsProperties}. */
-public class AdmissionOpenGoalsTest {
+/** Goals during and after a burst on each of many seeds; the load is that of {@link AdmissionGoalsProperties}. */
+public class AdmissionBurstGoalsTest {
     private static final int SEEDS = 20;
     private static final int MANY_GATEWAYS = 24;
 
     /** Guards against a backlog that makes the requests after a burst late for longer than a second. */
-    @Test(groups = "known-red")
+    @Test
     public void aSecondAfterTheBurstAllPrioritiesAreOnTime() {
         for (long seed = 1; seed <= SEEDS; seed++) {
             ScarceFleet fleet = AdmissionGoalsProperties.run(4, seed);
@@ -23,7 +23,7 @@
     }
 
     /** Guards against many gateways that together admit too much, as each knows the others' loads too late. */
-    @Test(groups = "known-red")
+    @Test
     public void manyGatewaysLeaveTheMostUrgentPriorityOnTime() {
         for (long seed = 1; seed <= SEEDS; seed++) {
             ScarceFleet fleet = AdmissionGoalsProperties.run(MANY_GATEWAYS, seed);
--- a/core/src/test/java/org/cornelramp/core/admission/AdmissionGoalsProperties.java
+++ b/core/src/test/java/org/cornelramp/core/admission/AdmissionGoalsProperties.java
@@ -51,10 +51,7 @@
         }
     }
 
-    /**
-     * Guards against a backlog or hysteresis that keeps requests out after the burst. That the least urgent priority is
-     * on time again after a second is not reached; see docs/design/admission-under-scarcity.md.
-     */
+    /** Guards against a backlog or hysteresis that keeps requests out after the burst. */
     @Property(seed = "9204", tries = 20)
     void aSecondAfterTheBurstRequestsAreServedAndTheMostUrgentOnTime(@ForAll long seed) {
         ScarceFleet fleet = run(4, seed);
--- a/core/src/test/java/org/cornelramp/core/admission/AdmissionQueueTest.java
+++ b/core/src/test/java/org/cornelramp/core/admission/AdmissionQueueTest.java
@@ -132,7 +132,11 @@
         assertEquals(policy.judge(prospect(0, 269, 0)), Fit.ON_TIME);
         assertEquals(policy.judge(prospect(0, 285, 0)), Fit.ON_TIME);
         assertEquals(policy.judge(prospect(2, 285, 0)), Fit.NO_CAPACITY);
-        assertEquals(policy.judge(prospect(2, 260, 20)), Fit.NO_CAPACITY, "10 ms are kept for 20 arrivals a second");
+        assertEquals(policy.judge(prospect(2, 271, 0)), Fit.NO_CAPACITY, "it was held back with the others");
+        assertEquals(policy.judge(prospect(2, 269, 20)), Fit.ON_TIME);
+        assertEquals(
+                policy.judge(prospect(2, 276, 20)), Fit.NO_CAPACITY, "25 ms are kept for 10 arrivals and 4 deviations");
+        assertEquals(policy.judge(prospect(2, 269, 40)), Fit.NO_CAPACITY, "42 ms are kept for 20 arrivals");
         assertFalse(policy.isHeldBack(0));
     }
 
