Peer reports: the age of the oldest without a walk over all peers

Cause: admission asks for the age of the oldest demand report in each search of a path, and PeerReports went through the reports of all peers for it. Change: the reports are kept in the order of receipt, so the first one is the oldest. PeerReportsTest guards against the age of a report that has been replaced, removed or dropped.

--- a/core/src/main/java/org/cornelramp/core/member/PeerReports.java
+++ b/core/src/main/java/org/cornelramp/core/member/PeerReports.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,12 +10,13 @@
 /**
  * The last report of each peer. Owned by one thread.
  *
- * <p>Invariant: at most one report is kept for each peer, and only until the peer falls silent.
+ * <p>Invariant: at most one report is kept for each peer, and only until the peer falls silent. The reports are in the
+ * order in which they were received, so the age of the oldest costs the same with any number of peers.
  *
  * @param <T> type of a report
  */
 public final class PeerReports<T> {
-    private final Map<String, Received<T>> byPeer = new HashMap<>();
+    private final Map<String, Received<T>> byPeer = new LinkedHashMap<>();
 
     /**
      * A report with its age. Immutable, safe for use by any thread as far as the report is.
@@ -37,8 +38,9 @@
      * @return the previous report, which it replaces
      */
     public Optional<T> put(String peer, T report, long silenceMillis, long nowMillis) {
-        return Optional.ofNullable(byPeer.put(peer, new Received<>(report, nowMillis, silenceMillis)))
-                .map(Received::report);
+        Optional<T> previous = remove(peer); // a map keeps the position of a key whose value is replaced
+        byPeer.put(peer, new Received<>(report, nowMillis, silenceMillis));
+        return previous;
     }
 
     /** Removes and returns the report of a peer, which has ceased to send one. */
@@ -75,9 +77,6 @@
 
     /** Time since the oldest report that counts was received, in milliseconds; 0 if there is none. */
     public long oldestAgeMillis(long nowMillis) {
-        return byPeer.values().stream()
-                .mapToLong(received -> received.ageMillis(nowMillis))
-                .max()
-                .orElse(0);
+        return byPeer.isEmpty() ? 0 : byPeer.values().iterator().next().ageMillis(nowMillis);
     }
 }
