Demand reports: at most 4 KB/s for each gateway, hashes instead of names, details in one of four reports

Cause: the section of an update with demand and gateway status took 135 to 356 bytes with the contents of the two deployments, in up to 66.7 updates a second: 9.0 to 23.7 KB/s with 24 to 1,500 gateways instead of 4 KB/s. Change: names are hashes of 4 bytes (NameHash). Names with the same hash share their figures, which are then too high and never too low; a gateway logs such names. Capacity in use and refusals, which no decision needs to be recent, are sent in one of four reports, rounded to a byte, and count for four times the silence time, but not without the rest of the report. The section is no longer MessagePack. DemandPacing keeps to 4,000 bytes/s whatever the contents, and the peers that were left out longest come first; an update that omits the report says so in one byte. The section states the interval at which a peer gets it, from which the silence time follows, instead of the number of recipients. Format 10 is not released; formats 6 to 9 are read as before.

--- a/core/src/main/java/org/cornelramp/core/admission/DemandCounter.java
+++ b/core/src/main/java/org/cornelramp/core/admission/DemandCounter.java
@@ -6,8 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.BinaryOperator;
+import java.util.function.Function;
+import java.util.stream.Stream;
 import org.cornelramp.core.admission.DemandReport.PriorityDemand;
 import org.cornelramp.core.admission.DemandReport.ServiceDemand;
 import org.cornelramp.core.model.BackendServerId;
@@ -26,6 +30,9 @@
     private static final double MIN_RATE = 0.5 / DemandReport.RATE_STEPS;
 
     private final Map<ServiceName, TreeMap<Integer, Rates>> rates = new HashMap<>();
+    private final NameCollisions serviceNames = new NameCollisions();
+    private final NameCollisions organisationIds = new NameCollisions();
+    private final NameCollisions serverIds = new NameCollisions();
 
     private record Rates(EventRate arrivals, EventRate refusals) {
         boolean isZero(long nowMillis) {
@@ -86,14 +93,59 @@
             }
             request.plainServer().ifPresent(server -> plainInFlight.merge(server, 1, Integer::sum));
         }
-        List<ServiceDemand> services = new ArrayList<>();
-        rows.forEach((service, byPriority) -> services.add(new ServiceDemand(
-                service,
-                DemandReport.merged(List.copyOf(byPriority.values())),
-                DemandReport.largest(organisations.getOrDefault(service, Map.of()), DemandReport.MAX_ORGANISATIONS))));
         return new DemandReport(
-                DemandReport.busiest(services, DemandReport.MAX_SERVICES),
-                DemandReport.largest(plainInFlight, DemandReport.MAX_PLAIN_SERVERS));
+                DemandReport.busiest(services(rows, organisations), DemandReport.MAX_SERVICES),
+                DemandReport.largest(
+                        byHash(plainInFlight, id -> serverIds.hash(id.value()), Integer::sum),
+                        DemandReport.MAX_PLAIN_SERVERS));
+    }
+
+    private List<ServiceDemand> services(
+            Map<ServiceName, SortedMap<Integer, PriorityDemand>> rows,
+            Map<ServiceName, Map<OrganisationId, Long>> organisations) {
+        Function<ServiceName, NameHash> hash = service -> serviceNames.hash(service.value());
+        Map<NameHash, Map<OrganisationId, Long>> inUse =
+                byHash(organisations, hash, (one, other) -> sums(one, other, Long::sum));
+        List<ServiceDemand> services = new ArrayList<>();
+        byHash(rows, hash, (one, other) -> sums(one, other, PriorityDemand::plus))
+                .forEach((service, byPriority) -> services.add(new ServiceDemand(
+                        service,
+                        DemandReport.merged(List.copyOf(byPriority.values())),
+                        DemandReport.largest(
+                                byHash(
+                                        inUse.getOrDefault(service, Map.of()),
+                                        id -> organisationIds.hash(id.value()),
+                                        Long::sum),
+                                DemandReport.MAX_ORGANISATIONS))));
+        return services;
+    }
+
+    /** The values by the hashes of their names; values of names with the same hash are summed. */
+    private static <N, V> Map<NameHash, V> byHash(
+            Map<N, V> byName, Function<N, NameHash> hash, BinaryOperator<V> plus) {
+        Map<NameHash, V> values = new HashMap<>();
+        byName.forEach((name, value) -> values.merge(hash.apply(name), value, plus));
+        return values;
+    }
+
+    private static <K extends Comparable<K>, V> SortedMap<K, V> sums(
+            Map<K, V> one, Map<K, V> other, BinaryOperator<V> plus) {
+        SortedMap<K, V> sums = new TreeMap<>(one);
+        other.forEach((key, value) -> sums.merge(key, value, plus));
+        return sums;
+    }
+
+    /** The services for which this gateway has recently received or refused requests. */
+    public Set<ServiceName> services() {
+        return Set.copyOf(rates.keySet());
+    }
+
+    /** Pairs of names that share their figures, found since the last call; an operator has to rename one of each. */
+    public List<String> takeCollisions() {
+        return Stream.of(serviceNames, organisationIds, serverIds)
+                .flatMap(names -> names.takeFound().stream())
+                .map(pair -> pair.name() + " " + pair.other())
+                .toList();
     }
 
     private Map<ServiceName, SortedMap<Integer, PriorityDemand>> rateRows(long nowMillis) {
--- a/core/src/main/java/org/cornelramp/core/admission/DemandReport.java
+++ b/core/src/main/java/org/cornelramp/core/admission/DemandReport.java
@@ -5,9 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Collectors;
-import org.cornelramp.core.model.BackendServerId;
-import org.cornelramp.core.model.OrganisationId;
 import org.cornelramp.core.model.ServiceName;
 
 /**
@@ -17,8 +16,10 @@
  *
  * @param services the demand for each service
  * @param plainInFlight requests in flight at plain servers; servers without any are omitted
+ * @param detailed whether it has the details: capacity in use and refusals. Decisions that depend on recent figures do
+ *     not need them, so most reports to a peer leave them out
  */
-public record DemandReport(List<ServiceDemand> services, Map<BackendServerId, Integer> plainInFlight) {
+public record DemandReport(List<ServiceDemand> services, Map<NameHash, Integer> plainInFlight, boolean detailed) {
     /** Most services in a report. */
     public static final int MAX_SERVICES = 6;
 
@@ -31,6 +32,9 @@
     /** Most plain servers in a report. */
     public static final int MAX_PLAIN_SERVERS = 32;
 
+    /** A peer gets the details in one out of this many reports, or more often. */
+    public static final int REPORTS_PER_DETAILS = 4;
+
     /** Steps per unit in which rates are kept, so that sums of reports can be formed without rounding errors. */
     public static final int RATE_STEPS = 100;
 
@@ -46,15 +50,19 @@
         plainInFlight.values().forEach(count -> check("requests in flight", count, Integer.MAX_VALUE));
     }
 
+    /** A report with details. */
+    public DemandReport(List<ServiceDemand> services, Map<NameHash, Integer> plainInFlight) {
+        this(services, plainInFlight, true);
+    }
+
     /**
      * The demand for one service. Immutable, safe for use by any thread.
      *
-     * @param service name of the service
+     * @param service hash of the service's name
      * @param priorities rows by priority, each priority at most once
      * @param tokenLayers token-layers in use by the organisations that use most
      */
-    public record ServiceDemand(
-            ServiceName service, List<PriorityDemand> priorities, Map<OrganisationId, Long> tokenLayers) {
+    public record ServiceDemand(NameHash service, List<PriorityDemand> priorities, Map<NameHash, Long> tokenLayers) {
 
         /** @throws IllegalArgumentException if there are too many rows or a figure is negative */
         public ServiceDemand {
@@ -75,6 +83,13 @@
         private ServiceDemand withFewerOrganisations() {
             return new ServiceDemand(service, priorities, largest(tokenLayers, tokenLayers.size() / 2));
         }
+
+        private ServiceDemand withoutDetails() {
+            return new ServiceDemand(
+                    service,
+                    priorities.stream().map(PriorityDemand::withoutDetails).toList(),
+                    Map.of());
+        }
     }
 
     /**
@@ -99,6 +114,10 @@
             refusedPerSecond = rate(steps(refusedPerSecond));
         }
 
+        private PriorityDemand withoutDetails() {
+            return new PriorityDemand(priority, arrivalsPerSecond, waiting, 0, 0);
+        }
+
         /** The sum of both rows, at the priority of this one. */
         PriorityDemand plus(PriorityDemand other) {
             return new PriorityDemand(
@@ -120,19 +139,31 @@
         return steps / (double) RATE_STEPS;
     }
 
+    /** The demand for a service; empty if the report has none. */
+    public Optional<ServiceDemand> service(ServiceName service) {
+        NameHash hash = NameHash.of(service);
+        return services.stream().filter(row -> row.service().equals(hash)).findFirst();
+    }
+
+    /** The same report without capacity in use and refusals. */
+    public DemandReport withoutDetails() {
+        return new DemandReport(
+                services.stream().map(ServiceDemand::withoutDetails).toList(), plainInFlight, false);
+    }
+
     /**
      * A report with fewer rows, for a sender with little space. Leaves out the plain servers with the fewest requests,
-     * then the organisations that use least, then the service with the fewest arrivals; {@link #EMPTY} in the end.
+     * then the organisations that use least, then the service with the fewest arrivals; no rows in the end.
      */
     public DemandReport reduced() {
         if (!plainInFlight.isEmpty()) {
-            return new DemandReport(services, largest(plainInFlight, plainInFlight.size() / 2));
+            return new DemandReport(services, largest(plainInFlight, plainInFlight.size() / 2), detailed);
         }
         if (services.stream().anyMatch(service -> !service.tokenLayers().isEmpty())) {
             return new DemandReport(
-                    services.stream().map(ServiceDemand::withFewerOrganisations).toList(), plainInFlight);
+                    services.stream().map(ServiceDemand::withFewerOrganisations).toList(), plainInFlight, detailed);
         }
-        return new DemandReport(busiest(services, Math.max(0, services.size() - 1)), plainInFlight);
+        return new DemandReport(busiest(services, Math.max(0, services.size() - 1)), plainInFlight, detailed);
     }
 
     /** The services with the most arrivals. */
--- a/core/src/main/java/org/cornelramp/core/admission/FleetDemand.java
+++ b/core/src/main/java/org/cornelramp/core/admission/FleetDemand.java
@@ -1,9 +1,11 @@
 package org.cornelramp.core.admission;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.TreeMap;
+import java.util.function.Function;
 import org.cornelramp.core.admission.DemandReport.PriorityDemand;
 import org.cornelramp.core.admission.DemandReport.ServiceDemand;
 import org.cornelramp.core.member.PeerReports;
@@ -18,29 +20,34 @@
  * <p>Invariant: the totals equal the sum of this gateway's last report and the last report of each peer that has not
  * been removed. They are kept up to date with each report, in integers, so that a query costs the same with any number
  * of peers and no rounding error accumulates. A gateway without peers knows its own demand only.
+ *
+ * <p>Capacity in use and refusals are the details of a report. They count from the last report that has them, for as long
+ * as the peer is heard and for at most {@value DemandReport#REPORTS_PER_DETAILS} times its silence time.
  */
 public final class FleetDemand {
     private static final TreeMap<Integer, Totals> NO_PRIORITIES = new TreeMap<>();
 
     private final PeerReports<Located> peers = new PeerReports<>();
-    private final Map<ServiceName, TreeMap<Integer, Totals>> byPriority = new HashMap<>();
-    private final Map<ServiceName, Map<OrganisationId, Long>> byOrganisation = new HashMap<>();
-    private final Map<ServiceName, Map<DataCentre, Long>> arrivalsByDataCentre = new HashMap<>();
-    private final Map<BackendServerId, Long> plainInFlight = new HashMap<>();
+    private final PeerReports<DemandReport> peerDetails = new PeerReports<>();
+    private final Map<NameHash, TreeMap<Integer, Totals>> byPriority = new HashMap<>();
+    private final Map<NameHash, Map<NameHash, Long>> byOrganisation = new HashMap<>();
+    private final Map<NameHash, Map<DataCentre, Long>> arrivalsByDataCentre = new HashMap<>();
+    private final Map<NameHash, Long> plainInFlight = new HashMap<>();
     private Located own;
     private long ownMillis;
 
-    private record Located(DemandReport report, DataCentre dataCentre) {}
+    private record Located(String name, DemandReport report, DataCentre dataCentre) {}
 
     private record Totals(long arrivalSteps, long waiting, long tokenLayers, long refusalSteps) {
         static final Totals NONE = new Totals(0, 0, 0, 0);
 
-        static Totals of(PriorityDemand demand, int sign) {
+        static Totals recent(PriorityDemand demand, int sign) {
             return new Totals(
-                    sign * DemandReport.steps(demand.arrivalsPerSecond()),
-                    (long) sign * demand.waiting(),
-                    sign * demand.tokenLayers(),
-                    sign * DemandReport.steps(demand.refusedPerSecond()));
+                    sign * DemandReport.steps(demand.arrivalsPerSecond()), (long) sign * demand.waiting(), 0, 0);
+        }
+
+        static Totals details(PriorityDemand demand, int sign) {
+            return new Totals(0, 0, sign * demand.tokenLayers(), sign * DemandReport.steps(demand.refusedPerSecond()));
         }
 
         /** The sum; null if it is zero, so that a map drops it. */
@@ -57,34 +64,47 @@
     /** Records the report of this gateway, which replaces its previous one. */
     public void updateOwn(DemandReport report, DataCentre dataCentre, long nowMillis) {
         removeOwn();
-        own = new Located(report, dataCentre);
+        own = new Located("", report, dataCentre);
         ownMillis = nowMillis;
-        add(own, 1);
+        addRecent(own, 1);
+        addDetails(report, 1);
     }
 
     /** Removes the report of this gateway, which has ceased to build one. */
     public void removeOwn() {
         if (own != null) {
-            add(own, -1);
+            addRecent(own, -1);
+            addDetails(own.report(), -1);
             own = null;
         }
     }
 
     /**
-     * Records the report of a peer, which replaces its previous one.
+     * Records the report of a peer, which replaces its previous one; a report without details leaves the previous ones.
      *
      * @param silenceMillis time for which the report counts unless the peer sends another
      */
     public void updatePeer(
             String name, DataCentre dataCentre, DemandReport report, long silenceMillis, long nowMillis) {
-        Located received = new Located(report, dataCentre);
-        peers.put(name, received, silenceMillis, nowMillis).ifPresent(previous -> add(previous, -1));
-        add(received, 1);
+        Located received = new Located(name, report, dataCentre);
+        peers.put(name, received, silenceMillis, nowMillis).ifPresent(previous -> addRecent(previous, -1));
+        addRecent(received, 1);
+        if (report.detailed()) {
+            peerDetails
+                    .put(name, report, DemandReport.REPORTS_PER_DETAILS * silenceMillis, nowMillis)
+                    .ifPresent(previous -> addDetails(previous, -1));
+            addDetails(report, 1);
+        }
     }
 
     /** Removes the report of a peer, which has ceased to send one. */
     public void removePeer(String name) {
-        peers.remove(name).ifPresent(previous -> add(previous, -1));
+        peers.remove(name).ifPresent(previous -> addRecent(previous, -1));
+        removeDetails(name);
+    }
+
+    private void removeDetails(String name) {
+        peerDetails.remove(name).ifPresent(previous -> addDetails(previous, -1));
     }
 
     /**
@@ -93,7 +113,11 @@
      * @param lagMillis how late this process is; updates may have been waiting unread for that time
      */
     public void removeSilentPeers(long lagMillis, long nowMillis) {
-        peers.removeSilent(lagMillis, nowMillis).forEach(silent -> add(silent, -1));
+        peers.removeSilent(lagMillis, nowMillis).forEach(silent -> {
+            addRecent(silent, -1);
+            removeDetails(silent.name());
+        });
+        peerDetails.removeSilent(lagMillis, nowMillis).forEach(expired -> addDetails(expired, -1));
     }
 
     /** Requests of a service received per second by all gateways at priorities more urgent than the given one. */
@@ -105,21 +129,26 @@
 
     /** Requests of a service received per second by the gateways of a data centre, at any priority. */
     public double arrivalsPerSecond(ServiceName service, DataCentre dataCentre) {
-        return DemandReport.rate(
-                arrivalsByDataCentre.getOrDefault(service, Map.of()).getOrDefault(dataCentre, 0L));
+        return DemandReport.rate(arrivalsByDataCentre
+                .getOrDefault(NameHash.of(service), Map.of())
+                .getOrDefault(dataCentre, 0L));
     }
 
     /**
      * An immutable copy of the requests received per second at any priority, by service and data centre; without a
      * service that receives none.
      */
-    public Map<ServiceName, Map<DataCentre, Double>> arrivalsByDataCentre() {
+    public Map<ServiceName, Map<DataCentre, Double>> arrivalsByDataCentre(Collection<ServiceName> services) {
         Map<ServiceName, Map<DataCentre, Double>> copy = new HashMap<>();
-        arrivalsByDataCentre.forEach((service, steps) -> {
+        for (ServiceName service : services) {
             Map<DataCentre, Double> rates = new HashMap<>();
-            steps.forEach((at, count) -> rates.put(at, DemandReport.rate(count)));
-            copy.put(service, Map.copyOf(rates));
-        });
+            arrivalsByDataCentre
+                    .getOrDefault(NameHash.of(service), Map.of())
+                    .forEach((at, steps) -> rates.put(at, DemandReport.rate(steps)));
+            if (!rates.isEmpty()) {
+                copy.put(service, Map.copyOf(rates));
+            }
+        }
         return Map.copyOf(copy);
     }
 
@@ -143,18 +172,19 @@
      * organisations that use most at its gateway, so the sum may be too low for one that uses little.
      */
     public long inUse(ServiceName service, OrganisationId organisation) {
-        return byOrganisation.getOrDefault(service, Map.of()).getOrDefault(organisation, 0L);
+        return byOrganisation.getOrDefault(NameHash.of(service), Map.of()).getOrDefault(NameHash.of(organisation), 0L);
     }
 
     /** Requests of all gateways in flight at a plain server. */
     public long plainInFlight(BackendServerId server) {
-        return plainInFlight.getOrDefault(server, 0L);
+        return plainInFlight.getOrDefault(NameHash.of(server), 0L);
     }
 
     /** Requests of the peers in flight at a plain server, for a caller that knows its own more recent number. */
     public long peersPlainInFlight(BackendServerId server) {
-        int ownCount = own == null ? 0 : own.report().plainInFlight().getOrDefault(server, 0);
-        return plainInFlight(server) - ownCount;
+        NameHash hash = NameHash.of(server);
+        int ownCount = own == null ? 0 : own.report().plainInFlight().getOrDefault(hash, 0);
+        return plainInFlight.getOrDefault(hash, 0L) - ownCount;
     }
 
     /** Number of peers whose report counts. */
@@ -162,47 +192,59 @@
         return peers.size();
     }
 
-    /** Age of the oldest report that counts, in milliseconds; 0 if there is none. */
+    /** Age of the oldest details of a peer that count, in milliseconds; 0 if there are none. */
+    public long oldestDetailsAgeMillis(long nowMillis) {
+        return peerDetails.oldestAgeMillis(nowMillis);
+    }
+
+    /** Age of the oldest report that counts, in milliseconds; 0 if there is none. Details may be older. */
     public long oldestAgeMillis(long nowMillis) {
         return Math.max(own == null ? 0 : nowMillis - ownMillis, peers.oldestAgeMillis(nowMillis));
     }
 
     private NavigableMap<Integer, Totals> priorities(ServiceName service) {
-        return byPriority.getOrDefault(service, NO_PRIORITIES);
+        return byPriority.getOrDefault(NameHash.of(service), NO_PRIORITIES);
     }
 
     private Totals totals(ServiceName service, int priority) {
         return priorities(service).getOrDefault(priority, Totals.NONE);
     }
 
-    private void add(Located received, int sign) {
+    private void addRecent(Located received, int sign) {
         DemandReport report = received.report();
         for (ServiceDemand demand : report.services()) {
-            addPriorities(demand, received.dataCentre(), sign);
+            addTotals(demand, row -> Totals.recent(row, sign));
+            long arrivalSteps = demand.priorities().stream()
+                    .mapToLong(row -> DemandReport.steps(row.arrivalsPerSecond()))
+                    .sum();
+            addTo(arrivalsByDataCentre, demand.service(), received.dataCentre(), sign * arrivalSteps);
+        }
+        report.plainInFlight().forEach((server, count) -> addTo(plainInFlight, server, (long) sign * count));
+    }
+
+    private void addDetails(DemandReport report, int sign) {
+        for (ServiceDemand demand : report.services()) {
+            addTotals(demand, row -> Totals.details(row, sign));
             demand.tokenLayers()
                     .forEach((organisation, tokenLayers) ->
                             addTo(byOrganisation, demand.service(), organisation, sign * tokenLayers));
         }
-        report.plainInFlight().forEach((server, count) -> addTo(plainInFlight, server, (long) sign * count));
     }
 
-    private void addPriorities(ServiceDemand demand, DataCentre dataCentre, int sign) {
+    private void addTotals(ServiceDemand demand, Function<PriorityDemand, Totals> figures) {
         TreeMap<Integer, Totals> totals = byPriority.computeIfAbsent(demand.service(), any -> new TreeMap<>());
-        long arrivalSteps = 0;
         for (PriorityDemand row : demand.priorities()) {
-            Totals change = Totals.of(row, sign);
+            Totals change = figures.apply(row);
             if (!change.equals(Totals.NONE)) {
                 totals.merge(row.priority(), change, Totals::plus);
-                arrivalSteps += change.arrivalSteps();
             }
         }
         if (totals.isEmpty()) {
             byPriority.remove(demand.service());
         }
-        addTo(arrivalsByDataCentre, demand.service(), dataCentre, arrivalSteps);
     }
 
-    private static <K> void addTo(Map<ServiceName, Map<K, Long>> sums, ServiceName service, K key, long change) {
+    private static <K> void addTo(Map<NameHash, Map<K, Long>> sums, NameHash service, K key, long change) {
         Map<K, Long> byKey = sums.computeIfAbsent(service, any -> new HashMap<>());
         addTo(byKey, key, change);
         if (byKey.isEmpty()) {
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerRotation.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerRotation.java
@@ -56,9 +56,18 @@
         return selected;
     }
 
+    /** Rounds in which each peer of a fleet with that many peers gets its turn. */
+    static int roundsToAll(int peers) {
+        return (peers + MAX_PEERS_PER_ROUND - 1) / MAX_PEERS_PER_ROUND;
+    }
+
     /** Silence after which a peer counts as dead or disconnected in a fleet with that many peers, in milliseconds. */
     public static long silenceMillis(int peers) {
-        int roundsToAll = (peers + MAX_PEERS_PER_ROUND - 1) / MAX_PEERS_PER_ROUND;
-        return Math.max(MIN_SILENCE_MILLIS, (long) MAX_MISSED_TURNS * roundsToAll * ROUND_MILLIS);
+        return silenceMillisOfInterval(roundsToAll(peers));
+    }
+
+    /** Silence after which a sender with that many rounds between two messages counts as dead, in milliseconds. */
+    static long silenceMillisOfInterval(int rounds) {
+        return Math.max(MIN_SILENCE_MILLIS, (long) MAX_MISSED_TURNS * rounds * ROUND_MILLIS);
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateCodec.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateCodec.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -249,6 +250,12 @@
         return loans;
     }
 
+    /** The section is not MessagePack, see {@link CompactNumbers}; it takes the rest of the update. */
+    private static DemandSection readDemand(MessageUnpacker in, byte[] bytes, int length) {
+        int start = (int) in.getTotalReadBytes();
+        return DemandSectionCodec.read(ByteBuffer.wrap(bytes, start, length - start));
+    }
+
     /** Decodes an update; the left side describes what is wrong with the bytes. */
     static Either<String, PeerUpdate> read(byte[] bytes, int length) {
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
@@ -282,7 +289,7 @@
             Map<BackendServerId, RateLimitUpdate> rateLimits =
                     format > FORMAT_WITHOUT_LIMITS ? readRateLimits(in) : Map.of();
             PoisonUpdate poison = format > FORMAT_WITHOUT_CRASHES ? readPoison(in) : PoisonUpdate.NONE;
-            DemandSection demand = format > FORMAT_WITHOUT_DEMAND ? DemandSectionCodec.read(in) : DemandSection.NONE;
+            DemandSection demand = format > FORMAT_WITHOUT_DEMAND ? readDemand(in, bytes, length) : DemandSection.NONE;
             return Either.right(new PeerUpdate(
                     sender,
                     number,
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateService.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateService.java
@@ -50,6 +50,7 @@
     private final PriorityPeers<InetSocketAddress> priorityPeers = new PriorityPeers<>();
     private final PeerLocations<InetSocketAddress> locations;
     private final UpdateUrgency urgency = new UpdateUrgency();
+    private final DemandPacing<InetSocketAddress> demandPacing = new DemandPacing<>();
     private volatile List<HostPort> peers = List.of();
     private volatile List<HostPort> recipients = List.of();
     private volatile boolean running = true;
@@ -160,8 +161,8 @@
         if (known.isEmpty()) {
             return;
         }
-        PeerUpdate current = ownUpdate.get();
-        PeerUpdate update = current.withDemandSection(current.demandSection().withRecipients(known.size()))
+        PeerUpdate update = ownUpdate
+                .get()
                 .withRecentPeers(peersToIntroduce())
                 .withReading(readCoordinator.ownPosition(isLeader.getAsBoolean(), clock.millis()))
                 .withConfigVersion(versions.ownVersion());
@@ -170,16 +171,23 @@
         selected.addAll(priorityPeers.nextRound());
         boolean smallFleet = known.size() <= PeerRotation.MAX_PEERS_PER_ROUND;
         locations.retain(known);
-        Map<Boolean, List<InetSocketAddress>> byNeedOfLoads =
-                selected.stream().collect(Collectors.partitioningBy(peer -> locations.needsLoads(peer) || smallFleet));
-        send(socket, update, byNeedOfLoads.get(true));
-        send(socket, update.withoutLoads(), byNeedOfLoads.get(false));
+        DemandPacing.Plan<InetSocketAddress> demand =
+                demandPacing.plan(update.demandSection(), selected, known, clock.millis());
+        Map<Variant, List<InetSocketAddress>> byVariant = selected.stream()
+                .collect(Collectors.groupingBy(
+                        peer -> new Variant(locations.needsLoads(peer) || smallFleet, demand.extent(peer))));
+        byVariant.forEach((variant, to) -> send(socket, variant.of(update, demand.section()), to));
     }
 
-    private void send(DatagramSocket socket, PeerUpdate update, List<InetSocketAddress> to) {
-        if (to.isEmpty()) {
-            return;
+    /** Which parts of an update some peers of a round get. Immutable, safe for use by any thread. */
+    private record Variant(boolean loads, DemandSection.Extent demand) {
+        PeerUpdate of(PeerUpdate update, DemandSection section) {
+            PeerUpdate limited = update.withDemandSection(section.limitedTo(demand));
+            return loads ? limited : limited.withoutLoads();
         }
+    }
+
+    private void send(DatagramSocket socket, PeerUpdate update, List<InetSocketAddress> to) {
         byte[] bytes = PeerUpdateCodec.write(update);
         if (bytes.length > MAX_BYTES) {
             bytes = PeerUpdateCodec.write(update.withoutLoads());
--- a/gateway/src/main/java/org/cornelramp/gateway/route/DemandReporter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/DemandReporter.java
@@ -2,11 +2,14 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import org.cornelramp.core.admission.DemandCounter;
 import org.cornelramp.core.admission.DemandCounter.RequestInProgress;
 import org.cornelramp.core.admission.DemandReport;
 import org.cornelramp.core.admission.FleetDemand;
 import org.cornelramp.core.model.DataCentre;
+import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.path.Hop;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.gateway.log.EventLog;
@@ -65,7 +68,7 @@
     }
 
     /**
-     * The section for the next update, without the number of recipients, which its sender knows. A report that is due is
+     * The section for the next update, without its interval, which the sender of updates knows. A report that is due is
      * built and counts in {@link FleetState#demand}.
      */
     DemandSection section(long now) {
@@ -87,6 +90,10 @@
             fleet.demand().updateOwn(built, dataCentre, now);
             report = Optional.of(built);
             reportedMillis = now;
+            counter.takeCollisions().forEach(names -> log.line("peers", "demand names collide")
+                    .with("names", names)
+                    .with("remedy", "rename one; until then both seem to have the demand of both")
+                    .write());
             logSums(built, now);
         }
         return new DemandSection(report, 0, fleet.ownStatus());
@@ -98,14 +105,17 @@
         }
         loggedMillis = now;
         FleetDemand demand = fleet.demand();
-        for (DemandReport.ServiceDemand row : own.services()) {
-            log.routine("peers", "demand")
-                    .with("service", row.service())
-                    .with("perSecond", demand.arrivalsPerSecond(row.service(), Integer.MAX_VALUE))
+        Set<ServiceName> services = new TreeSet<>(counter.services());
+        activeRequests.forEach(request -> services.add(request.service()));
+        for (ServiceName service : services) {
+            own.service(service).ifPresent(row -> log.routine("peers", "demand")
+                    .with("service", service)
+                    .with("perSecond", demand.arrivalsPerSecond(service, Integer.MAX_VALUE))
                     .with("ownPerSecond", row.arrivalsPerSecond())
                     .with("reports", demand.peerCount())
                     .with("oldestMillis", demand.oldestAgeMillis(now))
-                    .write();
+                    .with("oldestDetailsMillis", demand.oldestDetailsAgeMillis(now))
+                    .write());
         }
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FleetState.java
@@ -358,8 +358,14 @@
                 suspects.add(server.id());
             }
         }
+        Set<ServiceName> services = servers.stream().map(BackendServer::service).collect(Collectors.toSet());
         return new FleetView(
-                servers, suspects, storeAvailable, initialised, demand.arrivalsByDataCentre(), loads.slowdownFactors());
+                servers,
+                suspects,
+                storeAvailable,
+                initialised,
+                demand.arrivalsByDataCentre(services),
+                loads.slowdownFactors());
     }
 
     /**
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PeerUpdateHandler.java
@@ -164,12 +164,15 @@
         DataCentre dataCentre = update.sender().dataCentre();
         DemandSection section = update.demandSection();
         long silence = section.silenceMillis();
+        fleet.promptHolders()
+                .ifPresent(holders -> holders.updatePeer(update.name(), section.prefixes(), silence, nowMillis));
+        if (section.omitted()) {
+            return;
+        }
         section.report()
                 .ifPresentOrElse(
                         report -> fleet.demand().updatePeer(update.name(), dataCentre, report, silence, nowMillis),
                         () -> fleet.demand().removePeer(update.name()));
-        fleet.promptHolders()
-                .ifPresent(holders -> holders.updatePeer(update.name(), section.prefixes(), silence, nowMillis));
         section.status()
                 .ifPresentOrElse(
                         status -> fleet.gatewayStatuses().update(update.name(), dataCentre, status, silence, nowMillis),
