--- a/gateway/src/test/java/org/cornelramp/gateway/peer/DemandPacingTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/peer/DemandPacingTest.java
@@ -27,7 +27,7 @@
 
 /** Bytes per second and ages of demand reports in fleets of 4 to 1,500 gateways. */
 public class DemandPacingTest {
-    private static final int RUN_MILLIS = 120_000;
+    private static final int RUN_MILLIS = 1_200_000;
 
     /** Ranks of the three streaming routes of deployment K, without priorities of organisations. */
     private static final List<Integer> RANKS_OF_K = List.of(0, 11, 22);
