--- a/core/src/main/java/org/cornelramp/core/admission/FleetDemand.java
+++ b/core/src/main/java/org/cornelramp/core/admission/FleetDemand.java
@@ -179,10 +179,10 @@
     public long peersInUse(ServiceName service, OrganisationId organisation) {
         long ownUse = own == null
                 ? 0
-                : own.report().services().stream()
-                        .filter(demand -> demand.service().equals(service))
-                        .mapToLong(demand -> demand.tokenLayers().getOrDefault(organisation, 0L))
-                        .sum();
+                : own.report()
+                        .service(service)
+                        .map(demand -> demand.tokenLayers().getOrDefault(NameHash.of(organisation), 0L))
+                        .orElse(0L);
         return inUse(service, organisation) - ownUse;
     }
 
