--- a/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cornelramp.core.admission.DemandReport;
+import org.cornelramp.core.admission.NameHash;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.OrganisationId;
@@ -275,7 +276,9 @@
 
     private void reportUse(String organisation) {
         DemandReport.ServiceDemand use = new DemandReport.ServiceDemand(
-                new ServiceName(StandInConfig.ENGINES), List.of(), Map.of(new OrganisationId(organisation), MUCH_USE));
+                NameHash.of(new ServiceName(StandInConfig.ENGINES)),
+                List.of(),
+                Map.of(NameHash.of(new OrganisationId(organisation)), MUCH_USE));
         router.handle(new RouterEvent.PeerUpdateReceived(
                 PeerUpdate.of(PEER, 1, false, Map.of(), 0, Map.of(), Set.of(), RetryLoanUpdate.NONE)
                         .withDemandSection(new DemandSection(
