--- a/core/src/test/java/org/cornelramp/core/fleet/SharedServerSelectorTest.java
+++ b/core/src/test/java/org/cornelramp/core/fleet/SharedServerSelectorTest.java
@@ -26,6 +26,9 @@
 
     private PlainServerStats stats;
 
+    private static final int LIGHT_LOAD_SEEDS = 16;
+
+    private static final PlainFleet.Behaviour SOUND = (server, now) -> 1;
     private static final PlainFleet.Behaviour THRICE = (server, now) -> server == 2 ? 3 : 1;
     private static final PlainFleet.Behaviour TWELVE =
             (server, now) -> server == 2 && now % 20_000 >= 10_000 && now % 20_000 < 14_000 ? 12 : 1;
@@ -68,6 +71,29 @@
         }
     }
 
+    /** Data centres 3 ms apart; the work of a request takes 15 ms in the mean, or 60 ms as in the other tests. */
+    @DataProvider
+    static Object[][] distantLayouts() {
+        return new Object[][] {
+            {"15 ms", new PlainFleet.Layout(3, 3, 3, 15, false)},
+            {"60 ms", new PlainFleet.Layout(3, 3, 3, 60, false)},
+            {"15 ms, exponential", new PlainFleet.Layout(3, 3, 3, 15, true)},
+            {"60 ms, exponential", new PlainFleet.Layout(3, 3, 3, 60, true)}
+        };
+    }
+
+    /** Guards against requests that are sent to another data centre although the nearest server has room. */
+    @Test(dataProvider = "distantLayouts", groups = "known-red")
+    public void answersAtLightLoadAreNotLaterThanWithTheSelectorForFewGateways(String name, PlainFleet.Layout layout) {
+        for (int perSecond : new int[] {6, 12}) {
+            PlainFleet.Totals shared = PlainFleet.totals(layout, true, SOUND, perSecond, LIGHT_LOAD_SEEDS);
+            PlainFleet.Totals today = PlainFleet.totals(layout, false, SOUND, perSecond, LIGHT_LOAD_SEEDS);
+            LOG.info("%s, %d requests/s: new %s; today's %s".formatted(name, perSecond, shared, today));
+            assertTrue(shared.medianMillis() <= today.medianMillis(), name + ": " + shared + ", today's " + today);
+            assertTrue(shared.lateShare() <= today.lateShare() + 0.01, name + ": " + shared + ", today's " + today);
+        }
+    }
+
     private BackendServerId choose(long now, long seed) {
         SharedServerSelector.Situation situation = new SharedServerSelector.Situation(HOME, id -> 0, now);
         return new SharedServerSelector(stats)
