Plain servers: choose the least expected cost at a load drawn around the outdated one

Cause: two of three servers were drawn at random, so the local server was often not among them. A gateway whose first request went to another data centre stayed there: the local server was not observed and counted as slower. An estimate of one or two answers decided between servers of equal speed, and a sound server counted as slower by up to a half between two requests. Change: all servers are considered. The present load is drawn around the reported one, which is older than a request takes. Observed latencies within a factor of 1.5 count as equal; a sound server keeps its latency; a local server that was not observed is tried where the fastest is distant. Own requests in flight weigh more, as only they are known to the moment. A cold server's answers count at its warm pace; its share still rises in four steps.

--- a/core/src/main/java/org/cornelramp/core/fleet/PlainServerRecord.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/PlainServerRecord.java
@@ -17,6 +17,9 @@
     /** Most consecutive sheds that lengthen the time for which a server is avoided. */
     private static final int MAX_COUNTED_SHEDS = 4;
 
+    /** Factor by which a server is slower while it is cold. */
+    static final double COLD_SLOWDOWN = 1.6;
+
     /** A slow server shows at each of its answers. */
     private static final double LATENCY_LEARN_MILLIS = 3_000;
 
@@ -59,7 +62,8 @@
     private void recordRecent(PlainServerStats.Outcome outcome, long millis, long nowMillis) {
         switch (outcome) {
             case SUCCEEDED -> {
-                recentLatency.record((double) millis, nowMillis);
+                // otherwise the server would count as slow after its cold time
+                recentLatency.record(millis / (warmShare(nowMillis) < 1 ? COLD_SLOWDOWN : 1), nowMillis);
                 recentFailures.record(0, nowMillis);
                 consecutiveSheds = 0;
             }
@@ -128,13 +132,19 @@
     /**
      * Latency to expect now; a request in flight for longer shows that the server has become slower.
      *
-     * @param usualMillis expected without a recent observation. The factor between the two fades, so that a server that
-     *     was slower by 12 for a while is tried again not much later than one that was slower by 3.
+     * @param usualMillis expected without a recent observation. The factor between the two fades where the server was
+     *     slower, so that one that was slower by 12 for a while is tried again not much later than one that was slower
+     *     by 3. A server that was faster stays so: at a request every few seconds the nearest one would otherwise soon
+     *     count as slower than any other.
      */
     double expectedLatency(double usualMillis, long nowMillis) {
         double oldest = sentMillis.isEmpty() ? 0 : nowMillis - sentMillis.peek();
+        if (!recentLatency.isObserved()) {
+            return Math.max(oldest, usualMillis);
+        }
         double factor = Math.max(1, recentLatency.mean()) / usualMillis;
-        return Math.max(oldest, usualMillis * Math.pow(factor, recentLatency.weight(nowMillis)));
+        double weight = factor < 1 ? 1 : recentLatency.weight(nowMillis);
+        return Math.max(oldest, usualMillis * Math.pow(factor, weight));
     }
 
     boolean isLatencyObserved() {
--- a/core/src/main/java/org/cornelramp/core/fleet/SharedServerSelector.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/SharedServerSelector.java
@@ -12,9 +12,10 @@
 
 /**
  * Chooses the backend server for a request to a plain service that many gateways share, so that this process's own
- * requests in flight say little about a server's load. Two servers are drawn at random, weighted by the inverse of the
- * expected time to an answer, and the better one is taken, so that the gateways do not all choose the same server on
- * the same outdated figures. Owned by one thread.
+ * requests in flight say little about a server's load. The server with the least expected time to an answer is taken.
+ * The load that the peers report is older than a request takes, so the present load is drawn at random around it for
+ * each request; otherwise the gateways would all choose the same server on the same outdated figures. Owned by one
+ * thread.
  *
  * <p>Invariant: a server that is known to be full is chosen only if all others are excluded or known to be full too.
  */
@@ -28,11 +29,27 @@
     /** Time until a request that was shed is sent again, in milliseconds: that of the next search for a server. */
     private static final long SHED_RETRY_MILLIS = 60;
 
-    /** Factor between the latency expected of a server that has not been observed lately and that of the fastest. */
-    private static final double UNKNOWN_FACTOR = 1.5;
+    /**
+     * Factor up to which observed latencies count as equal. A gateway gets a request every few seconds, so its estimate
+     * is little more than the last answer, and answers of one server differ by that much.
+     */
+    private static final double SIMILAR_FACTOR = 1.5;
 
-    /** Factor by which a server is slower while it is cold. */
-    private static final double COLD_SLOWDOWN = 1.6;
+    /**
+     * Factor between the latency expected of a server that has not been observed lately and that of the fastest; more
+     * than {@link #SIMILAR_FACTOR}, so that a slow server does not count as equal after a while.
+     */
+    private static final double UNKNOWN_FACTOR = 1.6;
+
+    /**
+     * Weight of this process's own requests in flight, in relation to a request that has to wait for the slots. They
+     * are the only load known to the moment. With 4 there are as few sheds at 48 requests/s as with {@link
+     * PlainServerSelector}, with 1 there are more.
+     */
+    private static final double OWN_REQUEST_WEIGHT = 4;
+
+    /** Bound of the random part of a cost that decides between equal costs, in milliseconds. */
+    private static final double TIE_MILLIS = 0.01;
 
     /** Steps in which the share of a cold server rises. */
     private static final int COLD_STEPS = 4;
@@ -80,20 +97,45 @@
         if (candidates.size() <= 1) {
             return candidates.stream().findFirst();
         }
+        return Optional.of(cheapest(withoutSomeCold(candidates, situation.nowMillis(), random), situation, random));
+    }
+
+    /** The candidates, without a cold server where it would exceed its share; all of them if none would be left. */
+    private List<BackendServer> withoutSomeCold(List<BackendServer> candidates, long now, RandomGenerator random) {
+        List<BackendServer> rest = candidates.stream()
+                .filter(server -> random.nextDouble() < coldShare(server, now))
+                .toList();
+        return rest.isEmpty() ? candidates : rest;
+    }
+
+    /**
+     * The server with the least cost. Latencies that differ little count as equal. So does that of a local server which
+     * has not been observed, while the fastest one is in another data centre: a gateway whose first request went there
+     * would otherwise never try the local server.
+     */
+    private BackendServer cheapest(List<BackendServer> candidates, Situation situation, RandomGenerator random) {
         double usualMillis = usualMillis(candidates);
-        double[] costs = candidates.stream()
-                .mapToDouble(server -> cost(server, usualMillis, situation))
+        double[] latencies = candidates.stream()
+                .mapToDouble(server -> latency(server, usualMillis, situation.nowMillis()))
                 .toArray();
-        double[] weights = new double[costs.length];
-        for (int i = 0; i < costs.length; i++) {
-            weights[i] = coldShare(candidates.get(i), situation.nowMillis()) / costs[i];
-        }
-        int first = draw(weights, random);
-        if (weights.length > 2) {
-            weights[first] = 0; // of two servers, both would always be drawn, and all gateways would choose the same
+        int fastest = indexOfLowest(latencies);
+        boolean distant = !isLocal(candidates.get(fastest), situation);
+        BackendServer cheapest = candidates.get(0);
+        double lowestCost = Double.MAX_VALUE;
+        for (int i = 0; i < latencies.length; i++) {
+            BackendServer server = candidates.get(i);
+            PlainServerRecord known = stats.record(server.id());
+            boolean similar = known.isLatencyObserved()
+                    ? latencies[i] <= latencies[fastest] * SIMILAR_FACTOR
+                    : distant && isLocal(server, situation) && known.warmShare(situation.nowMillis()) >= 1;
+            double cost = cost(server, latencies[similar ? fastest : i], situation, random)
+                    + random.nextDouble() * TIE_MILLIS;
+            if (cost < lowestCost) {
+                cheapest = server;
+                lowestCost = cost;
+            }
         }
-        int second = draw(weights, random);
-        return Optional.of(candidates.get(costs[second] < costs[first] ? second : first));
+        return cheapest;
     }
 
     private static List<BackendServer> allowed(Collection<BackendServer> servers, Set<BackendServerId> excluded) {
@@ -141,25 +183,54 @@
                 * UNKNOWN_FACTOR;
     }
 
-    /** Expected time until a client has its answer, in milliseconds. */
-    private double cost(BackendServer server, double usualMillis, Situation situation) {
+    private static int indexOfLowest(double[] values) {
+        int lowest = 0;
+        for (int i = 1; i < values.length; i++) {
+            lowest = values[i] < values[lowest] ? i : lowest;
+        }
+        return lowest;
+    }
+
+    private static boolean isLocal(BackendServer server, Situation situation) {
+        return server.dataCentre().equals(situation.home());
+    }
+
+    /** Expected latency without a wait for a slot, in milliseconds. */
+    private double latency(BackendServer server, double usualMillis, long now) {
+        PlainServerRecord known = stats.record(server.id());
+        if (known.isLatencyObserved()) {
+            return known.expectedLatency(usualMillis, now);
+        }
+        double cold = known.warmShare(now) >= 1 ? 1 : PlainServerRecord.COLD_SLOWDOWN;
+        return cold
+                * known.expectedLatency(
+                        Math.min(usualMillis, PlainServerStats.INITIAL_LATENCY_MILLIS * UNKNOWN_FACTOR), now);
+    }
+
+    /** Expected time until a client has its answer, in milliseconds, if the present load is as drawn. */
+    private double cost(BackendServer server, double latency, Situation situation, RandomGenerator random) {
         long now = situation.nowMillis();
         PlainServerRecord known = stats.record(server.id());
         int slots = Math.max(1, server.slots());
-        double requests = known.expectedRequests(situation.peersInFlight().applyAsInt(server.id()), now);
-        double cold = known.isLatencyObserved() || known.warmShare(now) >= 1 ? 1 : COLD_SLOWDOWN;
-        double firstMillis = Math.min(usualMillis, PlainServerStats.INITIAL_LATENCY_MILLIS * UNKNOWN_FACTOR);
-        double latency = cold * known.expectedLatency(known.isLatencyObserved() ? usualMillis : firstMillis, now);
+        int own = known.inFlight();
+        double expected = known.expectedRequests(situation.peersInFlight().applyAsInt(server.id()), now);
+        double requests = own + drawPresent(Math.max(0, expected - own), random);
         double roundsAhead = Math.max(0, requests + 1 - slots) / slots;
-        double distance =
-                server.dataCentre().equals(situation.home()) ? 0 : PlainServerSelector.CROSS_DATA_CENTRE_MILLIS;
-        return 1
-                + distance
-                + latency * (1 + roundsAhead)
+        double distance = isLocal(server, situation) ? 0 : PlainServerSelector.CROSS_DATA_CENTRE_MILLIS;
+        return distance
+                + latency * (1 + roundsAhead + OWN_REQUEST_WEIGHT * own / slots)
                 + fullChance(requests, slots) * SHED_PENALTY_MILLIS
                 + known.recentFailureRate(now) * PlainServerSelector.FAILURE_PENALTY_MILLIS;
     }
 
+    /**
+     * A present number of requests, given the outdated one: as far from it as a Poisson-distributed number is from its
+     * mean. The one more in the variance is for a server at which no requests are known.
+     */
+    private static double drawPresent(double outdated, RandomGenerator random) {
+        return Math.max(0, outdated + random.nextGaussian() * Math.sqrt(outdated + 1));
+    }
+
     /**
      * Chance that a server is full on arrival of a request, by Erlang's loss formula. The figures of the other gateways
      * are older than a request takes, so they tell the mean number of requests at a server and not the present one.
@@ -179,19 +250,4 @@
         double warm = stats.record(server.id()).warmShare(nowMillis);
         return Math.min(COLD_STEPS, 1 + Math.floor(COLD_STEPS * Math.max(0, warm))) / COLD_STEPS;
     }
-
-    private static int draw(double[] weights, RandomGenerator random) {
-        double total = 0;
-        for (double weight : weights) {
-            total += weight;
-        }
-        double left = random.nextDouble() * total;
-        for (int i = 0; i < weights.length; i++) {
-            left -= weights[i];
-            if (left < 0) {
-                return i;
-            }
-        }
-        return weights.length - 1;
-    }
 }
