Plain servers: a local server whose first answer is overdue does not count as fast

Cause: a local server that was not observed counted as fast as a distant one, also while a request of this gateway waited there without an answer. Change: only while none of this gateway's requests is in flight there. The test covers both.

--- a/core/src/main/java/org/cornelramp/core/fleet/SharedServerSelector.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/SharedServerSelector.java
@@ -125,9 +125,10 @@
         for (int i = 0; i < latencies.length; i++) {
             BackendServer server = candidates.get(i);
             PlainServerRecord known = stats.record(server.id());
+            boolean untried = known.inFlight() == 0 && known.warmShare(situation.nowMillis()) >= 1;
             boolean similar = known.isLatencyObserved()
                     ? latencies[i] <= latencies[fastest] * SIMILAR_FACTOR
-                    : distant && isLocal(server, situation) && known.warmShare(situation.nowMillis()) >= 1;
+                    : distant && isLocal(server, situation) && untried;
             double cost = cost(server, latencies[similar ? fastest : i], situation, random)
                     + random.nextDouble() * TIE_MILLIS;
             if (cost < lowestCost) {
@@ -170,7 +171,7 @@
 
     /**
      * Latency expected of a server that has not been observed lately: somewhat more than that of the fastest. A server
-     * that was slow or has just started is tried again, but rarely while one is known to be fast: a gateway that gets a
+     * that was slow or has just started is tried when the load of the others costs as much: a gateway that gets a
      * request every few seconds would otherwise spend a tenth of them on trials.
      */
     private double usualMillis(List<BackendServer> candidates) {
--- a/core/src/test/java/org/cornelramp/core/fleet/SharedServerSelectorTest.java
+++ b/core/src/test/java/org/cornelramp/core/fleet/SharedServerSelectorTest.java
@@ -172,16 +172,23 @@
     @Test
     public void localServerIsTriedWhereOnlyADistantOneHasBeenObserved() {
         recordAnswer(SERVERS.get(2).id(), 66, 1_000);
+        assertTrue(countLocal(2_000) > 950, countLocal(2_000) + " of 1000");
+        stats.requestSent(SERVERS.get(0).id(), 1_800);
+        assertTrue(countLocal(2_000) < 50, "the first answer is overdue, yet it is chosen");
+    }
+
+    /** How often of 1,000 times the only local server is chosen. */
+    private long countLocal(long now) {
         List<BackendServer> servers =
                 List.of(PlainFleet.server("p0"), PlainFleet.server("p1", FAR), PlainFleet.server("p2", FAR));
         long local = 0;
         for (long seed = 0; seed < 1_000; seed++) {
-            SharedServerSelector.Situation situation = new SharedServerSelector.Situation(HOME, id -> 0, 2_000);
+            SharedServerSelector.Situation situation = new SharedServerSelector.Situation(HOME, id -> 0, now);
             Optional<BackendServer> chosen =
                     new SharedServerSelector(stats).choose(servers, Set.of(), situation, new SplittableRandom(seed));
             local += chosen.orElseThrow().dataCentre().equals(HOME) ? 1 : 0;
         }
-        assertTrue(local > 950, local + " of 1000");
+        return local;
     }
 
     /** Guards against a server that counts as slow after its cold time because of its answers within it. */
