Stop reading a response once its attempt is cancelled

Cause: a thread read a response for as long as bytes were waiting, also after the attempt had been cancelled. A stream that gets no event until its deadline of 9 s is broken off; its client sees "chunked transfer encoding, state: READING_DATA".

Change: a cancelled attempt reads no further chunk. An abort waits for the end of the read that is under way, and the reading thread then makes it. Buffers of backend connections are not pooled. A buffered body of which a part was dropped never counts as an answer. The order of reads, writes, abort and end is now a class of its own, AttemptSequence.

--- a/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/HttpClients.java
@@ -6,6 +6,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
@@ -77,6 +78,11 @@
             return pool;
         });
         HttpClient client = new HttpClient(transport);
+        // An abort releases the buffer of a connection that another thread may be reading into. In a pool it would then
+        // belong to two responses, and bytes of a faulty server could appear in another server's response.
+        client.setByteBufferPool(new ByteBufferPool.NonPooling());
+        client.setUseInputDirectByteBuffers(false);
+        client.setUseOutputDirectByteBuffers(false);
         client.addBean(connectWatch);
         client.setExecutor(threads);
         client.setScheduler(timers);
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -41,6 +41,7 @@
     private final BiConsumer<Attempt, AttemptEnd> onEnd;
     private final EventSplitter splitter;
     private final ResponseBuffer buffer = new ResponseBuffer();
+    private final AttemptSequence sequence = new AttemptSequence();
     private final AtomicReference<AttemptEnd> reportedEnd = new AtomicReference<>();
     private final AtomicReference<ResponseHead> untakenHead = new AtomicReference<>();
     private volatile StagePath path;
@@ -51,16 +52,13 @@
     private volatile boolean cancelled;
     private volatile boolean invalid;
     private volatile boolean contentEnded;
+    private volatile String dropReason = "";
     private volatile Throwable clientFailure;
     private volatile ConnectionFault connectionFault = ConnectionFault.NONE;
     private volatile long firstEventMillis;
     private volatile EventIds received = EventIds.after(-1);
     private volatile ResponseHead receivedHead;
     private volatile HttpFields fields = HttpFields.EMPTY;
-    private boolean writing;
-    private int reads;
-    private boolean ended;
-    private Result deferredResult;
     private long startMillis;
 
     /** What became of the connection to the backend server. Immutable, safe for use by any thread. */
@@ -179,9 +177,18 @@
         out.send(this::onComplete);
     }
 
-    /** Aborts the attempt and closes its connection, which makes the backend server stop. */
+    /**
+     * Aborts the attempt and closes its connection, which makes the backend server stop. If the response is being read,
+     * the reading thread aborts once it has handled the current chunk.
+     */
     public void cancel(String reason) {
         cancelled = true;
+        if (sequence.mayAbort(reason)) {
+            abort(reason);
+        }
+    }
+
+    private void abort(String reason) {
         Request out = request;
         if (out != null) {
             var unused = out.abort(new AttemptFailures.CancelledException(reason)); // onComplete reports the end
@@ -240,14 +247,14 @@
     }
 
     private void read(Content.Source source) {
-        beginRead();
+        sequence.beginRead();
         readOn(source);
     }
 
     /**
-     * Reads until the source has no more or a write is under way, and ends the read. An exception ends the attempt: the
-     * HTTP library only logs one that is thrown within the callback of a write, and nothing would read the rest of the
-     * response.
+     * Reads until the source has no more, a write is under way or the attempt is cancelled, and ends the read. An exception
+     * ends the attempt: the HTTP library only logs one that is thrown within the callback of a write, and nothing would
+     * read the rest of the response.
      */
     private void readOn(Content.Source source) {
         try {
@@ -260,7 +267,7 @@
     }
 
     private void readChunks(Content.Source source) {
-        while (true) {
+        while (!cancelled) {
             Content.Chunk chunk = source.read();
             if (chunk == null) {
                 source.demand(() -> read(source));
@@ -289,11 +296,13 @@
             if (relaying) {
                 return splitEvents(bytes);
             }
-            ResponseBuffer.Result kept = cancelled ? ResponseBuffer.Result.KEPT : buffer.add(bytes);
+            ResponseBuffer.Result kept = buffer.add(bytes);
             if (kept == ResponseBuffer.Result.TOO_LONG) {
-                reject("the response exceeds the buffer limit");
+                dropReason = "the response exceeds the buffer limit";
+                reject(dropReason);
             } else if (kept == ResponseBuffer.Result.NO_MEMORY) {
-                cancel("buffered responses take all memory for them");
+                dropReason = "buffered responses take all memory for them";
+                cancel(dropReason);
             }
             return ByteBuffer.allocate(0);
         } finally {
@@ -335,7 +344,7 @@
             endWrite();
             return;
         }
-        beginRead();
+        sequence.beginRead();
         endWrite();
         readOn(source);
     }
@@ -346,77 +355,30 @@
         endWrite();
     }
 
-    /**
-     * Begins a write unless the attempt has ended. The router may cancel an attempt after some events were read and
-     * before they are written, and send the request again from the last event that was forwarded. If the events were
-     * still written, the client would get them twice, or the write would overlap with the next attempt's write on the
-     * same connection; both writes would then fail, which looks like a client that has disconnected. Events that are
-     * dropped here are sent again by the next attempt. Nothing is written after a failed write either, as a part of it
-     * may have been sent.
-     */
-    private synchronized boolean beginWrite() {
-        writing = !ended && clientFailure == null;
-        return writing;
+    /** Nothing is written after a failed write, as a part of it may have been sent. */
+    private boolean beginWrite() {
+        return clientFailure == null && sequence.beginWrite();
     }
 
     private void endWrite() {
-        Result result;
-        synchronized (this) {
-            writing = false;
-            result = takeDeferredResult();
-        }
-        reportEnd(result);
-    }
-
-    private synchronized void beginRead() {
-        reads++;
+        sequence.endWrite().ifPresent(this::reportEnd);
     }
 
     private void endRead() {
-        Result result;
-        synchronized (this) {
-            reads--;
-            result = takeDeferredResult();
-        }
-        reportEnd(result);
-    }
-
-    /** The deferred result if it is due now, null if not. Called with the lock held. */
-    private Result takeDeferredResult() {
-        Result result = deferredResult;
-        if (result == null || isTooEarly(result)) {
-            return null;
-        }
-        deferredResult = null;
-        ended = true;
-        return result;
-    }
-
-    /**
-     * Whether a result is to be handled later. Two writes at once on one connection would fail, so the next attempt waits
-     * for the end of a write. The HTTP library may report success within a read, before that read returns the last chunk
-     * that shows whether the response is whole.
-     */
-    private boolean isTooEarly(Result result) {
-        return writing || (reads > 0 && !result.isFailed());
+        Optional<Result> result = sequence.endRead();
+        sequence.takeDeferredAbort().ifPresent(this::abort);
+        result.ifPresent(this::reportEnd);
     }
 
     /** Handles the result, or keeps it until the write or the read that is under way has ended. */
     void onComplete(Result result) {
-        synchronized (this) {
-            if (isTooEarly(result)) {
-                deferredResult = result;
-                return;
-            }
-            ended = true;
+        if (sequence.complete(result)) {
+            reportEnd(result);
         }
-        reportEnd(result);
     }
 
     private void reportEnd(Result result) {
-        if (result != null) {
-            reportEnd(end(result));
-        }
+        reportEnd(end(result));
     }
 
     private AttemptEnd end(Result result) {
@@ -454,6 +416,9 @@
     }
 
     private AttemptEnd bufferedEnd(ResponseHead responseHead) {
+        if (!dropReason.isEmpty()) {
+            return AttemptEnd.without(AttemptEnd.Kind.BROKEN, dropReason); // the library had received all of it
+        }
         AttemptEnd.Kind kind = endsWithConnection() ? AttemptEnd.Kind.ANSWERED_UNFRAMED : AttemptEnd.Kind.ANSWERED;
         if (responseHead.notRun()) {
             kind = AttemptEnd.Kind.NOT_RUN;
--- a/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/request/AttemptTest.java
@@ -193,6 +193,19 @@
         assertFalse(exchange.isEnded());
     }
 
+    /**
+     * Guards against a cancelled attempt that is read on: a server that sends at full speed then keeps a thread beyond the
+     * deadline of the request, and other streams wait for one.
+     */
+    @Test
+    public void cancelledAttemptIsNotReadOn() {
+        Attempt attempt = attempt(exchange());
+        List<String> read = new ArrayList<>();
+        Content.Chunk first = chunk("data:", () -> attempt.cancel("deadline"));
+        attempt.onContent(engineResponse(), source(first, () -> read.add("second"), chunk(" x\n\n", () -> {})));
+        assertEquals(read, List.of());
+    }
+
     /** Headers of an answer to the same request that differ in all else. */
     private static HttpFields resumedHead() {
         HttpFields.Mutable head = HttpFields.build();
