Count invalid responses of plain servers as failures

Cause: an attempt that the gateway rejects because of its response counted as abandoned, which the choice among shared plain servers takes as no sign of a failure.

Change: a rejected attempt counts as failed. An attempt cancelled for another reason still counts as abandoned.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
@@ -109,7 +109,8 @@
         if (end.kind() == AttemptEnd.Kind.NOT_RUN && end.status() == HttpStatus.SERVICE_UNAVAILABLE_503) {
             return PlainServerStats.Outcome.SHED;
         }
-        boolean givenUp = end.kind() == AttemptEnd.Kind.CLIENT_GONE || attempt.isCancelled();
+        boolean givenUp =
+                end.kind() == AttemptEnd.Kind.CLIENT_GONE || (attempt.isCancelled() && !attempt.hasInvalidResponse());
         return givenUp ? PlainServerStats.Outcome.ABANDONED : PlainServerStats.Outcome.FAILED;
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/route/FailureDetectorTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/FailureDetectorTest.java
@@ -6,15 +6,21 @@
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
 import java.time.Clock;
+import java.util.List;
 import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerState;
+import org.cornelramp.core.fleet.SharedServerSelector.Situation;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.model.LayerRange;
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.SteadyClock;
+import org.cornelramp.gateway.TestServers;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
 import org.cornelramp.gateway.request.Attempt;
@@ -108,4 +114,33 @@
         failureDetector(late).handleReport(engine, Either.left(refused), NOW);
         assertTrue(late.isLost(engine.id(), NOW));
     }
+
+    /**
+     * Guards against a plain server that gets as many requests as others although its responses have no end: the gateway
+     * ends such an attempt itself, which otherwise says nothing about the server.
+     */
+    @Test
+    public void invalidResponseOfPlainServerCountsAsItsFailure() {
+        Attempt rejected = attempt();
+        rejected.reject("the response exceeds the buffer limit");
+        assertTrue(choicesAfter(rejected) < 10);
+        Attempt cancelled = attempt();
+        cancelled.cancel("deadline");
+        assertTrue(choicesAfter(cancelled) > 30);
+    }
+
+    /** How often of 100 times a server is chosen instead of an equal one after an attempt there has ended. */
+    private long choicesAfter(Attempt attempt) {
+        FleetState own = new FleetState("g1", 1_200);
+        own.plainStats().requestSent(engine.id(), 0);
+        failureDetector(own).recordOutcome(attempt, end(AttemptEnd.Kind.BROKEN, "cancelled"), 1);
+        List<BackendServer> servers = List.of(engine, TestServers.incarnation(engine, "i-2"));
+        Situation situation = new Situation(engine.dataCentre(), id -> 0, 1);
+        Random random = new Random(1);
+        return IntStream.range(0, 100)
+                .filter(i -> own.sharedServers()
+                        .choose(servers, Set.of(), situation, random)
+                        .equals(Optional.of(engine)))
+                .count();
+    }
 }
