Core: copies of the admission state, costs of candidates, ids of keys

Change: AdmissionQueue, ShareTracker, DrainRate, SlidingSums and AdmissionPolicy have copies. SharedServerSelector, PlainServerSelector and PathFinder tell the costs by which they choose; the selector no longer creates an empty record for a server that it only compares, which changes no cost. EngineLoads tells the age of its oldest update.

--- a/cli/src/main/java/org/cornelramp/cli/command/KeyHash.java
+++ b/cli/src/main/java/org/cornelramp/cli/command/KeyHash.java
@@ -1,13 +1,10 @@
 package org.cornelramp.cli.command;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Map;
 import org.apache.commons.cli.CommandLine;
 import org.cornelramp.cli.CliException;
 import org.cornelramp.cli.ExitCode;
+import org.cornelramp.core.routing.KeyId;
 
 /** Hashes a key, because the table and the settings hold only hashes of keys. Stateless. */
 public final class KeyHash implements Command {
@@ -35,7 +32,7 @@
         if (key.isEmpty()) {
             throw new CliException(ExitCode.USAGE, "the file holds no key; write the key into it");
         }
-        String hash = hash(key);
+        String hash = KeyId.of(key).hash();
         if (context.json()) {
             context.printJson(Map.of("hash", hash));
         } else {
@@ -43,14 +40,4 @@
         }
         return ExitCode.DONE;
     }
-
-    private static String hash(String key) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(
-                    "SHA-256 is not available, although every Java platform must provide it", e);
-        }
-    }
 }
--- a/core/src/main/java/org/cornelramp/core/admission/AdmissionPolicy.java
+++ b/core/src/main/java/org/cornelramp/core/admission/AdmissionPolicy.java
@@ -13,6 +13,13 @@
 
     private int firstHeldBack = Integer.MAX_VALUE;
 
+    /** Returns a copy that changes independently. */
+    public AdmissionPolicy copy() {
+        AdmissionPolicy copy = new AdmissionPolicy();
+        copy.firstHeldBack = firstHeldBack;
+        return copy;
+    }
+
     /** Decides for one request, and holds its priority back or readmits it. */
     public Fit judge(Prospect prospect) {
         if (prospect.firstEventMillis() > prospect.patienceLeftMillis()) {
--- a/core/src/main/java/org/cornelramp/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/cornelramp/core/admission/AdmissionQueue.java
@@ -34,8 +34,8 @@
     private final TreeSet<WaitingEntry<T>> onTimeByTarget = new TreeSet<>(WaitingEntry.byTarget());
     private final TreeMap<Integer, Line> lines = new TreeMap<>();
     private final Map<Optional<OrganisationId>, Integer> sizeByOrganisation = new HashMap<>();
-    private final DrainRate drainRate = new DrainRate();
-    private final ShareTracker shares = new ShareTracker();
+    private final DrainRate drainRate;
+    private final ShareTracker shares;
     private long firstEventMillis;
     private long latestMillis = Long.MIN_VALUE;
 
@@ -53,7 +53,35 @@
      * @param capacity maximum number of waiting requests
      */
     public AdmissionQueue(int capacity) {
+        this(capacity, new DrainRate(), new ShareTracker());
+    }
+
+    private AdmissionQueue(int capacity, DrainRate drainRate, ShareTracker shares) {
         this.capacity = capacity;
+        this.drainRate = drainRate;
+        this.shares = shares;
+    }
+
+    /**
+     * Returns a copy that changes independently, to find out what this queue would decide without changing it. Takes
+     * time proportional to the waiting requests and to the organisations with a recent share.
+     */
+    public AdmissionQueue<T> copy() {
+        AdmissionQueue<T> copy = new AdmissionQueue<>(capacity, drainRate.copy(), shares.copy());
+        for (WaitingEntry<T> entry : byId.values()) {
+            WaitingEntry<T> copied = entry.copy();
+            copy.byId.put(copied.request.id(), copied);
+            copy.byUrgency.add(copied);
+            copy.byPatience.add(copied);
+            if (onTimeByTarget.contains(entry)) {
+                copy.onTimeByTarget.add(copied);
+            }
+        }
+        copy.lines.putAll(lines);
+        copy.sizeByOrganisation.putAll(sizeByOrganisation);
+        copy.firstEventMillis = firstEventMillis;
+        copy.latestMillis = latestMillis;
+        return copy;
     }
 
     /** Sets the expected time from a start to the first event, from which latest starts are derived; 0 at first. */
--- a/core/src/main/java/org/cornelramp/core/admission/DrainRate.java
+++ b/core/src/main/java/org/cornelramp/core/admission/DrainRate.java
@@ -19,6 +19,16 @@
     private Instant backlogStart;
     private Instant updatedAt;
 
+    /** Returns a copy that changes independently. */
+    DrainRate copy() {
+        DrainRate copy = new DrainRate();
+        copy.drainedCost = drainedCost;
+        copy.observedSeconds = observedSeconds;
+        copy.backlogStart = backlogStart;
+        copy.updatedAt = updatedAt;
+        return copy;
+    }
+
     /** Records that a request is about to be dequeued; {@code amount} is its cost. */
     void recordDequeue(double amount, Instant now) {
         advance(now);
--- a/core/src/main/java/org/cornelramp/core/admission/ShareTracker.java
+++ b/core/src/main/java/org/cornelramp/core/admission/ShareTracker.java
@@ -47,6 +47,16 @@
     };
     private long firstMillis = Long.MAX_VALUE;
 
+    /** Returns a copy that changes independently. */
+    ShareTracker copy() {
+        ShareTracker copy = new ShareTracker();
+        all.copyTo(copy.all);
+        byPriority.forEach((priority, row) -> copy.byPriority.put(priority, row.copy()));
+        byOrganisation.forEach((organisation, row) -> copy.byOrganisation.put(organisation, row.copy()));
+        copy.firstMillis = firstMillis;
+        return copy;
+    }
+
     /** Records a request that arrived, whether it will be admitted or not. */
     public void recordOffered(int priority, Optional<OrganisationId> organisation, double cost, long nowMillis) {
         firstMillis = Math.min(firstMillis, nowMillis);
--- a/core/src/main/java/org/cornelramp/core/admission/SlidingSums.java
+++ b/core/src/main/java/org/cornelramp/core/admission/SlidingSums.java
@@ -29,6 +29,19 @@
         }
     }
 
+    /** Returns a copy that changes independently. */
+    SlidingSums copy() {
+        SlidingSums copy = new SlidingSums();
+        copyTo(copy);
+        return copy;
+    }
+
+    /** Replaces the sums of another instance by these. */
+    void copyTo(SlidingSums other) {
+        sums.forEach((measure, buckets) -> other.sums.put(measure, buckets.clone()));
+        other.latestBucket = latestBucket;
+    }
+
     void add(Measure measure, double amount, long nowMillis) {
         advance(nowMillis);
         sums.get(measure)[Math.floorMod(latestBucket, BUCKETS)] += amount;
--- a/core/src/main/java/org/cornelramp/core/admission/WaitingEntry.java
+++ b/core/src/main/java/org/cornelramp/core/admission/WaitingEntry.java
@@ -11,6 +11,13 @@
         this.request = request;
     }
 
+    /** Returns a copy that changes independently; the request itself is shared. */
+    WaitingEntry<T> copy() {
+        WaitingEntry<T> copy = new WaitingEntry<>(request);
+        copy.late = late;
+        return copy;
+    }
+
     /** Time by which the first event is due: the target, or for a late request the end of its client's patience. */
     long latestStart() {
         return late ? request.patienceMillis() : request.targetMillis();
--- a/core/src/main/java/org/cornelramp/core/fleet/PlainServerSelector.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/PlainServerSelector.java
@@ -50,7 +50,8 @@
         return Optional.ofNullable(best);
     }
 
-    private double cost(BackendServer server, DataCentre home) {
+    /** Expected cost of a request at a server, in milliseconds. */
+    public double cost(BackendServer server, DataCentre home) {
         double distance = server.dataCentre().equals(home) ? 0 : CROSS_DATA_CENTRE_MILLIS;
         return stats.find(server.id())
                 .map(known -> cost(known, server.slots(), distance))
--- a/core/src/main/java/org/cornelramp/core/fleet/PlainServerStats.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/PlainServerStats.java
@@ -90,6 +90,11 @@
         return Optional.ofNullable(records.get(id));
     }
 
+    /** What was observed of a server, to be read only; without observations if there are none. */
+    PlainServerRecord observed(BackendServerId id) {
+        return find(id).orElseGet(PlainServerRecord::new);
+    }
+
     PlainServerRecord record(BackendServerId id) {
         return records.computeIfAbsent(id, any -> new PlainServerRecord());
     }
--- a/core/src/main/java/org/cornelramp/core/fleet/SharedServerSelector.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/SharedServerSelector.java
@@ -1,7 +1,9 @@
 package org.cornelramp.core.fleet;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -72,11 +74,7 @@
             Set<BackendServerId> excluded,
             Situation situation,
             RandomGenerator random) {
-        List<BackendServer> allowed = allowed(servers, excluded);
-        List<BackendServer> open = allowed.stream()
-                .filter(server -> stats.millisUntilSlot(server.id(), situation.nowMillis()) == 0)
-                .toList();
-        List<BackendServer> candidates = open.isEmpty() ? allowed : open;
+        List<BackendServer> candidates = candidates(servers, excluded, situation);
         if (candidates.size() <= 1) {
             return candidates.stream().findFirst();
         }
@@ -96,6 +94,30 @@
         return Optional.of(candidates.get(costs[second] < costs[first] ? second : first));
     }
 
+    /**
+     * Expected costs of the servers among which a request would be given one now, in milliseconds.
+     *
+     * @param servers the candidates
+     * @param excluded servers that must not be chosen
+     */
+    public Map<BackendServerId, Double> costs(
+            Collection<BackendServer> servers, Set<BackendServerId> excluded, Situation situation) {
+        List<BackendServer> candidates = candidates(servers, excluded, situation);
+        double usualMillis = usualMillis(candidates);
+        Map<BackendServerId, Double> costs = new HashMap<>();
+        candidates.forEach(server -> costs.put(server.id(), cost(server, usualMillis, situation)));
+        return costs;
+    }
+
+    private List<BackendServer> candidates(
+            Collection<BackendServer> servers, Set<BackendServerId> excluded, Situation situation) {
+        List<BackendServer> allowed = allowed(servers, excluded);
+        List<BackendServer> open = allowed.stream()
+                .filter(server -> stats.millisUntilSlot(server.id(), situation.nowMillis()) == 0)
+                .toList();
+        return open.isEmpty() ? allowed : open;
+    }
+
     private static List<BackendServer> allowed(Collection<BackendServer> servers, Set<BackendServerId> excluded) {
         return servers.stream()
                 .filter(server -> !excluded.contains(server.id()))
@@ -144,7 +166,7 @@
     /** Expected time until a client has its answer, in milliseconds. */
     private double cost(BackendServer server, double usualMillis, Situation situation) {
         long now = situation.nowMillis();
-        PlainServerRecord known = stats.record(server.id());
+        PlainServerRecord known = stats.observed(server.id());
         int slots = Math.max(1, server.slots());
         double requests = known.expectedRequests(situation.peersInFlight().applyAsInt(server.id()), now);
         double cold = known.isLatencyObserved() || known.warmShare(now) >= 1 ? 1 : COLD_SLOWDOWN;
@@ -176,7 +198,7 @@
     }
 
     private double coldShare(BackendServer server, long nowMillis) {
-        double warm = stats.record(server.id()).warmShare(nowMillis);
+        double warm = stats.observed(server.id()).warmShare(nowMillis);
         return Math.min(COLD_STEPS, 1 + Math.floor(COLD_STEPS * Math.max(0, warm))) / COLD_STEPS;
     }
 
--- a/core/src/main/java/org/cornelramp/core/path/EngineLoads.java
+++ b/core/src/main/java/org/cornelramp/core/path/EngineLoads.java
@@ -92,6 +92,14 @@
         return peers.size();
     }
 
+    /** Returns the time since the oldest update of a peer that counts, in milliseconds; 0 without peers. */
+    public long oldestAgeMillis(long nowMillis) {
+        return peers.values().stream()
+                .mapToLong(update -> nowMillis - update.receivedMillis())
+                .max()
+                .orElse(0);
+    }
+
     /** Returns the hops to another data centre of all requests in progress at this process and its peers. */
     public int crossings() {
         return ownCrossings
--- a/core/src/main/java/org/cornelramp/core/path/PathFinder.java
+++ b/core/src/main/java/org/cornelramp/core/path/PathFinder.java
@@ -175,6 +175,11 @@
                 .map(last -> toPath(last, spec, demand));
     }
 
+    /** Returns the cost by which a path was chosen: its token time and the risk of its engines, in milliseconds. */
+    public static double cost(StagePath path) {
+        return path.tokenMillis() + DEATH_RISK_MILLIS * path.hops().size();
+    }
+
     /** Returns the token time that each further request on all engines of a path adds there, by its cards. */
     public static double tokenMillisPerRequest(StagePath path, EngineSpec spec) {
         double stepFactor = 0;
--- a/core/src/main/java/org/cornelramp/core/routing/RoutingConfig.java
+++ b/core/src/main/java/org/cornelramp/core/routing/RoutingConfig.java
@@ -101,6 +101,14 @@
                 .findFirst();
     }
 
+    /** The routes with a name; operators may give several the same one. */
+    public List<Route> routesNamed(String name) {
+        return routesByHost.values().stream()
+                .flatMap(List::stream)
+                .filter(route -> route.name().equals(name))
+                .toList();
+    }
+
     /** Priorities of the routes for streams to a service, most urgent first. */
     public NavigableSet<Integer> streamPriorities(ServiceName service) {
         return prioritiesByService.getOrDefault(service, Collections.emptyNavigableSet());
@@ -111,6 +119,14 @@
         return keysRequired && !route.anonymous();
     }
 
+    /** The organisation that holds a key whose id is the given one; takes time proportional to the keys. */
+    public Optional<Organisation> organisationByKeyId(KeyId id) {
+        return organisationsByKey.entrySet().stream()
+                .filter(entry -> KeyId.of(entry.getKey()).equals(id))
+                .map(Map.Entry::getValue)
+                .findFirst();
+    }
+
     /** The organisation that holds the key. */
     public Optional<Organisation> organisation(String key) {
         return Optional.ofNullable(organisationsByKey.get(key));
