Gateway: explain a routing decision at the metrics address

The log has only the outcome of requests that were sent, and routine lines are sampled.

Change: GET /route/explain on the address of the setting "metrics" answers with verdict, choice, candidates and figures. The router's thread computes them by the functions that decide on clients' requests. These are divided into a part that decides without a change and a part that records: Dispatcher.previewTarget and holderChoice, PlainServerChooser.decide, PromptPrefixUse.choose, NoServerPolicy, AdmissionForecaster (from RequestAdmission) and RequestAdmission.preview, which works on copies. The decisions on clients' requests stay the same. Four calls a second, at most eight candidates, an answer within a second; each error has a remedy, and none repeats the value of keyId.

Result: RouteExplainerTest (8 tests) and RouteExplainHandlerTest (10) pass. explanationsChangeNoDecision compares two routers with the same seed, one of which explains before each of 60 requests.

--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.cornelramp.gateway.request.GatewayHttpServer;
 import org.cornelramp.gateway.request.InternalHandler;
 import org.cornelramp.gateway.request.PoisonClearHandler;
+import org.cornelramp.gateway.request.RouteExplainHandler;
 import org.cornelramp.gateway.route.AsyncEngineControl;
 import org.cornelramp.gateway.route.ConfigHolder;
 import org.cornelramp.gateway.route.Router;
@@ -166,7 +167,8 @@
     private Handler internalHandler(RecordCache cache, ConfigHolder config) {
         PoisonClearHandler poison =
                 new PoisonClearHandler(fingerprint -> router.offer(new RouterEvent.PoisonCleared(fingerprint)));
-        Handler others = new Handler.Sequence(poison, new PeerRecordsHandler(cache, config, clock));
+        RouteExplainHandler explain = new RouteExplainHandler(config, router::offer, clock);
+        Handler others = new Handler.Sequence(poison, explain, new PeerRecordsHandler(cache, config, clock));
         return new InternalHandler(meters, others);
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/request/ClientRequestHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/ClientRequestHandler.java
@@ -129,22 +129,16 @@
     }
 
     private void submit(Request request, Response response, Callback callback, ResolvedHead resolved, byte[] body) {
-        Route route = resolved.route();
-        long timeoutMillis = Math.min(resolved.head().remainingMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
-        Exchange.ClientRequest call = new Exchange.ClientRequest(
+        Exchange.ClientRequest call = Exchange.ClientRequest.of(
                 resolved.head(),
                 request.getMethod(),
                 request.getHttpURI().getPathQuery(),
                 resolved.fields(),
                 body,
-                route,
-                resolved.organisation().map(RoutingConfig.Organisation::id),
-                resolved.organisation()
-                        .flatMap(RoutingConfig.Organisation::priority)
-                        .orElse(route.priority()),
-                resolved.now(),
-                resolved.now() + timeoutMillis);
-        IdleTimeoutExtension.begin(request, timeoutMillis);
+                resolved.route(),
+                resolved.organisation(),
+                resolved.now());
+        IdleTimeoutExtension.begin(request, call.deadlineMillis() - resolved.now());
         Exchange exchange = new Exchange(call, response, callback, closing, ClientDisconnectProbe.of(request));
         if (!router.offer(new RouterEvent.RequestReceived(exchange))) {
             exchange.refuse(Refusal.OVERLOADED, Refusal.OVERLOADED.retryMillis());
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -11,9 +11,11 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.cornelramp.core.model.OrganisationId;
+import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.poison.Fingerprint;
 import org.cornelramp.core.poison.PromptParts;
 import org.cornelramp.core.routing.Route;
+import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.platform.RequestHead;
 import org.cornelramp.platform.ResponseHead;
 import org.eclipse.jetty.http.HttpFields;
@@ -30,7 +32,8 @@
  */
 public final class Exchange {
     private static final System.Logger LOG = System.getLogger(Exchange.class.getName());
-    private static final double RETRY_JITTER = 0.5;
+    /** Part of the retry time that is added at most, at random. */
+    public static final double RETRY_JITTER = 0.5;
 
     private final ClientRequest request;
     private final Response response;
@@ -81,6 +84,40 @@
         /** Number of priorities, 0 to 9. */
         private static final int PRIORITIES = 10;
 
+        /**
+         * A request on a route.
+         *
+         * @param nowMillis when it was received
+         */
+        static ClientRequest of(
+                RequestHead head,
+                String method,
+                String pathQuery,
+                HttpFields fields,
+                byte[] body,
+                Route route,
+                Optional<RoutingConfig.Organisation> organisation,
+                long nowMillis) {
+            long timeoutMillis = Math.min(head.remainingMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
+            return new ClientRequest(
+                    head,
+                    method,
+                    pathQuery,
+                    fields,
+                    body,
+                    route,
+                    organisation.map(RoutingConfig.Organisation::id),
+                    organisation.flatMap(RoutingConfig.Organisation::priority).orElse(route.priority()),
+                    nowMillis,
+                    nowMillis + timeoutMillis);
+        }
+
+        /** The service of the route that runs the request: by weight, and the same for all attempts with its id. */
+        public ServiceName service() {
+            double draw = (id().hashCode() & 0x7fffffff) / (double) (1L << 31);
+            return route.service(draw);
+        }
+
         /** The request id that the client chose. */
         public String id() {
             return head.requestId();
@@ -142,6 +179,13 @@
         this.forwarded = EventIds.after(call.head().lastEventId().orElse(-1L));
     }
 
+    /** The exchange of a request that is only asked about: it has ended, so that nothing is sent to anyone. */
+    public static Exchange withoutClient(ClientRequest request) {
+        Exchange exchange = new Exchange(request, null, Callback.NOOP, () -> false, null);
+        exchange.state.set(State.ENDED);
+        return exchange;
+    }
+
     /** The client's request. */
     public ClientRequest request() {
         return request;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.cornelramp.gateway.route;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -10,6 +11,7 @@
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.path.PathFinder;
+import org.cornelramp.core.path.PrefixAffinity;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.core.retry.RequestServerLimit;
 import org.cornelramp.core.routing.EngineSpec;
@@ -86,24 +88,74 @@
         return target.isPresent();
     }
 
+    /** Chooses a server of a plain service; empty if there is none, or if the request waits for a slot. */
+    interface PlainChoice {
+        Optional<BackendServer> choose(ActiveRequest request, Set<BackendServerId> excluded, long now);
+    }
+
+    /** Finds the best server for a request; empty if none can take it. */
+    interface TargetSearch {
+        Optional<Target> find(ActiveRequest request, long now);
+    }
+
+    /** Whether a request may be sent to a server now, as far as the crashes of servers under it decide that. */
+    boolean maySend(ActiveRequest request, long now) {
+        return poisonGuard.verdict(request, now) == PoisonGuard.Verdict.SEND;
+    }
+
     /** The best server for a request now; empty if none can take it. */
     Optional<Target> chooseTarget(ActiveRequest request, long now) {
-        if (poisonGuard.verdict(request, now) != PoisonGuard.Verdict.SEND) {
+        if (!maySend(request, now)) {
             return Optional.empty();
         }
         Set<BackendServerId> closed = fleet.closedServers(request.service(), now);
-        Optional<Target> target =
-                poisonGuard.isSuspect(request, now) ? chooseApart(request, closed, now) : choose(request, closed, now);
+        Optional<Target> target = findTarget(request, closed, plainServers::choose, now);
         if (!closed.isEmpty()) {
             logHeldBack(request, closed, target, now);
         }
         return target;
     }
 
-    private Optional<Target> choose(ActiveRequest request, Set<BackendServerId> closed, long now) {
+    /**
+     * The same without a log line. Changes no state but that of the request, if {@code plain} does not.
+     *
+     * @param plain chooses a server of a plain service
+     */
+    Optional<Target> previewTarget(ActiveRequest request, PlainChoice plain, long now) {
+        return maySend(request, now)
+                ? findTarget(request, fleet.closedServers(request.service(), now), plain, now)
+                : Optional.empty();
+    }
+
+    private Optional<Target> findTarget(
+            ActiveRequest request, Set<BackendServerId> closed, PlainChoice plain, long now) {
+        return poisonGuard.isSuspect(request, now)
+                ? chooseApart(request, closed, plain, now)
+                : choose(request, closed, plain, now);
+    }
+
+    /**
+     * The paths that a search finds one after another, each without the first engines of those before; the first is the
+     * one for which {@link #chooseTarget} decides, unless the request must run apart from others.
+     *
+     * @param max maximum number of paths, each of which costs a search
+     */
+    List<StagePath> bestPaths(ActiveRequest request, EngineSpec spec, int max, long now) {
+        Set<BackendServerId> excluded = new HashSet<>(fleet.closedServers(request.service(), now));
+        List<StagePath> paths = new ArrayList<>();
+        Optional<StagePath> path = findPath(request, spec, excluded, now);
+        while (path.isPresent() && paths.size() < max) {
+            paths.add(path.get());
+            excluded.add(path.get().first().id());
+            path = paths.size() < max ? findPath(request, spec, excluded, now) : Optional.empty();
+        }
+        return paths;
+    }
+
+    private Optional<Target> choose(ActiveRequest request, Set<BackendServerId> closed, PlainChoice plain, long now) {
         Optional<EngineSpec> engine = engineSpec(request);
         if (engine.isEmpty()) {
-            return plainServers.choose(request, closed, now).map(server -> new Target(server, Optional.empty()));
+            return plain.choose(request, closed, now).map(server -> new Target(server, Optional.empty()));
         }
         request.setDefaultTokens(engine.get().meanRequestTokens());
         return findPath(request, engine.get(), closed, now)
@@ -111,7 +163,8 @@
     }
 
     /** The best server for a suspect on which it starts apart from other suspects. */
-    private Optional<Target> chooseApart(ActiveRequest request, Set<BackendServerId> closed, long now) {
+    private Optional<Target> chooseApart(
+            ActiveRequest request, Set<BackendServerId> closed, PlainChoice plain, long now) {
         List<BackendServer> servers = fleet.startServers(request.service());
         for (BackendServer server : poisonGuard.serversFor(request, servers, now)) {
             Set<BackendServerId> others = new HashSet<>(closed);
@@ -119,7 +172,7 @@
                     .map(BackendServer::id)
                     .filter(id -> !id.equals(server.id()))
                     .forEach(others::add);
-            Optional<Target> target = choose(request, others, now);
+            Optional<Target> target = choose(request, others, plain, now);
             if (target.isPresent()) {
                 return target;
             }
@@ -155,15 +208,25 @@
     }
 
     private Target preferHolders(ActiveRequest request, Target found, long now) {
+        Optional<PrefixAffinity.Choice> choice = holderChoice(request, found, now);
+        choice.ifPresent(made -> promptPrefixes.logUse(request, found.path().orElseThrow(), made, now));
+        return choice.map(PrefixAffinity.Choice::path)
+                .map(path -> new Target(path.first(), Optional.of(path)))
+                .orElse(found);
+    }
+
+    /**
+     * The choice between the path of a target and one whose engines hold the beginning of the prompt; empty if the request
+     * does not take part. Changes no state.
+     */
+    Optional<PrefixAffinity.Choice> holderChoice(ActiveRequest request, Target found, long now) {
         Optional<EngineSpec> spec = engineSpec(request);
         if (found.path().isEmpty() || spec.isEmpty() || fleet.promptHolders().isEmpty()) {
-            return found;
+            return Optional.empty();
         }
         Set<BackendServerId> closed = fleet.closedServers(request.service(), now);
         List<BackendServer> usable = fleet.usableServers(request.service(), request.avoidedServers(), now);
-        StagePath path =
-                promptPrefixes.prefer(request, found.path().get(), spec.get(), usable, demand(request, closed), now);
-        return new Target(path.first(), Optional.of(path));
+        return promptPrefixes.choose(request, found.path().get(), spec.get(), usable, demand(request, closed), now);
     }
 
     private void addLoadWithPrompt(ActiveRequest request, StagePath stagePath) {
@@ -177,7 +240,7 @@
      * Whether engines have room for the request now, in addition to their present load, which includes this request.
      */
     boolean hasPath(ActiveRequest request, long now) {
-        if (poisonGuard.verdict(request, now) != PoisonGuard.Verdict.SEND) {
+        if (!maySend(request, now)) {
             return false;
         }
         Set<BackendServerId> closed = fleet.closedServers(request.service(), now);
@@ -249,8 +312,7 @@
     boolean hasAlternativeServer(ActiveRequest request, BackendServer server, long now) {
         Set<BackendServerId> excluded = new HashSet<>(fleet.closedServers(request.service(), now));
         excluded.add(server.id());
-        return poisonGuard.verdict(request, now) == PoisonGuard.Verdict.SEND
-                && plainServers.hasServer(request, excluded, now);
+        return maySend(request, now) && plainServers.hasServer(request, excluded, now);
     }
 
     private Attempt createAttempt(ActiveRequest request, Target target, FirstEnd ends, long now) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PromptPrefixUse.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PromptPrefixUse.java
@@ -32,8 +32,11 @@
         }
     }
 
-    /** The path for a request: the one found by load, or a better one whose engines hold the beginning of its prompt. */
-    StagePath prefer(
+    /**
+     * The choice between the path that was found by load and a better one whose engines hold the beginning of the prompt;
+     * empty if the request does not take part. Changes no state.
+     */
+    Optional<Choice> choose(
             ActiveRequest request,
             StagePath byLoad,
             EngineSpec spec,
@@ -43,19 +46,24 @@
         Optional<PromptHolders> holders = fleet.promptHolders().filter(tracked -> tracked.size() > 0);
         // A suspect runs apart from other suspects, which its path provides for.
         if (holders.isEmpty() || poisonGuard.isSuspect(request, now)) {
-            return byLoad;
+            return Optional.empty();
         }
         PromptPrefix prefix = prefix(request, now);
-        if (prefix.levels() == 0) {
-            return byLoad;
-        }
-        Choice choice = PrefixAffinity.choose(
-                byLoad, new PrefixAffinity.Inputs(spec, usable, fleet.loads(), demand, prefix, holders.get()));
+        return prefix.levels() == 0
+                ? Optional.empty()
+                : Optional.of(PrefixAffinity.choose(
+                        byLoad, new PrefixAffinity.Inputs(spec, usable, fleet.loads(), demand, prefix, holders.get())));
+    }
+
+    /** Logs and counts that a request is sent to engines that hold the beginning of its prompt. */
+    void logUse(ActiveRequest request, StagePath byLoad, Choice choice, long now) {
         if (choice.savedTokens() > 0) {
             boolean changed = !choice.path().equals(byLoad);
-            routingLog.promptPrefixHeld(request, choice, changed, holders.get().oldestAgeMillis(now));
+            long oldestMillis = fleet.promptHolders()
+                    .map(holders -> holders.oldestAgeMillis(now))
+                    .orElse(0L);
+            routingLog.promptPrefixHeld(request, choice, changed, oldestMillis);
         }
-        return choice.path();
     }
 
     private PromptPrefix prefix(ActiveRequest request, long now) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -12,14 +12,8 @@
 import org.cornelramp.core.admission.EarlyRetries;
 import org.cornelramp.core.admission.Evicted;
 import org.cornelramp.core.admission.Fit;
-import org.cornelramp.core.admission.PaceEstimator;
-import org.cornelramp.core.admission.Prospect;
-import org.cornelramp.core.admission.RecentStarts;
-import org.cornelramp.core.admission.Standing;
 import org.cornelramp.core.admission.WaitingRequest;
-import org.cornelramp.core.model.BackendServerId;
 import org.cornelramp.core.model.ServiceName;
-import org.cornelramp.core.path.StagePath;
 import org.cornelramp.core.routing.EngineSpec;
 import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.routing.RouteKind;
@@ -86,13 +80,12 @@
     private final FleetState fleet;
     private final ConfigHolder config;
     private final Dispatcher dispatcher;
+    private final AdmissionForecaster forecaster;
     private final FaultBarrier faults;
     private final EventLog log;
     private final Meters meters;
     private final AdmissionQueue<ActiveRequest> queue = new AdmissionQueue<>(QUEUE_CAPACITY);
-    private final Map<ServiceName, PaceEstimator> paces = new HashMap<>();
     private final Map<ServiceName, AdmissionPolicy> policies = new HashMap<>();
-    private final RecentStarts<BackendServerId> recentStarts = new RecentStarts<>();
     private final EarlyRetries earlyRetries = new EarlyRetries(MAX_EARLY_RETRIES);
     private double firstEventMillis = USUAL_FIRST_EVENT_MILLIS;
     private long lastId;
@@ -116,13 +109,14 @@
         this.fleet = fleet;
         this.config = config;
         this.dispatcher = dispatcher;
+        this.forecaster = new AdmissionForecaster(fleet, dispatcher);
         this.faults = faults;
         this.log = log;
         this.meters = meters;
     }
 
     /** Whether the request is admitted by its urgency: a stream of a service with requests of several priorities. */
-    boolean applies(ActiveRequest request) {
+    private boolean applies(ActiveRequest request) {
         return request.route().kind() == RouteKind.STREAMING
                 && !request.exchange().isCommitted()
                 && request.attemptCount() == 0
@@ -132,6 +126,11 @@
                         .isPresent();
     }
 
+    /** Whether {@link #admit} decides on a request that has not been sent yet. */
+    boolean decides(ActiveRequest request, long now) {
+        return applies(request) && dispatcher.maySend(request, now);
+    }
+
     /** Whether the request waits here. */
     boolean isWaiting(ActiveRequest request) {
         return request.admissionId() != 0 && queue.find(request.admissionId()).isPresent();
@@ -150,19 +149,19 @@
      * @return the requests that are refused because of it, which may include the request itself
      */
     List<Rejected> admit(ActiveRequest request, long now) {
-        WaitingRequest<ActiveRequest> waiting = describe(request, now);
+        WaitingRequest<ActiveRequest> waiting = describe(request, ++lastId, now);
         queue.setFirstEventMillis(Math.round(firstEventMillis));
         if (!earlyRetries.isEmpty() && earlyRetries.isEarly(request.fingerprint(), now)) {
             queue.recordEarlyRetry(waiting, now);
             meters.countAdmission("early retry");
         }
-        if (!isOvertaking(request) && trySend(waiting, now)) {
+        if (!isOvertaking(request, queue) && trySend(waiting, now)) {
             return List.of();
         }
         return enqueue(waiting, now);
     }
 
-    private boolean isOvertaking(ActiveRequest request) {
+    private static boolean isOvertaking(ActiveRequest request, AdmissionQueue<ActiveRequest> queue) {
         return queue.isWaiting(request.exchange().request().rank());
     }
 
@@ -229,91 +228,77 @@
         if (request.admissionId() == 0) {
             return;
         }
-        attempt.path().ifPresent(path -> pace(request)
+        attempt.path().ifPresent(path -> forecaster
+                .pace(request)
                 .recordFirstEvent(
-                        pace(request).uncalibratedFirstEventMillis(path), (double) (now - attempt.startMillis()), now));
+                        forecaster.pace(request).uncalibratedFirstEventMillis(path),
+                        (double) (now - attempt.startMillis()),
+                        now));
     }
 
     /** Records the pauses of an attempt that has ended. */
     void recordEnd(ActiveRequest request, Attempt attempt, long now) {
         double pauseMillis = request.exchange().meanPauseMillis();
         if (request.admissionId() != 0 && request.attemptCount() == 1 && pauseMillis > 0) {
-            attempt.path().ifPresent(path -> pace(request)
-                    .recordPause(pace(request).uncalibratedPauseMillis(path), pauseMillis, now));
+            attempt.path().ifPresent(path -> forecaster
+                    .pace(request)
+                    .recordPause(forecaster.pace(request).uncalibratedPauseMillis(path), pauseMillis, now));
         }
     }
 
-    private PaceEstimator pace(ActiveRequest request) {
-        return paces.computeIfAbsent(request.service(), service -> new PaceEstimator(1));
-    }
-
     private boolean trySend(WaitingRequest<ActiveRequest> waiting, long now) {
         ActiveRequest request = waiting.work();
-        double arrivals = fleet.demand().arrivalsPerSecond(request.service(), waiting.priority());
-        Standing standing = queue.standing(waiting, now);
-        double copies = arrivals > 0 ? copies(request, now) : 1;
-        double reserved = arrivals * Prospect.Reserve.USUAL_HORIZON_MILLIS / 1_000 / copies;
-        request.setReservedRequests(standing == Standing.STARVED ? 0 : reserved);
-        Optional<Dispatcher.Target> target = dispatcher.chooseTarget(request, now);
-        if (target.isEmpty() || !keepsPace(waiting, target.get(), arrivals, copies, standing, now)) {
+        AdmissionOutlook outlook = forecaster.outlook(waiting, queue, dispatcher::chooseTarget, now);
+        Fit fit = outlook.judge(policies.computeIfAbsent(request.service(), service -> new AdmissionPolicy()));
+        if (!fit.admits()) {
+            if (outlook.target().isPresent()) {
+                meters.countAdmission("held back");
+            }
             return false;
         }
+        Dispatcher.Target target = outlook.target().orElseThrow();
         if (request.admissionId() == 0) {
             queue.recordAdmittedAtOnce(waiting, now);
             meters.countAdmission("at once");
         } else {
             queue.recordAdmitted(waiting, now);
             meters.countAdmission("after a wait");
-            logAdmitted(waiting, arrivals, now);
+            logAdmitted(waiting, outlook.moreUrgentPerSecond(), now);
         }
         request.setAdmissionId(waiting.id());
-        target.get().path().ifPresent(path -> observeFirstEvent(pace(request).firstEventMillis(path, now)));
-        Dispatcher.Target sent = dispatcher.send(request, target.get(), now);
-        recentStarts.record(sent.server().id(), now);
+        target.path()
+                .ifPresent(path -> observeFirstEvent(forecaster.pace(request).firstEventMillis(path, now)));
+        Dispatcher.Target sent = dispatcher.send(request, target, now);
+        forecaster.recordStart(sent.server().id(), now);
         return true;
     }
 
     /**
-     * Whether the streams on the path keep the pauses of their routes. Not asked while no more urgent requests arrive,
-     * nor for a request whose target has passed: a late answer is better than none.
+     * What {@link #admit} would decide now. Works on copies of the state that a decision changes, and changes no state
+     * but that of the request.
+     *
+     * @param search finds a server without side effects
      */
-    private boolean keepsPace(
-            WaitingRequest<ActiveRequest> waiting,
-            Dispatcher.Target target,
-            double arrivals,
-            double copies,
-            Standing standing,
-            long now) {
-        ActiveRequest request = waiting.work();
-        if (arrivals <= 0 || now >= waiting.targetMillis() || target.path().isEmpty()) {
-            return true;
-        }
-        StagePath path = target.path().get();
-        Route route = request.route();
-        PaceEstimator pace = pace(request);
-        double perRequest = dispatcher
-                .engineSpec(request)
-                .map(spec -> pace.pausePerRequestMillis(path, spec, now))
-                .orElse(0.0);
-        Prospect.Reserve reserve =
-                new Prospect.Reserve(arrivals, 0, Prospect.Reserve.USUAL_HORIZON_MILLIS, copies, perRequest);
-        Prospect prospect = new Prospect(
-                waiting.priority(),
-                pace.pauseMillis(path, now) + unseenRequests(path, now) * perRequest,
-                route.gapMillis(),
-                pace.firstEventMillis(path, now),
-                (double) (waiting.targetMillis() - now),
-                route.targetMillis(),
-                (double) (waiting.patienceMillis() - now),
-                reserve,
-                standing,
-                queue.isOnTimeWaiting(waiting.priority(), now));
-        Fit fit = policies.computeIfAbsent(request.service(), service -> new AdmissionPolicy())
-                .judge(prospect);
-        if (!fit.admits()) {
-            meters.countAdmission("held back");
-        }
-        return fit.admits();
+    AdmissionPreview preview(ActiveRequest request, Dispatcher.TargetSearch search, long now) {
+        WaitingRequest<ActiveRequest> waiting = describe(request, lastId + 1, now);
+        AdmissionQueue<ActiveRequest> copy = queue.copy();
+        copy.setFirstEventMillis(Math.round(firstEventMillis));
+        AdmissionOutlook outlook = forecaster.outlook(waiting, copy, search, now);
+        boolean overtakes = isOvertaking(request, copy);
+        Fit fit = outlook.judge(
+                policies.getOrDefault(request.service(), new AdmissionPolicy()).copy());
+        long waitMillis = copy.expectedWaitMillis(waiting.priority(), now);
+        boolean admitted = !overtakes && fit.admits();
+        Optional<AdmissionRefusal> refusal =
+                admitted ? Optional.empty() : copy.offer(waiting, now).fold(Optional::of, evicted -> Optional.empty());
+        return new AdmissionPreview(
+                waiting,
+                outlook,
+                fit,
+                overtakes,
+                queue.size(),
+                waitMillis,
+                refusal.map(refused -> rejection(request, refused, now)));
     }
 
     private void observeFirstEvent(double expectedMillis) {
@@ -321,23 +306,7 @@
         firstEventMillis += SMOOTHING_FACTOR * (bounded - firstEventMillis);
     }
 
-    /** Requests that peers are expected to have started on the path since their last updates. */
-    private double unseenRequests(StagePath path, long now) {
-        long ageMillis = fleet.demand().oldestAgeMillis(now);
-        return recentStarts.expectedUnseen(path.first().id(), fleet.loads().peerCount(), ageMillis, now);
-    }
-
-    /** Copies of the model that the usable engines hold together; at least one. */
-    private double copies(ActiveRequest request, long now) {
-        int layers = dispatcher.engineSpec(request).map(EngineSpec::layers).orElse(1);
-        int held = fleet.usableServers(request.service(), now).stream()
-                .flatMap(server -> server.layers().stream())
-                .mapToInt(range -> range.to() - range.from())
-                .sum();
-        return Math.max(1, held / (double) layers);
-    }
-
-    private WaitingRequest<ActiveRequest> describe(ActiveRequest request, long now) {
+    private WaitingRequest<ActiveRequest> describe(ActiveRequest request, long id, long now) {
         Exchange.ClientRequest call = request.exchange().request();
         Route route = request.route();
         long patience = Math.max(
@@ -347,7 +316,7 @@
         EngineSpec spec = dispatcher.engineSpec(request).orElseThrow();
         request.setDefaultTokens(spec.meanRequestTokens());
         return new WaitingRequest<>(
-                ++lastId,
+                id,
                 call.rank(),
                 call.organisation(),
                 Math.max(1.0, request.expectedTokens()) * spec.layers(),
@@ -406,12 +375,17 @@
                 .toList();
     }
 
-    /** The client may return when there is capacity, but early enough to be served within the time that it has left. */
     private Rejected rejected(ActiveRequest request, AdmissionRefusal refusal, long now) {
+        Rejected rejected = rejection(request, refusal, now);
+        earlyRetries.recordRefusal(request.fingerprint(), rejected.retryMillis(), now);
+        return rejected;
+    }
+
+    /** The client may return when there is capacity, but early enough to be served within the time that it has left. */
+    private static Rejected rejection(ActiveRequest request, AdmissionRefusal refusal, long now) {
         long leftMillis = request.exchange().request().deadlineMillis() - now;
         long waitMillis = Math.max(MIN_WAIT_MILLIS, refusal.expectedWaitMillis());
         long retryMillis = Math.max(MIN_RETRY_MILLIS, Math.min(waitMillis, leftMillis / MAX_RETRY_PART));
-        earlyRetries.recordRefusal(request.fingerprint(), retryMillis, now);
         return new Rejected(request, Refusal.OVERLOADED, refusal.reason().detail(), retryMillis);
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestEnder.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestEnder.java
@@ -74,9 +74,7 @@
     /** Refuses a request that was not admitted. */
     void reject(RequestAdmission.Rejected rejected, long now) {
         ActiveRequest request = rejected.request();
-        long retryMillis =
-                Math.max(rejected.retryMillis(), retryDelay.millisUntilOpen(request, rejected.refusal(), now));
-        giveUp(request, rejected.refusal(), retryMillis, rejected.why(), now);
+        giveUp(request, rejected.refusal(), retryDelay.millis(rejected, now), rejected.why(), now);
     }
 
     private void giveUp(ActiveRequest request, Refusal refusal, long retryMillis, String why, long now) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -30,12 +30,6 @@
     /** Interval of the ticks, in milliseconds. */
     static final long TICK_MILLIS = 20;
 
-    /**
-     * Longest wait of a request after the start until the servers are known, in milliseconds; reading them takes a
-     * tenth of it.
-     */
-    private static final long STARTUP_WAIT_MILLIS = 1_000;
-
     private final ConfigHolder config;
     private final Meters meters;
     private final RoutingLog routingLog;
@@ -62,6 +56,8 @@
     private final RequestEnder ender;
     private final FailedAttempts failedAttempts;
     private final RequestAdmission admission;
+    private final NoServerPolicy noServer;
+    private final RouteExplainer explainer;
     private volatile FleetView view = FleetView.EMPTY;
     private long lastTickMillis;
 
@@ -118,6 +114,10 @@
         this.unframedEnds = new UnframedEnds(
                 fleet, lifeQuestions, settings.timing().stallMillis(), log, meters, this::settleUnframed);
         this.admission = new RequestAdmission(fleet, config, dispatcher, faults, log, meters);
+        this.noServer = new NoServerPolicy(fleet, poisonGuard);
+        RetryDelay retryDelay = new RetryDelay(fleet, poisonGuard);
+        this.explainer =
+                new RouteExplainer(settings, config, fleet, dispatcher, plain, admission, noServer, retryDelay);
         this.ender = new RequestEnder(
                 activeRequests,
                 activeRequestCount,
@@ -126,7 +126,7 @@
                 retryDispatcher,
                 unframedEnds,
                 poisonGuard,
-                new RetryDelay(fleet, poisonGuard),
+                retryDelay,
                 demandReporter,
                 routingLog,
                 admission);
@@ -196,6 +196,8 @@
             unframedEnds.handleLifeAsked(asked, now);
         } else if (event instanceof RouterEvent.PoisonCleared cleared) {
             poisonGuard.clear(cleared.fingerprint(), now);
+        } else if (event instanceof RouterEvent.ExplanationRequested asked) {
+            explainer.answer(asked, now);
         } else if (event instanceof RouterEvent.MoveResult moved) {
             engineResults.handleMoveResult(moved, now);
         }
@@ -221,8 +223,7 @@
 
     private void acceptRequest(Exchange exchange, long now) {
         Exchange.ClientRequest call = exchange.request();
-        double draw = (call.id().hashCode() & 0x7fffffff) / (double) (1L << 31);
-        ServiceName service = call.route().service(draw);
+        ServiceName service = call.service();
         ActiveRequest request = new ActiveRequest(exchange, service, call.head().expectedTokens());
         activeRequests.put(exchange, request);
         activeRequestCount.incrementAndGet();
@@ -240,7 +241,7 @@
     private void send(ActiveRequest request, long now) {
         if (now >= request.exchange().request().deadlineMillis()) {
             ender.giveUp(request, Refusal.NOT_RUN_IN_TIME, "deadline", now);
-        } else if (admission.applies(request) && poisonGuard.verdict(request, now) == PoisonGuard.Verdict.SEND) {
+        } else if (admission.decides(request, now)) {
             rejectAll(admission.admit(request, now), now);
         } else if (!dispatcher.send(request, now)) {
             waitOrGiveUp(request, now);
@@ -260,29 +261,15 @@
         admission.beginStop();
     }
 
-    /**
-     * Handles a request that no server can take. A started stream waits for a path until its client leaves, since only
-     * this gateway can continue it. A request that has not started is refused at once, except shortly after the start
-     * of the process, while the servers are not known yet, and while an unsafe request waits for a slot.
-     */
+    /** Handles a request that no server can take. */
     private void waitOrGiveUp(ActiveRequest request, long now) {
-        if (!fleet.isInitialised() && now - request.exchange().request().receivedMillis() < STARTUP_WAIT_MILLIS) {
-            return;
-        }
-        if (request.exchange().isCommitted()) {
+        NoServerPolicy.Step step = noServer.step(request, now);
+        if (step == NoServerPolicy.Step.QUEUE_FOR_PATH) {
             retryDispatcher.queueForPath(request, now);
-            return;
-        }
-        boolean waits = request.isAwaitingSlot() || poisonGuard.verdict(request, now) == PoisonGuard.Verdict.WAIT;
-        if (waits && retryDispatcher.queue(request, now)) {
-            return;
+        } else if (step == NoServerPolicy.Step.REFUSE
+                || (step == NoServerPolicy.Step.QUEUE && !retryDispatcher.queue(request, now))) {
+            ender.giveUp(request, noServer.refusal(request, now), noServer.cause(request, now), now);
         }
-        Refusal notRun = poisonGuard.refusal(request, now).orElse(Refusal.NO_SERVER);
-        ender.giveUp(
-                request,
-                request.possibleRunCount() == 0 ? notRun : Refusal.UNKNOWN,
-                poisonGuard.refusalCause(request, now).orElse("no server"),
-                now);
     }
 
     private void handleAttemptEnd(Attempt attempt, AttemptEnd end, long now) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDelay.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDelay.java
@@ -33,8 +33,13 @@
         return Math.max(refusal.retryMillis(), millisUntilOpen(request, refusal, now));
     }
 
+    /** Time in milliseconds after which a client returns whose request was not admitted. */
+    long millis(RequestAdmission.Rejected rejected, long now) {
+        return Math.max(rejected.retryMillis(), millisUntilOpen(rejected.request(), rejected.refusal(), now));
+    }
+
     /** Time in milliseconds until a server takes requests, within limits; 0 if one does now or if none will help. */
-    long millisUntilOpen(ActiveRequest request, Refusal refusal, long now) {
+    private long millisUntilOpen(ActiveRequest request, Refusal refusal, long now) {
         if (refusal.retryMillis() == 0 || fleet.hasOpenServer(request.service(), now)) {
             return 0;
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
@@ -3,8 +3,10 @@
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.fleet.ServerRegistry;
+import org.cornelramp.core.operate.RouteExplanation;
 import org.cornelramp.core.path.StagePath;
 import org.cornelramp.gateway.peer.PeerUpdate;
 import org.cornelramp.gateway.request.Attempt;
@@ -37,6 +39,14 @@
         }
     }
 
+    /**
+     * An operator asks what would be decided on a request now; the request is not sent.
+     *
+     * @param answer completed by the router's thread
+     */
+    record ExplanationRequested(Exchange.ClientRequest request, CompletableFuture<RouteExplanation> answer)
+            implements RouterEvent {}
+
     /** An update from a peer has been received. */
     record PeerUpdateReceived(PeerUpdate update) implements RouterEvent {}
 
