Command line: route explain

Cause: operators need a command for the explanations of a gateway.

It sends no operator's key to a gateway, waits 5 s and reads at most 256 KB.

--- a/cli/src/main/java/org/cornelramp/cli/ExitCode.java
+++ b/cli/src/main/java/org/cornelramp/cli/ExitCode.java
@@ -12,8 +12,8 @@
     REJECTED(3, "at least one edit was rejected; the others were accepted"),
     /** It is not known whether the request took effect. */
     UNKNOWN(4, "outcome unknown; the message says how to find it out"),
-    /** No entry answered, or at least one entry is missing from a report over all entries. */
-    UNREACHABLE(5, "no entry answered; nothing was changed"),
+    /** No entry or gateway answered, or at least one entry is missing from a report over all entries. */
+    UNREACHABLE(5, "no entry or gateway answered; nothing was changed"),
     /** The edits were accepted, but not every live process applied them within the time given. */
     NOT_APPLIED(6, "accepted, but not applied by every live process within the time given");
 
--- a/cli/src/main/java/org/cornelramp/cli/Main.java
+++ b/cli/src/main/java/org/cornelramp/cli/Main.java
@@ -23,6 +23,7 @@
 import org.cornelramp.cli.command.KeyHash;
 import org.cornelramp.cli.command.LogExplain;
 import org.cornelramp.cli.command.ReportBurn;
+import org.cornelramp.cli.command.RouteExplain;
 import org.cornelramp.cli.command.SettingsCheck;
 import org.cornelramp.cli.command.Status;
 import org.cornelramp.cli.command.TableExport;
@@ -45,6 +46,7 @@
             new Drain(),
             new Explain(),
             new LogExplain(),
+            new RouteExplain(),
             new ReportBurn());
 
     private static final String ENTRY_VARIABLE = "CORNELRAMP_ENTRY";
--- a/cli/src/main/java/org/cornelramp/cli/client/OperatorHttpClient.java
+++ b/cli/src/main/java/org/cornelramp/cli/client/OperatorHttpClient.java
@@ -15,20 +15,40 @@
 
 /** Sends HTTP requests with an operator's key, without retries. Confined to one thread. */
 public final class OperatorHttpClient implements AutoCloseable {
-    private static final int MAX_RESPONSE_BYTES = 128 << 20;
+    private static final int MAX_ENTRY_RESPONSE_BYTES = 128 << 20;
     private static final long CONNECT_TIMEOUT_MILLIS = 2_000;
-    private static final long RESPONSE_TIMEOUT_MILLIS = 30_000;
+    private static final long ENTRY_TIMEOUT_MILLIS = 30_000;
+
+    /** A gateway answers within a second, with at most a few kilobytes. */
+    private static final long GATEWAY_TIMEOUT_MILLIS = 5_000;
+
+    private static final int MAX_GATEWAY_RESPONSE_BYTES = 256 << 10;
     private static final int MAX_THREADS = 8;
     private static final int MIN_THREADS = 1;
 
     private final HttpClient http = new HttpClient();
     private final String key;
+    private final long timeoutMillis;
+    private final int maxResponseBytes;
 
     /**
+     * Creates a client for entries.
+     *
      * @param key the operator's key
      */
     public OperatorHttpClient(String key) {
+        this(key, ENTRY_TIMEOUT_MILLIS, MAX_ENTRY_RESPONSE_BYTES);
+    }
+
+    /** Creates a client for gateways, which get no key: an operator's key belongs to the entries. */
+    public static OperatorHttpClient forGateways() {
+        return new OperatorHttpClient("", GATEWAY_TIMEOUT_MILLIS, MAX_GATEWAY_RESPONSE_BYTES);
+    }
+
+    private OperatorHttpClient(String key, long timeoutMillis, int maxResponseBytes) {
         this.key = key;
+        this.timeoutMillis = timeoutMillis;
+        this.maxResponseBytes = maxResponseBytes;
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
         threads.setDaemon(true);
         http.setExecutor(threads);
@@ -54,15 +74,17 @@
             }
             Request request = http.newRequest(entry + path)
                     .method(method)
-                    .headers(headers -> headers.put(HttpHeader.AUTHORIZATION, "Bearer " + key))
-                    .timeout(RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                    .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
                     .onRequestBegin(begunRequest -> begun.set(true));
+            if (!key.isEmpty()) {
+                request.headers(headers -> headers.put(HttpHeader.AUTHORIZATION, "Bearer " + key));
+            }
             if (!body.isEmpty()) {
                 request.body(new StringRequestContent("application/json", body));
             }
-            ContentResponse response = new CompletableResponseListener(request, MAX_RESPONSE_BYTES)
+            ContentResponse response = new CompletableResponseListener(request, maxResponseBytes)
                     .send()
-                    .get(RESPONSE_TIMEOUT_MILLIS + CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                    .get(timeoutMillis + CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
             return new EntryResponse(entry, response.getStatus(), response.getContentAsString());
         } catch (ExecutionException | TimeoutException e) {
             throw new CallException(begun.get(), entry + ": " + (e.getCause() == null ? e : e.getCause()).getMessage());
