--- a/core/src/test/java/org/cornelramp/core/admission/AdmissionQueueCopyTest.java
+++ b/core/src/test/java/org/cornelramp/core/admission/AdmissionQueueCopyTest.java
@@ -28,10 +28,23 @@
                 now + 600 + random.nextInt(900),
                 "");
         List<Object> seen = new ArrayList<>();
-        switch (random.nextInt(5)) {
+        switch (random.nextInt(6)) {
             case 0 -> queue.recordAdmittedAtOnce(request, now);
             case 1 -> queue.inOrder(now).stream().findFirst().ifPresent(first -> queue.recordAdmitted(first, now));
             case 2 -> seen.add(queue.expire(now));
+            case 3 ->
+                queue.inOrder(now).stream().findFirst().ifPresent(first -> {
+                    WaitingRequest<String> changed = new WaitingRequest<>(
+                            first.id(),
+                            priority,
+                            first.organisation(),
+                            first.cost(),
+                            first.arrivalMillis(),
+                            request.targetMillis(),
+                            request.patienceMillis(),
+                            "");
+                    seen.add(queue.replace(changed, now));
+                });
             default -> {
                 queue.setFirstEventMillis(100 + random.nextInt(100));
                 seen.add(queue.offer(request, now));
--- a/core/src/test/java/org/cornelramp/core/admission/AdmissionQueueTest.java
+++ b/core/src/test/java/org/cornelramp/core/admission/AdmissionQueueTest.java
@@ -64,6 +64,32 @@
         assertTrue(queue.offer(request(34, 2, "a", 500, 2_000), 0).isLeft(), "only one at a time");
     }
 
+    /** Guards against a request that is served by the priority and times that it had before a change. */
+    @Test
+    public void aChangedRequestTakesItsNewPlace() {
+        offer(request(1, 1, "a", 500, 2_000));
+        offer(request(2, 1, "a", 600, 2_000));
+        assertTrue(queue.replace(request(2, 0, "a", 600, 400), 100));
+        assertEquals(order(100), List.of(2L, 1L));
+        assertEquals(queue.size(0), 1);
+        assertEquals(queue.size(1), 1);
+        assertEquals(queue.expire(450).get(0).request().id(), 2);
+        assertFalse(queue.replace(request(2, 0, "a", 600, 900), 500), "it does not wait any more");
+    }
+
+    /** Guards against an organisation that gets more than others by sending through many gateways. */
+    @Test
+    public void useThroughOtherGatewaysCounts() {
+        offer(request(1, 0, "a", 400, 2_000));
+        offer(request(2, 0, "b", 500, 2_000));
+        Optional<OrganisationId> a = Optional.of(new OrganisationId("a"));
+        assertEquals(
+                queue.inOrder(0, organisation -> organisation.equals(a) ? 5 : 0)
+                        .get(0)
+                        .id(),
+                2);
+    }
+
     /** Guards against a gateway that was suspended and then starts requests whose clients have left. */
     @Test
     public void aSuspendedGatewayRefusesWhatHasRunOutOfTime() {
@@ -106,7 +132,11 @@
         assertEquals(policy.judge(prospect(0, 269, 0)), Fit.ON_TIME);
         assertEquals(policy.judge(prospect(0, 285, 0)), Fit.ON_TIME);
         assertEquals(policy.judge(prospect(2, 285, 0)), Fit.NO_CAPACITY);
-        assertEquals(policy.judge(prospect(2, 260, 20)), Fit.NO_CAPACITY, "10 ms are kept for 20 arrivals a second");
+        assertEquals(policy.judge(prospect(2, 271, 0)), Fit.NO_CAPACITY, "it was held back with the others");
+        assertEquals(policy.judge(prospect(2, 269, 20)), Fit.ON_TIME);
+        assertEquals(
+                policy.judge(prospect(2, 276, 20)), Fit.NO_CAPACITY, "25 ms are kept for 10 arrivals and 4 deviations");
+        assertEquals(policy.judge(prospect(2, 269, 40)), Fit.NO_CAPACITY, "42 ms are kept for 20 arrivals");
         assertFalse(policy.isHeldBack(0));
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/AdmissionPreview.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/AdmissionPreview.java
@@ -2,13 +2,16 @@
 
 import java.util.Optional;
 import org.cornelramp.core.admission.Fit;
+import org.cornelramp.core.admission.Prospect;
 import org.cornelramp.core.admission.WaitingRequest;
 
 /**
  * What admission would decide on a stream. Immutable.
  *
  * @param waiting the stream as it would wait
- * @param outlook what the decision is made from
+ * @param contention what it competes with
+ * @param target the server that it would be sent to; empty if none can take it
+ * @param prospect what is predicted on that server's path; empty if the stream may start without a prediction
  * @param fit whether it fits
  * @param behindOthers whether requests wait that are at least as urgent, so that it may not start before them
  * @param waitingCount requests that wait in this gateway
@@ -17,7 +20,9 @@
  */
 record AdmissionPreview(
         WaitingRequest<ActiveRequest> waiting,
-        AdmissionOutlook outlook,
+        AdmissionPace.Contention contention,
+        Optional<Dispatcher.Target> target,
+        Optional<Prospect> prospect,
         Fit fit,
         boolean behindOthers,
         int waitingCount,
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -225,7 +225,8 @@
             return Optional.empty();
         }
         Set<BackendServerId> closed = fleet.closedServers(request.service(), now);
-        List<BackendServer> usable = fleet.usableServers(request.service(), request.avoidedServers(), now);
+        List<BackendServer> usable = fleet.doubtfulServers()
+                .without(fleet.usableServers(request.service(), request.avoidedServers(), now), now);
         return promptPrefixes.choose(request, found.path().get(), spec.get(), usable, demand(request, closed), now);
     }
 
@@ -259,7 +260,12 @@
     private Optional<StagePath> findPath(
             ActiveRequest request, EngineSpec spec, Set<BackendServerId> closed, long now) {
         List<BackendServer> usable = fleet.usableServers(request.service(), request.avoidedServers(), now);
-        return PathFinder.find(spec, usable, fleet.loads(), demand(request, closed));
+        PathFinder.Demand demand = demand(request, closed);
+        List<BackendServer> certain = fleet.doubtfulServers().without(usable, now);
+        Optional<StagePath> path = PathFinder.find(spec, certain, fleet.loads(), demand);
+        return path.isPresent() || certain.size() == usable.size()
+                ? path
+                : PathFinder.find(spec, usable, fleet.loads(), demand);
     }
 
     private PathFinder.Demand demand(ActiveRequest request, Set<BackendServerId> closed) {
@@ -277,6 +283,19 @@
                 request.route().maxAttempts());
     }
 
+    /**
+     * Whether fewer engines can take the request than a new one: some have failed it, its route lets it run on no others,
+     * or it runs apart from other requests. Another request may then find a path although this one does not.
+     */
+    boolean isRestricted(ActiveRequest request, long now) {
+        return !allowedFirstEngines(request).isEmpty()
+                || poisonGuard.verdict(request, now) != PoisonGuard.Verdict.SEND
+                || poisonGuard.isSuspect(request, now)
+                || (!request.avoidedServers().isEmpty()
+                        && fleet.usableServers(request.service(), now).stream()
+                                .anyMatch(server -> request.avoidedServers().contains(server.id())));
+    }
+
     /** Counts the load of the request on the engines of a path instead of those of its previous path. */
     void addLoad(ActiveRequest request, StagePath path) {
         removeLoad(request);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
@@ -144,6 +144,7 @@
             handleNoConnection(attempt.server(), end, now);
         } else if (isOwnFailure(attempt, end)) {
             // A crash resets the open connections before new ones are refused.
+            doubt(attempt, now);
             engineControl.probe(attempt.server(), router, fleet.lagMillis(), AsyncEngineControl.NO_EVENT, now);
         }
     }
@@ -163,6 +164,16 @@
         }
     }
 
+    private void doubt(Attempt attempt, long now) {
+        boolean broken = attempt.connectionFault() == Attempt.ConnectionFault.BROKEN;
+        if (broken && fleet.doubtfulServers().recordBreak(attempt.server().id(), now)) {
+            log.line("fleet", "doubted")
+                    .with("server", attempt.server().id())
+                    .with("id", attempt.exchange().request().id())
+                    .write();
+        }
+    }
+
     private void suspect(BackendServer server, Evidence evidence, String why, long now) {
         if (!fleet.suspectedServers().suspect(server.id(), evidence, now)) {
             return;
@@ -218,6 +229,7 @@
             return;
         }
         engineControl.recordAnswer(engine.id(), now);
+        fleet.doubtfulServers().recordSignOfLife(engine.id());
         recordAlive(engine.id(), now, "it answers", now);
         double before = fleet.loads().slowdown(engine.id());
         double slowdown = report.get().slowdown();
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RouteCandidates.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RouteCandidates.java
@@ -74,7 +74,10 @@
                 .collect(Collectors.groupingBy(BackendServer::id, TreeMap::new, Collectors.counting()));
     }
 
-    /** The servers that can take the request, the cheapest first, and then those that can't. */
+    /**
+     * The servers that can take the request, the cheapest first but paths with a doubtful engine last, and then those that
+     * can't.
+     */
     List<Candidate> list(ActiveRequest request, Optional<PrefixAffinity.Choice> holder, long now) {
         List<Candidate> candidates = dispatcher
                 .engineSpec(request)
@@ -102,6 +105,9 @@
         if (closed.contains(server.id())) {
             return "it takes no more requests of this gateway now";
         }
+        if (!server.card().isEmpty() && fleet.doubtfulServers().isDoubtful(server.id(), now)) {
+            return "it has broken a connection, and paths without it are preferred";
+        }
         return server.card().isEmpty()
                 ? "it is known to be full"
                 : "no path from it has a slot and memory, or it is not among the best";
@@ -122,7 +128,7 @@
                         path.text(),
                         Optional.of(PathFinder.cost(path)),
                         Optional.empty(),
-                        load(path.first())))
+                        load(path.first()) + doubt(path, now)))
                 .collect(Collectors.toCollection(ArrayList::new));
     }
 
@@ -136,6 +142,12 @@
                         RouteExplainer.rounded(fleet.loads().slowdown(engine.id())));
     }
 
+    private String doubt(StagePath path, long now) {
+        boolean doubted = path.hops().stream()
+                .anyMatch(hop -> fleet.doubtfulServers().isDoubtful(hop.server().id(), now));
+        return doubted ? ", used only without another path, as an engine has broken a connection" : "";
+    }
+
     private List<Candidate> plain(ActiveRequest request, long now) {
         Set<BackendServerId> closed = fleet.closedServers(request.service(), now);
         Map<BackendServerId, Double> costs = plainServers.costs(request, closed, now);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RouteExplainer.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RouteExplainer.java
@@ -151,11 +151,10 @@
                 request, (asked, at) -> dispatcher.previewTarget(asked, candidates::choosePlain, at), now);
         List<Figure> figures = figures(preview, now);
         if (preview.isAdmitted()) {
-            String reason = preview.outlook().prospect().isPresent()
+            String reason = preview.prospect().isPresent()
                     ? "It fits, with the more urgent requests that are expected."
                     : "A path has room, and no more urgent requests arrive.";
-            return new Decision(
-                    verdict(SENT, BY_ADMISSION, reason), preview.outlook().target(), figures);
+            return new Decision(verdict(SENT, BY_ADMISSION, reason), preview.target(), figures);
         }
         Verdict verdict = preview.refusal()
                 .map(refusal ->
@@ -171,7 +170,7 @@
         if (preview.behindOthers()) {
             return "Requests wait that are at least as urgent.";
         }
-        if (preview.outlook().target().isEmpty()) {
+        if (preview.target().isEmpty()) {
             return "No path has a slot and memory for it.";
         }
         return switch (preview.fit()) {
@@ -216,9 +215,9 @@
     private List<Figure> figures(AdmissionPreview preview, long now) {
         List<Figure> figures = new ArrayList<>();
         Optional<Long> demandAge = Optional.of(fleet.demand().oldestAgeMillis(now));
-        AdmissionOutlook outlook = preview.outlook();
+        AdmissionPace.Contention contention = preview.contention();
         figures.add(
-                new Figure("more urgent requests", rounded(outlook.moreUrgentPerSecond()), "per second", demandAge));
+                new Figure("more urgent requests", rounded(contention.arrivalsPerSecond()), "per second", demandAge));
         figures.add(new Figure("requests waiting in this gateway", preview.waitingCount(), "", Optional.empty()));
         figures.add(own("expected wait of the priority (0: not known)", (double) preview.expectedWaitMillis()));
         figures.add(own("time until the target", (double) (preview.waiting().targetMillis() - now)));
@@ -226,10 +225,10 @@
                 own("time until the client leaves", (double) (preview.waiting().patienceMillis() - now)));
         figures.add(new Figure(
                 "share of the priority or organisation too small (1) or not (0)",
-                outlook.standing() == Standing.FAIR ? 0 : 1,
+                contention.standing() == Standing.FAIR ? 0 : 1,
                 "",
                 Optional.empty()));
-        outlook.prospect().ifPresent(prospect -> figures.addAll(figures(prospect, demandAge)));
+        preview.prospect().ifPresent(prospect -> figures.addAll(figures(prospect, demandAge)));
         return figures;
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouteExplainerTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouteExplainerTest.java
@@ -114,6 +114,34 @@
         }
     }
 
+    /**
+     * Guards against an explanation that names a path with an engine that has broken a connection, which the decision
+     * avoids.
+     */
+    @Test
+    public void doubtfulEngineIsAvoidedAsByTheNextRequest() {
+        RouterSimulation router = new RouterSimulation(StandInConfig.small(1), SETTINGS, 1);
+        router.register(RouterSimulation.engine("a1", 11, 0, 8));
+        router.request("/chat/a", fields("r0"), new byte[0]);
+        router.register(RouterSimulation.engine("b1", 12, 0, 4));
+        router.register(RouterSimulation.engine("c1", 13, "dc2", 4, 8));
+        assertEquals(explain(router, "/chat/a", "asked").choice(), Optional.of("a1=0-8"));
+        router.calls().get(0).reset();
+        while (router.handleNext()) {
+            assertTrue(router.queued() <= 2); // the probe that ends the doubt is not handled yet
+        }
+        RouteExplanation explanation = explain(router, "/chat/a", "asked");
+        router.request("/chat/a", fields("next"), new byte[0]);
+        FakeHttpClient.Call next = router.calls().get(router.calls().size() - 1);
+        assertEquals(HeaderFixtures.requestId(next::header), "next");
+        assertEquals(next.port(), 12);
+        assertEquals(explanation.choice(), Optional.of("b1=0-4,c1=4-8"));
+        List<RouteExplanation.Candidate> candidates = explanation.candidates();
+        assertEquals(candidates.stream().map(RouteExplanation.Candidate::server).toList(), List.of("b1", "a1"));
+        assertFalse(candidates.get(0).note().contains("broken"), candidates.toString());
+        assertTrue(candidates.get(1).note().contains("broken"), candidates.toString());
+    }
+
     /** Guards against a stream without capacity of which it is said that it would be sent or refused. */
     @Test
     public void streamWithoutCapacityWaits() {
