Explanation: test that it holds no priority back

Change: a test with a limit of pauses. It explains a stream that does not fit, and then sends one whose predicted pause lies between 0.9 of the limit and the limit, which is admitted only if the priority was not held back.

--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouteExplainerTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouteExplainerTest.java
@@ -142,6 +142,34 @@
         assertTrue(candidates.get(1).note().contains("broken"), candidates.toString());
     }
 
+    private static String withPauseLimit(int version, int millis) {
+        return PlainSlotWaitTest.withPriorities(version)
+                .replace("\"kind\":\"streaming\",", "\"kind\":\"streaming\",\"gapAimMs\":" + millis + ",")
+                .replace("\"step_ms\":1,", "\"step_ms\":100,");
+    }
+
+    /**
+     * Guards against an explanation by which a priority counts as held back. The next stream, with a predicted pause of
+     * 0.94 of the limit, would then have to wait until the pause is below 0.9 of it.
+     */
+    @Test
+    public void explanationHoldsNoPriorityBack() {
+        RouterSimulation router = start();
+        router.publish(withPauseLimit(3, 1));
+        for (int i = 0; i < 2; i++) {
+            router.request("/urgent/a", fields("r" + i), new byte[0]);
+        }
+        router.run(100);
+        RouteExplanation tooSlow = explain(router, "/chat/a", "asked");
+        assertEquals(
+                tooSlow.verdict().reason(),
+                "Pauses would be too long, with the more urgent requests that are expected.");
+        router.publish(withPauseLimit(4, 160));
+        router.request("/chat/a", fields("next"), new byte[0]);
+        assertEquals(router.calls().size(), 3);
+        assertEquals(HeaderFixtures.requestId(router.calls().get(2)::header), "next");
+    }
+
     /** Guards against a stream without capacity of which it is said that it would be sent or refused. */
     @Test
     public void streamWithoutCapacityWaits() {
