--- a/core/src/main/java/org/cornelramp/core/fleet/SharedServerSelector.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/SharedServerSelector.java
@@ -1,7 +1,9 @@
 package org.cornelramp.core.fleet;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -89,11 +91,7 @@
             Set<BackendServerId> excluded,
             Situation situation,
             RandomGenerator random) {
-        List<BackendServer> allowed = allowed(servers, excluded);
-        List<BackendServer> open = allowed.stream()
-                .filter(server -> stats.millisUntilSlot(server.id(), situation.nowMillis()) == 0)
-                .toList();
-        List<BackendServer> candidates = open.isEmpty() ? allowed : open;
+        List<BackendServer> candidates = candidates(servers, excluded, situation);
         if (candidates.size() <= 1) {
             return candidates.stream().findFirst();
         }
@@ -108,35 +106,77 @@
         return rest.isEmpty() ? candidates : rest;
     }
 
+    /** The server with the least cost at a present load that is drawn. */
+    private BackendServer cheapest(List<BackendServer> candidates, Situation situation, RandomGenerator random) {
+        double[] latencies = comparedLatencies(candidates, situation);
+        BackendServer cheapest = candidates.get(0);
+        double lowestCost = Double.MAX_VALUE;
+        for (int i = 0; i < latencies.length; i++) {
+            BackendServer server = candidates.get(i);
+            double others = drawPresent(expectedOthers(server, situation), random);
+            double cost = cost(server, latencies[i], others, situation) + random.nextDouble() * TIE_MILLIS;
+            if (cost < lowestCost) {
+                cheapest = server;
+                lowestCost = cost;
+            }
+        }
+        return cheapest;
+    }
+
     /**
-     * The server with the least cost. Latencies that differ little count as equal. So does that of a local server which
-     * has not been observed, while the fastest one is in another data centre: a gateway whose first request went there
-     * would otherwise never try the local server.
+     * Expected costs of the servers among which a request would be given one now, in milliseconds, at the load that is
+     * expected and not at one that is drawn around it. Changes no state.
+     *
+     * @param servers the candidates
+     * @param excluded servers that must not be chosen
      */
-    private BackendServer cheapest(List<BackendServer> candidates, Situation situation, RandomGenerator random) {
+    public Map<BackendServerId, Double> costs(
+            Collection<BackendServer> servers, Set<BackendServerId> excluded, Situation situation) {
+        List<BackendServer> candidates = candidates(servers, excluded, situation);
+        Map<BackendServerId, Double> costs = new HashMap<>();
+        if (candidates.isEmpty()) {
+            return costs;
+        }
+        double[] latencies = comparedLatencies(candidates, situation);
+        for (int i = 0; i < latencies.length; i++) {
+            BackendServer server = candidates.get(i);
+            costs.put(server.id(), cost(server, latencies[i], expectedOthers(server, situation), situation));
+        }
+        return costs;
+    }
+
+    /**
+     * The latencies by which candidates are compared. Those that differ little count as equal. So does that of a local
+     * server which has not been observed, while the fastest one is in another data centre: a gateway whose first request
+     * went there would otherwise never try the local server.
+     */
+    private double[] comparedLatencies(List<BackendServer> candidates, Situation situation) {
         double usualMillis = usualMillis(candidates);
         double[] latencies = candidates.stream()
                 .mapToDouble(server -> latency(server, usualMillis, situation.nowMillis()))
                 .toArray();
         int fastest = indexOfLowest(latencies);
         boolean distant = !isLocal(candidates.get(fastest), situation);
-        BackendServer cheapest = candidates.get(0);
-        double lowestCost = Double.MAX_VALUE;
+        double[] compared = new double[latencies.length];
         for (int i = 0; i < latencies.length; i++) {
             BackendServer server = candidates.get(i);
-            PlainServerRecord known = stats.record(server.id());
+            PlainServerRecord known = stats.observed(server.id());
             boolean untried = known.inFlight() == 0 && known.warmShare(situation.nowMillis()) >= 1;
             boolean similar = known.isLatencyObserved()
                     ? latencies[i] <= latencies[fastest] * SIMILAR_FACTOR
                     : distant && isLocal(server, situation) && untried;
-            double cost = cost(server, latencies[similar ? fastest : i], situation, random)
-                    + random.nextDouble() * TIE_MILLIS;
-            if (cost < lowestCost) {
-                cheapest = server;
-                lowestCost = cost;
-            }
+            compared[i] = latencies[similar ? fastest : i];
         }
-        return cheapest;
+        return compared;
+    }
+
+    private List<BackendServer> candidates(
+            Collection<BackendServer> servers, Set<BackendServerId> excluded, Situation situation) {
+        List<BackendServer> allowed = allowed(servers, excluded);
+        List<BackendServer> open = allowed.stream()
+                .filter(server -> stats.millisUntilSlot(server.id(), situation.nowMillis()) == 0)
+                .toList();
+        return open.isEmpty() ? allowed : open;
     }
 
     private static List<BackendServer> allowed(Collection<BackendServer> servers, Set<BackendServerId> excluded) {
@@ -198,7 +238,7 @@
 
     /** Expected latency without a wait for a slot, in milliseconds. */
     private double latency(BackendServer server, double usualMillis, long now) {
-        PlainServerRecord known = stats.record(server.id());
+        PlainServerRecord known = stats.observed(server.id());
         if (known.isLatencyObserved()) {
             return known.expectedLatency(usualMillis, now);
         }
@@ -208,14 +248,20 @@
                         Math.min(usualMillis, PlainServerStats.INITIAL_LATENCY_MILLIS * UNKNOWN_FACTOR), now);
     }
 
-    /** Expected time until a client has its answer, in milliseconds, if the present load is as drawn. */
-    private double cost(BackendServer server, double latency, Situation situation, RandomGenerator random) {
+    /** Requests of other gateways that are expected at a server. */
+    private double expectedOthers(BackendServer server, Situation situation) {
+        PlainServerRecord known = stats.observed(server.id());
+        int peers = situation.peersInFlight().applyAsInt(server.id());
+        return Math.max(0, known.expectedRequests(peers, situation.nowMillis()) - known.inFlight());
+    }
+
+    /** Expected time until a client has its answer, in milliseconds, with a number of requests of other gateways. */
+    private double cost(BackendServer server, double latency, double others, Situation situation) {
         long now = situation.nowMillis();
-        PlainServerRecord known = stats.record(server.id());
+        PlainServerRecord known = stats.observed(server.id());
         int slots = Math.max(1, server.slots());
         int own = known.inFlight();
-        double expected = known.expectedRequests(situation.peersInFlight().applyAsInt(server.id()), now);
-        double requests = own + drawPresent(Math.max(0, expected - own), random);
+        double requests = own + others;
         double roundsAhead = Math.max(0, requests + 1 - slots) / slots;
         double distance = isLocal(server, situation) ? 0 : PlainServerSelector.CROSS_DATA_CENTRE_MILLIS;
         return distance
@@ -248,7 +294,7 @@
     }
 
     private double coldShare(BackendServer server, long nowMillis) {
-        double warm = stats.record(server.id()).warmShare(nowMillis);
+        double warm = stats.observed(server.id()).warmShare(nowMillis);
         return Math.min(COLD_STEPS, 1 + Math.floor(COLD_STEPS * Math.max(0, warm))) / COLD_STEPS;
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/request/ClientRequestHandler.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/ClientRequestHandler.java
@@ -129,20 +129,16 @@
     }
 
     private void submit(Request request, Response response, Callback callback, ResolvedHead resolved, byte[] body) {
-        Route route = resolved.route();
-        long timeoutMillis = Exchange.ClientRequest.timeoutMillis(resolved.head(), route);
-        Exchange.ClientRequest call = new Exchange.ClientRequest(
+        Exchange.ClientRequest call = Exchange.ClientRequest.of(
                 resolved.head(),
                 request.getMethod(),
                 request.getHttpURI().getPathQuery(),
                 resolved.fields(),
                 body,
-                route,
-                resolved.organisation().map(RoutingConfig.Organisation::id),
-                Exchange.ClientRequest.priority(route, resolved.organisation()),
-                resolved.now(),
-                resolved.now() + timeoutMillis);
-        IdleTimeoutExtension.begin(request, timeoutMillis);
+                resolved.route(),
+                resolved.organisation(),
+                resolved.now());
+        IdleTimeoutExtension.begin(request, call.deadlineMillis() - resolved.now());
         Exchange exchange = new Exchange(call, response, callback, closing, ClientDisconnectProbe.of(request));
         if (!router.offer(new RouterEvent.RequestReceived(exchange))) {
             exchange.refuse(Refusal.OVERLOADED, Refusal.OVERLOADED.retryMillis());
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -11,6 +11,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.cornelramp.core.model.OrganisationId;
+import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.poison.Fingerprint;
 import org.cornelramp.core.poison.PromptParts;
 import org.cornelramp.core.routing.Route;
@@ -32,7 +33,8 @@
  */
 public final class Exchange {
     private static final System.Logger LOG = System.getLogger(Exchange.class.getName());
-    private static final double RETRY_JITTER = 0.5;
+    /** Part of the retry time that is added at most, at random. */
+    public static final double RETRY_JITTER = 0.5;
 
     private volatile ClientRequest request;
     private final Response response;
@@ -83,6 +85,33 @@
         /** Number of priorities, 0 to 9. */
         private static final int PRIORITIES = 10;
 
+        /**
+         * A request on a route.
+         *
+         * @param nowMillis when it was received
+         */
+        static ClientRequest of(
+                RequestHead head,
+                String method,
+                String pathQuery,
+                HttpFields fields,
+                byte[] body,
+                Route route,
+                Optional<RoutingConfig.Organisation> organisation,
+                long nowMillis) {
+            return new ClientRequest(
+                    head,
+                    method,
+                    pathQuery,
+                    fields,
+                    body,
+                    route,
+                    organisation.map(RoutingConfig.Organisation::id),
+                    priority(route, organisation),
+                    nowMillis,
+                    nowMillis + timeoutMillis(head, route));
+        }
+
         /**
          * The same request under another configuration: its route, rank and deadline. The organisation that is charged
          * for it stays the one at its arrival.
@@ -103,6 +132,12 @@
                     receivedMillis + timeoutMillis(head, changed));
         }
 
+        /** The service of the route that runs the request: by weight, and the same for all attempts with its id. */
+        public ServiceName service() {
+            double draw = (id().hashCode() & 0x7fffffff) / (double) (1L << 31);
+            return route.service(draw);
+        }
+
         /** Priority of a request: that of the organisation that holds its key, or else of its route. */
         static int priority(Route route, Optional<RoutingConfig.Organisation> keyHolder) {
             return keyHolder.flatMap(RoutingConfig.Organisation::priority).orElse(route.priority());
@@ -174,6 +209,13 @@
         this.forwarded = EventIds.after(call.head().lastEventId().orElse(-1L));
     }
 
+    /** The exchange of a request that is only asked about: it has ended, so that nothing is sent to anyone. */
+    public static Exchange withoutClient(ClientRequest request) {
+        Exchange exchange = new Exchange(request, null, Callback.NOOP, () -> false, null);
+        exchange.state.set(State.ENDED);
+        return exchange;
+    }
+
     /** The client's request. */
     public ClientRequest request() {
         return request;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/AdmissionPace.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/AdmissionPace.java
@@ -2,7 +2,10 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.cornelramp.core.admission.AdmissionPolicy;
+import org.cornelramp.core.admission.AdmissionQueue;
+import org.cornelramp.core.admission.Fit;
 import org.cornelramp.core.admission.PaceEstimator;
 import org.cornelramp.core.admission.Prospect;
 import org.cornelramp.core.admission.RecentStarts;
@@ -73,8 +76,19 @@
         return pace(request).firstEventMillis(path, now);
     }
 
+    /** What a request competes with, among the requests that wait. */
+    Contention contention(WaitingRequest<ActiveRequest> waiting, AdmissionQueue<ActiveRequest> among, long now) {
+        ActiveRequest request = waiting.work();
+        double arrivals = fleet.demand().arrivalsPerSecond(request.service(), waiting.priority());
+        return new Contention(
+                arrivals,
+                arrivals > 0 ? copies(request, now) : 1,
+                among.standing(waiting, now),
+                among.isOnTimeWaiting(waiting.priority(), now));
+    }
+
     /** Copies of the model that the usable engines hold together; at least one. */
-    double copies(ActiveRequest request, long now) {
+    private double copies(ActiveRequest request, long now) {
         int layers = dispatcher.engineSpec(request).map(EngineSpec::layers).orElse(1);
         int held = fleet.usableServers(request.service(), now).stream()
                 .flatMap(server -> server.layers().stream())
@@ -83,18 +97,33 @@
         return Math.max(1, held / (double) layers);
     }
 
+    /** Whether the streams on the path keep the pauses of their routes; may change the policy of the service. */
+    boolean isKept(WaitingRequest<ActiveRequest> waiting, Dispatcher.Target target, Contention contention, long now) {
+        return prospect(waiting, target, contention, now)
+                .map(policies.computeIfAbsent(waiting.work().service(), service -> new AdmissionPolicy())::judge)
+                .orElse(Fit.ON_TIME)
+                .admits();
+    }
+
+    /** How a request would be judged now that starts with a prospect, or without one. Changes no policy. */
+    Fit previewFit(ActiveRequest request, Optional<Prospect> prospect) {
+        AdmissionPolicy policy =
+                policies.getOrDefault(request.service(), new AdmissionPolicy()).copy();
+        return prospect.map(policy::judge).orElse(Fit.ON_TIME);
+    }
+
     /**
-     * Whether the streams on the path keep the pauses of their routes. Not asked while no more urgent requests arrive,
-     * nor for a request whose target has passed: a late answer is better than none.
+     * What is predicted for a request on the path of a target; empty if it may start without a prediction. There is none
+     * while no more urgent requests arrive, nor for a request whose target has passed: a late answer is better than none.
      */
-    boolean isKept(WaitingRequest<ActiveRequest> waiting, Dispatcher.Target target, Contention contention, long now) {
+    Optional<Prospect> prospect(
+            WaitingRequest<ActiveRequest> waiting, Dispatcher.Target target, Contention contention, long now) {
+        boolean unlimited = contention.arrivalsPerSecond() <= 0 || now >= waiting.targetMillis();
+        return target.path().filter(path -> !unlimited).map(path -> prospect(waiting, path, contention, now));
+    }
+
+    private Prospect prospect(WaitingRequest<ActiveRequest> waiting, StagePath path, Contention contention, long now) {
         ActiveRequest request = waiting.work();
-        if (contention.arrivalsPerSecond() <= 0
-                || now >= waiting.targetMillis()
-                || target.path().isEmpty()) {
-            return true;
-        }
-        StagePath path = target.path().get();
         Route route = request.route();
         PaceEstimator pace = pace(request);
         double perRequest = dispatcher
@@ -107,7 +136,7 @@
                 Prospect.Reserve.USUAL_HORIZON_MILLIS,
                 contention.copies(),
                 perRequest);
-        Prospect prospect = new Prospect(
+        return new Prospect(
                 waiting.priority(),
                 pace.pauseMillis(path, now) + unseenRequests(path, now) * perRequest,
                 route.gapMillis(),
@@ -118,9 +147,6 @@
                 reserve,
                 contention.standing(),
                 contention.onTimeWaiting());
-        return policies.computeIfAbsent(request.service(), service -> new AdmissionPolicy())
-                .judge(prospect)
-                .admits();
     }
 
     private PaceEstimator pace(ActiveRequest request) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -10,6 +10,8 @@
 import org.cornelramp.core.admission.AdmissionRefusal;
 import org.cornelramp.core.admission.EarlyRetries;
 import org.cornelramp.core.admission.Evicted;
+import org.cornelramp.core.admission.Fit;
+import org.cornelramp.core.admission.Prospect;
 import org.cornelramp.core.admission.WaitingRequest;
 import org.cornelramp.core.model.OrganisationId;
 import org.cornelramp.core.model.ServiceName;
@@ -123,6 +125,11 @@
                         .isPresent();
     }
 
+    /** Whether {@link #admit} decides on a request that has not been sent yet. */
+    boolean decides(ActiveRequest request, long now) {
+        return applies(request) && dispatcher.maySend(request, now);
+    }
+
     /** Whether the request waits here. */
     boolean isWaiting(ActiveRequest request) {
         return request.admissionId() != 0 && queue.find(request.admissionId()).isPresent();
@@ -147,7 +154,7 @@
             queue.recordEarlyRetry(waiting, now);
             meters.countAdmission("early retry");
         }
-        if (!isOvertaking(request) && trySend(waiting, now)) {
+        if (!isOvertaking(request, queue) && trySend(waiting, now)) {
             return List.of();
         }
         return enqueue(waiting, now);
@@ -163,13 +170,13 @@
         WaitingRequest<ActiveRequest> waiting = describe(request, ++lastId, now);
         queue.setFirstEventMillis(Math.round(firstEventMillis));
         meters.countAdmission("retry");
-        if (!isOvertaking(request) && retries.hasRetry(request, now) && trySend(waiting, now)) {
+        if (!isOvertaking(request, queue) && retries.hasRetry(request, now) && trySend(waiting, now)) {
             return List.of();
         }
         return enqueue(waiting, now);
     }
 
-    private boolean isOvertaking(ActiveRequest request) {
+    private static boolean isOvertaking(ActiveRequest request, AdmissionQueue<ActiveRequest> queue) {
         return queue.isWaiting(request.exchange().request().rank());
     }
 
@@ -278,12 +285,7 @@
 
     private boolean trySend(WaitingRequest<ActiveRequest> waiting, long now) {
         ActiveRequest request = waiting.work();
-        double arrivals = fleet.demand().arrivalsPerSecond(request.service(), waiting.priority());
-        AdmissionPace.Contention contention = new AdmissionPace.Contention(
-                arrivals,
-                arrivals > 0 ? pace.copies(request, now) : 1,
-                queue.standing(waiting, now),
-                queue.isOnTimeWaiting(waiting.priority(), now));
+        AdmissionPace.Contention contention = pace.contention(waiting, queue, now);
         request.setReservedRequests(contention.reservedRequests());
         Optional<Dispatcher.Target> target = chooseTarget(waiting, contention, now);
         if (target.isPresent() && retries.retryStarted(request.service(), now)) {
@@ -298,7 +300,7 @@
         } else {
             queue.recordAdmitted(waiting, now);
             meters.countAdmission("after a wait");
-            logAdmitted(waiting, arrivals, now);
+            logAdmitted(waiting, contention.arrivalsPerSecond(), now);
         }
         request.setAdmissionId(waiting.id());
         target.get().path().ifPresent(path -> observeFirstEvent(pace.firstEventMillis(request, path, now)));
@@ -321,6 +323,38 @@
         return held ? Optional.empty() : target;
     }
 
+    /**
+     * What {@link #admit} would decide now, without the started streams that it tries first. Works on copies of the state
+     * that a decision changes, and changes no state but that of the request.
+     *
+     * @param search finds a server without side effects
+     */
+    AdmissionPreview preview(ActiveRequest request, Dispatcher.TargetSearch search, long now) {
+        WaitingRequest<ActiveRequest> waiting = describe(request, lastId + 1, now);
+        AdmissionQueue<ActiveRequest> copy = queue.copy();
+        copy.setFirstEventMillis(Math.round(firstEventMillis));
+        boolean overtakes = isOvertaking(request, copy);
+        AdmissionPace.Contention contention = pace.contention(waiting, copy, now);
+        request.setReservedRequests(contention.reservedRequests());
+        Optional<Dispatcher.Target> target = search.find(request, now);
+        Optional<Prospect> prospect = target.flatMap(found -> pace.prospect(waiting, found, contention, now));
+        Fit fit = target.isPresent() ? pace.previewFit(request, prospect) : Fit.NO_CAPACITY;
+        long waitMillis = copy.expectedWaitMillis(waiting.priority(), now);
+        boolean admitted = !overtakes && fit.admits();
+        Optional<AdmissionRefusal> refusal =
+                admitted ? Optional.empty() : copy.offer(waiting, now).fold(Optional::of, evicted -> Optional.empty());
+        return new AdmissionPreview(
+                waiting,
+                contention,
+                target,
+                prospect,
+                fit,
+                overtakes,
+                queue.size(),
+                waitMillis,
+                refusal.map(refused -> rejection(request, refused, now)));
+    }
+
     private void observeFirstEvent(double expectedMillis) {
         double bounded = Math.min(expectedMillis, MAX_FIRST_EVENT_MILLIS);
         firstEventMillis += SMOOTHING_FACTOR * (bounded - firstEventMillis);
@@ -410,14 +444,19 @@
                 .toList();
     }
 
-    /** The client may return when there is capacity, but early enough to be served within the time that it has left. */
     private Rejected rejected(ActiveRequest request, AdmissionRefusal refusal, long now) {
+        Rejected rejected = rejection(request, refusal, now);
+        if (request.possibleRunCount() == 0) { // the others are not told when to return
+            earlyRetries.recordRefusal(request.fingerprint(), rejected.retryMillis(), now);
+        }
+        return rejected;
+    }
+
+    /** The client may return when there is capacity, but early enough to be served within the time that it has left. */
+    private static Rejected rejection(ActiveRequest request, AdmissionRefusal refusal, long now) {
         long leftMillis = request.exchange().request().deadlineMillis() - now;
         long waitMillis = Math.max(MIN_WAIT_MILLIS, refusal.expectedWaitMillis());
         long retryMillis = Math.max(MIN_RETRY_MILLIS, Math.min(waitMillis, leftMillis / MAX_RETRY_PART));
-        if (request.possibleRunCount() == 0) { // the others are not told when to return
-            earlyRetries.recordRefusal(request.fingerprint(), retryMillis, now);
-        }
         return new Rejected(request, Refusal.OVERLOADED, refusal.reason().detail(), retryMillis);
     }
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestEnder.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestEnder.java
@@ -78,9 +78,7 @@
             giveUp(request, refusalFor(request, now), rejected.why(), now);
             return;
         }
-        long retryMillis =
-                Math.max(rejected.retryMillis(), retryDelay.millisUntilOpen(request, rejected.refusal(), now));
-        giveUp(request, rejected.refusal(), retryMillis, rejected.why(), now);
+        giveUp(request, rejected.refusal(), retryDelay.millis(rejected, now), rejected.why(), now);
     }
 
     private void giveUp(ActiveRequest request, Refusal refusal, long retryMillis, String why, long now) {
