--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
@@ -42,15 +42,15 @@
      */
     private static final long SEARCH_INTERVAL_MILLIS = 60;
 
+    /** Longest wait of a request that waits for its turn to run apart from others, in milliseconds. */
+    private static final long MAX_SUSPECT_WAIT_MILLIS = 1_200;
+
     /**
      * Failed searches for started streams after which capacity goes to requests that have not started, so that many
      * streams without a path do not delay the router's thread.
      */
     private static final int MAX_STARTED_SEARCHES = 8;
 
-    /** The same for a request that waits for its turn to run apart from others, in milliseconds. */
-    private static final long MAX_SUSPECT_WAIT_MILLIS = 1_200;
-
     /** Time after which a request may use the servers again that have failed it, if no other server is available. */
     private static final long AVOIDANCE_MILLIS = 250;
 
