--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -50,6 +50,7 @@
     private volatile boolean answering;
     private volatile boolean relaying;
     private volatile boolean cancelled;
+    private volatile boolean readingStopped;
     private volatile boolean invalid;
     private volatile boolean contentEnded;
     private volatile String dropReason = "";
@@ -186,13 +187,17 @@
         cancelled = true;
         if (sequence.mayAbort(reason)) {
             abort(reason);
+        } else {
+            readingStopped = true;
         }
     }
 
+    /** Aborts the attempt; its response is read on if the HTTP library fails to. */
     private void abort(String reason) {
         Request out = request;
         if (out != null) {
             var unused = out.abort(new AttemptFailures.CancelledException(reason)); // onComplete reports the end
+            readingStopped = true;
         }
     }
 
@@ -270,7 +275,7 @@
     }
 
     private void readChunks(Content.Source source) {
-        while (!cancelled) {
+        while (!readingStopped) {
             Content.Chunk chunk = source.read();
             if (chunk == null) {
                 source.demand(() -> read(source));
