One search without doubted engines for paths and moves; smaller leftovers of the read-through

Cause: Dispatcher and StreamMonitor each had the search without doubted engines and its fallback; the one for moves searched a second time also where no engine was doubted, which can only find nothing again. isRestricted repeated maySend, the help of route explain named a header of the platform. Change: DoubtfulServers.searchWithout serves both. Decisions are the same.

--- a/cli/src/main/java/org/cornelramp/cli/command/RouteExplain.java
+++ b/cli/src/main/java/org/cornelramp/cli/command/RouteExplain.java
@@ -67,7 +67,8 @@
                 .addOption(option("request-id", "ID", "id of the request, which selects among the services of a route"))
                 .addOption(option("prompt-tokens", "N", "tokens of its prompt"))
                 .addOption(option("output-tokens", "N", "maximum tokens of its answer"))
-                .addOption(option("prompt-prefix", "PARTS", "its X-Prompt-Prefix: ID:TOKENS separated by commas"));
+                .addOption(option(
+                        "prompt-prefix", "PARTS", "parts of its prompt: ID:TOKENS separated by commas, its own last"));
     }
 
     private static Option option(String name, String value, String description) {
--- a/core/src/main/java/org/cornelramp/core/fleet/DoubtfulServers.java
+++ b/core/src/main/java/org/cornelramp/core/fleet/DoubtfulServers.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
 import org.cornelramp.core.model.BackendServerId;
 
 /**
@@ -45,4 +47,15 @@
                 .filter(server -> !isDoubtful(server.id(), nowMillis))
                 .toList();
     }
+
+    /**
+     * Searches among the servers that are not doubtful, and among all of them only if nothing is found without the
+     * doubtful ones.
+     */
+    public <T> Optional<T> searchWithout(
+            List<BackendServer> servers, Function<List<BackendServer>, Optional<T>> search, long nowMillis) {
+        List<BackendServer> certain = without(servers, nowMillis);
+        Optional<T> found = search.apply(certain);
+        return found.isPresent() || certain.size() == servers.size() ? found : search.apply(servers);
+    }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Exchange.java
@@ -27,12 +27,13 @@
 /**
  * One client's request together with the response to the client.
  *
- * <p>Safe for use by any thread: the fields that are not final are written by one attempt at a time,
- * and the request by the router between attempts. Invariant: the
- * client gets one response; the first call that ends the exchange determines it, and later calls have no effect.
+ * <p>Safe for use by any thread: the fields that are not final are written by one attempt at a time, and the request by
+ * the router between attempts. Invariant: the client gets one response; the first call that ends the exchange determines
+ * it, and later calls have no effect.
  */
 public final class Exchange {
     private static final System.Logger LOG = System.getLogger(Exchange.class.getName());
+
     /** Part of the retry time that is added at most, at random. */
     public static final double RETRY_JITTER = 0.5;
 
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Dispatcher.java
@@ -261,11 +261,8 @@
             ActiveRequest request, EngineSpec spec, Set<BackendServerId> closed, long now) {
         List<BackendServer> usable = fleet.usableServers(request.service(), request.avoidedServers(), now);
         PathFinder.Demand demand = demand(request, closed);
-        List<BackendServer> certain = fleet.doubtfulServers().without(usable, now);
-        Optional<StagePath> path = PathFinder.find(spec, certain, fleet.loads(), demand);
-        return path.isPresent() || certain.size() == usable.size()
-                ? path
-                : PathFinder.find(spec, usable, fleet.loads(), demand);
+        return fleet.doubtfulServers()
+                .searchWithout(usable, servers -> PathFinder.find(spec, servers, fleet.loads(), demand), now);
     }
 
     private PathFinder.Demand demand(ActiveRequest request, Set<BackendServerId> closed) {
@@ -289,7 +286,7 @@
      */
     boolean isRestricted(ActiveRequest request, long now) {
         return !allowedFirstEngines(request).isEmpty()
-                || poisonGuard.verdict(request, now) != PoisonGuard.Verdict.SEND
+                || !maySend(request, now)
                 || poisonGuard.isSuspect(request, now)
                 || (!request.avoidedServers().isEmpty()
                         && fleet.usableServers(request.service(), now).stream()
--- a/gateway/src/main/java/org/cornelramp/gateway/route/StreamMonitor.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/StreamMonitor.java
@@ -306,14 +306,16 @@
             ActiveRequest request, StagePath old, Optional<RoutingConfig> config, long now) {
         Hop first = old.hops().get(0);
         List<BackendServer> usable = fleet.usableServers(request.service(), request.avoidedServers(), now);
-        List<BackendServer> certain = fleet.doubtfulServers().without(usable, now);
         int prompt = request.exchange().request().head().promptTokens();
         PathFinder.Demand demand =
                 new PathFinder.Demand(first.server().dataCentre(), prompt, request.expectedTokens(), Set.of());
         return config.flatMap(version -> version.service(request.service()))
                 .flatMap(ServiceSpec::engine)
-                .flatMap(spec -> PathFinder.findAfter(first, spec, certain, fleet.loads(), demand)
-                        .or(() -> PathFinder.findAfter(first, spec, usable, fleet.loads(), demand)))
+                .flatMap(spec -> fleet.doubtfulServers()
+                        .searchWithout(
+                                usable,
+                                servers -> PathFinder.findAfter(first, spec, servers, fleet.loads(), demand),
+                                now))
                 .filter(path -> path.crossings() <= old.crossings());
     }
 }
