Admission policy: judge by the prospect alone

Cause: judge passed a lambda of the interface Room that ignored one of its two arguments; nothing else used the interface. Change: Room and admits(int, Room) are deleted, judge keeps the hysteresis itself. Verdicts are the same.

--- a/core/src/main/java/org/cornelramp/core/admission/AdmissionPolicy.java
+++ b/core/src/main/java/org/cornelramp/core/admission/AdmissionPolicy.java
@@ -34,20 +34,12 @@
                     && prospect.pauseWithin(margin(prospect.priority()));
             return fits ? Fit.LATE : Fit.NO_CAPACITY;
         }
-        boolean fits = admits(prospect.priority(), (priority, margin) -> prospect.pauseWithin(margin));
+        boolean fits = prospect.pauseWithin(margin(prospect.priority()));
+        firstHeldBack =
+                fits ? Math.max(firstHeldBack, prospect.priority() + 1) : Math.min(firstHeldBack, prospect.priority());
         return fits ? Fit.ON_TIME : Fit.NO_CAPACITY;
     }
 
-    /** Decides for a priority by the capacity alone, and holds it back or readmits it. */
-    public boolean admits(int priority, Room room) {
-        if (room.fits(priority, margin(priority))) {
-            firstHeldBack = Math.max(firstHeldBack, priority + 1);
-            return true;
-        }
-        firstHeldBack = Math.min(firstHeldBack, priority);
-        return false;
-    }
-
     /** Whether a priority is held back until the prediction is below 0.9 of the limit. */
     public boolean isHeldBack(int priority) {
         return priority >= firstHeldBack;
