Log what clears a request and what shows that a server lives

A line 'cleared' named neither the status nor the server of the run that cleared a request, and at the gateways that a peer told of it there was no line at all; a broken connection that was dropped for a sign of life left none either.

'cleared' has the id, server, status and run time, or the peer that told it; 'crash refuted', and the new 'no crash' for breaks not yet taken for a crash, have the sign of life. No decision changes. Tests follow the two changed return values; the poison and crash tests of core and gateway pass.

--- a/core/src/main/java/org/cornelramp/core/poison/CrashEvidence.java
+++ b/core/src/main/java/org/cornelramp/core/poison/CrashEvidence.java
@@ -55,6 +55,16 @@
      */
     public record Crash(CrashReport report, int runs) {}
 
+    /**
+     * What a sign of life takes back. Immutable, safe for use by any thread.
+     *
+     * @param breaks number of broken connections of which it was not known whether the server had crashed
+     * @param crash whether the server was thought to have crashed
+     */
+    public record TakenBack(int breaks, boolean crash) {
+        static final TakenBack NOTHING = new TakenBack(0, false);
+    }
+
     /**
      * Records that the connection to a server broke while it ran a request.
      *
@@ -88,15 +98,15 @@
         return takeCrash(server);
     }
 
-    /** Records a sign of life of an incarnation; returns whether it takes back that the incarnation has ended. */
-    public boolean recordSignOfLife(BackendServerId server, long nowMillis) {
+    /** Records a sign of life of an incarnation; returns what it takes back. */
+    public TakenBack recordSignOfLife(BackendServerId server, long nowMillis) {
         End end = ends.get(server);
         if (end != null && end.certain() && nowMillis - end.millis() < LATE_ANSWER_MILLIS) {
-            return false;
+            return TakenBack.NOTHING;
         }
-        undecided.remove(server);
+        List<BrokenRun> breaks = undecided.remove(server);
         ends.remove(server);
-        return end != null && !end.certain();
+        return new TakenBack(breaks == null ? 0 : breaks.size(), end != null && !end.certain());
     }
 
     /** Whether there are servers of which it is not known yet whether they have crashed. */
--- a/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
@@ -176,7 +176,8 @@
         return cleared;
     }
 
-    private boolean isOpenBefore(String suspect, Instant at) {
+    /** Whether a suspect was at a crash before a time and is not cleared of it. */
+    boolean isOpenBefore(String suspect, Instant at) {
         return reports.values().stream()
                 .anyMatch(r ->
                         r.suspects().contains(suspect) && at.isAfter(r.at()) && !isSuspectCleared(suspect, r.at()));
--- a/core/src/main/java/org/cornelramp/core/poison/PoisonNews.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonNews.java
@@ -204,16 +204,30 @@
     }
 
     /**
-     * Enters what a peer tells.
+     * What was news in an update. Immutable, safe for use by any thread.
      *
-     * @return the crashes that were news
+     * @param cleared the requests and parts that were at a crash here and are cleared of it
      */
-    public List<CrashReport> apply(PoisonUpdate update, long nowMillis) {
+    public record Applied(List<CrashReport> crashes, Set<String> cleared) {
+        public Applied {
+            crashes = List.copyOf(crashes);
+            cleared = Set.copyOf(cleared);
+        }
+    }
+
+    /** Enters what a peer tells; returns what of it was news. */
+    public Applied apply(PoisonUpdate update, long nowMillis) {
         update.signsOfLife()
                 .forEach(
                         (crash, age) -> detector.recordSignOfLife(crash, instant(nowMillis - age), instant(nowMillis)));
-        update.clearances()
-                .forEach((request, age) -> detector.clear(request, instant(nowMillis - age), instant(nowMillis)));
+        Set<String> cleared = new HashSet<>();
+        update.clearances().forEach((name, age) -> {
+            Instant at = instant(nowMillis - age);
+            if (detector.isOpenBefore(name, at)) {
+                cleared.add(name);
+            }
+            detector.clear(name, at, instant(nowMillis));
+        });
         List<CrashReport> news = new ArrayList<>();
         for (PoisonUpdate.ToldCrash told : update.crashes()) {
             Instant at = instant(nowMillis - told.ageMillis() - PASSING_MILLIS);
@@ -223,7 +237,7 @@
             }
         }
         update.refusals().forEach((request, millis) -> applyRefusal(request, millis, nowMillis));
-        return news;
+        return new Applied(news, cleared);
     }
 
     /** A peer that still refuses what was cleared has not heard of it, so it is told again. */
--- a/core/src/test/java/org/cornelramp/core/poison/CrashEvidenceTest.java
+++ b/core/src/test/java/org/cornelramp/core/poison/CrashEvidenceTest.java
@@ -21,7 +21,10 @@
         CrashEvidence lost = new CrashEvidence();
         assertTrue(lost.recordBreak(SERVER, "f", Set.of(), true, 100).isEmpty());
         assertEquals(lost.undecidedCrashes("f", 500, 200), 1);
-        assertFalse(lost.recordSignOfLife(SERVER, 200), "it was not thought to have ended");
+        assertEquals(
+                lost.recordSignOfLife(SERVER, 200),
+                new CrashEvidence.TakenBack(1, false),
+                "it was not thought to have ended");
         assertEquals(lost.undecidedServers(), Set.of());
         assertTrue(lost.recordEnd(SERVER, true, 300).isEmpty(), "the connection broke before the sign of life");
     }
@@ -59,7 +62,7 @@
         CrashEvidence taken = new CrashEvidence();
         taken.recordBreak(SERVER, "f", Set.of(), true, 100);
         assertTrue(taken.recordEnd(SERVER, false, 110).isPresent());
-        assertTrue(taken.recordSignOfLife(SERVER, 150));
+        assertTrue(taken.recordSignOfLife(SERVER, 150).crash());
         assertTrue(taken.recordBreak(SERVER, "f", Set.of(), true, 200).isEmpty());
     }
 
@@ -69,7 +72,7 @@
         CrashEvidence crashed = new CrashEvidence();
         crashed.recordBreak(SERVER, "f", Set.of(), true, 100);
         assertTrue(crashed.recordEnd(SERVER, true, 110).isPresent());
-        assertFalse(crashed.recordSignOfLife(SERVER, 130));
+        assertEquals(crashed.recordSignOfLife(SERVER, 130), CrashEvidence.TakenBack.NOTHING);
         assertTrue(crashed.recordBreak(SERVER, "g", Set.of(), true, 140).isPresent(), "it belongs to the crash");
     }
 
@@ -79,7 +82,7 @@
         CrashEvidence crashed = new CrashEvidence();
         crashed.recordBreak(SERVER, "f", Set.of(), true, 100);
         assertTrue(crashed.recordEnd(SERVER, true, 110).isPresent());
-        assertFalse(crashed.recordSignOfLife(SERVER, 1_500), "the crash stands");
+        assertFalse(crashed.recordSignOfLife(SERVER, 1_500).crash(), "the crash stands");
         assertTrue(
                 crashed.recordBreak(SERVER, "f", Set.of(), true, 2_000).isEmpty(),
                 "this break needs evidence of its own");
--- a/core/src/test/java/org/cornelramp/core/poison/PoisonNewsTest.java
+++ b/core/src/test/java/org/cornelramp/core/poison/PoisonNewsTest.java
@@ -45,11 +45,11 @@
         news.recordCrash(crash("s1", NOW, "p", "i"), NOW);
         other.recordCrash(crash("s2", NOW, "p"), NOW);
         other.recordCrash(crash("s3", NOW, "p"), NOW);
-        assertEquals(news.apply(other.update(NOW), NOW).size(), 2);
-        assertEquals(other.apply(news.update(NOW), NOW).size(), 1);
+        assertEquals(news.apply(other.update(NOW), NOW).crashes().size(), 2);
+        assertEquals(other.apply(news.update(NOW), NOW).crashes().size(), 1);
         assertTrue(refuses(detector, "p", SETTLED) && refuses(otherDetector, "p", SETTLED));
         assertFalse(refuses(detector, "i", SETTLED));
-        assertEquals(news.apply(other.update(NOW), NOW), List.of(), "it is no news again");
+        assertEquals(news.apply(other.update(NOW), NOW).crashes(), List.of(), "it is no news again");
     }
 
     /**
--- a/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
@@ -92,6 +92,16 @@
         }
     }
 
+    /** What shows that a server lives. Immutable, safe for use by any thread. */
+    private enum LifeSign {
+        /** It has answered a request, or sent the whole stream. */
+        RESPONSE,
+        /** It has sent its report. */
+        REPORT,
+        /** It has answered when it was asked for a sign of life. */
+        ANSWER_TO_QUESTION
+    }
+
     /** @param router receives the results of connection checks as events */
     CrashObserver(
             FleetState fleet,
@@ -133,7 +143,7 @@
                 if (plain && end.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
                     recordEnd(server.id(), Sign.ANOTHER_SERVER, now);
                 } else if (end.kind() == AttemptEnd.Kind.RELAYED || end.kind() == AttemptEnd.Kind.ANSWERED) {
-                    recordSignOfLife(server.id(), now);
+                    recordSignOfLife(server.id(), LifeSign.RESPONSE, now);
                 }
             }
         }
@@ -166,7 +176,7 @@
     /** Observes an engine's report, or the failure to read it. */
     void reportRead(BackendServer engine, Either<PlatformFault, EngineReport> report, long now) {
         if (report.isRight()) {
-            recordSignOfLife(engine.id(), now);
+            recordSignOfLife(engine.id(), LifeSign.REPORT, now);
         } else {
             recordFault(engine, report.getLeft(), now);
         }
@@ -187,7 +197,7 @@
     /** Observes whether a server has given a sign of life when it was asked for one. */
     void lifeAsked(BackendServer server, Optional<PlatformFault> fault, long now) {
         if (fault.isEmpty()) {
-            recordSignOfLife(server.id(), now);
+            recordSignOfLife(server.id(), LifeSign.ANSWER_TO_QUESTION, now);
             return;
         }
         recordFault(server, fault.get(), now);
@@ -237,9 +247,16 @@
         return fleet.registry().leavingSinceMillis(server).isPresent();
     }
 
-    private void recordSignOfLife(BackendServerId server, long now) {
-        if (evidence.recordSignOfLife(server, now)) {
-            log.line("fleet", "crash refuted").with("server", server).write();
+    private void recordSignOfLife(BackendServerId server, LifeSign sign, long now) {
+        CrashEvidence.TakenBack takenBack = evidence.recordSignOfLife(server, now);
+        if (takenBack.breaks() > 0 || takenBack.crash()) {
+            (takenBack.crash() ? log.line("fleet", "crash refuted") : log.routine("fleet", "no crash"))
+                    .with("server", server)
+                    .with("evidence", sign)
+                    .with("breaks", takenBack.breaks())
+                    .write();
+        }
+        if (takenBack.crash()) {
             onSignOfLife.accept(server, now);
         }
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
@@ -230,7 +230,7 @@
             clearParts(SoundParts.ofCompleted(attempt, end, now), "a run has completed its answer", now);
         }
         if (end.kind() == AttemptEnd.Kind.RELAYED || end.kind() == AttemptEnd.Kind.ANSWERED) {
-            recordCompletion(attempt.exchange().request(), now);
+            recordCompletion(attempt, end, now);
         }
     }
 
@@ -245,25 +245,31 @@
         }
     }
 
-    private void recordCompletion(Exchange.ClientRequest call, long now) {
+    private void recordCompletion(Attempt attempt, AttemptEnd end, long now) {
         if (detector.isEmpty(instant(now))) {
             return;
         }
+        Exchange.ClientRequest call = attempt.exchange().request();
         String fingerprint = call.fingerprint();
         if (news.recordCompletion(fingerprint, now)) {
-            logCleared(fingerprint, "a server has run " + call.id() + " to its end");
+            cleared(fingerprint, "a server has run it to its end")
+                    .with("id", call.id())
+                    .with("server", attempt.server().id())
+                    .with("status", end.status())
+                    .with("runMillis", now - attempt.startMillis())
+                    .write();
         }
     }
 
     /** Clears a request, or parts of prompts, of the crashes so far for an operator, here and at the peers. */
     void clear(String fingerprint, long now) {
         news.clear(fingerprint, now);
-        logCleared(fingerprint, "an operator has asked for it");
+        cleared(fingerprint, "an operator has asked for it").write();
         refresh(now);
     }
 
     private void clearParts(Map<String, Long> parts, String why, long now) {
-        news.recordSoundParts(parts, now).forEach(part -> logCleared(part, why));
+        news.recordSoundParts(parts, now).forEach(part -> cleared(part, why).write());
     }
 
     private void recordCrash(Crash crash, long now) {
@@ -307,11 +313,14 @@
         if (update.isEmpty()) {
             return;
         }
-        List<CrashReport> crashes = news.apply(update, now);
-        if (!crashes.isEmpty()) {
+        PoisonNews.Applied applied = news.apply(update, now);
+        applied.cleared()
+                .forEach(name ->
+                        cleared(name, "a peer has told it").with("by", peer).write());
+        if (!applied.crashes().isEmpty()) {
             clearSoundParts(now);
         }
-        for (CrashReport crash : crashes) {
+        for (CrashReport crash : applied.crashes()) {
             meters.countCrash("peer");
             log.line("fleet", "crash told")
                     .with("server", crash.crashId())
@@ -322,11 +331,8 @@
         refresh(now);
     }
 
-    private void logCleared(String fingerprint, String why) {
-        log.line("route", "cleared")
-                .with("fingerprint", fingerprint)
-                .with("why", why)
-                .write();
+    private EventLog.Line cleared(String fingerprint, String why) {
+        return log.line("route", "cleared").with("fingerprint", fingerprint).with("why", why);
     }
 
     /** Logs which requests are refused from now on, and which are not any more. */
