Tests of what clears a request, or shows a server alive, that fail on the code as it is

Servers of the simulated fleets now also answer some runs with failures of their own (500, 504, 4xx), late, or without framing, and relays hold their ports; some sound requests are sent by many callers at once.

Existing seeds and checks are as they were: the failures draw from a generator of their own.

--- a/gateway/src/test/java/org/cornelramp/gateway/route/CrashingServer.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/CrashingServer.java
@@ -45,6 +45,9 @@
         private final PoisonFleet.Caller caller;
         private final long beginMillis;
         private int nextEvent;
+        private boolean begun;
+        private int failureStatus;
+        private long failureMillis;
 
         Run(FakeHttpClient.Call call, PoisonFleet.Caller caller, long beginMillis) {
             this.call = call;
@@ -143,7 +146,16 @@
     private void closeConnections() {
         List<Run> lost = List.copyOf(runs);
         runs.clear();
-        lost.forEach(run -> run.call.fail(new EOFException("the connection was closed")));
+        lost.forEach(CrashingServer::closeConnection);
+    }
+
+    /** An unframed answer that has begun looks as if it were complete. */
+    private static void closeConnection(Run run) {
+        if (run.call.isAborted()) {
+            run.call.fail(new IOException("aborted"));
+        } else {
+            run.call.close();
+        }
     }
 
     /** Receives a request. */
@@ -179,13 +191,20 @@
     }
 
     private void advance(Run run) {
+        if (!run.begun) {
+            begin(run);
+        }
+        if (run.failureStatus > 0) {
+            fail(run);
+            return;
+        }
         List<PoisonFleet.Poison> poisons = run.caller.poisons();
         if (poisons.stream().anyMatch(poison -> run.nextEvent >= poison.eventsBeforeCrash())) {
             poisons.forEach(fleet::recordCrash);
             crash(fleet.downMillis());
             return;
         }
-        String id = HeaderFixtures.requestId(run.call::header);
+        String id = requestId(run);
         if (!engine) {
             runs.remove(run);
             run.call.complete(200, HeaderFixtures.answer(id));
@@ -196,4 +215,25 @@
             run.call.complete(200, HeaderFixtures.answer(id));
         }
     }
+
+    private void begin(Run run) {
+        run.begun = true;
+        if (fleet.isNextUnframed()) {
+            run.call.setFraming(FakeHttpClient.Framing.UNFRAMED);
+        }
+        run.failureStatus = run.caller.status().orElseGet(fleet::nextFailureStatus);
+        run.failureMillis = fleet.now() + fleet.nextFailureDelayMillis();
+    }
+
+    /** Answers with a failure once it is due; the request crashes no server then. */
+    private void fail(Run run) {
+        if (fleet.now() >= run.failureMillis) {
+            runs.remove(run);
+            run.call.complete(run.failureStatus, HeaderFixtures.answer(requestId(run)));
+        }
+    }
+
+    private static String requestId(Run run) {
+        return HeaderFixtures.requestId(run.call::header);
+    }
 }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonFleet.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonFleet.java
@@ -41,13 +41,17 @@
     private static final int FIRST_PORT = 11;
 
     private final SplittableRandom random;
+
+    /** Of its own, so that a history is the same with and without failures up to the first of them. */
+    private final SplittableRandom failureRandom;
+
     private final Map<String, Gateway> gateways = new LinkedHashMap<>();
     private final List<CrashingServer> servers = new ArrayList<>();
     private final PriorityQueue<Scheduled> scheduled =
             new PriorityQueue<>(Comparator.comparingLong(Scheduled::atMillis).thenComparingLong(Scheduled::number));
     private final Map<String, BackendServer> registered = new LinkedHashMap<>();
     private final List<Poison> poisons = new ArrayList<>();
-    private final List<Innocent> innocents = new ArrayList<>();
+    private final SoundRequests innocents = new SoundRequests();
     private Gateway sending;
     private double updateLoss;
     private long updateDelayMillis;
@@ -56,37 +60,24 @@
     private int requestCount;
     private int restarts;
     private boolean relayed;
+    private RunFailures failures = RunFailures.NONE;
     private Optional<String> config = Optional.empty();
 
     private record Scheduled(long atMillis, long number, Runnable action) {}
 
-    /** Who has sent a request, and what crashes servers in it; empty for other callers. Immutable. */
-    record Caller(List<Poison> poisons) {
+    /**
+     * Who has sent a request. Immutable.
+     *
+     * @param poisons what crashes servers in it; empty for other callers
+     * @param status status with which each server answers it; empty if that depends on the server
+     */
+    record Caller(List<Poison> poisons, Optional<Integer> status) {
         Caller {
             poisons = List.copyOf(poisons);
         }
-    }
-
-    /** @param inTouch whether the gateway had been undisturbed for some time */
-    private record Innocent(FakeClient client, Kind kind, long sentMillis, boolean inTouch) {
-        boolean isSentWithin(long fromMillis, long toMillis) {
-            return sentMillis >= fromMillis && sentMillis < toMillis;
-        }
 
-        boolean hasStarted() {
-            return client.status() == 200 && !client.received().isEmpty();
-        }
-    }
-
-    /** How many streams of other callers were sent in a span of time, and how many of them have begun. Immutable. */
-    record Started(long sent, long begun) {
-        double share() {
-            return sent == 0 ? 1 : begun / (double) sent;
-        }
-
-        @Override
-        public String toString() {
-            return begun + " of " + sent;
+        Caller(List<Poison> poisons) {
+            this(poisons, Optional.empty());
         }
     }
 
@@ -179,6 +170,7 @@
 
     PoisonFleet(int gatewayCount, int engines, int plainServers, long seed) {
         random = new SplittableRandom(seed);
+        failureRandom = new SplittableRandom(~seed);
         for (int i = 0; i < engines + plainServers; i++) {
             servers.add(new CrashingServer(this, "s" + i, FIRST_PORT + i, i < engines));
         }
@@ -226,6 +218,23 @@
         return relayed;
     }
 
+    /** Sets how servers answer the requests that begin to run from now on. */
+    void setFailures(RunFailures given) {
+        failures = given;
+    }
+
+    int nextFailureStatus() {
+        return failures.nextStatus(failureRandom);
+    }
+
+    int nextFailureDelayMillis() {
+        return failures.nextDelayMillis(failureRandom);
+    }
+
+    boolean isNextUnframed() {
+        return failures.isNextUnframed(failureRandom);
+    }
+
     /** Puts a configuration record in force at all gateways. */
     void publish(String json) {
         config = Optional.of(json);
@@ -323,7 +332,7 @@
                 content.getBytes(StandardCharsets.UTF_8));
         poisons.forEach(poison -> poison.last = client);
         if (poisons.isEmpty()) {
-            innocents.add(new Innocent(client, Kind.STREAM, now, isInTouch(gateway)));
+            innocents.add(client, true, now, isInTouch(gateway));
         }
         return client;
     }
@@ -411,8 +420,22 @@
     private void sendInnocent(Gateway gateway) {
         Kind[] kinds = {Kind.STREAM, Kind.STREAM, Kind.IDEMPOTENT, Kind.NON_IDEMPOTENT};
         Kind kind = kinds[random.nextInt(kinds.length)];
-        FakeClient client = request(gateway, kind, "innocent" + requestCount, new Caller(List.of()));
-        innocents.add(new Innocent(client, kind, now, isInTouch(gateway)));
+        sendInnocent(gateway, kind, "innocent" + requestCount, Optional.empty());
+    }
+
+    private void sendInnocent(Gateway gateway, Kind kind, String content, Optional<Integer> status) {
+        FakeClient client = request(gateway, kind, content, new Caller(List.of(), status));
+        innocents.add(client, kind == Kind.STREAM, now, isInTouch(gateway));
+    }
+
+    /**
+     * Sends a request that crashes no server again and again, each time to a gateway drawn by lot.
+     *
+     * @param status status with which each server answers it; empty if that depends on the server
+     */
+    void repeatInnocent(Kind kind, String content, Optional<Integer> status, long pauseMillis) {
+        sendInnocent(gateway(failureRandom.nextInt(gateways.size())), kind, content, status);
+        schedule(pauseMillis, () -> repeatInnocent(kind, content, status, pauseMillis));
     }
 
     private void serveAll() {
@@ -448,30 +471,14 @@
         }
     }
 
+    /** The requests of other callers. */
+    SoundRequests innocents() {
+        return innocents;
+    }
+
     /** Number of requests of other callers that were refused because servers have crashed under them. */
     long innocentsSetAside() {
-        return innocents.stream()
-                .filter(sent -> sent.client().received().contains(SET_ASIDE))
-                .count();
-    }
-
-    /** Share of the requests of other callers that were answered completely, of those sent from a time on. */
-    double servedSince(long fromMillis) {
-        List<Innocent> sent =
-                innocents.stream().filter(one -> one.sentMillis() >= fromMillis).toList();
-        long served = sent.stream()
-                .filter(one -> one.client().status() == 200 && one.client().isComplete())
-                .count();
-        return sent.isEmpty() ? 1 : served / (double) sent.size();
-    }
-
-    /** The streams of other callers that gateways in touch were sent within a span of time. */
-    Started startedWithin(long fromMillis, long toMillis) {
-        List<Innocent> sent = innocents.stream()
-                .filter(one -> one.kind() == Kind.STREAM && one.inTouch() && one.isSentWithin(fromMillis, toMillis))
-                .toList();
-        return new Started(
-                sent.size(), sent.stream().filter(Innocent::hasStarted).count());
+        return innocents.setAside();
     }
 
     /** Whether the router of no gateway has thrown an exception. */
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonGuardTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonGuardTest.java
@@ -21,6 +21,7 @@
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.cornelramp.platform.standin.StandInConfig;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** What callers get of one gateway for a request under which servers have crashed. */
@@ -103,6 +104,47 @@
         assertEquals(router.calls().size(), handled + 2);
     }
 
+    @DataProvider
+    Object[][] failures() {
+        return new Object[][] {{500}, {504}, {400}, {404}, {429}};
+    }
+
+    /** Guards against a server's own failure, which says nothing about the request, that clears it of its crashes. */
+    @Test(dataProvider = "failures", groups = "known-red")
+    public void failedRunClearsNothing(int status) {
+        crashPlainServers(2, "poison");
+        addServer(false);
+        send("/book/a", "failed", "poison");
+        nextCall().complete(status, HeaderFixtures.answer("failed"));
+        router.settle();
+        crashPlainServers(1, "poison");
+        addServer(false);
+        assertTrue(PoisonFleet.isSetAside(send("/book/a", "again", "poison")));
+    }
+
+    /** Guards against a stream that had nothing left to send, so that nothing was run, and that clears its request. */
+    @Test(groups = "known-red")
+    public void streamWithoutAnEventClearsNothing() {
+        crashEngines(2);
+        addServer(true);
+        send("/chat/a", "empty", "poison");
+        nextCall().complete(200, HeaderFixtures.answer("empty"));
+        router.settle();
+        crashEngines(1);
+        addServer(true);
+        assertTrue(PoisonFleet.isSetAside(send("/chat/a", "again", "poison")));
+    }
+
+    private void crashEngines(int count) {
+        for (int i = 0; i < count; i++) {
+            BackendServer engine = addServer(true);
+            FakeClient client = send("/chat/a", "crash" + servers, "poison");
+            crash(nextCall(), engine);
+            client.leave();
+            router.run(300);
+        }
+    }
+
     /** Guards against blame that a completed run has refuted. */
     @Test
     public void completedRunClearsARequestOfTheCrashesBefore() {
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonHistory.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonHistory.java
@@ -1,5 +1,6 @@
 package org.cornelramp.gateway.route;
 
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 
@@ -35,6 +36,25 @@
         }
     }
 
+    /** Changes at random, for some seconds, how servers answer the requests that they run, and whether relays hold ports. */
+    static void drawFailures(PoisonFleet fleet, long seed, int seconds) {
+        SplittableRandom random = new SplittableRandom(seed + 1);
+        for (int second = 0; second < seconds; second += 1 + random.nextInt(6)) {
+            fleet.schedule(second * 1_000L, () -> fleet.setFailures(RunFailures.draw(random)));
+        }
+        fleet.setRelayed(random.nextInt(3) == 0);
+    }
+
+    /**
+     * Lets callers send the same sound requests all the time, one of each service.
+     *
+     * @param status status with which each server answers them; empty if that depends on the server
+     */
+    static void repeatInnocents(PoisonFleet fleet, Optional<Integer> status) {
+        fleet.repeatInnocent(PoisonFleet.Kind.IDEMPOTENT, "popular", status, 160);
+        fleet.repeatInnocent(PoisonFleet.Kind.STREAM, "popular", status, 400);
+    }
+
     private static void crashRack(PoisonFleet fleet, SplittableRandom random) {
         int first = random.nextInt(ENGINES);
         IntStream.range(first, first + 3).forEach(fleet::crashServer);
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonPromptPartTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonPromptPartTest.java
@@ -7,13 +7,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.gateway.route.PoisonFleet.Kind;
 import org.cornelramp.gateway.route.PoisonFleet.Poison;
-import org.cornelramp.gateway.route.PoisonFleet.Started;
 import org.cornelramp.gateway.route.PromptTraffic.RareParts;
+import org.cornelramp.gateway.route.SoundRequests.Started;
 import org.cornelramp.platform.standin.StandInConfig;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -153,7 +154,7 @@
         PoisonFleet fleet = newFleet(gateways);
         run(fleet, new RareParts(List.of(PART), 2, SHARE, Optional.empty()));
         assertEquals(fleet.innocentsSetAside(), 0);
-        Started started = fleet.startedWithin(0, fleet.now());
+        Started started = fleet.innocents().startedWithin(0, fleet.now());
         assertTrue(started.share() > 0.99, started.toString());
     }
 
@@ -192,6 +193,27 @@
         assertTrue(fleet.hasNoExceptions());
     }
 
+    @DataProvider
+    Object[][] historiesWithFailures() {
+        return IntStream.range(0, 30).mapToObj(i -> new Object[] {5_300L + i}).toArray(Object[][]::new);
+    }
+
+    /** Guards against failed, late and unframed answers of engines that let a part through again. */
+    @Test(dataProvider = "historiesWithFailures", groups = "known-red")
+    public void partsAreHeldBackInRandomHistoriesWithFailures(long seed) {
+        PoisonFleet fleet = runHistory(seed, true, started -> PoisonHistory.drawFailures(started, seed, 40));
+        assertRules(fleet);
+        assertTrue(fleet.hasNoExceptions());
+    }
+
+    /** Guards against requests that are refused for crashes that no part of a prompt has caused, in the same histories. */
+    @Test(dataProvider = "historiesWithFailures")
+    public void crashesAndFailuresWithoutAPoisonPartSetNoRequestAside(long seed) {
+        PoisonFleet fleet = runHistory(seed, false, started -> PoisonHistory.drawFailures(started, seed, 40));
+        assertEquals(fleet.innocentsSetAside(), 0);
+        assertTrue(fleet.hasNoExceptions());
+    }
+
     /** Guards against requests that are refused for crashes that no part of a prompt has caused. */
     @Test(dataProvider = "histories")
     public void crashesWithoutAPoisonPartSetNoRequestAside(long seed) {
@@ -202,10 +224,15 @@
 
     /** Runs a history that is the same with and without a part that crashes engines, up to its first crash. */
     private static PoisonFleet runHistory(long seed, boolean poisoned) {
+        return runHistory(seed, poisoned, fleet -> {});
+    }
+
+    private static PoisonFleet runHistory(long seed, boolean poisoned, Consumer<PoisonFleet> more) {
         SplittableRandom random = new SplittableRandom(seed);
         PoisonFleet fleet =
                 new PoisonFleet(1 + random.nextInt(6), PoisonHistory.ENGINES, PoisonHistory.PLAIN_SERVERS, seed);
         fleet.setRelayed(random.nextInt(3) == 0);
+        more.accept(fleet);
         PromptTraffic traffic = new PromptTraffic(fleet, 10 + random.nextInt(30), seed);
         traffic.start();
         int events = random.nextInt(2);
@@ -278,12 +305,12 @@
     }
 
     private static Started before(PoisonFleet fleet, Poison poison) {
-        return fleet.startedWithin(0, poison.crashes() == 0 ? fleet.now() : poison.firstCrashMillis());
+        return fleet.innocents().startedWithin(0, poison.crashes() == 0 ? fleet.now() : poison.firstCrashMillis());
     }
 
     private static Started after(PoisonFleet fleet, Poison poison) {
         long from = poison.crashes() == 0 ? fleet.now() : poison.limitMillis() + 2 * PoisonFleet.STABLE_MILLIS;
-        return fleet.startedWithin(from, fleet.now());
+        return fleet.innocents().startedWithin(from, fleet.now());
     }
 
     private static String figures(PoisonFleet fleet, Poison poison) {
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
@@ -4,7 +4,9 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.cornelramp.gateway.route.PoisonFleet.Kind;
@@ -55,6 +57,28 @@
         assertEquals(fleet.innocentsSetAside(), 0);
     }
 
+    @DataProvider
+    Object[][] failures() {
+        return IntStream.of(500, 504, 404)
+                .boxed()
+                .flatMap(status -> Stream.of(kindsAndFleets()).map(row -> new Object[] {row[0], row[1], status}))
+                .toArray(Object[][]::new);
+    }
+
+    /** Guards against a server's own failure, which says nothing about the request, that clears it of its crashes. */
+    @Test(dataProvider = "failures", groups = "known-red")
+    public void requestIsHeldBackWhereServersFailSomeOfItsRuns(Kind kind, int gateways, int status) {
+        PoisonFleet fleet = new PoisonFleet(gateways, ENGINES, PLAIN_SERVERS, 4907);
+        fleet.setFailures(RunFailures.of(0.2, status));
+        Poison poison = fleet.addPoison(kind, 0);
+        fleet.run(1_000, 20.0 / gateways);
+        fleet.repeat(poison, PAUSE_MILLIS);
+        fleet.run(RUN_MILLIS, 20.0 / gateways);
+        assertTrue(poison.crashes() <= PoisonFleet.CRASHES, poison.toString());
+        assertRule(fleet);
+        assertEquals(fleet.innocentsSetAside(), 0);
+    }
+
     /** Guards against streams that crash their engine only after an event, so that each run makes progress. */
     @Test
     public void streamThatCrashesItsEngineAfterAnEventCrashesThreeAtMost() {
@@ -84,7 +108,7 @@
         fleet.run(2_000, 0);
         assertRule(fleet);
         assertEquals(fleet.innocentsSetAside(), 0);
-        double served = fleet.servedSince(settled);
+        double served = fleet.innocents().servedSince(settled);
         assertTrue(served > 0.99, "share served after the crashes: " + served);
     }
 
@@ -141,8 +165,13 @@
     }
 
     private static void assertHeldBack(long seed) {
+        assertHeldBack(seed, fleet -> {});
+    }
+
+    private static void assertHeldBack(long seed, Consumer<PoisonFleet> more) {
         SplittableRandom random = new SplittableRandom(seed);
         PoisonFleet fleet = new PoisonFleet(1 + random.nextInt(6), ENGINES, PLAIN_SERVERS, seed);
+        more.accept(fleet);
         for (int i = 1 + random.nextInt(4); i > 0; i--) {
             Kind kind = List.of(Kind.values()).get(random.nextInt(Kind.values().length));
             Poison poison = fleet.addPoison(kind, kind == Kind.STREAM ? random.nextInt(2) : 0);
@@ -153,6 +182,34 @@
         assertTrue(fleet.hasNoExceptions());
     }
 
+    /** Guards against failed, late and unframed answers that let a request through again, in the same histories. */
+    @Test(dataProvider = "histories", groups = "known-red")
+    public void poisonRequestsAreHeldBackInRandomHistoriesWithFailures(long seed) {
+        assertHeldBack(seed, fleet -> PoisonHistory.drawFailures(fleet, seed, 60));
+    }
+
+    /** Guards against refusals of sound requests that many callers send, and that some servers fail. */
+    @Test(dataProvider = "histories", groups = "known-red")
+    public void crashesAndFailuresSetNoPopularRequestAside(long seed) {
+        assertNoneSetAside(seed, Optional.empty());
+    }
+
+    /** Guards against refusals of sound requests that many callers send, and for which servers find nothing. */
+    @Test(dataProvider = "histories", groups = "known-red")
+    public void crashesSetNoPopularRequestAsideThatFindsNothing(long seed) {
+        assertNoneSetAside(seed, Optional.of(404));
+    }
+
+    private static void assertNoneSetAside(long seed, Optional<Integer> status) {
+        SplittableRandom random = new SplittableRandom(seed);
+        PoisonFleet fleet = new PoisonFleet(1 + random.nextInt(6), ENGINES, PLAIN_SERVERS, seed);
+        PoisonHistory.drawFailures(fleet, seed, 90);
+        PoisonHistory.repeatInnocents(fleet, status);
+        PoisonHistory.disturb(fleet, random, 60);
+        assertEquals(fleet.innocentsSetAside(), 0);
+        assertTrue(fleet.hasNoExceptions());
+    }
+
     /** Guards against requests that are refused although they have only been at servers that crashed for other reasons. */
     @Test(dataProvider = "histories")
     public void crashesWithoutAPoisonRequestSetNoRequestAside(long seed) {
