A server's failure, and a stream without an event, clear no request

Cause: PoisonGuard took each whole answer for a completed run, whatever its status, and told it to all peers, so a signed 500 or 504 ended the blame of all crashes before. A failure says that something failed, perhaps before the request was run. In the same way a stream that ended without an event, as one that is resumed after its last event does, cleared its request and the parts of its prompt, although nothing had been run.

Now only an answer with a status of success clears, and of a stream only one with an event.

PoisonGuardTest.failedRunClearsNothing (5 statuses), streamWithoutAnEventClearsNothing and streamWithoutAnEventClearsNoPart fail without the change and pass with it.

--- a/gateway/src/main/java/org/cornelramp/gateway/request/AttemptEnd.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/AttemptEnd.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.cornelramp.core.settings.HostPort;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 
 /**
  * How one attempt at a backend server ended. Immutable, safe for use by any thread.
@@ -70,6 +71,11 @@
         }
     }
 
+    /** Whether a server has run the request to its end with success, as far as its response tells. */
+    public boolean isSuccess() {
+        return (kind == Kind.RELAYED || kind == Kind.ANSWERED) && HttpStatus.isSuccess(status);
+    }
+
     /** The end of an unframed response whose server is known to have ended it itself. */
     public AttemptEnd confirmed() {
         return new AttemptEnd(kind.confirmed(), status, fields, body, faultAt, detail);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
@@ -229,11 +229,20 @@
         if (!detector.isEmpty(instant(now))) {
             clearParts(SoundParts.ofCompleted(attempt, end, now), "a run has completed its answer", now);
         }
-        if (end.kind() == AttemptEnd.Kind.RELAYED || end.kind() == AttemptEnd.Kind.ANSWERED) {
+        if (hasSucceeded(attempt, end)) {
             recordCompletion(attempt, end, now);
         }
     }
 
+    /**
+     * Whether a server has run a request and lived. A failure of its own may come before it has run the request, and a
+     * stream without an event may have had nothing left to run.
+     */
+    private static boolean hasSucceeded(Attempt attempt, AttemptEnd end) {
+        boolean ran = end.kind() == AttemptEnd.Kind.ANSWERED || attempt.firstEventMillis() > 0;
+        return ran && end.isSuccess();
+    }
+
     /** Looks for crashes that only time or the registrations show, and for refusals that have ended. */
     void check(long now) {
         observer.check(now);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/SoundParts.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/SoundParts.java
@@ -51,11 +51,14 @@
         }
     }
 
-    /** Times before which the parts of a run that has completed its answer caused no crash. */
+    /**
+     * Times before which the parts of a run that has completed its answer caused no crash. A stream without an event may
+     * have had nothing left to write.
+     */
     static Map<String, Long> ofCompleted(Attempt attempt, AttemptEnd end, long now) {
         Map<String, Long> parts = new HashMap<>();
-        if (end.kind() == AttemptEnd.Kind.RELAYED) {
-            long first = attempt.firstEventMillis() > 0 ? attempt.firstEventMillis() : attempt.startMillis();
+        long first = attempt.firstEventMillis();
+        if (end.kind() == AttemptEnd.Kind.RELAYED && first > 0) {
             add(attempt.exchange().request().sharedPromptParts(), Math.min(now, first + PROOF_MILLIS), parts);
         }
         return parts;
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonGuardTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonGuardTest.java
@@ -110,26 +110,28 @@
     }
 
     /** Guards against a server's own failure, which says nothing about the request, that clears it of its crashes. */
-    @Test(dataProvider = "failures", groups = "known-red")
+    @Test(dataProvider = "failures")
     public void failedRunClearsNothing(int status) {
         crashPlainServers(2, "poison");
-        addServer(false);
+        BackendServer failing = addServer(false);
         send("/book/a", "failed", "poison");
         nextCall().complete(status, HeaderFixtures.answer("failed"));
         router.settle();
+        router.unregister(failing);
         crashPlainServers(1, "poison");
         addServer(false);
         assertTrue(PoisonFleet.isSetAside(send("/book/a", "again", "poison")));
     }
 
     /** Guards against a stream that had nothing left to send, so that nothing was run, and that clears its request. */
-    @Test(groups = "known-red")
+    @Test
     public void streamWithoutAnEventClearsNothing() {
         crashEngines(2);
-        addServer(true);
+        BackendServer ended = addServer(true);
         send("/chat/a", "empty", "poison");
         nextCall().complete(200, HeaderFixtures.answer("empty"));
         router.settle();
+        router.unregister(ended);
         crashEngines(1);
         addServer(true);
         assertTrue(PoisonFleet.isSetAside(send("/chat/a", "again", "poison")));
@@ -140,6 +142,7 @@
             BackendServer engine = addServer(true);
             FakeClient client = send("/chat/a", "crash" + servers, "poison");
             crash(nextCall(), engine);
+            handled = router.calls().size(); // the engine that has crashed is tried once more
             client.leave();
             router.run(300);
         }
@@ -342,6 +345,20 @@
         assertEquals(sendPrompt("again", "bad:10,f:1").status(), 503, "the other one is to blame");
     }
 
+    /** Guards against a stream that had nothing left to send, so that nothing was run, and that clears its parts. */
+    @Test
+    public void streamWithoutAnEventClearsNoPart() {
+        crashEngines(PART_CRASHES - 1, "bad");
+        BackendServer ended = addServer(true);
+        sendPrompt("empty", "bad:10,f:1");
+        nextCall().complete(200, HeaderFixtures.answer("empty"));
+        router.settle();
+        router.unregister(ended);
+        crashEngines(1, "bad");
+        addServer(true);
+        assertEquals(sendPrompt("again", "bad:10,f:1").status(), 503);
+    }
+
     /** Guards against an operator who must wait ten minutes for a part that was refused by mistake. */
     @Test
     public void operatorClearsAPart() {
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RepeatedPoisonRequestTest.java
@@ -66,7 +66,7 @@
     }
 
     /** Guards against a server's own failure, which says nothing about the request, that clears it of its crashes. */
-    @Test(dataProvider = "failures", groups = "known-red")
+    @Test(dataProvider = "failures")
     public void requestIsHeldBackWhereServersFailSomeOfItsRuns(Kind kind, int gateways, int status) {
         PoisonFleet fleet = new PoisonFleet(gateways, ENGINES, PLAIN_SERVERS, 4907);
         fleet.setFailures(RunFailures.of(0.2, status));
