Requests that servers have just answered are not blamed for servers that end together

Callers: a sound request that many of them send was refused for ten minutes after all servers of its service had ended at once, as nobody was left to clear it; one that servers always reject (404) after any three crashes, since failures clear nothing.

Cause: only answers after a crash counted. A success shows just as well, before the crash, that the request is harmless.

AnsweredRequests keeps the answers of the last seconds: a success clears until 2 s after it (as a run clears the parts of its prompt), four rejections in a row by two servers or more clear as well; 5xx, 408 and 429 never do. A request is hashed only when there is a crash. Bounded to 256 answers of each kind with bodies up to 8 KB.

--- a/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
@@ -157,17 +157,17 @@
     }
 
     /**
-     * Clears parts of prompts, on which runs have lived, of the crashes before.
+     * Clears requests and parts of prompts of the crashes before a time.
      *
-     * @param parts when the part of a name is cleared
-     * @return the parts that were at such a crash, and not cleared of it
+     * @param times when the one of a name is cleared
+     * @return those that were at such a crash, and not cleared of it
      */
-    public Set<String> clearParts(Map<String, Instant> parts, Instant now) {
+    public Set<String> clear(Map<String, Instant> times, Instant now) {
         Set<String> cleared = new TreeSet<>();
-        for (String part : unclearedParts(now)) {
-            Instant at = parts.getOrDefault(part, Instant.MIN);
-            if (isOpenBefore(part, at) && putClearance(part, at)) {
-                cleared.add(part);
+        for (String name : suspectsAmong(times.keySet())) {
+            Instant at = times.get(name);
+            if (isOpenBefore(name, at) && putClearance(name, at)) {
+                cleared.add(name);
             }
         }
         if (!cleared.isEmpty()) {
@@ -176,6 +176,13 @@
         return cleared;
     }
 
+    private Set<String> suspectsAmong(Set<String> names) {
+        return reports.values().stream()
+                .flatMap(report -> report.suspects().stream())
+                .filter(names::contains)
+                .collect(Collectors.toSet());
+    }
+
     /** Whether a suspect was at a crash before a time and is not cleared of it. */
     boolean isOpenBefore(String suspect, Instant at) {
         return reports.values().stream()
--- a/core/src/main/java/org/cornelramp/core/poison/PoisonNews.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonNews.java
@@ -82,16 +82,16 @@
     }
 
     /**
-     * Enters that runs of this process have lived on parts of prompts, and therefore clear them of crashes.
+     * Enters that runs of this process have shown requests or parts of prompts to be harmless.
      *
-     * @param parts times, by the name of a part, before which it has caused no crash
-     * @return the parts that are cleared of a crash by it
+     * @param harmless times, by the name of a request or a part, before which it has caused no crash
+     * @return those that are cleared of a crash by it
      */
-    public Set<String> recordSoundParts(Map<String, Long> parts, long nowMillis) {
+    public Set<String> recordHarmless(Map<String, Long> harmless, long nowMillis) {
         Map<String, Instant> times = new HashMap<>();
-        parts.forEach((part, millis) -> times.put(part, instant(millis)));
-        Set<String> cleared = detector.clearParts(times, instant(nowMillis));
-        cleared.forEach(part -> put(clearances, part, times.get(part), nowMillis));
+        harmless.forEach((name, millis) -> times.put(name, instant(millis)));
+        Set<String> cleared = detector.clear(times, instant(nowMillis));
+        cleared.forEach(name -> put(clearances, name, times.get(name), nowMillis));
         return cleared;
     }
 
--- a/core/src/test/java/org/cornelramp/core/poison/PromptPartNewsTest.java
+++ b/core/src/test/java/org/cornelramp/core/poison/PromptPartNewsTest.java
@@ -82,7 +82,7 @@
             crash(news, "s" + i, "r" + i, "bad", "a");
         }
         other.apply(news.update(NOW), NOW);
-        assertEquals(other.recordSoundParts(Map.of("part:a", NOW + 100), NOW + 100), parts("a"));
+        assertEquals(other.recordHarmless(Map.of("part:a", NOW + 100), NOW + 100), parts("a"));
         news.apply(other.update(NOW + 110), NOW + 120);
         assertTrue(refuses(detector, SETTLED, "bad") && refuses(otherDetector, SETTLED, "bad"));
         assertFalse(refuses(detector, SETTLED, "a") || refuses(otherDetector, SETTLED, "a"));
--- a/core/src/test/java/org/cornelramp/core/poison/PromptPartProperties.java
+++ b/core/src/test/java/org/cornelramp/core/poison/PromptPartProperties.java
@@ -77,7 +77,7 @@
                         lived.put(part, at);
                     }
                 }
-                detector.clearParts(lived, at);
+                detector.clear(lived, at);
             }
         }
         assertTrue(crashes <= (beside == 0 || cleared ? 5 : 12), "crashes " + crashes);
--- a/core/src/test/java/org/cornelramp/core/poison/PromptPartTest.java
+++ b/core/src/test/java/org/cornelramp/core/poison/PromptPartTest.java
@@ -87,7 +87,7 @@
             record("s" + i, NOW, "r" + i, "bad", "shared");
         }
         assertEquals(
-                detector.clearParts(Map.of("part:shared", at(NOW + 100), "part:x", at(NOW)), at(NOW + 100)),
+                detector.clear(Map.of("part:shared", at(NOW + 100), "part:x", at(NOW)), at(NOW + 100)),
                 parts("shared"));
         assertTrue(refuses(SETTLED, "bad"));
         assertFalse(refuses(SETTLED, "shared"));
@@ -98,9 +98,9 @@
     @Test
     public void partIsClearedOnlyOfTheCrashesBefore() {
         record("s0", NOW, "r0", "a");
-        assertEquals(detector.clearParts(Map.of("part:a", at(NOW)), at(NOW)), Set.of());
-        assertEquals(detector.clearParts(Map.of("part:a", at(NOW + 1)), at(NOW + 1)), parts("a"));
-        assertEquals(detector.clearParts(Map.of("part:a", at(NOW + 2)), at(NOW + 2)), Set.of());
+        assertEquals(detector.clear(Map.of("part:a", at(NOW)), at(NOW)), Set.of());
+        assertEquals(detector.clear(Map.of("part:a", at(NOW + 1)), at(NOW + 1)), parts("a"));
+        assertEquals(detector.clear(Map.of("part:a", at(NOW + 2)), at(NOW + 2)), Set.of());
         for (int i = 1; i < 5; i++) {
             record("s" + i, NOW + 10, "r" + i, "a");
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
@@ -57,16 +57,22 @@
     private static final long REFRESH_MILLIS = 200;
 
     private static final String LIVED = "a run has lived on it";
+    private static final String ANSWERED = "servers have answered it lately";
 
     private final Collection<ActiveRequest> activeRequests;
     private final PoisonDetector detector;
     private final PoisonNews news;
     private final SoundParts soundParts;
+    private final AnsweredRequests answeredRequests = new AnsweredRequests();
     private final CrashObserver observer;
     private final int blamedCrashes;
     private final EventLog log;
     private final Meters meters;
     private Map<String, Instant> refused = Map.of();
+
+    /** Whether answers have not been compared yet, at a time after it, with a crash that is news. */
+    private boolean crashIsNews;
+
     private long refreshedMillis;
 
     /** Whether a request may be sent. Immutable, safe for use by any thread. */
@@ -226,42 +232,39 @@
     void attemptEnded(Attempt attempt, AttemptEnd end, long now) {
         soundParts.attemptEnded(attempt);
         observer.attemptEnded(attempt, end, now);
+        answeredRequests.recordEnd(attempt, end, now);
         if (!detector.isEmpty(instant(now))) {
-            clearParts(SoundParts.ofCompleted(attempt, end, now), "a run has completed its answer", now);
+            recordHarmless(SoundParts.ofCompleted(attempt, end, now), "a run has completed its answer", now);
+            clearAnswered(attempt, end, now);
         }
-        if (hasSucceeded(attempt, end)) {
-            recordCompletion(attempt, end, now);
-        }
-    }
-
-    /**
-     * Whether a server has run a request and lived. A failure of its own may come before it has run the request, and a
-     * stream without an event may have had nothing left to run.
-     */
-    private static boolean hasSucceeded(Attempt attempt, AttemptEnd end) {
-        boolean ran = end.kind() == AttemptEnd.Kind.ANSWERED || attempt.firstEventMillis() > 0;
-        return ran && end.isSuccess();
     }
 
     /** Looks for crashes that only time or the registrations show, and for refusals that have ended. */
     void check(long now) {
         observer.check(now);
         if (!detector.unclearedParts(instant(now)).isEmpty()) {
-            clearParts(soundParts.recent(now), LIVED, now);
+            recordHarmless(soundParts.recent(now), LIVED, now);
+        }
+        if (crashIsNews) {
+            crashIsNews = false;
+            recordHarmless(answeredRequests.harmlessUntil(now), ANSWERED, now);
         }
         if (now - refreshedMillis >= REFRESH_MILLIS) {
             refresh(now);
         }
     }
 
-    private void recordCompletion(Attempt attempt, AttemptEnd end, long now) {
-        if (detector.isEmpty(instant(now))) {
+    /** Clears a request of the crashes so far if its last answer, with those before, shows that it is harmless. */
+    private void clearAnswered(Attempt attempt, AttemptEnd end, long now) {
+        boolean succeeded = AnsweredRequests.hasSucceeded(attempt, end);
+        if (!succeeded && !AnsweredRequests.isRejected(end)) {
             return;
         }
         Exchange.ClientRequest call = attempt.exchange().request();
         String fingerprint = call.fingerprint();
-        if (news.recordCompletion(fingerprint, now)) {
-            cleared(fingerprint, "a server has run it to its end")
+        boolean harmless = succeeded || answeredRequests.harmlessUntil(now).containsKey(fingerprint);
+        if (harmless && news.recordCompletion(fingerprint, now)) {
+            cleared(fingerprint, succeeded ? "a server has run it to its end" : ANSWERED)
                     .with("id", call.id())
                     .with("server", attempt.server().id())
                     .with("status", end.status())
@@ -277,16 +280,29 @@
         refresh(now);
     }
 
-    private void clearParts(Map<String, Long> parts, String why, long now) {
-        news.recordSoundParts(parts, now).forEach(part -> cleared(part, why).write());
+    /** @param harmless times, by the name of a request or a part, before which it has caused no crash */
+    private void recordHarmless(Map<String, Long> harmless, String why, long now) {
+        news.recordHarmless(harmless, now).forEach(name -> cleared(name, why).write());
     }
 
     private void recordCrash(Crash crash, long now) {
         news.recordCrash(withoutSoundParts(crash.report(), now), now);
-        clearSoundParts(now);
+        clearHarmless(List.of(crash.report()), now);
         refresh(now);
     }
 
+    /** Clears what is known to be harmless of crashes that are news. */
+    private void clearHarmless(List<CrashReport> crashes, long now) {
+        clearSoundParts(now);
+        Map<String, Long> harmless = answeredRequests.harmlessUntil(now);
+        recordHarmless(harmless, ANSWERED, now);
+        crashIsNews = true;
+        answeredRequests.removeRejections(crashes.stream()
+                .flatMap(crash -> crash.suspects().stream())
+                .filter(suspect -> !harmless.containsKey(suspect))
+                .collect(Collectors.toSet()));
+    }
+
     /** The report without the parts that are cleared of it already, so that there is room to tell the others. */
     private CrashReport withoutSoundParts(CrashReport report, long now) {
         if (report.suspects().stream().noneMatch(PromptParts::isPart)) {
@@ -303,7 +319,7 @@
     /** Clears the parts on which runs have lived of the crashes so far, which may be news. */
     private void clearSoundParts(long now) {
         if (!detector.unclearedParts(instant(now)).isEmpty()) {
-            clearParts(soundParts.all(now), LIVED, now);
+            recordHarmless(soundParts.all(now), LIVED, now);
         }
     }
 
@@ -327,7 +343,7 @@
                 .forEach(name ->
                         cleared(name, "a peer has told it").with("by", peer).write());
         if (!applied.crashes().isEmpty()) {
-            clearSoundParts(now);
+            clearHarmless(applied.crashes(), now);
         }
         for (CrashReport crash : applied.crashes()) {
             meters.countCrash("peer");
