A question that is closed without an answer, and a connection that stays open, are no signs of life

Callers: half of the other requests were lost, and a request that crashes its servers was sent on, where a plain server had ended and its port was still held.

Cause: a plain server may answer for its health only when a slot is free, so a question without an answer was followed by a new connection without a request, and a server that held it open counted as alive. Whoever holds the port of a server that has ended, and closes only connections with a request, passed; so did one that holds all connections. The same sign confirmed unframed answers that a crash had cut.

Now only an answer is a sign of life. A question that is closed counts against the server, and one that stays open counts neither way (WAITING): the registration decides. A plain server has 600 ms to answer in place of 150, so that a full one can.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/AsyncEngineControl.java
@@ -42,8 +42,11 @@
 
     private static final long PROBE_PAUSE_MILLIS = 250;
 
-    /** Time that a server has to give a sign of life; a plain server may answer only when a slot is free. */
-    private static final long LIFE_TIMEOUT_MILLIS = 150;
+    /** Time that an engine has to give a sign of life. */
+    private static final long ENGINE_LIFE_TIMEOUT_MILLIS = 150;
+
+    /** The same for a plain server, which may answer only when a slot is free. */
+    private static final long PLAIN_LIFE_TIMEOUT_MILLIS = 600;
 
     private static final long CHECK_PAUSE_MILLIS = 100;
 
@@ -193,7 +196,8 @@
      */
     boolean askForLife(
             BackendServer server, String healthPath, long question, Consumer<RouterEvent> router, long lagMillis) {
-        long timeout = LIFE_TIMEOUT_MILLIS + LAG_FACTOR * lagMillis;
+        boolean engine = !server.card().isEmpty();
+        long timeout = (engine ? ENGINE_LIFE_TIMEOUT_MILLIS : PLAIN_LIFE_TIMEOUT_MILLIS) + LAG_FACTOR * lagMillis;
         return submit(
                 lifeThreads,
                 () -> router.accept(new RouterEvent.LifeAsked(
--- a/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
@@ -80,7 +80,7 @@
         ANOTHER_SERVER(true),
         /** Its registration is gone, although it was not leaving; it may have lapsed in an outage of the store. */
         UNREGISTERED(false),
-        /** Its port accepts connections, and it does not answer; its process may be gone behind a relay. */
+        /** Its port accepts connections, and it does not answer; its process may be gone while a relay holds the port. */
         UNANSWERED(false),
         /** Its end has been seen before; a further request has ended with it. */
         SEEN_BEFORE(true);
@@ -201,6 +201,9 @@
             return;
         }
         recordFault(server, fault.get(), now);
+        if (fault.get().kind() == PlatformFault.Kind.WAITING) {
+            return; // a full server, or whoever holds the port of one that has ended
+        }
         Unchecked one = unchecked.computeIfPresent(server.id(), (id, before) -> before.withUnanswered());
         if (one != null && one.unanswered() >= MAX_UNANSWERED) {
             recordEnd(server.id(), Sign.UNANSWERED, now);
