Soak: servers that also fail poison requests, and whose ports are held after a crash

The settings of a run are one record now, SoakSettings, in place of eight parameters; the runs of GatewaySoakTest are as before, and one is added.

--- a/bench/src/main/java/org/cornelramp/bench/gateway/GatewaySoakCommand.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/GatewaySoakCommand.java
@@ -21,7 +21,7 @@
 
 /**
  * {@code soak --seed N --seconds S [--gateways G] [--notices] [--poison P] [--poison-parts K]
- * [--resume-heavy]}: runs gateways as separate processes under random faults and checks
+ * [--poison-failures SHARE] [--ports-held] [--resume-heavy]}: runs gateways as separate processes under random faults and checks
  * the guarantees of the product. After a violation it prints the schedule, the folder of the logs and every violation,
  * and exits with status 1. The last line holds the figures of the run. Stateless.
  */
@@ -30,6 +30,8 @@
     private static final String NOTICES_OPTION = "notices";
     private static final String POISON_OPTION = "poison";
     private static final String POISON_PARTS_OPTION = "poison-parts";
+    private static final String POISON_FAILURES_OPTION = "poison-failures";
+    private static final String PORTS_HELD_OPTION = "ports-held";
     private static final String RESUME_HEAVY_OPTION = "resume-heavy";
     /** Keeps more streams open, of which each fault breaks some. */
     private static final double STREAM_SLOWDOWN = 3;
@@ -58,58 +60,45 @@
                 .addOption(Option.builder().longOpt(NOTICES_OPTION).get())
                 .addOption(Option.builder().longOpt(RESUME_HEAVY_OPTION).get())
                 .addOption(Option.builder().longOpt(POISON_OPTION).hasArg().get())
+                .addOption(Option.builder()
+                        .longOpt(POISON_FAILURES_OPTION)
+                        .hasArg()
+                        .get())
+                .addOption(Option.builder().longOpt(PORTS_HELD_OPTION).get())
                 .addOption(
                         Option.builder().longOpt(POISON_PARTS_OPTION).hasArg().get());
     }
 
     @Override
     public int run(BenchContext context, CommandLine line) throws Exception {
-        int gateways = Integer.parseInt(line.getOptionValue(GATEWAYS_OPTION, DEFAULT_GATEWAYS));
-        boolean notices = line.hasOption(NOTICES_OPTION);
-        int poison = Integer.parseInt(line.getOptionValue(POISON_OPTION, DEFAULT_POISON));
-        int poisonParts = Integer.parseInt(line.getOptionValue(POISON_PARTS_OPTION, DEFAULT_POISON));
-        boolean resumeHeavy = line.hasOption(RESUME_HEAVY_OPTION);
-        return run(
-                                context.home(),
-                                context.seed(),
-                                context.seconds(),
-                                gateways,
-                                notices,
-                                poison,
-                                poisonParts,
-                                resumeHeavy)
-                        .all()
-                        .isEmpty()
-                ? 0
-                : 1;
+        SoakSettings settings = SoakSettings.of(
+                        context.seed(),
+                        context.seconds(),
+                        Integer.parseInt(line.getOptionValue(GATEWAYS_OPTION, DEFAULT_GATEWAYS)))
+                .withNotices(line.hasOption(NOTICES_OPTION))
+                .withResumeHeavy(line.hasOption(RESUME_HEAVY_OPTION))
+                .withPoison(
+                        Integer.parseInt(line.getOptionValue(POISON_OPTION, DEFAULT_POISON)),
+                        Integer.parseInt(line.getOptionValue(POISON_PARTS_OPTION, DEFAULT_POISON)))
+                .withPoisonFailures(
+                        Double.parseDouble(line.getOptionValue(POISON_FAILURES_OPTION, DEFAULT_POISON)),
+                        line.hasOption(PORTS_HELD_OPTION));
+        return run(context.home(), settings).all().isEmpty() ? 0 : 1;
     }
 
-    /**
-     * Runs once and returns the violations of the guarantees.
-     *
-     * @param notices whether servers limit their rate, ask for rest and announce that they leave, instead of failing
-     * @param poison number of requests that crash each server which runs them, and come again and again
-     * @param poisonParts number of parts of prompts that crash each engine which begins to write on them
-     * @param resumeHeavy whether nearly all requests are streams, one connection in three is read slowly, and most
-     *     faults end all gateways or break streams
-     */
-    public static Violations run(
-            Path home,
-            long seed,
-            int seconds,
-            int gateways,
-            boolean notices,
-            int poison,
-            int poisonParts,
-            boolean resumeHeavy)
-            throws Exception {
+    /** Runs once and returns the violations of the guarantees. */
+    public static Violations run(Path home, SoakSettings settings) throws Exception {
+        long seed = settings.seed();
+        boolean resumeHeavy = settings.resumeHeavy();
+        SoakSettings.PoisonSettings poison = settings.poison();
+        long loadMillis = settings.seconds() * 1_000L;
         HTTP_LOGGER.setLevel(Level.OFF);
         Violations violations = new Violations();
         Path folder = home.resolve("out").resolve("soak-" + seed);
         deleteFiles(folder);
         CallRecords calls = new CallRecords();
         GatewayFaultInjector faults;
-        try (GatewayEnvironment environment = new GatewayEnvironment(home, folder, gateways)) {
+        try (GatewayEnvironment environment = new GatewayEnvironment(home, folder, settings.gateways())) {
             environment.start();
             if (resumeHeavy) {
                 environment.gateways().forEach(gateway -> gateway.clientRelay().setReadingSlowly(true));
@@ -121,16 +110,17 @@
             environment.backends().forEach(backend -> backend.answerUnframed(seed));
             environment
                     .backends()
-                    .forEach(backend -> backend.crashUnder(poisonRecords, environment.faultHistory(), seed));
+                    .forEach(backend -> backend.crashUnder(poisonRecords, environment.faultHistory(), poison, seed));
             faults = new GatewayFaultInjector(
                     environment,
                     violations,
                     seed,
-                    seconds * 1_000L,
-                    GatewayFaultInjector.kinds(notices, resumeHeavy),
-                    meanGapMillis(poisonParts, resumeHeavy));
-            GatewayLoad load = new GatewayLoad(environment, calls, poison, poisonParts, resumeHeavy, seed);
-            runLoad(environment, load, faults, calls, violations, seconds * 1_000L);
+                    loadMillis,
+                    GatewayFaultInjector.kinds(settings.notices(), resumeHeavy),
+                    meanGapMillis(poison.parts(), resumeHeavy));
+            GatewayLoad load =
+                    new GatewayLoad(environment, calls, poison.requests(), poison.parts(), resumeHeavy, seed);
+            runLoad(environment, load, faults, calls, violations, loadMillis);
             awaitRecovery(environment, violations);
             GatewayChecks checks = new GatewayChecks(
                     calls.all(), environment.fleet().observedRequests(), environment.faultHistory(), violations);
@@ -145,7 +135,7 @@
                             poisonRecords,
                             environment.faultHistory(),
                             violations)
-                    .run(poison, poisonParts);
+                    .run(poison.requests(), poison.parts());
             reportUnframed(environment.fleet().observedRequests());
         }
         report(seed, folder, faults, calls.all(), violations);
--- a/bench/src/main/java/org/cornelramp/bench/gateway/SoakBackend.java
+++ b/bench/src/main/java/org/cornelramp/bench/gateway/SoakBackend.java
@@ -66,19 +66,28 @@
     }
 
     /** Lets poison requests, and those with poisonous parts, crash the server whenever it runs them. */
-    void crashUnder(PoisonRecords poison, FaultHistory faultHistory, long seed) {
+    void crashUnder(PoisonRecords poison, FaultHistory faultHistory, SoakSettings.PoisonSettings settings, long seed) {
         SplittableRandom random = new SplittableRandom(seed ^ server.name().hashCode());
-        server.faults().setPoison(PoisonRecords::isPoison, feature -> crash(feature, poison, faultHistory, random));
+        server.faults()
+                .setPoison(
+                        PoisonRecords::isPoison,
+                        feature -> crash(feature, poison, faultHistory, settings.portsHeld(), random));
+        server.faults().setPoisonFailureRate(settings.failureShare());
     }
 
-    private void crash(String feature, PoisonRecords poison, FaultHistory faultHistory, SplittableRandom random) {
+    private void crash(
+            String feature,
+            PoisonRecords poison,
+            FaultHistory faultHistory,
+            boolean portHeld,
+            SplittableRandom random) {
         if (!server.crash()) {
             return;
         }
         long now = StandInFleet.nowMillis();
         poison.recordCrash(feature, now);
         FaultHistory.FaultPeriod crash = faultHistory.begin(FaultHistory.Target.BACKEND, FaultHistory.ALL, now);
-        relay.setListening(false);
+        relay.setListening(portHeld);
         relay.cut();
         Runnable work = () -> {
             restart(PromptParts.isPoisonous(feature), random);
--- a/system-tests/src/test/java/org/cornelramp/systemtests/GatewaySoakTest.java
+++ b/system-tests/src/test/java/org/cornelramp/systemtests/GatewaySoakTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import org.cornelramp.bench.gateway.GatewaySoakCommand;
+import org.cornelramp.bench.gateway.SoakSettings;
 import org.testng.annotations.Test;
 
 /** Runs gateways as separate processes under random faults: a short run, and the seeds that revealed a fault. */
@@ -12,10 +13,7 @@
     /** A short run of a few gateways, with a seed that has shown no fault. */
     @Test
     public void aShortRunHasNoViolations() throws Exception {
-        assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 1, 12, 4, false, 0, 0, false)
-                        .all(),
-                List.of());
+        assertEquals(run(SoakSettings.of(1, 12, 4)), List.of());
     }
 
     /**
@@ -25,45 +23,40 @@
      */
     @Test
     public void aStreamCutDuringShutdownIsNotReadAsComplete() throws Exception {
-        assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 6, 25, 6, false, 0, 0, false)
-                        .all(),
-                List.of());
+        assertEquals(run(SoakSettings.of(6, 25, 6)), List.of());
     }
 
     /** Servers that limit their rate, ask for rest and announce that they leave get no more than they have said. */
     @Test
     public void serversAreHeardThatSayWhatTheyTake() throws Exception {
-        assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 43, 20, 4, true, 0, 0, false)
-                        .all(),
-                List.of());
+        assertEquals(run(SoakSettings.of(43, 20, 4).withNotices(true)), List.of());
     }
 
     /** Requests that crash each server which runs them are held back by all gateways, and no other request is. */
     @Test
     public void requestsThatCrashServersAreHeldBack() throws Exception {
-        assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 4921, 20, 4, false, 3, 0, false)
-                        .all(),
-                List.of());
+        assertEquals(run(SoakSettings.of(4921, 20, 4).withPoison(3, 0)), List.of());
+    }
+
+    /** The same where servers fail some of these requests instead, and the ports of crashed servers are held. */
+    @Test
+    public void requestsThatServersAlsoFailAreHeldBackWherePortsAreHeld() throws Exception {
+        assertEquals(run(SoakSettings.of(4923, 20, 4).withPoison(4, 0).withPoisonFailures(0.2, true)), List.of());
     }
 
     /** Streams that share a part of their prompt which crashes engines are held back, and no other stream is. */
     @Test
     public void streamsWithPartThatCrashesEnginesAreHeldBack() throws Exception {
-        assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 8, 30, 4, false, 0, 1, false)
-                        .all(),
-                List.of());
+        assertEquals(run(SoakSettings.of(8, 30, 4).withPoison(0, 1)), List.of());
     }
 
     /** Guards against events lost, repeated or reordered where clients resume streams at gateways that have just started. */
     @Test
     public void streamsAreResumedWithoutLossAfterDeathsOfAllGateways() throws Exception {
-        assertEquals(
-                GatewaySoakCommand.run(FleetActions.checkoutRoot(), 1, 20, 4, false, 0, 0, true)
-                        .all(),
-                List.of());
+        assertEquals(run(SoakSettings.of(1, 20, 4).withResumeHeavy(true)), List.of());
+    }
+
+    private static List<String> run(SoakSettings settings) throws Exception {
+        return GatewaySoakCommand.run(FleetActions.checkoutRoot(), settings).all();
     }
 }
