Crashes are told without the suspects that are cleared of them

Cause: only the gateway that has seen a clearance tells it, so that none circulates without end. It had restarted, and its peers still told the crashes with all suspects, though they knew that the part was cleared. The new gateway heard of five crashes and of no clearance.

A crash is told without the suspects that the teller knows to be cleared of it.

PromptPartNewsTest.clearedPartIsNoLongerToldAsASuspect fails without the change.

--- a/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonDetector.java
@@ -201,7 +201,7 @@
     }
 
     /** Whether a request, or each part of a group, is cleared of a crash. */
-    private boolean isCleared(String name, Instant crash) {
+    boolean isCleared(String name, Instant crash) {
         if (!PromptParts.isPart(name)) {
             return isSuspectCleared(name, crash);
         }
--- a/core/src/main/java/org/cornelramp/core/poison/PoisonNews.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PoisonNews.java
@@ -168,12 +168,13 @@
     }
 
     /**
-     * The parts of prompts among the suspects of a crash, or the requests; those that were at most crashes if there is not
-     * room for all.
+     * The parts of prompts among the suspects of a crash, or the requests, without those that are cleared of it: a process
+     * that has just started may not hear of the clearance. Those that were at most crashes if there is not room for all.
      */
     private List<String> mostSuspect(CrashReport report, boolean parts, int room) {
         List<String> all = report.suspects().stream()
                 .filter(suspect -> PromptParts.isPart(suspect) == parts)
+                .filter(suspect -> !detector.isCleared(suspect, report.at()))
                 .toList();
         if (all.size() <= room) {
             return all;
--- a/core/src/test/java/org/cornelramp/core/poison/PromptPartNewsTest.java
+++ b/core/src/test/java/org/cornelramp/core/poison/PromptPartNewsTest.java
@@ -88,6 +88,17 @@
         assertFalse(refuses(detector, SETTLED, "a") || refuses(otherDetector, SETTLED, "a"));
     }
 
+    /** Guards against a process that has just started, and hears of crashes but not of what was cleared of them. */
+    @Test
+    public void clearedPartIsNoLongerToldAsASuspect() {
+        for (int i = 0; i < 4; i++) {
+            crash(news, "s" + i, "r" + i, "shared", "own" + i);
+        }
+        news.apply(new PoisonUpdate(List.of(), Map.of(), Map.of("part:shared", 0L), Map.of()), NOW + 100);
+        other.apply(news.update(NOW + 110), NOW + 120);
+        assertFalse(refuses(detector, NOW + 500, "shared") || refuses(otherDetector, NOW + 500, "shared"));
+    }
+
     /** Guards against a refusal of a peer that is kept as it was when a part of it is cleared, or all of them. */
     @Test
     public void refusalOfAPeerShrinksWithTheClearances() {
