A plain server that is thought to have ended under requests gets no more of them

Cause: only the analysis of poison requests heard of the end. An engine is probed; a plain server was tried by requests alone.

The end is a suspicion now: LOST if it is certain, SILENT if it is inferred, which the next sign of life ends. If no other server is left, a request is refused at once and has not run, in place of an unknown outcome.

CrashObserverTest.plainServerThatHasEndedWhileItsPortIsHeldGetsNoRequests fails without the change; plainServerThatGivesASignOfLifeIsUsedAgain keeps the way back.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
@@ -59,6 +59,20 @@
     private final Map<BackendServerId, Unchecked> unchecked = new HashMap<>();
     private BiConsumer<Crash, Long> onCrash = (crash, nowMillis) -> {};
     private BiConsumer<BackendServerId, Long> onSignOfLife = (server, nowMillis) -> {};
+    private EndListener endListener = new EndListener() {};
+
+    /** Hears which servers are thought to have ended under requests, and which of them live after all. */
+    interface EndListener {
+        /**
+         * Called with a server that has ended under requests.
+         *
+         * @param certain whether its process is known to be gone
+         */
+        default void serverEnded(BackendServerId server, boolean certain, long now) {}
+
+        /** Called with a server that was thought to have ended, and has given a sign of life. */
+        default void serverLives(BackendServerId server, long now) {}
+    }
 
     /**
      * A server whose connections have broken.
@@ -128,6 +142,11 @@
         onSignOfLife = listener;
     }
 
+    /** Sets the listener that is called with each end of a server under requests, once. */
+    void setEndListener(EndListener listener) {
+        endListener = listener;
+    }
+
     /** Observes the end of an attempt. */
     void attemptEnded(Attempt attempt, AttemptEnd end, long now) {
         BackendServer server = attempt.server();
@@ -261,6 +280,7 @@
         }
         if (takenBack.crash()) {
             onSignOfLife.accept(server, now);
+            endListener.serverLives(server, now);
         }
     }
 
@@ -268,6 +288,7 @@
         boolean first = sign != Sign.SEEN_BEFORE;
         if (first) {
             meters.countCrash(sign.name());
+            endListener.serverEnded(new BackendServerId(crash.report().crashId()), sign.certain, now);
         }
         Instant at = crash.report().at();
         Map<Boolean, List<String>> suspects =
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FailureDetector.java
@@ -23,7 +23,7 @@
  *
  * <p>Invariant: a server is considered dead only on evidence that this process has observed itself.
  */
-final class FailureDetector {
+final class FailureDetector implements CrashObserver.EndListener {
     /** Relative change of an engine's slowdown factor from which on the change is logged. */
     private static final double LOGGED_SLOWDOWN_CHANGE = 0.3;
 
@@ -192,6 +192,21 @@
                 .write();
     }
 
+    /** Handles the end of a server under requests. An engine is probed; a plain server would be tried by requests. */
+    @Override
+    public void serverEnded(BackendServerId id, boolean certain, long now) {
+        fleet.registry()
+                .server(id)
+                .filter(server -> server.card().isEmpty())
+                .ifPresent(server ->
+                        suspect(server, certain ? Evidence.LOST : Evidence.SILENT, "it has ended under requests", now));
+    }
+
+    @Override
+    public void serverLives(BackendServerId id, long now) {
+        recordAlive(id, now, "it has given a sign of life", now);
+    }
+
     /**
      * Handles a peer's report that a server has failed by probing the engine. A plain server has no report; its failure
      * shows at the next request.
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -91,6 +91,7 @@
                 new FailureDetector(fleet, engineControl, settings.timing().stallMillis(), log, meters, events);
         this.lifeQuestions = new LifeQuestions(fleet, config, engineControl, events);
         this.crashObserver = new CrashObserver(fleet, engineControl, lifeQuestions, log, meters, events);
+        crashObserver.setEndListener(failureDetector);
         this.poisonGuard = new PoisonGuard(activeRequests.values(), crashObserver, log, meters);
         this.demandReporter = new DemandReporter(settings.dataCentre(), fleet, activeRequests.values(), log);
         this.peerUpdateHandler = new PeerUpdateHandler(
--- a/gateway/src/test/java/org/cornelramp/gateway/route/CrashObserverTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/CrashObserverTest.java
@@ -10,6 +10,7 @@
 import org.cornelramp.core.fleet.ServerState;
 import org.cornelramp.gateway.GatewayFixture;
 import org.cornelramp.gateway.TestServers;
+import org.cornelramp.gateway.request.FakeClient;
 import org.cornelramp.platform.PlatformFault;
 import org.cornelramp.platform.standin.HeaderFixtures;
 import org.cornelramp.platform.standin.StandInConfig;
@@ -134,6 +135,39 @@
         assertCrashes(1);
     }
 
+    private void holdPortOfPlainServer() {
+        router.setReportFaults(
+                server -> Optional.of(new PlatformFault(PlatformFault.Kind.NO_ANSWER, "closed without an answer")));
+        router.setConnectFaults(server -> Optional.empty());
+    }
+
+    /** Guards against requests that are lost, one after the other, at a plain server that has ended while its port is held. */
+    @Test
+    public void plainServerThatHasEndedWhileItsPortIsHeldGetsNoRequests() {
+        FakeHttpClient.Call broken = send("/book/a", "r1");
+        holdPortOfPlainServer();
+        breakOff(broken);
+        router.run(400);
+        int sent = router.calls().size();
+        FakeClient refused = router.request("/book/a", "r2");
+        assertEquals(refused.status(), 503);
+        assertEquals(router.calls().size(), sent);
+        assertCrashes(1);
+    }
+
+    /** Guards against a plain server that was wrongly thought to have ended and stays unused. */
+    @Test
+    public void plainServerThatGivesASignOfLifeIsUsedAgain() {
+        FakeHttpClient.Call broken = send("/book/a", "r1");
+        FakeHttpClient.Call running = send("/book/b", "r2");
+        holdPortOfPlainServer();
+        breakOff(broken);
+        router.run(1_000);
+        running.complete(200, HeaderFixtures.answer("r2"));
+        router.settle();
+        assertEquals(send("/book/a", "r3").port(), plain.address().port());
+    }
+
     /** Guards against crashes that are missed because no question about the server is answered. */
     @Test
     public void lapsedRegistrationAfterABreakShowsACrash() {
