A response that may have been sent before a break does not hide a crash

Callers: a request that crashes its server is sent once more than it need be, as that crash is not counted.

Cause: each whole response of a server took back all broken connections to it. One that the server had sent just before it crashed, and that is handled just after the break, did so too; the refused connection that follows then had no request to belong to.

A response to a request that was sent before the break takes it back only 500 ms later; it still ends the count of unanswered questions, so that a busy server is not held to have ended. Answers to questions that were asked after the break count as before.

CrashObserverTest.responseThatIsHandledJustAfterABreakDoesNotHideTheCrash fails without the change; CrashEvidenceTest.answerLongAfterABreakTakesItBack keeps the way back.

--- a/core/src/main/java/org/cornelramp/core/poison/CrashEvidence.java
+++ b/core/src/main/java/org/cornelramp/core/poison/CrashEvidence.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.cornelramp.core.model.BackendServerId;
 
 /**
@@ -24,7 +25,7 @@
     /** Time after a break in which the end of its server explains it; an unrenewed registration expires within it. */
     public static final long UNDECIDED_MILLIS = 6_000;
 
-    /** Time after an end within which an answer may have been sent before it. */
+    /** Time after a break or an end within which an answer may have been sent before it. */
     private static final long LATE_ANSWER_MILLIS = 500;
 
     private static final int MAX_SERVERS = 256;
@@ -108,15 +109,39 @@
         return takeCrash(server);
     }
 
-    /** Records a sign of life of an incarnation; returns what it takes back. */
-    public TakenBack recordSignOfLife(BackendServerId server, long nowMillis) {
+    /**
+     * Records a sign of life of an incarnation. An answer that was asked for before a break may have been sent before it,
+     * and takes it back only {@value #LATE_ANSWER_MILLIS} ms later.
+     *
+     * @param askedMillis when the server was asked for what it has answered
+     * @return what it takes back
+     */
+    public TakenBack recordSignOfLife(BackendServerId server, long askedMillis, long nowMillis) {
         End end = ends.get(server);
-        if (end != null && end.certain() && nowMillis - end.millis() < LATE_ANSWER_MILLIS) {
+        if (end != null && isLate(end, askedMillis, nowMillis)) {
             return TakenBack.NOTHING;
         }
-        List<BrokenRun> breaks = undecided.remove(server);
+        List<BrokenRun> breaks = undecided.getOrDefault(server, List.of());
+        List<BrokenRun> left = breaks.stream()
+                .filter(run -> mayPrecede(run.brokenMillis(), askedMillis, nowMillis))
+                .collect(Collectors.toCollection(ArrayList::new));
+        undecided.remove(server);
+        if (!left.isEmpty()) {
+            undecided.put(server, left);
+        }
         ends.remove(server);
-        return new TakenBack(breaks == null ? 0 : breaks.size(), end != null && !end.certain());
+        return new TakenBack(breaks.size() - left.size(), end != null && !end.certain());
+    }
+
+    private static boolean isLate(End end, long askedMillis, long nowMillis) {
+        return end.certain()
+                ? nowMillis - end.millis() < LATE_ANSWER_MILLIS
+                : mayPrecede(end.millis(), askedMillis, nowMillis);
+    }
+
+    /** Whether an answer may have been sent before something that was seen at a time. */
+    private static boolean mayPrecede(long seenMillis, long askedMillis, long nowMillis) {
+        return askedMillis < seenMillis && nowMillis - seenMillis < LATE_ANSWER_MILLIS;
     }
 
     /** Whether there are servers of which it is not known yet whether they have crashed. */
--- a/core/src/test/java/org/cornelramp/core/poison/CrashEvidenceTest.java
+++ b/core/src/test/java/org/cornelramp/core/poison/CrashEvidenceTest.java
@@ -26,7 +26,7 @@
                 .isEmpty());
         assertEquals(lost.undecidedCrashes("f", 500, 200), 1);
         assertEquals(
-                lost.recordSignOfLife(SERVER, 200),
+                lost.recordSignOfLife(SERVER, 200, 200),
                 new CrashEvidence.TakenBack(1, false),
                 "it was not thought to have ended");
         assertEquals(lost.undecidedServers(), Set.of());
@@ -77,7 +77,7 @@
         CrashEvidence taken = new CrashEvidence();
         taken.recordBreak(SERVER, "f", Set.of(), true, 100 - RUN_MILLIS, 100);
         assertTrue(taken.recordEnd(SERVER, false, 110).isPresent());
-        assertTrue(taken.recordSignOfLife(SERVER, 150).crash());
+        assertTrue(taken.recordSignOfLife(SERVER, 150, 150).crash());
         assertTrue(taken.recordBreak(SERVER, "f", Set.of(), true, 200 - RUN_MILLIS, 200)
                 .isEmpty());
     }
@@ -88,20 +88,39 @@
         CrashEvidence crashed = new CrashEvidence();
         crashed.recordBreak(SERVER, "f", Set.of(), true, 100 - RUN_MILLIS, 100);
         assertTrue(crashed.recordEnd(SERVER, true, 110).isPresent());
-        assertEquals(crashed.recordSignOfLife(SERVER, 130), CrashEvidence.TakenBack.NOTHING);
+        assertEquals(crashed.recordSignOfLife(SERVER, 130, 130), CrashEvidence.TakenBack.NOTHING);
         assertTrue(
                 crashed.recordBreak(SERVER, "g", Set.of(), true, 140 - RUN_MILLIS, 140)
                         .isPresent(),
                 "it belongs to the crash");
     }
 
+    /** Guards against a crash that is missed because the server had answered another request just before it. */
+    @Test
+    public void answerThatMayPrecedeABreakDoesNotTakeItBack() {
+        CrashEvidence crashed = new CrashEvidence();
+        crashed.recordBreak(SERVER, "f", Set.of(), true, 50, 100);
+        assertEquals(crashed.recordSignOfLife(SERVER, 60, 105), CrashEvidence.TakenBack.NOTHING);
+        assertEquals(crashed.recordEnd(SERVER, true, 110).orElseThrow().report().suspects(), Set.of("f"));
+    }
+
+    /** Guards against a server that lives, and is held to have ended because all its requests were sent before a break. */
+    @Test
+    public void answerLongAfterABreakTakesItBack() {
+        CrashEvidence lost = new CrashEvidence();
+        lost.recordBreak(SERVER, "f", Set.of(), true, 50, 100);
+        lost.recordEnd(SERVER, false, 300);
+        assertTrue(lost.recordSignOfLife(SERVER, 60, 801).crash());
+        assertEquals(lost.undecidedServers(), Set.of());
+    }
+
     /** Guards against a server that starts again under its id, and whose later breaks would count as crashes at once. */
     @Test
     public void serverThatStartsAgainUnderItsIdHasCrashedAllTheSame() {
         CrashEvidence crashed = new CrashEvidence();
         crashed.recordBreak(SERVER, "f", Set.of(), true, 100 - RUN_MILLIS, 100);
         assertTrue(crashed.recordEnd(SERVER, true, 110).isPresent());
-        assertFalse(crashed.recordSignOfLife(SERVER, 1_500).crash(), "the crash stands");
+        assertFalse(crashed.recordSignOfLife(SERVER, 1_500, 1_500).crash(), "the crash stands");
         assertTrue(
                 crashed.recordBreak(SERVER, "f", Set.of(), true, 2_000 - RUN_MILLIS, 2_000)
                         .isEmpty(),
--- a/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/CrashObserver.java
@@ -84,6 +84,10 @@
         Unchecked withUnanswered() {
             return new Unchecked(server, untilMillis, unanswered + 1);
         }
+
+        Unchecked withAnswer() {
+            return new Unchecked(server, untilMillis, 0);
+        }
     }
 
     /** What shows that a server has ended. Immutable, safe for use by any thread. */
@@ -162,7 +166,7 @@
                 if (plain && end.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
                     recordEnd(server.id(), Sign.ANOTHER_SERVER, now);
                 } else if (end.kind() == AttemptEnd.Kind.RELAYED || end.kind() == AttemptEnd.Kind.ANSWERED) {
-                    recordSignOfLife(server.id(), LifeSign.RESPONSE, now);
+                    recordSignOfLife(server.id(), LifeSign.RESPONSE, attempt.startMillis(), now);
                 }
             }
         }
@@ -195,7 +199,7 @@
     /** Observes an engine's report, or the failure to read it. */
     void reportRead(BackendServer engine, Either<PlatformFault, EngineReport> report, long now) {
         if (report.isRight()) {
-            recordSignOfLife(engine.id(), LifeSign.REPORT, now);
+            recordSignOfLife(engine.id(), LifeSign.REPORT, now, now);
         } else {
             recordFault(engine, report.getLeft(), now);
         }
@@ -216,7 +220,7 @@
     /** Observes whether a server has given a sign of life when it was asked for one. */
     void lifeAsked(BackendServer server, Optional<PlatformFault> fault, long now) {
         if (fault.isEmpty()) {
-            recordSignOfLife(server.id(), LifeSign.ANSWER_TO_QUESTION, now);
+            recordSignOfLife(server.id(), LifeSign.ANSWER_TO_QUESTION, now, now);
             return;
         }
         recordFault(server, fault.get(), now);
@@ -269,8 +273,9 @@
         return fleet.registry().leavingSinceMillis(server).isPresent();
     }
 
-    private void recordSignOfLife(BackendServerId server, LifeSign sign, long now) {
-        CrashEvidence.TakenBack takenBack = evidence.recordSignOfLife(server, now);
+    private void recordSignOfLife(BackendServerId server, LifeSign sign, long askedMillis, long now) {
+        unchecked.computeIfPresent(server, (id, one) -> one.withAnswer());
+        CrashEvidence.TakenBack takenBack = evidence.recordSignOfLife(server, askedMillis, now);
         if (takenBack.breaks() > 0 || takenBack.crash()) {
             (takenBack.crash() ? log.line("fleet", "crash refuted") : log.routine("fleet", "no crash"))
                     .with("server", server)
--- a/gateway/src/test/java/org/cornelramp/gateway/route/CrashObserverTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/CrashObserverTest.java
@@ -65,6 +65,18 @@
         assertCrashes(1);
     }
 
+    /** Guards against a crash that is missed because another response, sent just before it, is handled just after it. */
+    @Test
+    public void responseThatIsHandledJustAfterABreakDoesNotHideTheCrash() {
+        FakeHttpClient.Call broken = send("/book/a", "r1");
+        FakeHttpClient.Call answered = send("/book/b", "r2");
+        router.setReportFaults(server -> REFUSED);
+        broken.fail(new EOFException("closed"));
+        answered.complete(200, HeaderFixtures.answer("r2"));
+        router.run(100);
+        assertCrashes(1);
+    }
+
     /** Guards against lost answers that count as crashes. */
     @Test
     public void serversThatAnswerAfterABreakHaveNotCrashed() {
