--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonFleet.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonFleet.java
@@ -308,6 +308,15 @@
         schedule(ended ? pauseMillis : RequestRouter.TICK_MILLIS, () -> repeat(poison, pauseMillis));
     }
 
+    /** Does the same with a stream that has a prompt of several parts. */
+    void repeatStream(Poison poison, String prompt, long pauseMillis) {
+        boolean ended = poison.last == null || poison.last.exchange().isEnded();
+        if (ended) {
+            sendStream(random.nextInt(gateways.size()), poison.content, prompt, List.of(poison));
+        }
+        schedule(ended ? pauseMillis : RequestRouter.TICK_MILLIS, () -> repeatStream(poison, prompt, pauseMillis));
+    }
+
     private FakeClient request(Gateway gateway, Kind kind, String content, Caller caller) {
         String id = "r" + requestCount++;
         gateway.callers.put(id, caller);
