Rejections that do not clear of a crash are forgotten at it

Callers: a request that crashes its servers is sent on after three crashes if servers had rejected it (4xx) earlier.

Cause: four rejections in a row clear of crashes until 2 s after the last of them, and are kept for 10 s. At a crash those were to be forgotten that do not clear of it, but PoisonGuard.clearHarmless asked only whether there was a proof, not until when. So four rejections of more than 2 s before the crash stayed, and one more after it cleared the request of that crash.

Now the time of the proof is compared with the time of the crash.

PopularRequestTest.rejectionsOfLongBeforeACrashDoNotCountAfterIt fails without the change (the request is sent on) and passes with it; the 8 others pass as before.

--- a/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/PoisonGuard.java
@@ -298,8 +298,9 @@
         recordHarmless(harmless, ANSWERED, now);
         crashIsNews = true;
         answeredRequests.removeRejections(crashes.stream()
-                .flatMap(crash -> crash.suspects().stream())
-                .filter(suspect -> !harmless.containsKey(suspect))
+                .flatMap(crash -> crash.suspects().stream()
+                        .filter(suspect -> harmless.getOrDefault(suspect, Long.MIN_VALUE)
+                                < crash.at().toEpochMilli()))
                 .collect(Collectors.toSet()));
     }
 
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PopularRequestTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PopularRequestTest.java
@@ -172,17 +172,34 @@
     public void rejectionsCountSinceTheLastCrash() {
         answer("poison", ENOUGH - 1, 404);
         endServersUnder("other");
-        FakeHttpClient.Call crashed = sendOne("poison");
-        dead.add(servers.get(crashed.port()).id());
-        crashed.fail(new EOFException("closed"));
-        router.run(400);
-        router.unregister(servers.get(crashed.port()));
+        endServerUnder("poison");
         answer("poison", 1, 404);
         addServers(1);
         endServersUnder("poison");
         assertRefused("poison");
     }
 
+    /** Guards against old rejections that do not clear of a crash, and do so with one that comes after it. */
+    @Test
+    public void rejectionsOfLongBeforeACrashDoNotCountAfterIt() {
+        answer("poison", ENOUGH, 404);
+        router.run(2_100);
+        endServerUnder("poison");
+        answer("poison", 1, 404);
+        replaceServers();
+        endServersUnder("poison");
+        assertRefused("poison");
+    }
+
+    /** Sends a request, and lets the server on which it runs end. */
+    private void endServerUnder(String body) {
+        FakeHttpClient.Call crashed = sendOne(body);
+        dead.add(servers.get(crashed.port()).id());
+        crashed.fail(new EOFException("closed"));
+        router.run(400);
+        router.unregister(servers.get(crashed.port()));
+    }
+
     private FakeHttpClient.Call sendOne(String body) {
         send(body);
         return nextCall();
