Two requests that come again explain the crashes of the parts that both hold

Cause: a group of parts of prompts is blamed for five crashes unless a single request was at all but one of them. Two poison streams that end all engines before a sound run has lived bring a group to five crashes, of which each of them is at some. The group then explains all crashes, so the stream that was refused is released and the other one is never blamed, although neither holds all parts of the group. Each further crash narrows the group, until it is a part that sound streams hold; these are refused, and as no run with the part is let through, nothing clears it.

PromptPartTest.twoRequestsThatComeAgainExplainTheirCrashes is new.

--- a/core/src/test/java/org/cornelramp/core/poison/PromptPartTest.java
+++ b/core/src/test/java/org/cornelramp/core/poison/PromptPartTest.java
@@ -120,6 +120,25 @@
         assertTrue(refuses(SETTLED, "rare"), "two other requests crashed as well");
     }
 
+    /**
+     * Guards against blame of a part that two requests hold which come again and crash servers by themselves, and which
+     * would be let through again.
+     */
+    @Test
+    public void twoRequestsThatComeAgainExplainTheirCrashes() {
+        for (int i = 0; i < 3; i++) {
+            record("s" + i, NOW, "again", "shared", "a" + i);
+            record("t" + i, NOW, "other", "shared", "b" + i);
+        }
+        assertFalse(refuses(SETTLED, "shared"));
+        assertTrue(detector.isPoison("again", at(SETTLED)));
+        assertTrue(detector.isPoison("other", at(SETTLED)));
+        record("u0", NOW, "r0", "shared");
+        assertFalse(refuses(SETTLED, "shared"));
+        record("u1", NOW, "r1", "shared");
+        assertTrue(refuses(SETTLED, "shared"), "two other requests crashed as well");
+    }
+
     /** Guards against whole requests that are refused for crashes which a part of their prompts explains. */
     @Test
     public void partExplainsTheCrashesOfItsRequests() {
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonStreamsWithPromptsTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonStreamsWithPromptsTest.java
@@ -22,18 +22,27 @@
 
     @DataProvider
     Object[][] histories() {
-        return Stream.of(2, 3)
-                .flatMap(streams -> Stream.of(2, 3, 4).flatMap(engines -> IntStream.range(0, 20)
-                        .mapToObj(i -> new Object[] {streams, engines, 5_400L + i})))
+        return Stream.of(2, 3, 4)
+                .flatMap(engines -> IntStream.range(0, 20).mapToObj(i -> new Object[] {engines, 5_400L + i}))
                 .toArray(Object[][]::new);
     }
 
     /**
      * Guards against a request that is let through again, and sound ones that are refused, because parts of prompts are
-     * held to explain the crashes of several requests.
+     * held to explain the crashes of two requests.
      */
+    @Test(dataProvider = "histories")
+    public void twoStreamsThatComeAgainAreHeldBackAndNoPartOfTheirPrompts(int engines, long seed) {
+        assertHeldBackAlone(2, engines, seed);
+    }
+
+    /** Guards against the same where three such requests come at the same time. */
     @Test(dataProvider = "histories", groups = "known-red")
-    public void streamsThatComeAgainAreHeldBackAndNoPartOfTheirPrompts(int streams, int engines, long seed) {
+    public void threeStreamsThatComeAgainAreHeldBackAndNoPartOfTheirPrompts(int engines, long seed) {
+        assertHeldBackAlone(3, engines, seed);
+    }
+
+    private static void assertHeldBackAlone(int streams, int engines, long seed) {
         PoisonFleet fleet = new PoisonFleet(GATEWAYS, engines, 0, seed);
         fleet.setRelayed(seed % 2 == 0);
         for (int i = 0; i < streams; i++) {
