--- a/gateway/src/test/java/org/cornelramp/gateway/route/CrashingServer.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/CrashingServer.java
@@ -42,14 +42,14 @@
     /** A request that it runs. */
     private static final class Run {
         private final FakeHttpClient.Call call;
-        private final PoisonFleet.Caller caller;
+        private final SimulatedCaller caller;
         private final long beginMillis;
         private int nextEvent;
         private boolean begun;
         private int failureStatus;
         private long failureMillis;
 
-        Run(FakeHttpClient.Call call, PoisonFleet.Caller caller, long beginMillis) {
+        Run(FakeHttpClient.Call call, SimulatedCaller caller, long beginMillis) {
             this.call = call;
             this.caller = caller;
             this.beginMillis = beginMillis;
@@ -159,7 +159,7 @@
     }
 
     /** Receives a request. */
-    void receive(FakeHttpClient.Call call, String expectedServer, PoisonFleet.Caller caller) {
+    void receive(FakeHttpClient.Call call, String expectedServer, SimulatedCaller caller) {
         if (!listening) {
             call.fail(
                     fleet.isRelayed()
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonFleet.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonFleet.java
@@ -65,22 +65,6 @@
 
     private record Scheduled(long atMillis, long number, Runnable action) {}
 
-    /**
-     * Who has sent a request. Immutable.
-     *
-     * @param poisons what crashes servers in it; empty for other callers
-     * @param status status with which each server answers it; empty if that depends on the server
-     */
-    record Caller(List<Poison> poisons, Optional<Integer> status) {
-        Caller {
-            poisons = List.copyOf(poisons);
-        }
-
-        Caller(List<Poison> poisons) {
-            this(poisons, Optional.empty());
-        }
-    }
-
     /** A kind of request that a caller sends. */
     enum Kind {
         STREAM("/chat/"),
@@ -153,7 +137,7 @@
 
     private static final class Gateway {
         private final RouterSimulation router;
-        private final Map<String, Caller> callers = new HashMap<>();
+        private final Map<String, SimulatedCaller> callers = new HashMap<>();
         private final List<Consumer<RouterSimulation>> missed = new ArrayList<>();
         private int handled;
         private int nextPeer;
@@ -295,29 +279,33 @@
 
     /** Sends a poison request to a gateway. */
     FakeClient send(Poison poison, int gateway) {
-        poison.last = request(gateway(gateway), poison.kind, poison.content, new Caller(List.of(poison)));
+        poison.last = request(gateway(gateway), poison.kind, poison.content, new SimulatedCaller(List.of(poison)));
         return poison.last;
     }
 
     /** Sends a poison request again some time after each answer to it, each time to another gateway. */
     void repeat(Poison poison, long pauseMillis) {
-        boolean ended = poison.last == null || poison.last.exchange().isEnded();
-        if (ended) {
-            send(poison, random.nextInt(gateways.size()));
-        }
-        schedule(ended ? pauseMillis : RequestRouter.TICK_MILLIS, () -> repeat(poison, pauseMillis));
+        repeat(poison, pauseMillis, () -> send(poison, random.nextInt(gateways.size())));
     }
 
     /** Does the same with a stream that has a prompt of several parts. */
     void repeatStream(Poison poison, String prompt, long pauseMillis) {
+        List<Poison> poisonous = List.of(poison);
+        repeat(
+                poison,
+                pauseMillis,
+                () -> sendStream(random.nextInt(gateways.size()), poison.content, prompt, poisonous));
+    }
+
+    private void repeat(Poison poison, long pauseMillis, Runnable send) {
         boolean ended = poison.last == null || poison.last.exchange().isEnded();
         if (ended) {
-            sendStream(random.nextInt(gateways.size()), poison.content, prompt, List.of(poison));
+            send.run();
         }
-        schedule(ended ? pauseMillis : RequestRouter.TICK_MILLIS, () -> repeatStream(poison, prompt, pauseMillis));
+        schedule(ended ? pauseMillis : RequestRouter.TICK_MILLIS, () -> repeat(poison, pauseMillis, send));
     }
 
-    private FakeClient request(Gateway gateway, Kind kind, String content, Caller caller) {
+    private FakeClient request(Gateway gateway, Kind kind, String content, SimulatedCaller caller) {
         String id = "r" + requestCount++;
         gateway.callers.put(id, caller);
         return gateway.router.request(kind.prefix + content, id, content.getBytes(StandardCharsets.UTF_8));
@@ -333,7 +321,7 @@
     FakeClient sendStream(int index, String content, String prompt, List<Poison> poisons) {
         Gateway gateway = gateway(index);
         String id = "r" + requestCount++;
-        gateway.callers.put(id, new Caller(poisons));
+        gateway.callers.put(id, new SimulatedCaller(poisons));
         HttpFields plain = HeaderFixtures.request(id);
         FakeClient client = gateway.router.request(
                 Kind.STREAM.prefix + content,
@@ -433,7 +421,7 @@
     }
 
     private void sendInnocent(Gateway gateway, Kind kind, String content, Optional<Integer> status) {
-        FakeClient client = request(gateway, kind, content, new Caller(List.of(), status));
+        FakeClient client = request(gateway, kind, content, new SimulatedCaller(List.of(), status));
         innocents.add(client, kind == Kind.STREAM, now, isInTouch(gateway));
     }
 
@@ -456,7 +444,7 @@
         sending = gateway;
         while (gateway.handled < gateway.router.calls().size()) {
             FakeHttpClient.Call call = gateway.router.calls().get(gateway.handled++);
-            Caller caller = gateway.callers.get(HeaderFixtures.requestId(call::header));
+            SimulatedCaller caller = gateway.callers.get(HeaderFixtures.requestId(call::header));
             serverAt(call.port()).receive(call, HeaderFixtures.expectedServer(call::header), caller);
             gateway.router.settle();
         }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PoisonStreamsWithPromptsTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PoisonStreamsWithPromptsTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.cornelramp.gateway.route.PoisonFleet.Kind;
@@ -20,6 +21,12 @@
     private static final int PAUSE_MILLIS = 300;
     private static final long RUN_MILLIS = 20_000;
 
+    /** Engines beside those of the other histories, where engines end for other reasons. */
+    private static final int MORE_ENGINES = 4;
+
+    private static final int OTHER_CRASHES = 20;
+    private static final int OTHER_CRASHES_MILLIS = 12_000;
+
     @DataProvider
     Object[][] histories() {
         return Stream.of(2, 3, 4)
@@ -33,22 +40,39 @@
      */
     @Test(dataProvider = "histories")
     public void twoStreamsThatComeAgainAreHeldBackAndNoPartOfTheirPrompts(int engines, long seed) {
-        assertHeldBackAlone(2, engines, seed);
+        assertHeldBackAlone(newFleet(2, engines, seed), seed);
     }
 
     /** Guards against the same where three such requests come at the same time. */
     @Test(dataProvider = "histories", groups = "known-red")
     public void threeStreamsThatComeAgainAreHeldBackAndNoPartOfTheirPrompts(int engines, long seed) {
-        assertHeldBackAlone(3, engines, seed);
+        assertHeldBackAlone(newFleet(3, engines, seed), seed);
+    }
+
+    /** Guards against a stream that is let through again because engines also end for other reasons, under parts that it shares. */
+    @Test(dataProvider = "histories")
+    public void streamThatComesAgainIsHeldBackWhereEnginesAlsoEndForOtherReasons(int engines, long seed) {
+        int all = engines + MORE_ENGINES;
+        PoisonFleet fleet = newFleet(1, all, seed);
+        SplittableRandom random = new SplittableRandom(seed);
+        for (int i = 0; i < OTHER_CRASHES; i++) {
+            int server = random.nextInt(all);
+            fleet.schedule(random.nextInt(OTHER_CRASHES_MILLIS), () -> fleet.crashServer(server));
+        }
+        assertHeldBackAlone(fleet, seed);
     }
 
-    private static void assertHeldBackAlone(int streams, int engines, long seed) {
+    private static PoisonFleet newFleet(int streams, int engines, long seed) {
         PoisonFleet fleet = new PoisonFleet(GATEWAYS, engines, 0, seed);
         fleet.setRelayed(seed % 2 == 0);
         for (int i = 0; i < streams; i++) {
             String prompt = "a0000000:800,b000000%d:410,c000000%d:250,e000000%d:30".formatted(i, 2 * i, i);
             fleet.repeatStream(fleet.addPoison(Kind.STREAM, i % 2), prompt, PAUSE_MILLIS);
         }
+        return fleet;
+    }
+
+    private static void assertHeldBackAlone(PoisonFleet fleet, long seed) {
         PromptTraffic traffic = new PromptTraffic(fleet, PER_SECOND, seed);
         traffic.start();
         fleet.run(RUN_MILLIS, 0);
