--- a/core/src/main/java/org/cornelramp/core/poison/PartAnalysis.java
+++ b/core/src/main/java/org/cornelramp/core/poison/PartAnalysis.java
@@ -1,7 +1,6 @@
 package org.cornelramp.core.poison;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -25,24 +24,17 @@
  */
 final class PartAnalysis {
     /**
-     * Crashes of a group at which a few requests were not. Requests that come again, with a part that hardly any other one
-     * holds, explain its crashes by themselves, and one more crash for another reason does not change that.
+     * Crashes of a group at which a single request was not. A request that comes again, with a part that hardly any other
+     * one holds, explains its crashes by itself, and one more crash for another reason does not change that.
      */
     private static final int CRASHES_OF_OTHER_REQUESTS = 2;
 
-    /** Requests that come again at the same time and may hold the same part by chance. */
-    private static final int FEW_REQUESTS = 2;
-
     /** A group is clearly stronger by the score of one crash that nothing else explains. */
     private static final double CLEARLY_STRONGER = 1;
 
     private static final double SCORE_TOLERANCE = 1e-9;
 
     private final int blamedCrashes;
-
-    /** Crashes up to which a few requests may have caused them, as each is refused by itself after some. */
-    private final int mostCrashesOfFewRequests;
-
     private final List<Set<String>> requestsOfCrash = new ArrayList<>();
     private final Map<String, SortedSet<Integer>> unexplainedCrashesOf = new TreeMap<>();
     private final List<SortedSet<String>> blamed = new ArrayList<>();
@@ -54,9 +46,8 @@
         }
     }
 
-    private PartAnalysis(BlameThresholds thresholds) {
-        this.blamedCrashes = thresholds.partCrashes();
-        this.mostCrashesOfFewRequests = FEW_REQUESTS * thresholds.crashes() + CRASHES_OF_OTHER_REQUESTS - 1;
+    private PartAnalysis(int blamedCrashes) {
+        this.blamedCrashes = blamedCrashes;
     }
 
     /**
@@ -65,7 +56,7 @@
      * @param crashes the suspects of each crash, parts and requests, in the order of time
      */
     static List<SortedSet<String>> analyse(List<Set<String>> crashes, BlameThresholds thresholds) {
-        PartAnalysis analysis = new PartAnalysis(thresholds);
+        PartAnalysis analysis = new PartAnalysis(thresholds.partCrashes());
         crashes.forEach(analysis::add);
         Optional<Group> strongest = analysis.strongest();
         while (strongest.isPresent()) {
@@ -134,28 +125,17 @@
         });
         List<Group> groups = new ArrayList<>();
         partsAt.forEach((crashes, parts) -> {
-            if (!isExplainedByFewRequests(crashes)) {
+            if (!isExplainedByOneRequest(crashes)) {
                 groups.add(new Group(parts, crashes));
             }
         });
         return groups;
     }
 
-    private boolean isExplainedByFewRequests(Collection<Integer> crashes) {
-        int requests = crashes.size() <= mostCrashesOfFewRequests ? FEW_REQUESTS : 1;
-        Set<Integer> left = new HashSet<>(crashes);
-        for (int i = 0; i < requests; i++) {
-            left.removeAll(crashesOfMostFrequentRequest(left));
-        }
-        return left.size() < CRASHES_OF_OTHER_REQUESTS;
-    }
-
-    /** Those of some crashes at which the request was that was at most of them. */
-    private Set<Integer> crashesOfMostFrequentRequest(Set<Integer> crashes) {
-        Map<String, Set<Integer>> crashesOf = new TreeMap<>();
-        crashes.forEach(crash -> requestsOfCrash.get(crash).forEach(request -> crashesOf
-                .computeIfAbsent(request, any -> new HashSet<>())
-                .add(crash)));
-        return crashesOf.values().stream().max(Comparator.comparing(Set::size)).orElse(Set.of());
+    private boolean isExplainedByOneRequest(List<Integer> crashes) {
+        Map<String, Integer> counts = new HashMap<>();
+        crashes.forEach(crash -> requestsOfCrash.get(crash).forEach(request -> counts.merge(request, 1, Integer::sum)));
+        int most = counts.values().stream().mapToInt(count -> count).max().orElse(0);
+        return crashes.size() - most < CRASHES_OF_OTHER_REQUESTS;
     }
 }
