Idle connections to the store: the test answers a request that it has received

Its server answered as soon as it had accepted the connection; if the client has not sent its request by then, the answer belongs to no request, and the client closes the connection.

The server reads a byte of the request first. What is checked is as it was: the status, and that the idle connection is closed.

--- a/gateway/src/test/java/org/cornelramp/gateway/StoreConnectionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/StoreConnectionTest.java
@@ -1,6 +1,7 @@
 package org.cornelramp.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -28,6 +29,7 @@
                     .send();
             try (Socket connection = server.accept()) {
                 connection.setSoTimeout(TIMEOUT_MILLIS);
+                assertNotEquals(connection.getInputStream().read(), END); // an answer before the request fails it
                 connection
                         .getOutputStream()
                         .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
