--- a/review/src/review/LargeBodies.java
+++ b/review/src/review/LargeBodies.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.LongStream;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.platform.standin.StandInBackend;
 import org.cornelramp.platform.standin.StandInConfig;
@@ -25,10 +26,10 @@
     /** Requests a second; the site's sheet has 72 at four front machines. */
     private static final int USUAL_PER_SECOND = 10;
 
-    private static final double BURST_FACTOR = 2.4;
-    private static final long BURST_AFTER_MILLIS = 6_000;
-    private static final long BURST_MILLIS = 5_000;
-    private static final long LENGTH_MILLIS = 20_000;
+    private static final double BURST_FACTOR = 1.7;
+    private static final long[] BURST_AT_MILLIS = {6_000, 14_000, 22_000};
+    private static final long BURST_MILLIS = 3_000;
+    private static final long LENGTH_MILLIS = 34_000;
 
     /** Makes a stream last about two seconds. */
     private static final double ENGINE_SLOWDOWN = 4;
@@ -61,7 +62,7 @@
         Lab.sleep(5_000);
         byte[] large = new byte[BODY_BYTES];
         lab.note(USUAL_PER_SECOND + " streams a second with bodies of " + BODY_BYTES + " bytes"
-                + (lab.trouble ? ", " + BURST_FACTOR + " times as many for " + BURST_MILLIS + " ms" : ""));
+                + (lab.trouble ? ", " + BURST_FACTOR + " times as many for " + BURST_MILLIS + " ms, three times" : ""));
         List<Consumer.Seen> seen = new CopyOnWriteArrayList<>();
         List<Thread> threads = new ArrayList<>();
         long start = lab.millis();
@@ -69,7 +70,8 @@
         double due = 0;
         while (lab.millis() - start < LENGTH_MILLIS) {
             long at = lab.millis() - start;
-            boolean more = lab.trouble && at >= BURST_AFTER_MILLIS && at < BURST_AFTER_MILLIS + BURST_MILLIS;
+            boolean more = lab.trouble
+                    && LongStream.of(BURST_AT_MILLIS).anyMatch(begin -> at >= begin && at < begin + BURST_MILLIS);
             String id = "stream-" + sent++;
             Thread thread = new Thread(() -> seen.add(stream(lab, gateway.requests, id, large)));
             thread.start();
