--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -9,5 +9,8 @@
   echo "run the build of the deploy file and review/build.sh first" >&2
   exit 2
 fi
-exec java -Xmx1g -XX:TieredStopAtLevel=1 -cp target/review:target/cornelramp.jar "review.$class" "review/$folder/record.txt" \
-  2> target/review/"$class".err
+timeout -k 2 115 java -Xmx1g -XX:TieredStopAtLevel=1 -cp target/review:target/cornelramp.jar "review.$class" \
+  "review/$folder/record.txt" 2> "target/review/$class.err"
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
--- a/review/src/review/Lab.java
+++ b/review/src/review/Lab.java
@@ -71,6 +71,12 @@
         record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
         store = new StandInStore();
         note("trouble=" + (trouble ? 1 : 0));
+        // A script that is ended before its time leaves no process behind.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::killGateways));
+    }
+
+    private synchronized void killGateways() {
+        gateways.forEach(gateway -> gateway.process.destroyForcibly());
     }
 
     long millis() {
@@ -90,6 +96,20 @@
 
     /** Starts a gateway and waits until it is ready. */
     Gateway startGateway(String name) throws Exception {
+        Gateway gateway = launchGateway(name);
+        long deadline = millis() + 20_000;
+        while (!isReady(gateway)) {
+            if (millis() > deadline || !gateway.process.isAlive()) {
+                throw new IllegalStateException("gateway " + name + " is not ready");
+            }
+            Thread.sleep(50);
+        }
+        note("gateway " + name + " is ready");
+        return gateway;
+    }
+
+    /** Starts the process of a gateway. */
+    Gateway launchGateway(String name) throws Exception {
         int requests = freePort();
         int readiness = freePort();
         int metrics = freePort();
@@ -138,16 +158,10 @@
                 .redirectOutput(ProcessBuilder.Redirect.to(output.toFile()));
         builder.environment().put("CORNELRAMP_NODE_FILE", file.toString());
         Gateway gateway = new Gateway(name, requests, readiness, metrics, output, builder.start());
-        gateways.add(gateway);
-        note("gateway " + name + " started, pid " + gateway.process.pid());
-        long deadline = millis() + 20_000;
-        while (!isReady(gateway)) {
-            if (millis() > deadline || !gateway.process.isAlive()) {
-                throw new IllegalStateException("gateway " + name + " is not ready");
-            }
-            Thread.sleep(50);
+        synchronized (this) {
+            gateways.add(gateway);
         }
-        note("gateway " + name + " is ready");
+        note("gateway " + name + " started, pid " + gateway.process.pid());
         return gateway;
     }
 
--- a/review/src/review/LateAnswers.java
+++ b/review/src/review/LateAnswers.java
@@ -16,7 +16,12 @@
     private static final long USUAL_MILLIS = 86;
     private static final int SLOWDOWN = 8;
     private static final long TIMEOUT_MILLIS = 1_500;
-    private static final int PAIRS = 100;
+    private static final int PAIRS = 92;
+
+    /** Length of a disruption; there are two, with a pause between them. */
+    private static final long SLOW_FOR_MILLIS = 9_000;
+
+    private static final long RECOVERED_MILLIS = 500;
     private static final long PAUSE_MILLIS = 200;
 
     public static void main(String[] args) throws Exception {
@@ -50,8 +55,7 @@
         Lab.Gateway gateway = lab.startGateway("front-1");
         Lab.sleep(1_500);
         if (lab.trouble) {
-            servers.forEach(server -> server.workMillis = USUAL_MILLIS * SLOWDOWN);
-            lab.note("all replicas take " + SLOWDOWN + " times as long");
+            PlainServer.start(() -> slowDownTwice(lab, servers), "disruption");
         }
         List<Consumer.Seen> lookups = new CopyOnWriteArrayList<>();
         List<Consumer.Seen> bookings = new CopyOnWriteArrayList<>();
@@ -81,6 +85,17 @@
                         + " bookings");
     }
 
+    private static void slowDownTwice(Lab lab, List<PlainServer> servers) {
+        for (int i = 0; i < 2; i++) {
+            servers.forEach(server -> server.workMillis = USUAL_MILLIS * SLOWDOWN);
+            lab.note("all replicas take " + SLOWDOWN + " times as long, for " + SLOW_FOR_MILLIS + " ms");
+            Lab.sleep(SLOW_FOR_MILLIS);
+            servers.forEach(server -> server.workMillis = USUAL_MILLIS);
+            lab.note("all replicas are as fast as before");
+            Lab.sleep(RECOVERED_MILLIS);
+        }
+    }
+
     private static boolean served(Consumer.Seen seen) {
         return seen.status() == 200 && seen.sealed() && seen.whole();
     }
