--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 rm -rf target/review
 mkdir -p target/review
 javac --release 17 -nowarn -d target/review -cp target/cornelramp.jar \
-  platform/src/main/java/org/cornelramp/platform/standin/*.java review/src/review/*.java
+  platform/src/main/java/org/cornelramp/platform/standin/*.java review/*.java review/[1-5]/*.java
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,16 +1,16 @@
 #!/usr/bin/env bash
-# Runs the program of one case: run-case.sh FOLDER CLASS. Exits with 1 if the rule was broken, 0 if it held, 2 if the
-# case couldn't run. The time limit ends the case and with it the processes that it started.
+# Runs the program of a case: run-case.sh CLASS RECORD. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
+# couldn't run. The time limit ends the program and with it the processes that it started.
 set -uo pipefail
-folder=$1
-class=$2
+class=$1
+record=$2
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 if [ ! -f target/cornelramp.jar ] || [ ! -d target/review ]; then
   echo "run the build of the deploy file and review/build.sh first" >&2
   exit 2
 fi
-timeout -k 2 115 java -Xmx1g -XX:TieredStopAtLevel=1 -cp target/review:target/cornelramp.jar "review.$class" \
-  "review/$folder/record.txt" 2> "target/review/$class.err"
+timeout -k 2 115 java -Xmx1g -XX:TieredStopAtLevel=1 -cp target/review:target/cornelramp.jar "review.$class" "$record" \
+  2> "target/review/$class.err"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
