Log the requests that are in progress when a stopping gateway ends

The log had only their number ("stop", cut=8), so it could not tell whether they were sent at all, whether their answer had arrived and was not forwarded, or whether their time was over. Each is now a line with its server, the time since it was sent, whether the answer has begun, and the time left until its deadline.

--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -251,6 +251,8 @@
                 server.refuseNew();
             }
         }
+        router.offer(new RouterEvent.ProcessEnds());
+        Thread.sleep(POLL_INTERVAL_MILLIS);
         log.line("process", "stop").with("cut", router.activeRequestCount()).write();
         close();
     }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -200,6 +200,8 @@
             poisonGuard.clear(cleared.fingerprint(), now);
         } else if (event instanceof RouterEvent.ExplanationRequested asked) {
             explainer.answer(asked, now);
+        } else if (event instanceof RouterEvent.ProcessEnds) {
+            activeRequests.values().forEach(request -> routingLog.inProgressAtEnd(request, now));
         } else if (event instanceof RouterEvent.MoveResult moved) {
             engineResults.handleMoveResult(moved, now);
         }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RoutingLog.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RoutingLog.java
@@ -222,6 +222,24 @@
                 .write();
     }
 
+    /** A request is still in progress when the process ends. */
+    void inProgressAtEnd(ActiveRequest request, long nowMillis) {
+        Exchange.ClientRequest call = request.exchange().request();
+        Attempt attempt = request.attempt();
+        log.line("request", "in progress at end")
+                .with("id", call.id())
+                .with("route", call.route().name())
+                .with("server", attempt == null ? "" : attempt.server().id())
+                .with("sentMillisAgo", attempt == null ? -1 : nowMillis - attempt.startMillis())
+                .with("answering", attempt != null && attempt.hasResponseStarted())
+                .with("begun", request.exchange().isCommitted())
+                .with("attempts", request.attemptCount())
+                .with("mayHaveRun", request.possibleRunCount())
+                .with("millis", nowMillis - call.receivedMillis())
+                .with("leftMillis", call.deadlineMillis() - nowMillis)
+                .write();
+    }
+
     void ended(ActiveRequest request, String outcome, int status, long nowMillis) {
         Exchange exchange = request.exchange();
         Exchange.ClientRequest call = exchange.request();
