Accept while stopping only what can end, and answer what is left

Cause: a fixed schedule decided which requests a stopping gateway takes (streams for 2.8 s, all others until 1.2 s before the end), whatever a request may take; it was asked once, when the head had been read, and at the end every connection was closed.

Change: ShutdownPolicy decides in one place whether a request can end before the process: by its deadline, or by what the latest requests of its route took and those in progress take. It is asked at the head, when the body is whole, while a request waits, and before each further attempt. What is in progress at the end is answered, 503 if it has not run and 502 (STOPPED) if it may have. The gateway waits for all requests whose response is not written, not only for those that the router knows of, and refuses everything before it ends as idle. A refused body is read first, as its client would lose the refusal.

It works because a request is no longer accepted by the kind of its route but by the time that is left, and because no path ends a request without a response.

Related paths covered: slow bodies, waiting requests, retries, late attempts that are given up for a retry, requests between the count and the close, bodies that are still being read, streams (by deadline once the balancer knows).

The tests that refused waiting streams now begin a shutdown that their timeout does not fit; they assert the same.

--- a/core/src/main/java/org/cornelramp/core/routing/RouteKind.java
+++ b/core/src/main/java/org/cornelramp/core/routing/RouteKind.java
@@ -22,6 +22,16 @@
         public boolean mayRetry(boolean resumable) {
             return resumable;
         }
+
+        @Override
+        public boolean continuesElsewhere(boolean resumable) {
+            return resumable;
+        }
+
+        @Override
+        public boolean answersInParts() {
+            return true;
+        }
     };
 
     /**
@@ -30,4 +40,18 @@
      * @param resumable whether the route allows a stream to resume after a given event
      */
     public abstract boolean mayRetry(boolean resumable);
+
+    /**
+     * Whether a client whose response ends early can get the rest of it from another process.
+     *
+     * @param resumable whether the route allows a stream to resume after a given event
+     */
+    public boolean continuesElsewhere(boolean resumable) {
+        return false;
+    }
+
+    /** Whether a response is sent in parts, so that a process which has to end it early can only cut it. */
+    public boolean answersInParts() {
+        return false;
+    }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import java.util.function.BooleanSupplier;
 import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.core.settings.GatewaySettings;
+import org.cornelramp.core.shutdown.ShutdownPeriod;
 import org.cornelramp.gateway.follow.ConfigFollower;
 import org.cornelramp.gateway.follow.PeerConfigVersions;
 import org.cornelramp.gateway.follow.PeerRecordsClient;
@@ -42,20 +43,8 @@
  * main thread only.
  */
 public final class Gateway implements AutoCloseable {
-    /** Time until the balancer sends no new connections: two failed readiness checks, a second apart, plus a margin. */
-    private static final long BALANCER_NOTICE_MILLIS = 2_500;
-
-    /** Rest of the grace time that is reserved for sending the last responses and ending the process. */
-    private static final long END_MARGIN_MILLIS = 400;
-
-    /**
-     * Time after the stop signal from which new streams are refused; they would be cut off at the end of the grace
-     * time.
-     */
-    private static final long REFUSE_STREAMS_AFTER_MILLIS = 2_800;
-
-    /** Time before the end from which all new requests are refused; the longest plain requests take a second. */
-    private static final long REFUSE_ALL_BEFORE_END_MILLIS = 1_200;
+    /** Longest wait at the end of the shutdown period until the last responses are written. */
+    private static final long LAST_WRITES_MILLIS = 150;
 
     private static final long POLL_INTERVAL_MILLIS = 20;
 
@@ -232,29 +221,40 @@
     public void awaitStop() throws Exception {
         stop.await();
         long beganMillis = clock.millis();
+        ShutdownPeriod period = ShutdownPeriod.of(beganMillis, settings.timing().graceMillis());
+        router.shutdown().begin(period);
         log.line("process", "stop begins")
-                .with("underWay", router.activeRequestCount())
+                .with("underWay", server.openRequestCount())
+                .with("endsAfterMillis", period.endMillis() - beganMillis)
                 .write();
         server.beginShutdown();
         router.announceStop();
         layerPlacer.stop();
         lease.stop();
-        long limitMillis = beganMillis + settings.timing().graceMillis() - END_MARGIN_MILLIS;
-        while (clock.millis() < limitMillis
-                && (clock.millis() < beganMillis + BALANCER_NOTICE_MILLIS || router.activeRequestCount() > 0)) {
-            Thread.sleep(POLL_INTERVAL_MILLIS);
-            if (clock.millis() >= beganMillis + REFUSE_STREAMS_AFTER_MILLIS) {
-                server.refuseStreams();
-                router.refuseWaitingStreams();
+        awaitRequests(period);
+        log.line("process", "stop").with("cut", server.openRequestCount()).write();
+        close();
+    }
+
+    /**
+     * Waits until all requests have their response. Those that have none at the end of the period are answered by the
+     * router then, or here if it does not know of them yet.
+     */
+    private void awaitRequests(ShutdownPeriod period) throws InterruptedException {
+        while (!period.isOver(clock.millis())) {
+            boolean idle = !period.isNoticePending(clock.millis()) && server.openRequestCount() == 0;
+            if (idle) {
+                router.shutdown().close();
             }
-            if (clock.millis() >= limitMillis - REFUSE_ALL_BEFORE_END_MILLIS) {
-                server.refuseNew();
+            if (idle && server.openRequestCount() == 0) {
+                return; // none was accepted in between
             }
+            Thread.sleep(POLL_INTERVAL_MILLIS);
+        }
+        server.refuseUnread();
+        while (server.openRequestCount() > 0 && clock.millis() < period.endMillis() + LAST_WRITES_MILLIS) {
+            Thread.sleep(POLL_INTERVAL_MILLIS);
         }
-        router.offer(new RouterEvent.ProcessEnds());
-        Thread.sleep(POLL_INTERVAL_MILLIS);
-        log.line("process", "stop").with("cut", router.activeRequestCount()).write();
-        close();
     }
 
     /** Stops all components at once and cuts off requests in progress. */
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Attempt.java
@@ -154,6 +154,11 @@
                 && !HttpMethod.HEAD.is(exchange.request().method());
     }
 
+    /** Whether its end has been reported, though it may not have been handled yet. */
+    public boolean hasEnded() {
+        return reportedEnd.get() != null;
+    }
+
     /** Whether bytes of the response wait unread in the socket. */
     public boolean hasUnreadBytes() {
         Request out = request;
--- a/gateway/src/main/java/org/cornelramp/gateway/request/GatewayHttpServer.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/GatewayHttpServer.java
@@ -5,7 +5,6 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Optional;
-import org.cornelramp.core.routing.RouteKind;
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.HostPort;
 import org.cornelramp.gateway.SteadyClock;
@@ -28,8 +27,8 @@
 
 /**
  * The HTTP server of the gateway: accepts clients' requests, the load balancer's readiness checks, and requests for
- * metrics and from peers, each on an address of its own. Started once; {@link #beginShutdown}, {@link #refuseStreams}
- * and {@link #refuseNew} may be called by any thread.
+ * metrics and from peers, each on an address of its own. Started once; {@link #beginShutdown}, {@link #refuseUnread} and
+ * {@link #openRequestCount} may be called by any thread.
  */
 public final class GatewayHttpServer {
     private static final int BACKLOG = 1_024;
@@ -42,9 +41,8 @@
     private final ConfigHolder config;
     private final Router router;
     private final Optional<CapacityMonitor> capacity;
+    private final ClientRequestHandler requestHandler;
     private volatile boolean shuttingDown;
-    private volatile boolean refusingStreams;
-    private volatile boolean refusing;
 
     /**
      * @param listener the bound channel for clients' connections, see {@link #open}
@@ -73,8 +71,7 @@
         server.addConnector(readiness);
         ServerConnector internalConnector = connector(settings.metrics(), "internal");
         server.addConnector(internalConnector);
-        ClientRequestHandler requestHandler =
-                new ClientRequestHandler(config, router, clock, log, this::closesNext, this::refuses, meters);
+        this.requestHandler = new ClientRequestHandler(config, router, clock, log, this::closesNext, meters);
         server.setHandler(new Handler.Abstract.NonBlocking() {
             @Override
             public boolean handle(Request request, Response response, Callback callback) throws Exception {
@@ -146,18 +143,14 @@
         server.stop();
     }
 
-    /** Refuses new streams from now on; they would be cut off when this process ends. */
-    public void refuseStreams() {
-        refusingStreams = true;
+    /** Refuses the clients' requests that have not been read completely, as this process ends. */
+    public void refuseUnread() {
+        requestHandler.refuseUnread();
     }
 
-    /** Refuses all new requests from now on; those in progress continue. */
-    public void refuseNew() {
-        refusing = true;
-    }
-
-    private boolean refuses(RouteKind kind) {
-        return refusing || (refusingStreams && kind == RouteKind.STREAMING);
+    /** Number of clients' requests whose response has not been written completely. */
+    public int openRequestCount() {
+        return requestHandler.openRequestCount();
     }
 
     /** Reports this process as not ready from now on, and closes each connection after its next response. */
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Refusal.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Refusal.java
@@ -2,7 +2,7 @@
 
 /**
  * Responses that the gateway itself generates. A request that ends with one of them has not run and will not run,
- * except for {@link #UNKNOWN} and {@link #TIMED_OUT}, after which it may have run. Immutable, safe for use by any
+ * except for {@link #UNKNOWN}, {@link #STOPPED} and {@link #TIMED_OUT}, after which it may have run. Immutable, safe for use by any
  * thread.
  */
 public enum Refusal {
@@ -22,6 +22,7 @@
             60_000),
     NOT_RUN_IN_TIME(503, "No backend server ran this request in time; send it again.", 500),
     TIMED_OUT(504, "No answer came in time, and the request may have run.", 0),
+    STOPPED(502, "This process has stopped before an answer came, and the request may have run.", 0),
     UNKNOWN(502, "The backend server was lost, and the request may have run.", 0);
 
     private final int status;
@@ -34,6 +35,15 @@
         this.retryMillis = retryMillis;
     }
 
+    /**
+     * How a stopping process refuses a request.
+     *
+     * @param hasStayingPeer whether there is a process that is not stopping
+     */
+    public static Refusal whileStopping(boolean hasStayingPeer) {
+        return hasStayingPeer ? LEAVING : ALL_LEAVING;
+    }
+
     /** HTTP status. */
     public int status() {
         return status;
--- a/gateway/src/main/java/org/cornelramp/gateway/route/OverdueAttempts.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/OverdueAttempts.java
@@ -27,11 +27,13 @@
 
     private final SharedRetries sharedRetries;
     private final Dispatcher dispatcher;
+    private final ShutdownGuard shutdown;
     private final LostAnswerDetector lostAnswerDetector = new LostAnswerDetector();
 
-    OverdueAttempts(SharedRetries sharedRetries, Dispatcher dispatcher) {
+    OverdueAttempts(SharedRetries sharedRetries, Dispatcher dispatcher, ShutdownGuard shutdown) {
         this.sharedRetries = sharedRetries;
         this.dispatcher = dispatcher;
+        this.shutdown = shutdown;
     }
 
     /** Whether events of the attempt have arrived. */
@@ -78,6 +80,7 @@
      */
     boolean canRestart(ActiveRequest request, long now) {
         return request.route().mayRetry()
+                && shutdown.mayAttempt(request, now)
                 && sharedRetries.isAvailable(request.service(), false, now)
                 && dispatcher.hasPath(request, now);
     }
@@ -104,6 +107,8 @@
         boolean started = request.exchange().isCommitted();
         boolean elsewhere =
                 attempt.path().isPresent() || dispatcher.hasAlternativeServer(request, attempt.server(), now);
-        return elsewhere && sharedRetries.isAvailable(request.service(), started, now);
+        return elsewhere
+                && shutdown.mayAttempt(request, now)
+                && sharedRetries.isAvailable(request.service(), started, now);
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestAdmission.java
@@ -29,7 +29,7 @@
 /**
  * Admits streams to engines in the order of their urgency while there is not enough capacity for all. Takes part only
  * where the configuration gives a service's routes for streams more than one priority; other requests are
- * handled as if this class did not exist. Confined to the router's thread, except for {@link #beginStop}.
+ * handled as if this class did not exist. Confined to the router's thread.
  *
  * <p>Invariants: a request that waits here has no attempt and no event forwarded. Only one whose
  * {@link ActiveRequest#possibleRunCount} is 0 may be refused with a status that promises that it has not run; the others
@@ -88,7 +88,6 @@
     private long lastId;
     private long checkedVersion = -1;
     private Set<ServiceName> services = Set.of();
-    private volatile boolean stopping;
 
     /**
      * A request that is refused, with the time after which its client may return.
@@ -198,9 +197,6 @@
      * @return the requests that are refused, as they can no longer be served in time
      */
     List<Rejected> check(long now) {
-        if (stopping) {
-            return drain(now);
-        }
         List<Rejected> rejected = new ArrayList<>(applyConfiguration(now));
         if (queue.size() == 0) {
             return rejected;
@@ -253,22 +249,6 @@
                 Refusal.OVERLOADED.retryMillis());
     }
 
-    /** Refuses all waiting requests from now on, as this process stops; may be called by any thread. */
-    void beginStop() {
-        stopping = true;
-    }
-
-    /** Removes and returns all waiting requests: another gateway may be able to serve them. */
-    private List<Rejected> drain(long now) {
-        List<Rejected> rejected = new ArrayList<>();
-        for (WaitingRequest<ActiveRequest> waiting : queue.inOrder(now)) {
-            queue.remove(waiting.id());
-            rejected.add(new Rejected(
-                    waiting.work(), Refusal.LEAVING, "this process is stopping", Refusal.LEAVING.retryMillis()));
-        }
-        return rejected;
-    }
-
     /** Records the time to the first event of a stream, by which later predictions are calibrated. */
     void recordFirstEvent(ActiveRequest request, Attempt attempt, long now) {
         if (request.admissionId() != 0) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestEnder.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestEnder.java
@@ -22,6 +22,7 @@
     private final DemandReporter demandReporter;
     private final RoutingLog routingLog;
     private final RequestAdmission admission;
+    private final ShutdownGuard shutdown;
 
     /**
      * @param activeRequests the requests in progress
@@ -38,7 +39,8 @@
             RetryDelay retryDelay,
             DemandReporter demandReporter,
             RoutingLog routingLog,
-            RequestAdmission admission) {
+            RequestAdmission admission,
+            ShutdownGuard shutdown) {
         this.activeRequests = activeRequests;
         this.activeRequestCount = activeRequestCount;
         this.sharedRetries = sharedRetries;
@@ -50,6 +52,7 @@
         this.demandReporter = demandReporter;
         this.routingLog = routingLog;
         this.admission = admission;
+        this.shutdown = shutdown;
     }
 
     /** Ends a request whose whole stream has been forwarded. */
@@ -63,7 +66,8 @@
         if (request.possibleRunCount() > 0) {
             return Refusal.UNKNOWN;
         }
-        return poisonGuard.refusal(request, now).orElse(Refusal.OVERLOADED);
+        Refusal usual = shutdown.mayAttempt(request, now) ? Refusal.OVERLOADED : shutdown.refusal();
+        return poisonGuard.refusal(request, now).orElse(usual);
     }
 
     /** Refuses a request, or aborts it if a part of its response has been sent. */
@@ -109,6 +113,7 @@
         if (activeRequests.remove(request.exchange()) != null) {
             activeRequestCount.decrementAndGet();
         }
+        shutdown.recordEnd(request, now);
         retryDispatcher.remove(request);
         admission.remove(request);
         unframedEnds.remove(request);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -10,6 +10,7 @@
 import org.cornelramp.core.model.ServiceName;
 import org.cornelramp.core.routing.Route;
 import org.cornelramp.core.settings.GatewaySettings;
+import org.cornelramp.core.shutdown.ShutdownPolicy;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
@@ -53,6 +54,8 @@
     private final PoisonGuard poisonGuard;
     private final LifeQuestions lifeQuestions;
     private final UnframedEnds unframedEnds;
+    private final ShutdownGuard shutdown;
+    private final ShutdownEnder shutdownEnder;
     private final RequestEnder ender;
     private final FailedAttempts failedAttempts;
     private final RequestAdmission admission;
@@ -102,13 +105,15 @@
                 poisonGuard,
                 demandReporter,
                 failureDetector::handlePeerSuspicion);
+        this.shutdown = new ShutdownGuard(new ShutdownPolicy(), peerUpdateHandler::hasStayingPeer);
         failureDetector.setOnLost(peerUpdateHandler::recordFailure);
         PlainServerChooser plain = new PlainServerChooser(fleet, settings.dataCentre(), random, routingLog);
         PromptPrefixUse prefixes = new PromptPrefixUse(settings, fleet, poisonGuard, routingLog);
         this.dispatcher =
                 new Dispatcher(settings, clients, config, fleet, plain, prefixes, poisonGuard, clock, log, attemptEnds);
-        this.retryDispatcher = new RetryDispatcher(sharedRetries, dispatcher, fleet, poisonGuard, routingLog, faults);
-        this.overdueAttempts = new OverdueAttempts(sharedRetries, dispatcher);
+        this.retryDispatcher =
+                new RetryDispatcher(sharedRetries, dispatcher, fleet, poisonGuard, shutdown, routingLog, faults);
+        this.overdueAttempts = new OverdueAttempts(sharedRetries, dispatcher, shutdown);
         this.serverNotices = new ServerNoticeHandler(fleet, log, meters);
         this.streamMonitor =
                 new StreamMonitor(fleet, engineControl, failureDetector, overdueAttempts, faults, log, events);
@@ -130,7 +135,9 @@
                 retryDelay,
                 demandReporter,
                 routingLog,
-                admission);
+                admission,
+                shutdown);
+        this.shutdownEnder = new ShutdownEnder(shutdown, unframedEnds, ender, routingLog);
         this.failedAttempts =
                 new FailedAttempts(retryDispatcher, admission, this::rejectAll, ender, failureDetector, routingLog);
         this.engineResults = new EngineResultHandler(
@@ -170,6 +177,11 @@
         return peerUpdateHandler;
     }
 
+    /** Decides which requests are accepted while the process stops; may be called by any thread. */
+    ShutdownPolicy shutdownPolicy() {
+        return shutdown.policy();
+    }
+
     /** Handles one event; an exception is logged and does not reach the caller, which may have more events. */
     void handle(RouterEvent event, long now) {
         faults.run("event", now, () -> handleUnguarded(event, now));
@@ -200,8 +212,6 @@
             poisonGuard.clear(cleared.fingerprint(), now);
         } else if (event instanceof RouterEvent.ExplanationRequested asked) {
             explainer.answer(asked, now);
-        } else if (event instanceof RouterEvent.ProcessEnds) {
-            activeRequests.values().forEach(request -> routingLog.inProgressAtEnd(request, now));
         } else if (event instanceof RouterEvent.MoveResult moved) {
             engineResults.handleMoveResult(moved, now);
         }
@@ -238,7 +248,9 @@
                     request, "client gone", request.exchange().clientCloseReason(), now); // while the request was held
             return;
         }
-        send(request, now);
+        if (!shutdownEnder.endIfUnfinishable(request, now)) {
+            send(request, now);
+        }
     }
 
     /** Sends a request, or ends it if no server can take it. */
@@ -260,11 +272,6 @@
         }
     }
 
-    /** Refuses the streams that wait for capacity, as this process stops; may be called by any thread. */
-    void refuseWaitingStreams() {
-        admission.beginStop();
-    }
-
     /** Handles a request that no server can take. */
     private void waitOrGiveUp(ActiveRequest request, long now) {
         NoServerPolicy.Step step = noServer.step(request, now);
@@ -376,6 +383,7 @@
     void tick(long now) {
         fleet.recordTickDelay(lastTickMillis == 0 ? 0 : Math.max(0, now - lastTickMillis - TICK_MILLIS), now);
         lastTickMillis = now;
+        shutdown.observe(activeRequests.values(), now);
         tickLag.record(fleet.lagMillis(), now);
         for (ActiveRequest request : List.copyOf(activeRequests.values())) {
             checkSafely(request, now);
@@ -475,6 +483,8 @@
                     request.possibleRunCount() == 0 ? Refusal.NOT_RUN_IN_TIME : Refusal.TIMED_OUT,
                     "deadline",
                     now);
+        } else if (shutdownEnder.endIfUnfinishable(request, now)) {
+            return; // it can't be continued
         } else if (attempt == null) {
             sendUnsent(request, now);
         } else if (overdueAttempts.isUnfinished(request, attempt, now)) {
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RetryDispatcher.java
@@ -58,6 +58,7 @@
     private final Dispatcher dispatcher;
     private final FleetState fleet;
     private final PoisonGuard poisonGuard;
+    private final ShutdownGuard shutdown;
     private final RoutingLog routingLog;
     private final FaultBarrier faults;
     private final RetryQueue<ActiveRequest> retryQueue = new RetryQueue<>();
@@ -69,12 +70,14 @@
             Dispatcher dispatcher,
             FleetState fleet,
             PoisonGuard poisonGuard,
+            ShutdownGuard shutdown,
             RoutingLog routingLog,
             FaultBarrier faults) {
         this.sharedRetries = sharedRetries;
         this.dispatcher = dispatcher;
         this.fleet = fleet;
         this.poisonGuard = poisonGuard;
+        this.shutdown = shutdown;
         this.routingLog = routingLog;
         this.faults = faults;
     }
@@ -98,6 +101,10 @@
             routingLog.notRetried(request, "all attempts are made, or its time is over");
             return false;
         }
+        if (!shutdown.mayAttempt(request, now)) {
+            routingLog.notRetried(request, "the process stops before another attempt could end");
+            return false;
+        }
         Optional<String> poison = poisonGuard.refusalCause(request, now);
         if (poison.isPresent()) {
             routingLog.notRetried(request, poison.get());
--- a/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/Router.java
@@ -2,6 +2,7 @@
 
 import java.util.SplittableRandom;
 import org.cornelramp.core.settings.GatewaySettings;
+import org.cornelramp.core.shutdown.ShutdownPolicy;
 import org.cornelramp.daemon.kernel.EventLoop;
 import org.cornelramp.gateway.HttpClients;
 import org.cornelramp.gateway.SteadyClock;
@@ -110,9 +111,9 @@
         requestRouter.peerUpdates().announceStop();
     }
 
-    /** Refuses the streams that wait for capacity, as this process stops. */
-    public void refuseWaitingStreams() {
-        requestRouter.refuseWaitingStreams();
+    /** Decides which requests are accepted while this process stops. */
+    public ShutdownPolicy shutdown() {
+        return requestRouter.shutdownPolicy();
     }
 
     /** Whether there is a peer that is not stopping. */
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RouterEvent.java
@@ -22,9 +22,6 @@
     /** A client's request has been read completely. */
     record RequestReceived(Exchange exchange) implements RouterEvent {}
 
-    /** The process ends in a moment, with the requests that are in progress. */
-    record ProcessEnds() implements RouterEvent {}
-
     /** An attempt at a request has ended. */
     record AttemptEnded(Attempt attempt, AttemptEnd end) implements RouterEvent {}
 
--- a/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/PriorityAdmissionTest.java
@@ -52,6 +52,9 @@
     private static final PeerUpdate.Sender PEER = new PeerUpdate.Sender("g2", 1, new DataCentre("dc1"));
 
     private final BackendServer engine = RouterSimulation.engine("a1", 11, 0, 8);
+    /** Shorter than the timeout of the streams. */
+    private static final long GRACE_MILLIS = 8_000;
+
     private RouterSimulation router;
 
     private static String json(int version, String urgentPath) {
@@ -142,7 +145,7 @@
     @Test
     public void stoppingProcessRefusesWaitingRequests() {
         FakeClient client = request("/urgent/a", "urgent");
-        router.refuseWaitingStreams();
+        router.stopWithin(GRACE_MILLIS);
         router.run(40);
         assertEquals(client.status(), 503);
     }
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RetryAdmissionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RetryAdmissionTest.java
@@ -30,6 +30,9 @@
     private static final BackendServer FULL = RouterSimulation.engine("a1", 11, 0, 8);
     private static final BackendServer LOST = RouterSimulation.engine("b1", 12, 0, 8);
 
+    /** Shorter than the timeout of the streams. */
+    private static final long GRACE_MILLIS = 8_000;
+
     private RouterSimulation router;
 
     private static String json(int version) {
@@ -235,7 +238,7 @@
     public void stoppingProcessEndsWaitingRetries() {
         FakeClient mayHaveRun = requestToLostEngine("/urgent/a", "unknown");
         FakeClient notRun = requestToRefusingEngine("/urgent/a", "refused");
-        router.refuseWaitingStreams();
+        router.stopWithin(GRACE_MILLIS);
         router.run(40);
         assertEquals(mayHaveRun.status(), 502);
         assertEquals(notRun.status(), 503);
--- a/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/route/RouterSimulation.java
@@ -21,6 +21,7 @@
 import org.cornelramp.core.settings.GatewaySettings;
 import org.cornelramp.core.settings.GatewaySettingsReader;
 import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.core.shutdown.ShutdownPeriod;
 import org.cornelramp.gateway.TestServers;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
@@ -397,9 +398,9 @@
         }
     }
 
-    /** Refuses the streams that wait for capacity, as when the process stops. */
-    void refuseWaitingStreams() {
-        router.refuseWaitingStreams();
+    /** Lets the process stop, so that it ends after the given time; the balancer knows already. */
+    void stopWithin(long millis) {
+        router.shutdownPolicy().begin(new ShutdownPeriod(now, now, now + millis));
     }
 
     /** Number of exceptions in the router's work; a router in production logs them and goes on. */
