Handle signals that a gateway receives while it starts

Cause: the handlers were installed after the Gateway had been constructed; until then the virtual machine's default ends the process.

Change: the handlers are installed first in main and keep signals until the Gateway exists (PendingSignals). A signal during the start begins a planned stop once the components run.

--- a/gateway/src/main/java/org/cornelramp/gateway/Main.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/Main.java
@@ -37,6 +37,8 @@
 
     /** Runs until a stop signal has been handled, then exits the process. */
     public static void main(String[] args) {
+        PendingSignals signals = new PendingSignals();
+        install(signals); // first, as the virtual machine ends the process on a signal without a handler
         Either<String, GatewaySettings> settings = file(args).flatMap(Main::read);
         if (settings.isLeft()) {
             System.err.println(settings.getLeft());
@@ -50,14 +52,23 @@
                 Clock.systemUTC(),
                 settings.get().name());
         log.start();
-        exit(run(settings.get(), file(args).get(), log));
+        exit(run(settings.get(), file(args).get(), signals, log));
     }
 
-    private static int run(GatewaySettings settings, Path file, EventLog log) {
+    private static void install(PendingSignals signals) {
+        try {
+            Signals.onStop(signals::stop);
+            Signals.onReload(signals::reload);
+        } catch (ReflectiveOperationException e) {
+            System.err.println("signals: this virtual machine has no sun.misc.Signal, use JDK 17; " + e);
+            exit(EXIT_NOT_STARTED);
+        }
+    }
+
+    private static int run(GatewaySettings settings, Path file, PendingSignals signals, EventLog log) {
         try {
             Gateway gateway = new Gateway(settings, SteadyClock.system(), log);
-            Signals.onStop(gateway::beginStop);
-            Signals.onReload(() -> reload(file, settings, log));
+            signals.handle(gateway::beginStop, () -> reload(file, settings, log));
             gateway.start();
             gateway.awaitStop();
             log.stop();
