Keep the threads of a gateway alive after an error

Cause: the threads that route, follow, lease, place and tell the peers caught RuntimeException or IOException only, so that an Error ended them.

Change: StepGuard runs their steps and goes on after whatever one throws; FaultBarrier handles errors like exceptions. The tick of an event loop is made also after an event that failed.

--- a/daemon/src/main/java/org/cornelramp/daemon/kernel/EventLoop.java
+++ b/daemon/src/main/java/org/cornelramp/daemon/kernel/EventLoop.java
@@ -26,6 +26,7 @@
     private final Thread thread;
     private volatile boolean running = true;
     private volatile boolean idle;
+    private long nextTick;
 
     /**
      * @param name name of the thread
@@ -81,17 +82,31 @@
     }
 
     private void run() {
-        long nextTick = System.nanoTime() + tickNanos;
+        nextTick = System.nanoTime() + tickNanos;
+        Runnable step = this::step;
+        Consumer<Throwable> onFailure = this::logFailure;
         while (running) {
-            E event = awaitEvent(nextTick);
+            StepGuard.run(step, onFailure);
+        }
+    }
+
+    /** Handles one event, if there is any, and makes the tick if it is due; neither keeps the other from being made. */
+    private void step() {
+        E event = awaitEvent(nextTick);
+        try {
             if (event != null) {
-                runSafely(() -> handler.accept(event));
-            }
-            long now = System.nanoTime();
-            if (now - nextTick >= 0) {
-                runSafely(tick);
-                nextTick = now + tickNanos;
+                handler.accept(event);
             }
+        } finally {
+            tickIfDue();
+        }
+    }
+
+    private void tickIfDue() {
+        long now = System.nanoTime();
+        if (now - nextTick >= 0) {
+            nextTick = now + tickNanos;
+            tick.run();
         }
     }
 
@@ -115,15 +130,10 @@
         return event;
     }
 
-    /** Logs an exception in one event instead of ending the thread, which would stall every request behind it. */
-    private void runSafely(Runnable work) {
-        try {
-            work.run();
-        } catch (RuntimeException e) {
-            LOG.log(
-                    System.Logger.Level.ERROR,
-                    "kernel: the handler of one event failed, the loop continues; duty=" + name,
-                    e);
-        }
+    private void logFailure(Throwable failure) {
+        LOG.log(
+                System.Logger.Level.ERROR,
+                "kernel: the handler of one event failed, the loop continues; duty=" + name,
+                failure);
     }
 }
--- a/gateway/src/main/java/org/cornelramp/gateway/follow/TopicFollower.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/follow/TopicFollower.java
@@ -4,7 +4,9 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadFactory;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.daemon.kernel.StepGuard;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
@@ -314,23 +316,29 @@
     }
 
     private void run() {
+        Runnable step = this::stepAndPause;
+        Consumer<Throwable> onFailure = this::logFailure;
         while (running) {
-            long pause;
-            try {
-                pause = step();
-            } catch (RuntimeException e) {
-                line("follower failed").with("fault", e).write();
-                pause = -1;
-            }
-            if (pause < 0) {
+            if (!StepGuard.run(step, onFailure)) {
                 pauseAfterFault();
-            } else {
-                faultPauseMillis = FIRST_PAUSE_MILLIS;
-                pause(pause);
             }
         }
     }
 
+    private void stepAndPause() {
+        long pause = step();
+        if (pause < 0) {
+            pauseAfterFault();
+        } else {
+            faultPauseMillis = FIRST_PAUSE_MILLIS;
+            pause(pause);
+        }
+    }
+
+    private void logFailure(Throwable failure) {
+        line("follower failed").with("fault", failure).write();
+    }
+
     /** Waits longer after each fault, but at most until the store has answered another thread. */
     private void pauseAfterFault() {
         for (long left = faultPauseMillis;
--- a/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateService.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/peer/PeerUpdateService.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
@@ -18,6 +19,7 @@
 import java.util.stream.Collectors;
 import org.cornelramp.core.model.DataCentre;
 import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.daemon.kernel.StepGuard;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.follow.PeerConfigVersions;
 import org.cornelramp.gateway.follow.ReadCoordinator;
@@ -115,16 +117,27 @@
     }
 
     private void run() {
+        Runnable rounds = this::runRounds;
+        Consumer<Throwable> onFailure = this::logFailure;
         while (running) {
-            try (DatagramSocket socket = new DatagramSocket(new InetSocketAddress(address.host(), address.port()))) {
-                runRounds(socket);
-            } catch (IOException e) {
-                log.line("peers", "socket failed").with("fault", e).write();
+            if (!StepGuard.run(rounds, onFailure)) {
                 pauseAfterFailure();
             }
         }
     }
 
+    private void runRounds() {
+        try (DatagramSocket socket = new DatagramSocket(new InetSocketAddress(address.host(), address.port()))) {
+            runRounds(socket);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void logFailure(Throwable failure) {
+        log.line("peers", "socket failed").with("fault", failure).write();
+    }
+
     private static void pauseAfterFailure() {
         try {
             Thread.sleep(500);
--- a/gateway/src/main/java/org/cornelramp/gateway/place/LayerPlacer.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/LayerPlacer.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.cornelramp.core.fleet.BackendServer;
 import org.cornelramp.core.model.BackendServerId;
@@ -19,6 +20,7 @@
 import org.cornelramp.core.routing.EngineSpec;
 import org.cornelramp.core.routing.RoutingConfig;
 import org.cornelramp.core.routing.ServiceSpec;
+import org.cornelramp.daemon.kernel.StepGuard;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
@@ -117,16 +119,18 @@
     }
 
     private void run() {
+        Runnable step = () -> step(clock.millis());
+        Consumer<Throwable> onFailure = this::logFailure;
         while (running) {
-            try {
-                step(clock.millis());
-            } catch (RuntimeException e) {
-                log.line("placement", "step failed").with("fault", e).write();
-            }
+            StepGuard.run(step, onFailure);
             LockSupport.parkNanos(this, STEP_MILLIS * 1_000_000L);
         }
     }
 
+    private void logFailure(Throwable failure) {
+        log.line("placement", "step failed").with("fault", failure).write();
+    }
+
     private void step(long now) {
         FleetView view = fleet.get();
         demand.observe(view, now);
--- a/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/place/LeaderLease.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ThreadFactory;
 import java.util.function.Consumer;
 import org.cornelramp.core.settings.HostPort;
+import org.cornelramp.daemon.kernel.StepGuard;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.follow.StoreAvailability;
 import org.cornelramp.gateway.log.EventLog;
@@ -140,16 +141,18 @@
     }
 
     private void run() {
+        Runnable step = () -> step(clock.millis());
+        Consumer<Throwable> onFailure = this::logFailure;
         while (running) {
-            try {
-                step(clock.millis());
-            } catch (RuntimeException e) {
-                log.line("lease", "step failed").with("fault", e).write();
-            }
+            StepGuard.run(step, onFailure);
             clock.pause(STEP_MILLIS);
         }
     }
 
+    private void logFailure(Throwable failure) {
+        log.line("lease", "step failed").with("fault", failure).write();
+    }
+
     private void step(long now) {
         if (now >= nextJoinMillis) {
             join(now);
--- a/gateway/src/main/java/org/cornelramp/gateway/request/CapacityMonitor.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/CapacityMonitor.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -15,6 +16,7 @@
 import org.cornelramp.core.member.PeerStatus;
 import org.cornelramp.core.member.PeerSummary;
 import org.cornelramp.core.settings.GatewaySettings;
+import org.cornelramp.daemon.kernel.StepGuard;
 import org.cornelramp.gateway.SteadyClock;
 import org.cornelramp.gateway.log.EventLog;
 import org.cornelramp.gateway.metrics.Meters;
@@ -92,17 +94,19 @@
 
     private void run() {
         clock.pause(INITIAL_DELAY_MILLIS);
+        Runnable update = this::update;
+        Consumer<Throwable> onFailure = this::logFailure;
         while (running) {
-            try {
-                update();
-            } catch (RuntimeException e) {
-                meters.countException("capacity");
-                log.line("capacity", "exception").with("why", e).write();
-            }
+            StepGuard.run(update, onFailure);
             clock.pause(INTERVAL_MILLIS);
         }
     }
 
+    private void logFailure(Throwable failure) {
+        meters.countException("capacity");
+        log.line("capacity", "exception").with("why", failure).write();
+    }
+
     /** Measures the load, decides, and logs a change. */
     void update() {
         long now = clock.millis();
--- a/gateway/src/main/java/org/cornelramp/gateway/route/FaultBarrier.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/FaultBarrier.java
@@ -25,7 +25,7 @@
         try {
             work.run();
             return true;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             countException("request");
             if (request.markFaultLogged()) {
                 routingLog.faulted(request.exchange().request().id(), "request", e);
@@ -43,7 +43,7 @@
         try {
             work.run();
             return true;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             countException(step);
             if (isLogDue(step, nowMillis)) {
                 routingLog.faulted("", step, e);
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RoutingLog.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RoutingLog.java
@@ -132,7 +132,7 @@
      * @param id id of the request that was handled; empty if it was none
      * @param step what was done
      */
-    void faulted(String id, String step, RuntimeException failure) {
+    void faulted(String id, String step, Throwable failure) {
         StackTraceElement[] trace = failure.getStackTrace();
         log.line("route", "exception")
                 .with("id", id)
