Test responses whose head is cut, with bare line feeds and interim heads

A report of other operators: a replica stops in the middle of its answer's head and closes, and clients get a 200 with an empty body.

--- a/gateway/src/test/java/org/cornelramp/gateway/CutConnectionTest.java
+++ b/gateway/src/test/java/org/cornelramp/gateway/CutConnectionTest.java
@@ -132,6 +132,28 @@
         }
     }
 
+    /** Guards against an empty response that looks whole because its server stopped in the middle of the head. */
+    @Test(dataProvider = "connections")
+    public void cutHeadWithBareLineFeedsIsNoResponse(RouteKind kind, Framing framing, boolean reset) throws Exception {
+        assertHeadIsNoResponse(kind, framing.head.replace("\r\n", "\n"), reset);
+    }
+
+    /** Guards against an attempt that goes on until its deadline after the server has closed the connection. */
+    @Test(dataProvider = "connections", groups = "known-red")
+    public void cutHeadAfterAnInterimHeadIsNoResponse(RouteKind kind, Framing framing, boolean reset) throws Exception {
+        assertHeadIsNoResponse(kind, "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n" + framing.head, reset);
+    }
+
+    private void assertHeadIsNoResponse(RouteKind kind, String head, boolean reset) throws Exception {
+        byte[] response = head.getBytes(StandardCharsets.US_ASCII);
+        for (int sent = 1; sent < response.length; sent++) {
+            Outcome outcome = attempt(kind, response, sent, reset);
+            String seen = "after " + sent + " of " + response.length + " bytes: " + outcome;
+            assertEquals(outcome.end().kind(), AttemptEnd.Kind.BROKEN, seen);
+            assertEquals(outcome.relayed(), "", seen);
+        }
+    }
+
     private Outcome attempt(RouteKind kind, byte[] response, int sent, boolean reset) throws Exception {
         BackendServer server = TestServers.plain("p1", listener.getLocalPort());
         FakeClient client = new FakeClient(route(kind), ID, 0);
