Count each open request of a stopping gateway once

Read in review, not seen: a callback that is completed twice would have lowered the count of open requests below 0, so that a stopping gateway would have waited until the end of its grace time. Open requests are kept as a set. The ages of the requests in progress are told to the policy behind the router's fault barrier, like each other step of a tick.

--- a/gateway/src/main/java/org/cornelramp/gateway/request/OpenRequests.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/OpenRequests.java
@@ -4,17 +4,17 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
 /**
  * The clients' requests whose response has not been written completely. A planned shutdown waits for them: the router
- * knows only of those that have been read completely and not been answered yet. Safe for use by any thread.
+ * knows only of those that have been read completely and not been answered yet. Safe for use by any thread. Invariant: a
+ * request that is unclaimed is open.
  */
 final class OpenRequests {
-    private final AtomicInteger count = new AtomicInteger();
+    private final Set<OpenRequest> open = ConcurrentHashMap.newKeySet();
     private final Set<OpenRequest> unclaimed = ConcurrentHashMap.newKeySet();
 
     /**
@@ -30,7 +30,7 @@
         private OpenRequest(Request request, Response response, Callback callback) {
             this.request = request;
             this.response = response;
-            this.callback = Callback.from(callback, count::decrementAndGet);
+            this.callback = Callback.from(callback, () -> open.remove(this));
         }
 
         Request request() {
@@ -55,15 +55,15 @@
 
     /** Registers a request whose head has arrived. */
     OpenRequest open(Request request, Response response, Callback callback) {
-        count.incrementAndGet();
         OpenRequest opened = new OpenRequest(request, response, callback);
+        open.add(opened);
         unclaimed.add(opened);
         return opened;
     }
 
     /** Number of requests whose response has not been written completely. */
     int count() {
-        return count.get();
+        return open.size();
     }
 
     /** The requests that nobody has claimed, as they are delayed or their body is being read. */
--- a/gateway/src/main/java/org/cornelramp/gateway/request/Refusal.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/request/Refusal.java
@@ -1,9 +1,9 @@
 package org.cornelramp.gateway.request;
 
 /**
- * Responses that the gateway itself generates. A request that ends with one of them has not run and will not run,
- * except for {@link #UNKNOWN}, {@link #STOPPED} and {@link #TIMED_OUT}, after which it may have run. Immutable, safe for use by any
- * thread.
+ * Responses that the gateway itself generates. A request that ends with one of them has not run and will not run, except
+ * for {@link #UNKNOWN}, {@link #STOPPED} and {@link #TIMED_OUT}, after which it may have run. Immutable, safe for use by
+ * any thread.
  */
 public enum Refusal {
     NO_CONFIGURATION(503, "This process has no configuration yet; send the request again soon.", 400),
--- a/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
+++ b/gateway/src/main/java/org/cornelramp/gateway/route/RequestRouter.java
@@ -383,7 +383,7 @@
     void tick(long now) {
         fleet.recordTickDelay(lastTickMillis == 0 ? 0 : Math.max(0, now - lastTickMillis - TICK_MILLIS), now);
         lastTickMillis = now;
-        shutdown.observe(activeRequests.values(), now);
+        faults.run("shutdown", now, () -> shutdown.observe(activeRequests.values(), now));
         tickLag.record(fleet.lagMillis(), now);
         for (ActiveRequest request : List.copyOf(activeRequests.values())) {
             checkSafely(request, now);
